--- a/src/include/pathport/platform.h
+++ b/src/include/pathport/platform.h
@@ -67,7 +67,13 @@
 struct BoxExchange {
     std::string shard;
     int64_t epoch = 0;
+    /// Rises with each exchange under an epoch. A box carries out none that comes after a
+    /// later one: it could start again what has ended since and is forgotten.
+    int64_t sequence = 0;
     std::string owner; ///< Node id and incarnation, for the box's log.
+    /// The box's incarnation that the commands are for; another one carries none of them
+    /// out.
+    std::string incarnation;
     Millis lease; ///< The box ends all its tasks when nothing renews them for so long.
     Millis renew_from; ///< Box time from which `lease` counts; 0 renews nothing.
     int64_t known_report
@@ -94,8 +100,8 @@
     virtual ~BoxAgent() = default;
 
     /// Makes one exchange with `box`. `done` gets the report, or the failure: `stale_epoch`
-    /// when the box has accepted a higher epoch, `unavailable` when nothing has reached it,
-    /// `outcome_unknown` otherwise.
+    /// when the box has accepted a higher epoch, `conflict` when it has carried out a later
+    /// exchange, `unavailable` when nothing has reached it, `outcome_unknown` otherwise.
     virtual void exchange(const BoxInfo& box, const BoxExchange& exchange,
                           std::function<void(std::optional<BoxReport>, Failure)> done)
         = 0;
--- a/src/model.lib/codec.cpp
+++ b/src/model.lib/codec.cpp
@@ -81,7 +81,7 @@
 
     std::string name(const char* field)
     {
-        const std::string value = text(field);
+        std::string value = text(field);
         if (!is_valid_name(value)) {
             throw FieldError(std::string("field '") + field + "' is '" + value
                              + "'; allowed: 1 to 63 of a-z, 0-9 and '-', starting with a "
--- a/src/node.lib/config_view.cpp
+++ b/src/node.lib/config_view.cpp
@@ -11,6 +11,8 @@
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
+#include <chrono>
+#include <thread>
 
 namespace pathport {
 
@@ -20,7 +22,8 @@
 
 constexpr char revision_key[] = "config/revision";
 constexpr char audit_prefix[] = "audit/";
-constexpr int max_change_tries = 5;
+constexpr int max_change_tries = 8;
+constexpr Millis overload_pause { 250 };
 
 std::string row_key(const std::string& kind, const std::string& name)
 {
@@ -270,7 +273,13 @@
 {
     std::optional<int64_t> expected = change.expected;
     for (int i = 0; i < max_change_tries; ++i) {
+        // The table refuses at once when its rate limit is reached; a moment later it may
+        // not.
+        if (reason.kind() == FailureKind::overloaded)
+            std::this_thread::sleep_for(std::chrono::milliseconds(overload_pause.count()));
         const auto base = read_base(change, reason);
+        if (!base && reason.kind() == FailureKind::overloaded)
+            continue;
         if (!base)
             return std::nullopt;
         const int64_t present = base->row.value.empty() ? 0 : base->row.revision;
@@ -288,6 +297,8 @@
         ConfigRow row { change.kind + "/" + change.name, change.value,
                         base->cell_revision + 1 };
         const auto result = m_lane.commit(make_txn(change, *base, row), reason);
+        if (!result && reason.kind() == FailureKind::overloaded)
+            continue;
         if (!result)
             return std::nullopt;
         if (!result->committed)
--- a/src/node.lib/heartbeat.cpp
+++ b/src/node.lib/heartbeat.cpp
@@ -12,12 +12,15 @@
 #include <pathport/log.h>
 
 #include <algorithm>
+#include <set>
 
 namespace pathport {
 
 namespace {
 
 constexpr Millis retire_after { 10000 };
+constexpr Millis shortest_pause { 50 };
+constexpr int max_step_tries = 2;
 
 std::string node_key(const std::string& node)
 {
@@ -53,6 +56,7 @@
         if (m_stopping)
             return;
         next_beat = m_clock.now() + m_settings.heartbeat;
+        const Millis earliest_next = m_clock.now() + shortest_pause;
         if (beat_table()) {
             own_shards();
             plan_steps();
@@ -60,6 +64,10 @@
         }
         if (const auto time = m_cell.table_time())
             m_admission.expire(*time);
+        // Wake-ups come in bursts; one heartbeat serves them all.
+        const Millis rest = earliest_next - m_clock.now();
+        if (rest > Millis())
+            std::this_thread::sleep_for(std::chrono::milliseconds(rest.count()));
     }
 }
 
@@ -202,70 +210,100 @@
 {
     NodeRecord self = m_cell.self();
     self.state = m_leaving ? NodeState::leaving : NodeState::live;
-    const auto steps = plan_ownership(self, m_cell.live_nodes(), m_cell.dead_nodes(),
-                                      m_cell.shard_views());
+    std::vector<OwnershipStep> steps = plan_ownership(
+        self, m_cell.live_nodes(), m_cell.dead_nodes(), m_cell.shard_views());
     // An earlier process of this node can't renew its lease since this one's first
     // heartbeat, but it may hold it for that long; boxes are fenced, ids are not.
     const bool old_lease_over = m_clock.now() >= m_first_beat + m_settings.membership.lease;
+    const auto too_early = [&](const OwnershipStep& step) {
+        return !old_lease_over && is_admission(step.record.shard) && step.record.epoch > 1;
+    };
+    steps.erase(std::remove_if(steps.begin(), steps.end(), too_early), steps.end());
+    if (!steps.empty())
+        make_steps(std::move(steps));
+}
+
+TableTxn Node::steps_txn(const std::vector<OwnershipStep>& steps) const
+{
+    TableTxn txn;
+    std::map<std::string, int64_t> dead;
     for (const OwnershipStep& step : steps) {
-        if (old_lease_over || !is_admission(step.record.shard) || step.record.epoch == 1)
-            make_step(step);
+        const std::string key = rows::shard_key(step.record.shard);
+        txn.checks.push_back({ key, step.row_version });
+        txn.puts.push_back({ key, encode(step.record) });
+        if (!step.taken_from.empty())
+            dead[step.taken_from] = 0;
     }
-    if (!steps.empty()) {
-        // What was given has to be read by its new owner.
-        wake({});
+    // The change must fail when a node that is thought dead has beaten meanwhile.
+    for (const MemberView& member : m_cell.members()) {
+        if (dead.count(member.record.node) > 0)
+            txn.checks.push_back({ node_key(member.record.node), member.row_version });
     }
+    return txn;
 }
 
-void Node::make_step(const OwnershipStep& step)
+// Makes all steps in one transaction. Those that other nodes came before are left out, and
+// the rest is tried once more.
+void Node::make_steps(std::vector<OwnershipStep> steps)
 {
-    const std::string& shard = step.record.shard;
-    const bool gives = step.record.owner != m_settings.node;
-    const bool admission = is_admission(shard);
-    if (gives && admission) {
+    for (const OwnershipStep& step : steps) {
+        const std::string& shard = step.record.shard;
+        if (step.record.owner == m_settings.node || !is_admission(shard))
+            continue;
         // No id is admitted here after the change takes effect.
         m_admission.lose(range_of(shard));
         m_admission_epochs.erase(shard);
     }
-    TableTxn txn;
-    txn.checks.push_back({ rows::shard_key(shard), step.row_version });
-    if (!step.taken_from.empty()) {
-        // The change must fail when the node that is thought dead has beaten meanwhile.
-        const auto members = m_cell.members();
-        const auto dead = std::find_if(members.begin(), members.end(), [&](const auto& m) {
-            return m.record.node == step.taken_from;
-        });
-        if (dead != members.end())
-            txn.checks.push_back({ node_key(step.taken_from), dead->row_version });
+    for (int i = 0; i < max_step_tries && !steps.empty(); ++i) {
+        Failure reason;
+        const auto result = m_own_lane.commit(steps_txn(steps), reason);
+        if (!result)
+            return;
+        if (result->committed) {
+            for (const OwnershipStep& step : steps)
+                take_step(step, *result);
+            // What was given has to be read by its new owner.
+            wake({});
+            return;
+        }
+        std::set<std::string> stale;
+        for (const TableRow& row : result->conflicts)
+            stale.insert(row.key);
+        const auto is_stale = [&](const OwnershipStep& step) {
+            return stale.count(rows::shard_key(step.record.shard)) > 0
+                || stale.count(node_key(step.taken_from)) > 0;
+        };
+        steps.erase(std::remove_if(steps.begin(), steps.end(), is_stale), steps.end());
     }
-    txn.puts.push_back({ rows::shard_key(shard), encode(step.record) });
-    Failure reason;
-    const auto result = m_own_lane.commit(txn, reason);
-    if (!result || !result->committed)
-        return;
-    m_metrics.count("pathport_shard_moves_total",
-                    { { "kind",
-                        gives                         ? "given"
-                            : step.taken_from.empty() ? "claimed"
-                                                      : "taken" } });
-    log_event(LogLevel::info, gives ? "shard_given" : "shard_taken",
-              { { "shard", shard },
+}
+
+void Node::take_step(const OwnershipStep& step, const TableResult& result)
+{
+    const std::string& shard = step.record.shard;
+    const bool gives = step.record.owner != m_settings.node;
+    const char* const kind = gives ? "given"
+        : step.taken_from.empty()  ? "claimed"
+                                   : "taken";
+    m_metrics.count("pathport_shard_moves_total", { { "kind", kind } });
+    log_event(LogLevel::info, "shard_moved",
+              { { "kind", kind },
+                { "shard", shard },
                 { "owner", step.record.owner },
                 { "from", step.taken_from },
                 { "epoch", step.record.epoch } });
     // The next heartbeat reads the row; taking note of it now saves that time.
-    m_cell.observe_shard(step.record, result->revision);
+    m_cell.observe_shard(step.record, result.revision);
     if (gives) {
-        if (!admission)
+        if (!is_admission(shard))
             m_keeper.lose(shard);
-    } else if (admission) {
+    } else if (is_admission(shard)) {
         const Millis barrier = step.taken_from.empty()
-            ? result->table_time
-            : m_cell.barrier_after(step.taken_from, result->table_time);
+            ? result.table_time
+            : m_cell.barrier_after(step.taken_from, result.table_time);
         m_admission.acquire(range_of(shard), barrier);
         m_admission_epochs[shard] = step.record.epoch;
     } else {
-        m_keeper.acquire(shard, step.record.epoch, result->revision);
+        m_keeper.acquire(shard, step.record.epoch, result.revision);
     }
     wake_keeper();
 }
--- a/src/node.lib/node.cpp
+++ b/src/node.lib/node.cpp
@@ -295,7 +295,7 @@
 
 std::optional<std::string> Node::ask_all(const std::string& kind, const std::string& name)
 {
-    if (const auto own = on_ask(kind, name))
+    if (auto own = on_ask(kind, name))
         return own;
     struct Asked {
         std::mutex mutex;
--- a/src/node.lib/node.h
+++ b/src/node.lib/node.h
@@ -91,7 +91,9 @@
     void rejoin();
     void own_shards();
     void plan_steps();
-    void make_step(const OwnershipStep& step);
+    TableTxn steps_txn(const std::vector<OwnershipStep>& steps) const;
+    void make_steps(std::vector<OwnershipStep> steps);
+    void take_step(const OwnershipStep& step, const TableResult& result);
     void retire_dead();
     void beat_peers();
     void peer_loop();
--- a/src/placement.lib/apportion.cpp
+++ b/src/placement.lib/apportion.cpp
@@ -43,7 +43,8 @@
     for (int64_t i = 0; i < replicas; ++i) {
         Choice best;
         for (const ShardShare& shard : shards) {
-            const int64_t count = counts[shard.shard];
+            const auto present = counts.find(shard.shard);
+            const int64_t count = present == counts.end() ? 0 : present->second;
             if (!has_room(shard, count))
                 continue;
             const Choice choice { domains[shard.domain],
--- a/src/placement.lib/keeper_boxes.cpp
+++ b/src/placement.lib/keeper_boxes.cpp
@@ -53,6 +53,7 @@
             ++item;
             continue;
         }
+        drop_ghosts_of(item->first);
         m_placer.remove_box(item->first);
         item = m_boxes.erase(item);
     }
@@ -72,6 +73,12 @@
         undo_assignment(change);
 }
 
+void ShardKeeper::Impl::drop_ghosts_of(const std::string& box)
+{
+    for (auto ghost = m_ghosts.begin(); ghost != m_ghosts.end();)
+        ghost = ghost->second == box ? m_ghosts.erase(ghost) : std::next(ghost);
+}
+
 void ShardKeeper::Impl::set_boxes(const std::vector<BoxInfo>& boxes)
 {
     m_box_list.clear();
@@ -134,8 +141,7 @@
         else
             queue_again(entry);
     }
-    for (auto ghost = m_ghosts.begin(); ghost != m_ghosts.end();)
-        ghost = ghost->second == box.info.id ? m_ghosts.erase(ghost) : std::next(ghost);
+    drop_ghosts_of(box.info.id);
     box.forget.clear();
 }
 
@@ -176,7 +182,9 @@
     BoxExchange exchange;
     exchange.shard = box.info.shard();
     exchange.epoch = shard.epoch;
+    exchange.sequence = ++m_sequence;
     exchange.owner = m_owner;
+    exchange.incarnation = box.incarnation;
     exchange.lease = m_spans.box_lease;
     exchange.renew_from = box.report_time;
     exchange.known_report = box.fenced ? box.known_report : 0;
@@ -188,6 +196,10 @@
         BoxCommand command;
         command.id = id;
         command.attempt = entry.attempt;
+        // What runs there of an earlier attempt has to stop first.
+        const bool has_ghost = m_ghosts.count(id) > 0;
+        if (entry.phase == Phase::starting && has_ghost)
+            continue;
         if (entry.phase == Phase::starting) {
             command.type = BoxCommandType::start;
             command.service = entry.task.is_service ? entry.task.name : "";
@@ -345,6 +357,9 @@
         return;
     }
     Entry& entry = found->second;
+    const auto ghost = m_ghosts.find(task.id);
+    if (ghost != m_ghosts.end() && ghost->second == box.info.id)
+        m_ghosts.erase(ghost);
     if (entry.phase == Phase::ended)
         return;
     if (entry.task.is_service) {
--- a/src/placement.lib/keeper_commits.cpp
+++ b/src/placement.lib/keeper_commits.cpp
@@ -89,22 +89,36 @@
         if (!shard_lost && !used_up)
             m_changes.push_front(std::move(*change));
         else if (change->type == RowChange::Type::assign && used_up)
-            remove_entry(change->id, false); // The task's row has gone another way.
+            drop_assignment(*change); // The task's row has gone another way.
         else if (change->type == RowChange::Type::assign)
             undo_assignment(*change);
         else if (change->type == RowChange::Type::move)
-            m_pending.erase(change->id);
+            drop_moved(*change);
     }
     for (const std::string& shard : lost)
         drop_shard(shard);
     return lost;
 }
 
+void ShardKeeper::Impl::drop_assignment(const RowChange& change)
+{
+    if (find_entry(change) != nullptr)
+        remove_entry(change.id, false);
+}
+
+void ShardKeeper::Impl::drop_moved(const RowChange& change)
+{
+    const auto found = m_pending.find(change.id);
+    if (found != m_pending.end() && found->second.moving
+        && change.shards.count(found->second.shard) > 0)
+        m_pending.erase(found);
+}
+
 // An assignment that was not written, over two shards one of which is lost: the task still
 // waits in the shard from whose inbox it came.
 void ShardKeeper::Impl::undo_assignment(const RowChange& change)
 {
-    remove_entry(change.id, false);
+    drop_assignment(change);
     for (const std::string& shard : change.shards) {
         const bool holds_row = change.inbox_row
             && change.inbox_row->key == rows::inbox_key(shard, change.id);
@@ -121,30 +135,31 @@
 
 void ShardKeeper::Impl::apply(const RowChange& change, int64_t revision)
 {
-    const auto found = m_entries.find(change.id);
+    Entry* entry = find_entry(change);
     switch (change.type) {
     case RowChange::Type::assign:
-        if (found == m_entries.end())
+        if (entry == nullptr)
             return;
-        if (found->second.after_stop == AfterStop::end_as_failed)
-            end_task(found->second, TaskState::failed);
+        entry->row_version = revision;
+        if (entry->after_stop == AfterStop::end_as_failed)
+            end_task(*entry, TaskState::failed);
         else
-            set_phase(found->second, Phase::starting);
+            set_phase(*entry, Phase::starting);
         return;
     case RowChange::Type::end:
-        if (found != m_entries.end())
+        if (entry != nullptr)
             remove_entry(change.id, true);
         return;
     case RowChange::Type::queue_again: {
-        if (found == m_entries.end())
+        if (entry == nullptr)
             return;
-        const std::string shard = found->second.shard;
+        const std::string shard = entry->shard;
         remove_entry(change.id, true);
         add_pending(shard, change.record, revision);
         return;
     }
     case RowChange::Type::move:
-        m_pending.erase(change.id);
+        drop_moved(change);
         m_moved_to.insert(change.to_shard);
         return;
     case RowChange::Type::uncancel:
--- a/src/placement.lib/keeper_state.h
+++ b/src/placement.lib/keeper_state.h
@@ -39,6 +39,7 @@
     PolicyTask task; ///< Its `is_service` tells replicas from batch tasks.
     TaskRecord record; ///< Of a batch task.
     int64_t attempt = 0;
+    int64_t row_version = 0; ///< Of a batch task's row, when it was last read or written.
     Phase phase = Phase::starting;
     Millis since; ///< When the phase began.
     Millis expected_end; ///< Of a running batch task.
@@ -113,6 +114,7 @@
     void add_boxes_of(const std::string& shard);
     void drop_shard(const std::string& shard);
     void set_boxes(const std::vector<BoxInfo>& boxes);
+    void drop_ghosts_of(const std::string& box);
     void update_usable(BoxView& box);
     void check_boxes();
     std::vector<DueExchange> exchanges_due();
@@ -159,10 +161,15 @@
                                           const Failure& failure);
     void apply(const RowChange& change, int64_t revision);
     void undo_assignment(const RowChange& change);
+    void drop_assignment(const RowChange& change);
+    void drop_moved(const RowChange& change);
     void reload(const std::string& shard);
 
     // Shared steps.
+    bool is_outdated(const std::string& id, int64_t row_version) const;
+    void forget_older(const std::string& id);
     Entry& add_entry(Entry entry, bool force);
+    Entry* find_entry(const RowChange& change);
     void remove_entry(const std::string& id, bool forget_on_box);
     void free_room(Entry& entry);
     void set_phase(Entry& entry, Phase phase);
@@ -197,6 +204,7 @@
     bool m_committing = false;
     std::set<std::string> m_moved_to;
     int64_t m_replica_number = 0;
+    int64_t m_sequence = 0; ///< Of the last exchange.
     Millis m_services_placed; ///< When place_services() last ran.
     std::map<std::string, Resources> m_team_use; ///< Of all entries that hold room.
     KeeperCounters m_counters;
--- a/src/placement.lib/keeper_tasks.cpp
+++ b/src/placement.lib/keeper_tasks.cpp
@@ -48,8 +48,12 @@
                       { { "key", row.key }, { "reason", reason.detail() } });
             continue;
         }
+        if (is_outdated(record->id, row.version))
+            continue;
+        forget_older(record->id);
         Entry entry;
         entry.id = record->id;
+        entry.row_version = row.version;
         entry.box = record->box;
         entry.shard = shard;
         entry.task = to_policy_task(*record);
@@ -94,14 +98,9 @@
 void ShardKeeper::Impl::add_pending(const std::string& shard, const TaskRecord& record,
                                     int64_t row_version)
 {
-    if (m_entries.count(record.id) > 0)
-        return;
-    const auto found = m_pending.find(record.id);
-    if (found != m_pending.end()) {
-        if (found->second.shard == shard && !found->second.moving)
-            found->second.row_version = std::max(found->second.row_version, row_version);
+    if (is_outdated(record.id, row_version))
         return;
-    }
+    forget_older(record.id);
     Pending pending;
     pending.row_version = row_version;
     pending.record = record;
@@ -183,6 +182,7 @@
     entry.record.box = *box;
     entry.record.box_incarnation = view.incarnation;
     entry.attempt = entry.record.attempt;
+    entry.row_version = pending.row_version;
     entry.phase = Phase::committing;
     RowChange change;
     change.type = RowChange::Type::assign;
--- a/src/placement.lib/shard_keeper.cpp
+++ b/src/placement.lib/shard_keeper.cpp
@@ -69,6 +69,24 @@
     return "";
 }
 
+// Rows of one task are read at different times, and this node may still hold a task of a
+// shard that it has lost without having heard of it. Versions are in the order of the
+// table's transactions, so the row with the highest one is the task's.
+bool ShardKeeper::Impl::is_outdated(const std::string& id, int64_t row_version) const
+{
+    const auto entry = m_entries.find(id);
+    if (entry != m_entries.end() && entry->second.row_version >= row_version)
+        return true;
+    const auto pending = m_pending.find(id);
+    return pending != m_pending.end() && pending->second.row_version >= row_version;
+}
+
+void ShardKeeper::Impl::forget_older(const std::string& id)
+{
+    remove_entry(id, false);
+    m_pending.erase(id);
+}
+
 Entry& ShardKeeper::Impl::add_entry(Entry entry, bool force)
 {
     entry.since = m_clock.now();
@@ -81,6 +99,18 @@
     return m_entries.insert_or_assign(entry.id, std::move(entry)).first->second;
 }
 
+// The entry that a change was made for; not one that came to hold the task's name later.
+Entry* ShardKeeper::Impl::find_entry(const RowChange& change)
+{
+    const auto found = m_entries.find(change.id);
+    if (found == m_entries.end())
+        return nullptr;
+    Entry& entry = found->second;
+    const bool same
+        = change.shards.count(entry.shard) > 0 && entry.attempt == change.record.attempt;
+    return same ? &entry : nullptr;
+}
+
 void ShardKeeper::Impl::remove_entry(const std::string& id, bool forget_on_box)
 {
     const auto found = m_entries.find(id);
--- a/src/platform.lib/box_codec.cpp
+++ b/src/platform.lib/box_codec.cpp
@@ -81,7 +81,9 @@
 {
     json value = { { "shard", e.shard },
                    { "epoch", e.epoch },
+                   { "seq", e.sequence },
                    { "owner", e.owner },
+                   { "inc", e.incarnation },
                    { "lease", e.lease.count() },
                    { "from", e.renew_from.count() },
                    { "known", e.known_report } };
@@ -99,7 +101,9 @@
         BoxExchange e;
         e.shard = value.at("shard");
         e.epoch = value.at("epoch");
+        e.sequence = value.at("seq");
         e.owner = value.at("owner");
+        e.incarnation = value.at("inc");
         e.lease = Millis(value.at("lease").get<int64_t>());
         e.renew_from = Millis(value.at("from").get<int64_t>());
         e.known_report = value.at("known");
--- a/src/platform.lib/http_platform.cpp
+++ b/src/platform.lib/http_platform.cpp
@@ -12,6 +12,7 @@
 constexpr int status_not_modified = 304;
 constexpr int status_not_found = 404;
 constexpr int status_conflict = 409;
+constexpr int status_precondition = 412;
 constexpr int status_too_many = 429;
 constexpr int status_unavailable = 503;
 } // namespace
@@ -155,6 +156,8 @@
                 done(std::move(report), reason);
             } else if (outcome.answer->status == status_conflict) {
                 done(std::nullopt, Failure(FailureKind::stale_epoch, outcome.answer->body));
+            } else if (outcome.answer->status == status_precondition) {
+                done(std::nullopt, Failure(FailureKind::conflict, outcome.answer->body));
             } else {
                 done(std::nullopt, Failure(FailureKind::unavailable, outcome.answer->body));
             }
--- a/src/policy.lib/lua_policy.cpp
+++ b/src/policy.lib/lua_policy.cpp
@@ -102,7 +102,7 @@
     lua_createtable(state, static_cast<int>(box.tasks.size()), 0);
     for (size_t i = 0; i < box.tasks.size(); ++i) {
         push(state, box.tasks[i]);
-        lua_rawseti(state, -2, static_cast<lua_Integer>(i + 1));
+        lua_rawseti(state, -2, static_cast<lua_Integer>(i) + 1);
     }
     lua_setfield(state, -2, "tasks");
 }
--- a/src/routing.lib/dispatcher.cpp
+++ b/src/routing.lib/dispatcher.cpp
@@ -115,16 +115,24 @@
     return slots;
 }
 
-// The time until a request that joins the queue now gets a slot.
+// The time until a request that joins the queue now gets a slot: with all slots taken, one
+// becomes free each time a slots-th part of the mean service time has passed.
 Millis Dispatcher::expected_wait(const std::string& service,
                                  const ServiceQueue& queue) const
 {
-    const int64_t slots = slots_of(service);
-    if (slots == 0)
+    int64_t slots = 0;
+    int64_t free = 0;
+    for (const auto& item : m_boxes) {
+        const BoxLoad& box = item.second;
+        if (!box.present || box.target.services.count(service) == 0)
+            continue;
+        slots += box.target.box.slots;
+        free += std::max<int64_t>(0, box.target.box.slots - box.in_flight - box.foreign);
+    }
+    if (slots == 0 || free > 0)
         return Millis();
-    const double rounds
-        = static_cast<double>(queue.waiting.size()) / static_cast<double>(slots);
-    return Millis(static_cast<int64_t>(rounds * queue.mean_ms));
+    const auto ahead = static_cast<double>(queue.waiting.size() + 1);
+    return Millis(static_cast<int64_t>(ahead / static_cast<double>(slots) * queue.mean_ms));
 }
 
 // When the present queue will have drained.
--- a/src/standins/box_engine.cpp
+++ b/src/standins/box_engine.cpp
@@ -27,13 +27,23 @@
 {
 }
 
-std::optional<BoxReport> BoxEngine::exchange(const BoxExchange& exchange)
+std::optional<BoxReport> BoxEngine::exchange(const BoxExchange& exchange, Failure& reason)
 {
     const std::lock_guard<std::mutex> lock(m_mutex);
     advance_locked();
-    if (exchange.epoch < m_epoch)
+    if (exchange.epoch < m_epoch) {
+        reason = Failure(FailureKind::stale_epoch, "a higher epoch was seen");
         return std::nullopt;
+    }
+    if (exchange.epoch == m_epoch && exchange.sequence <= m_sequence) {
+        reason = Failure(FailureKind::conflict, "a later exchange was handled");
+        return std::nullopt;
+    }
     m_epoch = exchange.epoch;
+    m_sequence = exchange.sequence;
+    // What was meant for an earlier incarnation says nothing to this one.
+    if (exchange.incarnation != m_incarnation)
+        return report(0);
     if (exchange.renew_from > Millis())
         m_lease_end = std::max(m_lease_end, exchange.renew_from + exchange.lease);
     for (const std::string& id : exchange.forget) {
@@ -88,7 +98,10 @@
     Task task;
     task.task = { command.id, command.attempt, command.service, command.resources,
                   BoxTaskState::running };
-    if (!(allocated_locked() + command.resources).fits_in(m_capacity)) {
+    if (m_clock.now() > m_lease_end) {
+        // Nothing starts without a lease.
+        task.task.state = BoxTaskState::stopped;
+    } else if (!(allocated_locked() + command.resources).fits_in(m_capacity)) {
         ++m_breaches.over_capacity;
         task.task.state = BoxTaskState::stopped;
     } else if (command.service.empty()) {
--- a/src/standins/box_engine.h
+++ b/src/standins/box_engine.h
@@ -41,8 +41,10 @@
     BoxEngine(const pathport::Clock& clock, std::string incarnation,
               pathport::Resources capacity, int64_t slots);
 
-    /// Handles one exchange; returns nothing when its epoch is older than one already seen.
-    std::optional<pathport::BoxReport> exchange(const pathport::BoxExchange& exchange);
+    /// Handles one exchange. Returns nothing when its epoch is older than one already seen
+    /// (`stale_epoch`), or a later exchange of its epoch was handled (`conflict`).
+    std::optional<pathport::BoxReport> exchange(const pathport::BoxExchange& exchange,
+                                                pathport::Failure& reason);
 
     /// Decides about a request for `service` under `epoch`. After `run` a slot is taken.
     RequestVerdict begin_request(int64_t epoch, const std::string& service,
@@ -85,6 +87,7 @@
     int64_t m_slots;
     mutable std::mutex m_mutex;
     int64_t m_epoch = 0;
+    int64_t m_sequence = 0; ///< Of the last exchange under the epoch.
     int64_t m_report = 1;
     int64_t m_busy = 0;
     pathport::Millis m_lease_end;
--- a/src/standins/box_main.cpp
+++ b/src/standins/box_main.cpp
@@ -28,6 +28,7 @@
 
 constexpr size_t max_body = size_t(4) * 1024 * 1024;
 constexpr int status_conflict = 409;
+constexpr int status_precondition = 412;
 
 HttpAnswer answer_with(int status, const std::string& body)
 {
@@ -68,9 +69,12 @@
         const auto decoded = decode_exchange(request.body, reason);
         if (!decoded)
             return answer_with(400, reason.detail());
-        const auto report = m_engine.exchange(*decoded);
-        if (!report)
-            return answer_with(status_conflict, "a higher epoch was seen");
+        const auto report = m_engine.exchange(*decoded, reason);
+        if (!report) {
+            const bool stale = reason.kind() == FailureKind::stale_epoch;
+            return answer_with(stale ? status_conflict : status_precondition,
+                               reason.detail());
+        }
         return answer_with(200, encode(*report));
     }
 
