Bodies over the limit are refused while they are read; tests of the edges

Cause: the HTTP library reads a request's body to its end before it answers, so a caller could put any amount into a node's memory, whatever the limit. Ruled out: answering earlier (the library holds the answer back until the body is complete), closing the connection (no such call). Change: the stream of the body is closed for writing with an error, which ends the reading with the next part; the typed answer then goes out and the connection closes.

Also found and now tested: the library sends a request again by itself when a kept connection closes on it after the server has read it (http_test prints "sent the request again: 1"). Requests that may not be repeated go on fresh connections, which http_test shows to be sent once.

The caller takes a new id for a request that was not run.

--- a/src/http.lib/http_server.cpp
+++ b/src/http.lib/http_server.cpp
@@ -128,8 +128,11 @@
     void refuse(const rest::http_request& message, const Failure& failure)
     {
         HttpAnswer answer = m_handler.refusal(failure);
-        // The rest of the body is not worth reading.
         answer.headers["Connection"] = "close";
+        // The library reads a body to its end before it answers, however long it is. A
+        // closed stream makes the next part of it fail, which ends the reading.
+        const auto reason = std::make_exception_ptr(rest::http_exception(failure.detail()));
+        message.body().streambuf().close(std::ios_base::out, reason);
         send_answer(message, answer);
     }
 
--- /dev/null
+++ b/src/http.lib/http_test.cpp
@@ -0,0 +1,233 @@
+// Copyright the pathport authors.
+// SPDX-License-Identifier: Apache-2.0
+
+#define BOOST_TEST_MODULE http
+#include <boost/test/unit_test.hpp>
+
+#include <pathport/http.h>
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <atomic>
+#include <thread>
+
+using namespace pathport;
+
+namespace {
+
+// A server that answers the first request of a connection and, after reading the second one
+// whole, closes the connection without an answer, as a process that dies does.
+class DyingServer {
+public:
+    DyingServer()
+        : m_socket(socket(AF_INET, SOCK_STREAM, 0))
+    {
+        sockaddr_in address {};
+        address.sin_family = AF_INET;
+        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        bind(m_socket, reinterpret_cast<sockaddr*>(&address), sizeof address);
+        listen(m_socket, 8);
+        socklen_t length = sizeof address;
+        getsockname(m_socket, reinterpret_cast<sockaddr*>(&address), &length);
+        m_port = ntohs(address.sin_port);
+        m_thread = std::thread([this] { serve(); });
+    }
+
+    ~DyingServer()
+    {
+        shutdown(m_socket, SHUT_RDWR);
+        m_thread.join();
+        close(m_socket);
+    }
+
+    DyingServer(const DyingServer&) = delete;
+    DyingServer& operator=(const DyingServer&) = delete;
+
+    Address address() const { return { "127.0.0.1", m_port }; }
+
+    std::atomic<int> connections { 0 };
+    std::atomic<int> dropped { 0 }; ///< Requests read whole and not answered.
+
+private:
+    void serve()
+    {
+        for (;;) {
+            const int connection = accept(m_socket, nullptr, nullptr);
+            if (connection < 0)
+                return;
+            ++connections;
+            const std::string answer = "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok";
+            if (read_request(connection))
+                (void)!write(connection, answer.data(), answer.size());
+            if (read_request(connection))
+                ++dropped;
+            close(connection);
+        }
+    }
+
+    // The test's requests fit into one read and have no body.
+    static bool read_request(int connection)
+    {
+        std::string text;
+        char buffer[4096];
+        while (text.find("\r\n\r\n") == std::string::npos) {
+            const ssize_t count = read(connection, buffer, sizeof buffer);
+            if (count <= 0)
+                return false;
+            text.append(buffer, static_cast<size_t>(count));
+        }
+        return true;
+    }
+
+    int m_socket;
+    uint16_t m_port = 0;
+    std::thread m_thread;
+};
+
+class EchoHandler : public HttpHandler {
+public:
+    void handle(HttpRequest request, HttpReply reply) override
+    {
+        ++handled;
+        HttpAnswer answer;
+        answer.status = 201;
+        answer.body = request.method + " " + request.path + " " + request.query["q"] + " "
+            + request.header("x-test") + " " + request.body;
+        answer.headers["x-answer"] = "yes";
+        reply(answer);
+    }
+
+    HttpAnswer refusal(const Failure& failure) override
+    {
+        HttpAnswer answer;
+        answer.status = failure.kind() == FailureKind::too_large ? 413 : 400;
+        answer.headers["x-refused"] = to_string(failure.kind());
+        return answer;
+    }
+
+    std::atomic<int> handled { 0 };
+};
+
+uint16_t free_port()
+{
+    const int probe = socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in address {};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    bind(probe, reinterpret_cast<sockaddr*>(&address), sizeof address);
+    socklen_t length = sizeof address;
+    getsockname(probe, reinterpret_cast<sockaddr*>(&address), &length);
+    close(probe);
+    return ntohs(address.sin_port);
+}
+
+int connect_to(const Address& address)
+{
+    const int connection = socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in peer {};
+    peer.sin_family = AF_INET;
+    peer.sin_port = htons(address.port);
+    peer.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    const int result = connect(connection, reinterpret_cast<sockaddr*>(&peer), sizeof peer);
+    BOOST_REQUIRE(result == 0);
+    return connection;
+}
+
+} // namespace
+
+// The library sends a request again by itself when a kept connection closes on it. A
+// request that may not be repeated must not meet that.
+BOOST_AUTO_TEST_CASE(request_on_a_fresh_connection_is_sent_once)
+{
+    DyingServer server;
+    HttpClient client(server.address(), Millis(5000));
+    for (int i = 0; i < 20; ++i) {
+        const HttpOutcome outcome
+            = client.send_and_wait(HttpRequest(), HttpConnection::fresh);
+        BOOST_TEST(outcome.answer.has_value());
+    }
+    BOOST_TEST(server.connections == 20);
+    BOOST_TEST(server.dropped == 0);
+}
+
+BOOST_AUTO_TEST_CASE(lost_answer_is_not_told_as_not_sent)
+{
+    DyingServer server;
+    HttpClient client(server.address(), Millis(5000));
+    BOOST_TEST(client.send_and_wait(HttpRequest()).answer.has_value());
+    const HttpOutcome outcome = client.send_and_wait(HttpRequest());
+    BOOST_TEST(server.dropped >= 1);
+    const bool sent_again = outcome.answer.has_value();
+    BOOST_TEST((sent_again || outcome.failure.kind() == FailureKind::outcome_unknown));
+    BOOST_TEST_MESSAGE("the library sent the request again: " << sent_again);
+}
+
+BOOST_AUTO_TEST_CASE(refused_connection_is_told_as_not_sent)
+{
+    HttpClient client({ "127.0.0.1", free_port() }, Millis(5000));
+    const HttpOutcome outcome = client.send_and_wait(HttpRequest());
+    BOOST_TEST(!outcome.answer);
+    BOOST_TEST((outcome.failure.kind() == FailureKind::unavailable));
+}
+
+BOOST_AUTO_TEST_CASE(request_and_answer_travel_whole)
+{
+    EchoHandler handler;
+    const Address address { "127.0.0.1", free_port() };
+    HttpServer server(address, 1024, handler);
+    Failure reason;
+    BOOST_REQUIRE(server.start(reason));
+    HttpClient client(address, Millis(5000));
+    HttpRequest request;
+    request.method = "PUT";
+    request.path = "/a b/c";
+    request.query["q"] = "x&y=z";
+    request.headers["x-test"] = "h";
+    request.body = std::string("bytes\0here", 10);
+    const HttpOutcome outcome = client.send_and_wait(request);
+    BOOST_REQUIRE(outcome.answer);
+    BOOST_TEST(outcome.answer->status == 201);
+    BOOST_TEST(outcome.answer->headers.at("x-answer") == "yes");
+    BOOST_TEST(outcome.answer->body == "PUT /a b/c x&y=z h " + request.body);
+    server.stop();
+}
+
+// Without closing the stream of the body, the library took in all of it before it answered:
+// 300 MB went into memory under a limit of 1 kB.
+BOOST_AUTO_TEST_CASE(body_over_the_limit_or_without_a_length_is_refused_while_it_is_read)
+{
+    EchoHandler handler;
+    const Address address { "127.0.0.1", free_port() };
+    HttpServer server(address, 1024, handler);
+    Failure reason;
+    BOOST_REQUIRE(server.start(reason));
+    const std::string large
+        = "POST / HTTP/1.1\r\nhost: x\r\ncontent-length: 1000000000\r\n\r\n";
+    const std::string chunked
+        = "POST / HTTP/1.1\r\nhost: x\r\ntransfer-encoding: chunked\r\n\r\n"
+          "f4240\r\n";
+    for (const std::string& head : { large, chunked }) {
+        const int connection = connect_to(address);
+        (void)!write(connection, head.data(), head.size());
+        const std::string part(100000, 'x');
+        size_t sent = 0;
+        // The server stops reading long before the whole body has come.
+        while (sent < 500000000) {
+            const ssize_t count = send(connection, part.data(), part.size(), MSG_NOSIGNAL);
+            if (count <= 0)
+                break;
+            sent += static_cast<size_t>(count);
+        }
+        BOOST_TEST(sent < 100000000U);
+        char buffer[512] = {};
+        (void)!read(connection, buffer, sizeof buffer - 1);
+        const std::string wanted = head == large ? "too_large" : "bad_input";
+        BOOST_TEST(std::string(buffer).find(wanted) != std::string::npos, buffer);
+        close(connection);
+    }
+    BOOST_TEST(handler.handled == 0);
+    server.stop();
+}
--- a/src/standins/caller_main.cpp
+++ b/src/standins/caller_main.cpp
@@ -206,12 +206,24 @@
         const Millis spent = m_clock.now() - request->start;
         const bool has_time = spent + wait < Millis(m_options.timeout_ms);
         if (may_send && has_time && request->sends < m_options.max_sends) {
+            // What was not run may go under a new id, which no take-over since can put into
+            // doubt. A request that was sent twice at once keeps its one id.
+            if (word == "not_run" && !request->repeatable && !request->doubled)
+                take_new_id(*request);
             m_timers.after(wait, [this, request] { send(request); });
             return;
         }
         finish(request, { word, spent, Millis(), false });
     }
 
+    void take_new_id(Request& request)
+    {
+        const std::lock_guard<std::mutex> lock(m_mutex);
+        if (m_history.is_open())
+            m_history << request.id << " single not_run 0 0 0\n";
+        request.id = make_uuid7(wall_time());
+    }
+
     Final judge(const std::shared_ptr<Request>& request, const HttpAnswer& answer)
     {
         const json body = json::parse(answer.body, nullptr, false);
