--- a/src/include/pathport/admission.h
+++ b/src/include/pathport/admission.h
@@ -14,8 +14,10 @@
 #include <cstdint>
 #include <map>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <unordered_map>
+#include <vector>
 
 namespace pathport {
 
@@ -27,6 +29,9 @@
 
 /// Returns the shard name of admission range `index`.
 std::string admission_shard(int index);
+/// Returns the index of the admission range that `shard` names, or nothing when it names
+/// none.
+std::optional<int> admission_range_of(const std::string& shard);
 /// Returns the index of the admission range of a request id.
 int admission_range(const std::string& request_id);
 
@@ -51,6 +56,17 @@
     Millis memory { 120000 };
 };
 
+/// An id that was admitted, with its time.
+struct AdmittedId {
+    std::string id;
+    Millis time;
+
+    bool operator==(const AdmittedId& other) const
+    {
+        return id == other.id && time == other.time;
+    }
+};
+
 /// The ids that this node has admitted, by range. Safe from any thread: each range has its
 /// own lock.
 class AdmissionLedger {
@@ -62,9 +78,13 @@
 
     /// Takes over a range. Ids whose time is not after `barrier` (table time) may have been
     /// admitted by an earlier owner, and are not admitted here.
-    void acquire(int range, Millis barrier);
-    /// Gives up a range, with all that is remembered of it.
-    void lose(int range);
+    void acquire(int range, int64_t epoch, Millis barrier);
+    /// Gives up a range. Returns what is remembered of it; nothing is admitted afterwards,
+    /// so that it can be handed to the next owner.
+    std::vector<AdmittedId> lose(int range);
+    /// Takes in what the owner before `epoch` remembered when it gave up the range. It
+    /// replaces the barrier. It may come before or after acquire().
+    void take_memory(int range, int64_t epoch, const std::vector<AdmittedId>& ids);
 
     /// Decides about `request_id` with time `id_time`. `table_earliest` is the earliest
     /// that the table's clock can show at a moment at which this node held its lease.
@@ -82,6 +102,10 @@
     struct Range {
         mutable std::mutex mutex;
         bool owned = false;
+        int64_t epoch = 0;
+        int64_t memory_epoch
+            = 0; ///< Of `memory`, which came before the range was acquired.
+        std::vector<AdmittedId> memory;
         Millis barrier;
         /// The latest table time seen. A thread that was held up can't bring back an age at
         /// which an id, forgotten meanwhile, would have been young enough.
--- a/src/include/pathport/membership.h
+++ b/src/include/pathport/membership.h
@@ -22,9 +22,9 @@
 /// dead, because its lease counts from the start of its renewal and `lease` is below
 /// `dead_after`.
 struct MembershipSpans {
-    Millis lease { 1500 }; ///< How long a heartbeat to the table holds.
-    Millis dead_after { 2000 }; ///< How long an unchanged counter is waited for.
-    Millis promise { 1500 }; ///< How long a promise to a peer holds.
+    Millis lease { 1000 }; ///< How long a heartbeat to the table holds.
+    Millis dead_after { 1800 }; ///< How long an unchanged counter is waited for.
+    Millis promise { 1000 }; ///< How long a promise to a peer holds.
     Millis join_wait {
         10000
     }; ///< How long a new node takes nothing from nodes it never met.
@@ -72,13 +72,18 @@
     std::vector<MemberView> others() const;
     /// Returns the view of one node, or nothing.
     std::optional<MemberView> find(const std::string& node) const;
-    /// Returns live nodes, this one included, that may own shards.
+    /// Returns the nodes, this one included, that may be given shards: those whose rows
+    /// change. A node that only peers hear of can't learn that it owns something.
     std::vector<NodeRecord> owners(const NodeRecord& self, Millis now) const;
+    /// Returns the nodes that are alive, this one included.
+    std::vector<NodeRecord> live(const NodeRecord& self, Millis now) const;
 
     const MembershipSpans& spans() const { return m_spans; }
 
 private:
     bool is_stale(const MemberView& member, Millis now) const;
+    template <typename Holds>
+    std::vector<NodeRecord> with_self(const NodeRecord& self, Holds holds) const;
 
     std::string m_self;
     MembershipSpans m_spans;
--- a/src/include/pathport/peer.h
+++ b/src/include/pathport/peer.h
@@ -6,6 +6,7 @@
 
 #pragma once
 
+#include <pathport/admission.h>
 #include <pathport/clock.h>
 #include <pathport/failure.h>
 #include <pathport/model.h>
@@ -145,6 +146,10 @@
     virtual std::vector<ConfigRow> on_config_since(int64_t revision) = 0;
     /// Tells that work has arrived in the table for some of this node's shards.
     virtual void on_wake(const std::vector<std::string>& shards) = 0;
+    /// Takes in the ids that the last owner of an admission range has admitted.
+    virtual void on_hand_over(const std::string& shard, int64_t epoch,
+                              const std::vector<AdmittedId>& ids)
+        = 0;
     /// Answers an operator's question that only this node can answer; nothing when it
     /// can't.
     virtual std::optional<std::string> on_ask(const std::string& kind,
@@ -179,6 +184,10 @@
                       std::function<void(std::optional<std::vector<ConfigRow>>)> done);
     /// Sends a wake-up; a lost one is made good by the peer's next heartbeat to the table.
     void wake(const std::string& address, const std::vector<std::string>& shards);
+    /// Hands the memory of an admission range to its next owner, who owns it under `epoch`.
+    /// When it is lost, that owner goes by its barrier.
+    void hand_over(const std::string& address, const std::string& shard, int64_t epoch,
+                   const std::vector<AdmittedId>& ids);
     /// Asks an operator's question; `done` gets the answer, or nothing.
     void ask(const std::string& address, const std::string& kind, const std::string& name,
              std::function<void(std::optional<std::string>)> done);
--- a/src/node.lib/cell_view.cpp
+++ b/src/node.lib/cell_view.cpp
@@ -102,10 +102,10 @@
     m_own = summaries;
 }
 
-void CellView::set_self(const NodeRecord& self)
+void CellView::set_leaving()
 {
     const std::lock_guard<std::mutex> lock(m_mutex);
-    m_self = self;
+    m_self.state = NodeState::leaving;
 }
 
 bool CellView::peer_is_fresh(const PeerReport& report, Millis now) const
@@ -215,6 +215,12 @@
 }
 
 std::vector<NodeRecord> CellView::live_nodes() const
+{
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    return m_membership.live(m_self, m_clock.now());
+}
+
+std::vector<NodeRecord> CellView::owner_candidates() const
 {
     const std::lock_guard<std::mutex> lock(m_mutex);
     return m_membership.owners(m_self, m_clock.now());
--- a/src/node.lib/cell_view.h
+++ b/src/node.lib/cell_view.h
@@ -51,8 +51,8 @@
     void set_boxes(const std::vector<BoxInfo>& boxes);
     /// Replaces what this node says of its own shards.
     void set_own(const std::vector<ShardSummary>& summaries);
-    /// Replaces what this node says of itself.
-    void set_self(const NodeRecord& self);
+    /// Notes that this node is leaving; it is given nothing from here on.
+    void set_leaving();
 
     std::vector<Route> routes(const std::string& service) const override;
     std::optional<AdmissionOwner> admission_owner(int range) const override;
@@ -64,6 +64,8 @@
     std::map<std::string, ShardRow> shard_rows() const;
     std::vector<MemberView> members() const;
     std::vector<NodeRecord> live_nodes() const;
+    /// Returns the nodes that may be given shards.
+    std::vector<NodeRecord> owner_candidates() const;
     /// Returns the shards with their regions, as the planner needs them.
     std::vector<ShardView> shard_views() const;
     /// Returns from which nodes this one may take shards now.
--- a/src/node.lib/heartbeat.cpp
+++ b/src/node.lib/heartbeat.cpp
@@ -29,13 +29,12 @@
 
 bool is_admission(const std::string& shard)
 {
-    return shard.rfind(admission_prefix, 0) == 0;
+    return admission_range_of(shard).has_value();
 }
 
 int range_of(const std::string& shard)
 {
-    return static_cast<int>(
-        parse_integer(shard.substr(sizeof admission_prefix - 1)).value_or(0));
+    return admission_range_of(shard).value_or(0);
 }
 
 } // namespace
@@ -76,7 +75,6 @@
     TableTxn txn;
     NodeRecord self = m_cell.self();
     self.counter = m_counter + 1;
-    self.state = m_leaving ? NodeState::leaving : NodeState::live;
     if (m_left_sent)
         self.state = NodeState::left;
     txn.checks.push_back({ node_key(self.node), m_row_version });
@@ -182,7 +180,7 @@
                 = known != m_admission_epochs.end() && known->second == record.epoch;
             if (mine && !has_it) {
                 // Given by its owner, who has stopped to admit before.
-                m_admission.acquire(range_of(item.first), table_time);
+                m_admission.acquire(range_of(item.first), record.epoch, table_time);
                 m_admission_epochs[item.first] = record.epoch;
             } else if (!mine && known != m_admission_epochs.end()) {
                 m_admission.lose(range_of(item.first));
@@ -208,10 +206,9 @@
 
 void Node::plan_steps()
 {
-    NodeRecord self = m_cell.self();
-    self.state = m_leaving ? NodeState::leaving : NodeState::live;
-    std::vector<OwnershipStep> steps = plan_ownership(
-        self, m_cell.live_nodes(), m_cell.dead_nodes(), m_cell.shard_views());
+    std::vector<OwnershipStep> steps
+        = plan_ownership(m_cell.self(), m_cell.owner_candidates(), m_cell.dead_nodes(),
+                         m_cell.shard_views());
     // An earlier process of this node can't renew its lease since this one's first
     // heartbeat, but it may hold it for that long; boxes are fenced, ids are not.
     const bool old_lease_over = m_clock.now() >= m_first_beat + m_settings.membership.lease;
@@ -246,12 +243,13 @@
 // the rest is tried once more.
 void Node::make_steps(std::vector<OwnershipStep> steps)
 {
+    std::map<std::string, std::vector<AdmittedId>> memories;
     for (const OwnershipStep& step : steps) {
         const std::string& shard = step.record.shard;
         if (step.record.owner == m_settings.node || !is_admission(shard))
             continue;
         // No id is admitted here after the change takes effect.
-        m_admission.lose(range_of(shard));
+        memories[shard] = m_admission.lose(range_of(shard));
         m_admission_epochs.erase(shard);
     }
     for (int i = 0; i < max_step_tries && !steps.empty(); ++i) {
@@ -260,8 +258,14 @@
         if (!result)
             return;
         if (result->committed) {
-            for (const OwnershipStep& step : steps)
+            for (const OwnershipStep& step : steps) {
                 take_step(step, *result);
+                const auto memory = memories.find(step.record.shard);
+                const auto address = m_cell.address_of(step.record.owner);
+                if (memory != memories.end() && address)
+                    m_hub->hand_over(*address, step.record.shard, step.record.epoch,
+                                     memory->second);
+            }
             // What was given has to be read by its new owner.
             wake({});
             return;
@@ -300,7 +304,7 @@
         const Millis barrier = step.taken_from.empty()
             ? result.table_time
             : m_cell.barrier_after(step.taken_from, result.table_time);
-        m_admission.acquire(range_of(shard), barrier);
+        m_admission.acquire(range_of(shard), step.record.epoch, barrier);
         m_admission_epochs[shard] = step.record.epoch;
     } else {
         m_keeper.acquire(shard, step.record.epoch, result.revision);
@@ -311,7 +315,7 @@
 // Marks a node that is long dead and owns nothing as left, so that nobody counts with it.
 void Node::retire_dead()
 {
-    const auto live = m_cell.live_nodes();
+    const auto live = m_cell.owner_candidates();
     if (live.empty() || live.front().node != m_settings.node)
         return;
     const auto shards = m_cell.shard_rows();
--- a/src/node.lib/node.cpp
+++ b/src/node.lib/node.cpp
@@ -94,6 +94,7 @@
         while (m_clock.now() < limit && !reached())
             std::this_thread::sleep_for(std::chrono::milliseconds(20));
     };
+    m_cell.set_leaving();
     m_leaving = true;
     wake_heartbeat();
     // Without the table or without other nodes nothing can be handed over; others take it
@@ -268,6 +269,14 @@
     wake_heartbeat();
 }
 
+void Node::on_hand_over(const std::string& shard, int64_t epoch,
+                        const std::vector<AdmittedId>& ids)
+{
+    const auto range = admission_range_of(shard);
+    if (range)
+        m_admission.take_memory(*range, epoch, ids);
+}
+
 std::optional<std::string> Node::on_ask(const std::string& kind, const std::string& name)
 {
     if (kind == "why")
--- a/src/node.lib/peer_loop.cpp
+++ b/src/node.lib/peer_loop.cpp
@@ -47,7 +47,7 @@
     m_cell.set_own(beat.shards);
     for (const auto& row : m_cell.shard_rows()) {
         const ShardRecord& record = row.second.record;
-        if (!row.first.rfind(admission_prefix, 0) == 0 || record.owner != self.node
+        if (!admission_range_of(row.first) || record.owner != self.node
             || record.owner_incarnation != self.incarnation)
             continue;
         ShardSummary summary;
--- a/src/ownership.lib/admission.cpp
+++ b/src/ownership.lib/admission.cpp
@@ -4,6 +4,7 @@
 #include <pathport/admission.h>
 
 #include <pathport/ids.h>
+#include <pathport/settings.h>
 
 #include <algorithm>
 
@@ -32,26 +33,63 @@
     return admission_prefix + std::string(number.size() < 2 ? "0" : "") + number;
 }
 
+std::optional<int> admission_range_of(const std::string& shard)
+{
+    constexpr size_t prefix = sizeof admission_prefix - 1;
+    if (shard.compare(0, prefix, admission_prefix) != 0)
+        return std::nullopt;
+    const auto index = parse_integer(std::string_view(shard).substr(prefix));
+    if (!index || *index < 0 || *index >= admission_ranges)
+        return std::nullopt;
+    return static_cast<int>(*index);
+}
+
 int admission_range(const std::string& request_id)
 {
     return static_cast<int>(stable_hash(request_id) % admission_ranges);
 }
 
-void AdmissionLedger::acquire(int range, Millis barrier)
+void AdmissionLedger::acquire(int range, int64_t epoch, Millis barrier)
 {
     Range& r = m_ranges.at(static_cast<size_t>(range));
     const std::lock_guard<std::mutex> lock(r.mutex);
     r.owned = true;
+    r.epoch = epoch;
     r.barrier = barrier;
     r.ids.clear();
+    if (r.memory_epoch == epoch) {
+        r.barrier = Millis();
+        for (const AdmittedId& one : r.memory)
+            r.ids.emplace(one.id, one.time);
+    }
+    r.memory.clear();
 }
 
-void AdmissionLedger::lose(int range)
+std::vector<AdmittedId> AdmissionLedger::lose(int range)
 {
     Range& r = m_ranges.at(static_cast<size_t>(range));
     const std::lock_guard<std::mutex> lock(r.mutex);
+    std::vector<AdmittedId> ids;
+    for (const auto& one : r.ids)
+        ids.push_back({ one.first, one.second });
     r.owned = false;
     r.ids.clear();
+    return ids;
+}
+
+void AdmissionLedger::take_memory(int range, int64_t epoch,
+                                  const std::vector<AdmittedId>& ids)
+{
+    Range& r = m_ranges.at(static_cast<size_t>(range));
+    const std::lock_guard<std::mutex> lock(r.mutex);
+    if (r.owned && r.epoch == epoch) {
+        r.barrier = Millis();
+        for (const AdmittedId& one : ids)
+            r.ids.emplace(one.id, one.time);
+    } else if (epoch > r.epoch) {
+        r.memory_epoch = epoch;
+        r.memory = ids;
+    }
 }
 
 AdmissionVerdict AdmissionLedger::admit(const std::string& request_id, Millis id_time,
--- a/src/ownership.lib/membership.cpp
+++ b/src/ownership.lib/membership.cpp
@@ -103,19 +103,30 @@
                                     : std::optional<MemberView>(found->second);
 }
 
-std::vector<NodeRecord> Membership::owners(const NodeRecord& self, Millis now) const
+template <typename Holds>
+std::vector<NodeRecord> Membership::with_self(const NodeRecord& self, Holds holds) const
 {
-    std::vector<NodeRecord> live;
+    std::vector<NodeRecord> nodes;
     if (self.state == NodeState::live)
-        live.push_back(self);
+        nodes.push_back(self);
     for (const auto& item : m_members) {
-        const NodeRecord& record = item.second.record;
-        if (record.state == NodeState::live && is_live(record.node, now))
-            live.push_back(record);
+        if (item.second.record.state == NodeState::live && holds(item.second))
+            nodes.push_back(item.second.record);
     }
-    std::sort(live.begin(), live.end(),
+    std::sort(nodes.begin(), nodes.end(),
               [](const NodeRecord& a, const NodeRecord& b) { return a.node < b.node; });
-    return live;
+    return nodes;
+}
+
+std::vector<NodeRecord> Membership::owners(const NodeRecord& self, Millis now) const
+{
+    return with_self(self, [&](const MemberView& m) { return !is_stale(m, now); });
+}
+
+std::vector<NodeRecord> Membership::live(const NodeRecord& self, Millis now) const
+{
+    return with_self(self,
+                     [&](const MemberView& m) { return is_live(m.record.node, now); });
 }
 
 void TableTime::observe(Millis table_time, Millis sent, Millis received)
--- a/src/rpc.lib/peer.capnp
+++ b/src/rpc.lib/peer.capnp
@@ -78,10 +78,16 @@
   revision @2 :Int64;
 }
 
+struct AdmittedId {
+  id @0 :Text;
+  timeMs @1 :Int64;
+}
+
 interface Peer {
   forward @0 (request :ForwardRequest) -> (answer :ForwardAnswer);
   beat @1 (beat :Beat) -> (beat :Beat);
   configSince @2 (revision :Int64) -> (revision :Int64, rows :List(ConfigRow));
   wake @3 (shards :List(Text)) -> ();
+  handOver @5 (shard :Text, epoch :Int64, ids :List(AdmittedId)) -> ();
   ask @4 (kind :Text, name :Text) -> (found :Bool, answer :Text);
 }
--- a/src/rpc.lib/peer.capnp.c++
+++ b/src/rpc.lib/peer.capnp.c++
@@ -963,7 +963,65 @@
   0, 3, i_adfee997f528ff75, nullptr, nullptr, { &s_adfee997f528ff75, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
-static const ::capnp::_::AlignedData<68> b_89100bac6b7f3a36 = {
+static const ::capnp::_::AlignedData<47> b_bf725a47ff53d335 = {
+  {   0,   0,   0,   0,   5,   0,   6,   0,
+     53, 211,  83, 255,  71,  90, 114, 191,
+     11,   0,   0,   0,   1,   0,   1,   0,
+     54, 152,  13, 244, 199, 177, 165, 226,
+      1,   0,   7,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0, 178,   0,   0,   0,
+     29,   0,   0,   0,   7,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     25,   0,   0,   0, 119,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    112, 101, 101, 114,  46,  99,  97, 112,
+    110, 112,  58,  65, 100, 109, 105, 116,
+    116, 101, 100,  73, 100,   0,   0,   0,
+      0,   0,   0,   0,   1,   0,   1,   0,
+      8,   0,   0,   0,   3,   0,   4,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     41,   0,   0,   0,  26,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     36,   0,   0,   0,   3,   0,   1,   0,
+     48,   0,   0,   0,   2,   0,   1,   0,
+      1,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   1,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     45,   0,   0,   0,  58,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     40,   0,   0,   0,   3,   0,   1,   0,
+     52,   0,   0,   0,   2,   0,   1,   0,
+    105, 100,   0,   0,   0,   0,   0,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    116, 105, 109, 101,  77, 115,   0,   0,
+      5,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      5,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0, }
+};
+::capnp::word const* const bp_bf725a47ff53d335 = b_bf725a47ff53d335.words;
+#if !CAPNP_LITE
+static const uint16_t m_bf725a47ff53d335[] = {0, 1};
+static const uint16_t i_bf725a47ff53d335[] = {0, 1};
+const ::capnp::_::RawSchema s_bf725a47ff53d335 = {
+  0xbf725a47ff53d335, b_bf725a47ff53d335.words, 47, nullptr, m_bf725a47ff53d335,
+  0, 2, i_bf725a47ff53d335, nullptr, nullptr, { &s_bf725a47ff53d335, nullptr, nullptr, 0, 0, nullptr }
+};
+#endif  // !CAPNP_LITE
+static const ::capnp::_::AlignedData<79> b_89100bac6b7f3a36 = {
   {   0,   0,   0,   0,   5,   0,   6,   0,
      54,  58, 127, 107, 172,  11,  16, 137,
      11,   0,   0,   0,   3,   0,   0,   0,
@@ -973,53 +1031,61 @@
      21,   0,   0,   0, 130,   0,   0,   0,
      25,   0,   0,   0,   7,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     21,   0,   0,   0,  71,   1,   0,   0,
-    225,   0,   0,   0,   7,   0,   0,   0,
+     21,   0,   0,   0, 135,   1,   0,   0,
+     13,   1,   0,   0,   7,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
     112, 101, 101, 114,  46,  99,  97, 112,
     110, 112,  58,  80, 101, 101, 114,   0,
       0,   0,   0,   0,   1,   0,   1,   0,
-     20,   0,   0,   0,   3,   0,   5,   0,
+     24,   0,   0,   0,   3,   0,   5,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
     248,   0,   4, 134,  31, 152, 114, 147,
     195,  93, 212,  28, 156, 253,  19, 178,
-    145,   0,   0,   0,  66,   0,   0,   0,
+    177,   0,   0,   0,  66,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    133,   0,   0,   0,   7,   0,   0,   0,
+    165,   0,   0,   0,   7,   0,   0,   0,
       1,   0,   0,   0,   0,   0,   0,   0,
      61, 114, 104, 124, 215,  27, 213, 217,
      13,  84,  40,  90,  70, 172, 124, 160,
-    121,   0,   0,   0,  42,   0,   0,   0,
+    153,   0,   0,   0,  42,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    109,   0,   0,   0,   7,   0,   0,   0,
+    141,   0,   0,   0,   7,   0,   0,   0,
       2,   0,   0,   0,   0,   0,   0,   0,
      88, 105, 102, 252,   9, 243, 123, 139,
      99, 113,  59,  99,   1,  90, 243, 178,
-     97,   0,   0,   0,  98,   0,   0,   0,
+    129,   0,   0,   0,  98,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     89,   0,   0,   0,   7,   0,   0,   0,
+    121,   0,   0,   0,   7,   0,   0,   0,
       3,   0,   0,   0,   0,   0,   0,   0,
     176,  39,  54, 246, 237, 196, 144, 180,
     165,  36, 173,  15,  28,  19,  72, 179,
-     77,   0,   0,   0,  42,   0,   0,   0,
+    109,   0,   0,   0,  42,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     65,   0,   0,   0,   7,   0,   0,   0,
-      4,   0,   0,   0,   0,   0,   0,   0,
+     97,   0,   0,   0,   7,   0,   0,   0,
+      5,   0,   0,   0,   0,   0,   0,   0,
     208,  26,  87,  66, 233, 152,  63, 184,
      39, 229, 124, 178,  68, 211, 138, 148,
-     53,   0,   0,   0,  34,   0,   0,   0,
+     85,   0,   0,   0,  34,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     41,   0,   0,   0,   7,   0,   0,   0,
+     73,   0,   0,   0,   7,   0,   0,   0,
+      4,   0,   0,   0,   0,   0,   0,   0,
+    200,  54, 254,  12,  37,   5, 184, 238,
+    156, 103, 214, 110, 227, 138, 164, 213,
+     61,   0,   0,   0,  74,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     53,   0,   0,   0,   7,   0,   0,   0,
     102, 111, 114, 119,  97, 114, 100,   0,
       0,   0,   0,   0,   0,   0,   1,   0,
      98, 101,  97, 116,   0,   0,   0,   0,
@@ -1031,6 +1097,9 @@
       0,   0,   0,   0,   0,   0,   1,   0,
      97, 115, 107,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   1,   0,
+    104,  97, 110, 100,  79, 118, 101, 114,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   1,   0,
       0,   0,   0,   0,   1,   0,   1,   0, }
 };
 ::capnp::word const* const bp_89100bac6b7f3a36 = b_89100bac6b7f3a36.words;
@@ -1045,12 +1114,14 @@
   &s_b348131c0fad24a5,
   &s_b490c4edf63627b0,
   &s_b83f98e942571ad0,
+  &s_d5a48ae36ed6679c,
   &s_d9d51bd77c68723d,
+  &s_eeb805250cfe36c8,
 };
-static const uint16_t m_89100bac6b7f3a36[] = {4, 1, 2, 0, 3};
+static const uint16_t m_89100bac6b7f3a36[] = {4, 1, 2, 0, 5, 3};
 const ::capnp::_::RawSchema s_89100bac6b7f3a36 = {
-  0x89100bac6b7f3a36, b_89100bac6b7f3a36.words, 68, d_89100bac6b7f3a36, m_89100bac6b7f3a36,
-  10, 5, nullptr, nullptr, nullptr, { &s_89100bac6b7f3a36, nullptr, nullptr, 0, 0, nullptr }
+  0x89100bac6b7f3a36, b_89100bac6b7f3a36.words, 79, d_89100bac6b7f3a36, m_89100bac6b7f3a36,
+  12, 6, nullptr, nullptr, nullptr, { &s_89100bac6b7f3a36, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
 static const ::capnp::_::AlignedData<32> b_9372981f860400f8 = {
@@ -1537,6 +1608,112 @@
   0, 2, i_948ad344b27ce527, nullptr, nullptr, { &s_948ad344b27ce527, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
+static const ::capnp::_::AlignedData<66> b_eeb805250cfe36c8 = {
+  {   0,   0,   0,   0,   5,   0,   6,   0,
+    200,  54, 254,  12,  37,   5, 184, 238,
+     16,   0,   0,   0,   1,   0,   1,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      2,   0,   7,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0,   2,   1,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     25,   0,   0,   0, 175,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    112, 101, 101, 114,  46,  99,  97, 112,
+    110, 112,  58,  80, 101, 101, 114,  46,
+    104,  97, 110, 100,  79, 118, 101, 114,
+     36,  80,  97, 114,  97, 109, 115,   0,
+     12,   0,   0,   0,   3,   0,   4,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     69,   0,   0,   0,  50,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     64,   0,   0,   0,   3,   0,   1,   0,
+     76,   0,   0,   0,   2,   0,   1,   0,
+      1,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   1,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     73,   0,   0,   0,  50,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     68,   0,   0,   0,   3,   0,   1,   0,
+     80,   0,   0,   0,   2,   0,   1,   0,
+      2,   0,   0,   0,   1,   0,   0,   0,
+      0,   0,   1,   0,   2,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     77,   0,   0,   0,  34,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     72,   0,   0,   0,   3,   0,   1,   0,
+    100,   0,   0,   0,   2,   0,   1,   0,
+    115, 104,  97, 114, 100,   0,   0,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    101, 112, 111,  99, 104,   0,   0,   0,
+      5,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      5,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    105, 100, 115,   0,   0,   0,   0,   0,
+     14,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   3,   0,   1,   0,
+     16,   0,   0,   0,   0,   0,   0,   0,
+     53, 211,  83, 255,  71,  90, 114, 191,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     14,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0, }
+};
+::capnp::word const* const bp_eeb805250cfe36c8 = b_eeb805250cfe36c8.words;
+#if !CAPNP_LITE
+static const ::capnp::_::RawSchema* const d_eeb805250cfe36c8[] = {
+  &s_bf725a47ff53d335,
+};
+static const uint16_t m_eeb805250cfe36c8[] = {1, 2, 0};
+static const uint16_t i_eeb805250cfe36c8[] = {0, 1, 2};
+const ::capnp::_::RawSchema s_eeb805250cfe36c8 = {
+  0xeeb805250cfe36c8, b_eeb805250cfe36c8.words, 66, d_eeb805250cfe36c8, m_eeb805250cfe36c8,
+  1, 3, i_eeb805250cfe36c8, nullptr, nullptr, { &s_eeb805250cfe36c8, nullptr, nullptr, 0, 0, nullptr }
+};
+#endif  // !CAPNP_LITE
+static const ::capnp::_::AlignedData<17> b_d5a48ae36ed6679c = {
+  {   0,   0,   0,   0,   5,   0,   6,   0,
+    156, 103, 214, 110, 227, 138, 164, 213,
+     16,   0,   0,   0,   1,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   7,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0,  10,   1,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    112, 101, 101, 114,  46,  99,  97, 112,
+    110, 112,  58,  80, 101, 101, 114,  46,
+    104,  97, 110, 100,  79, 118, 101, 114,
+     36,  82, 101, 115, 117, 108, 116, 115,
+      0,   0,   0,   0,   0,   0,   0,   0, }
+};
+::capnp::word const* const bp_d5a48ae36ed6679c = b_d5a48ae36ed6679c.words;
+#if !CAPNP_LITE
+const ::capnp::_::RawSchema s_d5a48ae36ed6679c = {
+  0xd5a48ae36ed6679c, b_d5a48ae36ed6679c.words, 17, nullptr, nullptr,
+  0, 0, nullptr, nullptr, nullptr, { &s_d5a48ae36ed6679c, nullptr, nullptr, 0, 0, nullptr }
+};
+#endif  // !CAPNP_LITE
 }  // namespace schemas
 }  // namespace capnp
 
@@ -1601,6 +1778,14 @@
 constexpr ::capnp::_::RawSchema const* ConfigRow::_capnpPrivate::schema;
 #endif  // !CAPNP_LITE
 
+// AdmittedId
+constexpr uint16_t AdmittedId::_capnpPrivate::dataWordSize;
+constexpr uint16_t AdmittedId::_capnpPrivate::pointerCount;
+#if !CAPNP_LITE
+constexpr ::capnp::Kind AdmittedId::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* AdmittedId::_capnpPrivate::schema;
+#endif  // !CAPNP_LITE
+
 #if !CAPNP_LITE
 ::capnp::Request< ::pathport::wire::Peer::ForwardParams,  ::pathport::wire::Peer::ForwardResults>
 Peer::Client::forwardRequest(::kj::Maybe< ::capnp::MessageSize> sizeHint) {
@@ -1652,6 +1837,16 @@
       "peer.capnp:Peer", "ask",
       0x89100bac6b7f3a36ull, 4);
 }
+::capnp::Request< ::pathport::wire::Peer::HandOverParams,  ::pathport::wire::Peer::HandOverResults>
+Peer::Client::handOverRequest(::kj::Maybe< ::capnp::MessageSize> sizeHint) {
+  return newCall< ::pathport::wire::Peer::HandOverParams,  ::pathport::wire::Peer::HandOverResults>(
+      0x89100bac6b7f3a36ull, 5, sizeHint);
+}
+::kj::Promise<void> Peer::Server::handOver(HandOverContext) {
+  return ::capnp::Capability::Server::internalUnimplemented(
+      "peer.capnp:Peer", "handOver",
+      0x89100bac6b7f3a36ull, 5);
+}
 ::capnp::Capability::Server::DispatchCallResult Peer::Server::dispatchCall(
     uint64_t interfaceId, uint16_t methodId,
     ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context) {
@@ -1696,6 +1891,12 @@
              ::pathport::wire::Peer::AskParams,  ::pathport::wire::Peer::AskResults>(context)),
         false
       };
+    case 5:
+      return {
+        handOver(::capnp::Capability::Server::internalGetTypedContext<
+             ::pathport::wire::Peer::HandOverParams,  ::pathport::wire::Peer::HandOverResults>(context)),
+        false
+      };
     default:
       (void)context;
       return ::capnp::Capability::Server::internalUnimplemented(
@@ -1791,6 +1992,22 @@
 constexpr ::capnp::_::RawSchema const* Peer::AskResults::_capnpPrivate::schema;
 #endif  // !CAPNP_LITE
 
+// Peer::HandOverParams
+constexpr uint16_t Peer::HandOverParams::_capnpPrivate::dataWordSize;
+constexpr uint16_t Peer::HandOverParams::_capnpPrivate::pointerCount;
+#if !CAPNP_LITE
+constexpr ::capnp::Kind Peer::HandOverParams::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* Peer::HandOverParams::_capnpPrivate::schema;
+#endif  // !CAPNP_LITE
+
+// Peer::HandOverResults
+constexpr uint16_t Peer::HandOverResults::_capnpPrivate::dataWordSize;
+constexpr uint16_t Peer::HandOverResults::_capnpPrivate::pointerCount;
+#if !CAPNP_LITE
+constexpr ::capnp::Kind Peer::HandOverResults::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* Peer::HandOverResults::_capnpPrivate::schema;
+#endif  // !CAPNP_LITE
+
 
 }  // namespace
 }  // namespace
--- a/src/rpc.lib/peer.capnp.h
+++ b/src/rpc.lib/peer.capnp.h
@@ -26,6 +26,7 @@
 CAPNP_DECLARE_SCHEMA(db75697a891e5f68);
 CAPNP_DECLARE_SCHEMA(8363b460b5128be6);
 CAPNP_DECLARE_SCHEMA(adfee997f528ff75);
+CAPNP_DECLARE_SCHEMA(bf725a47ff53d335);
 CAPNP_DECLARE_SCHEMA(89100bac6b7f3a36);
 CAPNP_DECLARE_SCHEMA(9372981f860400f8);
 CAPNP_DECLARE_SCHEMA(b213fd9c1cd45dc3);
@@ -37,6 +38,8 @@
 CAPNP_DECLARE_SCHEMA(b348131c0fad24a5);
 CAPNP_DECLARE_SCHEMA(b83f98e942571ad0);
 CAPNP_DECLARE_SCHEMA(948ad344b27ce527);
+CAPNP_DECLARE_SCHEMA(eeb805250cfe36c8);
+CAPNP_DECLARE_SCHEMA(d5a48ae36ed6679c);
 
 } // namespace schemas
 } // namespace capnp
@@ -170,6 +173,24 @@
     };
 };
 
+struct AdmittedId {
+    AdmittedId() = delete;
+
+    class Reader;
+    class Builder;
+    class Pipeline;
+
+    struct _capnpPrivate {
+        CAPNP_DECLARE_STRUCT_HEADER(bf725a47ff53d335, 1, 1)
+#if !CAPNP_LITE
+        static constexpr ::capnp::_::RawBrandedSchema const* brand()
+        {
+            return &schema->defaultBrand;
+        }
+#endif // !CAPNP_LITE
+    };
+};
+
 struct Peer {
     Peer() = delete;
 
@@ -188,6 +209,8 @@
     struct WakeResults;
     struct AskParams;
     struct AskResults;
+    struct HandOverParams;
+    struct HandOverResults;
 
 #if !CAPNP_LITE
     struct _capnpPrivate {
@@ -380,6 +403,42 @@
     };
 };
 
+struct Peer::HandOverParams {
+    HandOverParams() = delete;
+
+    class Reader;
+    class Builder;
+    class Pipeline;
+
+    struct _capnpPrivate {
+        CAPNP_DECLARE_STRUCT_HEADER(eeb805250cfe36c8, 1, 2)
+#if !CAPNP_LITE
+        static constexpr ::capnp::_::RawBrandedSchema const* brand()
+        {
+            return &schema->defaultBrand;
+        }
+#endif // !CAPNP_LITE
+    };
+};
+
+struct Peer::HandOverResults {
+    HandOverResults() = delete;
+
+    class Reader;
+    class Builder;
+    class Pipeline;
+
+    struct _capnpPrivate {
+        CAPNP_DECLARE_STRUCT_HEADER(d5a48ae36ed6679c, 0, 0)
+#if !CAPNP_LITE
+        static constexpr ::capnp::_::RawBrandedSchema const* brand()
+        {
+            return &schema->defaultBrand;
+        }
+#endif // !CAPNP_LITE
+    };
+};
+
 // =======================================================================================
 
 class ForwardRequest::Reader {
@@ -1342,6 +1401,105 @@
 };
 #endif // !CAPNP_LITE
 
+class AdmittedId::Reader {
+public:
+    typedef AdmittedId Reads;
+
+    Reader() = default;
+    inline explicit Reader(::capnp::_::StructReader base)
+        : _reader(base)
+    {
+    }
+
+    inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
+
+#if !CAPNP_LITE
+    inline ::kj::StringTree toString() const
+    {
+        return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+    }
+#endif // !CAPNP_LITE
+
+    inline bool hasId() const;
+    inline ::capnp::Text::Reader getId() const;
+
+    inline ::int64_t getTimeMs() const;
+
+private:
+    ::capnp::_::StructReader _reader;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::_::PointerHelpers;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::List;
+    friend class ::capnp::MessageBuilder;
+    friend class ::capnp::Orphanage;
+};
+
+class AdmittedId::Builder {
+public:
+    typedef AdmittedId Builds;
+
+    Builder() = delete; // Deleted to discourage incorrect usage.
+                        // You can explicitly initialize to nullptr instead.
+    inline Builder(decltype(nullptr)) { }
+    inline explicit Builder(::capnp::_::StructBuilder base)
+        : _builder(base)
+    {
+    }
+    inline operator Reader() const { return Reader(_builder.asReader()); }
+    inline Reader asReader() const { return *this; }
+
+    inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+    inline ::kj::StringTree toString() const
+    {
+        return asReader().toString();
+    }
+#endif // !CAPNP_LITE
+
+    inline bool hasId();
+    inline ::capnp::Text::Builder getId();
+    inline void setId(::capnp::Text::Reader value);
+    inline ::capnp::Text::Builder initId(unsigned int size);
+    inline void adoptId(::capnp::Orphan<::capnp::Text>&& value);
+    inline ::capnp::Orphan<::capnp::Text> disownId();
+
+    inline ::int64_t getTimeMs();
+    inline void setTimeMs(::int64_t value);
+
+private:
+    ::capnp::_::StructBuilder _builder;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
+    friend class ::capnp::Orphanage;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class AdmittedId::Pipeline {
+public:
+    typedef AdmittedId Pipelines;
+
+    inline Pipeline(decltype(nullptr))
+        : _typeless(nullptr)
+    {
+    }
+    inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+        : _typeless(kj::mv(typeless))
+    {
+    }
+
+private:
+    ::capnp::AnyPointer::Pipeline _typeless;
+    friend class ::capnp::PipelineHook;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
+};
+#endif // !CAPNP_LITE
+
 #if !CAPNP_LITE
 class Peer::Client : public virtual ::capnp::Capability::Client {
 public:
@@ -1374,6 +1532,9 @@
     wakeRequest(::kj::Maybe<::capnp::MessageSize> sizeHint = nullptr);
     ::capnp::Request<::pathport::wire::Peer::AskParams, ::pathport::wire::Peer::AskResults>
     askRequest(::kj::Maybe<::capnp::MessageSize> sizeHint = nullptr);
+    ::capnp::Request<::pathport::wire::Peer::HandOverParams,
+                     ::pathport::wire::Peer::HandOverResults>
+    handOverRequest(::kj::Maybe<::capnp::MessageSize> sizeHint = nullptr);
 
 protected:
     Client() = default;
@@ -1408,6 +1569,10 @@
     typedef ::pathport::wire::Peer::AskResults AskResults;
     typedef ::capnp::CallContext<AskParams, AskResults> AskContext;
     virtual ::kj::Promise<void> ask(AskContext context);
+    typedef ::pathport::wire::Peer::HandOverParams HandOverParams;
+    typedef ::pathport::wire::Peer::HandOverResults HandOverResults;
+    typedef ::capnp::CallContext<HandOverParams, HandOverResults> HandOverContext;
+    virtual ::kj::Promise<void> handOver(HandOverContext context);
 
     inline ::pathport::wire::Peer::Client thisCap()
     {
@@ -2386,6 +2551,207 @@
 };
 #endif // !CAPNP_LITE
 
+class Peer::HandOverParams::Reader {
+public:
+    typedef HandOverParams Reads;
+
+    Reader() = default;
+    inline explicit Reader(::capnp::_::StructReader base)
+        : _reader(base)
+    {
+    }
+
+    inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
+
+#if !CAPNP_LITE
+    inline ::kj::StringTree toString() const
+    {
+        return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+    }
+#endif // !CAPNP_LITE
+
+    inline bool hasShard() const;
+    inline ::capnp::Text::Reader getShard() const;
+
+    inline ::int64_t getEpoch() const;
+
+    inline bool hasIds() const;
+    inline ::capnp::List<::pathport::wire::AdmittedId, ::capnp::Kind::STRUCT>::Reader
+    getIds() const;
+
+private:
+    ::capnp::_::StructReader _reader;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::_::PointerHelpers;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::List;
+    friend class ::capnp::MessageBuilder;
+    friend class ::capnp::Orphanage;
+};
+
+class Peer::HandOverParams::Builder {
+public:
+    typedef HandOverParams Builds;
+
+    Builder() = delete; // Deleted to discourage incorrect usage.
+                        // You can explicitly initialize to nullptr instead.
+    inline Builder(decltype(nullptr)) { }
+    inline explicit Builder(::capnp::_::StructBuilder base)
+        : _builder(base)
+    {
+    }
+    inline operator Reader() const { return Reader(_builder.asReader()); }
+    inline Reader asReader() const { return *this; }
+
+    inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+    inline ::kj::StringTree toString() const
+    {
+        return asReader().toString();
+    }
+#endif // !CAPNP_LITE
+
+    inline bool hasShard();
+    inline ::capnp::Text::Builder getShard();
+    inline void setShard(::capnp::Text::Reader value);
+    inline ::capnp::Text::Builder initShard(unsigned int size);
+    inline void adoptShard(::capnp::Orphan<::capnp::Text>&& value);
+    inline ::capnp::Orphan<::capnp::Text> disownShard();
+
+    inline ::int64_t getEpoch();
+    inline void setEpoch(::int64_t value);
+
+    inline bool hasIds();
+    inline ::capnp::List<::pathport::wire::AdmittedId, ::capnp::Kind::STRUCT>::Builder
+    getIds();
+    inline void setIds(
+        ::capnp::List<::pathport::wire::AdmittedId, ::capnp::Kind::STRUCT>::Reader value);
+    inline ::capnp::List<::pathport::wire::AdmittedId, ::capnp::Kind::STRUCT>::Builder
+    initIds(unsigned int size);
+    inline void
+    adoptIds(::capnp::Orphan<
+             ::capnp::List<::pathport::wire::AdmittedId, ::capnp::Kind::STRUCT>>&& value);
+    inline ::capnp::Orphan<
+        ::capnp::List<::pathport::wire::AdmittedId, ::capnp::Kind::STRUCT>>
+    disownIds();
+
+private:
+    ::capnp::_::StructBuilder _builder;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
+    friend class ::capnp::Orphanage;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Peer::HandOverParams::Pipeline {
+public:
+    typedef HandOverParams Pipelines;
+
+    inline Pipeline(decltype(nullptr))
+        : _typeless(nullptr)
+    {
+    }
+    inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+        : _typeless(kj::mv(typeless))
+    {
+    }
+
+private:
+    ::capnp::AnyPointer::Pipeline _typeless;
+    friend class ::capnp::PipelineHook;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
+};
+#endif // !CAPNP_LITE
+
+class Peer::HandOverResults::Reader {
+public:
+    typedef HandOverResults Reads;
+
+    Reader() = default;
+    inline explicit Reader(::capnp::_::StructReader base)
+        : _reader(base)
+    {
+    }
+
+    inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
+
+#if !CAPNP_LITE
+    inline ::kj::StringTree toString() const
+    {
+        return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+    }
+#endif // !CAPNP_LITE
+
+private:
+    ::capnp::_::StructReader _reader;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::_::PointerHelpers;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::List;
+    friend class ::capnp::MessageBuilder;
+    friend class ::capnp::Orphanage;
+};
+
+class Peer::HandOverResults::Builder {
+public:
+    typedef HandOverResults Builds;
+
+    Builder() = delete; // Deleted to discourage incorrect usage.
+                        // You can explicitly initialize to nullptr instead.
+    inline Builder(decltype(nullptr)) { }
+    inline explicit Builder(::capnp::_::StructBuilder base)
+        : _builder(base)
+    {
+    }
+    inline operator Reader() const { return Reader(_builder.asReader()); }
+    inline Reader asReader() const { return *this; }
+
+    inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+    inline ::kj::StringTree toString() const
+    {
+        return asReader().toString();
+    }
+#endif // !CAPNP_LITE
+
+private:
+    ::capnp::_::StructBuilder _builder;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
+    friend class ::capnp::Orphanage;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Peer::HandOverResults::Pipeline {
+public:
+    typedef HandOverResults Pipelines;
+
+    inline Pipeline(decltype(nullptr))
+        : _typeless(nullptr)
+    {
+    }
+    inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+        : _typeless(kj::mv(typeless))
+    {
+    }
+
+private:
+    ::capnp::AnyPointer::Pipeline _typeless;
+    friend class ::capnp::PipelineHook;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
+};
+#endif // !CAPNP_LITE
+
 // =======================================================================================
 
 inline bool ForwardRequest::Reader::hasRequestId() const
@@ -3653,6 +4019,59 @@
     _builder.setDataField<::int64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool AdmittedId::Reader::hasId() const
+{
+    return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool AdmittedId::Builder::hasId()
+{
+    return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline ::capnp::Text::Reader AdmittedId::Reader::getId() const
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+        _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline ::capnp::Text::Builder AdmittedId::Builder::getId()
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void AdmittedId::Builder::setId(::capnp::Text::Reader value)
+{
+    ::capnp::_::PointerHelpers<::capnp::Text>::set(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline ::capnp::Text::Builder AdmittedId::Builder::initId(unsigned int size)
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::init(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void AdmittedId::Builder::adoptId(::capnp::Orphan<::capnp::Text>&& value)
+{
+    ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan<::capnp::Text> AdmittedId::Builder::disownId()
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline ::int64_t AdmittedId::Reader::getTimeMs() const
+{
+    return _reader.getDataField<::int64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline ::int64_t AdmittedId::Builder::getTimeMs()
+{
+    return _builder.getDataField<::int64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void AdmittedId::Builder::setTimeMs(::int64_t value)
+{
+    _builder.setDataField<::int64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
 #if !CAPNP_LITE
 inline Peer::Client::Client(decltype(nullptr))
     : ::capnp::Capability::Client(nullptr)
@@ -4142,6 +4561,113 @@
         _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool Peer::HandOverParams::Reader::hasShard() const
+{
+    return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Peer::HandOverParams::Builder::hasShard()
+{
+    return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline ::capnp::Text::Reader Peer::HandOverParams::Reader::getShard() const
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+        _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline ::capnp::Text::Builder Peer::HandOverParams::Builder::getShard()
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Peer::HandOverParams::Builder::setShard(::capnp::Text::Reader value)
+{
+    ::capnp::_::PointerHelpers<::capnp::Text>::set(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline ::capnp::Text::Builder Peer::HandOverParams::Builder::initShard(unsigned int size)
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::init(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void
+Peer::HandOverParams::Builder::adoptShard(::capnp::Orphan<::capnp::Text>&& value)
+{
+    ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan<::capnp::Text> Peer::HandOverParams::Builder::disownShard()
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline ::int64_t Peer::HandOverParams::Reader::getEpoch() const
+{
+    return _reader.getDataField<::int64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline ::int64_t Peer::HandOverParams::Builder::getEpoch()
+{
+    return _builder.getDataField<::int64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Peer::HandOverParams::Builder::setEpoch(::int64_t value)
+{
+    _builder.setDataField<::int64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Peer::HandOverParams::Reader::hasIds() const
+{
+    return !_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool Peer::HandOverParams::Builder::hasIds()
+{
+    return !_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline ::capnp::List<::pathport::wire::AdmittedId, ::capnp::Kind::STRUCT>::Reader
+Peer::HandOverParams::Reader::getIds() const
+{
+    return ::capnp::_::PointerHelpers<
+        ::capnp::List<::pathport::wire::AdmittedId, ::capnp::Kind::STRUCT>>::
+        get(_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline ::capnp::List<::pathport::wire::AdmittedId, ::capnp::Kind::STRUCT>::Builder
+Peer::HandOverParams::Builder::getIds()
+{
+    return ::capnp::_::PointerHelpers<
+        ::capnp::List<::pathport::wire::AdmittedId, ::capnp::Kind::STRUCT>>::
+        get(_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void Peer::HandOverParams::Builder::setIds(
+    ::capnp::List<::pathport::wire::AdmittedId, ::capnp::Kind::STRUCT>::Reader value)
+{
+    ::capnp::_::PointerHelpers<
+        ::capnp::List<::pathport::wire::AdmittedId, ::capnp::Kind::STRUCT>>::
+        set(_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline ::capnp::List<::pathport::wire::AdmittedId, ::capnp::Kind::STRUCT>::Builder
+Peer::HandOverParams::Builder::initIds(unsigned int size)
+{
+    return ::capnp::_::PointerHelpers<
+        ::capnp::List<::pathport::wire::AdmittedId, ::capnp::Kind::STRUCT>>::
+        init(_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void Peer::HandOverParams::Builder::adoptIds(
+    ::capnp::Orphan<::capnp::List<::pathport::wire::AdmittedId, ::capnp::Kind::STRUCT>>&&
+        value)
+{
+    ::capnp::_::PointerHelpers<
+        ::capnp::List<::pathport::wire::AdmittedId, ::capnp::Kind::STRUCT>>::
+        adopt(_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS),
+              kj::mv(value));
+}
+inline ::capnp::Orphan<::capnp::List<::pathport::wire::AdmittedId, ::capnp::Kind::STRUCT>>
+Peer::HandOverParams::Builder::disownIds()
+{
+    return ::capnp::_::PointerHelpers<
+        ::capnp::List<::pathport::wire::AdmittedId, ::capnp::Kind::STRUCT>>::
+        disown(_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
 } // namespace wire
 } // namespace pathport
 
--- a/src/rpc.lib/peer_hub.cpp
+++ b/src/rpc.lib/peer_hub.cpp
@@ -130,6 +130,17 @@
         return kj::READY_NOW;
     }
 
+    kj::Promise<void> handOver(HandOverContext context) override
+    {
+        const auto params = context.getParams();
+        std::vector<AdmittedId> ids;
+        for (const auto one : params.getIds())
+            ids.push_back({ std::string(one.getId().cStr()), Millis(one.getTimeMs()) });
+        m_handler.on_hand_over(std::string(params.getShard().cStr()), params.getEpoch(),
+                               ids);
+        return kj::READY_NOW;
+    }
+
     kj::Promise<void> ask(AskContext context) override
     {
         const auto params = context.getParams();
@@ -250,6 +261,24 @@
             });
     }
 
+    void hand_over(const std::string& address, const std::string& shard, int64_t epoch,
+                   const std::vector<AdmittedId>& ids)
+    {
+        call<bool>(
+            address, [](bool) {},
+            [shard, epoch, ids](wire::Peer::Client& peer) {
+                auto call = peer.handOverRequest();
+                call.setShard(shard);
+                call.setEpoch(epoch);
+                auto list = call.initIds(static_cast<unsigned>(ids.size()));
+                for (unsigned i = 0; i < ids.size(); ++i) {
+                    list[i].setId(ids[i].id);
+                    list[i].setTimeMs(ids[i].time.count());
+                }
+                return call.send().then([](auto&&) { return true; });
+            });
+    }
+
     void ask(const std::string& address, const std::string& kind, const std::string& name,
              const std::function<void(std::optional<std::string>)>& done)
     {
@@ -463,6 +492,12 @@
     m_impl->wake(address, shards);
 }
 
+void PeerHub::hand_over(const std::string& address, const std::string& shard, int64_t epoch,
+                        const std::vector<AdmittedId>& ids)
+{
+    m_impl->hand_over(address, shard, epoch, ids);
+}
+
 void PeerHub::ask(const std::string& address, const std::string& kind,
                   const std::string& name,
                   std::function<void(std::optional<std::string>)> done)
--- a/src/rpc.lib/rpc_test.cpp
+++ b/src/rpc.lib/rpc_test.cpp
@@ -51,6 +51,11 @@
     {
         woken.set_value(shards);
     }
+    void on_hand_over(const std::string& shard, int64_t epoch,
+                      const std::vector<AdmittedId>& ids) override
+    {
+        handed.set_value({ { shard + std::to_string(epoch), Millis() }, ids.front() });
+    }
     std::optional<std::string> on_ask(const std::string& kind,
                                       const std::string& name) override
     {
@@ -61,6 +66,7 @@
     std::mutex mutex;
     std::vector<std::function<void()>> held;
     std::promise<std::vector<std::string>> woken;
+    std::promise<std::vector<AdmittedId>> handed;
 };
 
 ForwardAnswer forward(PeerHub& hub, const Address& to, const ForwardRequest& request)
@@ -123,6 +129,11 @@
     client.wake(address(1).to_string(), { "d.k" });
     BOOST_TEST(two.woken.get_future().get().front() == "d.k");
 
+    client.hand_over(address(1).to_string(), "admit.03", 7, { { "id", Millis(9) } });
+    const auto handed = two.handed.get_future().get();
+    BOOST_TEST(handed.front().id == "admit.037");
+    BOOST_TEST((handed.back() == AdmittedId { "id", Millis(9) }));
+
     std::promise<std::optional<std::string>> asked;
     client.ask(address(1).to_string(), "why", "t.1",
                [&](std::optional<std::string> a) { asked.set_value(a); });
