--- a/src/include/pathport/dispatcher.h
+++ b/src/include/pathport/dispatcher.h
@@ -26,7 +26,7 @@
 struct Target {
     BoxInfo box;
     int64_t epoch = 0;
-    std::set<std::string> services;
+    std::map<std::string, int64_t> services; ///< Service to its replicas on the box.
 };
 
 /// What the dispatcher tells its owner.
--- a/src/include/pathport/table.h
+++ b/src/include/pathport/table.h
@@ -107,6 +107,12 @@
     bool m_known = false;
 };
 
+/// Runs a transaction that only reads. A lost answer is asked for again, at most
+/// `max_lane_sends` times; `reason` is never `outcome_unknown`, since nothing can have
+/// changed.
+std::optional<TableResult> read_table(Table& table, const std::vector<TableRange>& ranges,
+                                      Failure& reason);
+
 /// How often a lane sends one transaction before it gives up.
 constexpr int max_lane_sends = 4;
 
--- a/src/node.lib/config_view.cpp
+++ b/src/node.lib/config_view.cpp
@@ -223,9 +223,7 @@
                                                           Failure& reason)
 {
     const std::string key = row_key(change.kind, change.name);
-    TableTxn read;
-    read.ranges = { { revision_key, 0 }, { key, 0 } };
-    const auto result = m_table.run(read, reason);
+    const auto result = read_table(m_table, { { revision_key, 0 }, { key, 0 } }, reason);
     if (!result)
         return std::nullopt;
     Base base;
--- a/src/node.lib/operator_api.cpp
+++ b/src/node.lib/operator_api.cpp
@@ -383,10 +383,10 @@
 std::optional<std::vector<std::vector<TableRow>>>
 OperatorApi::read(const std::vector<std::string>& prefixes, Failure& reason)
 {
-    TableTxn txn;
+    std::vector<TableRange> ranges;
     for (const std::string& prefix : prefixes)
-        txn.ranges.push_back({ prefix, 0 });
-    auto result = m_node.table().run(txn, reason);
+        ranges.push_back({ prefix, 0 });
+    auto result = read_table(m_node.table(), ranges, reason);
     if (!result)
         return std::nullopt;
     return std::move(result->ranges);
--- a/src/placement.lib/shard_keeper.cpp
+++ b/src/placement.lib/shard_keeper.cpp
@@ -312,7 +312,7 @@
         for (const std::string& id : box.entries) {
             const Entry& entry = m_impl->m_entries.at(id);
             if (entry.task.is_service && entry.phase == Phase::running)
-                target.services.insert(entry.task.name);
+                ++target.services[entry.task.name];
         }
         targets.push_back(std::move(target));
     }
--- a/src/routing.lib/dispatcher.cpp
+++ b/src/routing.lib/dispatcher.cpp
@@ -429,10 +429,10 @@
         const BoxLoad& box = item.second;
         if (!box.present || box.target.box.shard() != shard)
             continue;
-        for (const std::string& service : box.target.services) {
-            ServiceLoad& load = loads[service];
-            load.service = service;
-            ++load.running;
+        for (const auto& service : box.target.services) {
+            ServiceLoad& load = loads[service.first];
+            load.service = service.first;
+            load.running += service.second;
             load.slots += box.target.box.slots;
             load.busy += box.in_flight + box.foreign;
         }
@@ -460,7 +460,7 @@
         const BoxLoad& box = item.second;
         if (!box.present || box.target.services.count(service) == 0)
             continue;
-        ++load.running;
+        load.running += box.target.services.at(service);
         load.slots += box.target.box.slots;
         load.busy += box.in_flight + box.foreign;
     }
--- a/src/routing.lib/routing_test.cpp
+++ b/src/routing.lib/routing_test.cpp
@@ -64,7 +64,7 @@
     t.box.rack = "r";
     t.box.incarnation = "1";
     t.box.slots = slots;
-    t.services = { service };
+    t.services = { { service, 1 } };
     return t;
 }
 
@@ -121,6 +121,19 @@
     BOOST_TEST(b.targets.held.back().request.request_id == "r4");
 }
 
+// Two replicas on one box share its slots, but both count as running; a drained box once
+// left a service short of replicas for ever by its own count.
+BOOST_AUTO_TEST_CASE(replicas_are_counted_and_slots_are_the_box_s)
+{
+    Bench b;
+    Target two = target("b1", 3);
+    two.services = { { service, 2 } };
+    b.dispatcher.set_targets({ two });
+    BOOST_TEST(b.dispatcher.load(service).running == 2);
+    BOOST_TEST(b.dispatcher.loads("d.r").front().running == 2);
+    BOOST_TEST(b.dispatcher.load(service).slots == 3);
+}
+
 BOOST_AUTO_TEST_CASE(request_that_can_not_be_served_in_time_is_refused_at_once_with_a_time)
 {
     Bench b;
--- a/src/table.lib/table_lane.cpp
+++ b/src/table.lib/table_lane.cpp
@@ -8,6 +8,20 @@
 
 namespace pathport {
 
+std::optional<TableResult> read_table(Table& table, const std::vector<TableRange>& ranges,
+                                      Failure& reason)
+{
+    TableTxn txn;
+    txn.ranges = ranges;
+    for (int send = 0; send < max_lane_sends; ++send) {
+        auto result = table.run(txn, reason);
+        if (result || reason.kind() != FailureKind::outcome_unknown)
+            return result;
+    }
+    reason = Failure(FailureKind::unavailable, "the table's answers were lost");
+    return std::nullopt;
+}
+
 TableLane::TableLane(Table& table, std::string name)
     : m_table(table)
     , m_key("lanes/" + std::move(name))
@@ -18,9 +32,7 @@
 // effect only while the row has the version that it checks.
 bool TableLane::refresh(Failure& reason)
 {
-    TableTxn read;
-    read.ranges.push_back({ m_key, 0 });
-    const auto result = m_table.run(read, reason);
+    const auto result = read_table(m_table, { { m_key, 0 } }, reason);
     if (!result)
         return false;
     m_version = 0;
--- a/src/table.lib/table_test.cpp
+++ b/src/table.lib/table_test.cpp
@@ -130,6 +130,24 @@
     BOOST_TEST(read(engine, "row").size() == 1U);
 }
 
+// A read changes nothing, so its lost answer once made a change "outcome unknown" for no
+// reason.
+BOOST_AUTO_TEST_CASE(lost_answer_of_a_read_leaves_nothing_unknown)
+{
+    ManualClock clock;
+    TableEngine engine(clock, 0);
+    TableFaults faults;
+    faults.lose_answers = 2;
+    engine.set_faults(faults);
+    Failure reason;
+    BOOST_TEST(read_table(engine, { { "p/", 0 } }, reason).has_value());
+    faults.lose_answers = 100;
+    engine.set_faults(faults);
+    TableLane lane(engine, "writer");
+    BOOST_TEST(!lane.commit(append("row"), reason));
+    BOOST_TEST((reason.kind() == FailureKind::unavailable));
+}
+
 BOOST_AUTO_TEST_CASE(lane_says_unknown_only_when_all_answers_are_lost)
 {
     ManualClock clock;
--- a/testsuite/cell.py
+++ b/testsuite/cell.py
@@ -194,6 +194,11 @@
             self.past_histories.append((name, self.box_history(name)))
         self.processes[name].kill()
         self.processes[name].wait()
+        if name in self.boxes:
+            # What ran there ended with it.
+            end = int(time.clock_gettime(time.CLOCK_BOOTTIME) * 1000)
+            for run in self.past_histories[-1][1]["runs"]:
+                run["end"] = end if run["end"] < 0 else run["end"]
 
     def freeze(self, name):
         self.processes[name].send_signal(signal.SIGSTOP)
