--- a/src/include/pathport/dispatcher.h
+++ b/src/include/pathport/dispatcher.h
@@ -115,6 +115,7 @@
     struct ServiceQueue {
         std::deque<Waiting> waiting;
         double mean_ms = 0;
+        double deviation_ms = 0; ///< Mean absolute deviation.
         int64_t samples = 0;
     };
     struct Sending {
@@ -128,6 +129,7 @@
 
     BoxLoad* pick_box(const std::string& service);
     int64_t slots_of(const std::string& service) const;
+    static Millis likely_service_time(const ServiceQueue& queue);
     Millis expected_wait(const std::string& service, const ServiceQueue& queue) const;
     Millis retry_after(const std::string& service, const ServiceQueue& queue) const;
     void take_sendings(std::vector<Sending>& sendings);
--- a/src/include/pathport/placer.h
+++ b/src/include/pathport/placer.h
@@ -13,6 +13,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 namespace pathport {
@@ -45,6 +46,7 @@
     bool m_usable;
     Resources m_free;
     std::map<std::string, PolicyTask> m_tasks; ///< By task id.
+    int64_t m_version = 0; ///< Raised by each change that a policy can see.
 };
 
 /// Tasks to stop on one box so that another fits.
@@ -53,7 +55,8 @@
     std::vector<std::string> tasks;
 };
 
-/// Chooses places. Not safe from several threads at once.
+/// Chooses places. Not safe from several threads at once. A policy that is passed in stays
+/// alive until another one is, and decides alike for equal tasks and boxes.
 class Placer {
 public:
     /// Adds or changes a box. Allocations stay. An unusable box is not chosen.
@@ -88,12 +91,23 @@
         std::map<std::string, int64_t> by_rack;
     };
 
+    bool may_share(const PolicyTask& task, uint64_t task_class, const PlacerBox& box,
+                   const Policy& policy) const;
     double score(const PlacerBox& box, const PolicyTask& task) const;
     int64_t spread_count(const std::string& service, const PlacerBox& box) const;
     void count_replica(const PlacerBox& box, const PolicyTask& task, int64_t by);
 
     std::map<std::string, PlacerBox> m_boxes;
     std::map<std::string, Spread> m_spread; ///< By service.
+
+    // A policy decides alike for equal tasks while a box stays as it is, so its verdicts
+    // are kept by class of task and box.
+    struct Verdict {
+        int64_t version = -1;
+        bool allowed = false;
+    };
+    mutable std::unordered_map<uint64_t, Verdict> m_verdicts;
+    mutable const Policy* m_verdicts_of = nullptr;
 };
 
 /// Returns what a policy sees of `box`.
--- a/src/include/pathport/policy.h
+++ b/src/include/pathport/policy.h
@@ -35,6 +35,10 @@
     }
 };
 
+/// Returns a number that is the same for equal tasks, and differs for others but for
+/// chance.
+uint64_t policy_class(const PolicyTask& task);
+
 /// What a policy sees of a box.
 struct PolicyBox {
     std::string id;
@@ -77,7 +81,9 @@
 /// Most instructions that one call of a policy program may take.
 constexpr int policy_instruction_limit = 20000;
 /// Most memory that a policy program may hold, in bytes.
-constexpr size_t policy_memory_limit = size_t(1024) * 1024;
+constexpr size_t policy_memory_limit = size_t(4) * 1024 * 1024;
+/// Most classes of tasks whose tables a policy program is kept.
+constexpr size_t policy_table_limit = 2000;
 
 /// A policy program in Lua 5.4. It may define `rank(task)`, `may_share(task, box)` and
 /// `may_stop(victim, task)`; the built-in policy decides what it leaves out, and each call
--- a/src/placement.lib/placer.cpp
+++ b/src/placement.lib/placer.cpp
@@ -3,6 +3,8 @@
 
 #include <pathport/placer.h>
 
+#include <pathport/ids.h>
+
 #include <algorithm>
 #include <cmath>
 
@@ -17,6 +19,8 @@
 constexpr double spare_accelerator_weight = 100;
 constexpr double imbalance_weight = 0.5;
 
+constexpr size_t max_verdicts = 200000; ///< About 10 MB.
+
 double share(int64_t part, int64_t whole)
 {
     return whole > 0 ? static_cast<double>(part) / static_cast<double>(whole) : 0;
@@ -41,9 +45,12 @@
         return;
     }
     PlacerBox& box = found->second;
+    if (box.m_info == info && box.m_usable == usable)
+        return;
     box.m_free = box.m_free + (info.capacity - box.m_info.capacity);
     box.m_info = info;
     box.m_usable = usable;
+    ++box.m_version;
 }
 
 void Placer::remove_box(const std::string& id)
@@ -67,6 +74,7 @@
         return true;
     if (!force && !task.resources.fits_in(box.m_free))
         return false;
+    ++box.m_version;
     box.m_free = box.m_free - task.resources;
     box.m_tasks.emplace(task_id, task);
     count_replica(box, task, 1);
@@ -82,6 +90,7 @@
     const auto task = box.m_tasks.find(task_id);
     if (task == box.m_tasks.end())
         return;
+    ++box.m_version;
     box.m_free = box.m_free + task->second.resources;
     count_replica(box, task->second, -1);
     box.m_tasks.erase(task);
@@ -131,6 +140,21 @@
         + spread_weight * static_cast<double>(spread_count(task.name, box));
 }
 
+bool Placer::may_share(const PolicyTask& task, uint64_t task_class, const PlacerBox& box,
+                       const Policy& policy) const
+{
+    if (m_verdicts_of != &policy || m_verdicts.size() > max_verdicts) {
+        m_verdicts.clear();
+        m_verdicts_of = &policy;
+    }
+    Verdict& verdict = m_verdicts[task_class ^ stable_hash(box.info().id)];
+    if (verdict.version != box.m_version) {
+        verdict.version = box.m_version;
+        verdict.allowed = policy.may_share(task, to_policy_box(box));
+    }
+    return verdict.allowed;
+}
+
 std::optional<std::string> Placer::choose(const PlaceRequest& request, const Policy& policy,
                                           Failure& reason) const
 {
@@ -161,11 +185,12 @@
     // allowed.
     std::make_heap(candidates.begin(), candidates.end(), std::greater<>());
     int64_t forbidden = 0;
+    const uint64_t task_class = policy_class(request.task);
     while (!candidates.empty()) {
         std::pop_heap(candidates.begin(), candidates.end(), std::greater<>());
         const PlacerBox& box = *candidates.back().box;
         candidates.pop_back();
-        if (policy.may_share(request.task, to_policy_box(box)))
+        if (may_share(request.task, task_class, box, policy))
             return box.info().id;
         ++forbidden;
     }
--- a/src/policy.lib/lua_policy.cpp
+++ b/src/policy.lib/lua_policy.cpp
@@ -73,7 +73,7 @@
     set_field(state, "accelerators", r.accelerators);
 }
 
-void push(lua_State* state, const PolicyTask& task)
+void push_new(lua_State* state, const PolicyTask& task)
 {
     lua_createtable(state, 0, 8);
     set_field(state, "name", task.name);
@@ -84,6 +84,32 @@
     set_resources(state, task.resources);
 }
 
+// Its address is the key of the kept tables in Lua's registry.
+char tables_key;
+
+// Equal tasks share one table: making tables is most of what a call costs.
+void push(lua_State* state, const PolicyTask& task, size_t& kept)
+{
+    const bool has_tables
+        = lua_rawgetp(state, LUA_REGISTRYINDEX, &tables_key) == LUA_TTABLE;
+    if (!has_tables || kept >= policy_table_limit) {
+        lua_pop(state, 1);
+        lua_newtable(state);
+        lua_pushvalue(state, -1);
+        lua_rawsetp(state, LUA_REGISTRYINDEX, &tables_key);
+        kept = 0;
+    }
+    const auto key = static_cast<lua_Integer>(policy_class(task));
+    if (lua_rawgeti(state, -1, key) != LUA_TTABLE) {
+        lua_pop(state, 1);
+        push_new(state, task);
+        lua_pushvalue(state, -1);
+        lua_rawseti(state, -3, key);
+        ++kept;
+    }
+    lua_remove(state, -2);
+}
+
 void push_amount(lua_State* state, const char* name, const Resources& amount)
 {
     lua_createtable(state, 0, 3);
@@ -91,7 +117,7 @@
     lua_setfield(state, -2, name);
 }
 
-void push(lua_State* state, const PolicyBox& box)
+void push(lua_State* state, const PolicyBox& box, size_t& kept)
 {
     lua_createtable(state, 0, 6);
     set_field(state, "id", box.id);
@@ -101,7 +127,7 @@
     push_amount(state, "free", box.free);
     lua_createtable(state, static_cast<int>(box.tasks.size()), 0);
     for (size_t i = 0; i < box.tasks.size(); ++i) {
-        push(state, box.tasks[i]);
+        push(state, box.tasks[i], kept);
         lua_rawseti(state, -2, static_cast<lua_Integer>(i) + 1);
     }
     lua_setfield(state, -2, "tasks");
@@ -114,20 +140,21 @@
     const PolicyTask* first = nullptr;
     const PolicyTask* second_task = nullptr;
     const PolicyBox* second_box = nullptr;
+    size_t* kept_tables = nullptr;
 };
 
 int run_call(lua_State* state)
 {
     const Call& call = *static_cast<const Call*>(lua_touserdata(state, 1));
     lua_getglobal(state, call.entry);
-    push(state, *call.first);
+    push(state, *call.first, *call.kept_tables);
     int arguments = 1;
     if (call.second_task != nullptr) {
-        push(state, *call.second_task);
+        push(state, *call.second_task, *call.kept_tables);
         ++arguments;
     }
     if (call.second_box != nullptr) {
-        push(state, *call.second_box);
+        push(state, *call.second_box, *call.kept_tables);
         ++arguments;
     }
     lua_call(state, arguments, 1);
@@ -191,7 +218,7 @@
         return false;
     }
 
-    std::optional<double> number(const Call& call)
+    std::optional<double> number(Call call)
     {
         const std::lock_guard<std::mutex> lock(m_mutex);
         if (!run(call))
@@ -207,7 +234,7 @@
         return result;
     }
 
-    std::optional<bool> flag(const Call& call)
+    std::optional<bool> flag(Call call)
     {
         const std::lock_guard<std::mutex> lock(m_mutex);
         if (!run(call))
@@ -258,11 +285,12 @@
     }
 
     // Leaves the result on the stack when it returns true.
-    bool run(const Call& call)
+    bool run(Call& call)
     {
+        call.kept_tables = &m_kept_tables;
         ++m_health.calls;
         lua_pushcfunction(m_state, run_call);
-        lua_pushlightuserdata(m_state, const_cast<Call*>(&call));
+        lua_pushlightuserdata(m_state, &call);
         limit_instructions();
         if (lua_pcall(m_state, 1, 1, 0) == LUA_OK)
             return true;
@@ -285,6 +313,7 @@
     bool m_has_share = false;
     bool m_has_stop = false;
     PolicyHealth m_health;
+    size_t m_kept_tables = 0;
 };
 
 LuaPolicy::LuaPolicy(std::unique_ptr<Impl> impl)
--- a/src/routing.lib/dispatcher.cpp
+++ b/src/routing.lib/dispatcher.cpp
@@ -4,6 +4,7 @@
 #include <pathport/dispatcher.h>
 
 #include <algorithm>
+#include <cmath>
 #include <limits>
 
 namespace pathport {
@@ -16,6 +17,7 @@
 constexpr int failures_to_eject = 3;
 constexpr int64_t samples_to_judge = 20;
 constexpr double mean_weight = 0.1; ///< Of a new sample.
+constexpr double deviations = 2; ///< Above the mean, for the likely service time.
 constexpr double slow_floor_ms = 5; ///< A target faster than this is never slow.
 constexpr int64_t min_retry_after_ms = 20;
 constexpr int64_t max_retry_after_ms = 5000;
@@ -135,6 +137,13 @@
     return Millis(static_cast<int64_t>(ahead / static_cast<double>(slots) * queue.mean_ms));
 }
 
+// The time that most requests stay below. A request that starts with less would hold a slot
+// and come too late all the same.
+Millis Dispatcher::likely_service_time(const ServiceQueue& queue)
+{
+    return Millis(static_cast<int64_t>(queue.mean_ms + deviations * queue.deviation_ms));
+}
+
 // When the present queue will have drained.
 Millis Dispatcher::retry_after(const std::string& service, const ServiceQueue& queue) const
 {
@@ -153,13 +162,13 @@
         ServiceQueue& queue = m_queues[request.service];
         const int64_t slots = slots_of(request.service);
         const Millis wait = expected_wait(request.service, queue);
-        const Millis needed = wait + Millis(static_cast<int64_t>(queue.mean_ms));
+        const bool too_late
+            = wait > Millis() && wait + likely_service_time(queue) > request.time_left;
         const auto length = static_cast<int64_t>(queue.waiting.size());
         if (slots == 0) {
             refusal = not_run(FailureKind::not_owner, "no replica here",
                               Millis(min_retry_after_ms));
-        } else if (needed > request.time_left
-                   || length >= slots * m_limits.queue_per_slot) {
+        } else if (too_late || length >= slots * m_limits.queue_per_slot) {
             refusal = not_run(FailureKind::overloaded,
                               "the queue is too long for the time that is left",
                               retry_after(request.service, queue));
@@ -309,6 +318,7 @@
     box.failures_in_row = 0;
     const auto ms = static_cast<double>(took.count());
     add_sample(box.mean_ms, box.samples++, ms);
+    add_sample(queue.deviation_ms, queue.samples, std::fabs(ms - queue.mean_ms));
     add_sample(queue.mean_ms, queue.samples++, ms);
     if (box.samples < samples_to_judge || box.mean_ms < slow_floor_ms)
         return;
@@ -356,7 +366,7 @@
         const Millis now = m_clock.now();
         for (auto& item : m_queues) {
             ServiceQueue& queue = item.second;
-            const Millis service_time(static_cast<int64_t>(queue.mean_ms));
+            const Millis service_time = likely_service_time(queue);
             for (auto waiting = queue.waiting.begin(); waiting != queue.waiting.end();) {
                 if (waiting->deadline - service_time > now) {
                     ++waiting;
