Load travels as changes; replicas in the random schedules, four faults mended

Replicas were not yet in keeper_test; with them it found, failing before: - Two nodes gave replicas the same name in the same millisecond; after a take-over one entry hid the other and the node crashed. Ruled out: the delta protocol (its property held from the start).

--- a/src/include/pathport/membership.h
+++ b/src/include/pathport/membership.h
@@ -24,7 +24,7 @@
 struct MembershipSpans {
     Millis lease { 1000 }; ///< How long a heartbeat to the table holds.
     Millis dead_after { 1800 }; ///< How long an unchanged counter is waited for.
-    Millis promise { 1000 }; ///< How long a promise to a peer holds.
+    Millis promise { 1500 }; ///< How long a promise to a peer holds.
     Millis join_wait {
         10000
     }; ///< How long a new node takes nothing from nodes it never met.
--- a/src/include/pathport/peer.h
+++ b/src/include/pathport/peer.h
@@ -113,11 +113,14 @@
     std::string incarnation;
     std::string region;
     int64_t config_revision = 0;
-    int64_t sequence = 0;
+    int64_t version = 0; ///< Of the sender's load, after this beat.
+    int64_t base = 0; ///< Version that the changes build on; 0 when all is told.
+    int64_t known = 0; ///< Version of the receiver's load that the sender holds.
     Millis promise; ///< The sender takes no shard of the receiver for so long.
     bool store_reachable = false;
-    std::vector<ShardSummary> shards;
-    std::vector<TeamUse> teams;
+    std::vector<ShardSummary> shards; ///< Changed since `base`.
+    std::vector<std::string> gone; ///< Shards that the sender no longer owns, since `base`.
+    std::vector<TeamUse> teams; ///< Changed since `base`; empty amounts for what has gone.
 };
 
 /// One configuration row, as peers pass it on.
--- a/src/include/pathport/shard_keeper.h
+++ b/src/include/pathport/shard_keeper.h
@@ -146,8 +146,10 @@
 
     /// Returns the exchanges that are due, and counts them as sent.
     std::vector<DueExchange> exchanges_due();
-    /// Takes in what came of an exchange with `box` under `epoch`.
-    ReportUse on_report(const std::string& box, int64_t epoch,
+    /// Takes in what came of the exchange `sequence` with `box` under `epoch`. One that was
+    /// sent before the shard was acquired or loaded, or before one that has been taken, is
+    /// ignored.
+    ReportUse on_report(const std::string& box, int64_t epoch, int64_t sequence,
                         const std::optional<BoxReport>& report, const Failure& failure);
     /// Asks for an exchange with `box` at once.
     void hurry(const std::string& box);
--- a/src/node.lib/cell_view.cpp
+++ b/src/node.lib/cell_view.cpp
@@ -15,7 +15,7 @@
 constexpr char nodes_prefix[] = "nodes/";
 constexpr char shards_prefix[] = "shards/";
 // A peer that has not been heard of for so long gets no requests.
-constexpr Millis peer_silent_after { 1300 };
+constexpr Millis peer_silent_after { 1500 };
 
 bool starts_with(const std::string& text, const char* prefix)
 {
@@ -61,11 +61,14 @@
     const Millis now = m_clock.now();
     m_membership.heard(beat.node, beat.incarnation, now);
     PeerReport& report = m_peers[beat.node];
-    // Beats go both ways on two connections; an older one may come in last.
-    const bool is_newer = report.beat.incarnation != beat.incarnation
-        || report.beat.sequence < beat.sequence;
-    if (is_newer)
-        report.beat = beat;
+    if (report.incarnation != beat.incarnation) {
+        report = PeerReport();
+        report.incarnation = beat.incarnation;
+    }
+    report.region = beat.region;
+    report.load.apply(beat);
+    report.knows = beat.known;
+    ++report.beats;
     if (!address.empty())
         report.address = address;
     report.received = now;
@@ -99,7 +102,9 @@
 void CellView::set_own(const std::vector<ShardSummary>& summaries)
 {
     const std::lock_guard<std::mutex> lock(m_mutex);
-    m_own = summaries;
+    m_own.clear();
+    for (const ShardSummary& summary : summaries)
+        m_own[summary.shard] = summary;
 }
 
 void CellView::set_leaving()
@@ -120,15 +125,15 @@
     std::vector<Route> routes;
     const auto add = [&](const std::string& node, const std::string& address,
                          const std::string& region, int64_t report,
-                         const std::vector<ShardSummary>& shards) {
+                         const std::map<std::string, ShardSummary>& shards) {
         Route route;
         route.node = node;
         route.address = address;
         route.same_region = region == m_self.region;
         route.report = report;
         int64_t running = 0;
-        for (const ShardSummary& shard : shards) {
-            for (const ServiceLoad& load : shard.services) {
+        for (const auto& shard : shards) {
+            for (const ServiceLoad& load : shard.second.services) {
                 if (load.service != service)
                     continue;
                 running += load.running;
@@ -143,8 +148,7 @@
     for (const auto& item : m_peers) {
         const PeerReport& peer = item.second;
         if (peer_is_fresh(peer, now) && !peer.address.empty())
-            add(item.first, peer.address, peer.beat.region, peer.beat.sequence,
-                peer.beat.shards);
+            add(item.first, peer.address, peer.region, peer.beats, peer.load.load().shards);
     }
     return routes;
 }
@@ -176,10 +180,10 @@
     for (const auto& item : m_peers) {
         if (!peer_is_fresh(item.second, now) || item.second.address.empty())
             continue;
-        for (const ShardSummary& summary : item.second.beat.shards) {
-            if (summary.shard == shard)
-                consider(item.first, item.second.address, summary.epoch);
-        }
+        const auto& claimed = item.second.load.load().shards;
+        const auto claim = claimed.find(shard);
+        if (claim != claimed.end())
+            consider(item.first, item.second.address, claim->second.epoch);
     }
     return owner;
 }
@@ -267,17 +271,17 @@
     const std::lock_guard<std::mutex> lock(m_mutex);
     const Millis now = m_clock.now();
     std::map<std::string, ShardSummary> best;
-    const auto add = [&](const std::vector<ShardSummary>& shards) {
-        for (const ShardSummary& shard : shards) {
-            const auto found = best.find(shard.shard);
-            if (found == best.end() || found->second.epoch < shard.epoch)
-                best[shard.shard] = shard;
+    const auto add = [&](const std::map<std::string, ShardSummary>& shards) {
+        for (const auto& shard : shards) {
+            const auto found = best.find(shard.first);
+            if (found == best.end() || found->second.epoch < shard.second.epoch)
+                best[shard.first] = shard.second;
         }
     };
     add(m_own);
     for (const auto& item : m_peers) {
         if (peer_is_fresh(item.second, now))
-            add(item.second.beat.shards);
+            add(item.second.load.load().shards);
     }
     std::vector<ShardSummary> list;
     for (auto& item : best)
@@ -293,22 +297,24 @@
     for (const auto& item : m_peers) {
         if (!peer_is_fresh(item.second, now))
             continue;
-        for (const TeamUse& team : item.second.beat.teams)
-            used[team.team] = used[team.team] + team.used;
+        for (const auto& team : item.second.load.load().teams)
+            used[team.first] = used[team.first] + team.second;
     }
     return used;
 }
 
-std::vector<PeerReport> CellView::peer_reports() const
+int64_t CellView::known_version(const std::string& node) const
 {
     const std::lock_guard<std::mutex> lock(m_mutex);
-    const Millis now = m_clock.now();
-    std::vector<PeerReport> reports;
-    for (const auto& item : m_peers) {
-        if (peer_is_fresh(item.second, now))
-            reports.push_back(item.second);
-    }
-    return reports;
+    const auto peer = m_peers.find(node);
+    return peer == m_peers.end() ? 0 : peer->second.load.version();
+}
+
+int64_t CellView::version_known_to(const std::string& node) const
+{
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    const auto peer = m_peers.find(node);
+    return peer == m_peers.end() ? 0 : peer->second.knows;
 }
 
 std::optional<std::string> CellView::address_of(const std::string& node) const
@@ -368,7 +374,7 @@
     for (const MemberView& member : others) {
         const auto peer = m_peers.find(member.record.node);
         const bool promised = peer != m_peers.end()
-            && peer->second.beat.incarnation == member.record.incarnation
+            && peer->second.incarnation == member.record.incarnation
             && now < peer->second.promise_until;
         if (!promised)
             return std::nullopt;
--- a/src/node.lib/cell_view.h
+++ b/src/node.lib/cell_view.h
@@ -7,6 +7,8 @@
 
 #pragma once
 
+#include "load_state.h"
+
 #include <pathport/membership.h>
 #include <pathport/peer.h>
 #include <pathport/router.h>
@@ -20,9 +22,13 @@
 
 namespace pathport {
 
-/// What the last heartbeat of a peer said.
+/// What the heartbeats of a peer said.
 struct PeerReport {
-    Beat beat;
+    std::string incarnation;
+    std::string region;
+    PeerLoad load;
+    int64_t knows = 0; ///< Version of this node's load that the peer holds.
+    int64_t beats = 0; ///< How many have come.
     std::string address;
     Millis received;
     Millis promise_until; ///< Until when the peer takes nothing from this node.
@@ -75,8 +81,10 @@
     std::vector<ShardSummary> summaries() const;
     /// Returns what teams hold on other nodes.
     std::map<std::string, Resources> used_elsewhere() const;
-    /// Returns the reports of peers that were heard of late.
-    std::vector<PeerReport> peer_reports() const;
+    /// Returns the version of the load of `node` that is held here.
+    int64_t known_version(const std::string& node) const;
+    /// Returns the version of this node's load that `node` holds.
+    int64_t version_known_to(const std::string& node) const;
     /// Returns the peers' address of a node, or nothing.
     std::optional<std::string> address_of(const std::string& node) const;
     /// Returns the promise that goes to `node` with a heartbeat.
@@ -109,7 +117,7 @@
     std::vector<BoxInfo> m_boxes;
     int64_t m_boxes_version = 0;
     std::map<std::string, PeerReport> m_peers; ///< By node.
-    std::vector<ShardSummary> m_own;
+    std::map<std::string, ShardSummary> m_own;
 };
 
 } // namespace pathport
--- a/src/node.lib/keeper_loop.cpp
+++ b/src/node.lib/keeper_loop.cpp
@@ -101,14 +101,16 @@
 {
     const std::string box = due.box.id;
     const int64_t epoch = due.exchange.epoch;
+    const int64_t sequence = due.exchange.sequence;
     m_dispatcher.begin_report(box);
     m_metrics.count("pathport_box_exchanges_total");
     m_box_agent.exchange(
         due.box, due.exchange,
-        [this, box, epoch](const std::optional<BoxReport>& report, const Failure& failure) {
+        [this, box, epoch, sequence](const std::optional<BoxReport>& report,
+                                     const Failure& failure) {
             if (m_stopping)
                 return;
-            const ReportUse use = m_keeper.on_report(box, epoch, report, failure);
+            const ReportUse use = m_keeper.on_report(box, epoch, sequence, report, failure);
             if (use != ReportUse::ignored)
                 m_dispatcher.end_report(box, report->busy, use == ReportUse::first);
             if (failure.kind() == FailureKind::stale_epoch)
--- a/src/node.lib/node.cpp
+++ b/src/node.lib/node.cpp
@@ -254,7 +254,7 @@
     m_cell.observe_beat(beat, address.value_or(""), Millis());
     if (beat.config_revision > m_config.snapshot()->revision && address)
         fetch_config(*address);
-    Beat answer = make_own_beat();
+    Beat answer = make_own_beat(beat.node);
     answer.promise = m_cell.promise_to(beat.node, beat.incarnation);
     return answer;
 }
--- a/src/node.lib/node.h
+++ b/src/node.lib/node.h
@@ -98,7 +98,8 @@
     void beat_peers();
     void peer_loop();
     void box_list_loop();
-    Beat make_own_beat();
+    Beat make_own_beat(const std::string& to);
+    void update_own_load();
     void apply_config(const std::vector<ConfigRow>& rows);
     void fetch_config(const std::string& address);
 
@@ -167,7 +168,8 @@
     int64_t m_used_boxes = -1;
     Millis m_inputs_updated;
 
-    std::atomic<int64_t> m_beat_sequence { 0 };
+    std::mutex m_load_mutex;
+    OwnLoad m_own_load;
     std::atomic<int64_t> m_open_requests { 0 };
     std::atomic<bool> m_leaving { false };
     std::atomic<bool> m_refusing { false };
--- a/src/node.lib/node_settings.cpp
+++ b/src/node.lib/node_settings.cpp
@@ -60,9 +60,10 @@
         integer("requests", "id_margin_ms", 0, 10000, 500),
         integer("requests", "id_memory_ms", 10000, 3600000, 120000),
         integer("membership", "heartbeat_ms", 50, 10000, 500),
+        integer("membership", "peer_heartbeat_ms", 50, 10000, 1000),
         integer("membership", "lease_ms", 100, 60000, 1000),
         integer("membership", "dead_after_ms", 200, 120000, 1800),
-        integer("membership", "promise_ms", 100, 60000, 1000),
+        integer("membership", "promise_ms", 100, 60000, 1500),
         integer("membership", "join_wait_ms", 0, 600000, 10000),
         integer("boxes", "lease_ms", 1000, 3600000, 60000),
         integer("boxes", "idle_beat_ms", 100, 60000, 5000),
@@ -105,6 +106,12 @@
                          "less than lease_ms (" + std::to_string(s.membership.lease.count())
                              + "); value '" + std::to_string(s.heartbeat.count()) + "'");
     }
+    if (s.peer_heartbeat >= s.membership.promise) {
+        return bad_value(file, "membership", "peer_heartbeat_ms",
+                         "less than promise_ms ("
+                             + std::to_string(s.membership.promise.count()) + "); value '"
+                             + std::to_string(s.peer_heartbeat.count()) + "'");
+    }
     return std::nullopt;
 }
 
@@ -157,6 +164,7 @@
     s.admission.margin = read->millis("requests", "id_margin_ms");
     s.admission.memory = read->millis("requests", "id_memory_ms");
     s.heartbeat = read->millis("membership", "heartbeat_ms");
+    s.peer_heartbeat = read->millis("membership", "peer_heartbeat_ms");
     s.membership.lease = read->millis("membership", "lease_ms");
     s.membership.dead_after = read->millis("membership", "dead_after_ms");
     s.membership.promise = read->millis("membership", "promise_ms");
--- a/src/node.lib/node_settings.h
+++ b/src/node.lib/node_settings.h
@@ -35,6 +35,7 @@
     int threads = 4;
     size_t max_body_bytes = size_t(1024) * 1024;
     Millis heartbeat { 500 };
+    Millis peer_heartbeat { 1000 };
     Millis table_timeout { 5000 };
     Millis box_timeout { 2000 };
     Millis request_limit { 30000 };
--- a/src/node.lib/peer_loop.cpp
+++ b/src/node.lib/peer_loop.cpp
@@ -11,15 +11,16 @@
 #include <pathport/log.h>
 
 #include <algorithm>
-#include <set>
+#include <map>
 
 namespace pathport {
 
 namespace {
 constexpr Millis box_list_pause { 1000 };
+constexpr Millis load_pause { 250 }; ///< Between looks at this node's own load.
 } // namespace
 
-Beat Node::make_own_beat()
+Beat Node::make_own_beat(const std::string& to)
 {
     const NodeRecord self = m_cell.self();
     Beat beat;
@@ -27,10 +28,17 @@
     beat.incarnation = self.incarnation;
     beat.region = self.region;
     beat.config_revision = m_config.snapshot()->revision;
-    beat.sequence = ++m_beat_sequence;
     beat.store_reachable = m_cell.table_reachable();
-    beat.shards = m_keeper.summaries();
-    for (ShardSummary& shard : beat.shards) {
+    beat.known = m_cell.known_version(to);
+    const std::lock_guard<std::mutex> lock(m_load_mutex);
+    m_own_load.fill(beat, m_cell.version_known_to(to));
+    return beat;
+}
+
+void Node::update_own_load()
+{
+    std::vector<ShardSummary> shards = m_keeper.summaries();
+    for (ShardSummary& shard : shards) {
         std::vector<ServiceLoad> loads = m_dispatcher.loads(shard.shard);
         for (const ServiceLoad& refused : shard.services) {
             const auto same
@@ -44,7 +52,8 @@
         }
         shard.services = loads;
     }
-    m_cell.set_own(beat.shards);
+    m_cell.set_own(shards);
+    const NodeRecord self = m_cell.self();
     for (const auto& row : m_cell.shard_rows()) {
         const ShardRecord& record = row.second.record;
         if (!admission_range_of(row.first) || record.owner != self.node
@@ -53,22 +62,25 @@
         ShardSummary summary;
         summary.shard = row.first;
         summary.epoch = record.epoch;
-        beat.shards.push_back(summary);
+        shards.push_back(summary);
     }
-    for (const auto& item : m_keeper.team_use())
-        beat.teams.push_back({ item.first, item.second });
-    return beat;
+    const std::lock_guard<std::mutex> lock(m_load_mutex);
+    m_own_load.update(shards, m_keeper.team_use());
 }
 
 void Node::beat_peers()
 {
-    std::set<std::string> addresses(m_settings.seeds.begin(), m_settings.seeds.end());
+    // The peers' nodes by address; a seed's is not known before it answers.
+    std::map<std::string, std::string> peers;
+    for (const std::string& seed : m_settings.seeds)
+        peers[seed] = "";
     for (const MemberView& member : m_cell.members())
-        addresses.insert(member.record.peer_address);
-    addresses.erase(m_settings.peers.to_string());
-    for (const std::string& address : addresses) {
+        peers[member.record.peer_address] = member.record.node;
+    peers.erase(m_settings.peers.to_string());
+    for (const auto& peer : peers) {
+        const std::string address = peer.first;
         const Millis sent = m_clock.now();
-        m_hub->beat(address, make_own_beat(),
+        m_hub->beat(address, make_own_beat(peer.second),
                     [this, address, sent](const std::optional<Beat>& answer) {
                         if (!answer || m_stopping)
                             return;
@@ -77,8 +89,6 @@
                             fetch_config(address);
                     });
     }
-    if (addresses.empty())
-        make_own_beat();
 }
 
 void Node::fetch_config(const std::string& address)
@@ -102,10 +112,15 @@
 
 void Node::peer_loop()
 {
+    Millis next_beat = m_clock.now();
     while (!m_stopping) {
-        beat_peers();
+        update_own_load();
+        if (m_clock.now() >= next_beat) {
+            beat_peers();
+            next_beat = m_clock.now() + m_settings.peer_heartbeat;
+        }
         std::unique_lock<std::mutex> lock(m_wake_mutex);
-        m_wake.wait_for(lock, std::chrono::milliseconds(m_settings.heartbeat.count()),
+        m_wake.wait_for(lock, std::chrono::milliseconds(load_pause.count()),
                         [this] { return m_stopping.load(); });
     }
 }
--- a/src/placement.lib/keeper_boxes.cpp
+++ b/src/placement.lib/keeper_boxes.cpp
@@ -30,6 +30,7 @@
             continue;
         BoxView box;
         box.info = item.second;
+        box.taken_sequence = m_sequence;
         box.next_due = m_clock.now();
         m_boxes.emplace(item.first, box);
         m_placer.set_box(item.second, false);
@@ -231,6 +232,7 @@
 }
 
 ReportUse ShardKeeper::Impl::on_report(const std::string& id, int64_t epoch,
+                                       int64_t sequence,
                                        const std::optional<BoxReport>& report,
                                        const Failure& failure)
 {
@@ -240,19 +242,16 @@
     BoxView& box = found->second;
     const auto shard = m_shards.find(box.info.shard());
     // An exchange of an earlier ownership of the shard says nothing about this one.
-    if (shard == m_shards.end() || shard->second.epoch != epoch)
+    if (shard == m_shards.end() || shard->second.epoch != epoch
+        || sequence <= box.taken_sequence)
         return ReportUse::ignored;
+    box.taken_sequence = sequence;
     box.in_exchange = false;
     if (!report) {
         on_exchange_failed(box, failure);
         return ReportUse::ignored;
     }
     const bool first = !box.fenced;
-    if (first && !report->full) {
-        // It answers an exchange from before the shard was loaded again.
-        box.next_due = m_clock.now();
-        return ReportUse::ignored;
-    }
     if (!first && report->incarnation != box.incarnation) {
         // The delta is of another incarnation; a full report is needed.
         box.fenced = false;
@@ -324,7 +323,7 @@
         if (entry.task.is_service) {
             remove_entry(id, false);
         } else if (entry.phase != Phase::committing && entry.phase != Phase::ended) {
-            if (entry.record.box_incarnation == report.incarnation)
+            if (entry.record.box_incarnation == report.incarnation && !is_overfull(box))
                 set_phase(entry, Phase::starting);
             else
                 queue_again(entry);
@@ -338,8 +337,11 @@
         }
     }
     box.forget.clear();
+    // Before the rows are known, an ended task may still have to be recorded.
+    const auto shard = m_shards.find(box.info.shard());
+    const bool loaded = shard != m_shards.end() && shard->second.loaded;
     for (const BoxTask& task : report.tasks) {
-        if (has_ended(task.state) && m_entries.count(task.id) == 0)
+        if (loaded && has_ended(task.state) && m_entries.count(task.id) == 0)
             box.forget.push_back(task.id);
     }
     update_usable(box);
@@ -347,6 +349,14 @@
     box.next_due = next_exchange(box);
 }
 
+// What an earlier owner started or promised there may be more than the box has, when it had
+// not yet written what has ended.
+bool ShardKeeper::Impl::is_overfull(const BoxView& box) const
+{
+    const auto found = m_placer.boxes().find(box.info.id);
+    return found != m_placer.boxes().end() && !Resources().fits_in(found->second.free());
+}
+
 void ShardKeeper::Impl::take_task(BoxView& box, const BoxTask& task)
 {
     const auto found = m_entries.find(task.id);
--- a/src/placement.lib/keeper_services.cpp
+++ b/src/placement.lib/keeper_services.cpp
@@ -3,6 +3,8 @@
 
 #include "keeper_state.h"
 
+#include <pathport/ids.h>
+
 #include <algorithm>
 
 namespace pathport {
@@ -50,6 +52,13 @@
     }
 }
 
+// The name is unlike that of any replica of another owner: a successor finds both kinds.
+std::string ShardKeeper::Impl::new_replica_id(const std::string& service)
+{
+    return service + "." + std::to_string(stable_hash(m_owner)) + "-"
+        + std::to_string(++m_replica_number);
+}
+
 void ShardKeeper::Impl::place_service(const std::string& shard, const std::string& service,
                                       int64_t wanted, const std::vector<Entry*>& replicas)
 {
@@ -72,8 +81,7 @@
             return;
         }
         Entry entry;
-        entry.id = service + ".r" + std::to_string(m_clock.now().count()) + "-"
-            + std::to_string(++m_replica_number);
+        entry.id = new_replica_id(service);
         entry.box = *box;
         entry.shard = shard;
         entry.task = request.task;
--- a/src/placement.lib/keeper_state.h
+++ b/src/placement.lib/keeper_state.h
@@ -58,6 +58,7 @@
     Millis report_time; ///< Box time of the last report.
     Millis last_report; ///< Local time at which it was received; 0 when there was none.
     bool in_exchange = false;
+    int64_t taken_sequence = 0; ///< Answers to exchanges up to this one come too late.
     Millis first_failure; ///< Of the present row of failures; 0 when there is none.
     int refusals = 0; ///< Failures in a row that surely did not reach the box.
     bool unreachable = false;
@@ -119,10 +120,11 @@
     void check_boxes();
     std::vector<DueExchange> exchanges_due();
     BoxExchange make_exchange(BoxView& box, const OwnedShard& shard);
-    ReportUse on_report(const std::string& id, int64_t epoch,
+    ReportUse on_report(const std::string& id, int64_t epoch, int64_t sequence,
                         const std::optional<BoxReport>& report, const Failure& failure);
     void on_exchange_failed(BoxView& box, const Failure& failure);
     void take_report(BoxView& box, const BoxReport& report);
+    bool is_overfull(const BoxView& box) const;
     void take_task(BoxView& box, const BoxTask& task);
     void adopt_unknown(BoxView& box, const BoxTask& task);
     void lose_incarnation(BoxView& box);
@@ -133,6 +135,7 @@
     void place_services();
     void place_service(const std::string& shard, const std::string& service, int64_t wanted,
                        const std::vector<Entry*>& replicas);
+    std::string new_replica_id(const std::string& service);
     void drain_surplus(std::vector<Entry*> replicas, const ServiceSpec* spec,
                        int64_t surplus);
     void drain_leaving();
--- a/src/placement.lib/keeper_tasks.cpp
+++ b/src/placement.lib/keeper_tasks.cpp
@@ -69,6 +69,8 @@
             continue;
         // A report from before the rows were known could not be judged.
         item.second.fenced = false;
+        item.second.in_exchange = false;
+        item.second.taken_sequence = m_sequence;
         item.second.next_due = m_clock.now();
         update_usable(item.second);
     }
--- a/src/placement.lib/shard_keeper.cpp
+++ b/src/placement.lib/shard_keeper.cpp
@@ -266,12 +266,12 @@
     return m_impl->exchanges_due();
 }
 
-ReportUse ShardKeeper::on_report(const std::string& box, int64_t epoch,
+ReportUse ShardKeeper::on_report(const std::string& box, int64_t epoch, int64_t sequence,
                                  const std::optional<BoxReport>& report,
                                  const Failure& failure)
 {
     const std::lock_guard<std::mutex> lock(m_impl->m_mutex);
-    return m_impl->on_report(box, epoch, report, failure);
+    return m_impl->on_report(box, epoch, sequence, report, failure);
 }
 
 void ShardKeeper::hurry(const std::string& box)
--- a/src/rpc.lib/peer.capnp.h
+++ b/src/rpc.lib/peer.capnp.h
@@ -145,7 +145,7 @@
     class Pipeline;
 
     struct _capnpPrivate {
-        CAPNP_DECLARE_STRUCT_HEADER(8363b460b5128be6, 3, 5)
+        CAPNP_DECLARE_STRUCT_HEADER(8363b460b5128be6, 5, 6)
 #if !CAPNP_LITE
         static constexpr ::capnp::_::RawBrandedSchema const* brand()
         {
@@ -1154,7 +1154,7 @@
 
     inline ::int64_t getConfigRevision() const;
 
-    inline ::int64_t getSequence() const;
+    inline ::int64_t getVersion() const;
 
     inline ::uint32_t getPromiseMs() const;
 
@@ -1168,6 +1168,13 @@
     inline ::capnp::List<::pathport::wire::TeamUse, ::capnp::Kind::STRUCT>::Reader
     getTeams() const;
 
+    inline ::int64_t getBase() const;
+
+    inline ::int64_t getKnown() const;
+
+    inline bool hasGone() const;
+    inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Reader getGone() const;
+
 private:
     ::capnp::_::StructReader _reader;
     template <typename, ::capnp::Kind>
@@ -1226,8 +1233,8 @@
     inline ::int64_t getConfigRevision();
     inline void setConfigRevision(::int64_t value);
 
-    inline ::int64_t getSequence();
-    inline void setSequence(::int64_t value);
+    inline ::int64_t getVersion();
+    inline void setVersion(::int64_t value);
 
     inline ::uint32_t getPromiseMs();
     inline void setPromiseMs(::uint32_t value);
@@ -1261,6 +1268,22 @@
     inline ::capnp::Orphan<::capnp::List<::pathport::wire::TeamUse, ::capnp::Kind::STRUCT>>
     disownTeams();
 
+    inline ::int64_t getBase();
+    inline void setBase(::int64_t value);
+
+    inline ::int64_t getKnown();
+    inline void setKnown(::int64_t value);
+
+    inline bool hasGone();
+    inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Builder getGone();
+    inline void setGone(::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Reader value);
+    inline void setGone(::kj::ArrayPtr<const ::capnp::Text::Reader> value);
+    inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Builder
+    initGone(unsigned int size);
+    inline void
+    adoptGone(::capnp::Orphan<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>&& value);
+    inline ::capnp::Orphan<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>> disownGone();
+
 private:
     ::capnp::_::StructBuilder _builder;
     template <typename, ::capnp::Kind>
@@ -3779,16 +3802,16 @@
     _builder.setDataField<::int64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::int64_t Beat::Reader::getSequence() const
+inline ::int64_t Beat::Reader::getVersion() const
 {
     return _reader.getDataField<::int64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline ::int64_t Beat::Builder::getSequence()
+inline ::int64_t Beat::Builder::getVersion()
 {
     return _builder.getDataField<::int64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void Beat::Builder::setSequence(::int64_t value)
+inline void Beat::Builder::setVersion(::int64_t value)
 {
     _builder.setDataField<::int64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
@@ -3927,6 +3950,83 @@
         disown(_builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS));
 }
 
+inline ::int64_t Beat::Reader::getBase() const
+{
+    return _reader.getDataField<::int64_t>(::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline ::int64_t Beat::Builder::getBase()
+{
+    return _builder.getDataField<::int64_t>(::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void Beat::Builder::setBase(::int64_t value)
+{
+    _builder.setDataField<::int64_t>(::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline ::int64_t Beat::Reader::getKnown() const
+{
+    return _reader.getDataField<::int64_t>(::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline ::int64_t Beat::Builder::getKnown()
+{
+    return _builder.getDataField<::int64_t>(::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void Beat::Builder::setKnown(::int64_t value)
+{
+    _builder.setDataField<::int64_t>(::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Beat::Reader::hasGone() const
+{
+    return !_reader.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+}
+inline bool Beat::Builder::hasGone()
+{
+    return !_builder.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+}
+inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Reader
+Beat::Reader::getGone() const
+{
+    return ::capnp::_::PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::
+        get(_reader.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Builder Beat::Builder::getGone()
+{
+    return ::capnp::_::PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::
+        get(_builder.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+inline void
+Beat::Builder::setGone(::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Reader value)
+{
+    ::capnp::_::PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::set(
+        _builder.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS), value);
+}
+inline void Beat::Builder::setGone(::kj::ArrayPtr<const ::capnp::Text::Reader> value)
+{
+    ::capnp::_::PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::set(
+        _builder.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS), value);
+}
+inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Builder
+Beat::Builder::initGone(unsigned int size)
+{
+    return ::capnp::_::PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::
+        init(_builder.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS), size);
+}
+inline void Beat::Builder::adoptGone(
+    ::capnp::Orphan<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>&& value)
+{
+    ::capnp::_::PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::adopt(
+        _builder.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>
+Beat::Builder::disownGone()
+{
+    return ::capnp::_::PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::
+        disown(_builder.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+
 inline bool ConfigRow::Reader::hasKey() const
 {
     return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/src/rpc.lib/peer_wire.cpp
+++ b/src/rpc.lib/peer_wire.cpp
@@ -186,7 +186,12 @@
     out.setIncarnation(value.incarnation);
     out.setRegion(value.region);
     out.setConfigRevision(value.config_revision);
-    out.setSequence(value.sequence);
+    out.setVersion(value.version);
+    out.setBase(value.base);
+    out.setKnown(value.known);
+    auto gone = out.initGone(static_cast<unsigned>(value.gone.size()));
+    for (unsigned i = 0; i < value.gone.size(); ++i)
+        gone.set(i, value.gone[i]);
     out.setPromiseMs(to_wire(value.promise.count()));
     out.setStoreReachable(value.store_reachable);
     auto shards = out.initShards(static_cast<unsigned>(value.shards.size()));
@@ -204,7 +209,11 @@
     value.incarnation = to_string(in.getIncarnation());
     value.region = to_string(in.getRegion());
     value.config_revision = in.getConfigRevision();
-    value.sequence = in.getSequence();
+    value.version = in.getVersion();
+    value.base = in.getBase();
+    value.known = in.getKnown();
+    for (const auto shard : in.getGone())
+        value.gone.push_back(to_string(shard));
     value.promise = Millis(in.getPromiseMs());
     value.store_reachable = in.getStoreReachable();
     for (const auto shard : in.getShards())
--- a/testsuite/cell.py
+++ b/testsuite/cell.py
@@ -166,6 +166,9 @@
         try:
             return done.returncode, json.loads(done.stdout)
         except ValueError:
+            if check:
+                raise AssertionError(f"pathportctl {words}: exit code {done.returncode}, not "
+                                     f"JSON: {done.stdout!r} {done.stderr!r}") from None
             return done.returncode, done.stdout + done.stderr
 
     def apply(self, kind, name, value, **options):
