--- a/src/node.lib/keeper_loop.cpp
+++ b/src/node.lib/keeper_loop.cpp
@@ -19,7 +19,7 @@
 constexpr Millis round_pause { 50 };
 constexpr Millis gather_pause { 3 };
 constexpr Millis inputs_pause { 200 };
-constexpr Millis first_commit_pause { 10 };
+constexpr Millis first_commit_pause { 40 }; ///< Lets changes share a transaction.
 constexpr Millis longest_commit_pause { 1000 };
 constexpr Millis foreign_check_pause { 100 };
 
--- a/src/placement.lib/keeper_boxes.cpp
+++ b/src/placement.lib/keeper_boxes.cpp
@@ -148,8 +148,7 @@
 
 bool ShardKeeper::Impl::needs_command(const BoxView& box) const
 {
-    if (!box.forget.empty())
-        return true;
+    // What a box may forget travels with the next exchange that is due anyway.
     return std::any_of(box.entries.begin(), box.entries.end(),
                        [this](const std::string& id) {
                            const Entry& entry = m_entries.at(id);
--- a/src/policy.lib/policy_test.cpp
+++ b/src/policy.lib/policy_test.cpp
@@ -6,6 +6,9 @@
 
 #include <pathport/policy.h>
 
+#include <fstream>
+#include <iterator>
+
 using namespace pathport;
 
 namespace {
@@ -42,6 +45,18 @@
     BOOST_TEST(policy->health().failures == 0);
 }
 
+BOOST_AUTO_TEST_CASE(examples_are_accepted)
+{
+    for (const char* name : { "policy-kiosk.lua", "policy-boards.lua" }) {
+        std::ifstream stream(std::string(EXAMPLES) + "/" + name);
+        const std::string program { std::istreambuf_iterator<char>(stream), {} };
+        Failure reason;
+        const auto policy = LuaPolicy::compile(program, reason);
+        BOOST_TEST(policy != nullptr, reason.detail());
+        BOOST_TEST((policy && policy->may_stop(batch, urgent)));
+    }
+}
+
 BOOST_AUTO_TEST_CASE(program_reaches_neither_files_nor_code_loading_nor_error_catching)
 {
     for (const char* name :
--- a/testsuite/cell.py
+++ b/testsuite/cell.py
@@ -34,7 +34,7 @@
 [operators]
 key = {key}
 [boxes]
-idle_beat_ms = 1000
+idle_beat_ms = {idle_beat}
 {extra}
 """
 
@@ -67,8 +67,8 @@
     """A cell of nodes and boxes. Use it in a `with` statement: it ends what it started."""
 
     def __init__(self, nodes=3, boxes=8, domains=4, base=21000, rate=200, service_ms=20,
-                 extra="", seeds=True):
-        self.base, self.extra = base, extra
+                 extra="", seeds=True, idle_beat=1000):
+        self.base, self.extra, self.idle_beat = base, extra, idle_beat
         self.table, self.objects, self.box_list = base, base + 1, base + 2
         self.names = [f"node-{i + 1}" for i in range(nodes)]
         self.boxes = [f"box-{i + 1}" for i in range(boxes)]
@@ -145,7 +145,7 @@
             settings.write(NODE_INI.format(
                 name=name, region="r1", domain=f"domain-{index % self.domains + 1}",
                 table=self.table, objects=self.objects, box_list=self.box_list, key=KEY,
-                extra=extra, **self.ports(name)))
+                extra=extra, idle_beat=self.idle_beat, **self.ports(name)))
         self.start(name, ["pathportd", "--settings", path])
 
     def health(self, name):
