The peers' server in a file of its own; policy test compiles again

Change: the test compares in parentheses; mailbox.h and peer_server.h hold what other threads and peers use.

--- a/src/policy.lib/policy_test.cpp
+++ b/src/policy.lib/policy_test.cpp
@@ -52,7 +52,7 @@
         const std::string program { std::istreambuf_iterator<char>(stream), {} };
         Failure reason;
         const auto policy = LuaPolicy::compile(program, reason);
-        BOOST_TEST(policy != nullptr, reason.detail());
+        BOOST_TEST((policy != nullptr), reason.detail());
         BOOST_TEST((policy && policy->may_stop(batch, urgent)));
     }
 }
--- a/src/rpc.lib/peer_hub.cpp
+++ b/src/rpc.lib/peer_hub.cpp
@@ -5,17 +5,13 @@
 
 #include <pathport/log.h>
 
-#include "peer_wire.h"
+#include "peer_server.h"
 
 #include <capnp/rpc-twoparty.h>
 #include <kj/async-io.h>
 #include <kj/async-unix.h>
 
-#include <sys/eventfd.h>
-#include <unistd.h>
-
 #include <atomic>
-#include <deque>
 #include <future>
 #include <map>
 #include <mutex>
@@ -30,132 +26,6 @@
 constexpr auto reconnect_pause = 200 * kj::MILLISECONDS;
 constexpr auto connect_timeout = 500 * kj::MILLISECONDS;
 
-// Work that other threads hand to the hub's thread. The event descriptor wakes its loop.
-class Mailbox {
-public:
-    Mailbox()
-        : m_descriptor(eventfd(0, EFD_CLOEXEC | EFD_NONBLOCK))
-    {
-    }
-    ~Mailbox() { close(m_descriptor); }
-    Mailbox(const Mailbox&) = delete;
-    Mailbox& operator=(const Mailbox&) = delete;
-
-    int descriptor() const { return m_descriptor; }
-
-    void post(std::function<void()> work)
-    {
-        bool was_empty = false;
-        {
-            const std::lock_guard<std::mutex> lock(m_mutex);
-            was_empty = m_work.empty();
-            m_work.push_back(std::move(work));
-        }
-        if (was_empty)
-            signal();
-    }
-
-    void signal()
-    {
-        const uint64_t one = 1;
-        // A full counter still wakes the reader, so the result says nothing of use.
-        (void)!::write(m_descriptor, &one, sizeof one);
-    }
-
-    std::deque<std::function<void()>> take()
-    {
-        const std::lock_guard<std::mutex> lock(m_mutex);
-        std::deque<std::function<void()>> work;
-        work.swap(m_work);
-        return work;
-    }
-
-private:
-    int m_descriptor;
-    std::mutex m_mutex;
-    std::deque<std::function<void()>> m_work;
-};
-
-// Serves the calls of peers. An answer may come from any thread; it goes back through the
-// mailbox, since promises belong to the hub's thread.
-class PeerServer final : public wire::Peer::Server {
-public:
-    PeerServer(PeerHandler& handler, Mailbox& mailbox)
-        : m_handler(handler)
-        , m_mailbox(mailbox)
-    {
-    }
-
-    kj::Promise<void> forward(ForwardContext context) override
-    {
-        ForwardRequest request = read(context.getParams().getRequest());
-        auto pair = kj::newPromiseAndFulfiller<ForwardAnswer>();
-        // std::function needs a copyable holder.
-        const auto fulfiller
-            = std::make_shared<kj::Own<kj::PromiseFulfiller<ForwardAnswer>>>(
-                kj::mv(pair.fulfiller));
-        Mailbox& mailbox = m_mailbox;
-        m_handler.on_forward(std::move(request), [fulfiller, &mailbox](ForwardAnswer a) {
-            mailbox.post([fulfiller, a = std::move(a)]() mutable {
-                (*fulfiller)->fulfill(std::move(a));
-            });
-        });
-        return pair.promise.then([context](ForwardAnswer answer) mutable {
-            write(answer, context.getResults().initAnswer());
-        });
-    }
-
-    kj::Promise<void> beat(BeatContext context) override
-    {
-        const Beat answer = m_handler.on_beat(read(context.getParams().getBeat()));
-        write(answer, context.getResults().initBeat());
-        return kj::READY_NOW;
-    }
-
-    kj::Promise<void> configSince(ConfigSinceContext context) override
-    {
-        const auto rows = m_handler.on_config_since(context.getParams().getRevision());
-        auto out = context.getResults().initRows(static_cast<unsigned>(rows.size()));
-        for (unsigned i = 0; i < rows.size(); ++i)
-            write(rows[i], out[i]);
-        return kj::READY_NOW;
-    }
-
-    kj::Promise<void> wake(WakeContext context) override
-    {
-        std::vector<std::string> shards;
-        for (const auto shard : context.getParams().getShards())
-            shards.emplace_back(shard.begin(), shard.size());
-        m_handler.on_wake(shards);
-        return kj::READY_NOW;
-    }
-
-    kj::Promise<void> handOver(HandOverContext context) override
-    {
-        const auto params = context.getParams();
-        std::vector<AdmittedId> ids;
-        for (const auto one : params.getIds())
-            ids.push_back({ std::string(one.getId().cStr()), Millis(one.getTimeMs()) });
-        m_handler.on_hand_over(std::string(params.getShard().cStr()), params.getEpoch(),
-                               ids);
-        return kj::READY_NOW;
-    }
-
-    kj::Promise<void> ask(AskContext context) override
-    {
-        const auto params = context.getParams();
-        const auto answer = m_handler.on_ask(std::string(params.getKind().cStr()),
-                                             std::string(params.getName().cStr()));
-        context.getResults().setFound(answer.has_value());
-        context.getResults().setAnswer(answer.value_or(""));
-        return kj::READY_NOW;
-    }
-
-private:
-    PeerHandler& m_handler;
-    Mailbox& m_mailbox;
-};
-
 // A client connection to one peer. It exists while the stream is open.
 class PeerLink {
 public:
