Old audit records move to the object store; what nothing used is gone

Cause: the audit trail grew in the table without end, and the object store was asked for in the settings but used by nothing. Reading as a newcomer also found a heartbeat field, a constructor argument and a call that nothing used. Change: one node moves the oldest 500 records to an object once 1500 are in the table; the object is written first, so nothing is lost in between. The three left-overs are removed. Not run with processes for as long as 1500 changes take.

--- a/src/include/pathport/peer.h
+++ b/src/include/pathport/peer.h
@@ -117,7 +117,6 @@
     int64_t base = 0; ///< Version that the changes build on; 0 when all is told.
     int64_t known = 0; ///< Version of the receiver's load that the sender holds.
     Millis promise; ///< The sender takes no shard of the receiver for so long.
-    bool store_reachable = false;
     std::vector<ShardSummary> shards; ///< Changed since `base`.
     std::vector<std::string> gone; ///< Shards that the sender no longer owns, since `base`.
     std::vector<TeamUse> teams; ///< Changed since `base`; empty amounts for what has gone.
@@ -164,8 +163,8 @@
 /// each peer that is spoken to.
 class PeerHub {
 public:
-    /// Makes a hub for `node`; `handler` outlives it. Calls end after `timeout`.
-    PeerHub(std::string node, Address listen, Millis timeout, PeerHandler& handler);
+    /// Makes a hub; `handler` outlives it. Calls end after `timeout`.
+    PeerHub(Address listen, Millis timeout, PeerHandler& handler);
     ~PeerHub();
     PeerHub(const PeerHub&) = delete;
     PeerHub& operator=(const PeerHub&) = delete;
--- a/src/include/pathport/shard_keeper.h
+++ b/src/include/pathport/shard_keeper.h
@@ -137,8 +137,6 @@
     /// Replaces the quotas, and what the teams hold on other nodes.
     void set_quotas(const std::map<std::string, Resources>& limits,
                     const std::map<std::string, Resources>& used_elsewhere);
-    /// Drops a job's tasks that have not started, and stops the others.
-    void cancel_job(const std::string& job);
 
     /// Decides what is to be decided at present. `load` tells whether a replica is idle and
     /// may be stopped.
--- a/src/node.lib/node.cpp
+++ b/src/node.lib/node.cpp
@@ -38,6 +38,7 @@
     , m_incarnation(random_token())
     , m_table(settings.table, settings.node, settings.table_timeout)
     , m_box_list(settings.box_list, settings.table_timeout)
+    , m_objects(settings.objects, settings.table_timeout)
     , m_box_agent(settings.box_timeout)
     , m_target_client(settings.request_limit)
     , m_cell(m_clock, make_self(settings, m_incarnation), settings.membership)
@@ -45,12 +46,13 @@
     , m_own_lane(m_table, settings.node + "." + m_incarnation + ".own")
     , m_task_lane(m_table, settings.node + "." + m_incarnation + ".tasks")
     , m_job_lane(m_table, settings.node + "." + m_incarnation + ".jobs")
+    , m_audit_lane(m_table, settings.node + "." + m_incarnation + ".audit")
     , m_admission(settings.admission)
     , m_keeper(m_clock, settings.node + "/" + m_incarnation, settings.keeper)
     , m_dispatcher(m_clock, m_target_client, *this, DispatchLimits())
     , m_router(m_clock, m_cell, *this, stable_hash(m_incarnation))
     , m_timers(std::make_unique<Timers>())
-    , m_hub(std::make_unique<PeerHub>(settings.node, settings.peers, peer_call_timeout,
+    , m_hub(std::make_unique<PeerHub>(settings.peers, peer_call_timeout,
                                       static_cast<PeerHandler&>(*this)))
 {
 }
@@ -71,7 +73,7 @@
         return false;
     m_heartbeat_thread = std::thread([this] { heartbeat_loop(); });
     m_peer_thread = std::thread([this] { peer_loop(); });
-    m_box_list_thread = std::thread([this] { box_list_loop(); });
+    m_platform_thread = std::thread([this] { platform_loop(); });
     m_keeper_thread = std::thread([this] { keeper_loop(); });
     m_commit_thread = std::thread([this] { commit_loop(); });
     sweep();
@@ -114,7 +116,7 @@
 {
     m_stopping = true;
     m_wake.notify_all();
-    for (std::thread* thread : { &m_heartbeat_thread, &m_peer_thread, &m_box_list_thread,
+    for (std::thread* thread : { &m_heartbeat_thread, &m_peer_thread, &m_platform_thread,
                                  &m_keeper_thread, &m_commit_thread }) {
         if (thread->joinable())
             thread->join();
--- a/src/node.lib/node.h
+++ b/src/node.lib/node.h
@@ -97,7 +97,9 @@
     void retire_dead();
     void beat_peers();
     void peer_loop();
-    void box_list_loop();
+    void platform_loop();
+    void read_boxes();
+    void move_old_audit();
     Beat make_own_beat(const std::string& to);
     void update_own_load();
     void apply_config(const std::vector<ConfigRow>& rows);
@@ -142,6 +144,7 @@
     Metrics m_metrics;
     HttpTable m_table;
     HttpBoxList m_box_list;
+    HttpObjectStore m_objects;
     HttpBoxAgent m_box_agent;
     HttpTargetClient m_target_client;
     CellView m_cell;
@@ -150,6 +153,7 @@
     TableLane m_own_lane;
     TableLane m_task_lane;
     TableLane m_job_lane;
+    TableLane m_audit_lane;
     AdmissionLedger m_admission;
     ShardKeeper m_keeper;
     Dispatcher m_dispatcher;
@@ -184,7 +188,7 @@
 
     std::thread m_heartbeat_thread;
     std::thread m_peer_thread;
-    std::thread m_box_list_thread;
+    std::thread m_platform_thread;
     std::thread m_keeper_thread;
     std::thread m_commit_thread;
     std::unique_ptr<Timers> m_timers;
--- a/src/node.lib/node_test.cpp
+++ b/src/node.lib/node_test.cpp
@@ -6,6 +6,7 @@
 #include <rapidcheck.h>
 #include <rapidcheck/boost_test.h>
 
+#include "audit_archive.h"
 #include "cell_view.h"
 #include "node_settings.h"
 #include "table_engine.h"
@@ -245,6 +246,53 @@
     BOOST_TEST(view.since(1).size() == 1U);
 }
 
+namespace {
+
+class MemoryObjects : public ObjectStore {
+public:
+    bool put(const std::string& key, const std::string& content, Failure& reason) override
+    {
+        if (down) {
+            reason = Failure(FailureKind::unavailable, "down");
+            return false;
+        }
+        objects[key] = content;
+        return true;
+    }
+    std::optional<std::string> get(const std::string& key, Failure& /*reason*/) override
+    {
+        return objects.at(key);
+    }
+
+    bool down = false;
+    std::map<std::string, std::string> objects;
+};
+
+} // namespace
+
+// Each record is in the table or in an object, whatever fails in between.
+BOOST_AUTO_TEST_CASE(old_audit_records_move_to_the_object_store_without_loss)
+{
+    Writers w;
+    MemoryObjects objects;
+    TableLane lane(w.table, "archiver");
+    Failure reason;
+    for (int i = 1; i <= 12; ++i)
+        w.a.change(service_change(i), reason);
+    objects.down = true;
+    BOOST_TEST(archive_audit(w.table, lane, objects, 6, 5, reason) == 0U);
+    BOOST_TEST(w.rows("audit/").size() == 12U);
+    objects.down = false;
+    TableFaults faults;
+    faults.lose_answers = 2;
+    w.table.set_faults(faults);
+    BOOST_TEST(archive_audit(w.table, lane, objects, 6, 5, reason) == 5U);
+    BOOST_TEST(archive_audit(w.table, lane, objects, 6, 5, reason) == 0U);
+    BOOST_TEST(w.rows("audit/").size() == 7U);
+    BOOST_REQUIRE(objects.objects.size() == 1U);
+    BOOST_TEST(objects.objects.begin()->second.find("operator-5") != std::string::npos);
+}
+
 BOOST_AUTO_TEST_CASE(values_are_checked_before_they_are_accepted)
 {
     Failure reason;
--- a/src/node.lib/peer_loop.cpp
+++ b/src/node.lib/peer_loop.cpp
@@ -5,6 +5,7 @@
 /// What a node exchanges with its peers beside requests: heartbeats that carry load, and
 /// the configuration when the table can't be read. Also the reading of the box list.
 
+#include "audit_archive.h"
 #include "node.h"
 
 #include <pathport/admission.h>
@@ -17,6 +18,7 @@
 
 namespace {
 constexpr Millis box_list_pause { 1000 };
+constexpr Millis audit_pause { 60000 };
 constexpr Millis load_pause { 250 }; ///< Between looks at this node's own load.
 } // namespace
 
@@ -28,7 +30,6 @@
     beat.incarnation = self.incarnation;
     beat.region = self.region;
     beat.config_revision = m_config.snapshot()->revision;
-    beat.store_reachable = m_cell.table_reachable();
     beat.known = m_cell.known_version(to);
     const std::lock_guard<std::mutex> lock(m_load_mutex);
     m_own_load.fill(beat, m_cell.version_known_to(to));
@@ -125,19 +126,15 @@
     }
 }
 
-// The list may answer slowly, so it has a thread of its own.
-void Node::box_list_loop()
+// The platform may answer slowly, so it has a thread of its own.
+void Node::platform_loop()
 {
+    Millis next_move = m_clock.now() + audit_pause;
     while (!m_stopping) {
-        Failure reason;
-        const auto boxes = m_box_list.read(reason);
-        if (reason) {
-            m_metrics.count("pathport_box_list_failures_total");
-            log_event(LogLevel::warn, "box_list_failed", { { "reason", reason.detail() } });
-        }
-        if (boxes) {
-            m_cell.set_boxes(*boxes);
-            wake_keeper();
+        read_boxes();
+        if (m_clock.now() >= next_move) {
+            move_old_audit();
+            next_move = m_clock.now() + audit_pause;
         }
         std::unique_lock<std::mutex> lock(m_wake_mutex);
         m_wake.wait_for(lock, std::chrono::milliseconds(box_list_pause.count()),
@@ -145,4 +142,33 @@
     }
 }
 
+void Node::read_boxes()
+{
+    Failure reason;
+    const auto boxes = m_box_list.read(reason);
+    if (reason) {
+        m_metrics.count("pathport_box_list_failures_total");
+        log_event(LogLevel::warn, "box_list_failed", { { "reason", reason.detail() } });
+    }
+    if (boxes) {
+        m_cell.set_boxes(*boxes);
+        wake_keeper();
+    }
+}
+
+// One node does it for all.
+void Node::move_old_audit()
+{
+    const auto nodes = m_cell.owner_candidates();
+    if (nodes.empty() || nodes.front().node != m_settings.node)
+        return;
+    Failure reason;
+    const size_t moved = archive_audit(m_table, m_audit_lane, m_objects, audit_records_kept,
+                                       audit_records_per_object, reason);
+    if (moved > 0)
+        log_event(LogLevel::info, "audit_archived", { { "records", uint64_t(moved) } });
+    if (reason)
+        log_event(LogLevel::warn, "audit_not_archived", { { "reason", reason.detail() } });
+}
+
 } // namespace pathport
--- a/src/placement.lib/shard_keeper.cpp
+++ b/src/placement.lib/shard_keeper.cpp
@@ -243,12 +243,6 @@
     m_impl->changed();
 }
 
-void ShardKeeper::cancel_job(const std::string& job)
-{
-    const std::lock_guard<std::mutex> lock(m_impl->m_mutex);
-    m_impl->cancel(job);
-}
-
 void ShardKeeper::tick(const ReplicaLoad& load)
 {
     const std::lock_guard<std::mutex> lock(m_impl->m_mutex);
--- a/src/rpc.lib/peer.capnp
+++ b/src/rpc.lib/peer.capnp
@@ -67,12 +67,11 @@
   configRevision @3 :Int64;
   version @4 :Int64;        # of the sender's load, after this beat
   promiseMs @5 :UInt32;     # the sender takes no shard of the receiver for so long
-  storeReachable @6 :Bool;
-  shards @7 :List(ShardSummary);  # changed since `base`
-  teams @8 :List(TeamUse);  # changed since `base`; empty amounts for what has gone
-  base @9 :Int64;           # version that the changes build on; 0 when all is told
-  known @10 :Int64;         # version of the receiver's load that the sender holds
-  gone @11 :List(Text);     # shards that the sender no longer owns
+  shards @6 :List(ShardSummary);  # changed since `base`
+  teams @7 :List(TeamUse);  # changed since `base`; empty amounts for what has gone
+  base @8 :Int64;           # version that the changes build on; 0 when all is told
+  known @9 :Int64;         # version of the receiver's load that the sender holds
+  gone @10 :List(Text);     # shards that the sender no longer owns
 }
 
 struct ConfigRow {
--- a/src/rpc.lib/peer.capnp.h
+++ b/src/rpc.lib/peer.capnp.h
@@ -1158,8 +1158,6 @@
 
     inline ::uint32_t getPromiseMs() const;
 
-    inline bool getStoreReachable() const;
-
     inline bool hasShards() const;
     inline ::capnp::List<::pathport::wire::ShardSummary, ::capnp::Kind::STRUCT>::Reader
     getShards() const;
@@ -1239,9 +1237,6 @@
     inline ::uint32_t getPromiseMs();
     inline void setPromiseMs(::uint32_t value);
 
-    inline bool getStoreReachable();
-    inline void setStoreReachable(bool value);
-
     inline bool hasShards();
     inline ::capnp::List<::pathport::wire::ShardSummary, ::capnp::Kind::STRUCT>::Builder
     getShards();
@@ -3830,20 +3825,6 @@
     _builder.setDataField<::uint32_t>(::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool Beat::Reader::getStoreReachable() const
-{
-    return _reader.getDataField<bool>(::capnp::bounded<160>() * ::capnp::ELEMENTS);
-}
-
-inline bool Beat::Builder::getStoreReachable()
-{
-    return _builder.getDataField<bool>(::capnp::bounded<160>() * ::capnp::ELEMENTS);
-}
-inline void Beat::Builder::setStoreReachable(bool value)
-{
-    _builder.setDataField<bool>(::capnp::bounded<160>() * ::capnp::ELEMENTS, value);
-}
-
 inline bool Beat::Reader::hasShards() const
 {
     return !_reader.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
--- a/src/rpc.lib/peer_hub.cpp
+++ b/src/rpc.lib/peer_hub.cpp
@@ -52,9 +52,8 @@
 
 class PeerHub::Impl : private kj::TaskSet::ErrorHandler {
 public:
-    Impl(std::string node, Address listen, Millis timeout, PeerHandler& handler)
-        : m_node(std::move(node))
-        , m_listen(std::move(listen))
+    Impl(Address listen, Millis timeout, PeerHandler& handler)
+        : m_listen(std::move(listen))
         , m_timeout(timeout.count() * kj::MILLISECONDS)
         , m_handler(handler)
     {
@@ -306,7 +305,6 @@
     // meanwhile.
     static constexpr int64_t forward_grace_ms = 100;
 
-    std::string m_node;
     Address m_listen;
     kj::Duration m_timeout;
     PeerHandler& m_handler;
@@ -319,8 +317,8 @@
     std::map<std::string, LinkFork> m_links;
 };
 
-PeerHub::PeerHub(std::string node, Address listen, Millis timeout, PeerHandler& handler)
-    : m_impl(std::make_unique<Impl>(std::move(node), std::move(listen), timeout, handler))
+PeerHub::PeerHub(Address listen, Millis timeout, PeerHandler& handler)
+    : m_impl(std::make_unique<Impl>(std::move(listen), timeout, handler))
 {
 }
 
--- a/src/rpc.lib/peer_wire.cpp
+++ b/src/rpc.lib/peer_wire.cpp
@@ -193,7 +193,6 @@
     for (unsigned i = 0; i < value.gone.size(); ++i)
         gone.set(i, value.gone[i]);
     out.setPromiseMs(to_wire(value.promise.count()));
-    out.setStoreReachable(value.store_reachable);
     auto shards = out.initShards(static_cast<unsigned>(value.shards.size()));
     for (unsigned i = 0; i < value.shards.size(); ++i)
         write(value.shards[i], shards[i]);
@@ -215,7 +214,6 @@
     for (const auto shard : in.getGone())
         value.gone.push_back(to_string(shard));
     value.promise = Millis(in.getPromiseMs());
-    value.store_reachable = in.getStoreReachable();
     for (const auto shard : in.getShards())
         value.shards.push_back(read(shard));
     for (const auto team : in.getTeams())
--- a/src/rpc.lib/rpc_test.cpp
+++ b/src/rpc.lib/rpc_test.cpp
@@ -93,8 +93,8 @@
 {
     Peer one;
     Peer two;
-    PeerHub client("one", address(0), Millis(5000), one);
-    PeerHub server("two", address(1), Millis(5000), two);
+    PeerHub client(address(0), Millis(5000), one);
+    PeerHub server(address(1), Millis(5000), two);
     Failure reason;
     BOOST_REQUIRE(client.start(reason));
     BOOST_REQUIRE(server.start(reason));
@@ -146,8 +146,8 @@
     Peer one;
     Peer two;
     two.hold = true;
-    PeerHub client("one", address(2), Millis(5000), one);
-    PeerHub server("two", address(3), Millis(5000), two);
+    PeerHub client(address(2), Millis(5000), one);
+    PeerHub server(address(3), Millis(5000), two);
     Failure reason;
     BOOST_REQUIRE(client.start(reason));
     BOOST_REQUIRE(server.start(reason));
@@ -172,7 +172,7 @@
 BOOST_AUTO_TEST_CASE(peer_that_can_not_be_reached_means_not_run)
 {
     Peer one;
-    PeerHub client("one", address(4), Millis(5000), one);
+    PeerHub client(address(4), Millis(5000), one);
     Failure reason;
     BOOST_REQUIRE(client.start(reason));
     const ForwardAnswer answer = forward(client, address(9), request("id"));
@@ -185,8 +185,8 @@
     Peer one;
     Peer two;
     two.hold = true;
-    PeerHub client("one", address(5), Millis(5000), one);
-    auto server = std::make_unique<PeerHub>("two", address(6), Millis(5000), two);
+    PeerHub client(address(5), Millis(5000), one);
+    auto server = std::make_unique<PeerHub>(address(6), Millis(5000), two);
     Failure reason;
     BOOST_REQUIRE(client.start(reason));
     BOOST_REQUIRE(server->start(reason));
@@ -201,7 +201,7 @@
     server->stop();
     BOOST_TEST((answered.get_future().get().outcome == RequestOutcome::may_have_run));
     // The connection is opened anew once the peer is back.
-    PeerHub again("two", address(6), Millis(5000), one);
+    PeerHub again(address(6), Millis(5000), one);
     BOOST_REQUIRE(again.start(reason));
     ForwardAnswer answer;
     for (int i = 0; i < 100 && answer.outcome != RequestOutcome::answered; ++i)
@@ -212,8 +212,8 @@
 BOOST_AUTO_TEST_CASE(address_in_use_is_a_typed_failure)
 {
     Peer one;
-    PeerHub first("one", address(7), Millis(5000), one);
-    PeerHub second("two", address(7), Millis(5000), one);
+    PeerHub first(address(7), Millis(5000), one);
+    PeerHub second(address(7), Millis(5000), one);
     Failure reason;
     BOOST_REQUIRE(first.start(reason));
     BOOST_TEST(!second.start(reason));
