--- a/src/include/pathport/admission.h
+++ b/src/include/pathport/admission.h
@@ -67,6 +67,13 @@
     }
 };
 
+/// What an owner knows of a range when it gives it up.
+struct RangeMemory {
+    /// Ids up to this time may have been admitted by owners before it; 0 when it knows all.
+    Millis barrier;
+    std::vector<AdmittedId> ids;
+};
+
 /// The ids that this node has admitted, by range. Safe from any thread: each range has its
 /// own lock.
 class AdmissionLedger {
@@ -81,10 +88,10 @@
     void acquire(int range, int64_t epoch, Millis barrier);
     /// Gives up a range. Returns what is remembered of it; nothing is admitted afterwards,
     /// so that it can be handed to the next owner.
-    std::vector<AdmittedId> lose(int range);
-    /// Takes in what the owner before `epoch` remembered when it gave up the range. It
-    /// replaces the barrier. It may come before or after acquire().
-    void take_memory(int range, int64_t epoch, const std::vector<AdmittedId>& ids);
+    RangeMemory lose(int range);
+    /// Takes in what the owner before `epoch` knew when it gave up the range. The barrier by
+    /// which that owner went replaces the one of acquire(), before or after which this may come.
+    void take_memory(int range, int64_t epoch, const RangeMemory& memory);
 
     /// Decides about `request_id` with time `id_time`. `table_earliest` is the earliest
     /// that the table's clock can show at a moment at which this node held its lease.
@@ -105,7 +112,7 @@
         int64_t epoch = 0;
         int64_t memory_epoch
             = 0; ///< Of `memory`, which came before the range was acquired.
-        std::vector<AdmittedId> memory;
+        RangeMemory memory;
         Millis barrier;
         /// The latest table time seen. A thread that was held up can't bring back an age at
         /// which an id, forgotten meanwhile, would have been young enough.
--- a/src/include/pathport/peer.h
+++ b/src/include/pathport/peer.h
@@ -148,9 +148,9 @@
     virtual std::vector<ConfigRow> on_config_since(int64_t revision) = 0;
     /// Tells that work has arrived in the table for some of this node's shards.
     virtual void on_wake(const std::vector<std::string>& shards) = 0;
-    /// Takes in the ids that the last owner of an admission range has admitted.
+    /// Takes in what the last owner of an admission range knew of it.
     virtual void on_hand_over(const std::string& shard, int64_t epoch,
-                              const std::vector<AdmittedId>& ids)
+                              const RangeMemory& memory)
         = 0;
     /// Answers an operator's question that only this node can answer; nothing when it
     /// can't.
@@ -189,7 +189,7 @@
     /// Hands the memory of an admission range to its next owner, who owns it under `epoch`.
     /// When it is lost, that owner goes by its barrier.
     void hand_over(const std::string& address, const std::string& shard, int64_t epoch,
-                   const std::vector<AdmittedId>& ids);
+                   const RangeMemory& memory);
     /// Asks an operator's question; `done` gets the answer, or nothing.
     void ask(const std::string& address, const std::string& kind, const std::string& name,
              std::function<void(std::optional<std::string>)> done);
--- a/src/node.lib/heartbeat.cpp
+++ b/src/node.lib/heartbeat.cpp
@@ -243,7 +243,7 @@
 // the rest is tried once more.
 void Node::make_steps(std::vector<OwnershipStep> steps)
 {
-    std::map<std::string, std::vector<AdmittedId>> memories;
+    std::map<std::string, RangeMemory> memories;
     for (const OwnershipStep& step : steps) {
         const std::string& shard = step.record.shard;
         if (step.record.owner == m_settings.node || !is_admission(shard))
--- a/src/node.lib/node.cpp
+++ b/src/node.lib/node.cpp
@@ -271,12 +271,11 @@
     wake_heartbeat();
 }
 
-void Node::on_hand_over(const std::string& shard, int64_t epoch,
-                        const std::vector<AdmittedId>& ids)
+void Node::on_hand_over(const std::string& shard, int64_t epoch, const RangeMemory& memory)
 {
     const auto range = admission_range_of(shard);
     if (range)
-        m_admission.take_memory(*range, epoch, ids);
+        m_admission.take_memory(*range, epoch, memory);
 }
 
 std::optional<std::string> Node::on_ask(const std::string& kind, const std::string& name)
--- a/src/node.lib/node.h
+++ b/src/node.lib/node.h
@@ -123,7 +123,7 @@
     std::vector<ConfigRow> on_config_since(int64_t revision) override;
     void on_wake(const std::vector<std::string>& shards) override;
     void on_hand_over(const std::string& shard, int64_t epoch,
-                      const std::vector<AdmittedId>& ids) override;
+                      const RangeMemory& memory) override;
     std::optional<std::string> on_ask(const std::string& kind,
                                       const std::string& name) override;
     void dispatch_here(const ForwardRequest& request,
--- a/src/ownership.lib/admission.cpp
+++ b/src/ownership.lib/admission.cpp
@@ -58,37 +58,37 @@
     r.barrier = barrier;
     r.ids.clear();
     if (r.memory_epoch == epoch) {
-        r.barrier = Millis();
-        for (const AdmittedId& one : r.memory)
+        r.barrier = r.memory.barrier;
+        for (const AdmittedId& one : r.memory.ids)
             r.ids.emplace(one.id, one.time);
     }
-    r.memory.clear();
+    r.memory = RangeMemory();
 }
 
-std::vector<AdmittedId> AdmissionLedger::lose(int range)
+RangeMemory AdmissionLedger::lose(int range)
 {
     Range& r = m_ranges.at(static_cast<size_t>(range));
     const std::lock_guard<std::mutex> lock(r.mutex);
-    std::vector<AdmittedId> ids;
+    RangeMemory memory;
+    memory.barrier = r.barrier;
     for (const auto& one : r.ids)
-        ids.push_back({ one.first, one.second });
+        memory.ids.push_back({ one.first, one.second });
     r.owned = false;
     r.ids.clear();
-    return ids;
+    return memory;
 }
 
-void AdmissionLedger::take_memory(int range, int64_t epoch,
-                                  const std::vector<AdmittedId>& ids)
+void AdmissionLedger::take_memory(int range, int64_t epoch, const RangeMemory& memory)
 {
     Range& r = m_ranges.at(static_cast<size_t>(range));
     const std::lock_guard<std::mutex> lock(r.mutex);
     if (r.owned && r.epoch == epoch) {
-        r.barrier = Millis();
-        for (const AdmittedId& one : ids)
+        r.barrier = memory.barrier;
+        for (const AdmittedId& one : memory.ids)
             r.ids.emplace(one.id, one.time);
     } else if (epoch > r.epoch) {
         r.memory_epoch = epoch;
-        r.memory = ids;
+        r.memory = memory;
     }
 }
 
--- a/src/ownership.lib/ownership_test.cpp
+++ b/src/ownership.lib/ownership_test.cpp
@@ -291,6 +291,24 @@
     }
 }
 
+// The first owner dies, the second takes over behind a barrier and gives the range away at
+// once: the third must not admit what the first one did. It once did, under load in
+// frozen_node.
+BOOST_AUTO_TEST_CASE(barrier_of_the_giver_goes_along_with_its_memory)
+{
+    AdmissionLedger first { AdmissionSpans() };
+    AdmissionLedger second { AdmissionSpans() };
+    AdmissionLedger third { AdmissionSpans() };
+    const std::string id = id_at(start);
+    const int range = admission_range(id);
+    first.acquire(range, 1, Millis(0));
+    BOOST_TEST((first.admit(id, start, start) == AdmissionVerdict::admitted));
+    second.acquire(range, 2, start + Millis(2000));
+    third.acquire(range, 3, start + Millis(4000));
+    third.take_memory(range, 3, second.lose(range));
+    BOOST_TEST((third.admit(id, start, start + Millis(5000)) == AdmissionVerdict::unknown));
+}
+
 BOOST_AUTO_TEST_CASE(memory_of_an_earlier_epoch_does_not_lift_the_barrier)
 {
     const std::string id = id_at(start);
--- a/src/rpc.lib/peer.capnp
+++ b/src/rpc.lib/peer.capnp
@@ -90,6 +90,6 @@
   beat @1 (beat :Beat) -> (beat :Beat);
   configSince @2 (revision :Int64) -> (revision :Int64, rows :List(ConfigRow));
   wake @3 (shards :List(Text)) -> ();
-  handOver @5 (shard :Text, epoch :Int64, ids :List(AdmittedId)) -> ();
+  handOver @5 (shard :Text, epoch :Int64, barrierMs :Int64, ids :List(AdmittedId)) -> ();
   ask @4 (kind :Text, name :Text) -> (found :Bool, answer :Text);
 }
--- a/src/rpc.lib/peer.capnp.h
+++ b/src/rpc.lib/peer.capnp.h
@@ -411,7 +411,7 @@
     class Pipeline;
 
     struct _capnpPrivate {
-        CAPNP_DECLARE_STRUCT_HEADER(eeb805250cfe36c8, 1, 2)
+        CAPNP_DECLARE_STRUCT_HEADER(eeb805250cfe36c8, 2, 2)
 #if !CAPNP_LITE
         static constexpr ::capnp::_::RawBrandedSchema const* brand()
         {
@@ -2593,6 +2593,8 @@
 
     inline ::int64_t getEpoch() const;
 
+    inline ::int64_t getBarrierMs() const;
+
     inline bool hasIds() const;
     inline ::capnp::List<::pathport::wire::AdmittedId, ::capnp::Kind::STRUCT>::Reader
     getIds() const;
@@ -2641,6 +2643,9 @@
     inline ::int64_t getEpoch();
     inline void setEpoch(::int64_t value);
 
+    inline ::int64_t getBarrierMs();
+    inline void setBarrierMs(::int64_t value);
+
     inline bool hasIds();
     inline ::capnp::List<::pathport::wire::AdmittedId, ::capnp::Kind::STRUCT>::Builder
     getIds();
@@ -4696,6 +4701,20 @@
     _builder.setDataField<::int64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
+inline ::int64_t Peer::HandOverParams::Reader::getBarrierMs() const
+{
+    return _reader.getDataField<::int64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline ::int64_t Peer::HandOverParams::Builder::getBarrierMs()
+{
+    return _builder.getDataField<::int64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void Peer::HandOverParams::Builder::setBarrierMs(::int64_t value)
+{
+    _builder.setDataField<::int64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Peer::HandOverParams::Reader::hasIds() const
 {
     return !_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
--- a/src/rpc.lib/peer_hub.cpp
+++ b/src/rpc.lib/peer_hub.cpp
@@ -131,18 +131,19 @@
     }
 
     void hand_over(const std::string& address, const std::string& shard, int64_t epoch,
-                   const std::vector<AdmittedId>& ids)
+                   const RangeMemory& memory)
     {
         call<bool>(
             address, [](bool) {},
-            [shard, epoch, ids](wire::Peer::Client& peer) {
+            [shard, epoch, memory](wire::Peer::Client& peer) {
                 auto call = peer.handOverRequest();
                 call.setShard(shard);
                 call.setEpoch(epoch);
-                auto list = call.initIds(static_cast<unsigned>(ids.size()));
-                for (unsigned i = 0; i < ids.size(); ++i) {
-                    list[i].setId(ids[i].id);
-                    list[i].setTimeMs(ids[i].time.count());
+                call.setBarrierMs(memory.barrier.count());
+                auto list = call.initIds(static_cast<unsigned>(memory.ids.size()));
+                for (unsigned i = 0; i < memory.ids.size(); ++i) {
+                    list[i].setId(memory.ids[i].id);
+                    list[i].setTimeMs(memory.ids[i].time.count());
                 }
                 return call.send().then([](auto&&) { return true; });
             });
@@ -361,9 +362,9 @@
 }
 
 void PeerHub::hand_over(const std::string& address, const std::string& shard, int64_t epoch,
-                        const std::vector<AdmittedId>& ids)
+                        const RangeMemory& memory)
 {
-    m_impl->hand_over(address, shard, epoch, ids);
+    m_impl->hand_over(address, shard, epoch, memory);
 }
 
 void PeerHub::ask(const std::string& address, const std::string& kind,
--- a/src/rpc.lib/peer_server.h
+++ b/src/rpc.lib/peer_server.h
@@ -77,11 +77,13 @@
     kj::Promise<void> handOver(HandOverContext context) override
     {
         const auto params = context.getParams();
-        std::vector<AdmittedId> ids;
+        RangeMemory memory;
+        memory.barrier = Millis(params.getBarrierMs());
         for (const auto one : params.getIds())
-            ids.push_back({ std::string(one.getId().cStr()), Millis(one.getTimeMs()) });
+            memory.ids.push_back(
+                { std::string(one.getId().cStr()), Millis(one.getTimeMs()) });
         m_handler.on_hand_over(std::string(params.getShard().cStr()), params.getEpoch(),
-                               ids);
+                               memory);
         return kj::READY_NOW;
     }
 
--- a/src/rpc.lib/rpc_test.cpp
+++ b/src/rpc.lib/rpc_test.cpp
@@ -52,9 +52,10 @@
         woken.set_value(shards);
     }
     void on_hand_over(const std::string& shard, int64_t epoch,
-                      const std::vector<AdmittedId>& ids) override
+                      const RangeMemory& memory) override
     {
-        handed.set_value({ { shard + std::to_string(epoch), Millis() }, ids.front() });
+        handed.set_value(
+            { { shard + std::to_string(epoch), memory.barrier }, memory.ids.front() });
     }
     std::optional<std::string> on_ask(const std::string& kind,
                                       const std::string& name) override
@@ -129,9 +130,10 @@
     client.wake(address(1).to_string(), { "d.k" });
     BOOST_TEST(two.woken.get_future().get().front() == "d.k");
 
-    client.hand_over(address(1).to_string(), "admit.03", 7, { { "id", Millis(9) } });
+    client.hand_over(address(1).to_string(), "admit.03", 7,
+                     { Millis(5), { { "id", Millis(9) } } });
     const auto handed = two.handed.get_future().get();
-    BOOST_TEST(handed.front().id == "admit.037");
+    BOOST_TEST((handed.front() == AdmittedId { "admit.037", Millis(5) }));
     BOOST_TEST((handed.back() == AdmittedId { "id", Millis(9) }));
 
     std::promise<std::optional<std::string>> asked;
