A paused node's lease comes back only after it has read what it lost

Cause: the first heartbeat after a pause renewed the lease as soon as the table had answered, a moment before the node compared its ranges with the rows that the same answer held. In that moment it admitted an id whose range had a new owner. The promises of peers had the same hole: after a pause they brought a lease back that had ended, while the shards could have been taken in between. Change: the lease is renewed after ownership is compared; promises carry a lease on only from before its end, without a gap.

--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -62,7 +62,7 @@
 mutant "configuration may go back" src/node.lib/config_view.cpp \
     'present->second.revision >= row.revision' 'present->second.revision == row.revision' node_test
 mutant "lease without promises of all" src/node.lib/cell_view.cpp \
-    'if (!promised)' 'if (false)' node_test
+    'if (since <= m_lease_until)' 'if (true)' node_test
 mutant "kept connection for all" src/http.lib/http_client.cpp \
     'connection == HttpConnection::fresh ? make_client() : m_shared' 'm_shared' http_test
 
--- a/src/include/pathport/admission.h
+++ b/src/include/pathport/admission.h
@@ -89,8 +89,9 @@
     /// Gives up a range. Returns what is remembered of it; nothing is admitted afterwards,
     /// so that it can be handed to the next owner.
     RangeMemory lose(int range);
-    /// Takes in what the owner before `epoch` knew when it gave up the range. The barrier by
-    /// which that owner went replaces the one of acquire(), before or after which this may come.
+    /// Takes in what the owner before `epoch` knew when it gave up the range. The barrier
+    /// by which that owner went replaces the one of acquire(), before or after which this
+    /// may come.
     void take_memory(int range, int64_t epoch, const RangeMemory& memory);
 
     /// Decides about `request_id` with time `id_time`. `table_earliest` is the earliest
--- a/src/node.lib/cell_view.cpp
+++ b/src/node.lib/cell_view.cpp
@@ -34,7 +34,6 @@
 {
     const std::lock_guard<std::mutex> lock(m_mutex);
     m_table_reachable = true;
-    m_last_beat_sent = sent;
     m_table_time.observe(result.table_time, sent, received);
     for (const auto& range : result.ranges) {
         for (const TableRow& row : range) {
@@ -55,6 +54,13 @@
     }
 }
 
+void CellView::renew_lease(Millis sent)
+{
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    m_last_beat_sent = sent;
+    m_lease_until = std::max(m_lease_until, sent + m_membership.spans().lease);
+}
+
 void CellView::observe_beat(const Beat& beat, const std::string& address, Millis sent)
 {
     const std::lock_guard<std::mutex> lock(m_mutex);
@@ -74,8 +80,12 @@
     report.received = now;
     // The promise was given after `sent`, so this is on the safe side. A beat that was not
     // asked for carries none.
-    if (sent != Millis())
-        report.promise_until = std::max(report.promise_until, sent + beat.promise);
+    if (sent == Millis() || beat.promise == Millis())
+        return;
+    if (sent > report.promise_until)
+        report.promise_since = sent;
+    report.promise_until = std::max(report.promise_until, sent + beat.promise);
+    extend_lease();
 }
 
 void CellView::observe_shard(const ShardRecord& record, int64_t version)
@@ -359,26 +369,33 @@
     return (heard + 1) * 2 > static_cast<int64_t>(members.size()) + 1 && heard > 0;
 }
 
-std::optional<Millis> CellView::lease_point() const
+// Without the table, the promises of all others say that none of them takes over. They
+// carry the lease on only from before its end: after a gap, somebody may have taken over
+// already.
+void CellView::extend_lease()
 {
-    const std::lock_guard<std::mutex> lock(m_mutex);
-    const Millis now = m_clock.now();
-    if (m_last_beat_sent == Millis())
-        return std::nullopt;
-    if (now < m_last_beat_sent + m_membership.spans().lease)
-        return m_table_time.earliest(now);
-    // Without the table, the promises of all others say that none of them takes over.
     const std::vector<MemberView> others = m_membership.others();
     if (others.empty())
-        return std::nullopt;
+        return;
+    Millis since;
+    Millis until = m_clock.now() + m_membership.spans().promise;
     for (const MemberView& member : others) {
         const auto peer = m_peers.find(member.record.node);
-        const bool promised = peer != m_peers.end()
-            && peer->second.incarnation == member.record.incarnation
-            && now < peer->second.promise_until;
-        if (!promised)
-            return std::nullopt;
+        if (peer == m_peers.end() || peer->second.incarnation != member.record.incarnation)
+            return;
+        since = std::max(since, peer->second.promise_since);
+        until = std::min(until, peer->second.promise_until);
     }
+    if (since <= m_lease_until)
+        m_lease_until = std::max(m_lease_until, until);
+}
+
+std::optional<Millis> CellView::lease_point() const
+{
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    const Millis now = m_clock.now();
+    if (now >= m_lease_until)
+        return std::nullopt;
     return m_table_time.earliest(now);
 }
 
--- a/src/node.lib/cell_view.h
+++ b/src/node.lib/cell_view.h
@@ -31,7 +31,9 @@
     int64_t beats = 0; ///< How many have come.
     std::string address;
     Millis received;
-    Millis promise_until; ///< Until when the peer takes nothing from this node.
+    Millis promise_since; ///< Since when, without a gap, the peer takes nothing from this
+                          ///< node.
+    Millis promise_until; ///< Until when.
 };
 
 /// A shard's row with its version.
@@ -47,6 +49,10 @@
 
     /// Takes in what a heartbeat to the table read; `sent` and `received` are local times.
     void observe(const TableResult& result, Millis sent, Millis received);
+    /// Renews the lease from the heartbeat that was sent at `sent`. Call it once what this
+    /// node holds agrees with the rows that the heartbeat read: a lease over shards that
+    /// were lost meanwhile would be worse than none.
+    void renew_lease(Millis sent);
     /// Takes in a peer's heartbeat, asked for at `sent`.
     void observe_beat(const Beat& beat, const std::string& address, Millis sent);
     /// Takes in the row of a shard that this node has just written.
@@ -105,6 +111,7 @@
 
 private:
     bool peer_is_fresh(const PeerReport& report, Millis now) const;
+    void extend_lease();
 
     const Clock& m_clock;
     mutable std::mutex m_mutex;
@@ -112,6 +119,8 @@
     Membership m_membership;
     TableTime m_table_time;
     Millis m_last_beat_sent; ///< Of the last heartbeat that the table took; 0 for none.
+    Millis m_lease_until; ///< Local time up to which nobody can have taken a shard of this
+                          ///< node.
     bool m_table_reachable = false;
     std::map<std::string, ShardRow> m_shards;
     std::vector<BoxInfo> m_boxes;
--- a/src/node.lib/heartbeat.cpp
+++ b/src/node.lib/heartbeat.cpp
@@ -58,6 +58,7 @@
         const Millis earliest_next = m_clock.now() + shortest_pause;
         if (beat_table()) {
             own_shards();
+            m_cell.renew_lease(m_beat_sent);
             plan_steps();
             retire_dead();
         }
@@ -128,6 +129,7 @@
     if (m_left_sent)
         m_left = true;
     m_row_version = result->revision;
+    m_beat_sent = sent;
     m_cell.observe(*result, sent, received);
     take_beat(*result);
     m_seen_revision = result->revision;
--- a/src/node.lib/node.h
+++ b/src/node.lib/node.h
@@ -165,6 +165,7 @@
     int64_t m_seen_revision = 0;
     std::map<std::string, int64_t> m_admission_epochs;
     bool m_left_sent = false;
+    Millis m_beat_sent; ///< When the last heartbeat that the table took was sent.
     Millis m_first_beat; ///< When the table took the first heartbeat; 0 before.
 
     // Of the keeper's thread.
--- a/src/node.lib/node_test.cpp
+++ b/src/node.lib/node_test.cpp
@@ -104,6 +104,7 @@
             rows.push_back({ "nodes/" + other.node, encode(other), ++revision });
         result.ranges = { rows };
         view.observe(result, clock.now(), clock.now());
+        view.renew_lease(clock.now());
     }
 
     void hear(const std::string& name, Millis promise)
@@ -321,18 +322,47 @@
 {
     Observed o;
     o.beat({ node("a", 1), node("b", 1) });
-    o.clock.advance(Millis(3000));
     o.view.table_failed();
-    BOOST_TEST(!o.view.lease_point());
+    for (int i = 0; i < 5; ++i) {
+        o.clock.advance(Millis(900));
+        BOOST_TEST(o.view.lease_point().has_value());
+        o.hear("a", Millis(1500));
+        o.hear("b", Millis(1500));
+    }
+    // One that promises no longer ends it, whatever the other says.
+    o.clock.advance(Millis(900));
     o.hear("a", Millis(1500));
+    o.hear("b", Millis(0));
+    o.clock.advance(Millis(600));
     BOOST_TEST(!o.view.lease_point());
-    o.hear("b", Millis(1500));
-    BOOST_TEST(o.view.lease_point().has_value());
+}
+
+// A node that was paused finds its peers promising again, but its shards may be gone since.
+BOOST_AUTO_TEST_CASE(promises_do_not_bring_back_a_lease_that_has_ended)
+{
+    Observed o;
+    o.beat({ node("a", 1) });
+    o.hear("a", Millis(1500));
     o.clock.advance(Millis(1500));
+    o.hear("a", Millis(1500));
+    BOOST_TEST(o.view.lease_point().has_value());
+    o.clock.advance(Millis(4000));
+    o.hear("a", Millis(1500));
     BOOST_TEST(!o.view.lease_point());
-    o.hear("a", Millis(0));
-    o.hear("b", Millis(1500));
+}
+
+// Trap 1, found by frozen_node: the first heartbeat after a pause renewed the lease before
+// the node had read that its ranges were taken, and it admitted an id that their new owner
+// had.
+BOOST_AUTO_TEST_CASE(heartbeat_alone_does_not_renew_the_lease)
+{
+    Observed o;
+    TableResult result;
+    result.table_time = o.clock.now();
+    o.view.observe(result, o.clock.now(), o.clock.now());
     BOOST_TEST(!o.view.lease_point());
+    o.view.renew_lease(o.clock.now());
+    BOOST_TEST(o.view.lease_point().has_value());
 }
 
 BOOST_AUTO_TEST_CASE(node_without_table_is_current_only_with_most_others)
--- a/testsuite/cell.py
+++ b/testsuite/cell.py
@@ -68,8 +68,10 @@
 
     def __init__(self, nodes=3, boxes=8, domains=4, base=21000, rate=200, service_ms=20,
                  extra="", seeds=True, idle_beat=1000):
-        self.base, self.extra, self.idle_beat = base, extra, idle_beat
-        self.table, self.objects, self.box_list = base, base + 1, base + 2
+        # A shift of the ports lets several runs go on side by side.
+        self.base = base + int(os.environ.get("PATHPORT_PORT_SHIFT", "0"))
+        self.extra, self.idle_beat = extra, idle_beat
+        self.table, self.objects, self.box_list = self.base, self.base + 1, self.base + 2
         self.names = [f"node-{i + 1}" for i in range(nodes)]
         self.boxes = [f"box-{i + 1}" for i in range(boxes)]
         self.domains, self.rate, self.service_ms, self.seeds = domains, rate, service_ms, seeds
