--- a/src/include/pathport/peer.h
+++ b/src/include/pathport/peer.h
@@ -61,6 +61,12 @@
     Failure failure; ///< Why there is no answer from the target.
 };
 
+/// Returns the answer to a request that was not run, and when to come back.
+ForwardAnswer not_run_answer(FailureKind kind, const std::string& detail,
+                             Millis retry_after);
+/// Returns the answer to a request of unknown outcome.
+ForwardAnswer may_have_run_answer(const std::string& detail);
+
 /// The load of one service on one shard.
 struct ServiceLoad {
     std::string service;
--- a/src/node.lib/answers.cpp
+++ b/src/node.lib/answers.cpp
@@ -47,6 +47,19 @@
     return answer;
 }
 
+HttpAnswer text_answer(const std::string& json_text)
+{
+    HttpAnswer answer;
+    answer.body = json_text;
+    return answer;
+}
+
+std::string operator_of(const HttpRequest& request)
+{
+    const std::string name = request.header("pathport-operator");
+    return name.empty() ? "operator" : name;
+}
+
 void add_retry_after(HttpAnswer& answer, Millis span)
 {
     constexpr int64_t millis_per_second = 1000;
--- a/src/node.lib/answers.h
+++ b/src/node.lib/answers.h
@@ -18,6 +18,12 @@
 /// Returns an answer with the failure's kind and detail as JSON.
 HttpAnswer failure_answer(const Failure& failure);
 
+/// Returns an answer with this JSON text.
+HttpAnswer text_answer(const std::string& json_text);
+
+/// Returns the name that an operator gives for the audit trail.
+std::string operator_of(const HttpRequest& request);
+
 /// Adds when to come back: in whole seconds for any client, and in milliseconds.
 void add_retry_after(HttpAnswer& answer, Millis span);
 
--- a/src/node.lib/caller_api.cpp
+++ b/src/node.lib/caller_api.cpp
@@ -66,10 +66,7 @@
 
 HttpAnswer CallerApi::refusal(const Failure& failure)
 {
-    ForwardAnswer answer;
-    answer.outcome = RequestOutcome::not_run;
-    answer.failure = failure;
-    return to_http(answer);
+    return to_http(not_run_answer(failure.kind(), failure.detail(), Millis()));
 }
 
 HttpAnswer CallerApi::health() const
--- a/src/node.lib/node.cpp
+++ b/src/node.lib/node.cpp
@@ -158,18 +158,14 @@
 void Node::request(const ForwardRequest& request,
                    const std::function<void(ForwardAnswer)>& done)
 {
-    ForwardAnswer refusal;
-    refusal.retry_after = retry_when_cut_off;
     if (!m_cell.is_current(config_freshness)) {
-        refusal.failure = Failure(FailureKind::unavailable,
-                                  "this node is cut off and can't know the configuration");
-        done(refusal);
+        done(not_run_answer(FailureKind::unavailable,
+                            "this node is cut off and can't know the configuration",
+                            retry_when_cut_off));
         return;
     }
     if (m_refusing) {
-        refusal.retry_after = Millis(1);
-        refusal.failure = Failure(FailureKind::unavailable, "this node is stopping");
-        done(refusal);
+        done(not_run_answer(FailureKind::unavailable, "this node is stopping", Millis(1)));
         return;
     }
     const auto open = std::make_shared<Open>();
@@ -181,12 +177,8 @@
         --m_open_requests;
         done(answer);
     };
-    m_timers->after(request.time_left + answer_grace, [finish] {
-        ForwardAnswer late;
-        late.outcome = RequestOutcome::may_have_run;
-        late.failure = Failure(FailureKind::outcome_unknown, "no answer within its time");
-        finish(late);
-    });
+    m_timers->after(request.time_left + answer_grace,
+                    [finish] { finish(may_have_run_answer("no answer within its time")); });
     m_router.route(request, finish);
 }
 
--- a/src/node.lib/operator_api.cpp
+++ b/src/node.lib/operator_api.cpp
@@ -21,13 +21,10 @@
 
 constexpr size_t max_waiting_calls = 64;
 constexpr char bearer[] = "Bearer ";
-constexpr char default_who[] = "operator";
 
 HttpAnswer json_answer(const json& value)
 {
-    HttpAnswer answer;
-    answer.body = value.dump();
-    return answer;
+    return text_answer(value.dump());
 }
 
 HttpAnswer failed(FailureKind kind, const std::string& detail)
@@ -42,12 +39,6 @@
              { "value", json::parse(row.value, nullptr, false) } };
 }
 
-std::string who_of(const HttpRequest& request)
-{
-    const std::string who = request.header("pathport-operator");
-    return who.empty() ? default_who : who;
-}
-
 // Splits "a/b/c" at its first slash.
 std::pair<std::string, std::string> split(const std::string& text)
 {
@@ -174,7 +165,7 @@
     ConfigChange change;
     change.kind = kind;
     change.name = name;
-    change.who = who_of(request);
+    change.who = operator_of(request);
     const auto expect = request.query.find("expect");
     if (expect != request.query.end()) {
         change.expected = parse_integer(expect->second);
--- a/src/node.lib/operator_jobs.cpp
+++ b/src/node.lib/operator_jobs.cpp
@@ -28,9 +28,7 @@
 
 HttpAnswer json_answer(const json& value)
 {
-    HttpAnswer answer;
-    answer.body = value.dump();
-    return answer;
+    return text_answer(value.dump());
 }
 
 HttpAnswer table_failure(const Failure& reason)
@@ -91,12 +89,10 @@
             Failure(FailureKind::bad_input, "the name '" + name + "' is not valid"));
     if (request.method == "GET")
         return job_state(name);
-    const std::string given = request.header("pathport-operator");
-    const std::string who = given.empty() ? "operator" : given;
     if (request.method == "PUT")
         return submit_job(request, name);
     if (request.method == "DELETE")
-        return cancel_job(name, who);
+        return cancel_job(name, operator_of(request));
     return failure_answer(
         Failure(FailureKind::bad_input, "the method must be GET, PUT or DELETE"));
 }
@@ -143,13 +139,12 @@
         return table_failure(
             Failure(FailureKind::unavailable, "no shard of boxes is owned at present"));
     }
-    const std::string who = request.header("pathport-operator");
     const int64_t wall_ms = wall_time().count();
     TableTxn txn;
     txn.checks.push_back({ jobs_prefix + name, 0 });
     txn.puts.push_back({ jobs_prefix + name, encode(*job) });
-    txn.puts.push_back(audit_put(m_node.settings().node, who.empty() ? "operator" : who,
-                                 "put", name, "", encode(*job)));
+    txn.puts.push_back(audit_put(m_node.settings().node, operator_of(request), "put", name,
+                                 "", encode(*job)));
     for (int64_t i = 0; i < job->tasks; ++i) {
         const TaskRecord task = make_task(*job, i, wall_ms);
         txn.puts.push_back(
--- a/src/routing.lib/dispatcher.cpp
+++ b/src/routing.lib/dispatcher.cpp
@@ -28,15 +28,6 @@
     mean = samples == 0 ? value : mean + mean_weight * (value - mean);
 }
 
-ForwardAnswer not_run(FailureKind kind, const std::string& detail, Millis retry_after)
-{
-    ForwardAnswer answer;
-    answer.outcome = RequestOutcome::not_run;
-    answer.failure = Failure(kind, detail);
-    answer.retry_after = retry_after;
-    return answer;
-}
-
 } // namespace
 
 Dispatcher::Dispatcher(const Clock& clock, TargetClient& targets,
@@ -94,8 +85,8 @@
                 finals.emplace_back(
                     waiting.done,
                     final_answer(waiting,
-                                 not_run(FailureKind::not_owner, "no replica here",
-                                         Millis(min_retry_after_ms))));
+                                 not_run_answer(FailureKind::not_owner, "no replica here",
+                                                Millis(min_retry_after_ms))));
             }
             queue.waiting.clear();
         }
@@ -166,12 +157,12 @@
             = wait > Millis() && wait + likely_service_time(queue) > request.time_left;
         const auto length = static_cast<int64_t>(queue.waiting.size());
         if (slots == 0) {
-            refusal = not_run(FailureKind::not_owner, "no replica here",
-                              Millis(min_retry_after_ms));
+            refusal = not_run_answer(FailureKind::not_owner, "no replica here",
+                                     Millis(min_retry_after_ms));
         } else if (too_late || length >= slots * m_limits.queue_per_slot) {
-            refusal = not_run(FailureKind::overloaded,
-                              "the queue is too long for the time that is left",
-                              retry_after(request.service, queue));
+            refusal = not_run_answer(FailureKind::overloaded,
+                                     "the queue is too long for the time that is left",
+                                     retry_after(request.service, queue));
         } else {
             queue.waiting.push_back(
                 { request, done, m_clock.now() + request.time_left, 0, false });
@@ -372,11 +363,12 @@
                     ++waiting;
                     continue;
                 }
-                finals.emplace_back(waiting->done,
-                                    final_answer(*waiting,
-                                                 not_run(FailureKind::overloaded,
-                                                         "its time has passed in the queue",
-                                                         retry_after(item.first, queue))));
+                finals.emplace_back(
+                    waiting->done,
+                    final_answer(*waiting,
+                                 not_run_answer(FailureKind::overloaded,
+                                                "its time has passed in the queue",
+                                                retry_after(item.first, queue))));
                 waiting = queue.waiting.erase(waiting);
             }
         }
--- a/src/routing.lib/router.cpp
+++ b/src/routing.lib/router.cpp
@@ -21,21 +21,15 @@
 // A request leaves the region only when the region is this much over its slots.
 constexpr double region_pressure_limit = 1.5;
 
-ForwardAnswer not_run(FailureKind kind, const std::string& detail, Millis retry_after)
-{
-    ForwardAnswer answer;
-    answer.outcome = RequestOutcome::not_run;
-    answer.failure = Failure(kind, detail);
-    answer.retry_after = retry_after;
-    return answer;
-}
+} // namespace
 
-ForwardAnswer may_have_run(const std::string& detail)
+namespace {
+
+// A refusal of the network itself comes without a time.
+void set_retry_after(ForwardAnswer& answer)
 {
-    ForwardAnswer answer;
-    answer.outcome = RequestOutcome::may_have_run;
-    answer.failure = Failure(FailureKind::outcome_unknown, detail);
-    return answer;
+    if (answer.outcome == RequestOutcome::not_run && answer.retry_after == Millis())
+        answer.retry_after = retry_when_no_owner;
 }
 
 } // namespace
@@ -56,14 +50,18 @@
     }
     const auto owner = m_view.admission_owner(admission_range(request.request_id));
     if (!owner) {
-        done(not_run(FailureKind::unavailable, "nobody decides about the request's id now",
-                     retry_when_no_owner));
+        done(not_run_answer(FailureKind::unavailable,
+                            "nobody decides about the request's id now",
+                            retry_when_no_owner));
     } else if (owner->address.empty()) {
         admit_and_route(request, done);
     } else {
         ForwardRequest forwarded = request;
         forwarded.stage = ForwardStage::admit;
-        m_sink.forward(owner->address, forwarded, done);
+        m_sink.forward(owner->address, forwarded, [done](ForwardAnswer answer) {
+            set_retry_after(answer);
+            done(answer);
+        });
     }
 }
 
@@ -73,18 +71,20 @@
     case AdmissionVerdict::admitted:
         break;
     case AdmissionVerdict::duplicate:
-        done(may_have_run("a request with this id was admitted before"));
+        done(may_have_run_answer("a request with this id was admitted before"));
         return;
     case AdmissionVerdict::unknown:
-        done(may_have_run("a request with this id may have been admitted before"));
+        done(may_have_run_answer("a request with this id may have been admitted before"));
         return;
     case AdmissionVerdict::too_new:
-        done(not_run(FailureKind::bad_input, "the request id's time lies in the future",
-                     retry_when_no_owner));
+        done(not_run_answer(FailureKind::bad_input,
+                            "the request id's time lies in the future",
+                            retry_when_no_owner));
         return;
     case AdmissionVerdict::not_owner:
-        done(not_run(FailureKind::not_owner, "this node does not decide about the id now",
-                     retry_when_no_owner));
+        done(not_run_answer(FailureKind::not_owner,
+                            "this node does not decide about the id now",
+                            retry_when_no_owner));
         return;
     }
     start(request, [this, request, done](const ForwardAnswer& answer) {
@@ -156,15 +156,16 @@
     const auto route = choose(attempt);
     if (!route) {
         finish(attempt,
-               not_run(FailureKind::no_capacity, "no replica of the service takes requests",
-                       retry_when_no_route));
+               not_run_answer(FailureKind::no_capacity,
+                              "no replica of the service takes requests",
+                              retry_when_no_route));
         return;
     }
     attempt.request.time_left = attempt.deadline - m_clock.now();
     if (attempt.request.time_left <= Millis()) {
-        finish(
-            attempt,
-            not_run(FailureKind::overloaded, "its time has passed", retry_when_no_route));
+        finish(attempt,
+               not_run_answer(FailureKind::overloaded, "its time has passed",
+                              retry_when_no_route));
         return;
     }
     ++attempt.tries;
@@ -215,7 +216,10 @@
 void Router::finish(const Attempt& attempt, const ForwardAnswer& answer)
 {
     const bool hides_doubt = attempt.in_doubt && answer.outcome == RequestOutcome::not_run;
-    attempt.done(hides_doubt ? may_have_run(answer.failure.detail()) : answer);
+    ForwardAnswer final
+        = hides_doubt ? may_have_run_answer(answer.failure.detail()) : answer;
+    set_retry_after(final);
+    attempt.done(final);
 }
 
 } // namespace pathport
--- a/src/routing.lib/routing_test.cpp
+++ b/src/routing.lib/routing_test.cpp
@@ -410,6 +410,18 @@
     BOOST_TEST(cell.here == 1);
 }
 
+// Without a time to come back, callers asked again every millisecond while a node was dead.
+BOOST_AUTO_TEST_CASE(refusal_always_says_when_to_come_back)
+{
+    FakeCell cell;
+    cell.owner = AdmissionOwner { "b", "addr-b" };
+    cell.outcomes = { RequestOutcome::not_run };
+    BOOST_TEST(route_one(cell, false).retry_after.count() > 0);
+    cell.all_routes = { { "b", "addr-b", true, 16, 0, 0 } };
+    cell.outcomes = { RequestOutcome::not_run };
+    BOOST_TEST(route_one(cell, true).retry_after.count() > 0);
+}
+
 BOOST_AUTO_TEST_CASE(refused_ids_are_told_apart_and_never_dispatched)
 {
     FakeCell cell;
--- a/src/rpc.lib/peer_wire.cpp
+++ b/src/rpc.lib/peer_wire.cpp
@@ -113,21 +113,6 @@
 
 } // namespace
 
-const char* to_string(RequestOutcome outcome)
-{
-    switch (outcome) {
-    case RequestOutcome::answered:
-        return "answered";
-    case RequestOutcome::not_run:
-        return "not_run";
-    case RequestOutcome::may_have_run:
-        return "may_have_run";
-    case RequestOutcome::failed:
-        return "failed";
-    }
-    return "may_have_run";
-}
-
 void write(const ForwardRequest& value, wire::ForwardRequest::Builder out)
 {
     out.setRequestId(value.request_id);
