The linter is clean again

Ruled out: switching the checks off. Change: the findings are mended, and the linter's count of foreign warnings is no longer printed.

--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -6,5 +6,6 @@
 clang-format --dry-run --Werror "${sources[@]}"
 echo "clang-format: ${#sources[@]} files are clean"
 mapfile -t units < <(git ls-files -- 'src/*.cpp')
-printf '%s\n' "${units[@]}" | xargs -P "$(nproc)" -n 2 clang-tidy -p build --quiet
+printf '%s\n' "${units[@]}" | xargs -P "$(nproc)" -n 2 clang-tidy -p build --quiet \
+    2> >(grep -v 'warnings generated' >&2 || true)
 echo "clang-tidy: ${#units[@]} files are clean"
--- a/src/http.lib/http_test.cpp
+++ b/src/http.lib/http_test.cpp
@@ -28,7 +28,7 @@
         sockaddr_in address {};
         address.sin_family = AF_INET;
         address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-        bind(m_socket, reinterpret_cast<sockaddr*>(&address), sizeof address);
+        (void)bind(m_socket, reinterpret_cast<sockaddr*>(&address), sizeof address);
         listen(m_socket, 8);
         socklen_t length = sizeof address;
         getsockname(m_socket, reinterpret_cast<sockaddr*>(&address), &length);
@@ -117,7 +117,7 @@
     sockaddr_in address {};
     address.sin_family = AF_INET;
     address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    bind(probe, reinterpret_cast<sockaddr*>(&address), sizeof address);
+    (void)bind(probe, reinterpret_cast<sockaddr*>(&address), sizeof address);
     socklen_t length = sizeof address;
     getsockname(probe, reinterpret_cast<sockaddr*>(&address), &length);
     close(probe);
--- a/src/model.lib/codec.cpp
+++ b/src/model.lib/codec.cpp
@@ -30,14 +30,14 @@
 namespace {
 
 constexpr int64_t max_cpu_millis = 1000000;
-constexpr int64_t max_memory_mb = 16 * 1024 * 1024;
+constexpr int64_t max_memory_mb = 16LL * 1024 * 1024;
 constexpr int64_t max_accelerators = 1024;
 constexpr int64_t max_replicas = 10000;
 constexpr int64_t max_tasks_per_job = 10000;
 constexpr int64_t max_window_ms = 600000;
 constexpr int64_t max_duration_ms = 30LL * 24 * 3600 * 1000;
 constexpr int64_t max_priority = 1000000;
-constexpr size_t max_program_bytes = 64 * 1024;
+constexpr size_t max_program_bytes = size_t(64) * 1024;
 
 /// Thrown inside this file only; it becomes a Failure.
 class FieldError : public std::exception {
--- a/src/pathportbench/sizes.cpp
+++ b/src/pathportbench/sizes.cpp
@@ -22,7 +22,7 @@
 namespace {
 
 // Bytes that TCP and IP add to a message each way, with the acknowledgement.
-constexpr size_t packet_overhead = 2 * 52;
+constexpr size_t packet_overhead = size_t(2) * 52;
 // What HTTP's own lines take in an exchange, both ways, as the library writes them.
 constexpr size_t http_overhead = 330;
 
