Random schedules reach two guards that they had missed

Cause: scripts/mutants.sh takes 16 guards out one at a time; 14 were caught, and two survived: the check of the inbox row at an assignment, and the wait for a lease to lapse. keeper_test never handed a keeper rows that were out of date, and its paused boxes hardly ever timed out often enough to count as unreachable.

--- a/src/placement.lib/keeper_test.cpp
+++ b/src/placement.lib/keeper_test.cpp
@@ -60,6 +60,13 @@
     Failure failure;
 };
 
+// Rows of an inbox on their way to a keeper.
+struct ReadRows {
+    int node = 0;
+    std::string shard;
+    std::vector<TableRow> rows;
+};
+
 class World {
 public:
     explicit World(uint64_t seed)
@@ -122,6 +129,10 @@
             break;
         case 11:
             commit(node);
+            if (pick(2) == 0)
+                read_inbox(node);
+            else
+                hand_over_rows();
             break;
         case 12:
             if (pick(3) == 0)
@@ -295,8 +306,44 @@
     {
         ShardKeeper& keeper = *m_keepers[static_cast<size_t>(node)];
         keeper.tick(m_load);
-        for (const DueExchange& due : keeper.exchanges_due())
-            m_messages.push_back({ node, due, false });
+        for (const DueExchange& due : keeper.exchanges_due()) {
+            const bool times_out = m_paused.count(due.box.id) > 0 && pick(2) == 0;
+            m_messages.push_back({ node, due, times_out });
+            if (times_out)
+                m_answers.push_back(timed_out(m_messages.back()));
+        }
+    }
+
+    static Answer timed_out(const Message& message)
+    {
+        return { message.node,
+                 message.due.box.id,
+                 message.due.exchange.epoch,
+                 message.due.exchange.sequence,
+                 std::nullopt,
+                 Failure(FailureKind::outcome_unknown, "paused") };
+    }
+
+    // A heartbeat reads an inbox, and may reach the keeper when the rows are long out of
+    // date.
+    void read_inbox(int node)
+    {
+        for (const auto& shard : m_keepers[static_cast<size_t>(node)]->shards()) {
+            Failure reason;
+            const auto result
+                = read_table(m_table, { { rows::inbox_prefix(shard.first), 0 } }, reason);
+            m_read_rows.push_back({ node, shard.first, result->ranges.front() });
+        }
+    }
+
+    void hand_over_rows()
+    {
+        if (m_read_rows.empty())
+            return;
+        const auto index = static_cast<size_t>(pick(static_cast<int>(m_read_rows.size())));
+        const ReadRows read = m_read_rows[index];
+        m_read_rows.erase(m_read_rows.begin() + static_cast<long>(index));
+        m_keepers[static_cast<size_t>(read.node)]->arrived(read.shard, read.rows);
     }
 
     // Any message may overtake any other.
@@ -389,9 +436,7 @@
                 if (message.due.box.id != info.id || message.timed_out)
                     continue;
                 message.timed_out = true;
-                m_answers.push_back({ message.node, info.id, message.due.exchange.epoch,
-                                      message.due.exchange.sequence, std::nullopt,
-                                      Failure(FailureKind::outcome_unknown, "paused") });
+                m_answers.push_back(timed_out(message));
             }
             break;
         case 1:
@@ -434,6 +479,7 @@
     std::vector<std::unique_ptr<TableLane>> m_lanes;
     std::vector<Message> m_messages;
     std::vector<Answer> m_answers;
+    std::vector<ReadRows> m_read_rows;
     std::map<std::string, std::vector<standin::TaskRun>> m_past_runs;
 };
 
