--- /dev/null
+++ b/src/include/pathport/async_http.h
@@ -0,0 +1,126 @@
+// Copyright the pathport authors.
+// SPDX-License-Identifier: Apache-2.0
+
+/// \file
+/// HTTP/1.1 on an event loop, over Boost.Beast, which stays hidden. It replaces cpprestsdk
+/// where a node has a quarter of a core; docs/design/platform.md has the figures.
+
+#pragma once
+
+#include <pathport/clock.h>
+#include <pathport/io_loop.h>
+#include <pathport/settings.h>
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace pathport {
+
+/// Header names with their values.
+using HeaderList = std::vector<std::pair<std::string, std::string>>;
+
+/// A request that a server has read whole.
+struct ServerRequest {
+    std::string method;
+    std::string target; ///< Path and query as sent.
+    std::string host; ///< The Host header.
+    std::string body;
+    Millis received; ///< When its last byte was read.
+    Millis time_limit; ///< From the header `X-Deadline-Ms`; 0 when it is absent.
+};
+
+/// The answer to one request.
+struct ServerAnswer {
+    int status = 200;
+    std::string body;
+    std::string content_type = "application/json";
+    HeaderList headers;
+};
+
+/// Sends the answer; call it exactly once, on the loop's thread.
+using ServerReply = std::function<void(ServerAnswer)>;
+/// Handles one request; must not block.
+using ServerHandler = std::function<void(ServerRequest, ServerReply)>;
+
+/// Limits of a server. Requests over them are refused with 413, 431 or closed.
+struct ServerLimits {
+    size_t max_header_bytes = 16384;
+    size_t max_body_bytes = 1048576;
+    Millis idle_timeout { 60000 };
+    size_t max_connections = 2000;
+};
+
+/// A listener on one address.
+class AsyncHttpServer {
+public:
+    AsyncHttpServer(IoLoop& loop, const Address& address, ServerHandler handler,
+                    ServerLimits limits);
+    ~AsyncHttpServer();
+    AsyncHttpServer(const AsyncHttpServer&) = delete;
+    AsyncHttpServer& operator=(const AsyncHttpServer&) = delete;
+
+    /// Starts listening; returns false when the address can't be used.
+    bool start();
+    /// From now on each connection is closed after its next answer.
+    void close_after_answers();
+    /// Closes the listener; open connections end after their present answer.
+    void drain();
+    /// Returns the number of requests whose answer has not been sent.
+    size_t requests_under_way() const;
+    /// Changes the limits of requests that come later.
+    void set_limits(const ServerLimits& limits);
+
+private:
+    class Impl;
+    std::shared_ptr<Impl> m_impl;
+};
+
+/// How a call ended.
+enum class CallEnd {
+    answered, ///< The status and the body are there.
+    refused, ///< Nothing listens at the address; nothing was sent.
+    unreachable, ///< No connection came about; nothing was sent.
+    unknown, ///< It was sent, at least in part, and no answer came.
+};
+
+/// One call to a server.
+struct ClientCall {
+    Address server;
+    std::string method = "POST";
+    std::string target;
+    std::string body;
+    std::string content_type = "application/json";
+    HeaderList headers;
+    Millis timeout { 1000 };
+};
+
+/// What became of a call.
+struct CallOutcome {
+    CallEnd end = CallEnd::unknown;
+    int status = 0;
+    std::string body;
+};
+
+/// A client with kept connections to any number of servers.
+class AsyncHttpClient {
+public:
+    explicit AsyncHttpClient(IoLoop& loop);
+    ~AsyncHttpClient();
+    AsyncHttpClient(const AsyncHttpClient&) = delete;
+    AsyncHttpClient& operator=(const AsyncHttpClient&) = delete;
+
+    /// Sends `call`; `done` is called exactly once, later, on the loop's thread.
+    void send(ClientCall call, std::function<void(CallOutcome)> done);
+    /// Closes kept connections to `server`.
+    void forget(const Address& server);
+
+private:
+    class Impl;
+    std::shared_ptr<Impl> m_impl;
+};
+
+} // namespace pathport
--- /dev/null
+++ b/src/include/pathport/jobs/job_node.h
@@ -0,0 +1,110 @@
+// Copyright the pathport authors.
+// SPDX-License-Identifier: Apache-2.0
+
+/// \file
+/// One node of the job path. Every node accepts and cancels jobs and answers for them; one
+/// of them at a time schedules. It keeps nothing that must last.
+
+#pragma once
+
+#include <pathport/event_loop.h>
+#include <pathport/jobs/job_model.h>
+#include <pathport/jobs/job_store.h>
+#include <pathport/jobs/peers.h>
+#include <pathport/jobs/worker_client.h>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace pathport::jobs {
+
+/// The systems around a node. All of them outlive it.
+struct NodeParts {
+    EventLoop& loop;
+    JobStore& store;
+    Directory& directory;
+    WorkerClient& workers;
+    Advisor& advisor;
+    PeerClient& peers;
+    std::function<int64_t()> wall_ms; ///< Time since 1970.
+};
+
+/// What a node has to be told.
+struct NodeSetup {
+    std::string node; ///< Its name.
+    std::string peer_address; ///< IP:port where it takes peers' messages.
+    std::string incarnation; ///< Changes with each start.
+    Millis max_hold { 6000 }; ///< The longest lease of a worker.
+    Millis kill_grace { 400 }; ///< How long a stop takes at a worker.
+};
+
+/// How a client's call ended.
+enum class ClientStatus {
+    ok,
+    refused, ///< Not done and never will be by this call; come back later.
+    in_doubt, ///< It may have been done; ask again.
+    not_found, ///< There is no such job.
+    unavailable, ///< Nobody can say at present; come back later.
+};
+
+/// Answers a hand-in or a cancellation.
+using ClientReply = std::function<void(ClientStatus)>;
+/// Answers a question for a job's state.
+using StateReply = std::function<void(ClientStatus, JobState)>;
+/// Answers a question for a number of jobs.
+using CountReply = std::function<void(ClientStatus, int64_t)>;
+
+/// Figures of a node, by metric name.
+using NodeFigures = std::map<std::string, double>;
+
+/// A node.
+class JobNode {
+public:
+    JobNode(const NodeParts& parts, const NodeSetup& setup);
+    ~JobNode();
+    JobNode(const JobNode&) = delete;
+    JobNode& operator=(const JobNode&) = delete;
+
+    /// Begins to work.
+    void begin();
+    /// Begins a planned stop: it takes no more part in the election and hands over.
+    void leave();
+
+    /// Returns whether clients should be sent here.
+    bool ready() const;
+    /// Returns whether this node schedules at present.
+    bool leads() const;
+    /// Returns the configuration in force, or nothing when there is none yet.
+    std::shared_ptr<const Configuration> configuration() const;
+
+    /// Hands in a job. `received` is when the call came, `limit` the time that its client
+    /// waits, 0 when unknown.
+    void submit(const Queue& queue, const std::string& id, const JobSpec& spec,
+                Millis received, Millis limit, ClientReply done);
+    /// Cancels a job.
+    void cancel(const std::string& id, Millis received, Millis limit, ClientReply done);
+    /// Asks for the state of a job.
+    void query(const std::string& id, Millis received, Millis limit, StateReply done);
+    /// Asks how many jobs of a queue have not begun.
+    void count_pending(const Queue& queue, Millis received, Millis limit, CountReply done);
+
+    /// Handles a peer's message.
+    void handle_peer(const PeerRequest& request, std::function<void(PeerAnswer)> done);
+
+    /// Returns its figures for metrics.
+    NodeFigures figures() const;
+
+private:
+    class Impl;
+    std::unique_ptr<Impl> m_impl;
+};
+
+/// Encodes a configuration for peers.
+std::string encode(const Configuration& configuration);
+/// Decodes a configuration; returns nothing when it is malformed.
+std::optional<Configuration> decode_configuration(const std::string& text);
+
+} // namespace pathport::jobs
--- /dev/null
+++ b/src/include/pathport/jobs/peers.h
@@ -0,0 +1,97 @@
+// Copyright the pathport authors.
+// SPDX-License-Identifier: Apache-2.0
+
+/// \file
+/// What nodes say to each other.
+
+#pragma once
+
+#include <pathport/clock.h>
+#include <pathport/jobs/job_model.h>
+#include <pathport/jobs/worker_client.h>
+
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace pathport::jobs {
+
+/// What a peer asks or tells.
+enum class PeerTopic {
+    heartbeat, ///< A follower asks its leader whether it still leads.
+    job_accepted, ///< A job was accepted; `row` holds it.
+    job_canceled, ///< A cancellation was recorded.
+    job_state, ///< Which state is the job in?
+    queue_pending, ///< How many jobs of the queue have not begun?
+    advice, ///< Ask the advisor about `job` (a step) and `workers`.
+    accept_job, ///< Accept this job for a node that can't reach the store.
+    cancel_job, ///< Record this cancellation for a node that can't reach the store.
+    configuration, ///< Which configuration do you have?
+};
+
+/// A message to a peer. Each topic uses some of the fields.
+struct PeerRequest {
+    PeerTopic topic = PeerTopic::heartbeat;
+    std::string node; ///< The sender.
+    std::string address; ///< Where the sender takes messages.
+    std::string job; ///< A job's id, or a step's.
+    std::string queue; ///< A queue's name.
+    std::string row; ///< An accepted job, encoded.
+    std::vector<std::string> workers;
+    int64_t epoch = 0; ///< The highest that the sender knows.
+    int64_t config_version = 0; ///< The sender's.
+    bool leads = false; ///< The sender leads in `epoch`.
+    bool resigned = false; ///< The sender led in `epoch` and gives its place up.
+    bool store_served = false; ///< Whether the store served the sender lately.
+    bool promises = false; ///< The sender won't claim leadership for `promise_time`.
+    int64_t echo_ms = 0; ///< The leader's time from its last answer; promises count from it.
+};
+
+/// The answer of a peer.
+struct PeerAnswer {
+    bool served = false; ///< Whether the peer could serve the request.
+    std::string node; ///< The peer.
+    bool leads = false; ///< Whether it leads at present.
+    bool resigned = false; ///< It led in `epoch` and has given no order since it said so.
+    int64_t epoch = 0;
+    int64_t sent_ms = 0; ///< The leader's clock.
+    int64_t config_version = 0;
+    int status = 0; ///< Of an acceptance or cancellation, as to a client.
+    int64_t count = 0; ///< Pending jobs.
+    std::optional<JobState> state;
+    std::string row; ///< A configuration, encoded.
+    std::vector<WorkerTicket> tickets;
+};
+
+/// How a message to a peer ended.
+enum class PeerEnd {
+    answered,
+    refused, ///< No process listens there.
+    silent, ///< No answer.
+};
+
+using PeerReply = std::function<void(PeerEnd, PeerAnswer)>;
+
+/// Sends messages to peers.
+class PeerClient {
+public:
+    virtual ~PeerClient() = default;
+
+    /// Sends `request` to the node that listens at `address`.
+    virtual void send(const std::string& address, const PeerRequest& request,
+                      Millis timeout, PeerReply done)
+        = 0;
+};
+
+/// Encodes a message for the wire (JSON).
+std::string encode(const PeerRequest& request);
+/// Decodes a message; returns nothing when it is malformed.
+std::optional<PeerRequest> decode_peer_request(const std::string& text);
+/// Encodes an answer for the wire (JSON).
+std::string encode(const PeerAnswer& answer);
+/// Decodes an answer; returns nothing when it is malformed.
+std::optional<PeerAnswer> decode_peer_answer(const std::string& text);
+
+} // namespace pathport::jobs
--- /dev/null
+++ b/src/jobs.lib/advice_pool.cpp
@@ -0,0 +1,148 @@
+// Copyright the pathport authors.
+// SPDX-License-Identifier: Apache-2.0
+
+#include "advice_pool.h"
+
+#include <algorithm>
+
+namespace pathport::jobs {
+
+namespace {
+
+/// A question of which the advisor's decision alone takes so long is slow: it goes through
+/// other callers than the rest, which would have to wait behind it.
+constexpr double slow_decision_ms = 150;
+/// Fast questions that one caller has under way; the second covers the way there and back.
+constexpr int fast_under_way = 2;
+/// How long a caller that gave no answer is left alone.
+constexpr Millis failed_pause { 1000 };
+constexpr Millis call_margin { 600 };
+
+Millis timeout_of(const AdviceQuestion& question)
+{
+    const double cost = question.rule.decision_ms
+        + question.rule.per_worker_ms * double(question.workers.size());
+    return Millis(static_cast<int64_t>(3 * cost)) + call_margin;
+}
+
+} // namespace
+
+AdvicePool::AdvicePool(EventLoop& loop, Advisor& advisor, PeerClient& peers)
+    : m_loop(loop)
+    , m_advisor(advisor)
+    , m_peers(peers)
+{
+    m_callers.push_back({});
+}
+
+void AdvicePool::set_peers(const std::vector<std::string>& addresses)
+{
+    std::vector<Caller> callers;
+    callers.push_back(m_callers.front());
+    for (const std::string& address : addresses) {
+        const auto known
+            = std::find_if(m_callers.begin() + 1, m_callers.end(),
+                           [&](const Caller& caller) { return caller.address == address; });
+        callers.push_back(known == m_callers.end() ? Caller { address, 0, Millis(0) }
+                                                   : *known);
+    }
+    m_callers = std::move(callers);
+    dispatch();
+}
+
+bool AdvicePool::is_slow(const AdviceQuestion& question)
+{
+    return question.rule.decision_ms >= slow_decision_ms;
+}
+
+void AdvicePool::ask(AdviceQuestion question, std::function<void(AdviceReply)> done)
+{
+    const auto behind = std::find_if(
+        m_waiting.begin(), m_waiting.end(), [&](const Waiting& entry) {
+            return entry.question.priority > question.priority;
+        });
+    m_waiting.insert(behind, Waiting { std::move(question), std::move(done) });
+    dispatch();
+}
+
+// The first half of the callers, this node among them, takes fast questions, the rest slow
+// ones. A lone caller takes both.
+AdvicePool::Caller* AdvicePool::free_caller(bool slow)
+{
+    const Millis now = m_loop.now();
+    std::vector<Caller*> usable;
+    for (Caller& caller : m_callers) {
+        if (caller.avoid_until <= now)
+            usable.push_back(&caller);
+    }
+    if (usable.empty())
+        usable.push_back(&m_callers.front());
+    const size_t fast_count = (usable.size() + 1) / 2;
+    const bool shared = usable.size() == 1;
+    const size_t begin = slow && !shared ? fast_count : 0;
+    const size_t end = slow || shared ? usable.size() : fast_count;
+    const int limit = slow ? 1 : fast_under_way;
+    Caller* best = nullptr;
+    for (size_t i = begin; i < end; ++i) {
+        if (usable[i]->under_way < limit
+            && (best == nullptr || usable[i]->under_way < best->under_way))
+            best = usable[i];
+    }
+    return best;
+}
+
+void AdvicePool::dispatch()
+{
+    for (auto entry = m_waiting.begin(); entry != m_waiting.end();) {
+        Caller* caller = free_caller(is_slow(entry->question));
+        if (caller == nullptr) {
+            ++entry;
+            continue;
+        }
+        Waiting next = std::move(*entry);
+        entry = m_waiting.erase(entry);
+        send(*caller, std::move(next));
+    }
+}
+
+void AdvicePool::send(Caller& caller, Waiting entry)
+{
+    ++caller.under_way;
+    const std::string address = caller.address;
+    const Millis timeout = timeout_of(entry.question);
+    if (address.empty()) {
+        m_advisor.ask(entry.question.step, entry.question.workers, timeout,
+                      m_lifetime.wrap([this, address, entry](
+                                          std::optional<std::vector<WorkerTicket>> tickets) {
+                          finished(address, AdviceReply { std::move(tickets) }, entry);
+                      }));
+        return;
+    }
+    PeerRequest request;
+    request.topic = PeerTopic::advice;
+    request.job = entry.question.step;
+    request.workers = entry.question.workers;
+    m_peers.send(address, request, timeout,
+                 m_lifetime.wrap([this, address, entry](PeerEnd end, const PeerAnswer& answer) {
+                     AdviceReply reply;
+                     if (end == PeerEnd::answered && answer.served)
+                         reply.tickets = answer.tickets;
+                     finished(address, reply, entry);
+                 }));
+}
+
+void AdvicePool::finished(const std::string& address, const AdviceReply& reply,
+                          const Waiting& entry)
+{
+    for (Caller& caller : m_callers) {
+        if (caller.address != address)
+            continue;
+        caller.under_way = std::max(0, caller.under_way - 1);
+        if (!reply.tickets)
+            caller.avoid_until = m_loop.now() + failed_pause;
+    }
+    entry.done(reply);
+    dispatch();
+}
+
+} // namespace pathport::jobs
--- /dev/null
+++ b/src/jobs.lib/advice_pool.h
@@ -0,0 +1,78 @@
+// Copyright the pathport authors.
+// SPDX-License-Identifier: Apache-2.0
+
+/// \file
+/// Spreads calls for advice over the nodes: the advisor serves one call at a time for each
+/// node that calls it.
+
+#pragma once
+
+#include "lifetime.h"
+
+#include <pathport/event_loop.h>
+#include <pathport/jobs/peers.h>
+#include <pathport/jobs/worker_client.h>
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace pathport::jobs {
+
+/// A question to the advisor.
+struct AdviceQuestion {
+    std::string step; ///< "<job>.<repeat>.<step>".
+    std::vector<std::string> workers;
+    AdviceRule rule;
+    int priority = 0; ///< Of the queue; 0 goes first.
+};
+
+/// The answer: the tickets, and when the question left.
+struct AdviceReply {
+    std::optional<std::vector<WorkerTicket>> tickets; ///< Nothing when there was no answer.
+};
+
+/// Asks through this node and its peers.
+class AdvicePool {
+public:
+    AdvicePool(EventLoop& loop, Advisor& advisor, PeerClient& peers);
+
+    /// Sets the addresses of the other nodes.
+    void set_peers(const std::vector<std::string>& addresses);
+
+    /// Asks; `done` is called exactly once, later.
+    void ask(AdviceQuestion question, std::function<void(AdviceReply)> done);
+
+    /// Returns how many questions wait for a free caller.
+    size_t waiting() const { return m_waiting.size(); }
+
+private:
+    /// A node through which questions go; the empty address is this node.
+    struct Caller {
+        std::string address;
+        int under_way = 0;
+        Millis avoid_until;
+    };
+    struct Waiting {
+        AdviceQuestion question;
+        std::function<void(AdviceReply)> done;
+    };
+
+    static bool is_slow(const AdviceQuestion& question);
+    Caller* free_caller(bool slow);
+    void dispatch();
+    void send(Caller& caller, Waiting entry);
+    void finished(const std::string& address, const AdviceReply& reply, const Waiting& entry);
+
+    EventLoop& m_loop;
+    Advisor& m_advisor;
+    PeerClient& m_peers;
+    std::vector<Caller> m_callers;
+    std::deque<Waiting> m_waiting; ///< By priority, then in order of arrival.
+    Lifetime m_lifetime;
+};
+
+} // namespace pathport::jobs
--- /dev/null
+++ b/src/jobs.lib/head_log.cpp
@@ -0,0 +1,196 @@
+// Copyright the pathport authors.
+// SPDX-License-Identifier: Apache-2.0
+
+#include "head_log.h"
+
+#include "store_keys.h"
+
+#include <pathport/log.h>
+
+#include <nlohmann/json.hpp>
+
+namespace pathport::jobs {
+
+namespace {
+
+/// Pause between the starts of two writes, so that rows share transactions.
+constexpr Millis write_spacing { 16 };
+/// A write is made at least so often, to renew the lease.
+constexpr Millis renewal_interval { 400 };
+/// Pause before a write is sent again that was refused.
+constexpr Millis refused_pause { 60 };
+constexpr Millis least_timeout { 250 };
+constexpr Millis most_timeout { 1500 };
+/// Rows in one transaction beside the head row and its check.
+constexpr size_t most_rows = max_transaction_entries - 2;
+
+} // namespace
+
+std::string encode(const HeadValue& head)
+{
+    return nlohmann::json::array({ head.epoch, head.number, head.incarnation }).dump();
+}
+
+std::optional<HeadValue> decode_head(const std::string& text)
+{
+    try {
+        const auto json = nlohmann::json::parse(text);
+        return HeadValue { json.at(0).get<int64_t>(), json.at(1).get<int64_t>(),
+                           json.at(2).get<std::string>() };
+    } catch (const nlohmann::json::exception&) {
+        return std::nullopt;
+    }
+}
+
+HeadLog::HeadLog(EventLoop& loop, JobStore& store, HeadLogOwner& owner, HeadValue head,
+                 int64_t version, Millis claimed)
+    : m_loop(loop)
+    , m_store(store)
+    , m_owner(owner)
+    , m_head(std::move(head))
+    , m_version(version)
+    , m_lease_until(claimed + leader_lease)
+    , m_last_start(claimed)
+    , m_timeout(least_timeout, most_timeout)
+{
+    schedule(renewal_interval);
+}
+
+void HeadLog::record(const std::string& job, std::function<void()> done)
+{
+    if (m_lost)
+        return;
+    const auto [entry, added] = m_waiting.try_emplace(job);
+    if (added) {
+        entry->second.job = job;
+        m_queue.push_back(job);
+    }
+    if (done)
+        entry->second.done.push_back(std::move(done));
+    if (!m_sending && !m_pending_write) {
+        const Millis since = m_loop.now() - m_last_start;
+        // The short delay lets rows of one pass share a transaction.
+        schedule(std::max(Millis(1), write_spacing - since));
+    }
+}
+
+void HeadLog::schedule(Millis delay)
+{
+    const Millis at = m_loop.now() + delay;
+    if (m_timer != 0 && m_timer_at <= at)
+        return;
+    m_loop.cancel(m_timer);
+    m_timer_at = at;
+    m_timer = m_loop.after(delay, m_lifetime.wrap([this] {
+        m_timer = 0;
+        flush();
+    }));
+}
+
+void HeadLog::flush()
+{
+    if (m_lost || m_sending)
+        return;
+    if (!m_pending_write)
+        fill();
+    send();
+}
+
+void HeadLog::fill()
+{
+    m_write = {};
+    ++m_head.number;
+    m_write.checks.push_back({ lead_row(head_key), m_version });
+    m_write.puts.push_back({ lead_row(head_key), encode(m_head) });
+    size_t bytes = 0;
+    while (!m_queue.empty() && m_under_way.size() < most_rows
+           && bytes < max_transaction_bytes) {
+        const std::string job = m_queue.front();
+        m_queue.pop_front();
+        const auto entry = m_waiting.find(job);
+        m_under_way.push_back(std::move(entry->second));
+        m_waiting.erase(entry);
+        std::string value = m_owner.progress_of(job);
+        bytes += value.size();
+        m_write.puts.push_back({ progress_row(job), std::move(value) });
+    }
+    m_pending_write = true;
+}
+
+void HeadLog::send()
+{
+    m_sending = true;
+    const Millis asked = m_loop.now();
+    m_last_start = asked;
+    m_store.write(m_write, m_timeout.value(),
+                  m_lifetime.wrap([this, asked](const StoreResult& result) {
+                      m_sending = false;
+                      answered(result, asked);
+                  }));
+}
+
+void HeadLog::answered(const StoreResult& result, Millis asked)
+{
+    if (m_lost)
+        return;
+    switch (result.status) {
+    case StoreStatus::ok:
+        m_timeout.answered(m_loop.now() - asked);
+        committed(result.version, asked);
+        return;
+    case StoreStatus::conflict:
+        conflicted(result, asked);
+        return;
+    case StoreStatus::refused:
+    case StoreStatus::history_lost:
+        m_served = false;
+        schedule(refused_pause);
+        return;
+    case StoreStatus::unknown:
+        // The same write goes out again: its check lets it take effect once at most.
+        m_served = false;
+        m_timeout.unanswered();
+        schedule(Millis(1));
+        return;
+    }
+}
+
+void HeadLog::committed(int64_t version, Millis asked)
+{
+    m_served = true;
+    m_version = version;
+    m_lease_until = asked + leader_lease;
+    m_pending_write = false;
+    std::vector<Entry> written;
+    written.swap(m_under_way);
+    const Millis since = m_loop.now() - asked;
+    schedule(m_queue.empty() ? renewal_interval : std::max(Millis(1), write_spacing - since));
+    // A callback may end this leadership and destroy the log.
+    const auto alive = m_lifetime.observe();
+    for (const Entry& entry : written) {
+        for (const auto& done : entry.done) {
+            done();
+            if (alive.expired())
+                return;
+        }
+    }
+}
+
+void HeadLog::conflicted(const StoreResult& result, Millis asked)
+{
+    for (const StoredRow& row : result.rows) {
+        if (row.id == lead_row(head_key) && decode_head(row.value) == m_head) {
+            // An earlier sending of this write took effect, and nobody has claimed the
+            // leadership before this call was made.
+            committed(row.version, asked);
+            return;
+        }
+    }
+    m_lost = true;
+    m_loop.cancel(m_timer);
+    log_event(LogLevel::warn, "leadership_lost",
+              { { "epoch", m_head.epoch }, { "number", m_head.number } });
+    m_owner.log_lost();
+}
+
+} // namespace pathport::jobs
--- /dev/null
+++ b/src/jobs.lib/head_log.h
@@ -0,0 +1,110 @@
+// Copyright the pathport authors.
+// SPDX-License-Identifier: Apache-2.0
+
+/// \file
+/// The leader's writes: one transaction after another, chained by the version of the head
+/// row. Each renews the leader's lease; none can take effect after a later one or after a
+/// successor's claim.
+
+#pragma once
+
+#include "call_timeout.h"
+#include "lifetime.h"
+
+#include <pathport/event_loop.h>
+#include <pathport/jobs/job_store.h>
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace pathport::jobs {
+
+/// How long a leader may give orders after the start of its last successful write.
+constexpr Millis leader_lease { 1500 };
+
+/// What the head row holds.
+struct HeadValue {
+    int64_t epoch = 0;
+    int64_t number = 0; ///< Of the write within the epoch.
+    std::string incarnation; ///< Of the writer.
+
+    bool operator==(const HeadValue& other) const
+    {
+        return epoch == other.epoch && number == other.number
+            && incarnation == other.incarnation;
+    }
+};
+
+std::string encode(const HeadValue& head);
+std::optional<HeadValue> decode_head(const std::string& text);
+
+/// Gives the present value of rows and hears of the log's fate.
+class HeadLogOwner {
+public:
+    virtual ~HeadLogOwner() = default;
+
+    /// Returns the progress row of `job` as it is to be written.
+    virtual std::string progress_of(const std::string& job) = 0;
+    /// The head row has been changed by another leader; nothing more can be written.
+    virtual void log_lost() = 0;
+};
+
+/// The log.
+class HeadLog {
+public:
+    /// Starts the log after the claim that wrote `head` with `version`, begun at `claimed`.
+    HeadLog(EventLoop& loop, JobStore& store, HeadLogOwner& owner, HeadValue head,
+            int64_t version, Millis claimed);
+
+    /// Has the progress row of `job` written with its value as of the write, which begins
+    /// after this call; `done` is called when it is in the store.
+    void record(const std::string& job, std::function<void()> done = {});
+
+    /// Returns until when the leader may give orders on the strength of its last write.
+    Millis lease_until() const { return m_lease_until; }
+    /// Returns whether the last call was answered by the store.
+    bool served() const { return m_served; }
+    /// Returns whether everything handed in is in the store.
+    bool idle() const { return m_queue.empty() && m_under_way.empty(); }
+    /// Returns the number of rows that wait to be written.
+    size_t backlog() const { return m_queue.size() + m_under_way.size(); }
+
+private:
+    struct Entry {
+        std::string job;
+        std::vector<std::function<void()>> done;
+    };
+
+    void schedule(Millis delay);
+    void flush();
+    void fill();
+    void send();
+    void answered(const StoreResult& result, Millis asked);
+    void committed(int64_t version, Millis asked);
+    void conflicted(const StoreResult& result, Millis asked);
+
+    EventLoop& m_loop;
+    JobStore& m_store;
+    HeadLogOwner& m_owner;
+    HeadValue m_head;
+    int64_t m_version;
+    Millis m_lease_until;
+    Millis m_last_start;
+    CallTimeout m_timeout;
+    bool m_served = true;
+    bool m_lost = false;
+    bool m_sending = false;
+    EventLoop::TimerId m_timer = 0;
+    Millis m_timer_at;
+    std::deque<std::string> m_queue; ///< Jobs to write, each once.
+    std::map<std::string, Entry> m_waiting; ///< By job; those in m_queue.
+    std::vector<Entry> m_under_way; ///< In the transaction that is being written.
+    StoreWrite m_write; ///< The transaction that is being written.
+    bool m_pending_write = false; ///< m_write has not been resolved.
+    Lifetime m_lifetime;
+};
+
+} // namespace pathport::jobs
--- /dev/null
+++ b/src/jobs.lib/job_codec.cpp
@@ -0,0 +1,147 @@
+// Copyright the pathport authors.
+// SPDX-License-Identifier: Apache-2.0
+
+/// \file
+/// The form in which an accepted job lies in its row: JSON, with default values left out.
+
+#include <pathport/jobs/job_model.h>
+
+#include <nlohmann/json.hpp>
+
+namespace pathport::jobs {
+
+namespace {
+
+using Json = nlohmann::json;
+
+template <typename Value>
+void put(Json& json, const char* key, const Value& value, const Value& unless)
+{
+    if (!(value == unless))
+        json[key] = value;
+}
+
+Json to_json(const StepSpec& step)
+{
+    const StepSpec none;
+    Json json;
+    json["count"] = step.count;
+    put(json, "cpu", step.need.cpu_millis, none.need.cpu_millis);
+    put(json, "memory", step.need.memory_mb, none.need.memory_mb);
+    put(json, "accelerators", step.need.accelerators, none.need.accelerators);
+    put(json, "expected_ms", step.expected_ms, none.expected_ms);
+    put(json, "after", step.after, none.after);
+    put(json, "saves", step.saves_progress, none.saves_progress);
+    put(json, "gang", step.gang, none.gang);
+    put(json, "same_rack", step.same_rack, none.same_rack);
+    put(json, "speculative", step.speculative, none.speculative);
+    put(json, "lasting", step.lasting, none.lasting);
+    put(json, "fills", step.fills, none.fills);
+    put(json, "label", step.label, none.label);
+    put(json, "near", step.near_rack, none.near_rack);
+    put(json, "per_worker", step.max_per_worker, none.max_per_worker);
+    put(json, "image", step.image, none.image);
+    put(json, "target_ms", step.target_ms, none.target_ms);
+    put(json, "away", step.max_away, none.max_away);
+    return json;
+}
+
+StepSpec step_from(const Json& json)
+{
+    StepSpec step;
+    step.count = json.at("count").get<int>();
+    step.need.cpu_millis = json.value("cpu", int64_t(0));
+    step.need.memory_mb = json.value("memory", int64_t(0));
+    step.need.accelerators = json.value("accelerators", int64_t(0));
+    step.expected_ms = json.value("expected_ms", int64_t(0));
+    step.after = json.value("after", std::vector<int>());
+    step.saves_progress = json.value("saves", false);
+    step.gang = json.value("gang", false);
+    step.same_rack = json.value("same_rack", false);
+    step.speculative = json.value("speculative", false);
+    step.lasting = json.value("lasting", false);
+    step.fills = json.value("fills", false);
+    step.label = json.value("label", std::string());
+    step.near_rack = json.value("near", std::string());
+    step.max_per_worker = json.value("per_worker", 0);
+    step.image = json.value("image", std::string());
+    step.target_ms = json.value("target_ms", int64_t(0));
+    step.max_away = json.value("away", 0);
+    return step;
+}
+
+Json to_json(const Queue& queue)
+{
+    Json json { { "name", queue.name },         { "service", queue.service },
+                { "priority", queue.priority }, { "failures", queue.max_failures },
+                { "stretch", queue.stretch },   { "slo_ms", queue.slo_ms } };
+    if (queue.advice) {
+        json["advice"] = { queue.advice->decision_ms, queue.advice->per_worker_ms,
+                           queue.advice->valid_ms };
+    }
+    return json;
+}
+
+// The host and the path are not kept: they may change while the job lives.
+Queue queue_from(const Json& json)
+{
+    Queue queue;
+    queue.name = json.at("name").get<std::string>();
+    queue.service = json.at("service").get<std::string>();
+    queue.priority = json.at("priority").get<int>();
+    queue.max_failures = json.at("failures").get<int>();
+    queue.stretch = json.at("stretch").get<double>();
+    queue.slo_ms = json.at("slo_ms").get<int64_t>();
+    if (json.contains("advice")) {
+        const Json& advice = json.at("advice");
+        queue.advice = AdviceRule { advice.at(0).get<double>(), advice.at(1).get<double>(),
+                                    advice.at(2).get<int64_t>() };
+    }
+    return queue;
+}
+
+} // namespace
+
+std::string encode(const AcceptedJob& job)
+{
+    Json json;
+    json["queue"] = to_json(job.queue);
+    json["accepted_ms"] = job.accepted_ms;
+    json["payload"] = job.spec.payload;
+    Json steps = Json::array();
+    for (const StepSpec& step : job.spec.steps)
+        steps.push_back(to_json(step));
+    json["steps"] = std::move(steps);
+    if (job.spec.timed())
+        json["times"] = { job.spec.repeats, job.spec.first_due_ms, job.spec.interval_ms };
+    return json.dump(-1, ' ', false, Json::error_handler_t::replace);
+}
+
+std::optional<AcceptedJob> decode_accepted_job(const std::string& id, const std::string& text,
+                                               Failure& reason)
+{
+    try {
+        const Json json = Json::parse(text);
+        AcceptedJob job;
+        job.id = id;
+        job.queue = queue_from(json.at("queue"));
+        job.accepted_ms = json.at("accepted_ms").get<int64_t>();
+        job.spec.payload = json.at("payload").get<std::string>();
+        for (const Json& step : json.at("steps"))
+            job.spec.steps.push_back(step_from(step));
+        if (json.contains("times")) {
+            const Json& times = json.at("times");
+            job.spec.repeats = times.at(0).get<int>();
+            job.spec.first_due_ms = times.at(1).get<int64_t>();
+            job.spec.interval_ms = times.at(2).get<int64_t>();
+        }
+        if (!is_valid(job.spec, reason))
+            return std::nullopt;
+        return job;
+    } catch (const Json::exception& error) {
+        reason = Failure(FailureKind::bad_input, error.what());
+        return std::nullopt;
+    }
+}
+
+} // namespace pathport::jobs
--- /dev/null
+++ b/src/jobs.lib/job_node.cpp
@@ -0,0 +1,338 @@
+// Copyright the pathport authors.
+// SPDX-License-Identifier: Apache-2.0
+
+#include "job_node_impl.h"
+
+#include "store_keys.h"
+
+#include <pathport/log.h>
+
+#include <algorithm>
+
+namespace pathport::jobs {
+
+namespace {
+
+constexpr Millis configuration_timeout { 2000 };
+constexpr Millis configuration_wait { 20000 };
+constexpr Millis configuration_retry { 250 };
+constexpr Millis lead_tick_interval { 250 };
+/// A follower that was not heard of for so long is probed.
+constexpr Millis follower_late { 600 };
+/// A follower that was not heard of for so long gets no questions for advice.
+constexpr Millis follower_useful { 1000 };
+/// A silent follower's place among those that have to promise.
+constexpr Millis follower_forgotten { 30000 };
+constexpr Millis probe_timeout { 300 };
+/// A leader that the store has not served for so long gives up its place to a follower
+/// that it serves.
+constexpr Millis unserved_time { 700 };
+
+} // namespace
+
+JobNode::Impl::Impl(const NodeParts& parts, const NodeSetup& setup)
+    : m_parts(parts)
+    , m_setup(setup)
+    , m_store(parts.loop, parts.store)
+    , m_acceptor(parts.loop, m_store)
+    , m_advice(parts.loop, parts.advisor, parts.peers)
+    , m_leadership(parts.loop, m_store, parts.peers,
+                   { setup.node, setup.peer_address, setup.incarnation }, *this)
+{
+}
+
+void JobNode::Impl::begin()
+{
+    read_configuration();
+    m_leadership.begin();
+}
+
+void JobNode::Impl::leave()
+{
+    m_leaving = true;
+    m_leadership.retire();
+    if (!m_scheduler)
+        return;
+    m_scheduler->set_resigned(true);
+    log_event(LogLevel::info, "leadership_resigned",
+              { { "epoch", m_leadership.epoch() }, { "reason", "planned_stop" } });
+    // Followers are told, so that they don't have to wait for their next heartbeat.
+    PeerRequest notice;
+    notice.topic = PeerTopic::heartbeat;
+    notice.node = m_setup.node;
+    notice.address = m_setup.peer_address;
+    notice.epoch = m_leadership.epoch();
+    notice.resigned = true;
+    for (const auto& [address, follower] : m_followers)
+        m_parts.peers.send(address, notice, probe_timeout, [](PeerEnd, const PeerAnswer&) {});
+}
+
+void JobNode::Impl::read_configuration()
+{
+    m_parts.directory.read_configuration(
+        configuration_timeout,
+        m_lifetime.wrap([this](const DirectoryAnswer<Configuration>& answer) {
+            configuration_read(answer);
+        }));
+}
+
+void JobNode::Impl::watch_configuration(int64_t version)
+{
+    m_parts.directory.watch_configuration(
+        version, configuration_wait,
+        m_lifetime.wrap([this](const DirectoryAnswer<Configuration>& answer) {
+            configuration_read(answer);
+        }));
+}
+
+void JobNode::Impl::configuration_read(const DirectoryAnswer<Configuration>& answer)
+{
+    if (answer.status != StoreStatus::ok) {
+        const Millis pause
+            = answer.status == StoreStatus::history_lost ? Millis(0) : configuration_retry;
+        m_parts.loop.after(pause, m_lifetime.wrap([this] { read_configuration(); }));
+        return;
+    }
+    if (answer.value)
+        apply(*answer.value, "store");
+    watch_configuration(answer.version);
+}
+
+void JobNode::Impl::apply(const Configuration& configuration, const char* source)
+{
+    const int64_t present = m_configuration ? m_configuration->version : 0;
+    if (configuration.version <= present)
+        return;
+    log_event(LogLevel::info, "configuration_applied",
+              { { "version", configuration.version },
+                { "before", present },
+                { "queues", static_cast<int64_t>(configuration.queues.size()) },
+                { "source", source } });
+    m_configuration = std::make_shared<Configuration>(configuration);
+}
+
+void JobNode::Impl::fetch_configuration(const std::string& address)
+{
+    if (m_fetching_configuration || address.empty())
+        return;
+    m_fetching_configuration = true;
+    PeerRequest request;
+    request.topic = PeerTopic::configuration;
+    request.node = m_setup.node;
+    m_parts.peers.send(address, request, configuration_timeout,
+                       m_lifetime.wrap([this](PeerEnd end, const PeerAnswer& answer) {
+                           m_fetching_configuration = false;
+                           if (end != PeerEnd::answered || answer.row.empty())
+                               return;
+                           const auto configuration = decode_configuration(answer.row);
+                           if (configuration)
+                               apply(*configuration, "peer");
+                       }));
+}
+
+void JobNode::Impl::elected(const Claim& claim)
+{
+    log_event(LogLevel::info, "elected", { { "epoch", claim.head.epoch } });
+    m_followers.clear();
+    SchedulerParts parts { m_parts.loop,    m_store,  m_parts.directory,
+                           m_parts.workers, m_advice, m_parts.wall_ms,
+                           WorkerBounds { m_setup.max_hold, m_setup.kill_grace } };
+    m_scheduler
+        = std::make_unique<Scheduler>(parts, claim, m_lifetime.wrap([this] { deposed(); }));
+    m_scheduler->begin();
+    lead_tick();
+}
+
+void JobNode::Impl::deposed()
+{
+    log_event(LogLevel::warn, "deposed", { { "epoch", m_leadership.epoch() } });
+    m_scheduler.reset();
+    m_followers.clear();
+    m_advice.set_peers({});
+    if (!m_leaving)
+        m_leadership.deposed();
+}
+
+void JobNode::Impl::fill_heartbeat(PeerRequest& request)
+{
+    request.config_version = m_configuration ? m_configuration->version : 0;
+    request.store_served = m_store.served();
+    // Only while the store is away for this node does it give its word not to claim.
+    if (!m_store.failing() || m_leader_sent_ms == 0)
+        return;
+    request.promises = true;
+    request.echo_ms = m_leader_sent_ms;
+    m_leadership.promise_until(m_parts.loop.now() + promise_time);
+}
+
+void JobNode::Impl::leader_answered(const PeerAnswer& answer)
+{
+    m_leader_sent_ms = answer.sent_ms;
+    const int64_t version = m_configuration ? m_configuration->version : 0;
+    if (answer.config_version > version)
+        fetch_configuration(m_leadership.leader_address());
+    if (!answer.served)
+        probe_store();
+}
+
+// The leader is not served; this node finds out whether it is.
+void JobNode::Impl::probe_store()
+{
+    if (m_probing_store)
+        return;
+    m_probing_store = true;
+    StoreRange range;
+    range.table = lead_table;
+    range.part = scheduler_part;
+    range.limit = 1;
+    m_store.read(range, probe_timeout,
+                 m_lifetime.wrap([this](const StoreResult&) { m_probing_store = false; }));
+}
+
+void JobNode::Impl::lead_tick()
+{
+    if (!m_scheduler)
+        return;
+    const Millis now = m_parts.loop.now();
+    std::vector<std::string> useful;
+    for (auto follower = m_followers.begin(); follower != m_followers.end();) {
+        const Millis silence = now - follower->second.heard;
+        if (silence > follower_forgotten) {
+            follower = m_followers.erase(follower);
+            continue;
+        }
+        if (silence < follower_useful)
+            useful.push_back(follower->first);
+        else if (silence > follower_late)
+            probe_follower(follower->first);
+        ++follower;
+    }
+    m_advice.set_peers(useful);
+    update_promises();
+    consider_resigning();
+    m_parts.loop.after(lead_tick_interval, m_lifetime.wrap([this] { lead_tick(); }));
+}
+
+// A follower whose process is gone has nothing to promise.
+void JobNode::Impl::probe_follower(const std::string& address)
+{
+    Follower& follower = m_followers[address];
+    if (follower.probing)
+        return;
+    follower.probing = true;
+    PeerRequest probe;
+    probe.topic = PeerTopic::heartbeat;
+    probe.node = m_setup.node;
+    probe.address = m_setup.peer_address;
+    probe.epoch = m_leadership.epoch();
+    probe.leads = true;
+    m_parts.peers.send(address, probe, probe_timeout,
+                       m_lifetime.wrap([this, address](PeerEnd end, const PeerAnswer&) {
+                           const auto found = m_followers.find(address);
+                           if (found == m_followers.end())
+                               return;
+                           found->second.probing = false;
+                           if (end == PeerEnd::refused)
+                               m_followers.erase(found);
+                       }));
+}
+
+void JobNode::Impl::update_promises()
+{
+    Millis until = m_parts.loop.now() + promise_time;
+    for (const auto& [address, follower] : m_followers)
+        until = std::min(until, follower.promised_until);
+    m_scheduler->set_promised_until(until);
+}
+
+void JobNode::Impl::consider_resigning()
+{
+    const Millis now = m_parts.loop.now();
+    const Millis last_write = m_scheduler->log().lease_until() - leader_lease;
+    const bool unserved = !m_scheduler->log().served() && now - last_write > unserved_time;
+    const bool other_served
+        = std::any_of(m_followers.begin(), m_followers.end(), [&](const auto& entry) {
+              return entry.second.store_served && now - entry.second.heard < follower_late;
+          });
+    const bool resigns = m_leaving || (unserved && other_served);
+    if (resigns == m_scheduler->resigned())
+        return;
+    m_scheduler->set_resigned(resigns);
+    log_event(LogLevel::warn, resigns ? "leadership_resigned" : "leadership_resumed",
+              { { "epoch", m_leadership.epoch() }, { "reason", "store" } });
+}
+
+NodeFigures JobNode::Impl::figures() const
+{
+    NodeFigures figures;
+    figures["pathport_jobd_leads"] = m_scheduler ? 1 : 0;
+    figures["pathport_jobd_epoch"] = double(m_leadership.epoch());
+    figures["pathport_jobd_config_version"]
+        = m_configuration ? double(m_configuration->version) : 0;
+    for (const auto& [outcome, count] : m_outcomes)
+        figures["pathport_jobd_calls_total{outcome=\"" + outcome + "\"}"] = double(count);
+    if (!m_scheduler)
+        return figures;
+    const SchedulerCounters& counters = m_scheduler->counters();
+    figures["pathport_jobd_starts_total"] = double(counters.starts);
+    figures["pathport_jobd_starts_refused_total"] = double(counters.starts_refused);
+    figures["pathport_jobd_passes_total"] = double(counters.passes);
+    for (const auto& [kind, count] : counters.ends)
+        figures["pathport_jobd_ends_total{how=\"" + kind + "\"}"] = double(count);
+    figures["pathport_jobd_open_jobs"] = double(m_scheduler->open_jobs());
+    figures["pathport_jobd_workers"] = double(m_scheduler->known_workers());
+    figures["pathport_jobd_log_backlog"] = double(m_scheduler->log().backlog());
+    figures["pathport_jobd_advice_waiting"] = double(m_advice.waiting());
+    return figures;
+}
+
+JobNode::JobNode(const NodeParts& parts, const NodeSetup& setup)
+    : m_impl(std::make_unique<Impl>(parts, setup))
+{
+}
+
+JobNode::~JobNode() = default;
+
+void JobNode::begin() { m_impl->begin(); }
+
+void JobNode::leave() { m_impl->leave(); }
+
+bool JobNode::ready() const { return m_impl->ready(); }
+
+bool JobNode::leads() const { return m_impl->leads(); }
+
+std::shared_ptr<const Configuration> JobNode::configuration() const
+{
+    return m_impl->configuration();
+}
+
+void JobNode::submit(const Queue& queue, const std::string& id, const JobSpec& spec,
+                     Millis received, Millis limit, ClientReply done)
+{
+    m_impl->submit(queue, id, spec, received, limit, std::move(done));
+}
+
+void JobNode::cancel(const std::string& id, Millis received, Millis limit, ClientReply done)
+{
+    m_impl->cancel(id, received, limit, std::move(done));
+}
+
+void JobNode::query(const std::string& id, Millis received, Millis limit, StateReply done)
+{
+    m_impl->query(id, received, limit, std::move(done));
+}
+
+void JobNode::count_pending(const Queue& queue, Millis received, Millis limit,
+                            CountReply done)
+{
+    m_impl->count_pending(queue, received, limit, std::move(done));
+}
+
+void JobNode::handle_peer(const PeerRequest& request, std::function<void(PeerAnswer)> done)
+{
+    m_impl->handle_peer(request, std::move(done));
+}
+
+NodeFigures JobNode::figures() const { return m_impl->figures(); }
+
+} // namespace pathport::jobs
--- /dev/null
+++ b/src/jobs.lib/job_node_clients.cpp
@@ -0,0 +1,317 @@
+// Copyright the pathport authors.
+// SPDX-License-Identifier: Apache-2.0
+
+/// \file
+/// What a node does for clients.
+
+#include "job_node_impl.h"
+#include "store_keys.h"
+
+#include <pathport/log.h>
+
+#include <algorithm>
+
+namespace pathport::jobs {
+
+namespace {
+
+/// A hand-in that the store has not taken for so long is given up on.
+constexpr Millis longest_try { 1200 };
+/// The same, when another node can be asked afterwards.
+constexpr Millis first_try { 300 };
+/// Left of a client's time for the answer's way.
+constexpr Millis answer_margin { 150 };
+constexpr Millis forward_timeout { 1500 };
+constexpr Millis ask_timeout { 400 };
+constexpr Millis read_timeout { 600 };
+
+const char* to_string(WriteOutcome outcome)
+{
+    switch (outcome) {
+    case WriteOutcome::written:
+        return "written";
+    case WriteOutcome::refused:
+        return "refused";
+    case WriteOutcome::in_doubt:
+        return "in_doubt";
+    case WriteOutcome::missing:
+        break;
+    }
+    return "missing";
+}
+
+ClientStatus to_client(WriteOutcome outcome)
+{
+    switch (outcome) {
+    case WriteOutcome::written:
+        return ClientStatus::ok;
+    case WriteOutcome::refused:
+        return ClientStatus::refused;
+    case WriteOutcome::in_doubt:
+        return ClientStatus::in_doubt;
+    case WriteOutcome::missing:
+        break;
+    }
+    return ClientStatus::not_found;
+}
+
+} // namespace
+
+Millis JobNode::Impl::give_up_time(Millis received, Millis limit) const
+{
+    const bool other = !m_scheduler && m_leadership.leader_seen();
+    Millis span = other ? first_try : longest_try;
+    if (limit > Millis(0))
+        span = std::min(span, std::max(Millis(50), limit - answer_margin));
+    return received + span;
+}
+
+std::string JobNode::Impl::leader_to_ask() const
+{
+    return m_scheduler ? std::string() : m_leadership.leader_address();
+}
+
+void JobNode::Impl::submit(const Queue& queue, const std::string& id, const JobSpec& spec,
+                           Millis received, Millis limit, ClientReply done)
+{
+    AcceptedJob job;
+    job.id = id;
+    job.queue = queue;
+    job.spec = spec;
+    job.accepted_ms = m_store.clock_ms();
+    const std::string row = encode(job);
+    const int64_t config_version = m_configuration ? m_configuration->version : 0;
+    accept_row(id, row, give_up_time(received, limit),
+               [this, id, row, received, config_version, name = queue.name,
+                done](WriteOutcome outcome) {
+                   ++m_outcomes[std::string("submit_") + to_string(outcome)];
+                   log_event(LogLevel::info, "job_submitted",
+                             { { "job", id },
+                               { "queue", name },
+                               { "config", config_version },
+                               { "outcome", to_string(outcome) },
+                               { "after_ms", (m_parts.loop.now() - received).count() } });
+                   if (outcome == WriteOutcome::written) {
+                       done(ClientStatus::ok);
+                       accepted(id, row);
+                       return;
+                   }
+                   forward_write(PeerTopic::accept_job, id, row, outcome, done);
+               });
+}
+
+void JobNode::Impl::accept_row(const std::string& id, const std::string& row,
+                               Millis give_up, WriteReply done)
+{
+    m_acceptor.accept(id, row, give_up, std::move(done));
+}
+
+// The leader learns of it at once by a message, or soon from the store.
+void JobNode::Impl::accepted(const std::string& id, const std::string& row)
+{
+    if (m_scheduler) {
+        Failure reason;
+        const auto job = decode_accepted_job(id, row, reason);
+        if (job)
+            m_scheduler->job_accepted(*job);
+        return;
+    }
+    const std::string leader = leader_to_ask();
+    if (leader.empty())
+        return;
+    PeerRequest notice;
+    notice.topic = PeerTopic::job_accepted;
+    notice.node = m_setup.node;
+    notice.job = id;
+    notice.row = row;
+    m_parts.peers.send(leader, notice, ask_timeout, [](PeerEnd, const PeerAnswer&) {});
+}
+
+// The store did not take it from this node; perhaps it takes it from the leader.
+void JobNode::Impl::forward_write(PeerTopic topic, const std::string& id,
+                                  const std::string& row, WriteOutcome own,
+                                  ClientReply done)
+{
+    const std::string leader = leader_to_ask();
+    if (leader.empty() || own == WriteOutcome::missing || !m_leadership.leader_seen()) {
+        done(to_client(own));
+        return;
+    }
+    PeerRequest request;
+    request.topic = topic;
+    request.node = m_setup.node;
+    request.job = id;
+    request.row = row;
+    m_parts.peers.send(
+        leader, request, forward_timeout,
+        m_lifetime.wrap([this, id, own, done](PeerEnd end, const PeerAnswer& answer) {
+            ClientStatus status = ClientStatus::in_doubt;
+            if (end == PeerEnd::refused)
+                status = to_client(own);
+            if (end == PeerEnd::answered && answer.served)
+                status = static_cast<ClientStatus>(answer.status);
+            // What this node has sent itself may still be done.
+            if (status == ClientStatus::refused && own == WriteOutcome::in_doubt)
+                status = ClientStatus::in_doubt;
+            log_event(LogLevel::info, "write_forwarded",
+                      { { "job", id }, { "status", static_cast<int>(status) } });
+            done(status);
+        }));
+}
+
+void JobNode::Impl::record_cancel(const std::string& id, Millis give_up, WriteReply done)
+{
+    m_acceptor.cancel(id, give_up, [this, id, done](WriteOutcome outcome) {
+        if (outcome == WriteOutcome::written) {
+            if (m_scheduler)
+                m_scheduler->job_canceled(id);
+        }
+        done(outcome);
+    });
+}
+
+void JobNode::Impl::cancel(const std::string& id, Millis received, Millis limit,
+                           ClientReply done)
+{
+    record_cancel(
+        id, give_up_time(received, limit), [this, id, received, done](WriteOutcome outcome) {
+            ++m_outcomes[std::string("cancel_") + to_string(outcome)];
+            log_event(LogLevel::info, "cancel_recorded",
+                      { { "job", id },
+                        { "outcome", to_string(outcome) },
+                        { "after_ms", (m_parts.loop.now() - received).count() } });
+            if (outcome != WriteOutcome::written) {
+                forward_write(PeerTopic::cancel_job, id, "", outcome, done);
+                return;
+            }
+            done(ClientStatus::ok);
+            const std::string leader = leader_to_ask();
+            if (leader.empty())
+                return;
+            PeerRequest notice;
+            notice.topic = PeerTopic::job_canceled;
+            notice.node = m_setup.node;
+            notice.job = id;
+            m_parts.peers.send(leader, notice, ask_timeout,
+                               [](PeerEnd, const PeerAnswer&) {});
+        });
+}
+
+void JobNode::Impl::query(const std::string& id, Millis received, Millis limit,
+                          StateReply done)
+{
+    const Millis deadline = received
+        + (limit > Millis(0) ? std::max(Millis(100), limit - answer_margin) : longest_try);
+    if (m_scheduler) {
+        const auto state = m_scheduler->state_of(id);
+        if (state)
+            done(ClientStatus::ok, *state);
+        else
+            query_store(id, deadline, done);
+        return;
+    }
+    const std::string leader = leader_to_ask();
+    if (leader.empty() || !m_leadership.leader_seen()) {
+        query_store(id, deadline, done);
+        return;
+    }
+    PeerRequest request;
+    request.topic = PeerTopic::job_state;
+    request.node = m_setup.node;
+    request.job = id;
+    m_parts.peers.send(
+        leader, request, ask_timeout,
+        m_lifetime.wrap([this, id, deadline, done](PeerEnd end, const PeerAnswer& answer) {
+            if (end == PeerEnd::answered && answer.served && answer.state) {
+                done(ClientStatus::ok, *answer.state);
+                return;
+            }
+            query_store(id, deadline, done);
+        }));
+}
+
+void JobNode::Impl::query_store(const std::string& id, Millis deadline, StateReply done)
+{
+    StoreRange range;
+    range.table = jobs_table;
+    range.part = job_part(id);
+    range.from = id;
+    range.to = id + "/"; // Above the cancellation's key.
+    range.limit = 2;
+    m_store.read(
+        range, read_timeout,
+        m_lifetime.wrap([this, id, deadline, done](const StoreResult& result) {
+            if (result.status != StoreStatus::ok) {
+                if (m_parts.loop.now() + read_timeout < deadline) {
+                    query_store(id, deadline, done);
+                    return;
+                }
+                done(ClientStatus::unavailable, JobState::pending);
+                return;
+            }
+            bool present = false;
+            bool canceled = false;
+            for (const StoredRow& row : result.rows) {
+                present = present || row.id.key == id;
+                canceled = canceled || row.id.key == id + cancel_suffix;
+            }
+            if (!present) {
+                done(ClientStatus::not_found, JobState::pending);
+                return;
+            }
+            query_progress(id, canceled, done);
+        }));
+}
+
+void JobNode::Impl::query_progress(const std::string& id, bool canceled, StateReply done)
+{
+    StoreRange range;
+    range.table = progress_table;
+    range.part = scheduler_part;
+    range.from = id;
+    range.to = id + "!";
+    range.limit = 1;
+    m_store.read(range, read_timeout,
+                 m_lifetime.wrap([canceled, done](const StoreResult& result) {
+                     if (result.status != StoreStatus::ok) {
+                         done(ClientStatus::unavailable, JobState::pending);
+                         return;
+                     }
+                     JobState state
+                         = result.rows.empty() ? JobState::pending : JobState::active;
+                     if (canceled)
+                         state = JobState::canceled;
+                     if (!result.rows.empty()) {
+                         const auto final_state
+                             = final_state_of_progress(result.rows.front().value);
+                         if (final_state)
+                             state = *final_state;
+                     }
+                     done(ClientStatus::ok, state);
+                 }));
+}
+
+void JobNode::Impl::count_pending(const Queue& queue, Millis, Millis, CountReply done)
+{
+    if (m_scheduler) {
+        done(ClientStatus::ok, m_scheduler->pending_in(queue.name));
+        return;
+    }
+    const std::string leader = leader_to_ask();
+    if (leader.empty()) {
+        done(ClientStatus::unavailable, 0);
+        return;
+    }
+    PeerRequest request;
+    request.topic = PeerTopic::queue_pending;
+    request.node = m_setup.node;
+    request.queue = queue.name;
+    m_parts.peers.send(leader, request, ask_timeout,
+                       m_lifetime.wrap([done](PeerEnd end, const PeerAnswer& answer) {
+                           const bool good = end == PeerEnd::answered && answer.served;
+                           done(good ? ClientStatus::ok : ClientStatus::unavailable,
+                                answer.count);
+                       }));
+}
+
+} // namespace pathport::jobs
--- /dev/null
+++ b/src/jobs.lib/job_node_impl.h
@@ -0,0 +1,104 @@
+// Copyright the pathport authors.
+// SPDX-License-Identifier: Apache-2.0
+
+/// \file
+/// The parts of a node and how they are joined.
+
+#pragma once
+
+#include "acceptor.h"
+#include "advice_pool.h"
+#include "leadership.h"
+#include "lifetime.h"
+#include "scheduler.h"
+#include "store_health.h"
+
+#include <pathport/jobs/job_node.h>
+
+namespace pathport::jobs {
+
+/// How long a promise not to claim the leadership holds.
+constexpr Millis promise_time { 1500 };
+
+/// The node behind JobNode.
+class JobNode::Impl : public LeadershipListener {
+public:
+    Impl(const NodeParts& parts, const NodeSetup& setup);
+
+    // Life (job_node.cpp).
+    void begin();
+    void leave();
+    bool ready() const { return m_configuration != nullptr && !m_leaving; }
+    bool leads() const { return m_scheduler != nullptr; }
+    std::shared_ptr<const Configuration> configuration() const { return m_configuration; }
+    NodeFigures figures() const;
+
+    // Clients' calls (job_node_clients.cpp).
+    void submit(const Queue& queue, const std::string& id, const JobSpec& spec,
+                Millis received, Millis limit, ClientReply done);
+    void cancel(const std::string& id, Millis received, Millis limit, ClientReply done);
+    void query(const std::string& id, Millis received, Millis limit, StateReply done);
+    void count_pending(const Queue& queue, Millis received, Millis limit, CountReply done);
+
+    // Peers' messages (job_node_peers.cpp).
+    void handle_peer(const PeerRequest& request, std::function<void(PeerAnswer)> done);
+
+    // LeadershipListener
+    void elected(const Claim& claim) override;
+    void fill_heartbeat(PeerRequest& request) override;
+    void leader_answered(const PeerAnswer& answer) override;
+
+private:
+    /// A node that follows this one.
+    struct Follower {
+        Millis heard;
+        Millis promised_until; ///< It won't claim before; on this node's clock.
+        bool store_served = false;
+        bool probing = false;
+    };
+
+    void read_configuration();
+    void watch_configuration(int64_t version);
+    void configuration_read(const DirectoryAnswer<Configuration>& answer);
+    void apply(const Configuration& configuration, const char* source);
+    void fetch_configuration(const std::string& address);
+    void deposed();
+    void lead_tick();
+    void probe_follower(const std::string& address);
+    void update_promises();
+    void consider_resigning();
+    void probe_store();
+
+    void accept_row(const std::string& id, const std::string& row, Millis give_up,
+                    WriteReply done);
+    void accepted(const std::string& id, const std::string& row);
+    void record_cancel(const std::string& id, Millis give_up, WriteReply done);
+    void forward_write(PeerTopic topic, const std::string& id, const std::string& row,
+                       WriteOutcome own, ClientReply done);
+    void query_store(const std::string& id, Millis deadline, StateReply done);
+    void query_progress(const std::string& id, bool canceled, StateReply done);
+    std::string leader_to_ask() const;
+    Millis give_up_time(Millis received, Millis limit) const;
+
+    void handle_heartbeat(const PeerRequest& request, PeerAnswer& answer);
+    void handle_accept(const PeerRequest& request, std::function<void(PeerAnswer)> done);
+    void handle_advice(const PeerRequest& request, std::function<void(PeerAnswer)> done);
+
+    NodeParts m_parts;
+    NodeSetup m_setup;
+    StoreHealth m_store;
+    Acceptor m_acceptor;
+    AdvicePool m_advice;
+    Leadership m_leadership;
+    std::unique_ptr<Scheduler> m_scheduler; ///< Set while this node leads.
+    std::shared_ptr<const Configuration> m_configuration;
+    std::map<std::string, Follower> m_followers; ///< By address.
+    bool m_leaving = false;
+    bool m_fetching_configuration = false;
+    bool m_probing_store = false;
+    int64_t m_leader_sent_ms = 0; ///< The leader's clock in its last answer.
+    std::map<std::string, int64_t> m_outcomes; ///< Of clients' calls, for metrics.
+    Lifetime m_lifetime;
+};
+
+} // namespace pathport::jobs
--- /dev/null
+++ b/src/jobs.lib/job_node_peers.cpp
@@ -0,0 +1,150 @@
+// Copyright the pathport authors.
+// SPDX-License-Identifier: Apache-2.0
+
+/// \file
+/// What a node does for its peers.
+
+#include "job_node_impl.h"
+
+#include <pathport/log.h>
+
+namespace pathport::jobs {
+
+namespace {
+
+/// How long a write for a peer is tried.
+constexpr Millis forwarded_try { 900 };
+constexpr Millis advice_timeout { 5000 };
+
+} // namespace
+
+void JobNode::Impl::handle_peer(const PeerRequest& request,
+                                std::function<void(PeerAnswer)> done)
+{
+    PeerAnswer answer;
+    answer.node = m_setup.node;
+    answer.epoch = m_leadership.epoch();
+    answer.leads = m_scheduler != nullptr;
+    switch (request.topic) {
+    case PeerTopic::heartbeat:
+        handle_heartbeat(request, answer);
+        break;
+    case PeerTopic::job_accepted: {
+        Failure reason;
+        const auto job = decode_accepted_job(request.job, request.row, reason);
+        if (m_scheduler && job) {
+            m_scheduler->job_accepted(*job);
+            answer.served = true;
+        }
+        break;
+    }
+    case PeerTopic::job_canceled:
+        if (m_scheduler) {
+            m_scheduler->job_canceled(request.job);
+            answer.served = true;
+        }
+        break;
+    case PeerTopic::job_state:
+        if (m_scheduler) {
+            answer.state = m_scheduler->state_of(request.job);
+            answer.served = true;
+        }
+        break;
+    case PeerTopic::queue_pending:
+        if (m_scheduler) {
+            answer.count = m_scheduler->pending_in(request.queue);
+            answer.served = true;
+        }
+        break;
+    case PeerTopic::configuration:
+        if (m_configuration)
+            answer.row = encode(*m_configuration);
+        answer.served = m_configuration != nullptr;
+        break;
+    case PeerTopic::advice:
+        handle_advice(request, std::move(done));
+        return;
+    case PeerTopic::accept_job:
+    case PeerTopic::cancel_job:
+        handle_accept(request, std::move(done));
+        return;
+    }
+    done(std::move(answer));
+}
+
+void JobNode::Impl::handle_heartbeat(const PeerRequest& request, PeerAnswer& answer)
+{
+    const Millis now = m_parts.loop.now();
+    answer.sent_ms = now.count();
+    answer.config_version = m_configuration ? m_configuration->version : 0;
+    if (request.config_version > answer.config_version)
+        fetch_configuration(request.address);
+    if (!m_scheduler) {
+        if (request.resigned)
+            m_leadership.leader_resigned(request.epoch);
+        else if (request.leads)
+            m_leadership.leader_announced(request.epoch);
+        return;
+    }
+    answer.served = m_scheduler->log().served();
+    answer.resigned = m_scheduler->resigned();
+    if (request.leads || request.resigned)
+        return;
+    Follower& follower = m_followers[request.address];
+    follower.heard = now;
+    follower.store_served = request.store_served;
+    follower.promised_until
+        = request.promises ? Millis(request.echo_ms) + promise_time : Millis(0);
+    update_promises();
+}
+
+void JobNode::Impl::handle_accept(const PeerRequest& request,
+                                  std::function<void(PeerAnswer)> done)
+{
+    const Millis give_up = m_parts.loop.now() + forwarded_try;
+    const auto reply = [this, request, done](WriteOutcome outcome) {
+        PeerAnswer answer;
+        answer.node = m_setup.node;
+        answer.epoch = m_leadership.epoch();
+        answer.leads = m_scheduler != nullptr;
+        answer.served = true;
+        ClientStatus status = ClientStatus::in_doubt;
+        if (outcome == WriteOutcome::written)
+            status = ClientStatus::ok;
+        if (outcome == WriteOutcome::refused)
+            status = ClientStatus::refused;
+        if (outcome == WriteOutcome::missing)
+            status = ClientStatus::not_found;
+        answer.status = static_cast<int>(status);
+        done(answer);
+        if (outcome == WriteOutcome::written && request.topic == PeerTopic::accept_job)
+            accepted(request.job, request.row);
+    };
+    if (request.topic == PeerTopic::cancel_job) {
+        record_cancel(request.job, give_up, reply);
+        return;
+    }
+    Failure reason;
+    if (!decode_accepted_job(request.job, request.row, reason)) {
+        reply(WriteOutcome::refused);
+        return;
+    }
+    accept_row(request.job, request.row, give_up, reply);
+}
+
+void JobNode::Impl::handle_advice(const PeerRequest& request,
+                                  std::function<void(PeerAnswer)> done)
+{
+    m_parts.advisor.ask(request.job, request.workers, advice_timeout,
+                        [node = m_setup.node,
+                         done](std::optional<std::vector<WorkerTicket>> tickets) {
+                            PeerAnswer answer;
+                            answer.node = node;
+                            answer.served = tickets.has_value();
+                            if (tickets)
+                                answer.tickets = std::move(*tickets);
+                            done(std::move(answer));
+                        });
+}
+
+} // namespace pathport::jobs
--- /dev/null
+++ b/src/jobs.lib/job_record.cpp
@@ -0,0 +1,282 @@
+// Copyright the pathport authors.
+// SPDX-License-Identifier: Apache-2.0
+
+#include "job_record.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+
+namespace pathport::jobs {
+
+namespace {
+
+using Json = nlohmann::json;
+
+const char* const state_key = "state";
+const char* const next_key = "next";
+const char* const finished_key = "finished";
+const char* const begun_key = "begun";
+const char* const steps_key = "steps";
+
+/// Encodes which tasks are done as one hexadecimal digit for each four.
+std::string done_digits(const Step& step)
+{
+    const char* const digits = "0123456789abcdef";
+    std::string text;
+    for (size_t i = 0; i < step.tasks.size(); i += 4) {
+        int nibble = 0;
+        for (size_t bit = 0; bit < 4 && i + bit < step.tasks.size(); ++bit)
+            nibble |= step.tasks[i + bit].phase == TaskPhase::done ? 1 << bit : 0;
+        text += digits[nibble];
+    }
+    return text;
+}
+
+void apply_done_digits(const std::string& text, Step& step)
+{
+    for (size_t i = 0; i < step.tasks.size(); ++i) {
+        const char digit = i / 4 < text.size() ? text[i / 4] : '0';
+        const int nibble = digit >= 'a' ? digit - 'a' + 10 : digit - '0';
+        if ((nibble >> (i % 4) & 1) == 0)
+            continue;
+        step.tasks[i].phase = TaskPhase::done;
+        ++step.done;
+    }
+}
+
+Json encode_step(const Step& step)
+{
+    Json json = Json::array({ step.repeat, step.index });
+    if (step.finished()) {
+        json.push_back("all");
+        return json;
+    }
+    json.push_back(step.done > 0 ? done_digits(step) : "");
+    Json failures = Json::array();
+    Json workers = Json::object();
+    Json checkpoints = Json::array();
+    for (size_t i = 0; i < step.tasks.size(); ++i) {
+        const Task& task = step.tasks[i];
+        if (task.phase == TaskPhase::done)
+            continue;
+        if (task.failures > 0)
+            failures.push_back({ i, task.failures });
+        if (task.placed())
+            workers[task.worker].push_back(i);
+        if (!task.checkpoint.empty())
+            checkpoints.push_back({ i, task.checkpoint });
+    }
+    json.push_back(std::move(failures));
+    json.push_back(std::move(workers));
+    json.push_back(std::move(checkpoints));
+    json.push_back(step.gang_failures);
+    json.push_back(step.gang_failed_run);
+    return json;
+}
+
+void apply_step(const Json& json, Step& step)
+{
+    if (json.at(2) == "all") {
+        for (Task& task : step.tasks)
+            task.phase = TaskPhase::done;
+        step.done = static_cast<int>(step.tasks.size());
+        return;
+    }
+    apply_done_digits(json.at(2).get<std::string>(), step);
+    for (const Json& failure : json.at(3))
+        step.tasks.at(failure.at(0).get<size_t>()).failures = failure.at(1).get<int>();
+    for (const auto& [worker, indices] : json.at(4).items()) {
+        for (const Json& index : indices) {
+            Task& task = step.tasks.at(index.get<size_t>());
+            task.phase = TaskPhase::in_doubt;
+            task.worker = worker;
+        }
+    }
+    for (const Json& checkpoint : json.at(5)) {
+        step.tasks.at(checkpoint.at(0).get<size_t>()).checkpoint
+            = checkpoint.at(1).get<std::string>();
+    }
+    step.gang_failures = json.at(6).get<int>();
+    step.gang_failed_run = json.at(7).get<int64_t>();
+}
+
+} // namespace
+
+int Step::count(TaskPhase phase) const
+{
+    return static_cast<int>(
+        std::count_if(tasks.begin(), tasks.end(),
+                      [phase](const Task& task) { return task.phase == phase; }));
+}
+
+int Step::placed() const
+{
+    return static_cast<int>(std::count_if(
+        tasks.begin(), tasks.end(), [](const Task& task) { return task.placed(); }));
+}
+
+bool Repeat::finished() const
+{
+    return std::all_of(steps.begin(), steps.end(),
+                       [](const Step& step) { return step.finished(); });
+}
+
+JobRecord::JobRecord(AcceptedJob accepted, Millis seen)
+    : m_accepted(std::move(accepted))
+    , m_seen(seen)
+{
+}
+
+JobState JobRecord::state() const
+{
+    if (recorded_state)
+        return *recorded_state;
+    if (m_finished_repeats == m_accepted.spec.instances())
+        return JobState::completed;
+    if (gave_up)
+        return JobState::failed;
+    if (canceled)
+        return JobState::canceled;
+    return begun ? JobState::active : JobState::pending;
+}
+
+JobState JobRecord::shown_state() const
+{
+    const JobState present = state();
+    // A cancellation is recorded in a row of its own before this record learns of it.
+    if (!is_final(present) || recorded_state || present == JobState::canceled)
+        return present;
+    return JobState::active;
+}
+
+std::optional<int64_t> JobRecord::next_due() const
+{
+    const JobSpec& spec = m_accepted.spec;
+    if (closed() || m_next_repeat >= spec.instances())
+        return std::nullopt;
+    if (!spec.timed())
+        return 0;
+    return spec.first_due_ms + int64_t(m_next_repeat) * spec.interval_ms;
+}
+
+Repeat JobRecord::make_repeat(int number) const
+{
+    Repeat repeat;
+    repeat.number = number;
+    for (size_t i = 0; i < m_accepted.spec.steps.size(); ++i) {
+        Step step;
+        step.repeat = number;
+        step.index = static_cast<int>(i);
+        step.spec = &m_accepted.spec.steps[i];
+        step.tasks.resize(static_cast<size_t>(step.spec->count));
+        repeat.steps.push_back(std::move(step));
+    }
+    return repeat;
+}
+
+Repeat& JobRecord::begin_repeat()
+{
+    const int number = m_next_repeat++;
+    return m_repeats.emplace(number, make_repeat(number)).first->second;
+}
+
+void JobRecord::finish_repeat(int number)
+{
+    if (m_repeats.erase(number) > 0)
+        ++m_finished_repeats;
+}
+
+Step* JobRecord::step(int repeat, int index)
+{
+    const auto found = m_repeats.find(repeat);
+    if (found == m_repeats.end() || index < 0
+        || index >= static_cast<int>(found->second.steps.size()))
+        return nullptr;
+    return &found->second.steps[static_cast<size_t>(index)];
+}
+
+Task* JobRecord::task(const TaskId& id)
+{
+    Step* owner = step(id.repeat, id.step);
+    if (owner == nullptr || id.index < 0
+        || id.index >= static_cast<int>(owner->tasks.size()))
+        return nullptr;
+    return &owner->tasks[static_cast<size_t>(id.index)];
+}
+
+bool JobRecord::may_run(const Step& step) const
+{
+    const auto found = m_repeats.find(step.repeat);
+    if (found == m_repeats.end())
+        return false;
+    const auto& steps = found->second.steps;
+    return std::all_of(step.spec->after.begin(), step.spec->after.end(), [&](int earlier) {
+        return steps[static_cast<size_t>(earlier)].finished();
+    });
+}
+
+std::string JobRecord::encode_progress() const
+{
+    Json json = Json::object();
+    const JobState present = state();
+    if (is_final(present))
+        return encode_final_progress(present);
+    json[next_key] = m_next_repeat;
+    json[finished_key] = m_finished_repeats;
+    json[begun_key] = begun;
+    Json steps = Json::array();
+    for (const auto& [number, repeat] : m_repeats) {
+        for (const Step& step : repeat.steps)
+            steps.push_back(encode_step(step));
+    }
+    json[steps_key] = std::move(steps);
+    return json.dump();
+}
+
+bool JobRecord::apply_progress(const std::string& text)
+{
+    try {
+        const Json json = Json::parse(text);
+        if (json.contains(state_key)) {
+            recorded_state = static_cast<JobState>(json.at(state_key).get<int>());
+            return true;
+        }
+        m_next_repeat = json.at(next_key).get<int>();
+        m_finished_repeats = json.at(finished_key).get<int>();
+        begun = json.at(begun_key).get<bool>();
+        for (const Json& entry : json.at(steps_key)) {
+            const int number = entry.at(0).get<int>();
+            if (m_repeats.count(number) == 0)
+                m_repeats.emplace(number, make_repeat(number));
+            Step* target = step(number, entry.at(1).get<int>());
+            if (target == nullptr)
+                return false;
+            apply_step(entry, *target);
+        }
+        return true;
+    } catch (const std::exception&) {
+        return false;
+    }
+}
+
+std::string encode_final_progress(JobState state)
+{
+    Json json = Json::object();
+    json[state_key] = static_cast<int>(state);
+    return json.dump();
+}
+
+std::optional<JobState> final_state_of_progress(const std::string& text)
+{
+    try {
+        const Json json = Json::parse(text);
+        if (!json.contains(state_key))
+            return std::nullopt;
+        return static_cast<JobState>(json.at(state_key).get<int>());
+    } catch (const std::exception&) {
+        return std::nullopt;
+    }
+}
+
+} // namespace pathport::jobs
--- /dev/null
+++ b/src/jobs.lib/job_record.h
@@ -0,0 +1,151 @@
+// Copyright the pathport authors.
+// SPDX-License-Identifier: Apache-2.0
+
+/// \file
+/// A job as its scheduler holds it: each task in exactly one phase, and the progress row
+/// from which a successor rebuilds the same.
+
+#pragma once
+
+#include <pathport/jobs/job_model.h>
+
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace pathport::jobs {
+
+/// Where one task is.
+enum class TaskPhase {
+    waiting, ///< It may be placed once its step may run.
+    intended, ///< A worker is chosen; the intent is not yet recorded, no order is sent.
+    starting, ///< The order is under way.
+    running,
+    stopping, ///< It was told to stop; its end has not been listed yet.
+    in_doubt, ///< It may run on a worker that doesn't answer; waits for that worker.
+    done,
+};
+
+/// One task.
+struct Task {
+    TaskPhase phase = TaskPhase::waiting;
+    int failures = 0; ///< Ends `failed`.
+    int64_t run = 0; ///< Its last run.
+    std::string worker; ///< Where it is intended, starting, running, stopping or in doubt.
+    std::string checkpoint; ///< To go on from.
+    std::string failed_on; ///< The worker where it failed last.
+    std::string ticket; ///< Of the intended start.
+    Millis placed_at; ///< When the worker was chosen.
+    int percent = 0; ///< As last reported.
+    Millis percent_at; ///< When `percent` last changed.
+    int pace = 100; ///< The share of its speed that it was last told.
+
+    /// Returns whether a worker may be running it, or is about to.
+    bool placed() const { return phase != TaskPhase::waiting && phase != TaskPhase::done; }
+};
+
+/// What is known of one worker's verdict for a step.
+struct Permission {
+    bool allowed = false;
+    std::string ticket;
+    Millis expires; ///< After it the ticket must not be used.
+};
+
+/// The advice that was had for a step.
+struct StepAdvice {
+    std::map<std::string, Permission> workers; ///< By worker; those not in it weren't asked.
+    bool asking = false;
+    Millis retry_at; ///< No call before it.
+};
+
+/// One step of one repeat of a job.
+struct Step {
+    int repeat = 0;
+    int index = 0;
+    const StepSpec* spec = nullptr;
+    std::vector<Task> tasks;
+    int done = 0; ///< Tasks in phase done.
+    int gang_failures = 0; ///< Runs of the gang of which a member failed.
+    int64_t gang_failed_run = 0; ///< The last such run.
+    int64_t gang_run = 0; ///< The run that is placed at present.
+    StepAdvice advice;
+
+    bool finished() const { return done == static_cast<int>(tasks.size()); }
+    int count(TaskPhase phase) const;
+    int placed() const;
+};
+
+/// One repeat of a job's steps.
+struct Repeat {
+    int number = 0;
+    std::vector<Step> steps;
+
+    bool finished() const;
+};
+
+/// A job.
+class JobRecord {
+public:
+    JobRecord(AcceptedJob accepted, Millis seen);
+    JobRecord(const JobRecord&) = delete; // Its steps point into it.
+    JobRecord& operator=(const JobRecord&) = delete;
+
+    const AcceptedJob& accepted() const { return m_accepted; }
+    const std::string& id() const { return m_accepted.id; }
+    Millis seen() const { return m_seen; }
+
+    bool canceled = false; ///< A cancellation is recorded.
+    bool gave_up = false; ///< A task has failed too often.
+    bool begun = false; ///< A task has been started at least once.
+    std::optional<JobState> recorded_state; ///< The final state that its row holds.
+
+    /// Returns the state as of what is known, recorded or not.
+    JobState state() const;
+    /// Returns the state that a client may be shown: a final one only once it is recorded.
+    JobState shown_state() const;
+    /// Returns whether no task of it is to be started any more.
+    bool closed() const { return is_final(state()); }
+
+    /// Returns the repeats that have begun and not finished, by number.
+    std::map<int, Repeat>& repeats() { return m_repeats; }
+    const std::map<int, Repeat>& repeats() const { return m_repeats; }
+    /// Returns the wall time at which the next repeat falls due, or nothing when there is
+    /// none left. Repeat 0 of a job without times is due at once.
+    std::optional<int64_t> next_due() const;
+    /// Begins the next repeat.
+    Repeat& begin_repeat();
+    /// Drops a finished repeat.
+    void finish_repeat(int number);
+
+    /// Returns the step, or nothing when its repeat isn't under way.
+    Step* step(int repeat, int index);
+    /// Returns the task, or nothing when its repeat isn't under way.
+    Task* task(const TaskId& id);
+    /// Returns whether all steps that `step` comes after are done.
+    bool may_run(const Step& step) const;
+
+    /// Encodes the progress row.
+    std::string encode_progress() const;
+    /// Takes over what a progress row holds. Tasks with a recorded worker become `in_doubt`.
+    /// Returns false when it is malformed.
+    bool apply_progress(const std::string& text);
+
+private:
+    Repeat make_repeat(int number) const;
+
+    AcceptedJob m_accepted;
+    Millis m_seen;
+    std::map<int, Repeat> m_repeats;
+    int m_next_repeat = 0;
+    int m_finished_repeats = 0;
+};
+
+/// Encodes the progress row of a job in its final state.
+std::string encode_final_progress(JobState state);
+/// Returns the final state in a progress row without building the job; nothing when it has
+/// none.
+std::optional<JobState> final_state_of_progress(const std::string& text);
+
+} // namespace pathport::jobs
--- /dev/null
+++ b/src/jobs.lib/leadership.cpp
@@ -0,0 +1,344 @@
+// Copyright the pathport authors.
+// SPDX-License-Identifier: Apache-2.0
+
+#include "leadership.h"
+
+#include "store_keys.h"
+
+#include <pathport/log.h>
+
+#include <nlohmann/json.hpp>
+
+namespace pathport::jobs {
+
+namespace {
+
+constexpr Millis heartbeat_interval { 250 };
+constexpr Millis heartbeat_timeout { 400 };
+/// Pause before a leader whose address refused a connection is asked again.
+constexpr Millis refused_pause { 40 };
+/// Refusals in a row after which the leader counts as dead.
+constexpr int refusals_of_a_dead_leader = 2;
+/// A silent leader counts as gone when its head row has stood still for so long. It writes
+/// the row several times in that time.
+constexpr Millis standing_time { 900 };
+/// Pause between reads of the rows of a silent leader.
+constexpr Millis silent_read_pause { 300 };
+constexpr Millis store_retry { 100 };
+/// Claims of several nodes are spread over this time.
+constexpr uint64_t claim_spread_ms = 40;
+constexpr Millis least_timeout { 300 };
+constexpr Millis most_timeout { 1500 };
+/// The leader counts as seen for so long after an answer.
+constexpr Millis seen_time { 900 };
+
+} // namespace
+
+std::string encode(const LeaderValue& leader)
+{
+    return nlohmann::json::array({ leader.epoch, leader.identity.node,
+                                   leader.identity.address, leader.identity.incarnation })
+        .dump();
+}
+
+std::optional<LeaderValue> decode_leader(const std::string& text)
+{
+    try {
+        const auto json = nlohmann::json::parse(text);
+        LeaderValue leader;
+        leader.epoch = json.at(0).get<int64_t>();
+        leader.identity.node = json.at(1).get<std::string>();
+        leader.identity.address = json.at(2).get<std::string>();
+        leader.identity.incarnation = json.at(3).get<std::string>();
+        return leader;
+    } catch (const nlohmann::json::exception&) {
+        return std::nullopt;
+    }
+}
+
+Leadership::Leadership(EventLoop& loop, JobStore& store, PeerClient& peers,
+                       NodeIdentity identity, LeadershipListener& listener)
+    : m_loop(loop)
+    , m_store(store)
+    , m_peers(peers)
+    , m_identity(std::move(identity))
+    , m_listener(listener)
+    , m_timeout(least_timeout, most_timeout)
+{
+}
+
+Leadership::~Leadership() { m_loop.cancel(m_timer); }
+
+void Leadership::begin() { read_rows(); }
+
+void Leadership::retire()
+{
+    m_retired = true;
+    m_loop.cancel(m_timer);
+    m_timer = 0;
+}
+
+void Leadership::deposed()
+{
+    m_leading = false;
+    m_silent = false;
+    m_refusals = 0;
+    read_rows();
+}
+
+std::string Leadership::leader_address() const
+{
+    return m_leading ? std::string() : m_leader.identity.address;
+}
+
+bool Leadership::leader_seen() const
+{
+    return m_leading || m_loop.now() - m_answered < seen_time;
+}
+
+void Leadership::leader_resigned(int64_t epoch)
+{
+    if (m_leading || epoch != m_leader.epoch)
+        return;
+    m_claim_wanted = true;
+    read_rows();
+}
+
+void Leadership::leader_announced(int64_t epoch)
+{
+    if (!m_leading && epoch > m_leader.epoch)
+        read_rows();
+}
+
+void Leadership::schedule_follow(Millis delay)
+{
+    m_loop.cancel(m_timer);
+    m_timer = m_loop.after(delay, m_lifetime.wrap([this] {
+        m_timer = 0;
+        follow();
+    }));
+}
+
+void Leadership::read_rows()
+{
+    if (m_reading || m_leading || m_retired)
+        return;
+    m_reading = true;
+    StoreRange range;
+    range.table = lead_table;
+    range.part = scheduler_part;
+    const Millis asked = m_loop.now();
+    m_store.read(range, m_timeout.value(),
+                 m_lifetime.wrap([this, asked](const StoreResult& result) {
+                     m_reading = false;
+                     if (result.status == StoreStatus::ok)
+                         m_timeout.answered(m_loop.now() - asked);
+                     else if (result.status == StoreStatus::unknown)
+                         m_timeout.unanswered();
+                     rows_read(result);
+                 }));
+}
+
+void Leadership::rows_read(const StoreResult& result)
+{
+    if (m_leading || m_retired)
+        return;
+    if (result.status != StoreStatus::ok) {
+        // Without the store nobody can claim, so there is nothing better to do than to ask
+        // the leader that was.
+        if (m_rows_known)
+            schedule_follow(store_retry);
+        else
+            m_loop.after(store_retry, m_lifetime.wrap([this] { read_rows(); }));
+        return;
+    }
+    const int64_t epoch = m_leader.epoch;
+    m_rows_known = true;
+    m_leader_version = 0;
+    m_head_version = 0;
+    for (const StoredRow& row : result.rows) {
+        if (row.id.key == leader_key) {
+            const auto leader = decode_leader(row.value);
+            m_leader = leader ? *leader : LeaderValue();
+            m_leader_version = row.version;
+        }
+        if (row.id.key == head_key) {
+            const auto head = decode_head(row.value);
+            m_head = head ? *head : HeadValue();
+            m_head_version = row.version;
+        }
+    }
+    if (m_leader.epoch != epoch) {
+        m_silent = false;
+        m_refusals = 0;
+        m_claim_wanted = false;
+        log_event(LogLevel::info, "leader_known",
+                  { { "leader", m_leader.identity.node }, { "epoch", m_leader.epoch } });
+    }
+    act_on_rows();
+}
+
+void Leadership::act_on_rows()
+{
+    const bool own_row = m_leader.identity.incarnation == m_identity.incarnation;
+    if (own_row && m_head == m_claimed_head) {
+        // A claim whose answer was lost took effect.
+        become_leader(m_head_version, m_claim_started);
+        return;
+    }
+    const bool unled = m_leader.epoch == 0 || own_row
+        || m_leader.identity.address == m_identity.address;
+    if (unled || m_claim_wanted) {
+        claim();
+        return;
+    }
+    if (!m_silent) {
+        schedule_follow(Millis(0));
+        return;
+    }
+    const Millis now = m_loop.now();
+    if (m_head_version != m_standing_version) {
+        m_standing_version = m_head_version;
+        m_standing_since = now;
+    }
+    if (now - m_standing_since >= standing_time) {
+        claim();
+        return;
+    }
+    schedule_follow(silent_read_pause);
+}
+
+void Leadership::follow()
+{
+    if (m_leading || m_retired || m_claiming || m_reading)
+        return;
+    PeerRequest request;
+    request.topic = PeerTopic::heartbeat;
+    request.node = m_identity.node;
+    request.address = m_identity.address;
+    request.epoch = m_leader.epoch;
+    m_listener.fill_heartbeat(request);
+    m_peers.send(m_leader.identity.address, request, heartbeat_timeout,
+                 m_lifetime.wrap([this, epoch = m_leader.epoch](PeerEnd end,
+                                                                const PeerAnswer& answer) {
+                     heartbeat_answered(end, answer, epoch);
+                 }));
+}
+
+void Leadership::heartbeat_answered(PeerEnd end, const PeerAnswer& answer, int64_t epoch)
+{
+    if (m_leading || m_retired || epoch != m_leader.epoch)
+        return;
+    if (end == PeerEnd::refused) {
+        suspect_dead();
+        return;
+    }
+    m_refusals = 0;
+    if (end == PeerEnd::silent) {
+        suspect_silent();
+        return;
+    }
+    m_silent = false;
+    if (answer.leads && answer.epoch >= epoch && !answer.resigned) {
+        m_answered = m_loop.now();
+        m_listener.leader_answered(answer);
+        schedule_follow(heartbeat_interval);
+        return;
+    }
+    // It resigned, was deposed or is another process; the rows tell.
+    m_claim_wanted = true;
+    read_rows();
+}
+
+void Leadership::suspect_dead()
+{
+    if (++m_refusals < refusals_of_a_dead_leader) {
+        schedule_follow(refused_pause);
+        return;
+    }
+    m_claim_wanted = true;
+    read_rows();
+}
+
+void Leadership::suspect_silent()
+{
+    if (!m_silent) {
+        m_silent = true;
+        m_standing_version = -1;
+        log_event(LogLevel::warn, "leader_silent",
+                  { { "leader", m_leader.identity.node },
+                    { "epoch", m_leader.epoch },
+                    { "answered_ms_ago", (m_loop.now() - m_answered).count() } });
+    }
+    read_rows();
+}
+
+void Leadership::claim()
+{
+    if (m_claiming || m_leading || m_retired)
+        return;
+    const Millis now = m_loop.now();
+    if (now < m_promised) {
+        schedule_follow(m_promised - now);
+        return;
+    }
+    m_claiming = true;
+    m_claim_wanted = false;
+    const Millis spread(static_cast<int64_t>(m_loop.random() % claim_spread_ms));
+    m_loop.after(spread, m_lifetime.wrap([this] {
+        if (m_retired)
+            return;
+        LeaderValue leader { m_leader.epoch + 1, m_identity };
+        m_claimed_head = HeadValue { leader.epoch, 0, m_identity.incarnation };
+        m_claim_started = m_loop.now();
+        StoreWrite write;
+        write.checks.push_back({ lead_row(leader_key), m_leader_version });
+        write.checks.push_back({ lead_row(head_key), m_head_version });
+        write.puts.push_back({ lead_row(leader_key), encode(leader) });
+        write.puts.push_back({ lead_row(head_key), encode(m_claimed_head) });
+        m_store.write(write, m_timeout.value(),
+                      m_lifetime.wrap([this, asked = m_claim_started](
+                                          const StoreResult& result) {
+                          m_claiming = false;
+                          claim_answered(result, asked);
+                      }));
+    }));
+}
+
+void Leadership::claim_answered(const StoreResult& result, Millis asked)
+{
+    log_event(LogLevel::info, "claim",
+              { { "epoch", m_claimed_head.epoch },
+                { "instead_of", m_leader.identity.node },
+                { "won", result.status == StoreStatus::ok ? "yes" : "no" },
+                { "status", static_cast<int>(result.status) },
+                { "after_ms", (m_loop.now() - asked).count() } });
+    if (m_retired)
+        return;
+    if (result.status == StoreStatus::ok) {
+        m_leader = LeaderValue { m_claimed_head.epoch, m_identity };
+        become_leader(result.version, asked);
+        return;
+    }
+    if (result.status == StoreStatus::unknown)
+        m_timeout.unanswered();
+    // The rows tell whether somebody else was first, or whether this claim took effect.
+    m_loop.after(result.status == StoreStatus::conflict ? Millis(0) : store_retry,
+                 m_lifetime.wrap([this] { read_rows(); }));
+}
+
+void Leadership::become_leader(int64_t head_version, Millis claimed)
+{
+    m_leading = true;
+    m_silent = false;
+    m_refusals = 0;
+    m_claim_wanted = false;
+    Claim claim;
+    claim.head = m_claimed_head;
+    claim.version = head_version;
+    claim.claimed = claimed;
+    claim.known = m_loop.now();
+    m_listener.elected(claim);
+}
+
+} // namespace pathport::jobs
--- /dev/null
+++ b/src/jobs.lib/leadership.h
@@ -0,0 +1,122 @@
+// Copyright the pathport authors.
+// SPDX-License-Identifier: Apache-2.0
+
+/// \file
+/// Which node leads. A leader is named by rows of the store; the others ask it several
+/// times a second whether it still leads, and claim its place when it doesn't.
+
+#pragma once
+
+#include "call_timeout.h"
+#include "head_log.h"
+#include "lifetime.h"
+#include "scheduler.h"
+
+#include <pathport/event_loop.h>
+#include <pathport/jobs/job_store.h>
+#include <pathport/jobs/peers.h>
+
+#include <functional>
+#include <optional>
+#include <string>
+
+namespace pathport::jobs {
+
+/// Who a process is.
+struct NodeIdentity {
+    std::string node;
+    std::string address; ///< Where it takes peers' messages.
+    std::string incarnation; ///< Changes with each start.
+};
+
+/// What the leader row holds.
+struct LeaderValue {
+    int64_t epoch = 0;
+    NodeIdentity identity;
+};
+
+std::string encode(const LeaderValue& leader);
+std::optional<LeaderValue> decode_leader(const std::string& text);
+
+/// Told by the election.
+class LeadershipListener {
+public:
+    virtual ~LeadershipListener() = default;
+
+    /// This node leads from now on.
+    virtual void elected(const Claim& claim) = 0;
+    /// Fills in what a heartbeat to the leader tells about this node.
+    virtual void fill_heartbeat(PeerRequest& request) = 0;
+    /// The leader has answered a heartbeat.
+    virtual void leader_answered(const PeerAnswer& answer) = 0;
+};
+
+/// The election as one node takes part in it.
+class Leadership {
+public:
+    Leadership(EventLoop& loop, JobStore& store, PeerClient& peers, NodeIdentity identity,
+               LeadershipListener& listener);
+    ~Leadership();
+
+    /// Begins: reads who leads, and follows or claims.
+    void begin();
+    /// Stops taking part, for the end of the process.
+    void retire();
+    /// This node leads no more: follow whoever does.
+    void deposed();
+
+    bool leading() const { return m_leading; }
+    int64_t epoch() const { return m_leader.epoch; }
+    /// Returns the address of the leader, or "" when none is known or this node leads.
+    std::string leader_address() const;
+    /// Returns whether the leader has answered lately.
+    bool leader_seen() const;
+    /// The leader of `epoch` says that it gives its place up.
+    void leader_resigned(int64_t epoch);
+    /// A leader of `epoch` has made itself known.
+    void leader_announced(int64_t epoch);
+    /// Promises not to claim before `until`.
+    void promise_until(Millis until) { m_promised = std::max(m_promised, until); }
+
+private:
+    void read_rows();
+    void rows_read(const StoreResult& result);
+    void act_on_rows();
+    void schedule_follow(Millis delay);
+    void follow();
+    void heartbeat_answered(PeerEnd end, const PeerAnswer& answer, int64_t epoch);
+    void suspect_dead();
+    void suspect_silent();
+    void claim();
+    void claim_answered(const StoreResult& result, Millis asked);
+    void become_leader(int64_t head_version, Millis claimed);
+
+    EventLoop& m_loop;
+    JobStore& m_store;
+    PeerClient& m_peers;
+    NodeIdentity m_identity;
+    LeadershipListener& m_listener;
+    bool m_leading = false;
+    bool m_retired = false;
+    bool m_claiming = false;
+    bool m_reading = false;
+    bool m_rows_known = false;
+    bool m_claim_wanted = false; ///< Claim when the rows have been read.
+    LeaderValue m_leader; ///< As of the last read; epoch 0 when there is none.
+    int64_t m_leader_version = 0;
+    HeadValue m_head;
+    int64_t m_head_version = 0;
+    HeadValue m_claimed_head; ///< What the last claim wrote, whether or not it took effect.
+    Millis m_claim_started;
+    Millis m_answered; ///< When the leader last answered that it leads.
+    int m_refusals = 0; ///< In a row, of the leader's address.
+    int64_t m_standing_version = 0; ///< The head's version while the leader is silent.
+    Millis m_standing_since;
+    bool m_silent = false;
+    Millis m_promised;
+    CallTimeout m_timeout;
+    EventLoop::TimerId m_timer = 0;
+    Lifetime m_lifetime;
+};
+
+} // namespace pathport::jobs
--- /dev/null
+++ b/src/jobs.lib/peer_codec.cpp
@@ -0,0 +1,125 @@
+// Copyright the pathport authors.
+// SPDX-License-Identifier: Apache-2.0
+
+/// \file
+/// The form in which nodes' messages travel: JSON objects, with default values left out.
+
+#include <pathport/jobs/peers.h>
+
+#include <nlohmann/json.hpp>
+
+namespace pathport::jobs {
+
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr int last_topic = static_cast<int>(PeerTopic::configuration);
+constexpr int last_state = static_cast<int>(JobState::canceled);
+
+template <typename Value> void put(Json& json, const char* key, const Value& value)
+{
+    if (!(value == Value()))
+        json[key] = value;
+}
+
+} // namespace
+
+std::string encode(const PeerRequest& request)
+{
+    Json json;
+    json["topic"] = static_cast<int>(request.topic);
+    put(json, "node", request.node);
+    put(json, "address", request.address);
+    put(json, "job", request.job);
+    put(json, "queue", request.queue);
+    put(json, "row", request.row);
+    put(json, "workers", request.workers);
+    put(json, "epoch", request.epoch);
+    put(json, "config", request.config_version);
+    put(json, "leads", request.leads);
+    put(json, "resigned", request.resigned);
+    put(json, "served", request.store_served);
+    put(json, "promises", request.promises);
+    put(json, "echo", request.echo_ms);
+    return json.dump(-1, ' ', false, Json::error_handler_t::replace);
+}
+
+std::optional<PeerRequest> decode_peer_request(const std::string& text)
+{
+    try {
+        const Json json = Json::parse(text);
+        const int topic = json.at("topic").get<int>();
+        if (topic < 0 || topic > last_topic)
+            return std::nullopt;
+        PeerRequest request;
+        request.topic = static_cast<PeerTopic>(topic);
+        request.node = json.value("node", std::string());
+        request.address = json.value("address", std::string());
+        request.job = json.value("job", std::string());
+        request.queue = json.value("queue", std::string());
+        request.row = json.value("row", std::string());
+        request.workers = json.value("workers", std::vector<std::string>());
+        request.epoch = json.value("epoch", int64_t(0));
+        request.config_version = json.value("config", int64_t(0));
+        request.leads = json.value("leads", false);
+        request.resigned = json.value("resigned", false);
+        request.store_served = json.value("served", false);
+        request.promises = json.value("promises", false);
+        request.echo_ms = json.value("echo", int64_t(0));
+        return request;
+    } catch (const Json::exception&) {
+        return std::nullopt;
+    }
+}
+
+std::string encode(const PeerAnswer& answer)
+{
+    Json json = Json::object();
+    put(json, "ok", answer.served);
+    put(json, "node", answer.node);
+    put(json, "leads", answer.leads);
+    put(json, "resigned", answer.resigned);
+    put(json, "epoch", answer.epoch);
+    put(json, "sent", answer.sent_ms);
+    put(json, "config", answer.config_version);
+    put(json, "status", answer.status);
+    put(json, "count", answer.count);
+    if (answer.state)
+        json["state"] = static_cast<int>(*answer.state);
+    put(json, "row", answer.row);
+    for (const WorkerTicket& ticket : answer.tickets)
+        json["tickets"].push_back({ ticket.worker, ticket.ticket });
+    return json.dump(-1, ' ', false, Json::error_handler_t::replace);
+}
+
+std::optional<PeerAnswer> decode_peer_answer(const std::string& text)
+{
+    try {
+        const Json json = Json::parse(text);
+        PeerAnswer answer;
+        answer.served = json.value("ok", false);
+        answer.node = json.value("node", std::string());
+        answer.leads = json.value("leads", false);
+        answer.resigned = json.value("resigned", false);
+        answer.epoch = json.value("epoch", int64_t(0));
+        answer.sent_ms = json.value("sent", int64_t(0));
+        answer.config_version = json.value("config", int64_t(0));
+        answer.status = json.value("status", 0);
+        answer.count = json.value("count", int64_t(0));
+        const int state = json.value("state", -1);
+        if (state >= 0 && state <= last_state)
+            answer.state = static_cast<JobState>(state);
+        answer.row = json.value("row", std::string());
+        if (json.contains("tickets")) {
+            for (const Json& ticket : json.at("tickets"))
+                answer.tickets.push_back(
+                    { ticket.at(0).get<std::string>(), ticket.at(1).get<std::string>() });
+        }
+        return answer;
+    } catch (const Json::exception&) {
+        return std::nullopt;
+    }
+}
+
+} // namespace pathport::jobs
--- /dev/null
+++ b/src/jobs.lib/placement.h
@@ -0,0 +1,46 @@
+// Copyright the pathport authors.
+// SPDX-License-Identifier: Apache-2.0
+
+/// \file
+/// The choice of workers for the tasks of one step: a function of what is free, without
+/// input or output.
+
+#pragma once
+
+#include <pathport/jobs/job_model.h>
+
+#include <string>
+#include <vector>
+
+namespace pathport::jobs {
+
+/// What one worker that may run the step has to offer.
+struct WorkerRoom {
+    std::string worker;
+    std::string rack;
+    Resources free;
+    int of_step = 0; ///< Tasks of this step that it holds already.
+    int at_most = max_tasks_per_step; ///< Tasks that may be added for other reasons.
+};
+
+/// A number of tasks for one worker.
+struct Share {
+    std::string worker;
+    int count = 0;
+
+    bool operator==(const Share& other) const
+    {
+        return worker == other.worker && count == other.count;
+    }
+};
+
+/// Returns how many tasks of `step` a worker can take.
+int tasks_that_fit(const StepSpec& step, const WorkerRoom& room);
+
+/// Chooses workers for up to `count` tasks: near the data first, then the tightest fit, so
+/// that large holes stay. For a gang (`whole`) it returns shares for all or nothing, in one
+/// rack where one has room and the step asks for it.
+std::vector<Share> choose_workers(const StepSpec& step, int count, bool whole,
+                                  std::vector<WorkerRoom> rooms);
+
+} // namespace pathport::jobs
--- /dev/null
+++ b/src/jobs.lib/scheduler.cpp
@@ -0,0 +1,133 @@
+// Copyright the pathport authors.
+// SPDX-License-Identifier: Apache-2.0
+
+#include "scheduler.h"
+
+#include <pathport/log.h>
+
+namespace pathport::jobs {
+
+namespace {
+/// Runs of one epoch; an epoch's run ids lie above those of all earlier ones.
+constexpr int64_t runs_per_epoch = int64_t(1) << 20;
+} // namespace
+
+Scheduler::Scheduler(SchedulerParts parts, const Claim& claim, std::function<void()> deposed)
+    : m_parts(std::move(parts))
+    , m_claim(claim)
+    , m_deposed(std::move(deposed))
+    , m_log(m_parts.loop, m_parts.store, *this, claim.head, claim.version, claim.claimed)
+    , m_last_run(claim.head.epoch * runs_per_epoch)
+{
+    constexpr int64_t slow_clock_percent = 102;
+    constexpr Millis margin { 300 };
+    m_unknown_until = claim.known + leader_lease
+        + Millis(m_parts.bounds.max_hold.count() * slow_clock_percent / 100) + margin;
+}
+
+Scheduler::~Scheduler() = default;
+
+bool Scheduler::may_order() const
+{
+    if (m_phase == Phase::over || m_resigned)
+        return false;
+    const Millis now = m_parts.loop.now();
+    return now < m_log.lease_until() || now < m_promised_until;
+}
+
+void Scheduler::depose()
+{
+    if (m_phase == Phase::over)
+        return;
+    m_phase = Phase::over;
+    // The owner destroys this scheduler, which must not happen inside a callback of it.
+    m_parts.loop.after(Millis(0), m_deposed);
+}
+
+void Scheduler::log_lost() { depose(); }
+
+void Scheduler::fenced_off(WorkerSession& session)
+{
+    log_event(LogLevel::warn, "fenced_off",
+              { { "worker", session.id() }, { "epoch", m_claim.head.epoch } });
+    depose();
+}
+
+std::string Scheduler::progress_of(const std::string& job)
+{
+    const JobRecord* record = find_job(job);
+    if (record != nullptr)
+        return record->encode_progress();
+    // The job closed after this write was asked for.
+    const auto closed = m_closed.find(job);
+    return closed == m_closed.end() ? std::string() : encode_final_progress(closed->second);
+}
+
+JobRecord* Scheduler::find_job(const std::string& id)
+{
+    const auto found = m_jobs.find(id);
+    return found == m_jobs.end() ? nullptr : found->second.get();
+}
+
+Scheduler::Worker* Scheduler::find_worker(const std::string& id)
+{
+    const auto found = m_workers.find(id);
+    return found == m_workers.end() ? nullptr : &found->second;
+}
+
+std::optional<JobState> Scheduler::state_of(const std::string& id) const
+{
+    const auto closed = m_closed.find(id);
+    if (closed != m_closed.end())
+        return closed->second;
+    const auto open = m_jobs.find(id);
+    if (open == m_jobs.end())
+        return std::nullopt;
+    return open->second->shown_state();
+}
+
+int64_t Scheduler::pending_in(const std::string& queue) const
+{
+    int64_t count = 0;
+    for (const auto& [id, job] : m_jobs) {
+        if (job->accepted().queue.name == queue && job->state() == JobState::pending)
+            ++count;
+    }
+    return count;
+}
+
+namespace {
+std::string step_key(const TaskId& task)
+{
+    return task.job + "." + std::to_string(task.repeat) + "." + std::to_string(task.step);
+}
+} // namespace
+
+void Scheduler::occupy(Worker& worker, const TaskId& task, const StepSpec& spec)
+{
+    Resources need = spec.need;
+    if (spec.fills)
+        need.cpu_millis = 0;
+    if (worker.occupants.emplace(task.to_string(), need).second)
+        ++worker.step_counts[step_key(task)];
+}
+
+void Scheduler::vacate(Worker& worker, const TaskId& task)
+{
+    if (worker.occupants.erase(task.to_string()) == 0)
+        return;
+    const auto count = worker.step_counts.find(step_key(task));
+    if (count != worker.step_counts.end() && --count->second == 0)
+        worker.step_counts.erase(count);
+    schedule_pass();
+}
+
+void Scheduler::release(Task& task)
+{
+    task.phase = TaskPhase::waiting;
+    task.worker.clear();
+    task.ticket.clear();
+    task.pace = 100;
+}
+
+} // namespace pathport::jobs
--- /dev/null
+++ b/src/jobs.lib/scheduler.h
@@ -0,0 +1,224 @@
+// Copyright the pathport authors.
+// SPDX-License-Identifier: Apache-2.0
+
+/// \file
+/// The leader's work in one epoch: it rebuilds what its predecessors recorded, fences the
+/// workers, and then starts, watches and ends tasks until it is deposed.
+
+#pragma once
+
+#include "advice_pool.h"
+#include "head_log.h"
+#include "job_record.h"
+#include "lifetime.h"
+#include "placement.h"
+#include "worker_session.h"
+
+#include <pathport/event_loop.h>
+#include <pathport/jobs/job_store.h>
+#include <pathport/jobs/worker_client.h>
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace pathport::jobs {
+
+/// What a scheduler works with; all of it outlives the scheduler.
+struct SchedulerParts {
+    EventLoop& loop;
+    JobStore& store;
+    Directory& directory;
+    WorkerClient& workers;
+    AdvicePool& advice;
+    std::function<int64_t()> wall_ms; ///< Time since 1970, for due times only.
+    WorkerBounds bounds;
+};
+
+/// The claim that began an epoch.
+struct Claim {
+    HeadValue head;
+    int64_t version = 0; ///< Of the head row.
+    Millis claimed; ///< When the claim's write began; the lease counts from it.
+    Millis known; ///< When the claim was known to have taken effect.
+};
+
+/// Counts for metrics.
+struct SchedulerCounters {
+    int64_t starts = 0;
+    int64_t starts_refused = 0;
+    int64_t starts_in_doubt = 0;
+    std::map<std::string, int64_t> ends; ///< By kind.
+    int64_t passes = 0;
+};
+
+/// The scheduler of one epoch.
+class Scheduler : public SessionListener, public HeadLogOwner {
+public:
+    /// `deposed` is called once, when another leader has taken over.
+    Scheduler(SchedulerParts parts, const Claim& claim, std::function<void()> deposed);
+    ~Scheduler() override;
+
+    /// Begins: reads what is recorded, then looks at the workers, then orders.
+    void begin();
+    /// Returns whether it has read everything and orders.
+    bool acting() const { return m_phase == Phase::acting; }
+    /// Stops ordering, for a hand-over, or goes on when nobody has taken over.
+    void set_resigned(bool resigned) { m_resigned = resigned; }
+    bool resigned() const { return m_resigned; }
+
+    /// Takes a job that was just accepted; does nothing when it is known.
+    void job_accepted(const AcceptedJob& job);
+    /// Takes a cancellation that is recorded.
+    void job_canceled(const std::string& id);
+    /// Returns the state of a job, or nothing when it isn't known here.
+    std::optional<JobState> state_of(const std::string& id) const;
+    /// Returns how many jobs of a queue have not begun.
+    int64_t pending_in(const std::string& queue) const;
+    /// Extends the time in which orders may be given, on the strength of the other nodes'
+    /// promises not to take over.
+    void set_promised_until(Millis until) { m_promised_until = until; }
+    const HeadLog& log() const { return m_log; }
+    const SchedulerCounters& counters() const { return m_counters; }
+    size_t open_jobs() const { return m_jobs.size(); }
+    size_t known_workers() const { return m_workers.size(); }
+
+    // SessionListener
+    bool may_order() const override;
+    void reported(WorkerSession& session, const LookReport& report, bool first) override;
+    void life_over(WorkerSession& session) override;
+    void lease_lapsed(WorkerSession& session) override;
+    void fenced_off(WorkerSession& session) override;
+    // HeadLogOwner
+    std::string progress_of(const std::string& job) override;
+    void log_lost() override;
+
+private:
+    enum class Phase { loading, settling, acting, over };
+
+    /// Ends of one report that wait to be recorded.
+    struct EndBatch {
+        int64_t last_number = 0;
+        int open = 0; ///< Jobs whose rows are not written yet.
+    };
+    /// A worker and what was given to it.
+    struct Worker {
+        std::unique_ptr<WorkerSession> session;
+        bool listed = true;
+        std::map<std::string, Resources> occupants; ///< What each task there takes.
+        std::map<std::string, int> step_counts; ///< Tasks there, by step.
+        std::deque<std::shared_ptr<EndBatch>> batches;
+        int surprises = 0; ///< Failures and standing tasks since the last success.
+        std::string last_failed_job;
+        Millis avoid_until;
+    };
+    /// A step that has tasks to place.
+    struct Candidate {
+        JobRecord* job = nullptr;
+        Step* step = nullptr;
+    };
+
+    // Loading (scheduler_load.cpp).
+    void read_rows(const std::string& table, const std::string& part, const std::string& from);
+    void rows_read(const std::string& table, const std::string& part, StoreResult result);
+    void read_workers();
+    void workers_read(const DirectoryAnswer<std::vector<WorkerInfo>>& answer);
+    void loaded_part();
+    void build_records();
+    void take_workers(const std::vector<WorkerInfo>& listed);
+    void settle();
+    void poll_jobs();
+    void jobs_polled(const StoreResult& result);
+    void reread_jobs();
+    void reread_part(const std::string& part, const std::string& from);
+    void job_row_seen(const StoredRow& row);
+    void drop_unlisted(const std::string& worker);
+    void release_unknown_doubts();
+
+    // Reports (scheduler_reports.cpp).
+    void adopt(Worker& worker, const RunningTask& running);
+    void note_progress(Worker& worker, const RunningTask& running);
+    void release_missing(Worker& worker);
+    bool apply_end(Worker& worker, const EndedTask& end);
+    void apply_done(JobRecord& job, Step& step, Task& task);
+    void apply_failure(Worker& worker, JobRecord& job, Step& step, Task& task,
+                       const EndedTask& end);
+    void batch_recorded(const std::string& worker, const std::shared_ptr<EndBatch>& batch);
+    void note_surprise(Worker& worker, const std::string& job);
+    void release_all(Worker& worker);
+
+    // Jobs (scheduler_jobs.cpp).
+    void add_job(std::unique_ptr<JobRecord> job);
+    void begin_due_repeats(JobRecord& job);
+    void after_step_change(JobRecord& job, Step& step);
+    void close_if_final(JobRecord& job);
+    void stop_placed(JobRecord& job);
+    void job_recorded(const std::string& id);
+    void record(JobRecord& job, std::function<void()> done = {});
+    JobRecord* find_job(const std::string& id);
+
+    // Placing (scheduler_pass.cpp).
+    void schedule_pass();
+    void pass();
+    std::vector<Candidate> candidates();
+    bool place(Candidate candidate);
+    bool gang_may_be_placed(const Step& step) const;
+    std::vector<WorkerRoom> rooms_for(const JobRecord& job, const Step& step, int needed);
+    WorkerRoom room_on(const Worker& worker, const std::string& step_key) const;
+    bool is_eligible(const Worker& worker, const JobRecord& job, const Step& step) const;
+    void ask_advice(const JobRecord& job, Step& step, int needed);
+    void advice_came(const std::string& job, int repeat, int step,
+                     const std::vector<std::string>& asked, Millis asked_at,
+                     const AdviceReply& reply);
+    void intend(JobRecord& job, Step& step, const std::vector<Share>& shares);
+    void send_intended(const std::string& job, int repeat, int step, int64_t run);
+    void start_task(JobRecord& job, Step& step, int index);
+    void start_ended(const TaskId& id, const std::string& worker, int64_t run,
+                     StartResult result, OrderStatus status);
+
+    // Upkeep (scheduler_tick.cpp).
+    void tick();
+    void check_gang(JobRecord& job, Step& step);
+    void check_standing(JobRecord& job, Step& step);
+    void leave_draining(JobRecord& job, Step& step);
+
+    Worker* find_worker(const std::string& id);
+    void occupy(Worker& worker, const TaskId& task, const StepSpec& spec);
+    void vacate(Worker& worker, const TaskId& task);
+    void release(Task& task);
+    void depose();
+
+    SchedulerParts m_parts;
+    Claim m_claim;
+    std::function<void()> m_deposed;
+    Phase m_phase = Phase::loading;
+    bool m_resigned = false;
+    Millis m_promised_until;
+    HeadLog m_log;
+    SchedulerCounters m_counters;
+    int64_t m_last_run; ///< Run ids rise over all epochs.
+
+    int m_loading = 0; ///< Reads that have not ended.
+    int64_t m_jobs_version = -1; ///< The jobs table is known up to here.
+    std::vector<StoredRow> m_loaded_jobs;
+    std::vector<StoredRow> m_loaded_progress;
+    bool m_polling = false;
+    int m_rereading = 0; ///< Parts that are being read again after history was lost.
+    int64_t m_reread_version = -1;
+    bool m_workers_known = false;
+    bool m_reading_workers = false;
+    Millis m_settle_by;
+    Millis m_unknown_until; ///< What an earlier leader started without us has ended by then.
+
+    std::map<std::string, std::unique_ptr<JobRecord>> m_jobs; ///< Those that are not closed.
+    std::map<std::string, JobState> m_closed; ///< Final states, recorded.
+    std::map<std::string, Worker> m_workers; ///< By id of the life.
+    std::map<std::string, double> m_allowed_share; ///< By queue, of the workers asked about.
+    bool m_pass_due = false;
+    Lifetime m_lifetime;
+};
+
+} // namespace pathport::jobs
--- /dev/null
+++ b/src/jobs.lib/scheduler_jobs.cpp
@@ -0,0 +1,119 @@
+// Copyright the pathport authors.
+// SPDX-License-Identifier: Apache-2.0
+
+/// \file
+/// The life of a job at its scheduler: it arrives, its steps follow each other, it ends.
+
+#include "scheduler.h"
+
+#include <pathport/log.h>
+
+namespace pathport::jobs {
+
+void Scheduler::record(JobRecord& job, std::function<void()> done)
+{
+    m_log.record(job.id(), m_lifetime.wrap([done = std::move(done)] {
+        if (done)
+            done();
+    }));
+}
+
+void Scheduler::add_job(std::unique_ptr<JobRecord> job)
+{
+    JobRecord& added = *job;
+    m_jobs[added.id()] = std::move(job);
+    begin_due_repeats(added);
+    close_if_final(added);
+}
+
+void Scheduler::job_accepted(const AcceptedJob& accepted)
+{
+    if (m_phase == Phase::loading || m_jobs.count(accepted.id) > 0
+        || m_closed.count(accepted.id) > 0)
+        return;
+    log_event(LogLevel::info, "job_known",
+              { { "job", accepted.id }, { "queue", accepted.queue.name } });
+    add_job(std::make_unique<JobRecord>(accepted, m_parts.loop.now()));
+    schedule_pass();
+}
+
+void Scheduler::job_canceled(const std::string& id)
+{
+    JobRecord* job = find_job(id);
+    if (job == nullptr || job->canceled || job->closed())
+        return;
+    job->canceled = true;
+    log_event(LogLevel::info, "job_canceled", { { "job", id } });
+    close_if_final(*job);
+}
+
+void Scheduler::begin_due_repeats(JobRecord& job)
+{
+    for (auto due = job.next_due(); due; due = job.next_due()) {
+        if (job.accepted().spec.timed() && *due > m_parts.wall_ms())
+            return;
+        job.begin_repeat();
+        schedule_pass();
+    }
+}
+
+void Scheduler::after_step_change(JobRecord& job, Step& step)
+{
+    if (step.finished()) {
+        const int number = step.repeat;
+        const auto found = job.repeats().find(number);
+        if (found != job.repeats().end() && found->second.finished())
+            job.finish_repeat(number); // `step` is gone now.
+    }
+    close_if_final(job);
+}
+
+void Scheduler::close_if_final(JobRecord& job)
+{
+    if (!job.closed() || job.recorded_state)
+        return;
+    stop_placed(job);
+    const std::string id = job.id();
+    record(job, [this, id] { job_recorded(id); });
+}
+
+void Scheduler::stop_placed(JobRecord& job)
+{
+    for (auto& [number, repeat] : job.repeats()) {
+        for (Step& step : repeat.steps) {
+            for (size_t i = 0; i < step.tasks.size(); ++i) {
+                Task& task = step.tasks[i];
+                const TaskId id { job.id(), number, step.index, static_cast<int>(i) };
+                Worker* worker = find_worker(task.worker);
+                if (worker == nullptr)
+                    continue;
+                if (task.phase == TaskPhase::running) {
+                    worker->session->stop(id, task.run);
+                    task.phase = TaskPhase::stopping;
+                }
+                if (task.phase == TaskPhase::intended) {
+                    vacate(*worker, id);
+                    release(task);
+                }
+            }
+        }
+    }
+}
+
+// The final state is in the store: nothing but that state needs to be kept. Tasks that
+// still run have been told to stop; their room is counted at their workers.
+void Scheduler::job_recorded(const std::string& id)
+{
+    JobRecord* job = find_job(id);
+    if (job == nullptr || !job->closed())
+        return;
+    log_event(LogLevel::info, "job_closed",
+              { { "job", id },
+                { "queue", job->accepted().queue.name },
+                { "state", to_string(job->state()) },
+                { "after_ms", (m_parts.loop.now() - job->seen()).count() } });
+    m_closed[id] = job->state();
+    m_jobs.erase(id);
+}
+
+} // namespace pathport::jobs
--- /dev/null
+++ b/src/jobs.lib/scheduler_load.cpp
@@ -0,0 +1,340 @@
+// Copyright the pathport authors.
+// SPDX-License-Identifier: Apache-2.0
+
+/// \file
+/// How a scheduler learns what is recorded, which workers there are, and which jobs come.
+
+#include "scheduler.h"
+#include "store_keys.h"
+
+#include <pathport/log.h>
+
+#include <set>
+
+namespace pathport::jobs {
+
+namespace {
+
+constexpr Millis read_timeout { 1500 };
+constexpr Millis read_retry { 80 };
+constexpr int rows_per_read = 500;
+/// How long a new leader waits for the workers' first reports before it orders without the
+/// silent ones.
+constexpr Millis settle_time { 250 };
+constexpr Millis workers_interval { 700 };
+constexpr Millis workers_retry { 150 };
+constexpr Millis jobs_interval { 500 };
+const char* const next_key_suffix = "!";
+
+} // namespace
+
+void Scheduler::begin()
+{
+    log_event(LogLevel::info, "takeover_begun",
+              { { "epoch", m_claim.head.epoch }, { "head_version", m_claim.version } });
+    m_loading = job_parts + 1;
+    for (int part = 0; part < job_parts; ++part)
+        read_rows(jobs_table, "j" + std::to_string(part), "");
+    read_rows(progress_table, scheduler_part, "");
+    read_workers();
+    tick();
+}
+
+void Scheduler::read_rows(const std::string& table, const std::string& part,
+                          const std::string& from)
+{
+    StoreRange range;
+    range.table = table;
+    range.part = part;
+    range.from = from;
+    range.limit = rows_per_read;
+    m_parts.store.read(range, read_timeout,
+                       m_lifetime.wrap([this, table, part, from](StoreResult result) {
+                           if (m_phase != Phase::loading)
+                               return;
+                           if (result.status != StoreStatus::ok) {
+                               m_parts.loop.after(read_retry, m_lifetime.wrap([=] {
+                                   read_rows(table, part, from);
+                               }));
+                               return;
+                           }
+                           rows_read(table, part, std::move(result));
+                       }));
+}
+
+void Scheduler::rows_read(const std::string& table, const std::string& part,
+                          StoreResult result)
+{
+    const bool is_jobs = table == jobs_table;
+    if (is_jobs && (m_jobs_version < 0 || result.version < m_jobs_version))
+        m_jobs_version = result.version;
+    const std::string last = result.rows.empty() ? "" : result.rows.back().id.key;
+    auto& loaded = is_jobs ? m_loaded_jobs : m_loaded_progress;
+    for (StoredRow& row : result.rows)
+        loaded.push_back(std::move(row));
+    if (result.more && !last.empty()) {
+        // The suffix sorts below every character that keys hold.
+        read_rows(table, part, last + next_key_suffix);
+        return;
+    }
+    loaded_part();
+}
+
+void Scheduler::loaded_part()
+{
+    if (--m_loading > 0)
+        return;
+    build_records();
+    m_phase = Phase::settling;
+    m_settle_by = m_parts.loop.now() + settle_time;
+    log_event(LogLevel::info, "takeover_loaded",
+              { { "epoch", m_claim.head.epoch },
+                { "open_jobs", static_cast<int64_t>(m_jobs.size()) },
+                { "closed_jobs", static_cast<int64_t>(m_closed.size()) },
+                { "after_ms", (m_parts.loop.now() - m_claim.claimed).count() } });
+    for (auto& [id, worker] : m_workers)
+        worker.session->begin();
+    m_parts.loop.after(settle_time, m_lifetime.wrap([this] { settle(); }));
+    poll_jobs();
+    settle();
+}
+
+void Scheduler::build_records()
+{
+    std::map<std::string, const std::string*> progress;
+    for (const StoredRow& row : m_loaded_progress)
+        progress[row.id.key] = &row.value;
+    std::set<std::string> canceled;
+    for (const StoredRow& row : m_loaded_jobs) {
+        const std::string job = canceled_job(row.id.key);
+        if (!job.empty())
+            canceled.insert(job);
+    }
+    for (const StoredRow& row : m_loaded_jobs) {
+        const std::string& id = row.id.key;
+        if (!canceled_job(id).empty())
+            continue;
+        const auto found = progress.find(id);
+        const auto final_state = found == progress.end()
+            ? std::nullopt
+            : final_state_of_progress(*found->second);
+        if (final_state) {
+            m_closed[id] = *final_state;
+            continue;
+        }
+        Failure reason;
+        auto accepted = decode_accepted_job(id, row.value, reason);
+        if (!accepted) {
+            log_event(LogLevel::error, "job_row_malformed",
+                      { { "job", id }, { "reason", reason.detail() } });
+            continue;
+        }
+        auto job = std::make_unique<JobRecord>(std::move(*accepted), m_parts.loop.now());
+        if (found != progress.end() && !job->apply_progress(*found->second))
+            log_event(LogLevel::error, "progress_row_malformed", { { "job", id } });
+        job->canceled = canceled.count(id) > 0;
+        add_job(std::move(job));
+    }
+    m_loaded_jobs.clear();
+    m_loaded_jobs.shrink_to_fit();
+    m_loaded_progress.clear();
+    m_loaded_progress.shrink_to_fit();
+}
+
+void Scheduler::read_workers()
+{
+    if (m_phase == Phase::over || m_reading_workers)
+        return;
+    m_reading_workers = true;
+    m_parts.directory.read_workers(
+        read_timeout,
+        m_lifetime.wrap([this](const DirectoryAnswer<std::vector<WorkerInfo>>& answer) {
+            m_reading_workers = false;
+            workers_read(answer);
+        }));
+}
+
+void Scheduler::workers_read(const DirectoryAnswer<std::vector<WorkerInfo>>& answer)
+{
+    if (m_phase == Phase::over)
+        return;
+    const bool good = answer.status == StoreStatus::ok && answer.value;
+    if (good) {
+        take_workers(*answer.value);
+        m_workers_known = true;
+        settle();
+    }
+    m_parts.loop.after(good ? workers_interval : workers_retry,
+                       m_lifetime.wrap([this] { read_workers(); }));
+}
+
+void Scheduler::take_workers(const std::vector<WorkerInfo>& listed)
+{
+    std::set<std::string> present;
+    for (const WorkerInfo& info : listed) {
+        present.insert(info.id);
+        Worker& worker = m_workers[info.id];
+        worker.listed = true;
+        if (worker.session) {
+            if (info.draining && !worker.session->info().draining)
+                log_event(LogLevel::info, "worker_draining",
+                          { { "worker", info.id }, { "remaining_ms", info.remaining_ms } });
+            worker.session->update(info);
+            continue;
+        }
+        worker.session = std::make_unique<WorkerSession>(
+            m_parts.loop, m_parts.workers, *this, info, m_claim.head.epoch, m_parts.bounds,
+            m_unknown_until);
+        if (m_phase != Phase::loading)
+            worker.session->begin();
+    }
+    std::vector<std::string> gone;
+    for (auto& [id, worker] : m_workers) {
+        if (present.count(id) == 0)
+            gone.push_back(id);
+    }
+    for (const std::string& id : gone)
+        drop_unlisted(id);
+    schedule_pass();
+}
+
+// A worker that has gone from the list may still run what it was given: it is forgotten
+// only when nothing is placed there.
+void Scheduler::drop_unlisted(const std::string& id)
+{
+    Worker& worker = m_workers[id];
+    worker.listed = false;
+    if (worker.session->info().draining)
+        worker.session->left();
+    if (worker.occupants.empty())
+        m_workers.erase(id);
+}
+
+void Scheduler::settle()
+{
+    if (m_phase != Phase::settling || !m_workers_known)
+        return;
+    size_t fenced = 0;
+    for (const auto& [id, worker] : m_workers)
+        fenced += worker.session->fenced() ? 1 : 0;
+    if (fenced < m_workers.size() && m_parts.loop.now() < m_settle_by)
+        return;
+    m_phase = Phase::acting;
+    log_event(LogLevel::info, "takeover_done",
+              { { "epoch", m_claim.head.epoch },
+                { "workers", static_cast<int64_t>(m_workers.size()) },
+                { "silent_workers", static_cast<int64_t>(m_workers.size() - fenced) },
+                { "after_ms", (m_parts.loop.now() - m_claim.claimed).count() } });
+    schedule_pass();
+}
+
+void Scheduler::poll_jobs()
+{
+    if (m_phase == Phase::over || m_polling)
+        return;
+    m_polling = true;
+    m_parts.store.watch(jobs_table, m_jobs_version, Millis(0),
+                        m_lifetime.wrap([this](const StoreResult& result) {
+                            m_polling = false;
+                            jobs_polled(result);
+                        }));
+}
+
+void Scheduler::jobs_polled(const StoreResult& result)
+{
+    if (m_phase == Phase::over)
+        return;
+    if (result.status == StoreStatus::ok) {
+        m_jobs_version = std::max(m_jobs_version, result.version);
+        for (const StoredRow& row : result.rows)
+            job_row_seen(row);
+    }
+    if (result.status == StoreStatus::history_lost) {
+        // What was missed is read whole, as a new leader does.
+        log_event(LogLevel::warn, "job_history_lost", { { "version", m_jobs_version } });
+        reread_jobs();
+        return;
+    }
+    m_parts.loop.after(jobs_interval, m_lifetime.wrap([this] { poll_jobs(); }));
+}
+
+void Scheduler::reread_jobs()
+{
+    m_rereading = job_parts;
+    m_reread_version = -1;
+    for (int part = 0; part < job_parts; ++part)
+        reread_part("j" + std::to_string(part), "");
+}
+
+void Scheduler::reread_part(const std::string& part, const std::string& from)
+{
+    StoreRange range;
+    range.table = jobs_table;
+    range.part = part;
+    range.from = from;
+    range.limit = rows_per_read;
+    m_parts.store.read(
+        range, read_timeout, m_lifetime.wrap([this, part, from](const StoreResult& result) {
+            if (m_phase == Phase::over)
+                return;
+            if (result.status != StoreStatus::ok) {
+                m_parts.loop.after(read_retry, m_lifetime.wrap([this, part, from] {
+                    reread_part(part, from);
+                }));
+                return;
+            }
+            if (m_reread_version < 0 || result.version < m_reread_version)
+                m_reread_version = result.version;
+            for (const StoredRow& row : result.rows)
+                job_row_seen(row);
+            if (result.more && !result.rows.empty()) {
+                reread_part(part, result.rows.back().id.key + next_key_suffix);
+                return;
+            }
+            if (--m_rereading > 0)
+                return;
+            m_jobs_version = std::max(m_jobs_version, m_reread_version);
+            poll_jobs();
+        }));
+}
+
+void Scheduler::job_row_seen(const StoredRow& row)
+{
+    if (row.removed)
+        return;
+    const std::string canceled = canceled_job(row.id.key);
+    if (!canceled.empty()) {
+        job_canceled(canceled);
+        return;
+    }
+    if (m_jobs.count(row.id.key) > 0 || m_closed.count(row.id.key) > 0)
+        return;
+    Failure reason;
+    const auto job = decode_accepted_job(row.id.key, row.value, reason);
+    if (job)
+        job_accepted(*job);
+    else
+        log_event(LogLevel::error, "job_row_malformed",
+                  { { "job", row.id.key }, { "reason", reason.detail() } });
+}
+
+// What an earlier leader intended for workers that are not listed has ended by now.
+void Scheduler::release_unknown_doubts()
+{
+    if (m_parts.loop.now() < m_unknown_until)
+        return;
+    for (auto& [id, job] : m_jobs) {
+        for (auto& [number, repeat] : job->repeats()) {
+            for (Step& step : repeat.steps) {
+                for (Task& task : step.tasks) {
+                    if (task.phase == TaskPhase::in_doubt && m_workers.count(task.worker) == 0) {
+                        release(task);
+                        schedule_pass();
+                    }
+                }
+            }
+        }
+    }
+}
+
+} // namespace pathport::jobs
--- /dev/null
+++ b/src/jobs.lib/scheduler_reports.cpp
@@ -0,0 +1,271 @@
+// Copyright the pathport authors.
+// SPDX-License-Identifier: Apache-2.0
+
+/// \file
+/// What a scheduler makes of its workers' reports.
+
+#include "scheduler.h"
+
+#include <pathport/log.h>
+
+#include <algorithm>
+#include <set>
+
+namespace pathport::jobs {
+
+namespace {
+
+/// A worker with so many failures of different jobs in a row is left alone for a while.
+constexpr int most_surprises = 2;
+constexpr Millis avoid_time { 3000 };
+
+} // namespace
+
+void Scheduler::reported(WorkerSession& session, const LookReport& report, bool first)
+{
+    Worker* worker = find_worker(session.id());
+    if (worker == nullptr || m_phase == Phase::over)
+        return;
+    for (const RunningTask& running : report.running) {
+        if (first)
+            adopt(*worker, running);
+        else
+            note_progress(*worker, running);
+    }
+    std::set<std::string> changed;
+    for (const EndedTask& end : report.ended) {
+        if (apply_end(*worker, end))
+            changed.insert(end.task.job);
+    }
+    if (!report.ended.empty()) {
+        auto batch = std::make_shared<EndBatch>();
+        batch->last_number = report.ended.back().number;
+        worker->batches.push_back(batch);
+        for (const std::string& id : changed) {
+            JobRecord* job = find_job(id);
+            if (job == nullptr)
+                continue;
+            ++batch->open;
+            record(*job, [this, id = session.id(), batch] {
+                --batch->open;
+                batch_recorded(id, batch);
+            });
+        }
+        if (batch->open == 0)
+            batch_recorded(session.id(), batch);
+    }
+    if (first) {
+        release_missing(*worker);
+        settle();
+        schedule_pass();
+    }
+}
+
+// A task that runs when the first report comes was started by an earlier leader.
+void Scheduler::adopt(Worker& worker, const RunningTask& running)
+{
+    JobRecord* job = find_job(running.task.job);
+    Task* task = job == nullptr ? nullptr : job->task(running.task);
+    const bool expected = task != nullptr && task->placed()
+        && (task->worker == worker.session->id() || task->worker.empty());
+    const bool untold = task != nullptr && task->phase == TaskPhase::waiting;
+    Step* step = job == nullptr ? nullptr : job->step(running.task.repeat, running.task.step);
+    StepSpec unknown;
+    occupy(worker, running.task, step == nullptr ? unknown : *step->spec);
+    if (task == nullptr || job->closed() || !(expected || untold)) {
+        log_event(LogLevel::info, "stray_run_stopped",
+                  { { "task", running.task.to_string() }, { "worker", worker.session->id() } });
+        worker.session->stop(running.task, running.run);
+        return;
+    }
+    const Millis now = m_parts.loop.now();
+    task->phase = TaskPhase::running;
+    task->worker = worker.session->id();
+    task->run = running.run;
+    task->placed_at = now;
+    task->percent = running.percent;
+    task->percent_at = now;
+    if (!running.checkpoint.empty())
+        task->checkpoint = running.checkpoint;
+    step->gang_run = running.run;
+    job->begun = true;
+}
+
+void Scheduler::note_progress(Worker& worker, const RunningTask& running)
+{
+    JobRecord* job = find_job(running.task.job);
+    Task* task = job == nullptr ? nullptr : job->task(running.task);
+    if (task == nullptr || task->worker != worker.session->id() || task->run != running.run)
+        return;
+    if (!running.checkpoint.empty())
+        task->checkpoint = running.checkpoint;
+    if (task->percent == running.percent)
+        return;
+    task->percent = running.percent;
+    task->percent_at = m_parts.loop.now();
+}
+
+// Tasks that were intended for the worker and are not there: the order did not arrive, and
+// the fence keeps it from arriving.
+void Scheduler::release_missing(Worker& worker)
+{
+    for (auto& [id, job] : m_jobs) {
+        for (auto& [number, repeat] : job->repeats()) {
+            for (Step& step : repeat.steps) {
+                for (Task& task : step.tasks) {
+                    if (task.phase == TaskPhase::in_doubt
+                        && task.worker == worker.session->id())
+                        release(task);
+                }
+            }
+        }
+    }
+}
+
+bool Scheduler::apply_end(Worker& worker, const EndedTask& end)
+{
+    ++m_counters.ends[to_string(end.kind)];
+    vacate(worker, end.task);
+    schedule_pass();
+    JobRecord* job = find_job(end.task.job);
+    Task* task = job == nullptr ? nullptr : job->task(end.task);
+    const bool ours = task != nullptr && task->placed()
+        && task->worker == worker.session->id()
+        && (task->phase == TaskPhase::in_doubt || task->run == end.run);
+    log_event(LogLevel::info, "task_ended",
+              { { "job", end.task.job },
+                { "task", end.task.to_string() },
+                { "run", end.run },
+                { "worker", worker.session->id() },
+                { "how", to_string(end.kind) },
+                { "number", end.number },
+                { "counts", ours ? "yes" : "no" } });
+    if (!ours)
+        return false;
+    Step& step = *job->step(end.task.repeat, end.task.step);
+    if (!end.checkpoint.empty())
+        task->checkpoint = end.checkpoint;
+    if (end.kind == EndKind::done) {
+        worker.surprises = 0;
+        apply_done(*job, step, *task);
+    } else if (end.kind == EndKind::failed) {
+        apply_failure(worker, *job, step, *task, end);
+    } else {
+        release(*task);
+    }
+    after_step_change(*job, step);
+    return true;
+}
+
+void Scheduler::apply_done(JobRecord&, Step& step, Task& task)
+{
+    if (step.spec->lasting) {
+        release(task);
+        return;
+    }
+    if (!step.spec->gang) {
+        release(task);
+        task.phase = TaskPhase::done;
+        ++step.done;
+        return;
+    }
+    // One such end stands for all members of the gang.
+    for (Task& member : step.tasks) {
+        release(member);
+        member.phase = TaskPhase::done;
+    }
+    step.done = static_cast<int>(step.tasks.size());
+}
+
+void Scheduler::apply_failure(Worker& worker, JobRecord& job, Step& step, Task& task,
+                              const EndedTask& end)
+{
+    task.failed_on = worker.session->id();
+    release(task);
+    note_surprise(worker, job.id());
+    if (step.spec->lasting)
+        return;
+    int failures = ++task.failures;
+    if (step.spec->gang) {
+        if (step.gang_failed_run != end.run) {
+            step.gang_failed_run = end.run;
+            ++step.gang_failures;
+        }
+        failures = step.gang_failures;
+    }
+    if (failures >= job.accepted().queue.max_failures)
+        job.gave_up = true;
+}
+
+void Scheduler::note_surprise(Worker& worker, const std::string& job)
+{
+    if (worker.last_failed_job == job && worker.surprises > 0)
+        return;
+    worker.last_failed_job = job;
+    if (++worker.surprises < most_surprises)
+        return;
+    worker.avoid_until = m_parts.loop.now() + avoid_time;
+    log_event(LogLevel::warn, "worker_avoided",
+              { { "worker", worker.session->id() }, { "surprises", worker.surprises } });
+}
+
+void Scheduler::batch_recorded(const std::string& id, const std::shared_ptr<EndBatch>& batch)
+{
+    Worker* worker = find_worker(id);
+    if (worker == nullptr || batch->open > 0)
+        return;
+    int64_t recorded = 0;
+    while (!worker->batches.empty() && worker->batches.front()->open == 0) {
+        recorded = worker->batches.front()->last_number;
+        worker->batches.pop_front();
+    }
+    if (recorded > 0)
+        worker->session->ends_recorded(recorded);
+}
+
+// All that was placed on the worker is placed anew.
+void Scheduler::release_all(Worker& worker)
+{
+    worker.occupants.clear();
+    worker.step_counts.clear();
+    const std::string id = worker.session->id();
+    for (auto& [name, job] : m_jobs) {
+        for (auto& [number, repeat] : job->repeats()) {
+            for (Step& step : repeat.steps) {
+                for (Task& task : step.tasks) {
+                    if (task.placed() && task.worker == id)
+                        release(task);
+                }
+            }
+        }
+    }
+    schedule_pass();
+}
+
+void Scheduler::life_over(WorkerSession& session)
+{
+    Worker* worker = find_worker(session.id());
+    if (worker == nullptr)
+        return;
+    release_all(*worker);
+    // The session is in a call of its own.
+    std::shared_ptr<WorkerSession> ended(std::move(worker->session));
+    m_workers.erase(ended->id());
+    m_parts.loop.after(Millis(0), [ended] {});
+    settle();
+}
+
+void Scheduler::lease_lapsed(WorkerSession& session)
+{
+    Worker* worker = find_worker(session.id());
+    if (worker == nullptr)
+        return;
+    release_all(*worker);
+    if (worker->listed)
+        return;
+    std::shared_ptr<WorkerSession> ended(std::move(worker->session));
+    m_workers.erase(ended->id());
+    m_parts.loop.after(Millis(0), [ended] {});
+}
+
+} // namespace pathport::jobs
--- /dev/null
+++ b/src/jobs.lib/store_keys.h
@@ -0,0 +1,67 @@
+// Copyright the pathport authors.
+// SPDX-License-Identifier: Apache-2.0
+
+/// \file
+/// Where the job path's rows lie in the store.
+///
+/// | table | part | key | holds | written by |
+/// | --- | --- | --- | --- | --- |
+/// | jobs | j0 to j7, by hash of the id | id | the accepted job | any node, if missing |
+/// | jobs | as above | id + ".cancel" | its cancellation | any node, if the job is there |
+/// | progress | s | id | its progress | the leader, under the head row |
+/// | lead | s | head | epoch and number of the leader's last write | the leader; a claimer |
+/// | lead | s | leader | who leads | a claimer |
+/// | nodes | "" | node name | its address for peers | that node |
+
+#pragma once
+
+#include <pathport/ids.h>
+#include <pathport/jobs/job_store.h>
+
+#include <string>
+
+namespace pathport::jobs {
+
+constexpr int job_parts = 8;
+inline const char* const jobs_table = "jobs";
+inline const char* const progress_table = "progress";
+inline const char* const lead_table = "lead";
+inline const char* const nodes_table = "nodes";
+inline const char* const scheduler_part = "s";
+inline const char* const head_key = "head";
+inline const char* const leader_key = "leader";
+inline const std::string cancel_suffix = ".cancel";
+
+/// Returns the part in which the rows of the job `id` lie.
+inline std::string job_part(const std::string& id)
+{
+    return "j" + std::to_string(stable_hash(id) % job_parts);
+}
+
+inline RowKey job_row(const std::string& id) { return { jobs_table, job_part(id), id }; }
+
+inline RowKey cancel_row(const std::string& id)
+{
+    return { jobs_table, job_part(id), id + cancel_suffix };
+}
+
+inline RowKey progress_row(const std::string& id)
+{
+    return { progress_table, scheduler_part, id };
+}
+
+inline RowKey lead_row(const std::string& key)
+{
+    return { lead_table, scheduler_part, key };
+}
+
+/// Returns the id of the job that a cancellation's key names, or "" for another key.
+inline std::string canceled_job(const std::string& key)
+{
+    const size_t length = cancel_suffix.size();
+    if (key.size() <= length || key.compare(key.size() - length, length, cancel_suffix) != 0)
+        return {};
+    return key.substr(0, key.size() - length);
+}
+
+} // namespace pathport::jobs
--- /dev/null
+++ b/src/jobs.lib/worker_session.cpp
@@ -0,0 +1,402 @@
+// Copyright the pathport authors.
+// SPDX-License-Identifier: Apache-2.0
+
+#include "worker_session.h"
+
+#include <pathport/log.h>
+
+#include <algorithm>
+
+namespace pathport::jobs {
+
+namespace {
+
+/// How long a look waits at the worker for an end.
+constexpr Millis look_wait { 1800 };
+/// How long an answer may take beyond what a call waits at the worker.
+constexpr Millis look_timeout { 600 };
+constexpr Millis order_timeout { 400 };
+/// Pause after a look that got no answer; the first pause is shorter.
+constexpr Millis look_retry { 250 };
+constexpr Millis first_look_retry { 60 };
+/// Pause between looks while ends wait to be recorded.
+constexpr Millis unrecorded_pause { 300 };
+constexpr Millis stop_retry { 500 };
+/// Left off the longest lease, since the worker's clock as we count it may run ahead.
+constexpr Millis hold_margin { 150 };
+/// A worker's clock may run slow by two hundredths.
+constexpr int64_t slow_clock_percent = 102;
+/// Beyond the lease's end, for the kill itself and for roundings.
+constexpr Millis lapse_margin { 150 };
+/// Fences of one epoch; each session raises its own within them.
+constexpr int64_t fences_per_epoch = int64_t(1) << 20;
+
+Millis worker_span(int64_t span_ms)
+{
+    return Millis(std::max<int64_t>(0, span_ms) * slow_clock_percent / 100);
+}
+
+} // namespace
+
+const char* to_string(OrderStatus status)
+{
+    switch (status) {
+    case OrderStatus::accepted:
+        return "accepted";
+    case OrderStatus::stale_fence:
+        return "stale_fence";
+    case OrderStatus::old_run:
+        return "old_run";
+    case OrderStatus::too_late:
+        return "too_late";
+    case OrderStatus::no_room:
+        return "no_room";
+    case OrderStatus::bad_ticket:
+        return "bad_ticket";
+    case OrderStatus::declined:
+        return "declined";
+    case OrderStatus::other_life:
+        return "other_life";
+    case OrderStatus::unreachable:
+        return "unreachable";
+    case OrderStatus::unknown:
+        break;
+    }
+    return "unknown";
+}
+
+WorkerSession::WorkerSession(EventLoop& loop, WorkerClient& client,
+                             SessionListener& listener, WorkerInfo info, int64_t epoch,
+                             WorkerBounds bounds, Millis unknown_until)
+    : m_loop(loop)
+    , m_client(client)
+    , m_listener(listener)
+    , m_info(std::move(info))
+    , m_bounds(bounds)
+    , m_fence(epoch * fences_per_epoch + 1)
+    , m_lapse_at(unknown_until)
+{
+}
+
+WorkerSession::~WorkerSession()
+{
+    m_loop.cancel(m_look_timer);
+    for (const auto& [key, stop] : m_stops)
+        m_loop.cancel(stop.timer);
+}
+
+void WorkerSession::begin() { look(false); }
+
+bool WorkerSession::has_open_order(const TaskId& task) const
+{
+    if (m_unanswered.count(task.to_string()) > 0)
+        return true;
+    return std::any_of(m_doubtful.begin(), m_doubtful.end(),
+                       [&](const Doubt& doubt) { return doubt.task == task; });
+}
+
+// The worker's clock is only a lower bound until an answer came, so nothing is leased then.
+int64_t WorkerSession::hold_until() const
+{
+    if (m_clock_at == Millis(0))
+        return 0;
+    const int64_t present = m_clock_ms + (m_loop.now() - m_clock_at).count();
+    return present + (m_bounds.max_hold - hold_margin).count();
+}
+
+void WorkerSession::schedule_look(Millis delay)
+{
+    const Millis at = m_loop.now() + delay;
+    if (m_over || (m_look_timer != 0 && m_look_at <= at))
+        return;
+    m_loop.cancel(m_look_timer);
+    m_look_at = at;
+    m_look_timer = m_loop.after(delay, m_lifetime.wrap([this] {
+        m_look_timer = 0;
+        look(true);
+    }));
+}
+
+void WorkerSession::look(bool may_wait)
+{
+    if (m_over)
+        return;
+    if (!m_listener.may_order()) {
+        schedule_look(look_retry);
+        return;
+    }
+    LookOrder order;
+    order.fence = m_fence;
+    order.seen_through = m_recorded;
+    order.hold_until = hold_until();
+    const bool waits = may_wait && m_fenced && !m_silent && m_doubtful.empty()
+        && m_recorded == m_listed;
+    order.wait = waits ? look_wait : Millis(0);
+    m_longest_until = std::max(m_longest_until, order.hold_until);
+    ++m_looks_open;
+    const Millis asked = m_loop.now();
+    m_look_started = asked;
+    m_client.look(m_info, order, order.wait + look_timeout,
+                  m_lifetime.wrap([this, fence = order.fence, until = order.hold_until,
+                                   asked](OrderStatus status,
+                                          const std::optional<LookReport>& report) {
+                      --m_looks_open;
+                      look_answered(status, report, fence, until, asked);
+                  }));
+}
+
+void WorkerSession::look_answered(OrderStatus status, const std::optional<LookReport>& report,
+                                  int64_t fence, int64_t until, Millis asked)
+{
+    if (m_over)
+        return;
+    if (status == OrderStatus::other_life) {
+        end_life();
+        return;
+    }
+    if (status == OrderStatus::stale_fence && fence == m_fence) {
+        m_listener.fenced_off(*this);
+        return;
+    }
+    if (status != OrderStatus::accepted || !report) {
+        look_failed(status, asked);
+        return;
+    }
+    if (m_silent)
+        log_event(LogLevel::info, "worker_regained", { { "worker", id() } });
+    m_silent = false;
+    m_failed_looks = 0;
+    note_answer(report->clock_ms, until);
+    const auto alive = m_lifetime.observe();
+    report_arrived(*report, fence);
+    if (alive.expired() || m_over)
+        return;
+    // One look is open at a time, but for doubts, which the next look is to resolve.
+    if (m_looks_open > 0 && m_doubtful.empty())
+        return;
+    // Ends that were just listed are recorded soon, and ends_recorded() then looks again.
+    schedule_look(m_recorded < m_listed ? unrecorded_pause : Millis(0));
+}
+
+void WorkerSession::look_failed(OrderStatus status, Millis asked)
+{
+    const Millis now = m_loop.now();
+    ++m_failed_looks;
+    if (!m_silent && m_failed_looks >= 2) {
+        m_silent = true;
+        log_event(LogLevel::warn, "worker_lost",
+                  { { "worker", id() },
+                    { "outcome", to_string(status) },
+                    { "waited_ms", (now - asked).count() },
+                    { "lapses_in_ms", (m_lapse_at - now).count() } });
+    }
+    const auto alive = m_lifetime.observe();
+    check_lapse();
+    if (alive.expired() || m_over)
+        return;
+    if (m_looks_open > 0 && m_doubtful.empty())
+        return;
+    if (status == OrderStatus::unreachable && m_left) {
+        end_life();
+        return;
+    }
+    schedule_look(m_failed_looks == 1 ? first_look_retry : look_retry);
+}
+
+void WorkerSession::note_answer(int64_t clock_ms, int64_t until)
+{
+    const Millis now = m_loop.now();
+    m_clock_ms = clock_ms;
+    m_clock_at = now;
+    m_longest_until = std::max(m_longest_until, until);
+    m_lapse_at = now + worker_span(m_longest_until - clock_ms) + lapse_margin;
+    m_lapse_told = false;
+}
+
+void WorkerSession::check_lapse()
+{
+    const Millis now = m_loop.now();
+    if (m_lapse_told || now <= m_lapse_at)
+        return;
+    m_lapse_told = true;
+    // A late order can't be carried out any more either: its lease has ended.
+    m_doubtful.clear();
+    for (const auto& [key, stop] : m_stops)
+        m_loop.cancel(stop.timer);
+    m_stops.clear();
+    log_event(LogLevel::info, "worker_lease_lapsed", { { "worker", id() } });
+    m_listener.lease_lapsed(*this);
+}
+
+void WorkerSession::report_arrived(const LookReport& report, int64_t fence)
+{
+    const bool first = !m_fenced;
+    m_fenced = true;
+    resolve_doubts(report, fence);
+    LookReport fresh;
+    fresh.clock_ms = report.clock_ms;
+    fresh.running = report.running;
+    for (const EndedTask& end : report.ended) {
+        if (end.number > m_listed)
+            fresh.ended.push_back(end);
+        const auto stop = m_stops.find(end.task.to_string());
+        if (stop != m_stops.end() && stop->second.run <= end.run) {
+            m_loop.cancel(stop->second.timer);
+            m_stops.erase(stop);
+        }
+    }
+    if (!fresh.ended.empty())
+        m_listed = fresh.ended.back().number;
+    m_listener.reported(*this, fresh, first);
+}
+
+// Under a higher fence the worker does nothing for a late order, so what is not there now
+// never will be.
+void WorkerSession::resolve_doubts(const LookReport& report, int64_t fence)
+{
+    std::vector<Doubt> resolved;
+    for (auto doubt = m_doubtful.begin(); doubt != m_doubtful.end();) {
+        if (doubt->fence >= fence) {
+            ++doubt;
+            continue;
+        }
+        resolved.push_back(std::move(*doubt));
+        doubt = m_doubtful.erase(doubt);
+    }
+    for (const Doubt& doubt : resolved) {
+        const auto is_run = [&](const auto& entry) {
+            return entry.task == doubt.task && entry.run == doubt.run;
+        };
+        const bool ran = std::any_of(report.running.begin(), report.running.end(), is_run)
+            || std::any_of(report.ended.begin(), report.ended.end(), is_run);
+        doubt.done(ran ? StartResult::running : StartResult::not_started,
+                   OrderStatus::unknown);
+    }
+}
+
+void WorkerSession::start(const TaskId& task, int64_t run, const std::string& payload,
+                          const std::string& checkpoint, const std::string& ticket,
+                          std::function<void(StartResult, OrderStatus)> done)
+{
+    StartOrder order;
+    order.task = task;
+    order.run = run;
+    order.payload = payload;
+    order.hold_until = hold_until();
+    order.fence = m_fence;
+    order.checkpoint = checkpoint;
+    order.ticket = ticket;
+    m_longest_until = std::max(m_longest_until, order.hold_until);
+    m_lapse_at = std::max(
+        m_lapse_at, m_clock_at + worker_span(m_longest_until - m_clock_ms) + lapse_margin);
+    ++m_unanswered[task.to_string()];
+    Doubt open { task, run, m_fence, std::move(done) };
+    m_client.start(m_info, order, order_timeout,
+                   m_lifetime.wrap([this, open = std::move(open)](const OrderAnswer& answer) {
+                       start_answered(answer, open);
+                   }));
+}
+
+void WorkerSession::start_answered(const OrderAnswer& answer, Doubt order)
+{
+    const auto unanswered = m_unanswered.find(order.task.to_string());
+    if (unanswered != m_unanswered.end() && --unanswered->second == 0)
+        m_unanswered.erase(unanswered);
+    if (m_over)
+        return;
+    switch (answer.status) {
+    case OrderStatus::accepted:
+        order.done(StartResult::running, answer.status);
+        return;
+    case OrderStatus::unknown: {
+        m_doubtful.push_back(std::move(order));
+        raise_fence();
+        return;
+    }
+    case OrderStatus::other_life:
+        end_life();
+        return;
+    case OrderStatus::stale_fence:
+        if (order.fence == m_fence) {
+            m_listener.fenced_off(*this);
+            return;
+        }
+        break;
+    case OrderStatus::unreachable:
+        schedule_look(Millis(0));
+        break;
+    default:
+        break;
+    }
+    order.done(StartResult::not_started, answer.status);
+}
+
+void WorkerSession::raise_fence()
+{
+    // Orders under way with the present fence may be refused for it; they are placed anew.
+    const bool raised = std::any_of(m_doubtful.begin(), m_doubtful.end(),
+                                    [&](const Doubt& doubt) { return doubt.fence == m_fence; });
+    if (raised)
+        ++m_fence;
+    look(false);
+}
+
+void WorkerSession::stop(const TaskId& task, int64_t run)
+{
+    const std::string key = task.to_string();
+    if (m_over || m_stops.count(key) > 0)
+        return;
+    m_stops[key] = StopRequest { task, run, 0 };
+    send_stop(key);
+}
+
+void WorkerSession::send_stop(const std::string& key)
+{
+    const auto entry = m_stops.find(key);
+    if (m_over || entry == m_stops.end())
+        return;
+    StopRequest& request = entry->second;
+    request.timer = m_loop.after(stop_retry, m_lifetime.wrap([this, key] { send_stop(key); }));
+    if (!m_listener.may_order() || m_silent)
+        return;
+    RunOrder order;
+    order.task = request.task;
+    order.run = request.run;
+    order.fence = m_fence;
+    m_client.stop(m_info, order, order_timeout,
+                  m_lifetime.wrap([this](const OrderAnswer& answer) {
+                      if (answer.status == OrderStatus::other_life)
+                          end_life();
+                  }));
+}
+
+void WorkerSession::pace(const TaskId& task, int64_t run, int percent)
+{
+    RunOrder order;
+    order.task = task;
+    order.run = run;
+    order.fence = m_fence;
+    order.percent = percent;
+    m_client.pace(m_info, order, order_timeout, [](const OrderAnswer&) {});
+}
+
+void WorkerSession::ends_recorded(int64_t number)
+{
+    if (number <= m_recorded)
+        return;
+    m_recorded = number;
+    if (m_recorded == m_listed)
+        schedule_look(Millis(0));
+}
+
+void WorkerSession::end_life()
+{
+    if (m_over)
+        return;
+    m_over = true;
+    m_loop.cancel(m_look_timer);
+    log_event(LogLevel::info, "worker_life_over", { { "worker", id() } });
+    m_listener.life_over(*this);
+}
+
+} // namespace pathport::jobs
--- /dev/null
+++ b/src/jobs.lib/worker_session.h
@@ -0,0 +1,153 @@
+// Copyright the pathport authors.
+// SPDX-License-Identifier: Apache-2.0
+
+/// \file
+/// A leader's dealings with one life of a worker: the looks that renew its lease and bring
+/// its ends, the orders, and the fence that voids orders without an answer.
+
+#pragma once
+
+#include "lifetime.h"
+
+#include <pathport/event_loop.h>
+#include <pathport/jobs/worker_client.h>
+
+#include <functional>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace pathport::jobs {
+
+class WorkerSession;
+
+/// Spans that the platform sets.
+struct WorkerBounds {
+    Millis max_hold { 6000 }; ///< The longest lease that a worker grants.
+    Millis kill_grace { 400 }; ///< How long a stop takes at most.
+};
+
+/// What became of a start.
+enum class StartResult {
+    running, ///< The run is there.
+    not_started, ///< It is not there and never will be.
+};
+
+/// Hears what a session learns.
+class SessionListener {
+public:
+    virtual ~SessionListener() = default;
+
+    /// Returns whether orders may be given now.
+    virtual bool may_order() const = 0;
+    /// A look brought a report. `first` is set for the first one under this leader's fence.
+    virtual void reported(WorkerSession& session, const LookReport& report, bool first) = 0;
+    /// The life is over: nothing runs there, and its unlisted ends are lost.
+    virtual void life_over(WorkerSession& session) = 0;
+    /// The lease of all that ran there has surely run out.
+    virtual void lease_lapsed(WorkerSession& session) = 0;
+    /// A worker refused a fence that this leader did not raise: there is a later leader.
+    virtual void fenced_off(WorkerSession& session) = 0;
+};
+
+/// The session.
+class WorkerSession {
+public:
+    /// Makes a session under fences of `epoch`. Before the first report, something of an
+    /// earlier leader may run there until `unknown_until`.
+    WorkerSession(EventLoop& loop, WorkerClient& client, SessionListener& listener,
+                  WorkerInfo info, int64_t epoch, WorkerBounds bounds, Millis unknown_until);
+    ~WorkerSession();
+
+    const std::string& id() const { return m_info.id; }
+    const WorkerInfo& info() const { return m_info; }
+    /// Takes over what the platform's list says at present.
+    void update(const WorkerInfo& info) { m_info = info; }
+
+    /// Notes that the worker announced its end and has gone from the list: when nothing
+    /// answers at its address any more, its life is over.
+    void left() { m_left = true; }
+
+    /// Begins to look.
+    void begin();
+
+    /// Returns whether the worker has accepted this leader's fence.
+    bool fenced() const { return m_fenced; }
+    /// Returns whether it answers and no order to it is in doubt.
+    bool usable() const { return m_fenced && !m_silent && m_doubtful.empty(); }
+    bool silent() const { return m_silent; }
+    /// Returns whether an order for the task is unanswered or in doubt.
+    bool has_open_order(const TaskId& task) const;
+
+    /// Orders a start; `done` is called exactly once unless the life ends before.
+    void start(const TaskId& task, int64_t run, const std::string& payload,
+               const std::string& checkpoint, const std::string& ticket,
+               std::function<void(StartResult, OrderStatus)> done);
+    /// Orders a stop, again and again until the run is gone.
+    void stop(const TaskId& task, int64_t run);
+    /// Orders a share of speed, once.
+    void pace(const TaskId& task, int64_t run, int percent);
+
+    /// Notes that the ends up to `number` are recorded, so that the worker may forget them.
+    void ends_recorded(int64_t number);
+
+private:
+    struct Doubt {
+        TaskId task;
+        int64_t run = 0;
+        int64_t fence = 0; ///< Under which the order was sent.
+        std::function<void(StartResult, OrderStatus)> done;
+    };
+    struct StopRequest {
+        TaskId task;
+        int64_t run = 0;
+        EventLoop::TimerId timer = 0;
+    };
+
+    int64_t fence() const { return m_fence; }
+    int64_t hold_until() const;
+    void schedule_look(Millis delay);
+    void look(bool may_wait);
+    void look_answered(OrderStatus status, const std::optional<LookReport>& report,
+                       int64_t fence, int64_t until, Millis asked);
+    void look_failed(OrderStatus status, Millis asked);
+    void note_answer(int64_t clock_ms, int64_t until);
+    void report_arrived(const LookReport& report, int64_t fence);
+    void resolve_doubts(const LookReport& report, int64_t fence);
+    void start_answered(const OrderAnswer& answer, Doubt order);
+    void raise_fence();
+    void send_stop(const std::string& key);
+    void end_life();
+    void check_lapse();
+
+    EventLoop& m_loop;
+    WorkerClient& m_client;
+    SessionListener& m_listener;
+    WorkerInfo m_info;
+    WorkerBounds m_bounds;
+    int64_t m_fence;
+    bool m_fenced = false;
+    bool m_silent = false;
+    bool m_over = false;
+    bool m_left = false;
+    bool m_lapse_told = false;
+    int64_t m_clock_ms = 0; ///< The worker's clock as last heard.
+    Millis m_clock_at; ///< When it was heard; zero when it never was.
+    int64_t m_longest_until = 0; ///< The latest lease end that was ever sent.
+    Millis m_lapse_at; ///< After it nothing that was leased before runs any more.
+    int64_t m_listed = 0; ///< The highest end that was reported.
+    int64_t m_recorded = 0; ///< The highest end that is recorded.
+    int m_looks_open = 0;
+    int m_failed_looks = 0;
+    Millis m_look_started;
+    EventLoop::TimerId m_look_timer = 0;
+    Millis m_look_at;
+    std::vector<Doubt> m_doubtful; ///< Starts without an answer.
+    std::map<std::string, int> m_unanswered; ///< Starts under way, by task.
+    std::map<std::string, StopRequest> m_stops;
+    Lifetime m_lifetime;
+};
+
+} // namespace pathport::jobs
--- /dev/null
+++ b/src/pathport_jobd/http_peers.cpp
@@ -0,0 +1,57 @@
+// Copyright the pathport authors.
+// SPDX-License-Identifier: Apache-2.0
+
+#include "http_peers.h"
+
+namespace pathport {
+
+namespace {
+const char* const peer_target = "/peer";
+} // namespace
+
+HttpPeers::HttpPeers(AsyncHttpClient& http)
+    : m_http(http)
+{
+}
+
+void HttpPeers::send(const std::string& address, const jobs::PeerRequest& request,
+                     Millis timeout, jobs::PeerReply done)
+{
+    ClientCall call;
+    const auto server = parse_address(address);
+    if (server)
+        call.server = *server;
+    call.target = peer_target;
+    call.body = encode(request);
+    call.timeout = timeout;
+    m_http.send(std::move(call), [done = std::move(done)](const CallOutcome& outcome) {
+        if (outcome.end == CallEnd::refused) {
+            done(jobs::PeerEnd::refused, {});
+            return;
+        }
+        const auto answer = outcome.end == CallEnd::answered && outcome.status == 200
+            ? jobs::decode_peer_answer(outcome.body)
+            : std::nullopt;
+        done(answer ? jobs::PeerEnd::answered : jobs::PeerEnd::silent,
+             answer.value_or(jobs::PeerAnswer()));
+    });
+}
+
+void handle_peer_request(jobs::JobNode& node, const ServerRequest& request,
+                         const ServerReply& reply)
+{
+    const auto message = jobs::decode_peer_request(request.body);
+    if (request.target != peer_target || !message) {
+        ServerAnswer answer;
+        answer.status = 400;
+        reply(std::move(answer));
+        return;
+    }
+    node.handle_peer(*message, [reply](const jobs::PeerAnswer& answer) {
+        ServerAnswer out;
+        out.body = encode(answer);
+        reply(std::move(out));
+    });
+}
+
+} // namespace pathport
--- /dev/null
+++ b/src/pathport_jobd/http_peers.h
@@ -0,0 +1,31 @@
+// Copyright the pathport authors.
+// SPDX-License-Identifier: Apache-2.0
+
+/// \file
+/// Messages between nodes as HTTP requests.
+
+#pragma once
+
+#include <pathport/async_http.h>
+#include <pathport/jobs/job_node.h>
+#include <pathport/jobs/peers.h>
+
+namespace pathport {
+
+/// Sends messages to peers.
+class HttpPeers : public jobs::PeerClient {
+public:
+    explicit HttpPeers(AsyncHttpClient& http);
+
+    void send(const std::string& address, const jobs::PeerRequest& request, Millis timeout,
+              jobs::PeerReply done) override;
+
+private:
+    AsyncHttpClient& m_http;
+};
+
+/// Answers a peer's request with what `node` says.
+void handle_peer_request(jobs::JobNode& node, const ServerRequest& request,
+                         const ServerReply& reply);
+
+} // namespace pathport
--- /dev/null
+++ b/src/pathport_jobd/jobd_settings.cpp
@@ -0,0 +1,83 @@
+// Copyright the pathport authors.
+// SPDX-License-Identifier: Apache-2.0
+
+#include "jobd_settings.h"
+
+namespace pathport {
+
+namespace {
+
+SettingSpec text(const char* section, const char* key)
+{
+    SettingSpec spec;
+    spec.section = section;
+    spec.key = key;
+    spec.type = SettingType::text;
+    return spec;
+}
+
+SettingSpec address(const char* section, const char* key)
+{
+    SettingSpec spec = text(section, key);
+    spec.type = SettingType::address;
+    return spec;
+}
+
+SettingSpec span(const char* section, const char* key, int64_t least, int64_t most,
+                 const char* otherwise)
+{
+    SettingSpec spec = text(section, key);
+    spec.type = SettingType::integer;
+    spec.minimum = least;
+    spec.maximum = most;
+    spec.default_value = otherwise;
+    return spec;
+}
+
+std::vector<SettingSpec> specs()
+{
+    SettingSpec level = text("node", "log_level");
+    level.type = SettingType::choice;
+    level.choices = { "debug", "info", "warn", "error" };
+    level.default_value = "info";
+    return { text("node", "name"),
+             level,
+             span("node", "stop_grace_ms", 500, 600000, "5000"),
+             address("listen", "clients"),
+             address("listen", "readiness"),
+             address("listen", "peers"),
+             address("listen", "metrics"),
+             address("services", "store"),
+             address("services", "advice"),
+             span("workers", "max_hold_ms", 1000, 3600000, "6000"),
+             span("workers", "kill_grace_ms", 1, 600000, "400") };
+}
+
+Address address_of(const Settings& settings, const char* section, const char* key)
+{
+    return *parse_address(settings.text(section, key));
+}
+
+} // namespace
+
+std::optional<JobdSettings> JobdSettings::load(const std::string& path, Failure& reason)
+{
+    const auto file = Settings::load(path, specs(), reason);
+    if (!file)
+        return std::nullopt;
+    JobdSettings settings;
+    settings.node = file->text("node", "name");
+    settings.log_level = file->text("node", "log_level");
+    settings.stop_grace = file->millis("node", "stop_grace_ms");
+    settings.clients = address_of(*file, "listen", "clients");
+    settings.readiness = address_of(*file, "listen", "readiness");
+    settings.peers = address_of(*file, "listen", "peers");
+    settings.metrics = address_of(*file, "listen", "metrics");
+    settings.store = address_of(*file, "services", "store");
+    settings.advice = address_of(*file, "services", "advice");
+    settings.max_hold = file->millis("workers", "max_hold_ms");
+    settings.kill_grace = file->millis("workers", "kill_grace_ms");
+    return settings;
+}
+
+} // namespace pathport
--- /dev/null
+++ b/src/pathport_jobd/main.cpp
@@ -0,0 +1,219 @@
+// Copyright the pathport authors.
+// SPDX-License-Identifier: Apache-2.0
+
+/// \file
+/// pathport_jobd: one node of the job path. It accepts jobs, answers for them, and
+/// schedules when it is elected.
+
+#include "http_peers.h"
+#include "jobd_settings.h"
+
+#include <platform/client_calls.h>
+#include <platform/store_client.h>
+#include <platform/worker_orders.h>
+
+#include <pathport/ids.h>
+#include <pathport/jobs/job_node.h>
+#include <pathport/log.h>
+#include <pathport/process.h>
+
+#include <tclap/CmdLine.h>
+
+#include <csignal>
+#include <cstdlib>
+#include <iostream>
+
+namespace {
+
+using namespace pathport;
+
+constexpr int exit_bad_settings = 2;
+constexpr int exit_no_start = 3;
+constexpr size_t max_peer_body = size_t(4) * 1024 * 1024;
+constexpr Millis limits_interval { 500 };
+constexpr Millis drain_check { 50 };
+/// Clients' open connections are closed so long before the end of the grace.
+constexpr Millis closing_time { 1500 };
+
+/// The program: everything that lives as long as the process.
+class Program {
+public:
+    explicit Program(const JobdSettings& settings)
+        : m_settings(settings)
+        , m_http(m_loop)
+        , m_store(m_http, settings.store)
+        , m_workers(m_http)
+        , m_advice(m_http, settings.advice)
+        , m_peers(m_http)
+        , m_node({ m_loop, m_store, m_store, m_workers, m_advice, m_peers,
+                   [] { return wall_time().count(); } },
+                 setup(settings))
+        , m_calls(m_node)
+        , m_clients(m_loop, settings.clients,
+                    [this](ServerRequest request, ServerReply reply) {
+                        m_calls.handle(request, std::move(reply));
+                    },
+                    {})
+        , m_readiness(m_loop, settings.readiness,
+                      [this](const ServerRequest& request, const ServerReply& reply) {
+                          m_calls.handle_readiness(request, reply);
+                      },
+                      {})
+        , m_peer_server(m_loop, settings.peers,
+                        [this](const ServerRequest& request, const ServerReply& reply) {
+                            handle_peer_request(m_node, request, reply);
+                        },
+                        peer_limits())
+        , m_metrics(m_loop, settings.metrics,
+                    [this](const ServerRequest&, const ServerReply& reply) {
+                        reply(metrics_answer());
+                    },
+                    {})
+    {
+    }
+
+    int run()
+    {
+        m_loop.on_signals([this](int number) { on_signal(number); });
+        if (!m_peer_server.start() || !m_clients.start() || !m_readiness.start()) {
+            std::cerr << "pathport_jobd: an address can't be used" << std::endl;
+            return exit_no_start;
+        }
+        if (!m_metrics.start())
+            log_event(LogLevel::warn, "metrics_not_served",
+                      { { "address", m_settings.metrics.to_string() } });
+        log_event(LogLevel::info, "started", { { "clients", m_settings.clients.to_string() } });
+        m_node.begin();
+        follow_limits();
+        m_loop.run();
+        const ProcessUsage usage = process_usage();
+        log_event(LogLevel::info, "stopped",
+                  { { "cpu_ms", usage.cpu.count() }, { "resident_kb", usage.resident_kb } });
+        return EXIT_SUCCESS;
+    }
+
+private:
+    static jobs::NodeSetup setup(const JobdSettings& settings)
+    {
+        jobs::NodeSetup setup;
+        setup.node = settings.node;
+        setup.peer_address = settings.peers.to_string();
+        setup.incarnation = random_token();
+        setup.max_hold = settings.max_hold;
+        setup.kill_grace = settings.kill_grace;
+        return setup;
+    }
+
+    static ServerLimits peer_limits()
+    {
+        ServerLimits limits;
+        limits.max_body_bytes = max_peer_body;
+        return limits;
+    }
+
+    ServerAnswer metrics_answer() const
+    {
+        ServerAnswer answer;
+        answer.content_type = "text/plain; version=0.0.4";
+        const ProcessUsage usage = process_usage();
+        answer.body = "pathport_jobd_cpu_seconds " + std::to_string(double(usage.cpu.count()) / 1000)
+            + "\npathport_jobd_resident_bytes " + std::to_string(usage.resident_kb * 1024) + "\n";
+        for (const auto& [name, value] : m_node.figures())
+            answer.body += name + " " + std::to_string(value) + "\n";
+        return answer;
+    }
+
+    // The configuration sets the limits of clients' requests.
+    void follow_limits()
+    {
+        const auto configuration = m_node.configuration();
+        if (configuration) {
+            ServerLimits limits;
+            limits.max_header_bytes = static_cast<size_t>(configuration->max_header_bytes);
+            limits.max_body_bytes = static_cast<size_t>(configuration->max_body_bytes);
+            m_clients.set_limits(limits);
+        }
+        m_loop.after(limits_interval, [this] { follow_limits(); });
+    }
+
+    void on_signal(int number)
+    {
+        if (number == SIGHUP) {
+            log_event(LogLevel::info, "reload_asked", {});
+            return;
+        }
+        if (m_stopping)
+            return;
+        m_stopping = true;
+        log_event(LogLevel::info, "stopping", {});
+        m_node.leave();
+        // The balancer sees the node leave; requests on open connections are served on.
+        m_clients.close_after_answers();
+        m_loop.after(m_settings.stop_grace - closing_time, [this] {
+            m_clients.drain();
+            stop_when_idle();
+        });
+        m_loop.after(m_settings.stop_grace, [this] { m_loop.stop(); });
+    }
+
+    void stop_when_idle()
+    {
+        if (m_clients.requests_under_way() == 0) {
+            m_loop.stop();
+            return;
+        }
+        m_loop.after(drain_check, [this] { stop_when_idle(); });
+    }
+
+    JobdSettings m_settings;
+    IoLoop m_loop;
+    AsyncHttpClient m_http;
+    platform::StoreClient m_store;
+    platform::WorkerOrders m_workers;
+    platform::AdviceClient m_advice;
+    HttpPeers m_peers;
+    jobs::JobNode m_node;
+    platform::ClientCalls m_calls;
+    AsyncHttpServer m_clients;
+    AsyncHttpServer m_readiness;
+    AsyncHttpServer m_peer_server;
+    AsyncHttpServer m_metrics;
+    bool m_stopping = false;
+};
+
+std::string default_settings_path()
+{
+    const char* const path = std::getenv("PATHPORT_NODE_FILE");
+    return path == nullptr ? "" : path;
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    try {
+        TCLAP::CmdLine cmd("One node of the job path.", ' ', "0.2.0");
+        TCLAP::ValueArg<std::string> path("s", "settings",
+                                          "Settings file (INI); else PATHPORT_NODE_FILE",
+                                          false, default_settings_path(), "path", cmd);
+        TCLAP::SwitchArg check("c", "check", "Check the settings and exit", cmd);
+        cmd.parse(argc, argv);
+        Failure reason;
+        const auto settings = JobdSettings::load(path.getValue(), reason);
+        if (!settings) {
+            std::cerr << "pathport_jobd: " << reason.detail() << std::endl;
+            return exit_bad_settings;
+        }
+        if (check.getValue()) {
+            std::cout << "the settings are valid" << std::endl;
+            return EXIT_SUCCESS;
+        }
+        start_log(settings->node, log_level_from(settings->log_level));
+        Program program(*settings);
+        const int result = program.run();
+        std::_Exit(result);
+    } catch (const TCLAP::ArgException& error) {
+        std::cerr << "pathport_jobd: " << error.error() << " " << error.argId() << std::endl;
+        return exit_bad_settings;
+    }
+}
