--- a/src/jobs.lib/scheduler_pass.cpp
+++ b/src/jobs.lib/scheduler_pass.cpp
@@ -248,12 +248,12 @@
     question.rule = *job.accepted().queue.advice;
     question.priority = job.accepted().queue.priority;
     advice.asking = true;
-    m_parts.advice.ask(std::move(question),
-                       m_lifetime.wrap([this, id = job.id(), repeat = step.repeat,
-                                        index = step.index, asked = question.workers,
-                                        now](const AdviceReply& reply) {
-                           advice_came(id, repeat, index, asked, now, reply);
-                       }));
+    auto came = m_lifetime.wrap([this, id = job.id(), repeat = step.repeat,
+                                 index = step.index, asked = question.workers,
+                                 now](const AdviceReply& reply) {
+        advice_came(id, repeat, index, asked, now, reply);
+    });
+    m_parts.advice.ask(std::move(question), std::move(came));
 }
 
 void Scheduler::advice_came(const std::string& id, int repeat, int index,
--- a/src/loop.lib/async_http_client.cpp
+++ b/src/loop.lib/async_http_client.cpp
@@ -22,10 +22,10 @@
 using tcp = boost::asio::ip::tcp;
 
 /// Kept connections to one server, at most.
-constexpr size_t max_kept_connections = 6;
+constexpr size_t max_kept_connections = 24;
 /// A connection that nothing has used for so long is closed rather than reused, since the
 /// server may be about to close it.
-constexpr Millis max_idle { 8000 };
+constexpr Millis max_idle { 12000 };
 /// The largest answer that is read.
 constexpr size_t max_answer_bytes = size_t(8) * 1024 * 1024;
 
