Slow store: late answers are resolved by a read; orders may precede their record

Cause: with the store 60 times slower each write timed out at 250 ms and went out again, and each start waited for its record. Change: StoreWriter reads the row it put when an answer is overdue; the head row says when orders precede their record, and a successor then waits for silent workers; a resigning leader orders until it is replaced.

--- a/src/jobs.lib/acceptor.cpp
+++ b/src/jobs.lib/acceptor.cpp
@@ -11,8 +11,7 @@
 
 namespace {
 
-constexpr Millis least_timeout { 250 };
-constexpr Millis most_timeout { 1500 };
+constexpr Millis read_timeout { 600 };
 /// Pause after a write that the store refused.
 constexpr Millis refused_pause { 50 };
 /// Each row takes a check and a put.
@@ -20,11 +19,6 @@
 
 } // namespace
 
-Acceptor::Part::Part()
-    : timeout(least_timeout, most_timeout)
-{
-}
-
 Acceptor::Acceptor(EventLoop& loop, JobStore& store)
     : m_loop(loop)
     , m_store(store)
@@ -69,7 +63,7 @@
     range.from = id;
     range.to = id + "!";
     range.limit = 1;
-    m_store.read(range, least_timeout + least_timeout,
+    m_store.read(range, read_timeout,
                  m_lifetime.wrap([this, id, give_up, done](const StoreResult& result) {
                      if (result.status == StoreStatus::ok) {
                          done(result.rows.empty() ? WriteOutcome::missing
@@ -120,27 +114,23 @@
     if (part.under_way.empty())
         return;
     part.busy = true;
-    m_store.write(write, part.timeout.value(),
-                  m_lifetime.wrap([this, name, asked = m_loop.now()](const StoreResult& result) {
-                      answered(name, result, asked);
-                  }));
+    if (!part.writer)
+        part.writer = std::make_unique<StoreWriter>(m_loop, m_store);
+    part.writer->send(write,
+                      [this, name](const StoreResult& result) { answered(name, result); });
 }
 
-void Acceptor::answered(const std::string& name, const StoreResult& result, Millis asked)
+void Acceptor::answered(const std::string& name, const StoreResult& result)
 {
     Part& part = m_parts[name];
     part.busy = false;
     std::vector<EntryPtr> sent;
     sent.swap(part.under_way);
     Millis pause(0);
-    if (result.status == StoreStatus::ok || result.status == StoreStatus::conflict)
-        part.timeout.answered(m_loop.now() - asked);
     if (result.status == StoreStatus::ok) {
         for (const EntryPtr& entry : sent)
             finish(entry, WriteOutcome::written);
     } else {
-        if (result.status == StoreStatus::unknown)
-            part.timeout.unanswered();
         if (result.status == StoreStatus::refused)
             pause = refused_pause;
         for (auto entry = sent.rbegin(); entry != sent.rend(); ++entry) {
--- a/src/jobs.lib/acceptor.h
+++ b/src/jobs.lib/acceptor.h
@@ -7,8 +7,8 @@
 
 #pragma once
 
-#include "call_timeout.h"
 #include "lifetime.h"
+#include "store_writer.h"
 
 #include <pathport/event_loop.h>
 #include <pathport/jobs/job_store.h>
@@ -57,13 +57,12 @@
         std::deque<EntryPtr> waiting;
         std::vector<EntryPtr> under_way;
         bool busy = false;
-        CallTimeout timeout;
-        Part();
+        std::unique_ptr<StoreWriter> writer;
     };
 
     void add(const std::string& part, EntryPtr entry);
     void flush(const std::string& part);
-    void answered(const std::string& part, const StoreResult& result, Millis asked);
+    void answered(const std::string& part, const StoreResult& result);
     void finish(const EntryPtr& entry, WriteOutcome outcome);
     void give_up_late(Part& part);
     void look_up(const std::string& id, Millis give_up, WriteReply done);
--- a/src/jobs.lib/head_log.cpp
+++ b/src/jobs.lib/head_log.cpp
@@ -19,8 +19,6 @@
 constexpr Millis renewal_interval { 400 };
 /// Pause before a write is sent again that was refused.
 constexpr Millis refused_pause { 60 };
-constexpr Millis least_timeout { 250 };
-constexpr Millis most_timeout { 1500 };
 /// Rows in one transaction beside the head row and its check.
 constexpr size_t most_rows = max_transaction_entries - 2;
 
@@ -28,7 +26,8 @@
 
 std::string encode(const HeadValue& head)
 {
-    return nlohmann::json::array({ head.epoch, head.number, head.incarnation }).dump();
+    return nlohmann::json::array({ head.epoch, head.number, head.incarnation, head.unrecorded })
+        .dump();
 }
 
 std::optional<HeadValue> decode_head(const std::string& text)
@@ -36,7 +35,7 @@
     try {
         const auto json = nlohmann::json::parse(text);
         return HeadValue { json.at(0).get<int64_t>(), json.at(1).get<int64_t>(),
-                           json.at(2).get<std::string>() };
+                           json.at(2).get<std::string>(), json.at(3).get<bool>() };
     } catch (const nlohmann::json::exception&) {
         return std::nullopt;
     }
@@ -45,13 +44,12 @@
 HeadLog::HeadLog(EventLoop& loop, JobStore& store, HeadLogOwner& owner, HeadValue head,
                  int64_t version, Millis claimed)
     : m_loop(loop)
-    , m_store(store)
     , m_owner(owner)
     , m_head(std::move(head))
     , m_version(version)
     , m_lease_until(claimed + leader_lease)
     , m_last_start(claimed)
-    , m_timeout(least_timeout, most_timeout)
+    , m_writer(loop, store)
 {
     schedule(renewal_interval);
 }
@@ -100,6 +98,9 @@
 {
     m_write = {};
     ++m_head.number;
+    // Once the store is quick again and this write holds all that waits, what comes later
+    // is recorded first.
+    m_head.unrecorded = m_writer.slow() || m_queue.size() > most_rows;
     m_write.checks.push_back({ lead_row(head_key), m_version });
     m_write.puts.push_back({ lead_row(head_key), encode(m_head) });
     size_t bytes = 0;
@@ -122,11 +123,10 @@
     m_sending = true;
     const Millis asked = m_loop.now();
     m_last_start = asked;
-    m_store.write(m_write, m_timeout.value(),
-                  m_lifetime.wrap([this, asked](const StoreResult& result) {
-                      m_sending = false;
-                      answered(result, asked);
-                  }));
+    m_writer.send(m_write, [this, asked](const StoreResult& result) {
+        m_sending = false;
+        answered(result, asked);
+    });
 }
 
 void HeadLog::answered(const StoreResult& result, Millis asked)
@@ -135,7 +135,6 @@
         return;
     switch (result.status) {
     case StoreStatus::ok:
-        m_timeout.answered(m_loop.now() - asked);
         committed(result.version, asked);
         return;
     case StoreStatus::conflict:
@@ -149,7 +148,6 @@
     case StoreStatus::unknown:
         // The same write goes out again: its check lets it take effect once at most.
         m_served = false;
-        m_timeout.unanswered();
         schedule(Millis(1));
         return;
     }
@@ -161,6 +159,7 @@
     m_version = version;
     m_lease_until = asked + leader_lease;
     m_pending_write = false;
+    m_announced_unrecorded = m_head.unrecorded;
     std::vector<Entry> written;
     written.swap(m_under_way);
     const Millis since = m_loop.now() - asked;
--- a/src/jobs.lib/head_log.h
+++ b/src/jobs.lib/head_log.h
@@ -8,8 +8,8 @@
 
 #pragma once
 
-#include "call_timeout.h"
 #include "lifetime.h"
+#include "store_writer.h"
 
 #include <pathport/event_loop.h>
 #include <pathport/jobs/job_store.h>
@@ -30,11 +30,13 @@
     int64_t epoch = 0;
     int64_t number = 0; ///< Of the write within the epoch.
     std::string incarnation; ///< Of the writer.
+    /// Orders may have been sent before their intents were recorded, since the store is slow.
+    bool unrecorded = false;
 
     bool operator==(const HeadValue& other) const
     {
         return epoch == other.epoch && number == other.number
-            && incarnation == other.incarnation;
+            && incarnation == other.incarnation && unrecorded == other.unrecorded;
     }
 };
 
@@ -67,6 +69,9 @@
     Millis lease_until() const { return m_lease_until; }
     /// Returns whether the last call was answered by the store.
     bool served() const { return m_served; }
+    /// Returns whether orders may be sent before they are recorded: the store is slow, and
+    /// the head row says that this may happen.
+    bool unrecorded() const { return m_announced_unrecorded; }
     /// Returns whether everything handed in is in the store.
     bool idle() const { return m_queue.empty() && m_under_way.empty(); }
     /// Returns the number of rows that wait to be written.
@@ -87,13 +92,13 @@
     void conflicted(const StoreResult& result, Millis asked);
 
     EventLoop& m_loop;
-    JobStore& m_store;
     HeadLogOwner& m_owner;
     HeadValue m_head;
     int64_t m_version;
     Millis m_lease_until;
     Millis m_last_start;
-    CallTimeout m_timeout;
+    StoreWriter m_writer;
+    bool m_announced_unrecorded = false; ///< As of the last write that is in the store.
     bool m_served = true;
     bool m_lost = false;
     bool m_sending = false;
--- a/src/jobs.lib/job_record.h
+++ b/src/jobs.lib/job_record.h
@@ -98,6 +98,7 @@
 
     bool canceled = false; ///< A cancellation is recorded.
     bool gave_up = false; ///< A task has failed too often.
+    bool loaded = false; ///< An earlier leader may have known it.
     bool begun = false; ///< A task has been started at least once.
     std::optional<JobState> recorded_state; ///< The final state that its row holds.
 
--- a/src/jobs.lib/leadership.cpp
+++ b/src/jobs.lib/leadership.cpp
@@ -27,8 +27,10 @@
 constexpr Millis store_retry { 100 };
 /// Claims of several nodes are spread over this time.
 constexpr uint64_t claim_spread_ms = 40;
-constexpr Millis least_timeout { 300 };
-constexpr Millis most_timeout { 1500 };
+constexpr Millis read_timeout { 1000 };
+/// A promise given longer ago than this no longer matters: the store has served the leader
+/// in between.
+constexpr Millis promise_memory { 15000 };
 /// The leader counts as seen for so long after an answer.
 constexpr Millis seen_time { 900 };
 
@@ -63,7 +65,7 @@
     , m_peers(peers)
     , m_identity(std::move(identity))
     , m_listener(listener)
-    , m_timeout(least_timeout, most_timeout)
+    , m_writer(loop, store)
 {
 }
 
@@ -127,16 +129,10 @@
     StoreRange range;
     range.table = lead_table;
     range.part = scheduler_part;
-    const Millis asked = m_loop.now();
-    m_store.read(range, m_timeout.value(),
-                 m_lifetime.wrap([this, asked](const StoreResult& result) {
-                     m_reading = false;
-                     if (result.status == StoreStatus::ok)
-                         m_timeout.answered(m_loop.now() - asked);
-                     else if (result.status == StoreStatus::unknown)
-                         m_timeout.unanswered();
-                     rows_read(result);
-                 }));
+    m_store.read(range, read_timeout, m_lifetime.wrap([this](const StoreResult& result) {
+        m_reading = false;
+        rows_read(result);
+    }));
 }
 
 void Leadership::rows_read(const StoreResult& result)
@@ -291,17 +287,16 @@
         LeaderValue leader { m_leader.epoch + 1, m_identity };
         m_claimed_head = HeadValue { leader.epoch, 0, m_identity.incarnation };
         m_claim_started = m_loop.now();
+        m_head_before = m_head;
         StoreWrite write;
         write.checks.push_back({ lead_row(leader_key), m_leader_version });
         write.checks.push_back({ lead_row(head_key), m_head_version });
         write.puts.push_back({ lead_row(leader_key), encode(leader) });
         write.puts.push_back({ lead_row(head_key), encode(m_claimed_head) });
-        m_store.write(write, m_timeout.value(),
-                      m_lifetime.wrap([this, asked = m_claim_started](
-                                          const StoreResult& result) {
-                          m_claiming = false;
-                          claim_answered(result, asked);
-                      }));
+        m_writer.send(write, [this, asked = m_claim_started](const StoreResult& result) {
+            m_claiming = false;
+            claim_answered(result, asked);
+        });
     }));
 }
 
@@ -320,8 +315,6 @@
         become_leader(result.version, asked);
         return;
     }
-    if (result.status == StoreStatus::unknown)
-        m_timeout.unanswered();
     // The rows tell whether somebody else was first, or whether this claim took effect.
     m_loop.after(result.status == StoreStatus::conflict ? Millis(0) : store_retry,
                  m_lifetime.wrap([this] { read_rows(); }));
@@ -338,6 +331,9 @@
     claim.version = head_version;
     claim.claimed = claimed;
     claim.known = m_loop.now();
+    // A leader that had this node's promise may have given orders without the store.
+    claim.unrecorded_starts = m_head_before.unrecorded
+        || (m_promised > Millis(0) && m_loop.now() - m_promised < promise_memory);
     m_listener.elected(claim);
 }
 
--- a/src/jobs.lib/leadership.h
+++ b/src/jobs.lib/leadership.h
@@ -7,7 +7,6 @@
 
 #pragma once
 
-#include "call_timeout.h"
 #include "head_log.h"
 #include "lifetime.h"
 #include "scheduler.h"
@@ -107,6 +106,7 @@
     HeadValue m_head;
     int64_t m_head_version = 0;
     HeadValue m_claimed_head; ///< What the last claim wrote, whether or not it took effect.
+    HeadValue m_head_before; ///< What the last claim was to replace.
     Millis m_claim_started;
     Millis m_answered; ///< When the leader last answered that it leads.
     int m_refusals = 0; ///< In a row, of the leader's address.
@@ -114,7 +114,7 @@
     Millis m_standing_since;
     bool m_silent = false;
     Millis m_promised;
-    CallTimeout m_timeout;
+    StoreWriter m_writer;
     EventLoop::TimerId m_timer = 0;
     Lifetime m_lifetime;
 };
--- a/src/jobs.lib/scheduler.cpp
+++ b/src/jobs.lib/scheduler.cpp
@@ -23,13 +23,14 @@
     constexpr Millis margin { 300 };
     m_unknown_until = claim.known + leader_lease
         + Millis(m_parts.bounds.max_hold.count() * slow_clock_percent / 100) + margin;
+    m_hold_loaded = claim.unrecorded_starts;
 }
 
 Scheduler::~Scheduler() = default;
 
 bool Scheduler::may_order() const
 {
-    if (m_phase == Phase::over || m_resigned)
+    if (m_phase == Phase::over)
         return false;
     const Millis now = m_parts.loop.now();
     return now < m_log.lease_until() || now < m_promised_until;
--- a/src/jobs.lib/scheduler.h
+++ b/src/jobs.lib/scheduler.h
@@ -43,6 +43,8 @@
     HeadValue head;
     int64_t version = 0; ///< Of the head row.
     Millis claimed; ///< When the claim's write began; the lease counts from it.
+    /// The earlier leader may have started tasks without recording where.
+    bool unrecorded_starts = false;
     Millis known; ///< When the claim was known to have taken effect.
 };
 
@@ -66,7 +68,8 @@
     void begin();
     /// Returns whether it has read everything and orders.
     bool acting() const { return m_phase == Phase::acting; }
-    /// Stops ordering, for a hand-over, or goes on when nobody has taken over.
+    /// Notes that the leadership is offered to others. Orders go on until one has taken it:
+    /// the log and the workers' fences then end them.
     void set_resigned(bool resigned) { m_resigned = resigned; }
     bool resigned() const { return m_resigned; }
 
@@ -137,6 +140,7 @@
     void job_row_seen(const StoredRow& row);
     void drop_unlisted(const std::string& worker);
     void release_unknown_doubts();
+    bool holds_back(const JobRecord& job) const;
 
     // Reports (scheduler_reports.cpp).
     void adopt(Worker& worker, const RunningTask& running);
@@ -174,6 +178,7 @@
                      const std::vector<std::string>& asked, Millis asked_at,
                      const AdviceReply& reply);
     void intend(JobRecord& job, Step& step, const std::vector<Share>& shares);
+    bool may_order_unrecorded() const;
     void send_intended(const std::string& job, int repeat, int step, int64_t run);
     void start_task(JobRecord& job, Step& step, int index);
     void start_ended(const TaskId& id, const std::string& worker, int64_t run,
@@ -211,6 +216,9 @@
     bool m_workers_known = false;
     bool m_reading_workers = false;
     Millis m_settle_by;
+    /// Jobs of which an earlier leader may have started tasks on workers that are silent to
+    /// this one, without a record.
+    bool m_hold_loaded = false;
     Millis m_unknown_until; ///< What an earlier leader started without us has ended by then.
 
     std::map<std::string, std::unique_ptr<JobRecord>> m_jobs; ///< Those that are not closed.
--- a/src/jobs.lib/scheduler_load.cpp
+++ b/src/jobs.lib/scheduler_load.cpp
@@ -9,6 +9,7 @@
 
 #include <pathport/log.h>
 
+#include <algorithm>
 #include <set>
 
 namespace pathport::jobs {
@@ -133,6 +134,7 @@
         if (found != progress.end() && !job->apply_progress(*found->second))
             log_event(LogLevel::error, "progress_row_malformed", { { "job", id } });
         job->canceled = canceled.count(id) > 0;
+        job->loaded = true;
         add_job(std::move(job));
     }
     m_loaded_jobs.clear();
@@ -318,6 +320,17 @@
                   { { "job", row.id.key }, { "reason", reason.detail() } });
 }
 
+// Of a job that an earlier leader knew, a task may run on a worker that is silent to us.
+bool Scheduler::holds_back(const JobRecord& job) const
+{
+    if (!m_hold_loaded || !job.loaded)
+        return false;
+    if (m_parts.loop.now() >= m_unknown_until)
+        return false;
+    return std::any_of(m_workers.begin(), m_workers.end(),
+                       [](const auto& entry) { return !entry.second.session->fenced(); });
+}
+
 // What an earlier leader intended for workers that are not listed has ended by now.
 void Scheduler::release_unknown_doubts()
 {
--- a/src/jobs.lib/scheduler_pass.cpp
+++ b/src/jobs.lib/scheduler_pass.cpp
@@ -68,7 +68,7 @@
 {
     std::vector<Candidate> found;
     for (auto& [id, job] : m_jobs) {
-        if (job->closed())
+        if (job->closed() || holds_back(*job))
             continue;
         for (auto& [number, repeat] : job->repeats()) {
             for (Step& step : repeat.steps) {
@@ -321,6 +321,16 @@
     record(job, [this, id = job.id(), repeat = step.repeat, index = step.index, run] {
         send_intended(id, repeat, index, run);
     });
+    if (may_order_unrecorded())
+        send_intended(job.id(), step.repeat, step.index, run);
+}
+
+// The store is slow and says so in the head row, or it is away and all nodes that could
+// take over have promised not to.
+bool Scheduler::may_order_unrecorded() const
+{
+    return m_log.unrecorded()
+        || (!m_log.served() && m_parts.loop.now() < m_promised_until);
 }
 
 void Scheduler::send_intended(const std::string& id, int repeat, int index, int64_t run)
--- /dev/null
+++ b/src/jobs.lib/store_writer.cpp
@@ -0,0 +1,100 @@
+// Copyright the pathport authors.
+// SPDX-License-Identifier: Apache-2.0
+
+#include "store_writer.h"
+
+#include <algorithm>
+
+namespace pathport::jobs {
+
+namespace {
+
+/// After so many times the usual latency an answer is overdue.
+constexpr int64_t overdue_multiple = 5;
+constexpr int64_t least_overdue_ms = 150;
+constexpr int64_t most_overdue_ms = 1000;
+/// The longest that an answer is waited for.
+constexpr Millis longest_wait { 2500 };
+constexpr Millis probe_timeout { 1500 };
+/// A read that was answered within this time was quick.
+constexpr Millis quick_read { 100 };
+
+} // namespace
+
+StoreWriter::StoreWriter(EventLoop& loop, JobStore& store)
+    : m_loop(loop)
+    , m_store(store)
+{
+}
+
+void StoreWriter::send(const StoreWrite& write, StoreReply done)
+{
+    auto call = std::make_shared<Call>();
+    call->done = std::move(done);
+    call->first_put = write.puts.front();
+    call->asked = m_loop.now();
+    m_store.write(write, longest_wait,
+                  m_lifetime.wrap([this, call](const StoreResult& result) {
+                      answered(call, result);
+                  }));
+    const Millis overdue(std::clamp(overdue_multiple * m_latency_ms, least_overdue_ms,
+                                    most_overdue_ms));
+    m_loop.after(overdue, m_lifetime.wrap([this, call] { probe(call); }));
+}
+
+void StoreWriter::probe(const CallPtr& call)
+{
+    if (call->ended)
+        return;
+    call->probed = m_loop.now();
+    const RowKey& row = call->first_put.id;
+    StoreRange range;
+    range.table = row.table;
+    range.part = row.part;
+    range.from = row.key;
+    range.to = row.key + "!";
+    range.limit = 1;
+    m_store.read(range, probe_timeout,
+                 m_lifetime.wrap([this, call](const StoreResult& result) {
+                     probed(call, result);
+                 }));
+}
+
+void StoreWriter::probed(const CallPtr& call, const StoreResult& result)
+{
+    if (call->ended || result.status != StoreStatus::ok)
+        return;
+    for (const StoredRow& row : result.rows) {
+        if (row.id == call->first_put.id && row.value == call->first_put.value) {
+            StoreResult done = result;
+            done.version = row.version;
+            finish(call, done);
+            return;
+        }
+    }
+    const Millis took = m_loop.now() - call->probed;
+    if (took > quick_read) {
+        m_latency_ms = std::max(m_latency_ms, took.count());
+        return;
+    }
+    StoreResult lost;
+    lost.status = StoreStatus::unknown;
+    finish(call, lost);
+}
+
+void StoreWriter::answered(const CallPtr& call, const StoreResult& result)
+{
+    if (call->ended)
+        return;
+    if (result.status == StoreStatus::ok || result.status == StoreStatus::conflict)
+        m_latency_ms = (m_latency_ms + (m_loop.now() - call->asked).count()) / 2;
+    finish(call, result);
+}
+
+void StoreWriter::finish(const CallPtr& call, const StoreResult& result)
+{
+    call->ended = true;
+    call->done(result);
+}
+
+} // namespace pathport::jobs
--- /dev/null
+++ b/src/jobs.lib/store_writer.h
@@ -0,0 +1,58 @@
+// Copyright the pathport authors.
+// SPDX-License-Identifier: Apache-2.0
+
+/// \file
+/// Writes to the store whose answers may be lost or late.
+
+#pragma once
+
+#include "lifetime.h"
+
+#include <pathport/event_loop.h>
+#include <pathport/jobs/job_store.h>
+
+#include <memory>
+
+namespace pathport::jobs {
+
+/// Sends one transaction at a time. When no answer comes for several times the usual
+/// latency, it reads a row that the transaction puts: if that is there, the write has taken
+/// effect; if the read was quick and it isn't, the answer counts as lost; if the read is
+/// slow too, the store is slow, and the answer is waited for.
+class StoreWriter {
+public:
+    StoreWriter(EventLoop& loop, JobStore& store);
+
+    /// Runs `write`, whose first put is not there with that value yet. `done` is called
+    /// exactly once, later. `unknown` means that the write may still be done: the caller
+    /// sends the same write again, whose checks let it take effect once at most.
+    void send(const StoreWrite& write, StoreReply done);
+
+    /// Returns whether the store answers much slower than it should.
+    bool slow() const { return m_latency_ms > slow_latency_ms; }
+
+private:
+    struct Call {
+        StoreReply done;
+        RowPut first_put;
+        Millis asked;
+        Millis probed;
+        bool ended = false;
+    };
+    using CallPtr = std::shared_ptr<Call>;
+
+    /// Answers slower than this, on average, make a store slow.
+    static constexpr int64_t slow_latency_ms = 60;
+
+    void probe(const CallPtr& call);
+    void probed(const CallPtr& call, const StoreResult& result);
+    void answered(const CallPtr& call, const StoreResult& result);
+    void finish(const CallPtr& call, const StoreResult& result);
+
+    EventLoop& m_loop;
+    JobStore& m_store;
+    int64_t m_latency_ms = 10; ///< Smoothed.
+    Lifetime m_lifetime;
+};
+
+} // namespace pathport::jobs
