Refuse at once while the store is away; no needless claims

Change: StoreHealth tells at once whether the store serves this node; a named leader gets 600 ms to hear of its win; no start while the store is away.

--- a/src/include/pathport/jobs/peers.h
+++ b/src/include/pathport/jobs/peers.h
@@ -53,6 +53,7 @@
 struct PeerAnswer {
     bool served = false; ///< Whether the peer could serve the request.
     std::string node; ///< The peer.
+    std::string incarnation; ///< Its process.
     bool leads = false; ///< Whether it leads at present.
     bool resigned = false; ///< It led in `epoch` and has given no order since it said so.
     int64_t epoch = 0;
--- a/src/jobs.lib/acceptor.cpp
+++ b/src/jobs.lib/acceptor.cpp
@@ -13,13 +13,15 @@
 
 constexpr Millis read_timeout { 600 };
 /// Pause after a write that the store refused.
-constexpr Millis refused_pause { 50 };
+constexpr Millis refused_pause { 40 };
+/// A row that the store has refused so often is given up.
+constexpr int most_refusals = 2;
 /// Each row takes a check and a put.
 constexpr size_t most_rows = max_transaction_entries / 2;
 
 } // namespace
 
-Acceptor::Acceptor(EventLoop& loop, JobStore& store)
+Acceptor::Acceptor(EventLoop& loop, StoreHealth& store)
     : m_loop(loop)
     , m_store(store)
 {
@@ -70,7 +72,7 @@
                                                   : WriteOutcome::written);
                          return;
                      }
-                     if (m_loop.now() >= give_up) {
+                     if (m_loop.now() >= give_up || m_store.failing()) {
                          done(WriteOutcome::refused);
                          return;
                      }
@@ -89,6 +91,13 @@
         open->second->give_up = std::max(open->second->give_up, entry->give_up);
         return;
     }
+    if (m_store.failing()) {
+        m_loop.after(Millis(0), m_lifetime.wrap([entry] {
+            for (const WriteReply& done : entry->done)
+                done(WriteOutcome::refused);
+        }));
+        return;
+    }
     m_open[entry->row.key] = entry;
     m_parts[part].waiting.push_back(std::move(entry));
     flush(part);
@@ -146,6 +155,9 @@
             }
             if (result.status == StoreStatus::unknown)
                 (*entry)->in_doubt = true;
+            if (result.status == StoreStatus::refused
+                && ++(*entry)->refusals >= most_refusals)
+                (*entry)->give_up = m_loop.now();
             part.waiting.push_front(*entry);
         }
     }
--- a/src/jobs.lib/acceptor.h
+++ b/src/jobs.lib/acceptor.h
@@ -8,6 +8,7 @@
 #pragma once
 
 #include "lifetime.h"
+#include "store_health.h"
 #include "store_writer.h"
 
 #include <pathport/event_loop.h>
@@ -35,9 +36,10 @@
 /// Writes jobs and cancellations.
 class Acceptor {
 public:
-    Acceptor(EventLoop& loop, JobStore& store);
+    Acceptor(EventLoop& loop, StoreHealth& store);
 
-    /// Writes the row of a job if it isn't there, trying until `give_up`.
+    /// Writes the row of a job if it isn't there, trying until `give_up`. While the store
+    /// is away it is refused at once, so that its client can go elsewhere.
     void accept(const std::string& id, const std::string& row, Millis give_up,
                 WriteReply done);
     /// Writes a cancellation if the job is there, trying until `give_up`.
@@ -50,6 +52,7 @@
         std::string value;
         Millis give_up;
         bool in_doubt = false; ///< It was sent without an answer.
+        int refusals = 0; ///< How often the store refused it.
         std::vector<WriteReply> done;
     };
     using EntryPtr = std::shared_ptr<Entry>;
@@ -68,7 +71,7 @@
     void look_up(const std::string& id, Millis give_up, WriteReply done);
 
     EventLoop& m_loop;
-    JobStore& m_store;
+    StoreHealth& m_store;
     std::map<std::string, Part> m_parts;
     std::map<std::string, EntryPtr> m_open; ///< By row key.
     Lifetime m_lifetime;
--- a/src/jobs.lib/job_node.cpp
+++ b/src/jobs.lib/job_node.cpp
@@ -168,25 +168,13 @@
 void JobNode::Impl::leader_answered(const PeerAnswer& answer)
 {
     m_leader_sent_ms = answer.sent_ms;
+    m_leader_served = answer.served;
+    // When the leader is not served, this node finds out whether it is.
+    if (!answer.served)
+        m_store.check();
     const int64_t version = m_configuration ? m_configuration->version : 0;
     if (answer.config_version > version)
         fetch_configuration(m_leadership.leader_address());
-    if (!answer.served)
-        probe_store();
-}
-
-// The leader is not served; this node finds out whether it is.
-void JobNode::Impl::probe_store()
-{
-    if (m_probing_store)
-        return;
-    m_probing_store = true;
-    StoreRange range;
-    range.table = lead_table;
-    range.part = scheduler_part;
-    range.limit = 1;
-    m_store.read(range, probe_timeout,
-                 m_lifetime.wrap([this](const StoreResult&) { m_probing_store = false; }));
 }
 
 void JobNode::Impl::lead_tick()
--- a/src/jobs.lib/job_node_clients.cpp
+++ b/src/jobs.lib/job_node_clients.cpp
@@ -17,8 +17,6 @@
 
 /// A hand-in that the store has not taken for so long is given up on.
 constexpr Millis longest_try { 1200 };
-/// The same, when another node can be asked afterwards.
-constexpr Millis first_try { 300 };
 /// Left of a client's time for the answer's way.
 constexpr Millis answer_margin { 150 };
 constexpr Millis forward_timeout { 1500 };
@@ -59,8 +57,7 @@
 
 Millis JobNode::Impl::give_up_time(Millis received, Millis limit) const
 {
-    const bool other = !m_scheduler && m_leadership.leader_seen();
-    Millis span = other ? first_try : longest_try;
+    Millis span = longest_try;
     if (limit > Millis(0))
         span = std::min(span, std::max(Millis(50), limit - answer_margin));
     return received + span;
@@ -133,7 +130,8 @@
                                   ClientReply done)
 {
     const std::string leader = leader_to_ask();
-    if (leader.empty() || own == WriteOutcome::missing || !m_leadership.leader_seen()) {
+    if (leader.empty() || own == WriteOutcome::missing || !m_leadership.leader_seen()
+        || !m_leader_served) {
         done(to_client(own));
         return;
     }
--- a/src/jobs.lib/job_node_impl.h
+++ b/src/jobs.lib/job_node_impl.h
@@ -67,7 +67,6 @@
     void probe_follower(const std::string& address);
     void update_promises();
     void consider_resigning();
-    void probe_store();
 
     void accept_row(const std::string& id, const std::string& row, Millis give_up,
                     WriteReply done);
@@ -95,7 +94,7 @@
     std::map<std::string, Follower> m_followers; ///< By address.
     bool m_leaving = false;
     bool m_fetching_configuration = false;
-    bool m_probing_store = false;
+    bool m_leader_served = false; ///< Whether the store served the leader then.
     int64_t m_leader_sent_ms = 0; ///< The leader's clock in its last answer.
     std::map<std::string, int64_t> m_outcomes; ///< Of clients' calls, for metrics.
     Lifetime m_lifetime;
--- a/src/jobs.lib/job_node_peers.cpp
+++ b/src/jobs.lib/job_node_peers.cpp
@@ -75,6 +75,7 @@
 void JobNode::Impl::handle_heartbeat(const PeerRequest& request, PeerAnswer& answer)
 {
     const Millis now = m_parts.loop.now();
+    answer.incarnation = m_setup.incarnation;
     answer.sent_ms = now.count();
     answer.config_version = m_configuration ? m_configuration->version : 0;
     if (request.config_version > answer.config_version)
--- a/src/jobs.lib/leadership.cpp
+++ b/src/jobs.lib/leadership.cpp
@@ -14,23 +14,23 @@
 namespace {
 
 constexpr Millis heartbeat_interval { 250 };
-constexpr Millis heartbeat_timeout { 400 };
+constexpr Millis heartbeat_timeout { 300 };
 /// Pause before a leader whose address refused a connection is asked again.
 constexpr Millis refused_pause { 40 };
 /// Refusals in a row after which the leader counts as dead.
 constexpr int refusals_of_a_dead_leader = 2;
 /// A silent leader counts as gone when its head row has stood still for so long. It writes
 /// the row several times in that time.
-constexpr Millis standing_time { 900 };
+constexpr Millis standing_time { 600 };
 /// Pause between reads of the rows of a silent leader.
-constexpr Millis silent_read_pause { 300 };
+constexpr Millis silent_read_pause { 120 };
+/// A node that the rows name may not have heard yet that its claim took effect.
+constexpr Millis claim_patience { 600 };
+constexpr Millis claim_wait { 50 };
 constexpr Millis store_retry { 100 };
 /// Claims of several nodes are spread over this time.
 constexpr uint64_t claim_spread_ms = 40;
 constexpr Millis read_timeout { 1000 };
-/// A promise given longer ago than this no longer matters: the store has served the leader
-/// in between.
-constexpr Millis promise_memory { 15000 };
 /// The leader counts as seen for so long after an answer.
 constexpr Millis seen_time { 900 };
 
@@ -165,6 +165,7 @@
         }
     }
     if (m_leader.epoch != epoch) {
+        m_leader_known = m_loop.now();
         m_silent = false;
         m_refusals = 0;
         m_claim_wanted = false;
@@ -241,6 +242,12 @@
         schedule_follow(heartbeat_interval);
         return;
     }
+    const Millis now = m_loop.now();
+    const bool same_process = answer.incarnation == m_leader.identity.incarnation;
+    if (same_process && !answer.leads && now - m_leader_known < claim_patience) {
+        schedule_follow(claim_wait);
+        return;
+    }
     // It resigned, was deposed or is another process; the rows tell.
     m_claim_wanted = true;
     read_rows();
@@ -331,9 +338,7 @@
     claim.version = head_version;
     claim.claimed = claimed;
     claim.known = m_loop.now();
-    // A leader that had this node's promise may have given orders without the store.
-    claim.unrecorded_starts = m_head_before.unrecorded
-        || (m_promised > Millis(0) && m_loop.now() - m_promised < promise_memory);
+    claim.unrecorded_starts = m_head_before.unrecorded;
     m_listener.elected(claim);
 }
 
--- a/src/jobs.lib/leadership.h
+++ b/src/jobs.lib/leadership.h
@@ -108,6 +108,7 @@
     HeadValue m_claimed_head; ///< What the last claim wrote, whether or not it took effect.
     HeadValue m_head_before; ///< What the last claim was to replace.
     Millis m_claim_started;
+    Millis m_leader_known; ///< When the present leader was first read of.
     Millis m_answered; ///< When the leader last answered that it leads.
     int m_refusals = 0; ///< In a row, of the leader's address.
     int64_t m_standing_version = 0; ///< The head's version while the leader is silent.
--- a/src/jobs.lib/peer_codec.cpp
+++ b/src/jobs.lib/peer_codec.cpp
@@ -78,6 +78,7 @@
     Json json = Json::object();
     put(json, "ok", answer.served);
     put(json, "node", answer.node);
+    put(json, "process", answer.incarnation);
     put(json, "leads", answer.leads);
     put(json, "resigned", answer.resigned);
     put(json, "epoch", answer.epoch);
@@ -100,6 +101,7 @@
         PeerAnswer answer;
         answer.served = json.value("ok", false);
         answer.node = json.value("node", std::string());
+        answer.incarnation = json.value("process", std::string());
         answer.leads = json.value("leads", false);
         answer.resigned = json.value("resigned", false);
         answer.epoch = json.value("epoch", int64_t(0));
--- a/src/jobs.lib/scheduler.h
+++ b/src/jobs.lib/scheduler.h
@@ -178,7 +178,6 @@
                      const std::vector<std::string>& asked, Millis asked_at,
                      const AdviceReply& reply);
     void intend(JobRecord& job, Step& step, const std::vector<Share>& shares);
-    bool may_order_unrecorded() const;
     void send_intended(const std::string& job, int repeat, int step, int64_t run);
     void start_task(JobRecord& job, Step& step, int index);
     void start_ended(const TaskId& id, const std::string& worker, int64_t run,
--- a/src/jobs.lib/scheduler_pass.cpp
+++ b/src/jobs.lib/scheduler_pass.cpp
@@ -321,18 +321,11 @@
     record(job, [this, id = job.id(), repeat = step.repeat, index = step.index, run] {
         send_intended(id, repeat, index, run);
     });
-    if (may_order_unrecorded())
+    // The store is slow, and the head row says that orders may precede their record.
+    if (m_log.unrecorded())
         send_intended(job.id(), step.repeat, step.index, run);
 }
 
-// The store is slow and says so in the head row, or it is away and all nodes that could
-// take over have promised not to.
-bool Scheduler::may_order_unrecorded() const
-{
-    return m_log.unrecorded()
-        || (!m_log.served() && m_parts.loop.now() < m_promised_until);
-}
-
 void Scheduler::send_intended(const std::string& id, int repeat, int index, int64_t run)
 {
     JobRecord* job = find_job(id);
--- a/src/jobs.lib/store_health.cpp
+++ b/src/jobs.lib/store_health.cpp
@@ -3,6 +3,8 @@
 
 #include "store_health.h"
 
+#include "store_keys.h"
+
 #include <pathport/log.h>
 
 namespace pathport::jobs {
@@ -10,6 +12,11 @@
 namespace {
 /// An answer so old says nothing about the present.
 constexpr Millis served_time { 1500 };
+/// A store that has answered nothing for so long, while calls were open, is away.
+constexpr Millis silent_time { 900 };
+/// While the store fails, it is tried at this interval.
+constexpr Millis probe_interval { 100 };
+constexpr Millis probe_timeout { 800 };
 } // namespace
 
 StoreHealth::StoreHealth(EventLoop& loop, JobStore& store)
@@ -18,9 +25,15 @@
 {
 }
 
-StoreReply StoreHealth::noting(StoreReply done)
+StoreReply StoreHealth::noting(StoreReply done, bool waits)
 {
-    return m_lifetime.wrap([this, done = std::move(done)](const StoreResult& result) {
+    const int64_t begun = m_loop.now().count();
+    if (!waits)
+        m_open.insert(begun);
+    return m_lifetime.wrap([this, begun, waits, done = std::move(done)](
+                               const StoreResult& result) {
+        if (!waits)
+            m_open.erase(m_open.find(begun));
         const bool served = result.status == StoreStatus::ok
             || result.status == StoreStatus::conflict
             || result.status == StoreStatus::history_lost;
@@ -35,24 +48,56 @@
             m_clock_ms = result.clock_ms;
             m_clock_at = m_loop.now();
         }
+        if (!served)
+            schedule_probe();
         done(result);
     });
 }
 
+bool StoreHealth::failing() const
+{
+    if (m_known && !m_last_served)
+        return true;
+    const Millis now = m_loop.now();
+    return !m_open.empty() && now - Millis(*m_open.begin()) > silent_time
+        && now - m_served_at > silent_time;
+}
+
+void StoreHealth::schedule_probe()
+{
+    if (m_probing)
+        return;
+    m_probing = true;
+    m_loop.after(probe_interval, m_lifetime.wrap([this] {
+        m_probing = false;
+        if (failing())
+            check();
+    }));
+}
+
+void StoreHealth::check()
+{
+    StoreRange range;
+    range.table = lead_table;
+    range.part = scheduler_part;
+    range.limit = 1;
+    read(range, probe_timeout, [](const StoreResult&) {});
+}
+
 void StoreHealth::write(const StoreWrite& write, Millis timeout, StoreReply done)
 {
-    m_store.write(write, timeout, noting(std::move(done)));
+    m_store.write(write, timeout, noting(std::move(done), false));
 }
 
 void StoreHealth::read(const StoreRange& range, Millis timeout, StoreReply done)
 {
-    m_store.read(range, timeout, noting(std::move(done)));
+    m_store.read(range, timeout, noting(std::move(done), false));
 }
 
 void StoreHealth::watch(const std::string& table, int64_t version, Millis wait,
                         StoreReply done)
 {
-    m_store.watch(table, version, wait, noting(std::move(done)));
+    m_store.watch(table, version, wait, noting(std::move(done), true));
 }
 
 bool StoreHealth::served() const
--- a/src/jobs.lib/store_health.h
+++ b/src/jobs.lib/store_health.h
@@ -11,7 +11,7 @@
 #include <pathport/event_loop.h>
 #include <pathport/jobs/job_store.h>
 
-#include <map>
+#include <set>
 
 namespace pathport::jobs {
 
@@ -27,19 +27,25 @@
 
     /// Returns whether the last call that ended was served, not long ago.
     bool served() const;
-    /// Returns whether the last call that ended was not served.
-    bool failing() const { return m_known && !m_last_served; }
+    /// Returns whether the store does not serve this node: the last call that ended was not
+    /// served, or calls have been open for long and none has been served meanwhile.
+    bool failing() const;
+    /// Tries the store, so that served() and failing() tell of the present.
+    void check();
     /// Returns the store's clock as well as it is known; 0 before the first answer.
     int64_t clock_ms() const;
 
 private:
-    StoreReply noting(StoreReply done);
+    StoreReply noting(StoreReply done, bool waits);
+    void schedule_probe();
 
     EventLoop& m_loop;
     JobStore& m_store;
     bool m_known = false;
     bool m_last_served = false;
     Millis m_served_at;
+    std::multiset<int64_t> m_open; ///< When the calls without an answer began.
+    bool m_probing = false;
     int64_t m_clock_ms = 0;
     Millis m_clock_at;
     Lifetime m_lifetime;
