--- a/src/jobs.lib/job_record.h
+++ b/src/jobs.lib/job_record.h
@@ -33,6 +33,7 @@
     TaskPhase phase = TaskPhase::waiting;
     int failures = 0; ///< Ends `failed`.
     int64_t run = 0; ///< Its last run.
+    int64_t ended_run = 0; ///< The last run that a worker listed as ended.
     std::string worker; ///< Where it is intended, starting, running, stopping or in doubt.
     std::string checkpoint; ///< To go on from.
     std::string failed_on; ///< The worker where it failed last.
--- a/src/jobs.lib/scheduler.cpp
+++ b/src/jobs.lib/scheduler.cpp
@@ -104,12 +104,12 @@
 }
 } // namespace
 
-void Scheduler::occupy(Worker& worker, const TaskId& task, const StepSpec& spec)
+void Scheduler::occupy(Worker& worker, const TaskId& task, const StepSpec& spec, int priority)
 {
     Resources need = spec.need;
     if (spec.fills)
         need.cpu_millis = 0;
-    if (worker.occupants.emplace(task.to_string(), need).second)
+    if (worker.occupants.emplace(task.to_string(), Occupant { need, priority }).second)
         ++worker.step_counts[step_key(task)];
 }
 
--- a/src/jobs.lib/scheduler.h
+++ b/src/jobs.lib/scheduler.h
@@ -22,6 +22,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -107,11 +108,16 @@
         int64_t last_number = 0;
         int open = 0; ///< Jobs whose rows are not written yet.
     };
+    /// What one task takes of a worker.
+    struct Occupant {
+        Resources need;
+        int priority = 0; ///< Of its queue.
+    };
     /// A worker and what was given to it.
     struct Worker {
         std::unique_ptr<WorkerSession> session;
         bool listed = true;
-        std::map<std::string, Resources> occupants; ///< What each task there takes.
+        std::map<std::string, Occupant> occupants; ///< By task.
         std::map<std::string, int> step_counts; ///< Tasks there, by step.
         std::deque<std::shared_ptr<EndBatch>> batches;
         int surprises = 0; ///< Failures and standing tasks since the last success.
@@ -173,6 +179,7 @@
     std::vector<WorkerRoom> rooms_for(const JobRecord& job, const Step& step, int needed);
     WorkerRoom room_on(const Worker& worker, const std::string& step_key) const;
     bool is_eligible(const Worker& worker, const JobRecord& job, const Step& step) const;
+    void reserve_for(const JobRecord& job, const Step& step, int needed);
     void ask_advice(const JobRecord& job, Step& step, int needed);
     void advice_came(const std::string& job, int repeat, int step,
                      const std::vector<std::string>& asked, Millis asked_at,
@@ -190,7 +197,7 @@
     void leave_draining(JobRecord& job, Step& step);
 
     Worker* find_worker(const std::string& id);
-    void occupy(Worker& worker, const TaskId& task, const StepSpec& spec);
+    void occupy(Worker& worker, const TaskId& task, const StepSpec& spec, int priority);
     void vacate(Worker& worker, const TaskId& task);
     void release(Task& task);
     void depose();
@@ -225,6 +232,7 @@
     std::map<std::string, Worker> m_workers; ///< By id of the life.
     std::map<std::string, double> m_allowed_share; ///< By queue, of the workers asked about.
     bool m_pass_due = false;
+    std::set<std::string> m_reserved; ///< Workers kept for a gang, in the present pass.
     Lifetime m_lifetime;
 };
 
--- a/src/jobs.lib/scheduler_pass.cpp
+++ b/src/jobs.lib/scheduler_pass.cpp
@@ -60,6 +60,7 @@
     if (m_phase != Phase::acting || !may_order())
         return;
     ++m_counters.passes;
+    m_reserved.clear();
     for (const Candidate& candidate : candidates())
         place(candidate);
 }
@@ -89,7 +90,8 @@
     return found;
 }
 
-// A gang is placed whole, or a missing member soon after the others.
+// A gang is placed whole, or a member that never started soon after the others. A member
+// whose run has ended can't join that run again.
 bool Scheduler::gang_may_be_placed(const Step& step) const
 {
     const int placed = step.placed();
@@ -98,7 +100,7 @@
     const Millis now = m_parts.loop.now();
     return std::all_of(step.tasks.begin(), step.tasks.end(), [&](const Task& task) {
         if (task.phase == TaskPhase::waiting)
-            return true;
+            return task.ended_run != step.gang_run;
         return (task.phase == TaskPhase::starting || task.phase == TaskPhase::running)
             && task.run == step.gang_run && now - task.placed_at < gang_refill_time;
     });
@@ -119,8 +121,8 @@
     room.worker = worker.session->id();
     room.rack = worker.session->info().rack();
     room.free = worker.session->info().capacity;
-    for (const auto& [task, need] : worker.occupants)
-        room.free = room.free - need;
+    for (const auto& [task, occupant] : worker.occupants)
+        room.free = room.free - occupant.need;
     const auto count = worker.step_counts.find(key);
     room.of_step = count == worker.step_counts.end() ? 0 : count->second;
     // A worker that surprised lately gets nothing for a while, and then one task at a time.
@@ -140,7 +142,7 @@
     std::vector<WorkerRoom> rooms;
     std::vector<WorkerRoom> second_choice;
     for (const auto& [id, worker] : m_workers) {
-        if (!is_eligible(worker, job, step))
+        if (!is_eligible(worker, job, step) || m_reserved.count(id) > 0)
             continue;
         if (advised) {
             const auto permission = step.advice.workers.find(id);
@@ -177,7 +179,11 @@
         fit += tasks_that_fit(*step.spec, room);
     if (fit < needed && job.accepted().queue.advice)
         ask_advice(job, step, needed);
-    if (fit == 0 || (step.spec->gang && fit < needed))
+    if (step.spec->gang && fit < needed) {
+        reserve_for(job, step, needed);
+        return false;
+    }
+    if (fit == 0)
         return false;
     const std::vector<Share> shares
         = choose_workers(*step.spec, needed, step.spec->gang, rooms);
@@ -187,6 +193,42 @@
     return true;
 }
 
+// Keeps workers free of what comes after a gang that waits for room: those that it may use
+// and that would hold the most of its members once less urgent tasks there have ended.
+void Scheduler::reserve_for(const JobRecord& job, const Step& step, int needed)
+{
+    const std::string key = step_name(job, step);
+    const int priority = job.accepted().queue.priority;
+    std::vector<std::pair<int, std::string>> rooms;
+    for (const auto& [id, worker] : m_workers) {
+        if (!is_eligible(worker, job, step) || m_reserved.count(id) > 0)
+            continue;
+        if (job.accepted().queue.advice) {
+            const auto known = step.advice.workers.find(id);
+            if (known == step.advice.workers.end() || !known->second.allowed)
+                continue;
+        }
+        WorkerRoom room = room_on(worker, key);
+        for (const auto& [task, occupant] : worker.occupants) {
+            if (occupant.priority > priority)
+                room.free = room.free + occupant.need;
+        }
+        const int fit = tasks_that_fit(*step.spec, room);
+        if (fit > 0)
+            rooms.emplace_back(fit, id);
+    }
+    std::stable_sort(rooms.begin(), rooms.end(), [](const auto& left, const auto& right) {
+        return left.first > right.first;
+    });
+    int reserved = 0;
+    for (const auto& [fit, id] : rooms) {
+        if (reserved >= needed)
+            break;
+        m_reserved.insert(id);
+        reserved += fit;
+    }
+}
+
 // Asks again about workers that are known to be allowed if they have the room; else about
 // further ones.
 void Scheduler::ask_advice(const JobRecord& job, Step& step, int needed)
@@ -315,7 +357,7 @@
         if (permission != step.advice.workers.end())
             task.ticket = permission->second.ticket;
         occupy(worker, { job.id(), step.repeat, step.index, static_cast<int>(i) },
-               *step.spec);
+               *step.spec, job.accepted().queue.priority);
     }
     job.begun = true;
     record(job, [this, id = job.id(), repeat = step.repeat, index = step.index, run] {
--- a/src/jobs.lib/scheduler_reports.cpp
+++ b/src/jobs.lib/scheduler_reports.cpp
@@ -71,7 +71,8 @@
     const bool untold = task != nullptr && task->phase == TaskPhase::waiting;
     Step* step = job == nullptr ? nullptr : job->step(running.task.repeat, running.task.step);
     StepSpec unknown;
-    occupy(worker, running.task, step == nullptr ? unknown : *step->spec);
+    occupy(worker, running.task, step == nullptr ? unknown : *step->spec,
+           job == nullptr ? 0 : job->accepted().queue.priority);
     if (task == nullptr || job->closed() || !(expected || untold)) {
         log_event(LogLevel::info, "stray_run_stopped",
                   { { "task", running.task.to_string() }, { "worker", worker.session->id() } });
@@ -143,6 +144,7 @@
     if (!ours)
         return false;
     Step& step = *job->step(end.task.repeat, end.task.step);
+    task->ended_run = end.run;
     if (!end.checkpoint.empty())
         task->checkpoint = end.checkpoint;
     if (end.kind == EndKind::done) {
