Slow advice: one question about many workers, tickets only when the room is there

Change: a gang asks about up to 30 workers at once, keeps the workers free that suffice, and asks for tickets when the room is there; callers are chosen by the cost of what they have under way.

--- a/src/jobs.lib/advice_pool.cpp
+++ b/src/jobs.lib/advice_pool.cpp
@@ -18,11 +18,15 @@
 constexpr Millis failed_pause { 1000 };
 constexpr Millis call_margin { 600 };
 
-Millis timeout_of(const AdviceQuestion& question)
+double cost_of(const AdviceQuestion& question)
 {
-    const double cost = question.rule.decision_ms
+    return question.rule.decision_ms
         + question.rule.per_worker_ms * double(question.workers.size());
-    return Millis(static_cast<int64_t>(3 * cost)) + call_margin;
+}
+
+Millis timeout_of(const AdviceQuestion& question)
+{
+    return Millis(static_cast<int64_t>(3 * cost_of(question))) + call_margin;
 }
 
 } // namespace
@@ -43,7 +47,7 @@
         const auto known
             = std::find_if(m_callers.begin() + 1, m_callers.end(),
                            [&](const Caller& caller) { return caller.address == address; });
-        callers.push_back(known == m_callers.end() ? Caller { address, 0, Millis(0) }
+        callers.push_back(known == m_callers.end() ? Caller { address, 0, 0, Millis(0) }
                                                    : *known);
     }
     m_callers = std::move(callers);
@@ -85,7 +89,7 @@
     Caller* best = nullptr;
     for (size_t i = begin; i < end; ++i) {
         if (usable[i]->under_way < limit
-            && (best == nullptr || usable[i]->under_way < best->under_way))
+            && (best == nullptr || usable[i]->cost_ms < best->cost_ms))
             best = usable[i];
     }
     return best;
@@ -108,6 +112,7 @@
 void AdvicePool::send(Caller& caller, Waiting entry)
 {
     ++caller.under_way;
+    caller.cost_ms += cost_of(entry.question);
     const std::string address = caller.address;
     const Millis timeout = timeout_of(entry.question);
     if (address.empty()) {
@@ -138,6 +143,9 @@
         if (caller.address != address)
             continue;
         caller.under_way = std::max(0, caller.under_way - 1);
+        caller.cost_ms = caller.under_way == 0
+            ? 0
+            : std::max(0.0, caller.cost_ms - cost_of(entry.question));
         if (!reply.tickets)
             caller.avoid_until = m_loop.now() + failed_pause;
     }
--- a/src/jobs.lib/advice_pool.h
+++ b/src/jobs.lib/advice_pool.h
@@ -54,6 +54,7 @@
     struct Caller {
         std::string address;
         int under_way = 0;
+        double cost_ms = 0; ///< Of the questions under way, at the advisor.
         Millis avoid_until;
     };
     struct Waiting {
@@ -65,7 +66,8 @@
     Caller* free_caller(bool slow);
     void dispatch();
     void send(Caller& caller, Waiting entry);
-    void finished(const std::string& address, const AdviceReply& reply, const Waiting& entry);
+    void finished(const std::string& address, const AdviceReply& reply,
+                  const Waiting& entry);
 
     EventLoop& m_loop;
     Advisor& m_advisor;
--- a/src/jobs.lib/job_record.h
+++ b/src/jobs.lib/job_record.h
@@ -58,6 +58,7 @@
 struct StepAdvice {
     std::map<std::string, Permission> workers; ///< By worker; those not in it weren't asked.
     bool asking = false;
+    std::vector<std::string> asked_for; ///< Kept free for a gang until the answer comes.
     Millis retry_at; ///< No call before it.
 };
 
@@ -72,6 +73,7 @@
     int64_t gang_failed_run = 0; ///< The last such run.
     int64_t gang_run = 0; ///< The run that is placed at present.
     StepAdvice advice;
+    Millis wait_explained; ///< When the log last told why it waits.
 
     bool finished() const { return done == static_cast<int>(tasks.size()); }
     int count(TaskPhase phase) const;
--- a/src/jobs.lib/scheduler.h
+++ b/src/jobs.lib/scheduler.h
@@ -124,6 +124,18 @@
         std::string last_failed_job;
         Millis avoid_until;
     };
+    /// A worker that a step may use, or may be allowed to.
+    struct Prospect {
+        std::string worker;
+        int fit = 0; ///< Tasks of the step for which there is room.
+        int later_fit = 0; ///< The same once less urgent tasks there have ended.
+        bool asked = false;
+        bool allowed = false;
+    };
+    static bool fit_first(const Prospect& left, const Prospect& right);
+    static bool later_first(const Prospect& left, const Prospect& right);
+    static std::vector<std::string> names(const std::vector<Prospect>& prospects, int most);
+
     /// A step that has tasks to place.
     struct Candidate {
         JobRecord* job = nullptr;
@@ -179,8 +191,11 @@
     std::vector<WorkerRoom> rooms_for(const JobRecord& job, const Step& step, int needed);
     WorkerRoom room_on(const Worker& worker, const std::string& step_key) const;
     bool is_eligible(const Worker& worker, const JobRecord& job, const Step& step) const;
-    void reserve_for(const JobRecord& job, const Step& step, int needed);
-    void ask_advice(const JobRecord& job, Step& step, int needed);
+    std::vector<Prospect> prospects(const JobRecord& job, const Step& step) const;
+    void prepare_gang(const JobRecord& job, Step& step, int needed);
+    void ask_for_some(const JobRecord& job, Step& step, int needed);
+    void ask(const JobRecord& job, Step& step, std::vector<std::string> workers);
+    void explain_wait(const JobRecord& job, Step& step);
     void advice_came(const std::string& job, int repeat, int step,
                      const std::vector<std::string>& asked, Millis asked_at,
                      const AdviceReply& reply);
--- a/src/jobs.lib/scheduler_pass.cpp
+++ b/src/jobs.lib/scheduler_pass.cpp
@@ -22,8 +22,9 @@
 /// A ticket is not used in the last part of its life.
 constexpr Millis ticket_margin { 250 };
 constexpr Millis advice_retry { 150 };
+constexpr Millis fruitless_pause { 120 };
 /// Workers named in one question.
-constexpr int least_asked = 6;
+constexpr int least_asked = 10;
 constexpr int most_asked = 30;
 /// Asked for beyond what is needed on average, since the advisor's choice varies.
 constexpr double asked_reserve = 1.5;
@@ -31,6 +32,8 @@
 constexpr double share_learning = 0.1;
 /// A member of a gang may be placed again so long after the others.
 constexpr Millis gang_refill_time { 1800 };
+/// A step that has waited for so long is explained in the log, again and again.
+constexpr Millis wait_explained_after { 2000 };
 
 std::string step_name(const JobRecord& job, const Step& step)
 {
@@ -44,6 +47,27 @@
 
 } // namespace
 
+bool Scheduler::fit_first(const Prospect& left, const Prospect& right)
+{
+    return left.fit > right.fit;
+}
+
+bool Scheduler::later_first(const Prospect& left, const Prospect& right)
+{
+    return left.later_fit > right.later_fit;
+}
+
+std::vector<std::string> Scheduler::names(const std::vector<Prospect>& prospects, int most)
+{
+    std::vector<std::string> workers;
+    for (const Prospect& prospect : prospects) {
+        if (workers.size() >= size_t(most))
+            break;
+        workers.push_back(prospect.worker);
+    }
+    return workers;
+}
+
 void Scheduler::schedule_pass()
 {
     if (m_pass_due || m_phase != Phase::acting)
@@ -177,12 +201,12 @@
     int fit = 0;
     for (const WorkerRoom& room : rooms)
         fit += tasks_that_fit(*step.spec, room);
-    if (fit < needed && job.accepted().queue.advice)
-        ask_advice(job, step, needed);
     if (step.spec->gang && fit < needed) {
-        reserve_for(job, step, needed);
+        prepare_gang(job, step, needed);
         return false;
     }
+    if (fit < needed && job.accepted().queue.advice)
+        ask_for_some(job, step, needed);
     if (fit == 0)
         return false;
     const std::vector<Share> shares
@@ -193,103 +217,172 @@
     return true;
 }
 
-// Keeps workers free of what comes after a gang that waits for room: those that it may use
-// and that would hold the most of its members once less urgent tasks there have ended.
-void Scheduler::reserve_for(const JobRecord& job, const Step& step, int needed)
+// Returns the workers that the step could use by what is known, and how many of its tasks
+// each would hold.
+std::vector<Scheduler::Prospect> Scheduler::prospects(const JobRecord& job, const Step& step) const
 {
     const std::string key = step_name(job, step);
     const int priority = job.accepted().queue.priority;
-    std::vector<std::pair<int, std::string>> rooms;
+    std::vector<Prospect> found;
     for (const auto& [id, worker] : m_workers) {
         if (!is_eligible(worker, job, step) || m_reserved.count(id) > 0)
             continue;
-        if (job.accepted().queue.advice) {
-            const auto known = step.advice.workers.find(id);
-            if (known == step.advice.workers.end() || !known->second.allowed)
-                continue;
-        }
+        Prospect prospect;
+        prospect.worker = id;
         WorkerRoom room = room_on(worker, key);
+        prospect.fit = tasks_that_fit(*step.spec, room);
         for (const auto& [task, occupant] : worker.occupants) {
             if (occupant.priority > priority)
                 room.free = room.free + occupant.need;
         }
-        const int fit = tasks_that_fit(*step.spec, room);
-        if (fit > 0)
-            rooms.emplace_back(fit, id);
+        prospect.later_fit = tasks_that_fit(*step.spec, room);
+        if (prospect.later_fit == 0)
+            continue;
+        const auto known = step.advice.workers.find(id);
+        prospect.asked = known != step.advice.workers.end();
+        prospect.allowed = !job.accepted().queue.advice
+            || (prospect.asked && known->second.allowed);
+        found.push_back(std::move(prospect));
     }
-    std::stable_sort(rooms.begin(), rooms.end(), [](const auto& left, const auto& right) {
-        return left.first > right.first;
-    });
+    return found;
+}
+
+// A gang waits for room, tickets or verdicts. Workers that it may use are kept free of what
+// comes after it once they suffice, and tickets are only asked for when the room is there.
+void Scheduler::prepare_gang(const JobRecord& job, Step& step, int needed)
+{
+    if (step.advice.asking) {
+        m_reserved.insert(step.advice.asked_for.begin(), step.advice.asked_for.end());
+        return;
+    }
+    std::vector<Prospect> allowed;
+    std::vector<Prospect> unasked;
+    int fit = 0;
+    int later_fit = 0;
+    for (Prospect& prospect : prospects(job, step)) {
+        if (prospect.allowed) {
+            fit += prospect.fit;
+            later_fit += prospect.later_fit;
+            allowed.push_back(std::move(prospect));
+        } else if (!prospect.asked) {
+            unasked.push_back(std::move(prospect));
+        }
+    }
+    const bool advised = job.accepted().queue.advice.has_value();
+    const bool room_now = fit >= needed;
+    if (!room_now && later_fit < needed && advised && !unasked.empty()) {
+        std::stable_sort(unasked.begin(), unasked.end(), later_first);
+        ask(job, step, names(unasked, most_asked));
+        return;
+    }
+    // If all that it may use is not enough, keeping workers free would help nobody.
+    if (later_fit < needed)
+        return;
+    std::stable_sort(allowed.begin(), allowed.end(), room_now ? fit_first : later_first);
+    size_t used = 0;
     int reserved = 0;
-    for (const auto& [fit, id] : rooms) {
-        if (reserved >= needed)
-            break;
-        m_reserved.insert(id);
-        reserved += fit;
+    while (used < allowed.size() && reserved < needed) {
+        reserved += room_now ? allowed[used].fit : allowed[used].later_fit;
+        m_reserved.insert(allowed[used++].worker);
+    }
+    if (room_now && advised) {
+        allowed.resize(used);
+        ask(job, step, names(allowed, most_asked));
+        if (step.advice.asking)
+            step.advice.asked_for = names(allowed, most_asked);
+    }
+}
+
+// Tasks that need not start together: asks again about workers that are known to be allowed
+// if they have room for some, else about further ones.
+void Scheduler::ask_for_some(const JobRecord& job, Step& step, int needed)
+{
+    if (step.advice.asking)
+        return;
+    std::vector<Prospect> allowed;
+    std::vector<Prospect> unasked;
+    int fit = 0;
+    for (Prospect& prospect : prospects(job, step)) {
+        prospect.fit = std::min(prospect.fit, needed);
+        if (prospect.fit == 0)
+            continue;
+        if (prospect.allowed) {
+            fit += prospect.fit;
+            allowed.push_back(std::move(prospect));
+        } else if (!prospect.asked) {
+            unasked.push_back(std::move(prospect));
+        }
     }
+    if (fit >= needed || unasked.empty()) {
+        std::stable_sort(allowed.begin(), allowed.end(), fit_first);
+        size_t used = 0;
+        int found = 0;
+        while (used < allowed.size() && found < needed + 2)
+            found += allowed[used++].fit;
+        allowed.resize(used);
+        ask(job, step, names(allowed, most_asked));
+        return;
+    }
+    std::stable_sort(unasked.begin(), unasked.end(), fit_first);
+    const double share
+        = m_allowed_share.try_emplace(job.accepted().queue.name, first_allowed_share)
+              .first->second;
+    double expected = fit;
+    size_t used = 0;
+    while (used < unasked.size()
+           && (used < size_t(least_asked) || expected < asked_reserve * needed))
+        expected += share * unasked[used++].fit;
+    unasked.resize(used);
+    ask(job, step, names(unasked, most_asked));
 }
 
-// Asks again about workers that are known to be allowed if they have the room; else about
-// further ones.
-void Scheduler::ask_advice(const JobRecord& job, Step& step, int needed)
+// Tells in the log why a step has not started, for whoever asks about its job.
+void Scheduler::explain_wait(const JobRecord& job, Step& step)
 {
     const Millis now = m_parts.loop.now();
-    StepAdvice& advice = step.advice;
-    if (advice.asking || now < advice.retry_at)
+    const bool due = now - job.seen() > wait_explained_after
+        && now - step.wait_explained > wait_explained_after;
+    if (!due || step.count(TaskPhase::waiting) == 0 || !job.may_run(step))
         return;
-    const std::string key = step_name(job, step);
-    std::vector<std::pair<int, std::string>> allowed;
-    std::vector<std::pair<int, std::string>> unasked;
-    int allowed_fit = 0;
+    step.wait_explained = now;
+    int eligible = 0;
+    int allowed = 0;
+    int fit = 0;
     for (const auto& [id, worker] : m_workers) {
         if (!is_eligible(worker, job, step))
             continue;
-        const int fit = std::min(needed, tasks_that_fit(*step.spec, room_on(worker, key)));
-        if (fit == 0)
+        ++eligible;
+        const auto known = step.advice.workers.find(id);
+        if (known == step.advice.workers.end() || !known->second.allowed)
             continue;
-        const auto known = advice.workers.find(id);
-        if (known == advice.workers.end()) {
-            unasked.emplace_back(fit, id);
-        } else if (known->second.allowed) {
-            allowed.emplace_back(fit, id);
-            allowed_fit += fit;
-        }
-    }
-    const auto roomiest = [](const auto& left, const auto& right) {
-        return left.first > right.first;
-    };
-    std::stable_sort(allowed.begin(), allowed.end(), roomiest);
-    std::stable_sort(unasked.begin(), unasked.end(), roomiest);
-    AdviceQuestion question;
-    const bool enough = allowed_fit >= needed || (unasked.empty() && !step.spec->gang);
-    if (enough) {
-        int fit = 0;
-        for (const auto& [room, id] : allowed) {
-            question.workers.push_back(id);
-            fit += room;
-            if (fit >= needed + 2 || question.workers.size() >= size_t(most_asked))
-                break;
-        }
-    } else {
-        const std::string& queue = job.accepted().queue.name;
-        const double share
-            = m_allowed_share.try_emplace(queue, first_allowed_share).first->second;
-        double expected = allowed_fit;
-        const double wanted = asked_reserve * needed;
-        for (const auto& [room, id] : unasked) {
-            if (question.workers.size() >= size_t(most_asked)
-                || (expected >= wanted && question.workers.size() >= size_t(least_asked)))
-                break;
-            question.workers.push_back(id);
-            expected += share * room;
-        }
+        ++allowed;
+        fit += tasks_that_fit(*step.spec, room_on(worker, step_name(job, step)));
     }
-    if (question.workers.empty())
+    log_event(LogLevel::info, "step_waits",
+              { { "job", job.id() },
+                { "step", step_name(job, step) },
+                { "waiting", step.count(TaskPhase::waiting) },
+                { "placed", step.placed() },
+                { "eligible", eligible },
+                { "asked", static_cast<int64_t>(step.advice.workers.size()) },
+                { "allowed", allowed },
+                { "fit", fit },
+                { "asking", step.advice.asking ? "yes" : "no" },
+                { "held_back", holds_back(job) ? "yes" : "no" } });
+}
+
+void Scheduler::ask(const JobRecord& job, Step& step, std::vector<std::string> workers)
+{
+    const Millis now = m_parts.loop.now();
+    if (workers.empty() || now < step.advice.retry_at)
         return;
-    question.step = key;
+    AdviceQuestion question;
+    question.step = step_name(job, step);
+    question.workers = std::move(workers);
     question.rule = *job.accepted().queue.advice;
     question.priority = job.accepted().queue.priority;
-    advice.asking = true;
+    step.advice.asking = true;
+    step.advice.asked_for.clear();
     auto came = m_lifetime.wrap([this, id = job.id(), repeat = step.repeat,
                                  index = step.index, asked = question.workers,
                                  now](const AdviceReply& reply) {
@@ -308,6 +401,7 @@
         return;
     const Millis now = m_parts.loop.now();
     step->advice.asking = false;
+    step->advice.asked_for.clear();
     if (!reply.tickets) {
         step->advice.retry_at = now + advice_retry;
         return;
@@ -318,6 +412,8 @@
     for (const WorkerTicket& ticket : reply.tickets.value())
         step->advice.workers[ticket.worker]
             = Permission { true, ticket.ticket, now + valid - ticket_margin };
+    // An answer that helps to place nothing is not asked for again at once.
+    step->advice.retry_at = now + fruitless_pause;
     double& share = m_allowed_share[job->accepted().queue.name];
     const double seen = double(reply.tickets->size()) / double(asked.size());
     share += share_learning * (seen - share);
@@ -332,6 +428,7 @@
 void Scheduler::intend(JobRecord& job, Step& step, const std::vector<Share>& shares)
 {
     const bool refill = step.spec->gang && step.placed() > 0;
+    step.advice.retry_at = Millis(0);
     const int64_t run = refill ? step.gang_run : ++m_last_run;
     step.gang_run = run;
     auto share = shares.begin();
--- a/src/jobs.lib/scheduler_tick.cpp
+++ b/src/jobs.lib/scheduler_tick.cpp
@@ -35,6 +35,7 @@
                     check_gang(*job, step);
                     check_standing(*job, step);
                     leave_draining(*job, step);
+                    explain_wait(*job, step);
                 }
             }
         }
