--- /dev/null
+++ b/src/emulator.lib/cell.cpp
@@ -0,0 +1,358 @@
+// Copyright the pathport authors.
+// SPDX-License-Identifier: Apache-2.0
+
+#include <pathport/emulator/cell.h>
+
+namespace pathport::emulator {
+
+namespace {
+
+using jobs::ClientStatus;
+
+constexpr Millis client_limit { 3000 };
+constexpr Millis resubmit_pause { 300 };
+constexpr int most_tries = 5;
+constexpr Millis stop_grace { 5000 };
+
+jobs::Configuration make_configuration()
+{
+    jobs::Configuration configuration;
+    configuration.version = 1;
+    configuration.services = { "pool" };
+    for (const bool advised : { false, true }) {
+        jobs::Queue queue;
+        queue.name = advised ? "advised" : "plain";
+        queue.host = "cell";
+        queue.path_prefix = "/" + queue.name + "/";
+        queue.service = "pool";
+        queue.priority = advised ? 1 : 0;
+        queue.max_failures = 3;
+        if (advised)
+            queue.advice = jobs::AdviceRule { 5, 1, 2000 };
+        configuration.queues.push_back(queue);
+    }
+    return configuration;
+}
+
+} // namespace
+
+/// Carries messages between nodes.
+class PeerPort : public jobs::PeerClient {
+public:
+    PeerPort(Cell& cell, ProcessLoop& loop, std::string node)
+        : m_cell(cell)
+        , m_loop(loop)
+        , m_node(std::move(node))
+    {
+    }
+
+    void send(const std::string& address, const jobs::PeerRequest& request, Millis timeout,
+              jobs::PeerReply done) override;
+
+private:
+    void deliver(Millis delay, std::function<void()> work)
+    {
+        m_loop.world().after(delay, [this, life = m_loop.life(), work = std::move(work)] {
+            if (*life)
+                m_loop.deliver(work);
+        });
+    }
+
+    Cell& m_cell;
+    ProcessLoop& m_loop;
+    std::string m_node;
+};
+
+class NodeProcess {
+public:
+    NodeProcess(Cell& cell, const std::string& name, const std::string& incarnation)
+        : loop(cell.world)
+        , store(cell.store, loop, name)
+        , workers(cell.workers, loop, name)
+        , peers(cell, loop, name)
+    {
+        jobs::NodeSetup setup;
+        setup.node = name;
+        setup.peer_address = name;
+        setup.incarnation = incarnation;
+        setup.max_hold = cell.workers.max_hold;
+        World& world = cell.world;
+        node = std::make_unique<jobs::JobNode>(
+            jobs::NodeParts { loop, store, store, workers, workers, peers,
+                              [&world] { return world.now().count(); } },
+            setup);
+        node->begin();
+    }
+
+    ProcessLoop loop;
+    StorePort store;
+    WorkerPort workers;
+    PeerPort peers;
+    std::unique_ptr<jobs::JobNode> node;
+};
+
+void PeerPort::send(const std::string& address, const jobs::PeerRequest& request,
+                    Millis timeout, jobs::PeerReply done)
+{
+    const Millis now = m_cell.world.now();
+    NodeProcess* target = m_cell.running(address);
+    const bool cut = now < m_cell.m_cut_until[m_node] || now < m_cell.m_cut_until[address];
+    if (target == nullptr && !cut) {
+        deliver(Millis(1), [done] { done(jobs::PeerEnd::refused, {}); });
+        return;
+    }
+    if (cut || target->loop.frozen()) {
+        deliver(timeout, [done] { done(jobs::PeerEnd::silent, {}); });
+        return;
+    }
+    // Whichever comes first, the answer or the time-out, ends the call.
+    const auto ended = std::make_shared<bool>(false);
+    deliver(timeout, [ended, done] {
+        if (!*ended) {
+            *ended = true;
+            done(jobs::PeerEnd::silent, {});
+        }
+    });
+    // Messages travel encoded, so that the codec is tested as well.
+    const std::string text = encode(request);
+    m_loop.world().after(
+        Millis(1), [this, life = m_loop.life(), address, text, ended, done] {
+            NodeProcess* receiver = m_cell.running(address);
+            if (receiver == nullptr)
+                return;
+            receiver->loop.deliver([this, life, receiver, text, ended, done] {
+                const auto message = jobs::decode_peer_request(text);
+                receiver->node->handle_peer(
+                    *message, [this, life, ended, done](const jobs::PeerAnswer& answer) {
+                        if (!*life)
+                            return;
+                        const auto decoded = jobs::decode_peer_answer(encode(answer));
+                        deliver(Millis(1), [ended, done, decoded] {
+                            if (*ended)
+                                return;
+                            *ended = true;
+                            done(jobs::PeerEnd::answered, *decoded);
+                        });
+                    });
+            });
+        });
+}
+
+Cell::Cell(uint64_t seed, int nodes, int worker_count)
+    : world(seed)
+    , store(world)
+    , workers(world)
+{
+    store.list_workers = [this] { return workers.list(); };
+    store.configure(make_configuration());
+    for (int i = 0; i < worker_count; ++i)
+        workers.add("pool", { 8000, 16000, 0 });
+    for (int i = 0; i < nodes; ++i)
+        start("n" + std::to_string(i + 1));
+}
+
+Cell::~Cell() = default;
+
+const jobs::Queue& Cell::queue(bool advised) const
+{
+    return store.configuration().queues[advised ? 1 : 0];
+}
+
+void Cell::start(const std::string& node)
+{
+    auto& slot = m_nodes[node];
+    if (slot && slot->loop.alive())
+        return;
+    if (slot)
+        m_dead.push_back(std::move(slot));
+    slot = std::make_unique<NodeProcess>(*this, node,
+                                         std::to_string(world.below(1000000000)));
+}
+
+NodeProcess* Cell::running(const std::string& node)
+{
+    const auto found = m_nodes.find(node);
+    if (found == m_nodes.end() || !found->second->loop.alive())
+        return nullptr;
+    return found->second.get();
+}
+
+NodeProcess* Cell::any_running()
+{
+    std::vector<NodeProcess*> candidates;
+    for (const auto& [name, process] : m_nodes) {
+        if (process->loop.alive() && !process->loop.frozen())
+            candidates.push_back(process.get());
+    }
+    return candidates.empty() ? nullptr : candidates[world.below(candidates.size())];
+}
+
+std::vector<std::string> Cell::node_names() const
+{
+    std::vector<std::string> names;
+    for (const auto& [name, process] : m_nodes)
+        names.push_back(name);
+    return names;
+}
+
+std::string Cell::leader() const
+{
+    for (const auto& [name, process] : m_nodes) {
+        if (process->loop.alive() && process->node->leads())
+            return name;
+    }
+    return {};
+}
+
+void Cell::kill(const std::string& node, Millis pause)
+{
+    NodeProcess* process = running(node);
+    if (process == nullptr)
+        return;
+    process->loop.kill();
+    world.after(pause, [this, node] { start(node); });
+}
+
+void Cell::freeze(const std::string& node, Millis span)
+{
+    NodeProcess* process = running(node);
+    if (process != nullptr)
+        process->loop.freeze_until(world.now() + span);
+}
+
+void Cell::cut_peers(const std::string& node, Millis span)
+{
+    m_cut_until[node] = world.now() + span;
+}
+
+void Cell::stop(const std::string& node, Millis pause)
+{
+    NodeProcess* process = running(node);
+    if (process == nullptr)
+        return;
+    process->loop.deliver([process] { process->node->leave(); });
+    world.after(stop_grace, [this, node, pause, process] {
+        if (running(node) == process)
+            kill(node, pause);
+    });
+}
+
+void Cell::submit(const std::string& id, const jobs::JobSpec& spec,
+                  const std::vector<TaskFacts>& facts, bool advised)
+{
+    ClientJob& job = m_jobs[id];
+    job.queue = queue(advised);
+    job.spec = spec;
+    job.facts = facts;
+    for (size_t i = 0; i < facts.size(); ++i) {
+        workers.describe(id, static_cast<int>(i), facts[i]);
+        job.hopeless = job.hopeless || facts[i].fails >= job.queue.max_failures;
+    }
+    try_submit(id, 0);
+}
+
+void Cell::try_submit(const std::string& id, int tries)
+{
+    ClientJob& job = m_jobs[id];
+    if (job.accepted)
+        return;
+    if (tries == most_tries) {
+        if (!job.doubtful)
+            workers.refused(id);
+        return;
+    }
+    NodeProcess* process = any_running();
+    if (process == nullptr) {
+        world.after(resubmit_pause, [this, id, tries] { try_submit(id, tries + 1); });
+        return;
+    }
+    const auto answered = std::make_shared<bool>(false);
+    process->node->submit(job.queue, id, job.spec, world.now(), client_limit,
+                          [this, id, tries, answered](ClientStatus status) {
+                              if (*answered)
+                                  return;
+                              *answered = true;
+                              ClientJob& handed = m_jobs[id];
+                              if (status == ClientStatus::ok)
+                                  handed.accepted = true;
+                              if (status == ClientStatus::in_doubt)
+                                  handed.doubtful = true;
+                              if (status != ClientStatus::ok)
+                                  world.after(resubmit_pause, [this, id, tries] {
+                                      try_submit(id, tries + 1);
+                                  });
+                          });
+    world.after(client_limit, [this, id, tries, answered] {
+        if (*answered)
+            return;
+        *answered = true;
+        m_jobs[id].doubtful = true;
+        try_submit(id, tries + 1);
+    });
+}
+
+void Cell::cancel(const std::string& id)
+{
+    NodeProcess* process = any_running();
+    if (process == nullptr)
+        return;
+    m_jobs[id].cancel_asked = true;
+    process->node->cancel(id, world.now(), client_limit, [this, id](ClientStatus status) {
+        if (status != ClientStatus::ok)
+            return;
+        m_jobs[id].canceled = true;
+        workers.canceled(id);
+    });
+}
+
+std::optional<jobs::JobState> Cell::ask_state(const std::string& id)
+{
+    NodeProcess* process = any_running();
+    if (process == nullptr)
+        return std::nullopt;
+    const auto answer = std::make_shared<std::optional<jobs::JobState>>();
+    process->node->query(id, world.now(), client_limit,
+                         [answer](ClientStatus status, jobs::JobState state) {
+                             if (status == ClientStatus::ok)
+                                 *answer = state;
+                         });
+    world.run_for(client_limit);
+    return *answer;
+}
+
+void Cell::check_state(const std::string& id, const ClientJob& job,
+                       std::vector<std::string>& wrong)
+{
+    const auto state = ask_state(id);
+    if (!state) {
+        wrong.push_back("no state of the accepted job " + id);
+        return;
+    }
+    bool done = true;
+    for (size_t i = 0; i < job.facts.size(); ++i) {
+        done = done
+            && workers.all_done(id, static_cast<int>(i), job.facts[i].count,
+                                job.facts[i].gang);
+    }
+    const std::string name = to_string(*state);
+    if (*state == jobs::JobState::completed && !done)
+        wrong.push_back(id + " is shown as completed and isn't done");
+    if (*state == jobs::JobState::canceled && !job.cancel_asked)
+        wrong.push_back(id + " is shown as canceled and nobody asked for it");
+    if (*state == jobs::JobState::failed && !job.hopeless)
+        wrong.push_back(id + " is shown as failed without cause");
+    if (!is_final(*state))
+        wrong.push_back(id + " has not ended: " + name);
+}
+
+std::vector<std::string> Cell::verdict()
+{
+    std::vector<std::string> wrong = workers.breaches();
+    for (const auto& [id, job] : m_jobs) {
+        if (job.accepted)
+            check_state(id, job, wrong);
+    }
+    return wrong;
+}
+
+} // namespace pathport::emulator
--- /dev/null
+++ b/src/emulator.lib/store.cpp
@@ -0,0 +1,248 @@
+// Copyright the pathport authors.
+// SPDX-License-Identifier: Apache-2.0
+
+#include <pathport/emulator/store.h>
+
+namespace pathport::emulator {
+
+namespace {
+
+using jobs::StoreResult;
+using jobs::StoreStatus;
+
+constexpr int64_t usual_latency_ms = 4;
+constexpr int64_t latency_spread_ms = 4;
+constexpr Millis watch_poll { 20 };
+
+StoreResult with_status(StoreStatus status)
+{
+    StoreResult result;
+    result.status = status;
+    return result;
+}
+
+} // namespace
+
+Store::Store(World& world)
+    : m_world(world)
+{
+}
+
+void Store::configure(const jobs::Configuration& configuration)
+{
+    m_configuration = configuration;
+    m_configuration_version = ++m_version;
+}
+
+StoreResult Store::write_now(const jobs::StoreWrite& write)
+{
+    StoreResult result;
+    result.clock_ms = m_world.now().count();
+    bool holds = true;
+    for (const jobs::RowCheck& check : write.checks) {
+        const auto found = m_rows.find(key(check.id));
+        jobs::StoredRow row;
+        row.id = check.id;
+        if (found != m_rows.end()) {
+            row.value = found->second.value;
+            row.version = found->second.version;
+        }
+        holds = holds && row.version == check.version;
+        result.rows.push_back(row);
+    }
+    if (!holds) {
+        result.status = StoreStatus::conflict;
+        result.version = m_version;
+        return result;
+    }
+    result.rows.clear();
+    ++m_version;
+    for (const jobs::RowPut& put : write.puts)
+        m_rows[key(put.id)] = Row { put.value, m_version };
+    for (const jobs::RowKey& row : write.removes)
+        m_rows.erase(key(row));
+    result.status = StoreStatus::ok;
+    result.version = m_version;
+    return result;
+}
+
+StoreResult Store::read_now(const jobs::StoreRange& range) const
+{
+    StoreResult result = with_status(StoreStatus::ok);
+    result.version = m_version;
+    result.clock_ms = m_world.now().count();
+    auto row = m_rows.lower_bound({ range.table, range.part, range.from });
+    for (; row != m_rows.end(); ++row) {
+        const auto& [table, part, name] = row->first;
+        if (table != range.table || part != range.part
+            || (!range.to.empty() && name >= range.to))
+            break;
+        if (result.rows.size() == size_t(range.limit)) {
+            result.more = true;
+            break;
+        }
+        result.rows.push_back(
+            { { table, part, name }, row->second.value, row->second.version, false });
+    }
+    return result;
+}
+
+StoreResult Store::watch_now(const std::string& table, int64_t version) const
+{
+    if (version < m_history_from)
+        return with_status(StoreStatus::history_lost);
+    StoreResult result = with_status(StoreStatus::ok);
+    result.version = m_version;
+    result.clock_ms = m_world.now().count();
+    for (const auto& [name, row] : m_rows) {
+        if (std::get<0>(name) == table && row.version > version)
+            result.rows.push_back({ { table, std::get<1>(name), std::get<2>(name) },
+                                    row.value,
+                                    row.version,
+                                    false });
+    }
+    return result;
+}
+
+std::string Store::value(const jobs::RowKey& row) const
+{
+    const auto found = m_rows.find(key(row));
+    return found == m_rows.end() ? std::string() : found->second.value;
+}
+
+Millis Store::latency()
+{
+    const auto spread = static_cast<int64_t>(m_world.below(latency_spread_ms));
+    return Millis((usual_latency_ms + spread) * trouble.slow);
+}
+
+StorePort::StorePort(Store& store, ProcessLoop& loop, std::string node)
+    : m_store(store)
+    , m_loop(loop)
+    , m_node(std::move(node))
+{
+}
+
+StorePort::Reach StorePort::reach() const
+{
+    const StoreTrouble& trouble = m_store.trouble;
+    if (trouble.silent || trouble.cut_nodes.count(m_node) > 0)
+        return Reach::silent;
+    if (trouble.busy || trouble.refused_nodes.count(m_node) > 0)
+        return Reach::refused;
+    return Reach::served;
+}
+
+void StorePort::answer(Millis delay, StoreResult result, const jobs::StoreReply& done)
+{
+    m_loop.world().after(delay,
+                         [this, life = m_loop.life(), result = std::move(result), done] {
+                             if (*life)
+                                 m_loop.deliver([result, done] { done(result); });
+                         });
+}
+
+void StorePort::call(Millis timeout, std::function<StoreResult()> work,
+                     jobs::StoreReply done)
+{
+    const Millis latency = m_store.latency();
+    if (reach() == Reach::refused) {
+        answer(Millis(2), with_status(StoreStatus::refused), done);
+        return;
+    }
+    if (reach() == Reach::silent || latency > timeout) {
+        answer(timeout, with_status(StoreStatus::unknown), done);
+        return;
+    }
+    m_loop.world().after(
+        Millis(latency.count() / 2),
+        [this, life = m_loop.life(), work = std::move(work), done, latency] {
+            const StoreResult result = work();
+            if (*life)
+                answer(Millis(latency.count() / 2), result, done);
+        });
+}
+
+void StorePort::read(const jobs::StoreRange& range, Millis timeout, jobs::StoreReply done)
+{
+    Store& store = m_store;
+    call(
+        timeout, [&store, range] { return store.read_now(range); }, std::move(done));
+}
+
+void StorePort::write(const jobs::StoreWrite& write, Millis timeout, jobs::StoreReply done)
+{
+    World& world = m_loop.world();
+    Store& store = m_store;
+    if (reach() == Reach::served && world.chance(store.trouble.lose)) {
+        const Millis when = store.trouble.late ? Millis(1000 + int64_t(world.below(5000)))
+                                               : store.latency();
+        world.after(when, [&store, write] { store.write_now(write); });
+        answer(timeout, with_status(StoreStatus::unknown), done);
+        return;
+    }
+    const Millis latency = store.latency();
+    if (reach() == Reach::served && latency > timeout) {
+        // The caller stops waiting; the write is done all the same.
+        world.after(latency, [&store, write] { store.write_now(write); });
+        answer(timeout, with_status(StoreStatus::unknown), done);
+        return;
+    }
+    call(
+        timeout, [&store, write] { return store.write_now(write); }, std::move(done));
+}
+
+void StorePort::watch(const std::string& table, int64_t version, Millis wait,
+                      jobs::StoreReply done)
+{
+    Store& store = m_store;
+    call(
+        wait + Millis(1000),
+        [&store, table, version] { return store.watch_now(table, version); },
+        std::move(done));
+}
+
+void StorePort::read_workers(
+    Millis timeout,
+    std::function<void(jobs::DirectoryAnswer<std::vector<jobs::WorkerInfo>>)> done)
+{
+    call(
+        timeout, [] { return with_status(StoreStatus::ok); },
+        [this, done](const StoreResult& result) {
+            jobs::DirectoryAnswer<std::vector<jobs::WorkerInfo>> answer;
+            answer.status = result.status;
+            if (result.status == StoreStatus::ok)
+                answer.value = m_store.list_workers();
+            done(answer);
+        });
+}
+
+void StorePort::read_configuration(
+    Millis timeout, std::function<void(jobs::DirectoryAnswer<jobs::Configuration>)> done)
+{
+    call(
+        timeout, [] { return with_status(StoreStatus::ok); },
+        [this, done](const StoreResult& result) {
+            jobs::DirectoryAnswer<jobs::Configuration> answer;
+            answer.status = result.status;
+            answer.version = m_store.configuration_version();
+            if (result.status == StoreStatus::ok && m_store.configuration_version() > 0)
+                answer.value = m_store.configuration();
+            done(answer);
+        });
+}
+
+void StorePort::watch_configuration(
+    int64_t version, Millis wait,
+    std::function<void(jobs::DirectoryAnswer<jobs::Configuration>)> done)
+{
+    if (wait <= Millis(0) || m_store.configuration_version() > version) {
+        read_configuration(Millis(1000), std::move(done));
+        return;
+    }
+    m_loop.after(watch_poll, [this, version, wait, done] {
+        watch_configuration(version, wait - watch_poll, done);
+    });
+}
+
+} // namespace pathport::emulator
--- /dev/null
+++ b/src/emulator.lib/virtual_loop.cpp
@@ -0,0 +1,81 @@
+// Copyright the pathport authors.
+// SPDX-License-Identifier: Apache-2.0
+
+#include <pathport/emulator/virtual_loop.h>
+
+namespace pathport::emulator {
+
+World::World(uint64_t seed)
+    : m_generator(seed)
+{
+}
+
+void World::after(Millis delay, std::function<void()> work)
+{
+    const int64_t at = m_now.count() + std::max<int64_t>(0, delay.count());
+    m_events.emplace(std::make_pair(at, ++m_sequence), std::move(work));
+}
+
+void World::run_for(Millis span)
+{
+    const Millis end = m_now + span;
+    while (!m_events.empty() && m_events.begin()->first.first <= end.count()) {
+        const auto first = m_events.begin();
+        m_now = Millis(first->first.first);
+        const std::function<void()> work = std::move(first->second);
+        m_events.erase(first);
+        work();
+    }
+    m_now = end;
+}
+
+uint64_t World::below(uint64_t bound)
+{
+    return m_generator() % bound;
+}
+
+bool World::chance(double share)
+{
+    return double(below(1000000)) < share * 1000000;
+}
+
+ProcessLoop::ProcessLoop(World& world)
+    : m_world(world)
+{
+}
+
+EventLoop::TimerId ProcessLoop::after(Millis delay, std::function<void()> work)
+{
+    const TimerId id = ++m_last;
+    m_timers.insert(id);
+    m_world.after(delay, [this, life = m_alive, id, work = std::move(work)] {
+        if (!*life)
+            return;
+        deliver([this, id, work] {
+            if (m_timers.erase(id) > 0)
+                work();
+        });
+    });
+    return id;
+}
+
+void ProcessLoop::cancel(TimerId timer)
+{
+    m_timers.erase(timer);
+}
+
+void ProcessLoop::deliver(std::function<void()> work)
+{
+    if (!*m_alive)
+        return;
+    if (!frozen()) {
+        work();
+        return;
+    }
+    m_world.after(m_frozen_until - m_world.now(), [this, life = m_alive, work] {
+        if (*life)
+            deliver(work);
+    });
+}
+
+} // namespace pathport::emulator
--- /dev/null
+++ b/src/emulator.lib/workers.cpp
@@ -0,0 +1,555 @@
+// Copyright the pathport authors.
+// SPDX-License-Identifier: Apache-2.0
+
+#include <pathport/emulator/workers.h>
+
+#include <pathport/ids.h>
+
+#include <algorithm>
+
+namespace pathport::emulator {
+
+namespace {
+
+using jobs::EndKind;
+using jobs::OrderAnswer;
+using jobs::OrderStatus;
+
+constexpr Millis tick_interval { 10 };
+constexpr Millis kill_time { 300 };
+constexpr Millis gang_time { 3000 };
+/// A start so long after a cancellation was acknowledged is a breach.
+constexpr Millis cancel_time { 3000 };
+
+} // namespace
+
+Workers::Workers(World& world)
+    : m_world(world)
+{
+    tick();
+}
+
+std::string Workers::add(const std::string& service, Resources capacity)
+{
+    const std::string id = "w" + std::to_string(++m_last_id);
+    Life life;
+    life.info.id = id;
+    life.info.service = service;
+    life.info.address = "10.0.0." + std::to_string(m_last_id) + ":80";
+    life.info.capacity = capacity;
+    life.info.labels = { "a", "r1-" + std::to_string(m_last_id % 3) };
+    m_lives.emplace(id, std::move(life));
+    return id;
+}
+
+void Workers::crash(const std::string& id, Millis pause)
+{
+    Life* life = find(id);
+    if (life == nullptr || !life->up)
+        return;
+    life->up = false;
+    life->running.clear();
+    const jobs::WorkerInfo info = life->info;
+    m_world.after(pause, [this, info] {
+        m_lives[add(info.service, info.capacity)].info.address = info.address;
+    });
+}
+
+void Workers::cut(const std::string& id, Millis span, const std::string& node)
+{
+    Life* life = find(id);
+    if (life == nullptr)
+        return;
+    if (node.empty())
+        life->cut_until = m_world.now() + span;
+    else
+        life->cut_nodes[node] = m_world.now() + span;
+}
+
+void Workers::drain(const std::string& id, Millis span)
+{
+    Life* life = find(id);
+    if (life == nullptr)
+        return;
+    life->info.draining = true;
+    life->info.remaining_ms = span.count();
+    m_world.after(span, [this, id] {
+        Life* leaving = find(id);
+        leaving->up = false;
+        leaving->running.clear();
+    });
+}
+
+void Workers::describe(const std::string& job, int step, const TaskFacts& facts)
+{
+    m_facts[{ job, step }] = facts;
+}
+
+void Workers::canceled(const std::string& job)
+{
+    m_canceled.emplace(job, m_world.now());
+}
+
+const TaskFacts& Workers::facts(const jobs::TaskId& task) const
+{
+    static const TaskFacts none;
+    const auto found = m_facts.find({ task.job, task.step });
+    return found == m_facts.end() ? none : found->second;
+}
+
+std::vector<jobs::WorkerInfo> Workers::list() const
+{
+    std::vector<jobs::WorkerInfo> listed;
+    for (const auto& [id, life] : m_lives) {
+        if (life.up)
+            listed.push_back(life.info);
+    }
+    return listed;
+}
+
+std::vector<std::string> Workers::ids() const
+{
+    std::vector<std::string> found;
+    for (const auto& [id, life] : m_lives) {
+        if (life.up)
+            found.push_back(id);
+    }
+    return found;
+}
+
+bool Workers::all_done(const std::string& job, int step, int count, bool gang) const
+{
+    int done = 0;
+    for (int i = 0; i < count; ++i) {
+        const auto found = m_history.find(jobs::TaskId { job, 0, step, i }.to_string());
+        done += found != m_history.end() && found->second.done ? 1 : 0;
+    }
+    return gang ? done > 0 : done == count;
+}
+
+Workers::Life* Workers::find(const std::string& id)
+{
+    const auto found = m_lives.find(id);
+    return found == m_lives.end() ? nullptr : &found->second;
+}
+
+bool Workers::reachable(const Life& life, const std::string& node) const
+{
+    const auto cut = life.cut_nodes.find(node);
+    return m_world.now() >= life.cut_until
+        && (cut == life.cut_nodes.end() || m_world.now() >= cut->second);
+}
+
+void Workers::breach(const std::string& text)
+{
+    m_breaches.push_back(std::to_string(m_world.now().count()) + ": " + text);
+}
+
+Resources Workers::used(const Life& life) const
+{
+    Resources sum;
+    for (const auto& [name, run] : life.running)
+        sum = sum + facts(run.task).need;
+    return sum;
+}
+
+std::string Workers::names_on(const Life& life)
+{
+    std::string names;
+    for (const auto& [name, run] : life.running)
+        names += " " + name + "/" + std::to_string(run.run);
+    return names;
+}
+
+void Workers::extend(Life& life, int64_t until)
+{
+    const int64_t most = m_world.now().count() + max_hold.count();
+    life.hold_until = std::max(life.hold_until, std::min(until, most));
+}
+
+OrderAnswer Workers::start_now(const std::string& id, const jobs::StartOrder& order)
+{
+    OrderAnswer answer;
+    answer.clock_ms = m_world.now().count();
+    Life* life = find(id);
+    if (life == nullptr || !life->up) {
+        answer.status = OrderStatus::other_life;
+        return answer;
+    }
+    const std::string name = order.task.to_string();
+    const auto running = life->running.find(name);
+    answer.status = OrderStatus::accepted;
+    if (order.fence < life->fence) {
+        answer.status = OrderStatus::stale_fence;
+        return answer;
+    }
+    life->fence = order.fence;
+    if (running != life->running.end() && running->second.run == order.run)
+        return answer;
+    if (order.hold_until <= m_world.now().count()) {
+        answer.status = OrderStatus::too_late;
+        return answer;
+    }
+    extend(*life, order.hold_until);
+    if (life->last_run[name] >= order.run
+        || (running != life->running.end() && running->second.run > order.run)) {
+        answer.status = OrderStatus::old_run;
+        return answer;
+    }
+    check_start(*life, order);
+    ++m_starts;
+    Run run;
+    run.task = order.task;
+    run.run = order.run;
+    run.waits_since = m_world.now();
+    const TaskFacts& known = facts(order.task);
+    run.working = !known.gang;
+    run.ends_at = m_world.now() + Millis(known.run_ms);
+    life->running[name] = run;
+    if (known.gang)
+        begin_gang(order.task, order.run);
+    if (!(used(*life)).fits_in(life->info.capacity))
+        breach("over the room of " + id + " by " + name + ", which runs" + names_on(*life));
+    return answer;
+}
+
+void Workers::check_start(const Life& life, const jobs::StartOrder& order)
+{
+    const std::string name = order.task.to_string();
+    const TaskFacts& known = facts(order.task);
+    if (known.payload != order.payload)
+        breach("another payload for " + name);
+    if (m_refused.count(order.task.job) > 0)
+        breach("started though refused: " + name);
+    const auto canceled = m_canceled.find(order.task.job);
+    if (canceled != m_canceled.end() && m_world.now() - canceled->second > cancel_time)
+        breach("started though cancelled: " + name);
+    if (m_history[name].done_noted)
+        breach("started again after it was done: " + name);
+    const TaskHistory& failures = failures_of(order.task);
+    if (!known.lasting && failures.failed_noted >= known.max_failures)
+        breach("started again after its last failure: " + name);
+    for (auto& [id, other] : m_lives) {
+        for (const jobs::EndedTask& end : other.ended) {
+            if (end.task == order.task)
+                other.followed.insert(end.number);
+        }
+    }
+    for (const auto& [id, other] : m_lives) {
+        if (other.up && &other != &life && other.running.count(name) > 0)
+            breach("two runs at once: " + name + " on " + id + " and " + life.info.id);
+    }
+    for (const int earlier : known.after) {
+        const TaskFacts& before = m_facts[{ order.task.job, earlier }];
+        if (!all_done(order.task.job, earlier, before.count, before.gang))
+            breach("started before step " + std::to_string(earlier) + ": " + name);
+    }
+}
+
+// A gang fails as a whole; its first member keeps the count.
+Workers::TaskHistory& Workers::failures_of(const jobs::TaskId& task)
+{
+    jobs::TaskId counted = task;
+    if (facts(task).gang)
+        counted.index = 0;
+    return m_history[counted.to_string()];
+}
+
+void Workers::note_ends(Life& life)
+{
+    for (const jobs::EndedTask& end : life.ended) {
+        if (end.number > life.seen || end.number <= life.lapsed_through)
+            continue;
+        const std::string name = end.task.to_string();
+        if (end.kind == EndKind::done && !facts(end.task).lasting) {
+            m_history[name].done_noted = true;
+            if (life.followed.count(end.number) > 0)
+                breach("started again after an end that was noted later: " + name);
+        }
+        if (end.kind == EndKind::failed) {
+            TaskHistory& failures = failures_of(end.task);
+            ++failures.failed_noted;
+            if (life.followed.count(end.number) > 0 && !facts(end.task).lasting
+                && failures.failed_noted >= facts(end.task).max_failures)
+                breach("started again after a last failure that was noted later: " + name);
+        }
+    }
+}
+
+// The members of a gang work once all of them are there.
+void Workers::begin_gang(const jobs::TaskId& task, int64_t run)
+{
+    std::vector<Run*> members;
+    for (auto& [id, life] : m_lives) {
+        for (auto& [name, other] : life.running) {
+            if (life.up && other.task.job == task.job && other.task.step == task.step
+                && other.run == run)
+                members.push_back(&other);
+        }
+    }
+    if (members.size() < size_t(facts(task).count))
+        return;
+    for (Run* member : members) {
+        member->working = true;
+        member->ends_at = m_world.now() + Millis(facts(task).run_ms);
+    }
+}
+
+OrderAnswer Workers::stop_now(const std::string& id, const jobs::RunOrder& order)
+{
+    OrderAnswer answer;
+    answer.clock_ms = m_world.now().count();
+    Life* life = find(id);
+    if (life == nullptr || !life->up) {
+        answer.status = OrderStatus::other_life;
+        return answer;
+    }
+    answer.status = OrderStatus::accepted;
+    if (order.fence < life->fence) {
+        answer.status = OrderStatus::stale_fence;
+        return answer;
+    }
+    life->fence = order.fence;
+    const std::string name = order.task.to_string();
+    const auto running = life->running.find(name);
+    if (running != life->running.end() && running->second.run == order.run) {
+        if (running->second.stop_at == Millis(0))
+            running->second.stop_at = m_world.now() + kill_time;
+    } else {
+        life->last_run[name] = std::max(life->last_run[name], order.run);
+    }
+    return answer;
+}
+
+OrderStatus Workers::look_now(const std::string& id, const jobs::LookOrder& order,
+                              jobs::LookReport& report)
+{
+    Life* life = find(id);
+    if (life == nullptr || !life->up)
+        return OrderStatus::other_life;
+    if (order.fence < life->fence)
+        return OrderStatus::stale_fence;
+    life->fence = order.fence;
+    if (order.hold_until > 0)
+        extend(*life, order.hold_until);
+    life->seen = std::max(life->seen, order.seen_through);
+    note_ends(*life);
+    life->ended.erase(std::remove_if(life->ended.begin(), life->ended.end(),
+                                     [&](const jobs::EndedTask& end) {
+                                         return end.number <= life->seen;
+                                     }),
+                      life->ended.end());
+    report.clock_ms = m_world.now().count();
+    report.ended = life->ended;
+    for (const auto& [name, run] : life->running) {
+        jobs::RunningTask running;
+        running.task = run.task;
+        running.run = run.run;
+        const int64_t left = (run.ends_at - m_world.now()).count();
+        const int64_t whole = std::max<int64_t>(1, facts(run.task).run_ms);
+        running.percent = run.working ? static_cast<int>(100 - left * 100 / whole) : 0;
+        report.running.push_back(running);
+    }
+    return OrderStatus::accepted;
+}
+
+void Workers::end(Life& life, const std::string& name, EndKind kind)
+{
+    const Run run = life.running[name];
+    life.running.erase(name);
+    life.last_run[name] = std::max(life.last_run[name], run.run);
+    if (kind == EndKind::failed)
+        ++failures_of(run.task).failed;
+    if (kind == EndKind::done && !facts(run.task).lasting)
+        m_history[name].done = true;
+    jobs::EndedTask ended;
+    ended.number = ++life.last_number;
+    ended.task = run.task;
+    ended.run = run.run;
+    ended.kind = kind;
+    life.ended.push_back(ended);
+}
+
+void Workers::step(Life& life)
+{
+    const Millis now = m_world.now();
+    if (life.hold_until <= now.count())
+        life.lapsed_through = life.last_number;
+    std::vector<std::pair<std::string, EndKind>> ends;
+    for (const auto& [name, run] : life.running) {
+        const TaskFacts& known = facts(run.task);
+        if (life.hold_until <= now.count())
+            ends.emplace_back(name, EndKind::lapsed);
+        else if (run.stop_at != Millis(0) && now >= run.stop_at)
+            ends.emplace_back(name, EndKind::stopped);
+        else if (!run.working && now - run.waits_since >= gang_time)
+            ends.emplace_back(name, EndKind::alone);
+        else if (run.working && now >= run.ends_at && !known.lasting)
+            ends.emplace_back(name,
+                              failures_of(run.task).failed < known.fails ? EndKind::failed
+                                                                         : EndKind::done);
+    }
+    for (const auto& [name, kind] : ends) {
+        const auto still = life.running.find(name);
+        if (still == life.running.end())
+            continue; // It ended with another member of its gang.
+        const Run run = still->second;
+        end(life, name, kind);
+        if (!facts(run.task).gang)
+            continue;
+        // One end of a gang's member ends the others.
+        for (auto& [id, other] : m_lives) {
+            std::vector<std::string> members;
+            for (const auto& [member, another] : other.running) {
+                if (another.task.job == run.task.job && another.task.step == run.task.step
+                    && another.run == run.run)
+                    members.push_back(member);
+            }
+            for (const std::string& member : members)
+                end(other, member, kind == EndKind::done ? EndKind::done : EndKind::broken);
+        }
+    }
+}
+
+void Workers::tick()
+{
+    for (auto& [id, life] : m_lives) {
+        if (life.up)
+            step(life);
+    }
+    m_world.after(tick_interval, [this] { tick(); });
+}
+
+WorkerPort::WorkerPort(Workers& workers, ProcessLoop& loop, std::string node)
+    : m_workers(workers)
+    , m_loop(loop)
+    , m_node(std::move(node))
+{
+}
+
+void WorkerPort::deliver(Millis delay, std::function<void()> work)
+{
+    m_loop.world().after(delay, [this, life = m_loop.life(), work = std::move(work)] {
+        if (*life)
+            m_loop.deliver(work);
+    });
+}
+
+void WorkerPort::order(const std::string& worker, Millis timeout,
+                       std::function<OrderAnswer()> work,
+                       std::function<void(OrderAnswer)> done)
+{
+    World& world = m_loop.world();
+    const auto* life = m_workers.find(worker);
+    const Millis way(1 + int64_t(world.below(3)));
+    if (life == nullptr || !m_workers.reachable(*life, m_node)) {
+        // What is on its way through a cut may arrive or not.
+        deliver(timeout, [done] { done(OrderAnswer()); });
+        return;
+    }
+    if (world.chance(m_workers.trouble.unanswered)) {
+        world.after(Millis(2000 + int64_t(world.below(10000))), [work] { work(); });
+        deliver(timeout, [done] { done(OrderAnswer()); });
+        return;
+    }
+    world.after(way, [this, life = m_loop.life(), work, done, way] {
+        const OrderAnswer answer = work();
+        if (*life)
+            deliver(way, [done, answer] { done(answer); });
+    });
+}
+
+void WorkerPort::start(const jobs::WorkerInfo& worker, const jobs::StartOrder& start,
+                       Millis timeout, std::function<void(OrderAnswer)> done)
+{
+    Workers& workers = m_workers;
+    order(
+        worker.id, timeout,
+        [&workers, id = worker.id, start] { return workers.start_now(id, start); }, done);
+}
+
+void WorkerPort::stop(const jobs::WorkerInfo& worker, const jobs::RunOrder& stop,
+                      Millis timeout, std::function<void(OrderAnswer)> done)
+{
+    Workers& workers = m_workers;
+    order(
+        worker.id, timeout,
+        [&workers, id = worker.id, stop] { return workers.stop_now(id, stop); }, done);
+}
+
+void WorkerPort::pace(const jobs::WorkerInfo&, const jobs::RunOrder&, Millis,
+                      std::function<void(OrderAnswer)> done)
+{
+    deliver(Millis(2), [done] { done(OrderAnswer { OrderStatus::accepted, 0 }); });
+}
+
+void WorkerPort::look(
+    const jobs::WorkerInfo& worker, const jobs::LookOrder& look, Millis timeout,
+    std::function<void(OrderStatus, std::optional<jobs::LookReport>)> done)
+{
+    const auto* life = m_workers.find(worker.id);
+    if (life == nullptr || !m_workers.reachable(*life, m_node)) {
+        deliver(timeout, [done] { done(OrderStatus::unknown, std::nullopt); });
+        return;
+    }
+    m_loop.world().after(
+        Millis(1), [this, life = m_loop.life(), id = worker.id, look, done] {
+            jobs::LookReport report;
+            const OrderStatus status = m_workers.look_now(id, look, report);
+            if (!*life)
+                return;
+            if (status == OrderStatus::accepted && look.wait > Millis(0)
+                && report.ended.empty()) {
+                wait_for_end(id, look, m_loop.world().now() + look.wait, done);
+                return;
+            }
+            deliver(Millis(1), [done, status, report] {
+                done(status,
+                     status == OrderStatus::accepted
+                         ? std::optional<jobs::LookReport>(report)
+                         : std::nullopt);
+            });
+        });
+}
+
+void WorkerPort::wait_for_end(
+    const std::string& worker, const jobs::LookOrder& look, Millis until,
+    std::function<void(OrderStatus, std::optional<jobs::LookReport>)> done)
+{
+    m_loop.world().after(
+        tick_interval, [this, life = m_loop.life(), worker, look, until, done] {
+            if (!*life)
+                return;
+            const auto* target = m_workers.find(worker);
+            if (target == nullptr || !target->up || !m_workers.reachable(*target, m_node)) {
+                deliver(Millis(500), [done] { done(OrderStatus::unknown, std::nullopt); });
+                return;
+            }
+            if (target->ended.empty() && m_loop.world().now() < until) {
+                wait_for_end(worker, look, until, done);
+                return;
+            }
+            // The waiting look shows what is there now, whoever has raised the fence since.
+            jobs::LookOrder now = look;
+            now.fence = target->fence;
+            now.hold_until = 0;
+            jobs::LookReport report;
+            m_workers.look_now(worker, now, report);
+            deliver(Millis(1), [done, report] { done(OrderStatus::accepted, report); });
+        });
+}
+
+// A hash decides which workers may run a step, so the answer never changes.
+void WorkerPort::ask(
+    const std::string& step, const std::vector<std::string>& workers, Millis,
+    std::function<void(std::optional<std::vector<jobs::WorkerTicket>>)> done)
+{
+    std::vector<jobs::WorkerTicket> tickets;
+    for (const std::string& worker : workers) {
+        if (stable_hash(step + worker) % 10 < 7)
+            tickets.push_back({ worker, "t" });
+    }
+    deliver(Millis(5 + int64_t(workers.size())), [done, tickets] { done(tickets); });
+}
+
+} // namespace pathport::emulator
--- /dev/null
+++ b/src/include/pathport/emulator/cell.h
@@ -0,0 +1,91 @@
+// Copyright the pathport authors.
+// SPDX-License-Identifier: Apache-2.0
+
+/// \file
+/// A whole cell in virtual time: nodes of the job path, a store, workers, and clients that
+/// hand in jobs and check what they were told.
+
+#pragma once
+
+#include <pathport/emulator/store.h>
+#include <pathport/emulator/virtual_loop.h>
+#include <pathport/emulator/workers.h>
+#include <pathport/jobs/job_node.h>
+
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace pathport::emulator {
+
+/// A node's process and what it reaches the world through.
+class NodeProcess;
+
+/// What a client knows of a job.
+struct ClientJob {
+    jobs::Queue queue;
+    jobs::JobSpec spec;
+    std::vector<TaskFacts> facts;
+    bool accepted = false; ///< It was told so.
+    bool doubtful = false; ///< An attempt got no clear answer.
+    bool cancel_asked = false;
+    bool canceled = false; ///< It was told so.
+    bool hopeless = false; ///< Its tasks fail too often.
+};
+
+/// The cell.
+class Cell {
+public:
+    Cell(uint64_t seed, int nodes, int workers);
+    ~Cell();
+
+    World world;
+    Store store;
+    Workers workers;
+
+    /// Returns a queue of the configuration; `advised` asks for one with advice.
+    const jobs::Queue& queue(bool advised) const;
+    std::vector<std::string> node_names() const;
+    /// Returns the name of the node that leads, or "".
+    std::string leader() const;
+    /// Kills a node's process; another one starts after `pause`.
+    void kill(const std::string& node, Millis pause);
+    /// Freezes a node's process.
+    void freeze(const std::string& node, Millis span);
+    /// Cuts a node from its peers.
+    void cut_peers(const std::string& node, Millis span);
+    /// Stops a node in order; another process starts after `pause`.
+    void stop(const std::string& node, Millis pause);
+
+    /// Hands in a job at a node that runs, and again elsewhere after an unclear answer.
+    void submit(const std::string& id, const jobs::JobSpec& spec,
+                const std::vector<TaskFacts>& facts, bool advised);
+    /// Cancels a job.
+    void cancel(const std::string& id);
+    /// Asks a node for the state of a job and waits, in virtual time.
+    std::optional<jobs::JobState> ask_state(const std::string& id);
+
+    /// Checks that all accepted jobs have come to the end that they should; returns what is
+    /// wrong, with all breaches seen so far.
+    std::vector<std::string> verdict();
+    const std::map<std::string, ClientJob>& jobs() const { return m_jobs; }
+
+private:
+    friend class PeerPort;
+
+    void start(const std::string& node);
+    NodeProcess* running(const std::string& node);
+    NodeProcess* any_running();
+    void try_submit(const std::string& id, int tries);
+    void check_state(const std::string& id, const ClientJob& job,
+                     std::vector<std::string>& wrong);
+
+    std::map<std::string, std::unique_ptr<NodeProcess>> m_nodes;
+    std::vector<std::unique_ptr<NodeProcess>> m_dead; ///< Kept, since events may name them.
+    std::map<std::string, Millis> m_cut_until;
+    std::map<std::string, ClientJob> m_jobs;
+};
+
+} // namespace pathport::emulator
--- /dev/null
+++ b/src/include/pathport/emulator/virtual_loop.h
@@ -0,0 +1,74 @@
+// Copyright the pathport authors.
+// SPDX-License-Identifier: Apache-2.0
+
+/// \file
+/// Virtual time for the emulator: events run one after another in the order of their times,
+/// so that a seed always gives the same run.
+
+#pragma once
+
+#include <pathport/event_loop.h>
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+#include <set>
+#include <utility>
+
+namespace pathport::emulator {
+
+/// The events of a world.
+class World {
+public:
+    explicit World(uint64_t seed);
+
+    Millis now() const { return m_now; }
+    /// Runs `work` at now() + `delay`.
+    void after(Millis delay, std::function<void()> work);
+    /// Runs all events up to now() + `span`.
+    void run_for(Millis span);
+    /// Returns a random number below `bound`.
+    uint64_t below(uint64_t bound);
+    /// Returns true with probability `share`.
+    bool chance(double share);
+
+private:
+    Millis m_now { 1000000 };
+    uint64_t m_sequence = 0;
+    std::map<std::pair<int64_t, uint64_t>, std::function<void()>> m_events;
+    std::mt19937_64 m_generator;
+};
+
+/// The loop of one process in a world: it can be killed, and frozen and woken again.
+class ProcessLoop : public EventLoop {
+public:
+    explicit ProcessLoop(World& world);
+
+    Millis now() const override { return m_world.now(); }
+    TimerId after(Millis delay, std::function<void()> work) override;
+    void cancel(TimerId timer) override;
+    uint64_t random() override { return m_world.below(UINT64_MAX); }
+
+    /// Runs `work` in the process when it runs; drops it once the process is dead.
+    void deliver(std::function<void()> work);
+    /// Nothing of the process runs until then.
+    void freeze_until(Millis time) { m_frozen_until = time; }
+    /// Ends the process: nothing of it runs any more.
+    void kill() { *m_alive = false; }
+    bool alive() const { return *m_alive; }
+    bool frozen() const { return m_world.now() < m_frozen_until; }
+    /// Expires when the process is dead.
+    std::shared_ptr<bool> life() const { return m_alive; }
+    World& world() { return m_world; }
+
+private:
+    World& m_world;
+    std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
+    Millis m_frozen_until;
+    TimerId m_last = 0;
+    std::set<TimerId> m_timers;
+};
+
+} // namespace pathport::emulator
--- /dev/null
+++ b/src/include/pathport/emulator/workers.h
@@ -0,0 +1,170 @@
+// Copyright the pathport authors.
+// SPDX-License-Identifier: Apache-2.0
+
+/// \file
+/// The emulator's workers: lives with fences, leases, gangs, tickets, ends that are listed
+/// until they are seen, and orders that are carried out late. They note each breach of
+/// what pathport promises about tasks.
+
+#pragma once
+
+#include <pathport/emulator/virtual_loop.h>
+#include <pathport/jobs/worker_client.h>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace pathport::emulator {
+
+/// What the emulator knows of a step's tasks, beside what its submitter said.
+struct TaskFacts {
+    int64_t run_ms = 500; ///< Work of one task.
+    int fails = 0; ///< So many runs of each task fail before one is done.
+    int count = 1; ///< Tasks of the step.
+    bool gang = false;
+    bool lasting = false;
+    Resources need;
+    int max_failures = 3;
+    std::string payload;
+    std::vector<int> after; ///< Steps that must be done first.
+};
+
+/// How the workers misbehave at present.
+struct WorkerTrouble {
+    double unanswered = 0; ///< So many orders get no answer and are carried out late.
+};
+
+/// The workers of a world.
+class Workers {
+public:
+    explicit Workers(World& world);
+
+    WorkerTrouble trouble;
+    Millis max_hold { 6000 };
+
+    /// Adds a worker and returns its id.
+    std::string add(const std::string& service, Resources capacity);
+    /// Ends a life; another one with a new id comes at its address after `pause`.
+    void crash(const std::string& id, Millis pause);
+    /// Cuts a worker from all nodes, or only from `node`; what runs there runs on.
+    void cut(const std::string& id, Millis span, const std::string& node = "");
+    /// Announces the end of a worker, which leaves after `span`.
+    void drain(const std::string& id, Millis span);
+
+    /// Tells what the tasks of a step do.
+    void describe(const std::string& job, int step, const TaskFacts& facts);
+    /// Notes that a job was cancelled and that this was acknowledged.
+    void canceled(const std::string& job);
+    /// Notes that each attempt to hand the job in was refused.
+    void refused(const std::string& job) { m_refused.insert(job); }
+
+    std::vector<jobs::WorkerInfo> list() const;
+    std::vector<std::string> ids() const;
+    /// Returns whether all tasks of a step have ended `done`.
+    bool all_done(const std::string& job, int step, int count, bool gang) const;
+    /// Returns the breaches that were seen.
+    const std::vector<std::string>& breaches() const { return m_breaches; }
+    int64_t starts() const { return m_starts; }
+
+private:
+    friend class WorkerPort;
+
+    struct Run {
+        jobs::TaskId task;
+        int64_t run = 0;
+        Millis ends_at;
+        Millis stop_at; ///< Zero while it was not told to stop.
+        Millis waits_since; ///< Of a gang's member: for the others.
+        bool working = false;
+    };
+    struct Life {
+        jobs::WorkerInfo info;
+        bool up = true;
+        Millis cut_until;
+        std::map<std::string, Millis> cut_nodes;
+        int64_t fence = 0;
+        int64_t hold_until = 0; ///< On its clock, which is the world's.
+        std::map<std::string, Run> running;
+        std::map<std::string, int64_t> last_run; ///< The highest ended run, by task.
+        std::vector<jobs::EndedTask> ended;
+        int64_t last_number = 0;
+        int64_t seen = 0;
+        std::set<int64_t> followed; ///< Ends after which the task was started again.
+        int64_t lapsed_through = 0; ///< Ends up to this number were listed before a lapse.
+    };
+    /// An end is noted once the worker is told that it was seen, unless its lease ran out
+    /// in between.
+    struct TaskHistory {
+        int failed = 0;
+        int failed_noted = 0;
+        bool done = false;
+        bool done_noted = false;
+    };
+
+    Life* find(const std::string& id);
+    bool reachable(const Life& life, const std::string& node) const;
+    jobs::OrderAnswer start_now(const std::string& id, const jobs::StartOrder& order);
+    jobs::OrderAnswer stop_now(const std::string& id, const jobs::RunOrder& order);
+    jobs::OrderStatus look_now(const std::string& id, const jobs::LookOrder& order,
+                               jobs::LookReport& report);
+    static std::string names_on(const Life& life);
+    void extend(Life& life, int64_t until);
+    void check_start(const Life& life, const jobs::StartOrder& order);
+    void begin_gang(const jobs::TaskId& task, int64_t run);
+    void note_ends(Life& life);
+    TaskHistory& failures_of(const jobs::TaskId& task);
+    void step(Life& life);
+    void tick();
+    void end(Life& life, const std::string& task, jobs::EndKind kind);
+    void breach(const std::string& text);
+    const TaskFacts& facts(const jobs::TaskId& task) const;
+    Resources used(const Life& life) const;
+
+    World& m_world;
+    std::map<std::string, Life> m_lives;
+    std::map<std::pair<std::string, int>, TaskFacts> m_facts;
+    std::map<std::string, TaskHistory> m_history;
+    std::map<std::string, Millis> m_canceled;
+    std::set<std::string> m_refused;
+    std::vector<std::string> m_breaches;
+    int m_last_id = 0;
+    int64_t m_starts = 0;
+};
+
+/// The workers as one process reaches them.
+class WorkerPort : public jobs::WorkerClient, public jobs::Advisor {
+public:
+    WorkerPort(Workers& workers, ProcessLoop& loop, std::string node);
+
+    void start(const jobs::WorkerInfo& worker, const jobs::StartOrder& order,
+               Millis timeout, std::function<void(jobs::OrderAnswer)> done) override;
+    void stop(const jobs::WorkerInfo& worker, const jobs::RunOrder& order, Millis timeout,
+              std::function<void(jobs::OrderAnswer)> done) override;
+    void pace(const jobs::WorkerInfo& worker, const jobs::RunOrder& order, Millis timeout,
+              std::function<void(jobs::OrderAnswer)> done) override;
+    void look(const jobs::WorkerInfo& worker, const jobs::LookOrder& order, Millis timeout,
+              std::function<void(jobs::OrderStatus, std::optional<jobs::LookReport>)> done)
+        override;
+    void
+    ask(const std::string& step, const std::vector<std::string>& workers, Millis timeout,
+        std::function<void(std::optional<std::vector<jobs::WorkerTicket>>)> done) override;
+
+private:
+    void order(const std::string& worker, Millis timeout,
+               std::function<jobs::OrderAnswer()> work,
+               std::function<void(jobs::OrderAnswer)> done);
+    void wait_for_end(
+        const std::string& worker, const jobs::LookOrder& order, Millis until,
+        std::function<void(jobs::OrderStatus, std::optional<jobs::LookReport>)> done);
+    void deliver(Millis delay, std::function<void()> work);
+
+    Workers& m_workers;
+    ProcessLoop& m_loop;
+    std::string m_node;
+};
+
+} // namespace pathport::emulator
--- a/src/include/pathport/jobs/job_model.h
+++ b/src/include/pathport/jobs/job_model.h
@@ -171,7 +171,7 @@
 /// Encodes an accepted job for its row.
 std::string encode(const AcceptedJob& job);
 /// Decodes an accepted job; returns nothing and sets `reason` when it is malformed.
-std::optional<AcceptedJob> decode_accepted_job(const std::string& id, const std::string& text,
-                                               Failure& reason);
+std::optional<AcceptedJob> decode_accepted_job(const std::string& id,
+                                               const std::string& text, Failure& reason);
 
 } // namespace pathport::jobs
--- a/src/include/pathport/jobs/job_store.h
+++ b/src/include/pathport/jobs/job_store.h
@@ -107,7 +107,8 @@
 };
 
 /// What became of a read of the directory.
-template <typename Value> struct DirectoryAnswer {
+template <typename Value>
+struct DirectoryAnswer {
     StoreStatus status = StoreStatus::unknown;
     std::optional<Value> value; ///< Nothing when it has not changed, or isn't there yet.
     int64_t version = 0; ///< Go on watching from here.
--- a/src/include/pathport/jobs/peers.h
+++ b/src/include/pathport/jobs/peers.h
@@ -46,7 +46,8 @@
     bool resigned = false; ///< The sender led in `epoch` and gives its place up.
     bool store_served = false; ///< Whether the store served the sender lately.
     bool promises = false; ///< The sender won't claim leadership for `promise_time`.
-    int64_t echo_ms = 0; ///< The leader's time from its last answer; promises count from it.
+    int64_t echo_ms
+        = 0; ///< The leader's time from its last answer; promises count from it.
 };
 
 /// The answer of a peer.
--- a/src/include/pathport/jobs/worker_client.h
+++ b/src/include/pathport/jobs/worker_client.h
@@ -108,9 +108,8 @@
                       std::function<void(OrderAnswer)> done)
         = 0;
     /// Looks at a worker. There is a report if the status is `accepted`.
-    virtual void
-    look(const WorkerInfo& worker, const LookOrder& order, Millis timeout,
-         std::function<void(OrderStatus, std::optional<LookReport>)> done)
+    virtual void look(const WorkerInfo& worker, const LookOrder& order, Millis timeout,
+                      std::function<void(OrderStatus, std::optional<LookReport>)> done)
         = 0;
 };
 
@@ -127,9 +126,9 @@
 
     /// Asks which of `workers` may run the step `step` ("<job>.<repeat>.<step>"). `done`
     /// gets nothing when there was no answer.
-    virtual void
-    ask(const std::string& step, const std::vector<std::string>& workers, Millis timeout,
-        std::function<void(std::optional<std::vector<WorkerTicket>>)> done)
+    virtual void ask(const std::string& step, const std::vector<std::string>& workers,
+                     Millis timeout,
+                     std::function<void(std::optional<std::vector<WorkerTicket>>)> done)
         = 0;
 };
 
--- a/src/jobs.lib/advice_pool.cpp
+++ b/src/jobs.lib/advice_pool.cpp
@@ -61,10 +61,10 @@
 
 void AdvicePool::ask(AdviceQuestion question, std::function<void(AdviceReply)> done)
 {
-    const auto behind = std::find_if(
-        m_waiting.begin(), m_waiting.end(), [&](const Waiting& entry) {
-            return entry.question.priority > question.priority;
-        });
+    const auto behind
+        = std::find_if(m_waiting.begin(), m_waiting.end(), [&](const Waiting& entry) {
+              return entry.question.priority > question.priority;
+          });
     m_waiting.insert(behind, Waiting { std::move(question), std::move(done) });
     dispatch();
 }
@@ -116,24 +116,26 @@
     const std::string address = caller.address;
     const Millis timeout = timeout_of(entry.question);
     if (address.empty()) {
-        m_advisor.ask(entry.question.step, entry.question.workers, timeout,
-                      m_lifetime.wrap([this, address, entry](
-                                          std::optional<std::vector<WorkerTicket>> tickets) {
-                          finished(address, AdviceReply { std::move(tickets) }, entry);
-                      }));
+        m_advisor.ask(
+            entry.question.step, entry.question.workers, timeout,
+            m_lifetime.wrap(
+                [this, address, entry](std::optional<std::vector<WorkerTicket>> tickets) {
+                    finished(address, AdviceReply { std::move(tickets) }, entry);
+                }));
         return;
     }
     PeerRequest request;
     request.topic = PeerTopic::advice;
     request.job = entry.question.step;
     request.workers = entry.question.workers;
-    m_peers.send(address, request, timeout,
-                 m_lifetime.wrap([this, address, entry](PeerEnd end, const PeerAnswer& answer) {
-                     AdviceReply reply;
-                     if (end == PeerEnd::answered && answer.served)
-                         reply.tickets = answer.tickets;
-                     finished(address, reply, entry);
-                 }));
+    m_peers.send(
+        address, request, timeout,
+        m_lifetime.wrap([this, address, entry](PeerEnd end, const PeerAnswer& answer) {
+            AdviceReply reply;
+            if (end == PeerEnd::answered && answer.served)
+                reply.tickets = answer.tickets;
+            finished(address, reply, entry);
+        }));
 }
 
 void AdvicePool::finished(const std::string& address, const AdviceReply& reply,
--- /dev/null
+++ b/src/jobs.lib/cell_test.cpp
@@ -0,0 +1,243 @@
+// Copyright the pathport authors.
+// SPDX-License-Identifier: Apache-2.0
+
+/// \file
+/// Whole cells under random schedules, and the faults that were found there or on the
+/// users' bench, each as a schedule of its own.
+
+#define BOOST_TEST_MODULE cell
+#include <boost/test/unit_test.hpp>
+
+#include <pathport/emulator/cell.h>
+#include <pathport/log.h>
+
+#include <cstdlib>
+
+using namespace pathport;
+using emulator::Cell;
+using emulator::TaskFacts;
+
+namespace {
+
+/// The first seed of the random schedules; the environment may name another one.
+uint64_t first_seed()
+{
+    const char* const text = std::getenv("PATHPORT_SEED");
+    return text == nullptr ? 1000 : std::strtoull(text, nullptr, 10);
+}
+
+/// How many random schedules are run.
+int schedule_count()
+{
+    const char* const text = std::getenv("PATHPORT_SCHEDULES");
+    return text == nullptr ? 40 : std::atoi(text);
+}
+
+TaskFacts simple_facts(int count, int64_t run_ms)
+{
+    TaskFacts facts;
+    facts.count = count;
+    facts.run_ms = run_ms;
+    facts.need = { 1000, 1000, 0 };
+    facts.payload = "p";
+    return facts;
+}
+
+jobs::JobSpec spec_of(const std::vector<TaskFacts>& facts)
+{
+    jobs::JobSpec spec;
+    spec.payload = "p";
+    for (const TaskFacts& step : facts) {
+        jobs::StepSpec entry;
+        entry.count = step.count;
+        entry.need = step.need;
+        entry.gang = step.gang;
+        entry.after = step.after;
+        entry.expected_ms = step.run_ms;
+        spec.steps.push_back(entry);
+    }
+    return spec;
+}
+
+std::string joined(const std::vector<std::string>& lines)
+{
+    std::string text;
+    for (const std::string& line : lines)
+        text += "\n  " + line;
+    return text;
+}
+
+/// Hands in a job with random steps.
+void submit_random(Cell& cell, int number)
+{
+    std::vector<TaskFacts> steps;
+    const auto count = 1 + cell.world.below(3);
+    for (uint64_t i = 0; i < count; ++i) {
+        TaskFacts facts = simple_facts(1 + int(cell.world.below(5)),
+                                       100 + int64_t(cell.world.below(2500)));
+        facts.gang = cell.world.chance(0.3);
+        facts.need.cpu_millis = 500 + int64_t(cell.world.below(2000));
+        facts.fails = cell.world.chance(0.2) ? 1 + int(cell.world.below(3)) : 0;
+        if (i > 0 && cell.world.chance(0.7))
+            facts.after = { int(i) - 1 };
+        steps.push_back(facts);
+    }
+    cell.submit("job" + std::to_string(number), spec_of(steps), steps,
+                cell.world.chance(0.5));
+}
+
+std::string random_node(Cell& cell)
+{
+    const auto names = cell.node_names();
+    const std::string leader = cell.leader();
+    if (!leader.empty() && cell.world.chance(0.5))
+        return leader;
+    return names[cell.world.below(names.size())];
+}
+
+std::string random_worker(Cell& cell)
+{
+    const auto ids = cell.workers.ids();
+    return ids[cell.world.below(ids.size())];
+}
+
+/// Brings about one trouble, drawn at random.
+void trouble(Cell& cell)
+{
+    const Millis span(500 + int64_t(cell.world.below(6000)));
+    switch (cell.world.below(16)) {
+    case 0:
+    case 1:
+        cell.kill(random_node(cell), Millis(200 + int64_t(cell.world.below(3000))));
+        break;
+    case 2:
+        cell.freeze(random_node(cell), span);
+        break;
+    case 3:
+        cell.cut_peers(random_node(cell), span);
+        break;
+    case 4:
+        cell.stop(random_node(cell), Millis(500));
+        break;
+    case 5:
+        cell.workers.crash(random_worker(cell), span);
+        break;
+    case 6:
+        cell.workers.cut(random_worker(cell), span);
+        break;
+    case 7:
+        cell.workers.cut(random_worker(cell), span, random_node(cell));
+        break;
+    case 8:
+        cell.workers.trouble.unanswered = 0.1;
+        cell.world.after(span, [&cell] { cell.workers.trouble.unanswered = 0; });
+        break;
+    case 9:
+        cell.store.trouble.busy = true;
+        cell.world.after(span, [&cell] { cell.store.trouble.busy = false; });
+        break;
+    case 10:
+        cell.store.trouble.silent = true;
+        cell.world.after(span, [&cell] { cell.store.trouble.silent = false; });
+        break;
+    case 11:
+        cell.store.trouble.slow = 60;
+        cell.world.after(span, [&cell] { cell.store.trouble.slow = 1; });
+        break;
+    case 12:
+        cell.store.trouble.lose = 0.35;
+        cell.store.trouble.late = cell.world.chance(0.5);
+        cell.world.after(span, [&cell] { cell.store.trouble.lose = 0; });
+        break;
+    case 13: {
+        const std::string node = random_node(cell);
+        auto& nodes = cell.world.chance(0.5) ? cell.store.trouble.refused_nodes
+                                             : cell.store.trouble.cut_nodes;
+        nodes.insert(node);
+        cell.world.after(span, [&nodes, node] { nodes.erase(node); });
+        break;
+    }
+    case 14:
+        cell.store.compact();
+        break;
+    default:
+        for (const std::string& node : cell.node_names())
+            cell.kill(node, Millis(300 + int64_t(cell.world.below(600))));
+        break;
+    }
+}
+
+/// Runs one random schedule and returns what is wrong at its end.
+std::vector<std::string> run_schedule(uint64_t seed)
+{
+    Cell cell(seed, 4, 8);
+    cell.world.run_for(Millis(1500));
+    int number = 0;
+    for (int tenth = 0; tenth < 250; ++tenth) {
+        if (cell.world.chance(0.35))
+            submit_random(cell, number++);
+        if (cell.world.chance(0.03) && number > 0)
+            cell.cancel("job" + std::to_string(cell.world.below(uint64_t(number))));
+        if (cell.world.chance(0.04))
+            trouble(cell);
+        cell.world.run_for(Millis(100));
+    }
+    cell.world.run_for(Millis(40000));
+    return cell.verdict();
+}
+
+struct QuietLog {
+    QuietLog()
+    {
+        const char* const level = std::getenv("PATHPORT_LOG");
+        start_log("test", log_level_from(level == nullptr ? "error" : level));
+    }
+};
+
+} // namespace
+
+BOOST_TEST_GLOBAL_FIXTURE(QuietLog);
+
+BOOST_AUTO_TEST_CASE(calm_cell_completes_all_jobs)
+{
+    Cell cell(1, 3, 6);
+    cell.world.run_for(Millis(1500));
+    for (int i = 0; i < 60; ++i) {
+        submit_random(cell, i);
+        cell.world.run_for(Millis(150));
+    }
+    cell.world.run_for(Millis(20000));
+    const auto wrong = cell.verdict();
+    BOOST_TEST(wrong.empty(), joined(wrong));
+    for (const auto& [id, job] : cell.jobs())
+        BOOST_TEST(job.accepted, id);
+}
+
+// Found on the bench (a hunt on the kiosk's site, LOST): an end `failed` that was recorded
+// and not yet forgotten by the worker was counted again by the next leader, because the
+// task had been placed on the same worker again.
+BOOST_AUTO_TEST_CASE(failure_is_counted_once_over_a_change_of_leader)
+{
+    // The leader dies at each millisecond around the record of the first failure.
+    for (uint64_t seed = 1; seed <= 80; ++seed) {
+        Cell cell(seed, 3, 1);
+        cell.world.run_for(Millis(1500));
+        TaskFacts facts = simple_facts(1, 300);
+        facts.fails = 2; // Two of the three failures that a task may have.
+        cell.submit("job0", spec_of({ facts }), { facts }, false);
+        cell.world.run_for(Millis(320 + int64_t(seed)));
+        cell.kill(cell.leader(), Millis(5000));
+        cell.world.run_for(Millis(20000));
+        const auto wrong = cell.verdict();
+        BOOST_TEST(wrong.empty(), "seed " << seed << joined(wrong));
+    }
+}
+
+BOOST_AUTO_TEST_CASE(random_schedules_keep_all_promises)
+{
+    const uint64_t first = first_seed();
+    for (int i = 0; i < schedule_count(); ++i) {
+        const auto wrong = run_schedule(first + uint64_t(i));
+        BOOST_TEST(wrong.empty(), "seed " << first + uint64_t(i) << joined(wrong));
+    }
+}
--- a/src/jobs.lib/head_log.cpp
+++ b/src/jobs.lib/head_log.cpp
@@ -15,6 +15,7 @@
 
 /// Pause between the starts of two writes, so that rows share transactions.
 constexpr Millis write_spacing { 16 };
+constexpr Millis gathering_time { 3 };
 /// A write is made at least so often, to renew the lease.
 constexpr Millis renewal_interval { 400 };
 /// Pause before a write is sent again that was refused.
@@ -26,7 +27,8 @@
 
 std::string encode(const HeadValue& head)
 {
-    return nlohmann::json::array({ head.epoch, head.number, head.incarnation, head.unrecorded })
+    return nlohmann::json::array(
+               { head.epoch, head.number, head.incarnation, head.unrecorded })
         .dump();
 }
 
@@ -67,8 +69,8 @@
         entry->second.done.push_back(std::move(done));
     if (!m_sending && !m_pending_write) {
         const Millis since = m_loop.now() - m_last_start;
-        // The short delay lets rows of one pass share a transaction.
-        schedule(std::max(Millis(1), write_spacing - since));
+        // An end and the intents of the pass that follows it share a transaction.
+        schedule(std::max(gathering_time, write_spacing - since));
     }
 }
 
@@ -163,7 +165,8 @@
     std::vector<Entry> written;
     written.swap(m_under_way);
     const Millis since = m_loop.now() - asked;
-    schedule(m_queue.empty() ? renewal_interval : std::max(Millis(1), write_spacing - since));
+    schedule(m_queue.empty() ? renewal_interval
+                             : std::max(Millis(1), write_spacing - since));
     // A callback may end this leadership and destroy the log.
     const auto alive = m_lifetime.observe();
     for (const Entry& entry : written) {
--- a/src/jobs.lib/head_log.h
+++ b/src/jobs.lib/head_log.h
@@ -30,7 +30,8 @@
     int64_t epoch = 0;
     int64_t number = 0; ///< Of the write within the epoch.
     std::string incarnation; ///< Of the writer.
-    /// Orders may have been sent before their intents were recorded, since the store is slow.
+    /// Orders may have been sent before their intents were recorded, since the store is
+    /// slow.
     bool unrecorded = false;
 
     bool operator==(const HeadValue& other) const
--- a/src/jobs.lib/job_codec.cpp
+++ b/src/jobs.lib/job_codec.cpp
@@ -117,8 +117,8 @@
     return json.dump(-1, ' ', false, Json::error_handler_t::replace);
 }
 
-std::optional<AcceptedJob> decode_accepted_job(const std::string& id, const std::string& text,
-                                               Failure& reason)
+std::optional<AcceptedJob> decode_accepted_job(const std::string& id,
+                                               const std::string& text, Failure& reason)
 {
     try {
         const Json json = Json::parse(text);
--- a/src/jobs.lib/job_model.cpp
+++ b/src/jobs.lib/job_model.cpp
@@ -55,8 +55,8 @@
 {
     const std::string name = "step " + std::to_string(index);
     if (step.count < 1 || step.count > max_tasks_per_step)
-        return fail(reason, name + ": count must be 1 to "
-                        + std::to_string(max_tasks_per_step));
+        return fail(reason,
+                    name + ": count must be 1 to " + std::to_string(max_tasks_per_step));
     if (step.need.cpu_millis < 0 || step.need.memory_mb < 0 || step.need.accelerators < 0)
         return fail(reason, name + ": resources must not be negative");
     if (step.max_per_worker < 0 || step.max_away < 0 || step.target_ms < 0)
@@ -64,7 +64,8 @@
     // Only earlier steps may be named, so there can be no cycle.
     for (const int earlier : step.after) {
         if (earlier < 0 || earlier >= index)
-            return fail(reason, name + ": `after` names " + std::to_string(earlier)
+            return fail(reason,
+                        name + ": `after` names " + std::to_string(earlier)
                             + ", which is not an earlier step");
     }
     return true;
@@ -75,8 +76,8 @@
 bool is_valid(const JobSpec& spec, Failure& reason)
 {
     if (spec.payload.size() > max_payload_bytes)
-        return fail(reason, "the payload is over " + std::to_string(max_payload_bytes)
-                        + " bytes");
+        return fail(reason,
+                    "the payload is over " + std::to_string(max_payload_bytes) + " bytes");
     if (spec.steps.empty() || spec.steps.size() > size_t(max_steps))
         return fail(reason, "a job has 1 to " + std::to_string(max_steps) + " steps");
     if (spec.repeats < 0 || spec.repeats > max_repeats)
@@ -96,8 +97,8 @@
     const std::string name = host.substr(0, host.find(':'));
     const Queue* best = nullptr;
     for (const Queue& queue : queues) {
-        const bool matches
-            = queue.host == name && path.compare(0, queue.path_prefix.size(), queue.path_prefix) == 0;
+        const bool matches = queue.host == name
+            && path.compare(0, queue.path_prefix.size(), queue.path_prefix) == 0;
         if (matches
             && (best == nullptr || queue.path_prefix.size() > best->path_prefix.size()))
             best = &queue;
@@ -107,9 +108,8 @@
 
 const Queue* Configuration::by_name(const std::string& name) const
 {
-    const auto found = std::find_if(queues.begin(), queues.end(), [&](const Queue& queue) {
-        return queue.name == name;
-    });
+    const auto found = std::find_if(queues.begin(), queues.end(),
+                                    [&](const Queue& queue) { return queue.name == name; });
     return found == queues.end() ? nullptr : &*found;
 }
 
@@ -163,8 +163,9 @@
 std::optional<TaskId> TaskId::parse(const std::string& text)
 {
     const size_t last = text.rfind('.');
-    const size_t middle = last == std::string::npos || last == 0 ? std::string::npos
-                                                                 : text.rfind('.', last - 1);
+    const size_t middle = last == std::string::npos || last == 0
+        ? std::string::npos
+        : text.rfind('.', last - 1);
     const size_t first = middle == std::string::npos || middle == 0
         ? std::string::npos
         : text.rfind('.', middle - 1);
--- a/src/jobs.lib/job_node.cpp
+++ b/src/jobs.lib/job_node.cpp
@@ -64,7 +64,8 @@
     notice.epoch = m_leadership.epoch();
     notice.resigned = true;
     for (const auto& [address, follower] : m_followers)
-        m_parts.peers.send(address, notice, probe_timeout, [](PeerEnd, const PeerAnswer&) {});
+        m_parts.peers.send(address, notice, probe_timeout,
+                           [](PeerEnd, const PeerAnswer&) {});
 }
 
 void JobNode::Impl::read_configuration()
@@ -134,8 +135,12 @@
 {
     log_event(LogLevel::info, "elected", { { "epoch", claim.head.epoch } });
     m_followers.clear();
-    SchedulerParts parts { m_parts.loop,    m_store,  m_parts.directory,
-                           m_parts.workers, m_advice, m_parts.wall_ms,
+    SchedulerParts parts { m_parts.loop,
+                           m_store,
+                           m_parts.directory,
+                           m_parts.workers,
+                           m_advice,
+                           m_parts.wall_ms,
                            WorkerBounds { m_setup.max_hold, m_setup.kill_grace } };
     m_scheduler
         = std::make_unique<Scheduler>(parts, claim, m_lifetime.wrap([this] { deposed(); }));
@@ -281,13 +286,25 @@
 
 JobNode::~JobNode() = default;
 
-void JobNode::begin() { m_impl->begin(); }
+void JobNode::begin()
+{
+    m_impl->begin();
+}
 
-void JobNode::leave() { m_impl->leave(); }
+void JobNode::leave()
+{
+    m_impl->leave();
+}
 
-bool JobNode::ready() const { return m_impl->ready(); }
+bool JobNode::ready() const
+{
+    return m_impl->ready();
+}
 
-bool JobNode::leads() const { return m_impl->leads(); }
+bool JobNode::leads() const
+{
+    return m_impl->leads();
+}
 
 std::shared_ptr<const Configuration> JobNode::configuration() const
 {
@@ -321,6 +338,9 @@
     m_impl->handle_peer(request, std::move(done));
 }
 
-NodeFigures JobNode::figures() const { return m_impl->figures(); }
+NodeFigures JobNode::figures() const
+{
+    return m_impl->figures();
+}
 
 } // namespace pathport::jobs
--- a/src/jobs.lib/job_node_clients.cpp
+++ b/src/jobs.lib/job_node_clients.cpp
@@ -171,28 +171,29 @@
 void JobNode::Impl::cancel(const std::string& id, Millis received, Millis limit,
                            ClientReply done)
 {
-    record_cancel(
-        id, give_up_time(received, limit), [this, id, received, done](WriteOutcome outcome) {
-            ++m_outcomes[std::string("cancel_") + to_string(outcome)];
-            log_event(LogLevel::info, "cancel_recorded",
-                      { { "job", id },
-                        { "outcome", to_string(outcome) },
-                        { "after_ms", (m_parts.loop.now() - received).count() } });
-            if (outcome != WriteOutcome::written) {
-                forward_write(PeerTopic::cancel_job, id, "", outcome, done);
-                return;
-            }
-            done(ClientStatus::ok);
-            const std::string leader = leader_to_ask();
-            if (leader.empty())
-                return;
-            PeerRequest notice;
-            notice.topic = PeerTopic::job_canceled;
-            notice.node = m_setup.node;
-            notice.job = id;
-            m_parts.peers.send(leader, notice, ask_timeout,
-                               [](PeerEnd, const PeerAnswer&) {});
-        });
+    record_cancel(id, give_up_time(received, limit),
+                  [this, id, received, done](WriteOutcome outcome) {
+                      ++m_outcomes[std::string("cancel_") + to_string(outcome)];
+                      log_event(
+                          LogLevel::info, "cancel_recorded",
+                          { { "job", id },
+                            { "outcome", to_string(outcome) },
+                            { "after_ms", (m_parts.loop.now() - received).count() } });
+                      if (outcome != WriteOutcome::written) {
+                          forward_write(PeerTopic::cancel_job, id, "", outcome, done);
+                          return;
+                      }
+                      done(ClientStatus::ok);
+                      const std::string leader = leader_to_ask();
+                      if (leader.empty())
+                          return;
+                      PeerRequest notice;
+                      notice.topic = PeerTopic::job_canceled;
+                      notice.node = m_setup.node;
+                      notice.job = id;
+                      m_parts.peers.send(leader, notice, ask_timeout,
+                                         [](PeerEnd, const PeerAnswer&) {});
+                  });
 }
 
 void JobNode::Impl::query(const std::string& id, Millis received, Millis limit,
@@ -236,29 +237,28 @@
     range.from = id;
     range.to = id + "/"; // Above the cancellation's key.
     range.limit = 2;
-    m_store.read(
-        range, read_timeout,
-        m_lifetime.wrap([this, id, deadline, done](const StoreResult& result) {
-            if (result.status != StoreStatus::ok) {
-                if (m_parts.loop.now() + read_timeout < deadline) {
-                    query_store(id, deadline, done);
-                    return;
-                }
-                done(ClientStatus::unavailable, JobState::pending);
-                return;
-            }
-            bool present = false;
-            bool canceled = false;
-            for (const StoredRow& row : result.rows) {
-                present = present || row.id.key == id;
-                canceled = canceled || row.id.key == id + cancel_suffix;
-            }
-            if (!present) {
-                done(ClientStatus::not_found, JobState::pending);
-                return;
-            }
-            query_progress(id, canceled, done);
-        }));
+    m_store.read(range, read_timeout,
+                 m_lifetime.wrap([this, id, deadline, done](const StoreResult& result) {
+                     if (result.status != StoreStatus::ok) {
+                         if (m_parts.loop.now() + read_timeout < deadline) {
+                             query_store(id, deadline, done);
+                             return;
+                         }
+                         done(ClientStatus::unavailable, JobState::pending);
+                         return;
+                     }
+                     bool present = false;
+                     bool canceled = false;
+                     for (const StoredRow& row : result.rows) {
+                         present = present || row.id.key == id;
+                         canceled = canceled || row.id.key == id + cancel_suffix;
+                     }
+                     if (!present) {
+                         done(ClientStatus::not_found, JobState::pending);
+                         return;
+                     }
+                     query_progress(id, canceled, done);
+                 }));
 }
 
 void JobNode::Impl::query_progress(const std::string& id, bool canceled, StateReply done)
@@ -269,24 +269,22 @@
     range.from = id;
     range.to = id + "!";
     range.limit = 1;
-    m_store.read(range, read_timeout,
-                 m_lifetime.wrap([canceled, done](const StoreResult& result) {
-                     if (result.status != StoreStatus::ok) {
-                         done(ClientStatus::unavailable, JobState::pending);
-                         return;
-                     }
-                     JobState state
-                         = result.rows.empty() ? JobState::pending : JobState::active;
-                     if (canceled)
-                         state = JobState::canceled;
-                     if (!result.rows.empty()) {
-                         const auto final_state
-                             = final_state_of_progress(result.rows.front().value);
-                         if (final_state)
-                             state = *final_state;
-                     }
-                     done(ClientStatus::ok, state);
-                 }));
+    m_store.read(
+        range, read_timeout, m_lifetime.wrap([canceled, done](const StoreResult& result) {
+            if (result.status != StoreStatus::ok) {
+                done(ClientStatus::unavailable, JobState::pending);
+                return;
+            }
+            JobState state = result.rows.empty() ? JobState::pending : JobState::active;
+            if (canceled)
+                state = JobState::canceled;
+            if (!result.rows.empty()) {
+                const auto final_state = final_state_of_progress(result.rows.front().value);
+                if (final_state)
+                    state = *final_state;
+            }
+            done(ClientStatus::ok, state);
+        }));
 }
 
 void JobNode::Impl::count_pending(const Queue& queue, Millis, Millis, CountReply done)
--- a/src/jobs.lib/job_node_peers.cpp
+++ b/src/jobs.lib/job_node_peers.cpp
@@ -136,16 +136,16 @@
 void JobNode::Impl::handle_advice(const PeerRequest& request,
                                   std::function<void(PeerAnswer)> done)
 {
-    m_parts.advisor.ask(request.job, request.workers, advice_timeout,
-                        [node = m_setup.node,
-                         done](std::optional<std::vector<WorkerTicket>> tickets) {
-                            PeerAnswer answer;
-                            answer.node = node;
-                            answer.served = tickets.has_value();
-                            if (tickets)
-                                answer.tickets = std::move(*tickets);
-                            done(std::move(answer));
-                        });
+    m_parts.advisor.ask(
+        request.job, request.workers, advice_timeout,
+        [node = m_setup.node, done](std::optional<std::vector<WorkerTicket>> tickets) {
+            PeerAnswer answer;
+            answer.node = node;
+            answer.served = tickets.has_value();
+            if (tickets)
+                answer.tickets = std::move(*tickets);
+            done(std::move(answer));
+        });
 }
 
 } // namespace pathport::jobs
--- a/src/jobs.lib/job_record.cpp
+++ b/src/jobs.lib/job_record.cpp
@@ -61,9 +61,9 @@
         if (task.phase == TaskPhase::done)
             continue;
         if (task.failures > 0)
-            failures.push_back({ i, task.failures });
+            failures.push_back({ i, task.failures, task.ended_run });
         if (task.placed())
-            workers[task.worker].push_back(i);
+            workers[task.worker].push_back({ i, task.run });
         if (!task.checkpoint.empty())
             checkpoints.push_back({ i, task.checkpoint });
     }
@@ -84,13 +84,17 @@
         return;
     }
     apply_done_digits(json.at(2).get<std::string>(), step);
-    for (const Json& failure : json.at(3))
-        step.tasks.at(failure.at(0).get<size_t>()).failures = failure.at(1).get<int>();
-    for (const auto& [worker, indices] : json.at(4).items()) {
-        for (const Json& index : indices) {
-            Task& task = step.tasks.at(index.get<size_t>());
+    for (const Json& failure : json.at(3)) {
+        Task& task = step.tasks.at(failure.at(0).get<size_t>());
+        task.failures = failure.at(1).get<int>();
+        task.ended_run = failure.at(2).get<int64_t>();
+    }
+    for (const auto& [worker, runs] : json.at(4).items()) {
+        for (const Json& entry : runs) {
+            Task& task = step.tasks.at(entry.at(0).get<size_t>());
             task.phase = TaskPhase::in_doubt;
             task.worker = worker;
+            task.run = entry.at(1).get<int64_t>();
         }
     }
     for (const Json& checkpoint : json.at(5)) {
@@ -112,8 +116,8 @@
 
 int Step::placed() const
 {
-    return static_cast<int>(std::count_if(
-        tasks.begin(), tasks.end(), [](const Task& task) { return task.placed(); }));
+    return static_cast<int>(std::count_if(tasks.begin(), tasks.end(),
+                                          [](const Task& task) { return task.placed(); }));
 }
 
 bool Repeat::finished() const
--- a/src/jobs.lib/job_record.h
+++ b/src/jobs.lib/job_record.h
@@ -56,7 +56,8 @@
 
 /// The advice that was had for a step.
 struct StepAdvice {
-    std::map<std::string, Permission> workers; ///< By worker; those not in it weren't asked.
+    std::map<std::string, Permission>
+        workers; ///< By worker; those not in it weren't asked.
     bool asking = false;
     std::vector<std::string> asked_for; ///< Kept free for a gang until the answer comes.
     Millis retry_at; ///< No call before it.
@@ -132,8 +133,8 @@
 
     /// Encodes the progress row.
     std::string encode_progress() const;
-    /// Takes over what a progress row holds. Tasks with a recorded worker become `in_doubt`.
-    /// Returns false when it is malformed.
+    /// Takes over what a progress row holds. Tasks with a recorded worker become
+    /// `in_doubt`. Returns false when it is malformed.
     bool apply_progress(const std::string& text);
 
 private:
--- a/src/jobs.lib/leadership.cpp
+++ b/src/jobs.lib/leadership.cpp
@@ -69,9 +69,15 @@
 {
 }
 
-Leadership::~Leadership() { m_loop.cancel(m_timer); }
+Leadership::~Leadership()
+{
+    m_loop.cancel(m_timer);
+}
 
-void Leadership::begin() { read_rows(); }
+void Leadership::begin()
+{
+    read_rows();
+}
 
 void Leadership::retire()
 {
@@ -183,8 +189,8 @@
         become_leader(m_head_version, m_claim_started);
         return;
     }
-    const bool unled = m_leader.epoch == 0 || own_row
-        || m_leader.identity.address == m_identity.address;
+    const bool unled
+        = m_leader.epoch == 0 || own_row || m_leader.identity.address == m_identity.address;
     if (unled || m_claim_wanted) {
         claim();
         return;
@@ -216,10 +222,10 @@
     request.epoch = m_leader.epoch;
     m_listener.fill_heartbeat(request);
     m_peers.send(m_leader.identity.address, request, heartbeat_timeout,
-                 m_lifetime.wrap([this, epoch = m_leader.epoch](PeerEnd end,
-                                                                const PeerAnswer& answer) {
-                     heartbeat_answered(end, answer, epoch);
-                 }));
+                 m_lifetime.wrap(
+                     [this, epoch = m_leader.epoch](PeerEnd end, const PeerAnswer& answer) {
+                         heartbeat_answered(end, answer, epoch);
+                     }));
 }
 
 void Leadership::heartbeat_answered(PeerEnd end, const PeerAnswer& answer, int64_t epoch)
--- a/src/jobs.lib/lifetime.h
+++ b/src/jobs.lib/lifetime.h
@@ -16,7 +16,8 @@
 class Lifetime {
 public:
     /// Returns `work`, guarded.
-    template <typename Work> auto wrap(Work work) const
+    template <typename Work>
+    auto wrap(Work work) const
     {
         return [alive = std::weak_ptr<int>(m_alive),
                 work = std::move(work)](auto&&... arguments) mutable {
--- a/src/jobs.lib/peer_codec.cpp
+++ b/src/jobs.lib/peer_codec.cpp
@@ -17,7 +17,8 @@
 constexpr int last_topic = static_cast<int>(PeerTopic::configuration);
 constexpr int last_state = static_cast<int>(JobState::canceled);
 
-template <typename Value> void put(Json& json, const char* key, const Value& value)
+template <typename Value>
+void put(Json& json, const char* key, const Value& value)
 {
     if (!(value == Value()))
         json[key] = value;
--- a/src/jobs.lib/placement.cpp
+++ b/src/jobs.lib/placement.cpp
@@ -19,7 +19,8 @@
 }
 
 // Takes from `rooms`, in their order, until `count` tasks are placed.
-std::vector<Share> fill(const StepSpec& step, int count, const std::vector<WorkerRoom>& rooms)
+std::vector<Share> fill(const StepSpec& step, int count,
+                        const std::vector<WorkerRoom>& rooms)
 {
     std::vector<Share> shares;
     for (const WorkerRoom& room : rooms) {
--- a/src/jobs.lib/scheduler.cpp
+++ b/src/jobs.lib/scheduler.cpp
@@ -12,7 +12,8 @@
 constexpr int64_t runs_per_epoch = int64_t(1) << 20;
 } // namespace
 
-Scheduler::Scheduler(SchedulerParts parts, const Claim& claim, std::function<void()> deposed)
+Scheduler::Scheduler(SchedulerParts parts, const Claim& claim,
+                     std::function<void()> deposed)
     : m_parts(std::move(parts))
     , m_claim(claim)
     , m_deposed(std::move(deposed))
@@ -45,7 +46,10 @@
     m_parts.loop.after(Millis(0), m_deposed);
 }
 
-void Scheduler::log_lost() { depose(); }
+void Scheduler::log_lost()
+{
+    depose();
+}
 
 void Scheduler::fenced_off(WorkerSession& session)
 {
@@ -104,19 +108,22 @@
 }
 } // namespace
 
-void Scheduler::occupy(Worker& worker, const TaskId& task, const StepSpec& spec, int priority)
+void Scheduler::occupy(Worker& worker, const TaskId& task, int64_t run,
+                       const StepSpec& spec, int priority)
 {
     Resources need = spec.need;
     if (spec.fills)
         need.cpu_millis = 0;
-    if (worker.occupants.emplace(task.to_string(), Occupant { need, priority }).second)
+    if (worker.occupants.emplace(task.to_string(), Occupant { run, need, priority }).second)
         ++worker.step_counts[step_key(task)];
 }
 
-void Scheduler::vacate(Worker& worker, const TaskId& task)
+void Scheduler::vacate(Worker& worker, const TaskId& task, int64_t run)
 {
-    if (worker.occupants.erase(task.to_string()) == 0)
+    const auto occupant = worker.occupants.find(task.to_string());
+    if (occupant == worker.occupants.end() || occupant->second.run != run)
         return;
+    worker.occupants.erase(occupant);
     const auto count = worker.step_counts.find(step_key(task));
     if (count != worker.step_counts.end() && --count->second == 0)
         worker.step_counts.erase(count);
--- a/src/jobs.lib/scheduler.h
+++ b/src/jobs.lib/scheduler.h
@@ -110,6 +110,7 @@
     };
     /// What one task takes of a worker.
     struct Occupant {
+        int64_t run = 0;
         Resources need;
         int priority = 0; ///< Of its queue.
     };
@@ -143,7 +144,8 @@
     };
 
     // Loading (scheduler_load.cpp).
-    void read_rows(const std::string& table, const std::string& part, const std::string& from);
+    void read_rows(const std::string& table, const std::string& part,
+                   const std::string& from);
     void rows_read(const std::string& table, const std::string& part, StoreResult result);
     void read_workers();
     void workers_read(const DirectoryAnswer<std::vector<WorkerInfo>>& answer);
@@ -164,7 +166,8 @@
     void adopt(Worker& worker, const RunningTask& running);
     void note_progress(Worker& worker, const RunningTask& running);
     void release_missing(Worker& worker);
-    bool apply_end(Worker& worker, const EndedTask& end);
+    static bool is_untold_end(const Task& task, const EndedTask& end);
+    bool apply_end(Worker& worker, const EndedTask& end, bool first);
     void apply_done(JobRecord& job, Step& step, Task& task);
     void apply_failure(Worker& worker, JobRecord& job, Step& step, Task& task,
                        const EndedTask& end);
@@ -212,8 +215,9 @@
     void leave_draining(JobRecord& job, Step& step);
 
     Worker* find_worker(const std::string& id);
-    void occupy(Worker& worker, const TaskId& task, const StepSpec& spec, int priority);
-    void vacate(Worker& worker, const TaskId& task);
+    void occupy(Worker& worker, const TaskId& task, int64_t run, const StepSpec& spec,
+                int priority);
+    void vacate(Worker& worker, const TaskId& task, int64_t run);
     void release(Task& task);
     void depose();
 
@@ -240,12 +244,15 @@
     /// Jobs of which an earlier leader may have started tasks on workers that are silent to
     /// this one, without a record.
     bool m_hold_loaded = false;
-    Millis m_unknown_until; ///< What an earlier leader started without us has ended by then.
+    Millis
+        m_unknown_until; ///< What an earlier leader started without us has ended by then.
 
-    std::map<std::string, std::unique_ptr<JobRecord>> m_jobs; ///< Those that are not closed.
+    std::map<std::string, std::unique_ptr<JobRecord>>
+        m_jobs; ///< Those that are not closed.
     std::map<std::string, JobState> m_closed; ///< Final states, recorded.
     std::map<std::string, Worker> m_workers; ///< By id of the life.
-    std::map<std::string, double> m_allowed_share; ///< By queue, of the workers asked about.
+    std::map<std::string, double>
+        m_allowed_share; ///< By queue, of the workers asked about.
     bool m_pass_due = false;
     std::set<std::string> m_reserved; ///< Workers kept for a gang, in the present pass.
     Lifetime m_lifetime;
--- a/src/jobs.lib/scheduler_jobs.cpp
+++ b/src/jobs.lib/scheduler_jobs.cpp
@@ -92,7 +92,7 @@
                     task.phase = TaskPhase::stopping;
                 }
                 if (task.phase == TaskPhase::intended) {
-                    vacate(*worker, id);
+                    vacate(*worker, id, task.run);
                     release(task);
                 }
             }
--- a/src/jobs.lib/scheduler_load.cpp
+++ b/src/jobs.lib/scheduler_load.cpp
@@ -49,18 +49,17 @@
     range.part = part;
     range.from = from;
     range.limit = rows_per_read;
-    m_parts.store.read(range, read_timeout,
-                       m_lifetime.wrap([this, table, part, from](StoreResult result) {
-                           if (m_phase != Phase::loading)
-                               return;
-                           if (result.status != StoreStatus::ok) {
-                               m_parts.loop.after(read_retry, m_lifetime.wrap([=] {
-                                   read_rows(table, part, from);
-                               }));
-                               return;
-                           }
-                           rows_read(table, part, std::move(result));
-                       }));
+    m_parts.store.read(
+        range, read_timeout, m_lifetime.wrap([this, table, part, from](StoreResult result) {
+            if (m_phase != Phase::loading)
+                return;
+            if (result.status != StoreStatus::ok) {
+                m_parts.loop.after(read_retry,
+                                   m_lifetime.wrap([=] { read_rows(table, part, from); }));
+                return;
+            }
+            rows_read(table, part, std::move(result));
+        }));
 }
 
 void Scheduler::rows_read(const std::string& table, const std::string& part,
@@ -184,9 +183,9 @@
             worker.session->update(info);
             continue;
         }
-        worker.session = std::make_unique<WorkerSession>(
-            m_parts.loop, m_parts.workers, *this, info, m_claim.head.epoch, m_parts.bounds,
-            m_unknown_until);
+        worker.session = std::make_unique<WorkerSession>(m_parts.loop, m_parts.workers,
+                                                         *this, info, m_claim.head.epoch,
+                                                         m_parts.bounds, m_unknown_until);
         if (m_phase != Phase::loading)
             worker.session->begin();
     }
@@ -340,7 +339,8 @@
         for (auto& [number, repeat] : job->repeats()) {
             for (Step& step : repeat.steps) {
                 for (Task& task : step.tasks) {
-                    if (task.phase == TaskPhase::in_doubt && m_workers.count(task.worker) == 0) {
+                    if (task.phase == TaskPhase::in_doubt
+                        && m_workers.count(task.worker) == 0) {
                         release(task);
                         schedule_pass();
                     }
--- a/src/jobs.lib/scheduler_pass.cpp
+++ b/src/jobs.lib/scheduler_pass.cpp
@@ -219,7 +219,8 @@
 
 // Returns the workers that the step could use by what is known, and how many of its tasks
 // each would hold.
-std::vector<Scheduler::Prospect> Scheduler::prospects(const JobRecord& job, const Step& step) const
+std::vector<Scheduler::Prospect> Scheduler::prospects(const JobRecord& job,
+                                                      const Step& step) const
 {
     const std::string key = step_name(job, step);
     const int priority = job.accepted().queue.priority;
@@ -240,8 +241,8 @@
             continue;
         const auto known = step.advice.workers.find(id);
         prospect.asked = known != step.advice.workers.end();
-        prospect.allowed = !job.accepted().queue.advice
-            || (prospect.asked && known->second.allowed);
+        prospect.allowed
+            = !job.accepted().queue.advice || (prospect.asked && known->second.allowed);
         found.push_back(std::move(prospect));
     }
     return found;
@@ -383,11 +384,11 @@
     question.priority = job.accepted().queue.priority;
     step.advice.asking = true;
     step.advice.asked_for.clear();
-    auto came = m_lifetime.wrap([this, id = job.id(), repeat = step.repeat,
-                                 index = step.index, asked = question.workers,
-                                 now](const AdviceReply& reply) {
-        advice_came(id, repeat, index, asked, now, reply);
-    });
+    auto came
+        = m_lifetime.wrap([this, id = job.id(), repeat = step.repeat, index = step.index,
+                           asked = question.workers, now](const AdviceReply& reply) {
+              advice_came(id, repeat, index, asked, now, reply);
+          });
     m_parts.advice.ask(std::move(question), std::move(came));
 }
 
@@ -453,7 +454,7 @@
         const auto permission = step.advice.workers.find(share->worker);
         if (permission != step.advice.workers.end())
             task.ticket = permission->second.ticket;
-        occupy(worker, { job.id(), step.repeat, step.index, static_cast<int>(i) },
+        occupy(worker, { job.id(), step.repeat, step.index, static_cast<int>(i) }, run,
                *step.spec, job.accepted().queue.priority);
     }
     job.begun = true;
@@ -493,7 +494,7 @@
     if (worker == nullptr || job.closed() || !may_order() || !ticket_good
         || !is_eligible(*worker, job, step)) {
         if (worker != nullptr)
-            vacate(*worker, id);
+            vacate(*worker, id, task.run);
         release(task);
         schedule_pass();
         return;
@@ -511,10 +512,10 @@
     }
     task.phase = TaskPhase::starting;
     ++m_counters.starts;
-    worker->session->start(id, task.run, job.accepted().spec.payload, checkpoint, task.ticket,
-                           m_lifetime.wrap([this, id, name = task.worker,
-                                            run = task.run](StartResult result,
-                                                            OrderStatus status) {
+    worker->session->start(id, task.run, job.accepted().spec.payload, checkpoint,
+                           task.ticket,
+                           m_lifetime.wrap([this, id, name = task.worker, run = task.run](
+                                               StartResult result, OrderStatus status) {
                                start_ended(id, name, run, result, status);
                            }));
 }
@@ -536,8 +537,8 @@
                 { "there", result == StartResult::running ? "yes" : "no" } });
     if (result == StartResult::not_started) {
         ++m_counters.starts_refused;
-        if (worker != nullptr && (present || task == nullptr || !task->placed()))
-            vacate(*worker, id);
+        if (worker != nullptr)
+            vacate(*worker, id, run);
         if (!present)
             return;
         Step& step = *job->step(id.repeat, id.step);
@@ -557,7 +558,8 @@
             return;
         task->phase = TaskPhase::stopping;
     }
-    const bool ended_already = worker == nullptr || worker->occupants.count(id.to_string()) == 0;
+    const bool ended_already
+        = worker == nullptr || worker->occupants.count(id.to_string()) == 0;
     if (!ended_already && (task == nullptr || job->closed()))
         worker->session->stop(id, run);
 }
--- a/src/jobs.lib/scheduler_reports.cpp
+++ b/src/jobs.lib/scheduler_reports.cpp
@@ -34,7 +34,7 @@
     }
     std::set<std::string> changed;
     for (const EndedTask& end : report.ended) {
-        if (apply_end(*worker, end))
+        if (apply_end(*worker, end, first))
             changed.insert(end.task.job);
     }
     if (!report.ended.empty()) {
@@ -66,16 +66,21 @@
 {
     JobRecord* job = find_job(running.task.job);
     Task* task = job == nullptr ? nullptr : job->task(running.task);
-    const bool expected = task != nullptr && task->placed()
-        && (task->worker == worker.session->id() || task->worker.empty());
+    const bool expected = task != nullptr && task->phase == TaskPhase::in_doubt
+        && (task->worker == worker.session->id() || running.run > task->run);
+    // An order that preceded its record.
     const bool untold = task != nullptr && task->phase == TaskPhase::waiting;
-    Step* step = job == nullptr ? nullptr : job->step(running.task.repeat, running.task.step);
+    Step* step
+        = job == nullptr ? nullptr : job->step(running.task.repeat, running.task.step);
+    // Of a run whose job is closed it isn't known what it takes: the whole worker at most.
     StepSpec unknown;
-    occupy(worker, running.task, step == nullptr ? unknown : *step->spec,
+    unknown.need = worker.session->info().capacity;
+    occupy(worker, running.task, running.run, step == nullptr ? unknown : *step->spec,
            job == nullptr ? 0 : job->accepted().queue.priority);
     if (task == nullptr || job->closed() || !(expected || untold)) {
-        log_event(LogLevel::info, "stray_run_stopped",
-                  { { "task", running.task.to_string() }, { "worker", worker.session->id() } });
+        log_event(
+            LogLevel::info, "stray_run_stopped",
+            { { "task", running.task.to_string() }, { "worker", worker.session->id() } });
         worker.session->stop(running.task, running.run);
         return;
     }
@@ -123,16 +128,27 @@
     }
 }
 
-bool Scheduler::apply_end(Worker& worker, const EndedTask& end)
+// An end that an earlier leader did not record, of a run that it did not record either.
+bool Scheduler::is_untold_end(const Task& task, const EndedTask& end)
+{
+    if (task.phase == TaskPhase::done || end.run <= task.ended_run)
+        return false;
+    if (task.phase == TaskPhase::waiting)
+        return true;
+    return task.phase == TaskPhase::in_doubt && end.run > task.run;
+}
+
+bool Scheduler::apply_end(Worker& worker, const EndedTask& end, bool first)
 {
     ++m_counters.ends[to_string(end.kind)];
-    vacate(worker, end.task);
+    vacate(worker, end.task, end.run);
     schedule_pass();
     JobRecord* job = find_job(end.task.job);
     Task* task = job == nullptr ? nullptr : job->task(end.task);
-    const bool ours = task != nullptr && task->placed()
-        && task->worker == worker.session->id()
-        && (task->phase == TaskPhase::in_doubt || task->run == end.run);
+    const bool placed_here = task != nullptr && task->placed()
+        && task->worker == worker.session->id() && task->run == end.run;
+    const bool ours
+        = placed_here || (first && task != nullptr && is_untold_end(*task, end));
     log_event(LogLevel::info, "task_ended",
               { { "job", end.task.job },
                 { "task", end.task.to_string() },
@@ -211,7 +227,8 @@
               { { "worker", worker.session->id() }, { "surprises", worker.surprises } });
 }
 
-void Scheduler::batch_recorded(const std::string& id, const std::shared_ptr<EndBatch>& batch)
+void Scheduler::batch_recorded(const std::string& id,
+                               const std::shared_ptr<EndBatch>& batch)
 {
     Worker* worker = find_worker(id);
     if (worker == nullptr || batch->open > 0)
--- a/src/jobs.lib/store_health.cpp
+++ b/src/jobs.lib/store_health.cpp
@@ -30,28 +30,33 @@
     const int64_t begun = m_loop.now().count();
     if (!waits)
         m_open.insert(begun);
-    return m_lifetime.wrap([this, begun, waits, done = std::move(done)](
-                               const StoreResult& result) {
-        if (!waits)
-            m_open.erase(m_open.find(begun));
-        const bool served = result.status == StoreStatus::ok
-            || result.status == StoreStatus::conflict
-            || result.status == StoreStatus::history_lost;
-        if (m_known && served != m_last_served)
-            log_event(LogLevel::info, served ? "store_regained" : "store_lost",
-                      { { "served_ms_ago", (m_loop.now() - m_served_at).count() } });
-        m_known = true;
-        m_last_served = served;
-        if (served)
-            m_served_at = m_loop.now();
-        if (result.clock_ms > 0) {
-            m_clock_ms = result.clock_ms;
-            m_clock_at = m_loop.now();
-        }
-        if (!served)
-            schedule_probe();
-        done(result);
-    });
+    return m_lifetime.wrap(
+        [this, begun, waits, done = std::move(done)](const StoreResult& result) {
+            if (!waits)
+                m_open.erase(m_open.find(begun));
+            const bool served = result.status == StoreStatus::ok
+                || result.status == StoreStatus::conflict
+                || result.status == StoreStatus::history_lost;
+            // A lost answer says nothing as long as other calls are answered.
+            if (result.status == StoreStatus::unknown && m_served_at.count() > begun) {
+                done(result);
+                return;
+            }
+            if (m_known && served != m_last_served)
+                log_event(LogLevel::info, served ? "store_regained" : "store_lost",
+                          { { "served_ms_ago", (m_loop.now() - m_served_at).count() } });
+            m_known = true;
+            m_last_served = served;
+            if (served)
+                m_served_at = m_loop.now();
+            if (result.clock_ms > 0) {
+                m_clock_ms = result.clock_ms;
+                m_clock_at = m_loop.now();
+            }
+            if (!served)
+                schedule_probe();
+            done(result);
+        });
 }
 
 bool StoreHealth::failing() const
--- a/src/jobs.lib/store_keys.h
+++ b/src/jobs.lib/store_keys.h
@@ -9,9 +9,9 @@
 /// | jobs | j0 to j7, by hash of the id | id | the accepted job | any node, if missing |
 /// | jobs | as above | id + ".cancel" | its cancellation | any node, if the job is there |
 /// | progress | s | id | its progress | the leader, under the head row |
-/// | lead | s | head | epoch and number of the leader's last write | the leader; a claimer |
-/// | lead | s | leader | who leads | a claimer |
-/// | nodes | "" | node name | its address for peers | that node |
+/// | lead | s | head | epoch and number of the leader's last write | the leader; a claimer
+/// | | lead | s | leader | who leads | a claimer | | nodes | "" | node name | its address
+/// for peers | that node |
 
 #pragma once
 
@@ -38,7 +38,10 @@
     return "j" + std::to_string(stable_hash(id) % job_parts);
 }
 
-inline RowKey job_row(const std::string& id) { return { jobs_table, job_part(id), id }; }
+inline RowKey job_row(const std::string& id)
+{
+    return { jobs_table, job_part(id), id };
+}
 
 inline RowKey cancel_row(const std::string& id)
 {
@@ -59,7 +62,8 @@
 inline std::string canceled_job(const std::string& key)
 {
     const size_t length = cancel_suffix.size();
-    if (key.size() <= length || key.compare(key.size() - length, length, cancel_suffix) != 0)
+    if (key.size() <= length
+        || key.compare(key.size() - length, length, cancel_suffix) != 0)
         return {};
     return key.substr(0, key.size() - length);
 }
--- a/src/jobs.lib/store_writer.cpp
+++ b/src/jobs.lib/store_writer.cpp
@@ -34,11 +34,10 @@
     call->first_put = write.puts.front();
     call->asked = m_loop.now();
     m_store.write(write, longest_wait,
-                  m_lifetime.wrap([this, call](const StoreResult& result) {
-                      answered(call, result);
-                  }));
-    const Millis overdue(std::clamp(overdue_multiple * m_latency_ms, least_overdue_ms,
-                                    most_overdue_ms));
+                  m_lifetime.wrap(
+                      [this, call](const StoreResult& result) { answered(call, result); }));
+    const Millis overdue(
+        std::clamp(overdue_multiple * m_latency_ms, least_overdue_ms, most_overdue_ms));
     m_loop.after(overdue, m_lifetime.wrap([this, call] { probe(call); }));
 }
 
@@ -54,10 +53,9 @@
     range.from = row.key;
     range.to = row.key + "!";
     range.limit = 1;
-    m_store.read(range, probe_timeout,
-                 m_lifetime.wrap([this, call](const StoreResult& result) {
-                     probed(call, result);
-                 }));
+    m_store.read(
+        range, probe_timeout,
+        m_lifetime.wrap([this, call](const StoreResult& result) { probed(call, result); }));
 }
 
 void StoreWriter::probed(const CallPtr& call, const StoreResult& result)
--- a/src/jobs.lib/worker_session.cpp
+++ b/src/jobs.lib/worker_session.cpp
@@ -85,7 +85,10 @@
         m_loop.cancel(stop.timer);
 }
 
-void WorkerSession::begin() { look(false); }
+void WorkerSession::begin()
+{
+    look(false);
+}
 
 bool WorkerSession::has_open_order(const TaskId& task) const
 {
@@ -129,24 +132,25 @@
     order.fence = m_fence;
     order.seen_through = m_recorded;
     order.hold_until = hold_until();
-    const bool waits = may_wait && m_fenced && !m_silent && m_doubtful.empty()
-        && m_recorded == m_listed;
+    const bool waits
+        = may_wait && m_fenced && !m_silent && m_doubtful.empty() && m_recorded == m_listed;
     order.wait = waits ? look_wait : Millis(0);
     m_longest_until = std::max(m_longest_until, order.hold_until);
     ++m_looks_open;
     const Millis asked = m_loop.now();
     m_look_started = asked;
-    m_client.look(m_info, order, order.wait + look_timeout,
-                  m_lifetime.wrap([this, fence = order.fence, until = order.hold_until,
-                                   asked](OrderStatus status,
-                                          const std::optional<LookReport>& report) {
-                      --m_looks_open;
-                      look_answered(status, report, fence, until, asked);
-                  }));
+    m_client.look(
+        m_info, order, order.wait + look_timeout,
+        m_lifetime.wrap([this, fence = order.fence, until = order.hold_until, asked](
+                            OrderStatus status, const std::optional<LookReport>& report) {
+            --m_looks_open;
+            look_answered(status, report, fence, until, asked);
+        }));
 }
 
-void WorkerSession::look_answered(OrderStatus status, const std::optional<LookReport>& report,
-                                  int64_t fence, int64_t until, Millis asked)
+void WorkerSession::look_answered(OrderStatus status,
+                                  const std::optional<LookReport>& report, int64_t fence,
+                                  int64_t until, Millis asked)
 {
     if (m_over)
         return;
@@ -291,10 +295,11 @@
         m_lapse_at, m_clock_at + worker_span(m_longest_until - m_clock_ms) + lapse_margin);
     ++m_unanswered[task.to_string()];
     Doubt open { task, run, m_fence, std::move(done) };
-    m_client.start(m_info, order, order_timeout,
-                   m_lifetime.wrap([this, open = std::move(open)](const OrderAnswer& answer) {
-                       start_answered(answer, open);
-                   }));
+    m_client.start(
+        m_info, order, order_timeout,
+        m_lifetime.wrap([this, open = std::move(open)](const OrderAnswer& answer) {
+            start_answered(answer, open);
+        }));
 }
 
 void WorkerSession::start_answered(const OrderAnswer& answer, Doubt order)
@@ -334,8 +339,9 @@
 void WorkerSession::raise_fence()
 {
     // Orders under way with the present fence may be refused for it; they are placed anew.
-    const bool raised = std::any_of(m_doubtful.begin(), m_doubtful.end(),
-                                    [&](const Doubt& doubt) { return doubt.fence == m_fence; });
+    const bool raised
+        = std::any_of(m_doubtful.begin(), m_doubtful.end(),
+                      [&](const Doubt& doubt) { return doubt.fence == m_fence; });
     if (raised)
         ++m_fence;
     look(false);
@@ -356,7 +362,8 @@
     if (m_over || entry == m_stops.end())
         return;
     StopRequest& request = entry->second;
-    request.timer = m_loop.after(stop_retry, m_lifetime.wrap([this, key] { send_stop(key); }));
+    request.timer
+        = m_loop.after(stop_retry, m_lifetime.wrap([this, key] { send_stop(key); }));
     if (!m_listener.may_order() || m_silent)
         return;
     RunOrder order;
--- a/src/jobs.lib/worker_session.h
+++ b/src/jobs.lib/worker_session.h
@@ -58,7 +58,8 @@
     /// Makes a session under fences of `epoch`. Before the first report, something of an
     /// earlier leader may run there until `unknown_until`.
     WorkerSession(EventLoop& loop, WorkerClient& client, SessionListener& listener,
-                  WorkerInfo info, int64_t epoch, WorkerBounds bounds, Millis unknown_until);
+                  WorkerInfo info, int64_t epoch, WorkerBounds bounds,
+                  Millis unknown_until);
     ~WorkerSession();
 
     const std::string& id() const { return m_info.id; }
--- a/src/loop.lib/async_http_client.cpp
+++ b/src/loop.lib/async_http_client.cpp
@@ -39,7 +39,10 @@
     Millis idle_since;
 };
 
-std::string pool_key(const Address& address) { return address.to_string(); }
+std::string pool_key(const Address& address)
+{
+    return address.to_string();
+}
 
 } // namespace
 
@@ -109,8 +112,7 @@
         exchange->connection = std::make_unique<Connection>(m_loop.impl().context);
         auto& stream = exchange->connection->stream;
         boost::system::error_code error;
-        const auto ip
-            = boost::asio::ip::make_address_v4(exchange->call.server.ip, error);
+        const auto ip = boost::asio::ip::make_address_v4(exchange->call.server.ip, error);
         if (error) {
             finish_later(exchange, CallEnd::unreachable);
             return;
@@ -155,11 +157,11 @@
         request.prepare_payload();
         auto& stream = exchange->connection->stream;
         stream.expires_after(std::chrono::milliseconds(call.timeout.count()));
-        http::async_write(stream, request,
-                          [self = shared_from_this(),
-                           exchange](boost::system::error_code error, size_t) {
-                              self->written(exchange, error);
-                          });
+        http::async_write(
+            stream, request,
+            [self = shared_from_this(), exchange](boost::system::error_code error, size_t) {
+                self->written(exchange, error);
+            });
     }
 
     void written(const ExchangePtr& exchange, boost::system::error_code error)
@@ -236,6 +238,9 @@
     m_impl->send(std::move(call), std::move(done));
 }
 
-void AsyncHttpClient::forget(const Address& server) { m_impl->forget(server); }
+void AsyncHttpClient::forget(const Address& server)
+{
+    m_impl->forget(server);
+}
 
 } // namespace pathport
--- a/src/loop.lib/async_http_server.cpp
+++ b/src/loop.lib/async_http_server.cpp
@@ -83,11 +83,9 @@
         m_parser->body_limit(m_server->limits.max_body_bytes);
         m_stream.expires_after(
             std::chrono::milliseconds(m_server->limits.idle_timeout.count()));
-        http::async_read(
-            m_stream, m_buffer, *m_parser,
-            [self = shared_from_this()](boost::system::error_code error, size_t) {
-                self->on_read(error);
-            });
+        http::async_read(m_stream, m_buffer, *m_parser,
+                         [self = shared_from_this()](boost::system::error_code error,
+                                                     size_t) { self->on_read(error); });
     }
 
     /// Closes the connection if it waits for a request of which nothing has come.
@@ -105,7 +103,8 @@
             return;
         }
         if (error && error != http::error::end_of_stream
-            && error.category() == http::make_error_code(http::error::bad_method).category()) {
+            && error.category()
+                == http::make_error_code(http::error::bad_method).category()) {
             refuse(400);
             return;
         }
@@ -159,11 +158,9 @@
         m_response.body() = std::move(answer.body);
         m_response.prepare_payload();
         m_stream.expires_after(write_timeout);
-        http::async_write(
-            m_stream, m_response,
-            [self = shared_from_this()](boost::system::error_code error, size_t) {
-                self->on_written(error);
-            });
+        http::async_write(m_stream, m_response,
+                          [self = shared_from_this()](boost::system::error_code error,
+                                                      size_t) { self->on_written(error); });
     }
 
     void on_written(boost::system::error_code error)
@@ -217,8 +214,7 @@
 {
     acceptor.async_accept(
         [self = shared_from_this()](boost::system::error_code error, tcp::socket socket) {
-            if (error == boost::asio::error::operation_aborted
-                || !self->acceptor.is_open())
+            if (error == boost::asio::error::operation_aborted || !self->acceptor.is_open())
                 return;
             if (error) {
                 self->loop.after(accept_pause, [self] { self->accept(); });
@@ -240,22 +236,37 @@
         session->close_if_idle();
 }
 
-AsyncHttpServer::AsyncHttpServer(IoLoop& loop, const Address& address, ServerHandler handler,
-                                 ServerLimits limits)
+AsyncHttpServer::AsyncHttpServer(IoLoop& loop, const Address& address,
+                                 ServerHandler handler, ServerLimits limits)
     : m_impl(std::make_shared<Impl>(loop, address, std::move(handler), limits))
 {
 }
 
 AsyncHttpServer::~AsyncHttpServer() = default;
 
-bool AsyncHttpServer::start() { return m_impl->start(); }
+bool AsyncHttpServer::start()
+{
+    return m_impl->start();
+}
 
-void AsyncHttpServer::close_after_answers() { m_impl->draining = true; }
+void AsyncHttpServer::close_after_answers()
+{
+    m_impl->draining = true;
+}
 
-void AsyncHttpServer::drain() { m_impl->drain(); }
+void AsyncHttpServer::drain()
+{
+    m_impl->drain();
+}
 
-size_t AsyncHttpServer::requests_under_way() const { return m_impl->under_way; }
+size_t AsyncHttpServer::requests_under_way() const
+{
+    return m_impl->under_way;
+}
 
-void AsyncHttpServer::set_limits(const ServerLimits& limits) { m_impl->limits = limits; }
+void AsyncHttpServer::set_limits(const ServerLimits& limits)
+{
+    m_impl->limits = limits;
+}
 
 } // namespace pathport
--- a/src/loop.lib/io_loop.cpp
+++ b/src/loop.lib/io_loop.cpp
@@ -14,7 +14,10 @@
 
 IoLoop::~IoLoop() = default;
 
-Millis IoLoop::now() const { return m_impl->clock.now(); }
+Millis IoLoop::now() const
+{
+    return m_impl->clock.now();
+}
 
 EventLoop::TimerId IoLoop::after(Millis delay, std::function<void()> work)
 {
@@ -30,9 +33,15 @@
     return id;
 }
 
-void IoLoop::cancel(TimerId timer) { m_impl->timers.erase(timer); }
+void IoLoop::cancel(TimerId timer)
+{
+    m_impl->timers.erase(timer);
+}
 
-uint64_t IoLoop::random() { return m_impl->generator(); }
+uint64_t IoLoop::random()
+{
+    return m_impl->generator();
+}
 
 void IoLoop::Impl::wait_for_signal(const std::function<void(int)>& handler)
 {
@@ -59,6 +68,9 @@
     m_impl->context.run();
 }
 
-void IoLoop::stop() { m_impl->context.stop(); }
+void IoLoop::stop()
+{
+    m_impl->context.stop();
+}
 
 } // namespace pathport
--- a/src/pathport_jobd/main.cpp
+++ b/src/pathport_jobd/main.cpp
@@ -59,11 +59,12 @@
                           m_calls.handle_readiness(request, reply);
                       },
                       {})
-        , m_peer_server(m_loop, settings.peers,
-                        [this](const ServerRequest& request, const ServerReply& reply) {
-                            handle_peer_request(m_node, request, reply);
-                        },
-                        peer_limits())
+        , m_peer_server(
+              m_loop, settings.peers,
+              [this](const ServerRequest& request, const ServerReply& reply) {
+                  handle_peer_request(m_node, request, reply);
+              },
+              peer_limits())
         , m_metrics(m_loop, settings.metrics,
                     [this](const ServerRequest&, const ServerReply& reply) {
                         reply(metrics_answer());
@@ -82,13 +83,15 @@
         if (!m_metrics.start())
             log_event(LogLevel::warn, "metrics_not_served",
                       { { "address", m_settings.metrics.to_string() } });
-        log_event(LogLevel::info, "started", { { "clients", m_settings.clients.to_string() } });
+        log_event(LogLevel::info, "started",
+                  { { "clients", m_settings.clients.to_string() } });
         m_node.begin();
         follow_limits();
         m_loop.run();
         const ProcessUsage usage = process_usage();
-        log_event(LogLevel::info, "stopped",
-                  { { "cpu_ms", usage.cpu.count() }, { "resident_kb", usage.resident_kb } });
+        log_event(
+            LogLevel::info, "stopped",
+            { { "cpu_ms", usage.cpu.count() }, { "resident_kb", usage.resident_kb } });
         return EXIT_SUCCESS;
     }
 
@@ -116,8 +119,10 @@
         ServerAnswer answer;
         answer.content_type = "text/plain; version=0.0.4";
         const ProcessUsage usage = process_usage();
-        answer.body = "pathport_jobd_cpu_seconds " + std::to_string(double(usage.cpu.count()) / 1000)
-            + "\npathport_jobd_resident_bytes " + std::to_string(usage.resident_kb * 1024) + "\n";
+        answer.body = "pathport_jobd_cpu_seconds "
+            + std::to_string(double(usage.cpu.count()) / 1000)
+            + "\npathport_jobd_resident_bytes " + std::to_string(usage.resident_kb * 1024)
+            + "\n";
         for (const auto& [name, value] : m_node.figures())
             answer.body += name + " " + std::to_string(value) + "\n";
         return answer;
@@ -213,7 +218,8 @@
         const int result = program.run();
         std::_Exit(result);
     } catch (const TCLAP::ArgException& error) {
-        std::cerr << "pathport_jobd: " << error.error() << " " << error.argId() << std::endl;
+        std::cerr << "pathport_jobd: " << error.error() << " " << error.argId()
+                  << std::endl;
         return exit_bad_settings;
     }
 }
