Take-over: ends before running tasks, failures by run, leases of earlier leaders

Change: the first bound on an earlier leader's lease stays; ends are applied before what runs; each failed run is recorded by its id; nothing is started on cancellations read more than 2.2 s ago.

--- a/src/emulator.lib/workers.cpp
+++ b/src/emulator.lib/workers.cpp
@@ -226,15 +226,21 @@
         breach("started though cancelled: " + name);
     if (m_history[name].done_noted)
         breach("started again after it was done: " + name);
-    const TaskHistory& failures = failures_of(order.task);
-    if (!known.lasting && failures.failed_noted >= known.max_failures)
-        breach("started again after its last failure: " + name);
+    TaskHistory& failures = failures_of(order.task);
+    int failed = failures.failed_noted;
     for (auto& [id, other] : m_lives) {
         for (const jobs::EndedTask& end : other.ended) {
+            const bool counts = other.up && end.number > other.lapsed_through;
+            if (counts && end.kind == EndKind::failed && &failures_of(end.task) == &failures)
+                ++failed;
             if (end.task == order.task)
                 other.followed.insert(end.number);
         }
     }
+    if (!known.lasting && failures.failed_noted >= known.max_failures)
+        breach("started again after its last failure: " + name);
+    if (!known.lasting && failed >= known.max_failures)
+        failures.started_when_spent = true;
     for (const auto& [id, other] : m_lives) {
         if (other.up && &other != &life && other.running.count(name) > 0)
             breach("two runs at once: " + name + " on " + id + " and " + life.info.id);
@@ -269,7 +275,7 @@
         if (end.kind == EndKind::failed) {
             TaskHistory& failures = failures_of(end.task);
             ++failures.failed_noted;
-            if (life.followed.count(end.number) > 0 && !facts(end.task).lasting
+            if (failures.started_when_spent
                 && failures.failed_noted >= facts(end.task).max_failures)
                 breach("started again after a last failure that was noted later: " + name);
         }
--- a/src/include/pathport/emulator/workers.h
+++ b/src/include/pathport/emulator/workers.h
@@ -103,6 +103,7 @@
         int failed_noted = 0;
         bool done = false;
         bool done_noted = false;
+        bool started_when_spent = false; ///< After its last failure, noted or not.
     };
 
     Life* find(const std::string& id);
--- a/src/jobs.lib/job_record.cpp
+++ b/src/jobs.lib/job_record.cpp
@@ -60,8 +60,8 @@
         const Task& task = step.tasks[i];
         if (task.phase == TaskPhase::done)
             continue;
-        if (task.failures > 0)
-            failures.push_back({ i, task.failures, task.ended_run });
+        if (!task.failed_runs.empty())
+            failures.push_back({ i, task.failed_runs });
         if (task.placed())
             workers[task.worker].push_back({ i, task.run });
         if (!task.checkpoint.empty())
@@ -70,8 +70,7 @@
     json.push_back(std::move(failures));
     json.push_back(std::move(workers));
     json.push_back(std::move(checkpoints));
-    json.push_back(step.gang_failures);
-    json.push_back(step.gang_failed_run);
+    json.push_back(step.gang_failed_runs);
     return json;
 }
 
@@ -86,8 +85,8 @@
     apply_done_digits(json.at(2).get<std::string>(), step);
     for (const Json& failure : json.at(3)) {
         Task& task = step.tasks.at(failure.at(0).get<size_t>());
-        task.failures = failure.at(1).get<int>();
-        task.ended_run = failure.at(2).get<int64_t>();
+        task.failed_runs = failure.at(1).get<std::vector<int64_t>>();
+        task.ended_run = task.failed_runs.back();
     }
     for (const auto& [worker, runs] : json.at(4).items()) {
         for (const Json& entry : runs) {
@@ -101,8 +100,7 @@
         step.tasks.at(checkpoint.at(0).get<size_t>()).checkpoint
             = checkpoint.at(1).get<std::string>();
     }
-    step.gang_failures = json.at(6).get<int>();
-    step.gang_failed_run = json.at(7).get<int64_t>();
+    step.gang_failed_runs = json.at(6).get<std::vector<int64_t>>();
 }
 
 } // namespace
--- a/src/jobs.lib/job_record.h
+++ b/src/jobs.lib/job_record.h
@@ -31,7 +31,7 @@
 /// One task.
 struct Task {
     TaskPhase phase = TaskPhase::waiting;
-    int failures = 0; ///< Ends `failed`.
+    std::vector<int64_t> failed_runs; ///< Runs that have ended `failed`.
     int64_t run = 0; ///< Its last run.
     int64_t ended_run = 0; ///< The last run that a worker listed as ended.
     std::string worker; ///< Where it is intended, starting, running, stopping or in doubt.
@@ -70,8 +70,7 @@
     const StepSpec* spec = nullptr;
     std::vector<Task> tasks;
     int done = 0; ///< Tasks in phase done.
-    int gang_failures = 0; ///< Runs of the gang of which a member failed.
-    int64_t gang_failed_run = 0; ///< The last such run.
+    std::vector<int64_t> gang_failed_runs; ///< Runs of the gang of which a member failed.
     int64_t gang_run = 0; ///< The run that is placed at present.
     StepAdvice advice;
     Millis wait_explained; ///< When the log last told why it waits.
--- a/src/jobs.lib/scheduler.h
+++ b/src/jobs.lib/scheduler.h
@@ -171,6 +171,7 @@
     void apply_done(JobRecord& job, Step& step, Task& task);
     void apply_failure(Worker& worker, JobRecord& job, Step& step, Task& task,
                        const EndedTask& end);
+    static bool count_failure(JobRecord& job, Step& step, Task& task, int64_t run);
     void batch_recorded(const std::string& worker, const std::shared_ptr<EndBatch>& batch);
     void note_surprise(Worker& worker, const std::string& job);
     void release_all(Worker& worker);
@@ -236,6 +237,8 @@
     std::vector<StoredRow> m_loaded_jobs;
     std::vector<StoredRow> m_loaded_progress;
     bool m_polling = false;
+    Millis m_poll_begun;
+    Millis m_jobs_read; ///< Hand-ins and cancellations are known as of then.
     int m_rereading = 0; ///< Parts that are being read again after history was lost.
     int64_t m_reread_version = -1;
     bool m_workers_known = false;
--- a/src/jobs.lib/scheduler_load.cpp
+++ b/src/jobs.lib/scheduler_load.cpp
@@ -92,6 +92,7 @@
                 { "open_jobs", static_cast<int64_t>(m_jobs.size()) },
                 { "closed_jobs", static_cast<int64_t>(m_closed.size()) },
                 { "after_ms", (m_parts.loop.now() - m_claim.claimed).count() } });
+    m_jobs_read = m_parts.loop.now();
     for (auto& [id, worker] : m_workers)
         worker.session->begin();
     m_parts.loop.after(settle_time, m_lifetime.wrap([this] { settle(); }));
@@ -234,6 +235,7 @@
     if (m_phase == Phase::over || m_polling)
         return;
     m_polling = true;
+    m_poll_begun = m_parts.loop.now();
     m_parts.store.watch(jobs_table, m_jobs_version, Millis(0),
                         m_lifetime.wrap([this](const StoreResult& result) {
                             m_polling = false;
@@ -246,6 +248,7 @@
     if (m_phase == Phase::over)
         return;
     if (result.status == StoreStatus::ok) {
+        m_jobs_read = m_poll_begun;
         m_jobs_version = std::max(m_jobs_version, result.version);
         for (const StoredRow& row : result.rows)
             job_row_seen(row);
@@ -295,6 +298,7 @@
             if (--m_rereading > 0)
                 return;
             m_jobs_version = std::max(m_jobs_version, m_reread_version);
+            m_jobs_read = m_poll_begun;
             poll_jobs();
         }));
 }
--- a/src/jobs.lib/scheduler_pass.cpp
+++ b/src/jobs.lib/scheduler_pass.cpp
@@ -19,6 +19,8 @@
 
 /// What happens within this time is dealt with in one pass.
 constexpr Millis pass_delay { 2 };
+/// Nothing is started on knowledge of cancellations that is older.
+constexpr Millis stale_jobs { 2200 };
 /// A ticket is not used in the last part of its life.
 constexpr Millis ticket_margin { 250 };
 constexpr Millis advice_retry { 150 };
@@ -83,6 +85,11 @@
 {
     if (m_phase != Phase::acting || !may_order())
         return;
+    // After a pause of this process, cancellations are read before anything is started.
+    if (m_parts.loop.now() - m_jobs_read > stale_jobs) {
+        poll_jobs();
+        return;
+    }
     ++m_counters.passes;
     m_reserved.clear();
     for (const Candidate& candidate : candidates())
--- a/src/jobs.lib/scheduler_reports.cpp
+++ b/src/jobs.lib/scheduler_reports.cpp
@@ -26,17 +26,18 @@
     Worker* worker = find_worker(session.id());
     if (worker == nullptr || m_phase == Phase::over)
         return;
+    std::set<std::string> changed;
+    for (const EndedTask& end : report.ended) {
+        if (apply_end(*worker, end, first))
+            changed.insert(end.task.job);
+    }
+    // What runs is looked at after what has ended before it.
     for (const RunningTask& running : report.running) {
         if (first)
             adopt(*worker, running);
         else
             note_progress(*worker, running);
     }
-    std::set<std::string> changed;
-    for (const EndedTask& end : report.ended) {
-        if (apply_end(*worker, end, first))
-            changed.insert(end.task.job);
-    }
     if (!report.ended.empty()) {
         auto batch = std::make_shared<EndBatch>();
         batch->last_number = report.ended.back().number;
@@ -157,9 +158,17 @@
                 { "how", to_string(end.kind) },
                 { "number", end.number },
                 { "counts", ours ? "yes" : "no" } });
-    if (!ours)
-        return false;
-    Step& step = *job->step(end.task.repeat, end.task.step);
+    Step* found = job == nullptr ? nullptr : job->step(end.task.repeat, end.task.step);
+    if (!ours) {
+        // The failure of an earlier run, not recorded, of a task that runs again elsewhere.
+        const bool untold_failure = first && task != nullptr && end.kind == EndKind::failed
+            && task->phase != TaskPhase::done && end.run < task->run;
+        if (!untold_failure || !count_failure(*job, *found, *task, end.run))
+            return false;
+        after_step_change(*job, *found);
+        return true;
+    }
+    Step& step = *found;
     task->ended_run = end.run;
     if (!end.checkpoint.empty())
         task->checkpoint = end.checkpoint;
@@ -201,18 +210,21 @@
     task.failed_on = worker.session->id();
     release(task);
     note_surprise(worker, job.id());
+    count_failure(job, step, task, end.run);
+}
+
+// Each run counts once, also when its end is reported to one leader after another.
+bool Scheduler::count_failure(JobRecord& job, Step& step, Task& task, int64_t run)
+{
     if (step.spec->lasting)
-        return;
-    int failures = ++task.failures;
-    if (step.spec->gang) {
-        if (step.gang_failed_run != end.run) {
-            step.gang_failed_run = end.run;
-            ++step.gang_failures;
-        }
-        failures = step.gang_failures;
-    }
-    if (failures >= job.accepted().queue.max_failures)
+        return false;
+    auto& runs = step.spec->gang ? step.gang_failed_runs : task.failed_runs;
+    if (std::find(runs.begin(), runs.end(), run) != runs.end())
+        return false;
+    runs.push_back(run);
+    if (runs.size() >= size_t(job.accepted().queue.max_failures))
         job.gave_up = true;
+    return true;
 }
 
 void Scheduler::note_surprise(Worker& worker, const std::string& job)
--- a/src/jobs.lib/worker_session.cpp
+++ b/src/jobs.lib/worker_session.cpp
@@ -213,7 +213,9 @@
     m_clock_ms = clock_ms;
     m_clock_at = now;
     m_longest_until = std::max(m_longest_until, until);
-    m_lapse_at = now + worker_span(m_longest_until - clock_ms) + lapse_margin;
+    // An earlier leader may have leased for longer; that is covered by the first value.
+    m_lapse_at = std::max(m_lapse_at,
+                          now + worker_span(m_longest_until - clock_ms) + lapse_margin);
     m_lapse_told = false;
 }
 
