Order by slack; fewer workers kept free for gangs, those soonest free first

Change: within a priority, jobs that can still be in time go first, by slack; eight gangs are prepared at a time and at most a quarter of the workers is kept free, those with the most room now.

--- a/src/jobs.lib/job_node.cpp
+++ b/src/jobs.lib/job_node.cpp
@@ -141,6 +141,7 @@
                            m_parts.workers,
                            m_advice,
                            m_parts.wall_ms,
+                           [this] { return m_store.clock_ms(); },
                            WorkerBounds { m_setup.max_hold, m_setup.kill_grace } };
     m_scheduler
         = std::make_unique<Scheduler>(parts, claim, m_lifetime.wrap([this] { deposed(); }));
--- a/src/jobs.lib/job_record.cpp
+++ b/src/jobs.lib/job_record.cpp
@@ -218,6 +218,38 @@
     });
 }
 
+int64_t JobRecord::longest_chain_ms()
+{
+    if (m_longest_chain_ms >= 0)
+        return m_longest_chain_ms;
+    std::vector<int64_t> ends;
+    m_longest_chain_ms = 0;
+    for (const StepSpec& step : m_accepted.spec.steps) {
+        int64_t begin = 0;
+        for (const int earlier : step.after)
+            begin = std::max(begin, ends[static_cast<size_t>(earlier)]);
+        ends.push_back(begin + step.expected_ms);
+        m_longest_chain_ms = std::max(m_longest_chain_ms, ends.back());
+    }
+    return m_longest_chain_ms;
+}
+
+int64_t JobRecord::remaining_chain_ms() const
+{
+    if (m_repeats.empty())
+        return 0;
+    std::vector<int64_t> ends;
+    int64_t longest = 0;
+    for (const Step& step : m_repeats.begin()->second.steps) {
+        int64_t begin = 0;
+        for (const int earlier : step.spec->after)
+            begin = std::max(begin, ends[static_cast<size_t>(earlier)]);
+        ends.push_back(begin + (step.finished() ? 0 : step.spec->expected_ms));
+        longest = std::max(longest, ends.back());
+    }
+    return longest;
+}
+
 std::string JobRecord::encode_progress() const
 {
     Json json = Json::object();
--- a/src/jobs.lib/job_record.h
+++ b/src/jobs.lib/job_record.h
@@ -130,6 +130,11 @@
     /// Returns whether all steps that `step` comes after are done.
     bool may_run(const Step& step) const;
 
+    /// Returns the longest chain of expected run times over its steps.
+    int64_t longest_chain_ms();
+    /// Returns the same over what is left of the first repeat that is under way.
+    int64_t remaining_chain_ms() const;
+
     /// Encodes the progress row.
     std::string encode_progress() const;
     /// Takes over what a progress row holds. Tasks with a recorded worker become
@@ -142,6 +147,7 @@
     AcceptedJob m_accepted;
     Millis m_seen;
     std::map<int, Repeat> m_repeats;
+    int64_t m_longest_chain_ms = -1; ///< Below 0 until it is worked out.
     int m_next_repeat = 0;
     int m_finished_repeats = 0;
 };
--- a/src/jobs.lib/scheduler.h
+++ b/src/jobs.lib/scheduler.h
@@ -36,6 +36,7 @@
     WorkerClient& workers;
     AdvicePool& advice;
     std::function<int64_t()> wall_ms; ///< Time since 1970, for due times only.
+    std::function<int64_t()> store_clock_ms; ///< The clock of acceptance times.
     WorkerBounds bounds;
 };
 
@@ -141,6 +142,8 @@
     struct Candidate {
         JobRecord* job = nullptr;
         Step* step = nullptr;
+        int64_t slack_ms = 0;
+        bool late = false; ///< It can't be done in its time any more.
     };
 
     // Loading (scheduler_load.cpp).
@@ -190,6 +193,7 @@
     void schedule_pass();
     void pass();
     std::vector<Candidate> candidates();
+    static int64_t slack_ms(JobRecord& job, int64_t now_ms);
     bool place(Candidate candidate);
     bool gang_may_be_placed(const Step& step) const;
     std::vector<WorkerRoom> rooms_for(const JobRecord& job, const Step& step, int needed);
@@ -211,6 +215,7 @@
 
     // Upkeep (scheduler_tick.cpp).
     void tick();
+    void report_load();
     void check_gang(JobRecord& job, Step& step);
     void check_standing(JobRecord& job, Step& step);
     void leave_draining(JobRecord& job, Step& step);
@@ -256,7 +261,9 @@
     std::map<std::string, Worker> m_workers; ///< By id of the life.
     std::map<std::string, double>
         m_allowed_share; ///< By queue, of the workers asked about.
+    Millis m_load_reported;
     bool m_pass_due = false;
+    int m_gangs_prepared = 0; ///< In the present pass.
     std::set<std::string> m_reserved; ///< Workers kept for a gang, in the present pass.
     Lifetime m_lifetime;
 };
--- a/src/jobs.lib/scheduler_pass.cpp
+++ b/src/jobs.lib/scheduler_pass.cpp
@@ -34,6 +34,10 @@
 constexpr double share_learning = 0.1;
 /// A member of a gang may be placed again so long after the others.
 constexpr Millis gang_refill_time { 1800 };
+/// Gangs for which advice is asked or workers are kept free at a time.
+constexpr int most_gangs_prepared = 8;
+/// At most one in so many workers is kept free for gangs whose room is not there yet.
+constexpr size_t reserved_fraction = 4;
 /// A step that has waited for so long is explained in the log, again and again.
 constexpr Millis wait_explained_after { 2000 };
 
@@ -92,6 +96,7 @@
     }
     ++m_counters.passes;
     m_reserved.clear();
+    m_gangs_prepared = 0;
     for (const Candidate& candidate : candidates())
         place(candidate);
 }
@@ -110,9 +115,14 @@
             }
         }
     }
+    const int64_t now_ms = m_parts.store_clock_ms();
+    for (Candidate& candidate : found) {
+        candidate.slack_ms = slack_ms(*candidate.job, now_ms);
+        candidate.late = candidate.slack_ms < 0;
+    }
     const auto key = [](const Candidate& candidate) {
-        return std::make_tuple(candidate.job->accepted().queue.priority,
-                               candidate.job->accepted().accepted_ms);
+        return std::make_tuple(candidate.job->accepted().queue.priority, candidate.late,
+                               candidate.slack_ms);
     };
     std::stable_sort(found.begin(), found.end(),
                      [&](const Candidate& left, const Candidate& right) {
@@ -121,6 +131,18 @@
     return found;
 }
 
+// Returns how long the job may still wait and be done in its time, by its submitter's guess
+// of its work; below 0 when it will be late anyhow.
+int64_t Scheduler::slack_ms(JobRecord& job, int64_t now_ms)
+{
+    const AcceptedJob& accepted = job.accepted();
+    const int64_t allowed
+        = static_cast<int64_t>(accepted.queue.stretch * double(job.longest_chain_ms()))
+        + accepted.queue.slo_ms;
+    const int64_t due = accepted.accepted_ms + allowed;
+    return due - now_ms - job.remaining_chain_ms();
+}
+
 // A gang is placed whole, or a member that never started soon after the others. A member
 // whose run has ended can't join that run again.
 bool Scheduler::gang_may_be_placed(const Step& step) const
@@ -259,6 +281,9 @@
 // comes after it once they suffice, and tickets are only asked for when the room is there.
 void Scheduler::prepare_gang(const JobRecord& job, Step& step, int needed)
 {
+    if (m_gangs_prepared >= most_gangs_prepared)
+        return;
+    ++m_gangs_prepared;
     if (step.advice.asking) {
         m_reserved.insert(step.advice.asked_for.begin(), step.advice.asked_for.end());
         return;
@@ -286,10 +311,13 @@
     // If all that it may use is not enough, keeping workers free would help nobody.
     if (later_fit < needed)
         return;
-    std::stable_sort(allowed.begin(), allowed.end(), room_now ? fit_first : later_first);
+    // Workers with the most room now are free soonest.
+    std::stable_sort(allowed.begin(), allowed.end(), fit_first);
+    const size_t most_reserved = std::max<size_t>(1, m_workers.size() / reserved_fraction);
     size_t used = 0;
     int reserved = 0;
-    while (used < allowed.size() && reserved < needed) {
+    while (used < allowed.size() && reserved < needed
+           && (room_now || m_reserved.size() < most_reserved)) {
         reserved += room_now ? allowed[used].fit : allowed[used].later_fit;
         m_reserved.insert(allowed[used++].worker);
     }
--- a/src/jobs.lib/scheduler_tick.cpp
+++ b/src/jobs.lib/scheduler_tick.cpp
@@ -13,6 +13,7 @@
 namespace {
 
 constexpr Millis tick_interval { 200 };
+constexpr Millis load_interval { 2000 };
 /// A gang of which a member is missing for so long is stopped, before its members give up.
 constexpr Millis gang_patience { 2300 };
 /// A task whose progress has not moved for so long stands still.
@@ -39,11 +40,53 @@
                 }
             }
         }
+        report_load();
         schedule_pass();
     }
     m_parts.loop.after(tick_interval, m_lifetime.wrap([this] { tick(); }));
 }
 
+// One line every few seconds on how full the workers are and what waits.
+void Scheduler::report_load()
+{
+    const Millis now = m_parts.loop.now();
+    if (now - m_load_reported < load_interval)
+        return;
+    m_load_reported = now;
+    int64_t total = 0;
+    int64_t taken = 0;
+    for (const auto& [id, worker] : m_workers) {
+        if (!worker.session->usable() || worker.session->info().draining)
+            continue;
+        total += worker.session->info().capacity.cpu_millis;
+        for (const auto& [task, occupant] : worker.occupants)
+            taken += occupant.need.cpu_millis;
+    }
+    int64_t waiting = 0;
+    int64_t waiting_gangs = 0;
+    for (auto& [id, job] : m_jobs) {
+        for (auto& [number, repeat] : job->repeats()) {
+            for (Step& step : repeat.steps) {
+                const int count = step.count(TaskPhase::waiting);
+                if (count == 0 || job->closed() || !job->may_run(step))
+                    continue;
+                waiting += count;
+                waiting_gangs += step.spec->gang ? 1 : 0;
+            }
+        }
+    }
+    log_event(LogLevel::info, "load",
+              { { "epoch", m_claim.head.epoch },
+                { "workers", static_cast<int64_t>(m_workers.size()) },
+                { "cpu_total", total },
+                { "cpu_taken", taken },
+                { "open_jobs", static_cast<int64_t>(m_jobs.size()) },
+                { "waiting_tasks", waiting },
+                { "waiting_gangs", waiting_gangs },
+                { "advice_waiting", static_cast<int64_t>(m_parts.advice.waiting()) },
+                { "log_backlog", static_cast<int64_t>(m_log.backlog()) } });
+}
+
 // Members that wait for one that could not be placed are stopped and placed anew together.
 void Scheduler::check_gang(JobRecord& job, Step& step)
 {
