A state that the store refuses to tell is not asked for in a loop; leaders look states up for peers

Change: pause of 100 ms, and an answer at once while the store fails; a leader that does not know a job asks the store on behalf of its peer; fewer tries of a failing store.

--- a/src/jobs.lib/job_node.cpp
+++ b/src/jobs.lib/job_node.cpp
@@ -15,7 +15,7 @@
 
 constexpr Millis configuration_timeout { 2000 };
 constexpr Millis configuration_wait { 20000 };
-constexpr Millis configuration_retry { 250 };
+constexpr Millis configuration_retry { 400 };
 constexpr Millis lead_tick_interval { 250 };
 /// A follower that was not heard of for so long is probed.
 constexpr Millis follower_late { 600 };
--- a/src/jobs.lib/job_node_clients.cpp
+++ b/src/jobs.lib/job_node_clients.cpp
@@ -22,6 +22,8 @@
 constexpr Millis forward_timeout { 1500 };
 constexpr Millis ask_timeout { 400 };
 constexpr Millis read_timeout { 600 };
+/// Pause before a state is asked for again that the store did not tell.
+constexpr Millis query_retry { 100 };
 
 const char* to_string(WriteOutcome outcome)
 {
@@ -221,11 +223,13 @@
     m_parts.peers.send(
         leader, request, ask_timeout,
         m_lifetime.wrap([this, id, deadline, done](PeerEnd end, const PeerAnswer& answer) {
-            if (end == PeerEnd::answered && answer.served && answer.state) {
-                done(ClientStatus::ok, *answer.state);
-                return;
-            }
-            query_store(id, deadline, done);
+            const auto status = static_cast<ClientStatus>(answer.status);
+            const bool told = end == PeerEnd::answered && answer.served
+                && status != ClientStatus::unavailable;
+            if (told)
+                done(status, answer.state.value_or(JobState::pending));
+            else
+                query_store(id, deadline, done);
         }));
 }
 
@@ -240,14 +244,16 @@
     m_store.read(range, read_timeout,
                  m_lifetime.wrap([this, id, deadline, done](const StoreResult& result) {
                      if (result.status != StoreStatus::ok) {
-                         if (m_parts.loop.now() + read_timeout < deadline) {
-                             query_store(id, deadline, done);
-                             return;
-                         }
-                         done(ClientStatus::unavailable, JobState::pending);
-                         return;
-                     }
-                     bool present = false;
+                         if (m_store.failing() || m_parts.loop.now() + query_retry >= deadline) {
+                    done(ClientStatus::unavailable, JobState::pending);
+                    return;
+                }
+                m_parts.loop.after(query_retry, m_lifetime.wrap([this, id, deadline, done] {
+                    query_store(id, deadline, done);
+                }));
+                return;
+            }
+            bool present = false;
                      bool canceled = false;
                      for (const StoredRow& row : result.rows) {
                          present = present || row.id.key == id;
--- a/src/jobs.lib/job_node_impl.h
+++ b/src/jobs.lib/job_node_impl.h
@@ -80,6 +80,8 @@
     Millis give_up_time(Millis received, Millis limit) const;
 
     void handle_heartbeat(const PeerRequest& request, PeerAnswer& answer);
+    void handle_state(const PeerRequest& request, PeerAnswer answer,
+                      std::function<void(PeerAnswer)> done);
     void handle_accept(const PeerRequest& request, std::function<void(PeerAnswer)> done);
     void handle_advice(const PeerRequest& request, std::function<void(PeerAnswer)> done);
 
--- a/src/jobs.lib/job_node_peers.cpp
+++ b/src/jobs.lib/job_node_peers.cpp
@@ -15,6 +15,8 @@
 /// How long a write for a peer is tried.
 constexpr Millis forwarded_try { 900 };
 constexpr Millis advice_timeout { 5000 };
+/// How long a leader tries to find a job's state for a peer.
+constexpr Millis state_time { 500 };
 
 } // namespace
 
@@ -45,11 +47,8 @@
         }
         break;
     case PeerTopic::job_state:
-        if (m_scheduler) {
-            answer.state = m_scheduler->state_of(request.job);
-            answer.served = true;
-        }
-        break;
+        handle_state(request, std::move(answer), std::move(done));
+        return;
     case PeerTopic::queue_pending:
         if (m_scheduler) {
             answer.count = m_scheduler->pending_in(request.queue);
@@ -99,6 +98,25 @@
     update_promises();
 }
 
+// A leader that does not know the job asks the store, on behalf of a node that perhaps
+// can't.
+void JobNode::Impl::handle_state(const PeerRequest& request, PeerAnswer answer,
+                                 std::function<void(PeerAnswer)> done)
+{
+    if (!m_scheduler) {
+        done(std::move(answer));
+        return;
+    }
+    query(request.job, m_parts.loop.now(), state_time,
+          [answer = std::move(answer), done](ClientStatus status, JobState state) mutable {
+              answer.served = true;
+              answer.status = static_cast<int>(status);
+              if (status == ClientStatus::ok)
+                  answer.state = state;
+              done(std::move(answer));
+          });
+}
+
 void JobNode::Impl::handle_accept(const PeerRequest& request,
                                   std::function<void(PeerAnswer)> done)
 {
--- a/src/jobs.lib/store_health.cpp
+++ b/src/jobs.lib/store_health.cpp
@@ -15,7 +15,7 @@
 /// A store that has answered nothing for so long, while calls were open, is away.
 constexpr Millis silent_time { 900 };
 /// While the store fails, it is tried at this interval.
-constexpr Millis probe_interval { 100 };
+constexpr Millis probe_interval { 200 };
 constexpr Millis probe_timeout { 800 };
 } // namespace
 
