--- a/src/include/pathport/jobs/peers.h
+++ b/src/include/pathport/jobs/peers.h
@@ -36,6 +36,7 @@
     PeerTopic topic = PeerTopic::heartbeat;
     std::string node; ///< The sender.
     std::string address; ///< Where the sender takes messages.
+    std::string incarnation; ///< The sender's process.
     std::string job; ///< A job's id, or a step's.
     std::string queue; ///< A queue's name.
     std::string row; ///< An accepted job, encoded.
@@ -55,6 +56,8 @@
     bool served = false; ///< Whether the peer could serve the request.
     std::string node; ///< The peer.
     std::string incarnation; ///< Its process.
+    std::string leader; ///< Where the leader of `epoch` takes messages, if it is known.
+    std::string leader_incarnation;
     bool leads = false; ///< Whether it leads at present.
     bool resigned = false; ///< It led in `epoch` and has given no order since it said so.
     int64_t epoch = 0;
--- a/src/jobs.lib/head_log.cpp
+++ b/src/jobs.lib/head_log.cpp
@@ -74,6 +74,22 @@
     }
 }
 
+void HeadLog::when_recorded(const std::string& job, std::function<void()> done)
+{
+    const auto waiting = m_waiting.find(job);
+    if (waiting != m_waiting.end()) {
+        waiting->second.done.push_back(std::move(done));
+        return;
+    }
+    for (Entry& entry : m_under_way) {
+        if (entry.job == job) {
+            entry.done.push_back(std::move(done));
+            return;
+        }
+    }
+    done();
+}
+
 void HeadLog::schedule(Millis delay)
 {
     const Millis at = m_loop.now() + delay;
--- a/src/jobs.lib/job_node.cpp
+++ b/src/jobs.lib/job_node.cpp
@@ -131,7 +131,7 @@
                        }));
 }
 
-void JobNode::Impl::elected(const Claim& claim)
+void JobNode::Impl::elected(const Claim& claim, const std::string& predecessor)
 {
     log_event(LogLevel::info, "elected", { { "epoch", claim.head.epoch } });
     m_followers.clear();
@@ -147,6 +147,22 @@
         = std::make_unique<Scheduler>(parts, claim, m_lifetime.wrap([this] { deposed(); }));
     m_scheduler->begin();
     lead_tick();
+    announce(predecessor);
+}
+
+// The earlier leader, and through it its followers, may not reach the store to learn of it.
+void JobNode::Impl::announce(const std::string& address)
+{
+    if (address.empty())
+        return;
+    PeerRequest notice;
+    notice.topic = PeerTopic::heartbeat;
+    notice.node = m_setup.node;
+    notice.address = m_setup.peer_address;
+    notice.incarnation = m_setup.incarnation;
+    notice.epoch = m_leadership.epoch();
+    notice.leads = true;
+    m_parts.peers.send(address, notice, probe_timeout, [](PeerEnd, const PeerAnswer&) {});
 }
 
 void JobNode::Impl::deposed()
--- a/src/jobs.lib/job_node_impl.h
+++ b/src/jobs.lib/job_node_impl.h
@@ -44,7 +44,7 @@
     void handle_peer(const PeerRequest& request, std::function<void(PeerAnswer)> done);
 
     // LeadershipListener
-    void elected(const Claim& claim) override;
+    void elected(const Claim& claim, const std::string& predecessor) override;
     void fill_heartbeat(PeerRequest& request) override;
     void leader_answered(const PeerAnswer& answer) override;
 
@@ -63,6 +63,7 @@
     void apply(const Configuration& configuration, const char* source);
     void fetch_configuration(const std::string& address);
     void deposed();
+    void announce(const std::string& address);
     void lead_tick();
     void probe_follower(const std::string& address);
     void update_promises();
--- a/src/jobs.lib/job_node_peers.cpp
+++ b/src/jobs.lib/job_node_peers.cpp
@@ -75,6 +75,8 @@
 {
     const Millis now = m_parts.loop.now();
     answer.incarnation = m_setup.incarnation;
+    answer.leader = m_leadership.leader().identity.address;
+    answer.leader_incarnation = m_leadership.leader().identity.incarnation;
     answer.sent_ms = now.count();
     answer.config_version = m_configuration ? m_configuration->version : 0;
     if (request.config_version > answer.config_version)
@@ -83,7 +85,8 @@
         if (request.resigned)
             m_leadership.leader_resigned(request.epoch);
         else if (request.leads)
-            m_leadership.leader_announced(request.epoch);
+            m_leadership.leader_announced(
+                { request.epoch, { request.node, request.address, request.incarnation } });
         return;
     }
     answer.served = m_scheduler->log().served();
--- a/src/jobs.lib/leadership.cpp
+++ b/src/jobs.lib/leadership.cpp
@@ -112,10 +112,27 @@
     read_rows();
 }
 
-void Leadership::leader_announced(int64_t epoch)
+void Leadership::leader_announced(const LeaderValue& leader)
 {
-    if (!m_leading && epoch > m_leader.epoch)
-        read_rows();
+    if (m_leading || m_retired || leader.epoch <= m_leader.epoch
+        || leader.identity.address.empty()
+        || leader.identity.incarnation == m_identity.incarnation)
+        return;
+    follow_new_leader(leader);
+    // The rows, once they are read again, have the last word.
+    m_leader_version = 0;
+    m_claim_wanted = false;
+    schedule_follow(Millis(0));
+}
+
+void Leadership::follow_new_leader(const LeaderValue& leader)
+{
+    m_leader = leader;
+    m_leader_known = m_loop.now();
+    m_silent = false;
+    m_refusals = 0;
+    log_event(LogLevel::info, "leader_known",
+              { { "leader", m_leader.identity.node }, { "epoch", m_leader.epoch } });
 }
 
 void Leadership::schedule_follow(Millis delay)
@@ -171,12 +188,8 @@
         }
     }
     if (m_leader.epoch != epoch) {
-        m_leader_known = m_loop.now();
-        m_silent = false;
-        m_refusals = 0;
+        follow_new_leader(m_leader);
         m_claim_wanted = false;
-        log_event(LogLevel::info, "leader_known",
-                  { { "leader", m_leader.identity.node }, { "epoch", m_leader.epoch } });
     }
     act_on_rows();
 }
@@ -219,6 +232,7 @@
     request.topic = PeerTopic::heartbeat;
     request.node = m_identity.node;
     request.address = m_identity.address;
+    request.incarnation = m_identity.incarnation;
     request.epoch = m_leader.epoch;
     m_listener.fill_heartbeat(request);
     m_peers.send(m_leader.identity.address, request, heartbeat_timeout,
@@ -248,6 +262,11 @@
         schedule_follow(heartbeat_interval);
         return;
     }
+    if (answer.epoch > epoch && !answer.leader.empty()) {
+        leader_announced({ answer.epoch, { answer.leader, answer.leader, answer.leader_incarnation } });
+        if (m_leader.epoch > epoch)
+            return;
+    }
     const Millis now = m_loop.now();
     const bool same_process = answer.incarnation == m_leader.identity.incarnation;
     if (same_process && !answer.leads && now - m_leader_known < claim_patience) {
@@ -301,6 +320,7 @@
         m_claimed_head = HeadValue { leader.epoch, 0, m_identity.incarnation };
         m_claim_started = m_loop.now();
         m_head_before = m_head;
+        m_predecessor = m_leader.identity.address;
         StoreWrite write;
         write.checks.push_back({ lead_row(leader_key), m_leader_version });
         write.checks.push_back({ lead_row(head_key), m_head_version });
@@ -345,7 +365,7 @@
     claim.claimed = claimed;
     claim.known = m_loop.now();
     claim.unrecorded_starts = m_head_before.unrecorded;
-    m_listener.elected(claim);
+    m_listener.elected(claim, m_predecessor);
 }
 
 } // namespace pathport::jobs
--- a/src/jobs.lib/leadership.h
+++ b/src/jobs.lib/leadership.h
@@ -42,8 +42,8 @@
 public:
     virtual ~LeadershipListener() = default;
 
-    /// This node leads from now on.
-    virtual void elected(const Claim& claim) = 0;
+    /// This node leads from now on; `predecessor` is where the earlier leader took messages.
+    virtual void elected(const Claim& claim, const std::string& predecessor) = 0;
     /// Fills in what a heartbeat to the leader tells about this node.
     virtual void fill_heartbeat(PeerRequest& request) = 0;
     /// The leader has answered a heartbeat.
@@ -72,8 +72,11 @@
     bool leader_seen() const;
     /// The leader of `epoch` says that it gives its place up.
     void leader_resigned(int64_t epoch);
-    /// A leader of `epoch` has made itself known.
-    void leader_announced(int64_t epoch);
+    /// Another node says who leads. It is followed if its epoch is later, also while the
+    /// store does not serve this node.
+    void leader_announced(const LeaderValue& leader);
+    /// Returns who leads, as well as it is known.
+    const LeaderValue& leader() const { return m_leader; }
     /// Promises not to claim before `until`.
     void promise_until(Millis until) { m_promised = std::max(m_promised, until); }
 
@@ -81,6 +84,7 @@
     void read_rows();
     void rows_read(const StoreResult& result);
     void act_on_rows();
+    void follow_new_leader(const LeaderValue& leader);
     void schedule_follow(Millis delay);
     void follow();
     void heartbeat_answered(PeerEnd end, const PeerAnswer& answer, int64_t epoch);
@@ -108,6 +112,7 @@
     HeadValue m_claimed_head; ///< What the last claim wrote, whether or not it took effect.
     HeadValue m_head_before; ///< What the last claim was to replace.
     Millis m_claim_started;
+    std::string m_predecessor; ///< Address of the leader that the last claim replaced.
     Millis m_leader_known; ///< When the present leader was first read of.
     Millis m_answered; ///< When the leader last answered that it leads.
     int m_refusals = 0; ///< In a row, of the leader's address.
--- a/src/jobs.lib/peer_codec.cpp
+++ b/src/jobs.lib/peer_codec.cpp
@@ -32,6 +32,7 @@
     json["topic"] = static_cast<int>(request.topic);
     put(json, "node", request.node);
     put(json, "address", request.address);
+    put(json, "process", request.incarnation);
     put(json, "job", request.job);
     put(json, "queue", request.queue);
     put(json, "row", request.row);
@@ -57,6 +58,7 @@
         request.topic = static_cast<PeerTopic>(topic);
         request.node = json.value("node", std::string());
         request.address = json.value("address", std::string());
+        request.incarnation = json.value("process", std::string());
         request.job = json.value("job", std::string());
         request.queue = json.value("queue", std::string());
         request.row = json.value("row", std::string());
@@ -80,6 +82,8 @@
     put(json, "ok", answer.served);
     put(json, "node", answer.node);
     put(json, "process", answer.incarnation);
+    put(json, "leader", answer.leader);
+    put(json, "leader_process", answer.leader_incarnation);
     put(json, "leads", answer.leads);
     put(json, "resigned", answer.resigned);
     put(json, "epoch", answer.epoch);
@@ -103,6 +107,8 @@
         answer.served = json.value("ok", false);
         answer.node = json.value("node", std::string());
         answer.incarnation = json.value("process", std::string());
+        answer.leader = json.value("leader", std::string());
+        answer.leader_incarnation = json.value("leader_process", std::string());
         answer.leads = json.value("leads", false);
         answer.resigned = json.value("resigned", false);
         answer.epoch = json.value("epoch", int64_t(0));
--- a/src/jobs.lib/scheduler.h
+++ b/src/jobs.lib/scheduler.h
@@ -166,6 +166,8 @@
     bool holds_back(const JobRecord& job) const;
 
     // Reports (scheduler_reports.cpp).
+    void record_ends(Worker& worker, const LookReport& report,
+                     const std::set<std::string>& changed);
     void adopt(Worker& worker, const RunningTask& running);
     void note_progress(Worker& worker, const RunningTask& running);
     void release_missing(Worker& worker);
--- a/src/jobs.lib/scheduler_pass.cpp
+++ b/src/jobs.lib/scheduler_pass.cpp
@@ -25,6 +25,8 @@
 constexpr Millis ticket_margin { 250 };
 constexpr Millis advice_retry { 150 };
 constexpr Millis fruitless_pause { 120 };
+/// How long a worker that was left alone gets one task at a time.
+constexpr Millis trial_time { 2500 };
 /// Workers named in one question.
 constexpr int least_asked = 10;
 constexpr int most_asked = 30;
@@ -178,11 +180,13 @@
         room.free = room.free - occupant.need;
     const auto count = worker.step_counts.find(key);
     room.of_step = count == worker.step_counts.end() ? 0 : count->second;
-    // A worker that surprised lately gets nothing for a while, and then one task at a time.
-    if (worker.surprises >= 2) {
-        const bool rests = m_parts.loop.now() < worker.avoid_until;
-        room.at_most = rests || !worker.occupants.empty() ? 0 : 1;
-    }
+    // A worker that surprised lately gets nothing for a while, then one task at a time, and
+    // then is trusted again: a gang might wait for it in vain otherwise.
+    const Millis now = m_parts.loop.now();
+    if (now < worker.avoid_until)
+        room.at_most = 0;
+    else if (now < worker.avoid_until + trial_time && worker.surprises > 0)
+        room.at_most = worker.occupants.empty() ? 1 : 0;
     return room;
 }
 
--- a/src/jobs.lib/scheduler_reports.cpp
+++ b/src/jobs.lib/scheduler_reports.cpp
@@ -38,23 +38,7 @@
         else
             note_progress(*worker, running);
     }
-    if (!report.ended.empty()) {
-        auto batch = std::make_shared<EndBatch>();
-        batch->last_number = report.ended.back().number;
-        worker->batches.push_back(batch);
-        for (const std::string& id : changed) {
-            JobRecord* job = find_job(id);
-            if (job == nullptr)
-                continue;
-            ++batch->open;
-            record(*job, [this, id = session.id(), batch] {
-                --batch->open;
-                batch_recorded(id, batch);
-            });
-        }
-        if (batch->open == 0)
-            batch_recorded(session.id(), batch);
-    }
+    record_ends(*worker, report, changed);
     if (first) {
         release_missing(*worker);
         settle();
@@ -62,6 +46,38 @@
     }
 }
 
+// The worker may forget the ends once all that follows from them is in the store. An end
+// that changed nothing, such as that of a further member of a gang, waits for what is on
+// its way there for its job.
+void Scheduler::record_ends(Worker& worker, const LookReport& report,
+                            const std::set<std::string>& changed)
+{
+    if (report.ended.empty())
+        return;
+    auto batch = std::make_shared<EndBatch>();
+    batch->last_number = report.ended.back().number;
+    worker.batches.push_back(batch);
+    std::set<std::string> touched;
+    for (const EndedTask& end : report.ended)
+        touched.insert(end.task.job);
+    // Held open until all jobs have been counted.
+    batch->open = 1;
+    for (const std::string& id : touched) {
+        ++batch->open;
+        const auto done = m_lifetime.wrap([this, worker = worker.session->id(), batch] {
+            --batch->open;
+            batch_recorded(worker, batch);
+        });
+        JobRecord* job = find_job(id);
+        if (job != nullptr && changed.count(id) > 0)
+            m_log.record(id, done);
+        else
+            m_log.when_recorded(id, done);
+    }
+    --batch->open;
+    batch_recorded(worker.session->id(), batch);
+}
+
 // A task that runs when the first report comes was started by an earlier leader.
 void Scheduler::adopt(Worker& worker, const RunningTask& running)
 {
