--- a/src/pathport_jobd/main.cpp
+++ b/src/pathport_jobd/main.cpp
@@ -213,7 +213,7 @@
             std::cout << "the settings are valid" << std::endl;
             return EXIT_SUCCESS;
         }
-        start_log(settings->node, log_level_from(settings->log_level));
+        start_log(settings->node, log_level_from(settings->log_level), LogForm::json);
         Program program(*settings);
         const int result = program.run();
         std::_Exit(result);
