--- a/src/base.lib/log.cpp
+++ b/src/base.lib/log.cpp
@@ -118,11 +118,12 @@
     {
     }
 
-    void close() override {}
+    void close() override { }
     bool requiresLayout() const override { return false; }
 
 protected:
-    void append(const log4cxx::spi::LoggingEventPtr& event, log4cxx::helpers::Pool& pool) override
+    void append(const log4cxx::spi::LoggingEventPtr& event,
+                log4cxx::helpers::Pool& pool) override
     {
         log4cxx::LogString line;
         m_layout->format(line, event, pool);
@@ -180,15 +181,18 @@
         + ",\"level\":\"" + level_name(level) + "\",\"process\":" + setup().process
         + ",\"event\":\"" + std::string(event) + "\"";
     for (const LogField& field : fields) {
-        line += ",\"" + field.key() + "\":"
-            + (field.is_number() ? field.value() : json_text(field.value()));
+        line += ",\"" + field.key()
+            + "\":" + (field.is_number() ? field.value() : json_text(field.value()));
     }
     return line + "}";
 }
 
 } // namespace
 
-int64_t dropped_log_lines() { return dropped_lines().load(); }
+int64_t dropped_log_lines()
+{
+    return dropped_lines().load();
+}
 
 void start_log(const std::string& process, LogLevel level, LogForm form)
 {
@@ -229,8 +233,8 @@
     std::vector<LogField> all = fields;
     if (dropped > 0)
         all.emplace_back("repeats_dropped", dropped);
-    const std::string line = setup().form == LogForm::json ? as_json(level, event, all)
-                                                           : as_text(event, all);
+    const std::string line
+        = setup().form == LogForm::json ? as_json(level, event, all) : as_text(event, all);
     logger()->forcedLog(target, line, LOG4CXX_LOCATION);
 }
 
--- a/src/emulator.lib/cell.cpp
+++ b/src/emulator.lib/cell.cpp
@@ -78,7 +78,7 @@
         setup.max_hold = cell.workers.max_hold;
         World& world = cell.world;
         node = std::make_unique<jobs::JobNode>(
-            jobs::NodeParts { loop, store, store, workers, workers, peers,
+            jobs::NodeParts { loop, store, store, workers, workers, peers, metrics,
                               [&world] { return world.now().count(); } },
             setup);
         node->begin();
@@ -88,6 +88,7 @@
     StorePort store;
     WorkerPort workers;
     PeerPort peers;
+    Metrics metrics;
     std::unique_ptr<jobs::JobNode> node;
 };
 
--- a/src/emulator.lib/workers.cpp
+++ b/src/emulator.lib/workers.cpp
@@ -231,7 +231,8 @@
     for (auto& [id, other] : m_lives) {
         for (const jobs::EndedTask& end : other.ended) {
             const bool counts = other.up && end.number > other.lapsed_through;
-            if (counts && end.kind == EndKind::failed && &failures_of(end.task) == &failures)
+            if (counts && end.kind == EndKind::failed
+                && &failures_of(end.task) == &failures)
                 ++failed;
             if (end.task == order.task)
                 other.followed.insert(end.number);
--- a/src/include/pathport/event_loop.h
+++ b/src/include/pathport/event_loop.h
@@ -2,7 +2,8 @@
 // SPDX-License-Identifier: Apache-2.0
 
 /// \file
-/// The one thread on which a program of the job path does all its work, as its parts see it.
+/// The one thread on which a program of the job path does all its work, as its parts see
+/// it.
 
 #pragma once
 
--- a/src/include/pathport/jobs/job_node.h
+++ b/src/include/pathport/jobs/job_node.h
@@ -12,6 +12,7 @@
 #include <pathport/jobs/job_store.h>
 #include <pathport/jobs/peers.h>
 #include <pathport/jobs/worker_client.h>
+#include <pathport/metrics.h>
 
 #include <functional>
 #include <map>
@@ -29,6 +30,7 @@
     WorkerClient& workers;
     Advisor& advisor;
     PeerClient& peers;
+    Metrics& metrics;
     std::function<int64_t()> wall_ms; ///< Time since 1970.
 };
 
@@ -57,9 +59,6 @@
 /// Answers a question for a number of jobs.
 using CountReply = std::function<void(ClientStatus, int64_t)>;
 
-/// Figures of a node, by metric name.
-using NodeFigures = std::map<std::string, double>;
-
 /// A node.
 class JobNode {
 public:
@@ -94,8 +93,8 @@
     /// Handles a peer's message.
     void handle_peer(const PeerRequest& request, std::function<void(PeerAnswer)> done);
 
-    /// Returns its figures for metrics.
-    NodeFigures figures() const;
+    /// Brings the gauges among the metrics up to date.
+    void update_gauges();
 
 private:
     class Impl;
--- a/src/include/pathport/jobs/job_store.h
+++ b/src/include/pathport/jobs/job_store.h
@@ -75,6 +75,9 @@
     history_lost, ///< Changes so old are gone; read whole.
 };
 
+/// Returns the lower-case name of `status`.
+const char* to_string(StoreStatus status);
+
 /// The answer to a call.
 struct StoreResult {
     StoreStatus status = StoreStatus::unknown;
--- a/src/include/pathport/metrics.h
+++ b/src/include/pathport/metrics.h
@@ -37,6 +37,9 @@
     void observe_seconds(const std::string& name, double seconds,
                          const MetricLabels& labels = {});
 
+    /// Returns all metrics in the text form, for a listener of the caller's.
+    std::string text() const;
+
     /// Returns the present value of a counter, or 0 when it was never counted.
     double counter_value(const std::string& name, const MetricLabels& labels = {}) const;
 
--- a/src/jobs.lib/cell_test.cpp
+++ b/src/jobs.lib/cell_test.cpp
@@ -253,7 +253,8 @@
         5215, // A failure was dropped since the task ran elsewhere already.
         5240, // A leader that woke started a task cancelled meanwhile.
         5373, // A failure was dropped since a later run had ended first.
-        7070, // A further member's end of a gang was forgotten before the gang's was recorded.
+        7070, // A further member's end of a gang was forgotten before the gang's was
+              // recorded.
         6198, // A look without an answer had renewed the lease.
     };
     for (const uint64_t seed : seeds) {
--- a/src/jobs.lib/head_log.h
+++ b/src/jobs.lib/head_log.h
@@ -66,8 +66,8 @@
     /// after this call; `done` is called when it is in the store.
     void record(const std::string& job, std::function<void()> done = {});
 
-    /// Calls `done` when all that was handed in for `job` so far is in the store; at once if
-    /// it is already.
+    /// Calls `done` when all that was handed in for `job` so far is in the store; at once
+    /// if it is already.
     void when_recorded(const std::string& job, std::function<void()> done);
 
     /// Returns until when the leader may give orders on the strength of its last write.
--- a/src/jobs.lib/job_node.cpp
+++ b/src/jobs.lib/job_node.cpp
@@ -33,7 +33,7 @@
 JobNode::Impl::Impl(const NodeParts& parts, const NodeSetup& setup)
     : m_parts(parts)
     , m_setup(setup)
-    , m_store(parts.loop, parts.store)
+    , m_store(parts.loop, parts.store, parts.metrics)
     , m_acceptor(parts.loop, m_store)
     , m_advice(parts.loop, parts.advisor, parts.peers)
     , m_leadership(parts.loop, m_store, parts.peers,
@@ -142,6 +142,7 @@
                            m_advice,
                            m_parts.wall_ms,
                            [this] { return m_store.clock_ms(); },
+                           m_parts.metrics,
                            WorkerBounds { m_setup.max_hold, m_setup.kill_grace } };
     m_scheduler
         = std::make_unique<Scheduler>(parts, claim, m_lifetime.wrap([this] { deposed(); }));
@@ -272,28 +273,20 @@
               { { "epoch", m_leadership.epoch() }, { "reason", "store" } });
 }
 
-NodeFigures JobNode::Impl::figures() const
+void JobNode::Impl::update_gauges()
 {
-    NodeFigures figures;
-    figures["pathport_jobd_leads"] = m_scheduler ? 1 : 0;
-    figures["pathport_jobd_epoch"] = double(m_leadership.epoch());
-    figures["pathport_jobd_config_version"]
-        = m_configuration ? double(m_configuration->version) : 0;
-    for (const auto& [outcome, count] : m_outcomes)
-        figures["pathport_jobd_calls_total{outcome=\"" + outcome + "\"}"] = double(count);
-    if (!m_scheduler)
-        return figures;
-    const SchedulerCounters& counters = m_scheduler->counters();
-    figures["pathport_jobd_starts_total"] = double(counters.starts);
-    figures["pathport_jobd_starts_refused_total"] = double(counters.starts_refused);
-    figures["pathport_jobd_passes_total"] = double(counters.passes);
-    for (const auto& [kind, count] : counters.ends)
-        figures["pathport_jobd_ends_total{how=\"" + kind + "\"}"] = double(count);
-    figures["pathport_jobd_open_jobs"] = double(m_scheduler->open_jobs());
-    figures["pathport_jobd_workers"] = double(m_scheduler->known_workers());
-    figures["pathport_jobd_log_backlog"] = double(m_scheduler->log().backlog());
-    figures["pathport_jobd_advice_waiting"] = double(m_advice.waiting());
-    return figures;
+    Metrics& metrics = m_parts.metrics;
+    metrics.set("pathport_leads", m_scheduler ? 1 : 0);
+    metrics.set("pathport_epoch", double(m_leadership.epoch()));
+    metrics.set("pathport_config_version",
+                m_configuration ? double(m_configuration->version) : 0);
+    metrics.set("pathport_store_served", m_store.served() ? 1 : 0);
+    metrics.set("pathport_log_lines_dropped", double(dropped_log_lines()));
+    metrics.set("pathport_open_jobs", m_scheduler ? double(m_scheduler->open_jobs()) : 0);
+    metrics.set("pathport_workers", m_scheduler ? double(m_scheduler->known_workers()) : 0);
+    metrics.set("pathport_log_backlog",
+                m_scheduler ? double(m_scheduler->log().backlog()) : 0);
+    metrics.set("pathport_advice_waiting", double(m_advice.waiting()));
 }
 
 JobNode::JobNode(const NodeParts& parts, const NodeSetup& setup)
@@ -355,9 +348,9 @@
     m_impl->handle_peer(request, std::move(done));
 }
 
-NodeFigures JobNode::figures() const
+void JobNode::update_gauges()
 {
-    return m_impl->figures();
+    m_impl->update_gauges();
 }
 
 } // namespace pathport::jobs
--- a/src/jobs.lib/job_node_clients.cpp
+++ b/src/jobs.lib/job_node_clients.cpp
@@ -57,6 +57,13 @@
 
 } // namespace
 
+void JobNode::Impl::note_call(const char* call, const char* outcome, Millis received)
+{
+    m_parts.metrics.observe_seconds("pathport_client_call_seconds",
+                                    double((m_parts.loop.now() - received).count()) / 1000,
+                                    { { "call", call }, { "outcome", outcome } });
+}
+
 Millis JobNode::Impl::give_up_time(Millis received, Millis limit) const
 {
     Millis span = longest_try;
@@ -83,7 +90,7 @@
     accept_row(id, row, give_up_time(received, limit),
                [this, id, row, received, config_version, name = queue.name,
                 done](WriteOutcome outcome) {
-                   ++m_outcomes[std::string("submit_") + to_string(outcome)];
+                   note_call("submit", to_string(outcome), received);
                    log_event(LogLevel::info, "job_submitted",
                              { { "job", id },
                                { "queue", name },
@@ -175,7 +182,7 @@
 {
     record_cancel(id, give_up_time(received, limit),
                   [this, id, received, done](WriteOutcome outcome) {
-                      ++m_outcomes[std::string("cancel_") + to_string(outcome)];
+                      note_call("cancel", to_string(outcome), received);
                       log_event(
                           LogLevel::info, "cancel_recorded",
                           { { "job", id },
@@ -241,10 +248,11 @@
     range.from = id;
     range.to = id + "/"; // Above the cancellation's key.
     range.limit = 2;
-    m_store.read(range, read_timeout,
-                 m_lifetime.wrap([this, id, deadline, done](const StoreResult& result) {
-                     if (result.status != StoreStatus::ok) {
-                         if (m_store.failing() || m_parts.loop.now() + query_retry >= deadline) {
+    m_store.read(
+        range, read_timeout,
+        m_lifetime.wrap([this, id, deadline, done](const StoreResult& result) {
+            if (result.status != StoreStatus::ok) {
+                if (m_store.failing() || m_parts.loop.now() + query_retry >= deadline) {
                     done(ClientStatus::unavailable, JobState::pending);
                     return;
                 }
@@ -254,17 +262,17 @@
                 return;
             }
             bool present = false;
-                     bool canceled = false;
-                     for (const StoredRow& row : result.rows) {
-                         present = present || row.id.key == id;
-                         canceled = canceled || row.id.key == id + cancel_suffix;
-                     }
-                     if (!present) {
-                         done(ClientStatus::not_found, JobState::pending);
-                         return;
-                     }
-                     query_progress(id, canceled, done);
-                 }));
+            bool canceled = false;
+            for (const StoredRow& row : result.rows) {
+                present = present || row.id.key == id;
+                canceled = canceled || row.id.key == id + cancel_suffix;
+            }
+            if (!present) {
+                done(ClientStatus::not_found, JobState::pending);
+                return;
+            }
+            query_progress(id, canceled, done);
+        }));
 }
 
 void JobNode::Impl::query_progress(const std::string& id, bool canceled, StateReply done)
--- a/src/jobs.lib/job_node_impl.h
+++ b/src/jobs.lib/job_node_impl.h
@@ -31,7 +31,7 @@
     bool ready() const { return m_configuration != nullptr && !m_leaving; }
     bool leads() const { return m_scheduler != nullptr; }
     std::shared_ptr<const Configuration> configuration() const { return m_configuration; }
-    NodeFigures figures() const;
+    void update_gauges();
 
     // Clients' calls (job_node_clients.cpp).
     void submit(const Queue& queue, const std::string& id, const JobSpec& spec,
@@ -69,6 +69,7 @@
     void update_promises();
     void consider_resigning();
 
+    void note_call(const char* call, const char* outcome, Millis received);
     void accept_row(const std::string& id, const std::string& row, Millis give_up,
                     WriteReply done);
     void accepted(const std::string& id, const std::string& row);
@@ -99,7 +100,6 @@
     bool m_fetching_configuration = false;
     bool m_leader_served = false; ///< Whether the store served the leader then.
     int64_t m_leader_sent_ms = 0; ///< The leader's clock in its last answer.
-    std::map<std::string, int64_t> m_outcomes; ///< Of clients' calls, for metrics.
     Lifetime m_lifetime;
 };
 
--- a/src/jobs.lib/leadership.cpp
+++ b/src/jobs.lib/leadership.cpp
@@ -263,7 +263,8 @@
         return;
     }
     if (answer.epoch > epoch && !answer.leader.empty()) {
-        leader_announced({ answer.epoch, { answer.leader, answer.leader, answer.leader_incarnation } });
+        leader_announced(
+            { answer.epoch, { answer.leader, answer.leader, answer.leader_incarnation } });
         if (m_leader.epoch > epoch)
             return;
     }
--- a/src/jobs.lib/leadership.h
+++ b/src/jobs.lib/leadership.h
@@ -42,7 +42,8 @@
 public:
     virtual ~LeadershipListener() = default;
 
-    /// This node leads from now on; `predecessor` is where the earlier leader took messages.
+    /// This node leads from now on; `predecessor` is where the earlier leader took
+    /// messages.
     virtual void elected(const Claim& claim, const std::string& predecessor) = 0;
     /// Fills in what a heartbeat to the leader tells about this node.
     virtual void fill_heartbeat(PeerRequest& request) = 0;
--- a/src/jobs.lib/scheduler.h
+++ b/src/jobs.lib/scheduler.h
@@ -17,6 +17,7 @@
 #include <pathport/event_loop.h>
 #include <pathport/jobs/job_store.h>
 #include <pathport/jobs/worker_client.h>
+#include <pathport/metrics.h>
 
 #include <deque>
 #include <functional>
@@ -37,6 +38,7 @@
     AdvicePool& advice;
     std::function<int64_t()> wall_ms; ///< Time since 1970, for due times only.
     std::function<int64_t()> store_clock_ms; ///< The clock of acceptance times.
+    Metrics& metrics;
     WorkerBounds bounds;
 };
 
@@ -50,15 +52,6 @@
     Millis known; ///< When the claim was known to have taken effect.
 };
 
-/// Counts for metrics.
-struct SchedulerCounters {
-    int64_t starts = 0;
-    int64_t starts_refused = 0;
-    int64_t starts_in_doubt = 0;
-    std::map<std::string, int64_t> ends; ///< By kind.
-    int64_t passes = 0;
-};
-
 /// The scheduler of one epoch.
 class Scheduler : public SessionListener, public HeadLogOwner {
 public:
@@ -87,7 +80,6 @@
     /// promises not to take over.
     void set_promised_until(Millis until) { m_promised_until = until; }
     const HeadLog& log() const { return m_log; }
-    const SchedulerCounters& counters() const { return m_counters; }
     size_t open_jobs() const { return m_jobs.size(); }
     size_t known_workers() const { return m_workers.size(); }
 
@@ -218,6 +210,7 @@
     // Upkeep (scheduler_tick.cpp).
     void tick();
     void report_load();
+    void observe_phase(const char* phase);
     void check_gang(JobRecord& job, Step& step);
     void check_standing(JobRecord& job, Step& step);
     void leave_draining(JobRecord& job, Step& step);
@@ -236,7 +229,6 @@
     bool m_resigned = false;
     Millis m_promised_until;
     HeadLog m_log;
-    SchedulerCounters m_counters;
     int64_t m_last_run; ///< Run ids rise over all epochs.
 
     int m_loading = 0; ///< Reads that have not ended.
--- a/src/jobs.lib/scheduler_jobs.cpp
+++ b/src/jobs.lib/scheduler_jobs.cpp
@@ -112,6 +112,9 @@
                 { "queue", job->accepted().queue.name },
                 { "state", to_string(job->state()) },
                 { "after_ms", (m_parts.loop.now() - job->seen()).count() } });
+    m_parts.metrics.observe_seconds(
+        "pathport_job_seconds", double((m_parts.loop.now() - job->seen()).count()) / 1000,
+        { { "state", to_string(job->state()) } });
     m_closed[id] = job->state();
     m_jobs.erase(id);
 }
--- a/src/jobs.lib/scheduler_load.cpp
+++ b/src/jobs.lib/scheduler_load.cpp
@@ -41,6 +41,13 @@
     tick();
 }
 
+void Scheduler::observe_phase(const char* phase)
+{
+    const Millis span = m_parts.loop.now() - m_claim.claimed;
+    m_parts.metrics.observe_seconds("pathport_takeover_seconds",
+                                    double(span.count()) / 1000, { { "phase", phase } });
+}
+
 void Scheduler::read_rows(const std::string& table, const std::string& part,
                           const std::string& from)
 {
@@ -86,6 +93,7 @@
         return;
     build_records();
     m_phase = Phase::settling;
+    observe_phase("loaded");
     m_settle_by = m_parts.loop.now() + settle_time;
     log_event(LogLevel::info, "takeover_loaded",
               { { "epoch", m_claim.head.epoch },
@@ -222,6 +230,7 @@
     if (fenced < m_workers.size() && m_parts.loop.now() < m_settle_by)
         return;
     m_phase = Phase::acting;
+    observe_phase("acting");
     log_event(LogLevel::info, "takeover_done",
               { { "epoch", m_claim.head.epoch },
                 { "workers", static_cast<int64_t>(m_workers.size()) },
--- a/src/jobs.lib/scheduler_pass.cpp
+++ b/src/jobs.lib/scheduler_pass.cpp
@@ -96,7 +96,6 @@
         poll_jobs();
         return;
     }
-    ++m_counters.passes;
     m_reserved.clear();
     m_gangs_prepared = 0;
     for (const Candidate& candidate : candidates())
@@ -457,6 +456,8 @@
     double& share = m_allowed_share[job->accepted().queue.name];
     const double seen = double(reply.tickets->size()) / double(asked.size());
     share += share_learning * (seen - share);
+    m_parts.metrics.observe_seconds("pathport_advice_seconds",
+                                    double((now - asked_at).count()) / 1000);
     log_event(LogLevel::debug, "advice",
               { { "job", id },
                 { "asked", static_cast<int64_t>(asked.size()) },
@@ -496,6 +497,12 @@
         occupy(worker, { job.id(), step.repeat, step.index, static_cast<int>(i) }, run,
                *step.spec, job.accepted().queue.priority);
     }
+    if (!job.begun) {
+        const Millis waited = m_parts.loop.now() - job.seen();
+        m_parts.metrics.observe_seconds(
+            "pathport_first_start_wait_seconds", double(waited.count()) / 1000,
+            { { "priority", std::to_string(job.accepted().queue.priority) } });
+    }
     job.begun = true;
     record(job, [this, id = job.id(), repeat = step.repeat, index = step.index, run] {
         send_intended(id, repeat, index, run);
@@ -550,7 +557,6 @@
         }
     }
     task.phase = TaskPhase::starting;
-    ++m_counters.starts;
     worker->session->start(id, task.run, job.accepted().spec.payload, checkpoint,
                            task.ticket,
                            m_lifetime.wrap([this, id, name = task.worker, run = task.run](
@@ -567,6 +573,7 @@
     Task* task = job == nullptr ? nullptr : job->task(id);
     const bool present = task != nullptr && task->phase == TaskPhase::starting
         && task->run == run && task->worker == name;
+    m_parts.metrics.count("pathport_starts_total", { { "outcome", to_string(status) } });
     log_event(LogLevel::info, "task_start",
               { { "job", id.job },
                 { "task", id.to_string() },
@@ -575,7 +582,6 @@
                 { "outcome", to_string(status) },
                 { "there", result == StartResult::running ? "yes" : "no" } });
     if (result == StartResult::not_started) {
-        ++m_counters.starts_refused;
         if (worker != nullptr)
             vacate(*worker, id, run);
         if (!present)
--- a/src/jobs.lib/scheduler_reports.cpp
+++ b/src/jobs.lib/scheduler_reports.cpp
@@ -157,7 +157,7 @@
 
 bool Scheduler::apply_end(Worker& worker, const EndedTask& end, bool first)
 {
-    ++m_counters.ends[to_string(end.kind)];
+    m_parts.metrics.count("pathport_ends_total", { { "how", to_string(end.kind) } });
     vacate(worker, end.task, end.run);
     schedule_pass();
     JobRecord* job = find_job(end.task.job);
--- a/src/jobs.lib/store_health.cpp
+++ b/src/jobs.lib/store_health.cpp
@@ -19,21 +19,42 @@
 constexpr Millis probe_timeout { 800 };
 } // namespace
 
-StoreHealth::StoreHealth(EventLoop& loop, JobStore& store)
+const char* to_string(StoreStatus status)
+{
+    switch (status) {
+    case StoreStatus::ok:
+        return "ok";
+    case StoreStatus::conflict:
+        return "conflict";
+    case StoreStatus::refused:
+        return "refused";
+    case StoreStatus::unknown:
+        return "unknown";
+    case StoreStatus::history_lost:
+        break;
+    }
+    return "history_lost";
+}
+
+StoreHealth::StoreHealth(EventLoop& loop, JobStore& store, Metrics& metrics)
     : m_loop(loop)
     , m_store(store)
+    , m_metrics(metrics)
 {
 }
 
-StoreReply StoreHealth::noting(StoreReply done, bool waits)
+StoreReply StoreHealth::noting(StoreReply done, const char* call, bool waits)
 {
     const int64_t begun = m_loop.now().count();
     if (!waits)
         m_open.insert(begun);
     return m_lifetime.wrap(
-        [this, begun, waits, done = std::move(done)](const StoreResult& result) {
+        [this, begun, call, waits, done = std::move(done)](const StoreResult& result) {
             if (!waits)
                 m_open.erase(m_open.find(begun));
+            m_metrics.observe_seconds(
+                "pathport_store_call_seconds", double(m_loop.now().count() - begun) / 1000,
+                { { "call", call }, { "outcome", to_string(result.status) } });
             const bool served = result.status == StoreStatus::ok
                 || result.status == StoreStatus::conflict
                 || result.status == StoreStatus::history_lost;
@@ -91,18 +112,18 @@
 
 void StoreHealth::write(const StoreWrite& write, Millis timeout, StoreReply done)
 {
-    m_store.write(write, timeout, noting(std::move(done), false));
+    m_store.write(write, timeout, noting(std::move(done), "write", false));
 }
 
 void StoreHealth::read(const StoreRange& range, Millis timeout, StoreReply done)
 {
-    m_store.read(range, timeout, noting(std::move(done), false));
+    m_store.read(range, timeout, noting(std::move(done), "read", false));
 }
 
 void StoreHealth::watch(const std::string& table, int64_t version, Millis wait,
                         StoreReply done)
 {
-    m_store.watch(table, version, wait, noting(std::move(done), true));
+    m_store.watch(table, version, wait, noting(std::move(done), "watch", true));
 }
 
 bool StoreHealth::served() const
--- a/src/jobs.lib/store_health.h
+++ b/src/jobs.lib/store_health.h
@@ -10,6 +10,7 @@
 
 #include <pathport/event_loop.h>
 #include <pathport/jobs/job_store.h>
+#include <pathport/metrics.h>
 
 #include <set>
 
@@ -18,7 +19,7 @@
 /// Passes calls on and remembers when the store last served this node, and its clock.
 class StoreHealth : public JobStore {
 public:
-    StoreHealth(EventLoop& loop, JobStore& store);
+    StoreHealth(EventLoop& loop, JobStore& store, Metrics& metrics);
 
     void write(const StoreWrite& write, Millis timeout, StoreReply done) override;
     void read(const StoreRange& range, Millis timeout, StoreReply done) override;
@@ -36,11 +37,12 @@
     int64_t clock_ms() const;
 
 private:
-    StoreReply noting(StoreReply done, bool waits);
+    StoreReply noting(StoreReply done, const char* call, bool waits);
     void schedule_probe();
 
     EventLoop& m_loop;
     JobStore& m_store;
+    Metrics& m_metrics;
     bool m_known = false;
     bool m_last_served = false;
     Millis m_served_at;
--- a/src/metrics.lib/metrics.cpp
+++ b/src/metrics.lib/metrics.cpp
@@ -8,6 +8,7 @@
 #include <prometheus/gauge.h>
 #include <prometheus/histogram.h>
 #include <prometheus/registry.h>
+#include <prometheus/text_serializer.h>
 
 #include <mutex>
 
@@ -79,6 +80,11 @@
     return true;
 }
 
+std::string Metrics::text() const
+{
+    return prometheus::TextSerializer().Serialize(m_impl->registry->Collect());
+}
+
 void Metrics::count(const std::string& name, const MetricLabels& labels, double by)
 {
     m_impl->counter(name, labels).Increment(by);
--- a/src/pathport_jobd/main.cpp
+++ b/src/pathport_jobd/main.cpp
@@ -15,6 +15,7 @@
 #include <pathport/ids.h>
 #include <pathport/jobs/job_node.h>
 #include <pathport/log.h>
+#include <pathport/metrics.h>
 #include <pathport/process.h>
 
 #include <tclap/CmdLine.h>
@@ -45,7 +46,7 @@
         , m_workers(m_http)
         , m_advice(m_http, settings.advice)
         , m_peers(m_http)
-        , m_node({ m_loop, m_store, m_store, m_workers, m_advice, m_peers,
+        , m_node({ m_loop, m_store, m_store, m_workers, m_advice, m_peers, m_metrics,
                    [] { return wall_time().count(); } },
                  setup(settings))
         , m_calls(m_node)
@@ -65,11 +66,11 @@
                   handle_peer_request(m_node, request, reply);
               },
               peer_limits())
-        , m_metrics(m_loop, settings.metrics,
-                    [this](const ServerRequest&, const ServerReply& reply) {
-                        reply(metrics_answer());
-                    },
-                    {})
+        , m_metrics_server(m_loop, settings.metrics,
+                           [this](const ServerRequest&, const ServerReply& reply) {
+                               reply(metrics_answer());
+                           },
+                           {})
     {
     }
 
@@ -80,7 +81,7 @@
             std::cerr << "pathport_jobd: an address can't be used" << std::endl;
             return exit_no_start;
         }
-        if (!m_metrics.start())
+        if (!m_metrics_server.start())
             log_event(LogLevel::warn, "metrics_not_served",
                       { { "address", m_settings.metrics.to_string() } });
         log_event(LogLevel::info, "started",
@@ -114,17 +115,15 @@
         return limits;
     }
 
-    ServerAnswer metrics_answer() const
+    ServerAnswer metrics_answer()
     {
+        const ProcessUsage usage = process_usage();
+        m_metrics.set("pathport_process_cpu_seconds", double(usage.cpu.count()) / 1000);
+        m_metrics.set("pathport_process_resident_bytes", double(usage.resident_kb) * 1024);
+        m_node.update_gauges();
         ServerAnswer answer;
         answer.content_type = "text/plain; version=0.0.4";
-        const ProcessUsage usage = process_usage();
-        answer.body = "pathport_jobd_cpu_seconds "
-            + std::to_string(double(usage.cpu.count()) / 1000)
-            + "\npathport_jobd_resident_bytes " + std::to_string(usage.resident_kb * 1024)
-            + "\n";
-        for (const auto& [name, value] : m_node.figures())
-            answer.body += name + " " + std::to_string(value) + "\n";
+        answer.body = m_metrics.text();
         return answer;
     }
 
@@ -177,12 +176,13 @@
     platform::WorkerOrders m_workers;
     platform::AdviceClient m_advice;
     HttpPeers m_peers;
+    Metrics m_metrics;
     jobs::JobNode m_node;
     platform::ClientCalls m_calls;
     AsyncHttpServer m_clients;
     AsyncHttpServer m_readiness;
     AsyncHttpServer m_peer_server;
-    AsyncHttpServer m_metrics;
+    AsyncHttpServer m_metrics_server;
     bool m_stopping = false;
 };
 
