--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -2,7 +2,7 @@
 # Checks layout (clang-format) and faults (clang-tidy) of all sources but generated ones.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-mapfile -t sources < <(git ls-files -- 'src/*.cpp' 'platform/*.cpp' 'src/*.h' 'platform/*.cpp' 'platform/*.h')
+mapfile -t sources < <(git ls-files -- 'src/*.cpp' 'src/*.h' 'platform/*.cpp' 'platform/*.h')
 clang-format --dry-run --Werror "${sources[@]}"
 echo "clang-format: ${#sources[@]} files are clean"
 mapfile -t units < <(git ls-files -- 'src/*.cpp' 'platform/*.cpp')
--- a/src/emulator.lib/workers.cpp
+++ b/src/emulator.lib/workers.cpp
@@ -31,7 +31,7 @@
 
 std::string Workers::add(const std::string& service, Resources capacity)
 {
-    const std::string id = "w" + std::to_string(++m_last_id);
+    std::string id = "w" + std::to_string(++m_last_id);
     Life life;
     life.info.id = id;
     life.info.service = service;
@@ -157,7 +157,7 @@
 {
     std::string names;
     for (const auto& [name, run] : life.running)
-        names += " " + name + "/" + std::to_string(run.run);
+        names.append(" ").append(name).append("/").append(std::to_string(run.run));
     return names;
 }
 
--- a/src/jobs.lib/cell_test.cpp
+++ b/src/jobs.lib/cell_test.cpp
@@ -95,7 +95,7 @@
 std::string random_node(Cell& cell)
 {
     const auto names = cell.node_names();
-    const std::string leader = cell.leader();
+    std::string leader = cell.leader();
     if (!leader.empty() && cell.world.chance(0.5))
         return leader;
     return names[cell.world.below(names.size())];
--- a/src/jobs.lib/job_record.cpp
+++ b/src/jobs.lib/job_record.cpp
@@ -105,6 +105,11 @@
 
 } // namespace
 
+std::string Step::name(const std::string& job) const
+{
+    return job + "." + std::to_string(repeat) + "." + std::to_string(index);
+}
+
 int Step::count(TaskPhase phase) const
 {
     return static_cast<int>(
--- a/src/jobs.lib/job_record.h
+++ b/src/jobs.lib/job_record.h
@@ -52,6 +52,8 @@
     bool allowed = false;
     std::string ticket;
     Millis expires; ///< After it the ticket must not be used.
+
+    bool holds(Millis now) const { return allowed && now < expires; }
 };
 
 /// The advice that was had for a step.
@@ -76,6 +78,8 @@
     Millis wait_explained; ///< When the log last told why it waits.
 
     bool finished() const { return done == static_cast<int>(tasks.size()); }
+    /// Returns the step's name: "<job>.<repeat>.<step>".
+    std::string name(const std::string& job) const;
     int count(TaskPhase phase) const;
     int placed() const;
 };
--- /dev/null
+++ b/src/jobs.lib/jobs_test.cpp
@@ -0,0 +1,441 @@
+// Copyright the pathport authors.
+// SPDX-License-Identifier: Apache-2.0
+
+/// \file
+/// The parts of the job path one by one: values and their codecs, progress rows, placement,
+/// the chain of the leader's writes, advice.
+
+#define BOOST_TEST_MODULE jobs
+#include <boost/test/unit_test.hpp>
+
+#include "advice_pool.h"
+#include "head_log.h"
+#include "job_record.h"
+#include "placement.h"
+#include "store_keys.h"
+
+#include <pathport/emulator/store.h>
+#include <pathport/jobs/job_node.h>
+#include <pathport/jobs/peers.h>
+
+using namespace pathport;
+using namespace pathport::jobs;
+
+namespace {
+
+StepSpec step_of(int count, int64_t cpu)
+{
+    StepSpec step;
+    step.count = count;
+    step.need = { cpu, 100, 0 };
+    step.expected_ms = 1000;
+    return step;
+}
+
+AcceptedJob job_of(std::vector<StepSpec> steps)
+{
+    AcceptedJob job;
+    job.id = "00112233445566aa";
+    job.queue.name = "queue";
+    job.queue.service = "pool";
+    job.queue.max_failures = 3;
+    job.queue.advice = AdviceRule { 480, 6.8, 2000 };
+    job.spec.payload = "payload \xff with any byte";
+    job.spec.steps = std::move(steps);
+    job.accepted_ms = 77;
+    return job;
+}
+
+WorkerRoom room_of(const std::string& worker, int64_t cpu, const std::string& rack = "r1-1")
+{
+    WorkerRoom room;
+    room.worker = worker;
+    room.rack = rack;
+    room.free = { cpu, 1000, 0 };
+    return room;
+}
+
+/// Gives the same value for each job.
+class FixedOwner : public HeadLogOwner {
+public:
+    std::string progress_of(const std::string& job) override { return "row of " + job; }
+    void log_lost() override { lost = true; }
+    bool lost = false;
+};
+
+/// Answers each question after its cost and counts what it was asked.
+class CountingAdvisor : public Advisor {
+public:
+    explicit CountingAdvisor(emulator::World& world)
+        : m_world(world)
+    {
+    }
+    void ask(const std::string& step, const std::vector<std::string>&, Millis,
+             std::function<void(std::optional<std::vector<WorkerTicket>>)> done) override
+    {
+        asked.push_back(step);
+        m_world.after(Millis(50), [done] { done(std::vector<WorkerTicket>()); });
+    }
+    std::vector<std::string> asked;
+
+private:
+    emulator::World& m_world;
+};
+
+/// Peers that never answer.
+class SilentPeers : public PeerClient {
+public:
+    explicit SilentPeers(emulator::World& world)
+        : m_world(world)
+    {
+    }
+    void send(const std::string&, const PeerRequest&, Millis timeout,
+              PeerReply done) override
+    {
+        ++sent;
+        m_world.after(timeout, [done] { done(PeerEnd::silent, {}); });
+    }
+    int sent = 0;
+
+private:
+    emulator::World& m_world;
+};
+
+AdviceQuestion question_of(const std::string& step, int priority, double decision_ms)
+{
+    AdviceQuestion question;
+    question.step = step;
+    question.workers = { "w" };
+    question.rule = { decision_ms, 1, 2000 };
+    question.priority = priority;
+    return question;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(accepted_job_survives_its_row)
+{
+    StepSpec full = step_of(3, 500);
+    full.after = { 0 };
+    full.gang = full.same_rack = full.saves_progress = full.speculative = true;
+    full.lasting = full.fills = true;
+    full.label = "gpu";
+    full.near_rack = "r1-3";
+    full.max_per_worker = 2;
+    full.image = "i";
+    full.target_ms = 30;
+    full.max_away = 1;
+    AcceptedJob job = job_of({ step_of(1, 200), full });
+    job.spec.payload = "plain";
+    job.spec.repeats = 4;
+    job.spec.first_due_ms = 1000;
+    job.spec.interval_ms = 50;
+    Failure reason;
+    const auto decoded = decode_accepted_job(job.id, encode(job), reason);
+    BOOST_REQUIRE(decoded.has_value());
+    BOOST_TEST((*decoded == job));
+}
+
+BOOST_AUTO_TEST_CASE(malformed_rows_are_refused)
+{
+    Failure reason;
+    for (const char* text : { "", "{", "[]", "{}", R"({"queue":1})", "null" })
+        BOOST_TEST(!decode_accepted_job("a", text, reason).has_value(), text);
+    BOOST_TEST(!decode_peer_request("{\"topic\":99}").has_value());
+    BOOST_TEST(!decode_peer_request("x").has_value());
+    BOOST_TEST(!decode_peer_answer("[1").has_value());
+    BOOST_TEST(!decode_configuration("{}").has_value());
+}
+
+BOOST_AUTO_TEST_CASE(impossible_jobs_are_told_apart)
+{
+    Failure reason;
+    const auto valid = [&](jobs::JobSpec spec) { return is_valid(spec, reason); };
+    jobs::JobSpec spec;
+    BOOST_TEST(!valid(spec)); // No steps.
+    spec.steps = { step_of(1, 100) };
+    BOOST_TEST(valid(spec));
+    spec.steps[0].after = { 0 };
+    BOOST_TEST(!valid(spec)); // It waits for itself.
+    spec.steps[0].after = { 3 };
+    BOOST_TEST(!valid(spec)); // There is no such step.
+    spec.steps[0].after.clear();
+    spec.steps[0].count = 0;
+    BOOST_TEST(!valid(spec));
+    spec.steps[0] = step_of(1, -1);
+    BOOST_TEST(!valid(spec));
+    spec.steps[0] = step_of(1, 1);
+    spec.payload = std::string(max_payload_bytes + 1, 'x');
+    BOOST_TEST(!valid(spec));
+    BOOST_TEST((reason.kind() == FailureKind::bad_input));
+}
+
+BOOST_AUTO_TEST_CASE(messages_between_nodes_survive_the_wire)
+{
+    PeerRequest request;
+    request.topic = PeerTopic::advice;
+    request.node = "n";
+    request.incarnation = "i";
+    request.workers = { "a", "b" };
+    request.epoch = 7;
+    request.promises = true;
+    request.echo_ms = 12;
+    const auto back = decode_peer_request(encode(request));
+    BOOST_REQUIRE(back.has_value());
+    BOOST_TEST(encode(*back) == encode(request));
+    PeerAnswer answer;
+    answer.served = true;
+    answer.leader = "10.0.0.1:1";
+    answer.state = JobState::failed;
+    answer.tickets = { { "w", "t" } };
+    const auto answered = decode_peer_answer(encode(answer));
+    BOOST_REQUIRE(answered.has_value());
+    BOOST_TEST(encode(*answered) == encode(answer));
+}
+
+BOOST_AUTO_TEST_CASE(task_names_are_parsed_from_the_right)
+{
+    const TaskId id { "5c0e7a21d94b36f8", 2, 1, 17 };
+    const auto parsed = TaskId::parse(id.to_string());
+    BOOST_REQUIRE(parsed.has_value());
+    BOOST_TEST((*parsed == id));
+    for (const char* text : { "", "a", "a.1.2", ".1.2.x", "a.b.c.d" })
+        BOOST_TEST(!TaskId::parse(text).has_value(), text);
+}
+
+BOOST_AUTO_TEST_CASE(longest_path_prefix_names_the_queue)
+{
+    Configuration configuration;
+    Queue queue;
+    queue.name = "short";
+    queue.host = "h";
+    queue.path_prefix = "/a/";
+    configuration.queues.push_back(queue);
+    queue.name = "long";
+    queue.path_prefix = "/a/b/";
+    configuration.queues.push_back(queue);
+    BOOST_TEST(configuration.find("h", "/a/b/x")->name == "long");
+    BOOST_TEST(configuration.find("h:80", "/a/x")->name == "short");
+    BOOST_TEST(configuration.find("g", "/a/x") == nullptr);
+    BOOST_TEST(configuration.find("h", "/b") == nullptr);
+    const auto copy = decode_configuration(encode(configuration));
+    BOOST_REQUIRE(copy.has_value());
+    BOOST_TEST((copy->queues == configuration.queues));
+}
+
+BOOST_AUTO_TEST_CASE(progress_row_keeps_where_each_task_may_run)
+{
+    JobRecord job(job_of({ step_of(6, 100) }), Millis(0));
+    Step& step = job.begin_repeat().steps[0];
+    step.tasks[0].phase = TaskPhase::done;
+    step.tasks[5].phase = TaskPhase::done;
+    step.done = 2;
+    step.tasks[1].phase = TaskPhase::running;
+    step.tasks[1].worker = "w1";
+    step.tasks[1].run = 9;
+    step.tasks[2].failed_runs = { 3, 4 };
+    step.tasks[3].checkpoint = "c";
+    job.begun = true;
+    JobRecord copy(job_of({ step_of(6, 100) }), Millis(0));
+    BOOST_REQUIRE(copy.apply_progress(job.encode_progress()));
+    const Step& restored = *copy.step(0, 0);
+    BOOST_TEST(restored.done == 2);
+    BOOST_TEST((restored.tasks[5].phase == TaskPhase::done));
+    BOOST_TEST((restored.tasks[1].phase == TaskPhase::in_doubt));
+    BOOST_TEST(restored.tasks[1].worker == "w1");
+    BOOST_TEST(restored.tasks[1].run == 9);
+    BOOST_TEST(restored.tasks[2].failed_runs.size() == 2U);
+    BOOST_TEST(restored.tasks[3].checkpoint == "c");
+    BOOST_TEST((copy.state() == JobState::active));
+    BOOST_TEST(!copy.apply_progress("{"));
+}
+
+BOOST_AUTO_TEST_CASE(final_state_is_shown_once_recorded)
+{
+    JobRecord job(job_of({ step_of(1, 100) }), Millis(0));
+    Step& step = job.begin_repeat().steps[0];
+    job.begun = true;
+    step.tasks[0].phase = TaskPhase::done;
+    step.done = 1;
+    job.finish_repeat(0);
+    BOOST_TEST((job.state() == JobState::completed));
+    BOOST_TEST((job.shown_state() == JobState::active));
+    const std::string row = job.encode_progress();
+    BOOST_TEST((final_state_of_progress(row) == JobState::completed));
+    BOOST_TEST(!final_state_of_progress("").has_value());
+}
+
+BOOST_AUTO_TEST_CASE(giving_up_and_cancelling_are_kept_apart)
+{
+    JobRecord job(job_of({ step_of(1, 100) }), Millis(0));
+    job.begin_repeat();
+    job.gave_up = true;
+    BOOST_TEST((job.state() == JobState::failed));
+    job.gave_up = false;
+    job.canceled = true;
+    BOOST_TEST((job.state() == JobState::canceled));
+}
+
+BOOST_AUTO_TEST_CASE(timed_job_has_one_repeat_after_the_other)
+{
+    AcceptedJob timed = job_of({ step_of(1, 100) });
+    timed.spec.repeats = 2;
+    timed.spec.first_due_ms = 500;
+    timed.spec.interval_ms = 100;
+    JobRecord job(timed, Millis(0));
+    BOOST_TEST(*job.next_due() == 500);
+    job.begin_repeat();
+    BOOST_TEST(*job.next_due() == 600);
+    job.begin_repeat();
+    BOOST_TEST(!job.next_due().has_value());
+    job.finish_repeat(0);
+    BOOST_TEST((job.state() == JobState::pending));
+    job.finish_repeat(1);
+    BOOST_TEST((job.state() == JobState::completed));
+}
+
+BOOST_AUTO_TEST_CASE(tightest_fit_comes_first)
+{
+    const auto shares = choose_workers(step_of(3, 1000), 3, false,
+                                       { room_of("wide", 8000), room_of("tight", 2000) });
+    BOOST_REQUIRE(shares.size() == 2U);
+    BOOST_TEST((shares[0] == Share { "tight", 2 }));
+    BOOST_TEST((shares[1] == Share { "wide", 1 }));
+}
+
+BOOST_AUTO_TEST_CASE(gang_goes_whole_or_not_at_all)
+{
+    const StepSpec step = step_of(5, 1000);
+    BOOST_TEST(
+        choose_workers(step, 5, true, { room_of("a", 2000), room_of("b", 2000) }).empty());
+    const auto shares
+        = choose_workers(step, 5, true, { room_of("a", 3000), room_of("b", 2000) });
+    BOOST_TEST(shares.size() == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(limits_of_a_step_are_kept)
+{
+    StepSpec step = step_of(9, 1000);
+    WorkerRoom room = room_of("a", 8000);
+    BOOST_TEST(tasks_that_fit(step, room) == 8);
+    step.max_per_worker = 2;
+    room.of_step = 1;
+    BOOST_TEST(tasks_that_fit(step, room) == 1);
+    step.max_per_worker = 0;
+    step.need.accelerators = 1;
+    BOOST_TEST(tasks_that_fit(step, room) == 0);
+    step.need = { 100000, 100, 0 };
+    step.fills = true; // Its processors aren't counted.
+    BOOST_TEST(tasks_that_fit(step, room) == 10);
+}
+
+BOOST_AUTO_TEST_CASE(one_rack_is_taken_where_it_suffices)
+{
+    StepSpec step = step_of(4, 1000);
+    step.same_rack = true;
+    const auto shares
+        = choose_workers(step, 4, true,
+                         { room_of("a", 1000, "r1-1"), room_of("b", 4000, "r1-2"),
+                           room_of("c", 2000, "r1-1") });
+    BOOST_REQUIRE(shares.size() == 1U);
+    BOOST_TEST(shares[0].worker == "b");
+}
+
+BOOST_AUTO_TEST_CASE(leaders_writes_are_chained)
+{
+    emulator::World world(5);
+    emulator::Store store(world);
+    emulator::ProcessLoop loop(world);
+    emulator::StorePort port(store, loop, "n1");
+    FixedOwner owner;
+    const HeadValue head { 1, 0, "first", false };
+    StoreWrite claim;
+    claim.puts.push_back({ lead_row(head_key), encode(head) });
+    const int64_t version = store.write_now(claim).version;
+    HeadLog log(loop, port, owner, head, version, world.now());
+    bool recorded = false;
+    log.record("job", [&] { recorded = true; });
+    world.run_for(Millis(100));
+    BOOST_TEST(recorded);
+    BOOST_TEST(store.value(progress_row("job")) == "row of job");
+    // Another leader's claim ends it: nothing more is written.
+    claim.puts[0].value = encode(HeadValue { 2, 0, "second", false });
+    store.write_now(claim);
+    recorded = false;
+    log.record("late", [&] { recorded = true; });
+    world.run_for(Millis(2000));
+    BOOST_TEST(owner.lost);
+    BOOST_TEST(!recorded);
+    BOOST_TEST(store.value(progress_row("late")).empty());
+}
+
+BOOST_AUTO_TEST_CASE(lost_and_late_answers_write_each_row_once)
+{
+    for (const bool late : { false, true }) {
+        emulator::World world(6);
+        emulator::Store store(world);
+        emulator::ProcessLoop loop(world);
+        emulator::StorePort port(store, loop, "n1");
+        FixedOwner owner;
+        const HeadValue head { 1, 0, "first", false };
+        StoreWrite claim;
+        claim.puts.push_back({ lead_row(head_key), encode(head) });
+        const int64_t version = store.write_now(claim).version;
+        HeadLog log(loop, port, owner, head, version, world.now());
+        store.trouble.lose = 0.5;
+        store.trouble.late = late;
+        int recorded = 0;
+        for (int i = 0; i < 30; ++i) {
+            log.record("job" + std::to_string(i), [&] { ++recorded; });
+            world.run_for(Millis(100));
+        }
+        world.run_for(Millis(10000));
+        BOOST_TEST(recorded == 30);
+        BOOST_TEST(!owner.lost);
+        BOOST_TEST(log.served());
+    }
+}
+
+BOOST_AUTO_TEST_CASE(lease_ends_while_the_store_is_away)
+{
+    emulator::World world(7);
+    emulator::Store store(world);
+    emulator::ProcessLoop loop(world);
+    emulator::StorePort port(store, loop, "n1");
+    FixedOwner owner;
+    const HeadValue head { 1, 0, "first", false };
+    StoreWrite claim;
+    claim.puts.push_back({ lead_row(head_key), encode(head) });
+    HeadLog log(loop, port, owner, head, store.write_now(claim).version, world.now());
+    world.run_for(Millis(3000));
+    BOOST_TEST((world.now() < log.lease_until()));
+    store.trouble.busy = true;
+    world.run_for(leader_lease + Millis(100));
+    BOOST_TEST((world.now() > log.lease_until()));
+    BOOST_TEST(!log.served());
+    store.trouble.busy = false;
+    world.run_for(Millis(1000));
+    BOOST_TEST((world.now() < log.lease_until()));
+}
+
+BOOST_AUTO_TEST_CASE(urgent_questions_overtake_and_slow_ones_use_other_callers)
+{
+    emulator::World world(8);
+    emulator::ProcessLoop loop(world);
+    CountingAdvisor advisor(world);
+    SilentPeers peers(world);
+    AdvicePool pool(loop, advisor, peers);
+    const auto ignore = [](const AdviceReply&) {};
+    pool.ask(question_of("a", 2, 10), ignore);
+    pool.ask(question_of("b", 2, 10), ignore);
+    pool.ask(question_of("c", 2, 10), ignore);
+    pool.ask(question_of("urgent", 0, 10), ignore);
+    world.run_for(Millis(500));
+    BOOST_REQUIRE(advisor.asked.size() == 4U);
+    BOOST_TEST(advisor.asked[2] == "urgent");
+    pool.set_peers({ "10.0.0.2:1" });
+    pool.ask(question_of("slow", 1, 400), ignore);
+    world.run_for(Millis(10));
+    BOOST_TEST(peers.sent == 1);
+    BOOST_TEST(advisor.asked.size() == 4U);
+}
--- a/src/jobs.lib/scheduler.h
+++ b/src/jobs.lib/scheduler.h
@@ -183,7 +183,7 @@
     void record(JobRecord& job, std::function<void()> done = {});
     JobRecord* find_job(const std::string& id);
 
-    // Placing (scheduler_pass.cpp).
+    // Placing (scheduler_pass.cpp, scheduler_advice.cpp, scheduler_start.cpp).
     void schedule_pass();
     void pass();
     std::vector<Candidate> candidates();
--- a/src/jobs.lib/scheduler_reports.cpp
+++ b/src/jobs.lib/scheduler_reports.cpp
@@ -94,7 +94,7 @@
     unknown.need = worker.session->info().capacity;
     occupy(worker, running.task, running.run, step == nullptr ? unknown : *step->spec,
            job == nullptr ? 0 : job->accepted().queue.priority);
-    if (task == nullptr || job->closed() || !(expected || untold)) {
+    if (step == nullptr || task == nullptr || job->closed() || !(expected || untold)) {
         log_event(
             LogLevel::info, "stray_run_stopped",
             { { "task", running.task.to_string() }, { "worker", worker.session->id() } });
--- /dev/null
+++ b/src/jobs.lib/scheduler_start.cpp
@@ -0,0 +1,157 @@
+// Copyright the pathport authors.
+// SPDX-License-Identifier: Apache-2.0
+
+/// \file
+/// Starts. A choice of workers is recorded before the orders are sent, so that a successor
+/// knows where each task may run.
+
+#include "scheduler.h"
+
+#include <pathport/log.h>
+
+namespace pathport::jobs {
+
+void Scheduler::intend(JobRecord& job, Step& step, const std::vector<Share>& shares)
+{
+    const bool refill = step.spec->gang && step.placed() > 0;
+    step.advice.retry_at = Millis(0);
+    const int64_t run = refill ? step.gang_run : ++m_last_run;
+    step.gang_run = run;
+    auto share = shares.begin();
+    int left = share->count;
+    for (size_t i = 0; i < step.tasks.size(); ++i) {
+        Task& task = step.tasks[i];
+        if (task.phase != TaskPhase::waiting)
+            continue;
+        while (left == 0) {
+            if (++share == shares.end())
+                break;
+            left = share->count;
+        }
+        if (share == shares.end())
+            break;
+        --left;
+        Worker& worker = *find_worker(share->worker);
+        task.phase = TaskPhase::intended;
+        task.worker = share->worker;
+        task.run = run;
+        task.placed_at = m_parts.loop.now();
+        const auto permission = step.advice.workers.find(share->worker);
+        if (permission != step.advice.workers.end())
+            task.ticket = permission->second.ticket;
+        occupy(worker, { job.id(), step.repeat, step.index, static_cast<int>(i) }, run,
+               *step.spec, job.accepted().queue.priority);
+    }
+    if (!job.begun) {
+        const Millis waited = m_parts.loop.now() - job.seen();
+        m_parts.metrics.observe_seconds(
+            "pathport_first_start_wait_seconds", double(waited.count()) / 1000,
+            { { "priority", std::to_string(job.accepted().queue.priority) } });
+    }
+    job.begun = true;
+    record(job, [this, id = job.id(), repeat = step.repeat, index = step.index, run] {
+        send_intended(id, repeat, index, run);
+    });
+    // The store is slow, and the head row says that orders may precede their record.
+    if (m_log.unrecorded())
+        send_intended(job.id(), step.repeat, step.index, run);
+}
+
+void Scheduler::send_intended(const std::string& id, int repeat, int index, int64_t run)
+{
+    JobRecord* job = find_job(id);
+    Step* step = job == nullptr ? nullptr : job->step(repeat, index);
+    if (step == nullptr)
+        return;
+    for (size_t i = 0; i < step->tasks.size(); ++i) {
+        const Task& task = step->tasks[i];
+        if (task.phase == TaskPhase::intended && task.run == run)
+            start_task(*job, *step, static_cast<int>(i));
+    }
+}
+
+void Scheduler::start_task(JobRecord& job, Step& step, int index)
+{
+    Task& task = step.tasks[static_cast<size_t>(index)];
+    const TaskId id { job.id(), step.repeat, step.index, index };
+    Worker* worker = find_worker(task.worker);
+    const Millis now = m_parts.loop.now();
+    bool ticket_good = true;
+    if (job.accepted().queue.advice) {
+        const auto permission = step.advice.workers.find(task.worker);
+        ticket_good
+            = permission != step.advice.workers.end() && permission->second.holds(now);
+    }
+    if (worker == nullptr || job.closed() || !may_order() || !ticket_good
+        || !is_eligible(*worker, job, step)) {
+        if (worker != nullptr)
+            vacate(*worker, id, task.run);
+        release(task);
+        schedule_pass();
+        return;
+    }
+    std::string checkpoint = task.checkpoint;
+    if (step.spec->gang) {
+        // Every member brings the same one.
+        checkpoint.clear();
+        for (const Task& member : step.tasks) {
+            if (!member.checkpoint.empty()) {
+                checkpoint = member.checkpoint;
+                break;
+            }
+        }
+    }
+    task.phase = TaskPhase::starting;
+    worker->session->start(id, task.run, job.accepted().spec.payload, checkpoint,
+                           task.ticket,
+                           m_lifetime.wrap([this, id, name = task.worker, run = task.run](
+                                               StartResult result, OrderStatus status) {
+                               start_ended(id, name, run, result, status);
+                           }));
+}
+
+void Scheduler::start_ended(const TaskId& id, const std::string& name, int64_t run,
+                            StartResult result, OrderStatus status)
+{
+    Worker* worker = find_worker(name);
+    JobRecord* job = find_job(id.job);
+    Task* task = job == nullptr ? nullptr : job->task(id);
+    const bool present = task != nullptr && task->phase == TaskPhase::starting
+        && task->run == run && task->worker == name;
+    m_parts.metrics.count("pathport_starts_total", { { "outcome", to_string(status) } });
+    log_event(LogLevel::info, "task_start",
+              { { "job", id.job },
+                { "task", id.to_string() },
+                { "run", run },
+                { "worker", name },
+                { "outcome", to_string(status) },
+                { "there", result == StartResult::running ? "yes" : "no" } });
+    if (result == StartResult::not_started) {
+        if (worker != nullptr)
+            vacate(*worker, id, run);
+        if (!present)
+            return;
+        Step& step = *job->step(id.repeat, id.step);
+        if (status == OrderStatus::bad_ticket)
+            step.advice.workers.erase(name);
+        if (status == OrderStatus::declined && worker != nullptr)
+            note_surprise(*worker, id.job);
+        release(*task);
+        schedule_pass();
+        return;
+    }
+    if (present) {
+        task->phase = TaskPhase::running;
+        task->percent = 0;
+        task->percent_at = m_parts.loop.now();
+        if (!job->closed())
+            return;
+        task->phase = TaskPhase::stopping;
+    }
+    const bool ended_already
+        = worker == nullptr || worker->occupants.count(id.to_string()) == 0;
+    if (!ended_already && (task == nullptr || job->closed()))
+        worker->session->stop(id, run);
+}
+
+} // namespace pathport::jobs
--- a/src/loop.lib/io_loop.cpp
+++ b/src/loop.lib/io_loop.cpp
@@ -65,6 +65,7 @@
 void IoLoop::run()
 {
     const auto guard = boost::asio::make_work_guard(m_impl->context);
+    m_impl->context.restart();
     m_impl->context.run();
 }
 
--- /dev/null
+++ b/src/loop.lib/loop_test.cpp
@@ -0,0 +1,126 @@
+// Copyright the pathport authors.
+// SPDX-License-Identifier: Apache-2.0
+
+/// \file
+/// HTTP on the event loop: kept connections, limits, time-outs, an end in order.
+
+#define BOOST_TEST_MODULE loop
+#include <boost/test/unit_test.hpp>
+
+#include <pathport/async_http.h>
+
+#include <string>
+
+using namespace pathport;
+
+namespace {
+
+const Address address { "127.0.0.1", 19751 };
+
+ClientCall call_with(const std::string& body)
+{
+    ClientCall call;
+    call.server = address;
+    call.target = "/x?y=1";
+    call.body = body;
+    call.headers.emplace_back("X-Deadline-Ms", "1234");
+    call.timeout = Millis(2000);
+    return call;
+}
+
+/// Sends `call` and runs the loop until it has ended.
+CallOutcome send_and_run(IoLoop& loop, AsyncHttpClient& client, ClientCall call)
+{
+    CallOutcome result;
+    client.send(std::move(call), [&](CallOutcome outcome) {
+        result = std::move(outcome);
+        loop.stop();
+    });
+    loop.run();
+    return result;
+}
+
+void echo(const ServerRequest& request, const ServerReply& reply)
+{
+    ServerAnswer answer;
+    answer.body = request.method + " " + request.target + " "
+        + std::to_string(request.time_limit.count()) + " " + request.body;
+    reply(std::move(answer));
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(request_arrives_whole_and_answer_comes_back)
+{
+    IoLoop loop;
+    AsyncHttpServer server(loop, address, echo, {});
+    BOOST_REQUIRE(server.start());
+    AsyncHttpClient client(loop);
+    const CallOutcome outcome = send_and_run(loop, client, call_with("hello"));
+    BOOST_TEST((outcome.end == CallEnd::answered));
+    BOOST_TEST(outcome.status == 200);
+    BOOST_TEST(outcome.body == "POST /x?y=1 1234 hello");
+}
+
+BOOST_AUTO_TEST_CASE(dead_port_is_told_from_a_silent_server)
+{
+    IoLoop loop;
+    AsyncHttpClient client(loop);
+    BOOST_TEST((send_and_run(loop, client, call_with("")).end == CallEnd::refused));
+}
+
+BOOST_AUTO_TEST_CASE(silent_server_leaves_the_outcome_unknown)
+{
+    IoLoop loop;
+    std::vector<ServerReply> kept;
+    AsyncHttpServer server(
+        loop, address,
+        [&](const ServerRequest&, ServerReply reply) { kept.push_back(std::move(reply)); },
+        {});
+    BOOST_REQUIRE(server.start());
+    AsyncHttpClient client(loop);
+    ClientCall call = call_with("a");
+    call.timeout = Millis(100);
+    BOOST_TEST((send_and_run(loop, client, std::move(call)).end == CallEnd::unknown));
+    BOOST_TEST(kept.size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(body_over_the_limit_is_refused)
+{
+    IoLoop loop;
+    ServerLimits limits;
+    limits.max_body_bytes = 10;
+    AsyncHttpServer server(loop, address, echo, limits);
+    BOOST_REQUIRE(server.start());
+    AsyncHttpClient client(loop);
+    const CallOutcome outcome
+        = send_and_run(loop, client, call_with("more than ten bytes"));
+    BOOST_TEST(outcome.status == 413);
+}
+
+BOOST_AUTO_TEST_CASE(connections_are_closed_after_their_answer_at_a_planned_stop)
+{
+    IoLoop loop;
+    AsyncHttpServer server(loop, address, echo, {});
+    BOOST_REQUIRE(server.start());
+    AsyncHttpClient client(loop);
+    BOOST_TEST(send_and_run(loop, client, call_with("1")).status == 200);
+    server.close_after_answers();
+    BOOST_TEST(send_and_run(loop, client, call_with("2")).status == 200);
+    server.drain();
+    BOOST_TEST((send_and_run(loop, client, call_with("3")).end == CallEnd::refused));
+    BOOST_TEST(server.requests_under_way() == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(timers_fire_in_order_and_can_be_dropped)
+{
+    IoLoop loop;
+    std::string order;
+    loop.after(Millis(20), [&] { order += "b"; });
+    loop.after(Millis(5), [&] { order += "a"; });
+    const auto dropped = loop.after(Millis(10), [&] { order += "x"; });
+    loop.cancel(dropped);
+    loop.after(Millis(40), [&] { loop.stop(); });
+    loop.run();
+    BOOST_TEST(order == "ab");
+}
