--- a/src/jobs.lib/job_node_clients.cpp
+++ b/src/jobs.lib/job_node_clients.cpp
@@ -95,6 +95,7 @@
                              { { "job", id },
                                { "queue", name },
                                { "config", config_version },
+                               { "store", m_store.failing() ? "away" : "serves" },
                                { "outcome", to_string(outcome) },
                                { "after_ms", (m_parts.loop.now() - received).count() } });
                    if (outcome == WriteOutcome::written) {
