--- a/src/jobs.lib/acceptor.cpp
+++ b/src/jobs.lib/acceptor.cpp
@@ -13,9 +13,7 @@
 
 constexpr Millis read_timeout { 600 };
 /// Pause after a write that the store refused.
-constexpr Millis refused_pause { 40 };
-/// A row that the store has refused so often is given up.
-constexpr int most_refusals = 2;
+constexpr Millis refused_pause { 80 };
 /// Each row takes a check and a put.
 constexpr size_t most_rows = max_transaction_entries / 2;
 
@@ -155,8 +153,7 @@
             }
             if (result.status == StoreStatus::unknown)
                 (*entry)->in_doubt = true;
-            if (result.status == StoreStatus::refused
-                && ++(*entry)->refusals >= most_refusals)
+            if (result.status == StoreStatus::refused && m_store.failing())
                 (*entry)->give_up = m_loop.now();
             part.waiting.push_front(*entry);
         }
--- a/src/jobs.lib/acceptor.h
+++ b/src/jobs.lib/acceptor.h
@@ -52,7 +52,6 @@
         std::string value;
         Millis give_up;
         bool in_doubt = false; ///< It was sent without an answer.
-        int refusals = 0; ///< How often the store refused it.
         std::vector<WriteReply> done;
     };
     using EntryPtr = std::shared_ptr<Entry>;
--- a/src/jobs.lib/store_health.cpp
+++ b/src/jobs.lib/store_health.cpp
@@ -14,6 +14,8 @@
 constexpr Millis served_time { 1500 };
 /// A store that has answered nothing for so long, while calls were open, is away.
 constexpr Millis silent_time { 900 };
+/// Refusals so soon after a served call don't make the store count as away.
+constexpr Millis limit_time { 350 };
 /// While the store fails, it is tried at this interval.
 constexpr Millis probe_interval { 200 };
 constexpr Millis probe_timeout { 800 };
@@ -58,8 +60,14 @@
             const bool served = result.status == StoreStatus::ok
                 || result.status == StoreStatus::conflict
                 || result.status == StoreStatus::history_lost;
-            // A lost answer says nothing as long as other calls are answered.
-            if (result.status == StoreStatus::unknown && m_served_at.count() > begun) {
+            // A lost answer says nothing as long as other calls are answered, and a refusal
+            // may come from a limit as long as others were served just before.
+            const Millis since_served = m_loop.now() - m_served_at;
+            const bool lost_one
+                = result.status == StoreStatus::unknown && m_served_at.count() > begun;
+            const bool refused_one = result.status == StoreStatus::refused && m_last_served
+                && since_served < limit_time;
+            if (lost_one || refused_one) {
                 done(result);
                 return;
             }
