A job is pending until a task of it has begun

Change: begun is noted when a start is known to have taken effect, at an end, or when a run is adopted. Measured: job_is_pending_until_a_task_has_begun failed before (0 of 3) and passes.

--- a/src/emulator.lib/cell.cpp
+++ b/src/emulator.lib/cell.cpp
@@ -321,6 +321,21 @@
     return *answer;
 }
 
+int64_t Cell::ask_pending(bool advised)
+{
+    const auto answer = std::make_shared<int64_t>(-1);
+    NodeProcess* process = any_running();
+    if (process == nullptr)
+        return *answer;
+    process->node->count_pending(queue(advised), world.now(), client_limit,
+                                 [answer](ClientStatus status, int64_t count) {
+                                     if (status == ClientStatus::ok)
+                                         *answer = count;
+                                 });
+    world.run_for(Millis(50));
+    return *answer;
+}
+
 void Cell::check_state(const std::string& id, const ClientJob& job,
                        std::vector<std::string>& wrong)
 {
--- a/src/include/pathport/emulator/cell.h
+++ b/src/include/pathport/emulator/cell.h
@@ -67,6 +67,9 @@
     /// Asks a node for the state of a job and waits, in virtual time.
     std::optional<jobs::JobState> ask_state(const std::string& id);
 
+    /// Asks a node how many jobs of a queue have not begun; waits a little for the answer.
+    int64_t ask_pending(bool advised);
+
     /// Checks that all accepted jobs have come to the end that they should; returns what is
     /// wrong, with all breaches seen so far.
     std::vector<std::string> verdict();
--- a/src/jobs.lib/cell_test.cpp
+++ b/src/jobs.lib/cell_test.cpp
@@ -263,6 +263,26 @@
     }
 }
 
+// Found by a hunt on the boards (MIXED): jobs whose starts got no answer were not counted as
+// pending, although no task of them had begun.
+BOOST_AUTO_TEST_CASE(job_is_pending_until_a_task_has_begun)
+{
+    Cell cell(3, 1, 2);
+    cell.world.run_for(Millis(1500));
+    cell.workers.trouble.unanswered = 1;
+    for (int i = 0; i < 3; ++i) {
+        const TaskFacts facts = simple_facts(1, 500);
+        cell.submit("job" + std::to_string(i), spec_of({ facts }), { facts }, false);
+    }
+    cell.world.run_for(Millis(900));
+    BOOST_TEST(cell.ask_pending(false) == 3);
+    cell.workers.trouble.unanswered = 0;
+    cell.world.run_for(Millis(20000));
+    BOOST_TEST(cell.ask_pending(false) == 0);
+    const auto wrong = cell.verdict();
+    BOOST_TEST(wrong.empty(), joined(wrong));
+}
+
 BOOST_AUTO_TEST_CASE(random_schedules_keep_all_promises)
 {
     const uint64_t first = first_seed();
--- a/src/jobs.lib/scheduler.h
+++ b/src/jobs.lib/scheduler.h
@@ -204,6 +204,7 @@
     void intend(JobRecord& job, Step& step, const std::vector<Share>& shares);
     void send_intended(const std::string& job, int repeat, int step, int64_t run);
     void start_task(JobRecord& job, Step& step, int index);
+    void note_begun(JobRecord& job);
     void start_ended(const TaskId& id, const std::string& worker, int64_t run,
                      StartResult result, OrderStatus status);
 
--- a/src/jobs.lib/scheduler_reports.cpp
+++ b/src/jobs.lib/scheduler_reports.cpp
@@ -111,7 +111,7 @@
     if (!running.checkpoint.empty())
         task->checkpoint = running.checkpoint;
     step->gang_run = running.run;
-    job->begun = true;
+    note_begun(*job);
 }
 
 void Scheduler::note_progress(Worker& worker, const RunningTask& running)
@@ -185,6 +185,7 @@
         return true;
     }
     Step& step = *found;
+    note_begun(*job);
     task->ended_run = end.run;
     task->run = std::max(task->run, end.run);
     if (!end.checkpoint.empty())
--- a/src/jobs.lib/scheduler_start.cpp
+++ b/src/jobs.lib/scheduler_start.cpp
@@ -42,13 +42,6 @@
         occupy(worker, { job.id(), step.repeat, step.index, static_cast<int>(i) }, run,
                *step.spec, job.accepted().queue.priority);
     }
-    if (!job.begun) {
-        const Millis waited = m_parts.loop.now() - job.seen();
-        m_parts.metrics.observe_seconds(
-            "pathport_first_start_wait_seconds", double(waited.count()) / 1000,
-            { { "priority", std::to_string(job.accepted().queue.priority) } });
-    }
-    job.begun = true;
     record(job, [this, id = job.id(), repeat = step.repeat, index = step.index, run] {
         send_intended(id, repeat, index, run);
     });
@@ -110,6 +103,18 @@
                            }));
 }
 
+// A job has begun when a worker has begun a task of it; an intent alone doesn't count.
+void Scheduler::note_begun(JobRecord& job)
+{
+    if (job.begun)
+        return;
+    job.begun = true;
+    const Millis waited = m_parts.loop.now() - job.seen();
+    m_parts.metrics.observe_seconds(
+        "pathport_first_start_wait_seconds", double(waited.count()) / 1000,
+        { { "priority", std::to_string(job.accepted().queue.priority) } });
+}
+
 void Scheduler::start_ended(const TaskId& id, const std::string& name, int64_t run,
                             StartResult result, OrderStatus status)
 {
@@ -140,6 +145,8 @@
         schedule_pass();
         return;
     }
+    if (job != nullptr)
+        note_begun(*job);
     if (present) {
         task->phase = TaskPhase::running;
         task->percent = 0;
