--- a/src/jobs.lib/scheduler.h
+++ b/src/jobs.lib/scheduler.h
@@ -179,6 +179,7 @@
     void after_step_change(JobRecord& job, Step& step);
     void close_if_final(JobRecord& job);
     void stop_placed(JobRecord& job);
+    void shrink_closed();
     void job_recorded(const std::string& id);
     void record(JobRecord& job, std::function<void()> done = {});
     JobRecord* find_job(const std::string& id);
@@ -253,6 +254,8 @@
     std::map<std::string, std::unique_ptr<JobRecord>>
         m_jobs; ///< Those that are not closed.
     std::map<std::string, JobState> m_closed; ///< Final states, recorded.
+    std::map<std::string, std::vector<std::string>> m_to_shrink; ///< Closed jobs, by part.
+    Millis m_shrunk;
     std::map<std::string, Worker> m_workers; ///< By id of the life.
     std::map<std::string, double>
         m_allowed_share; ///< By queue, of the workers asked about.
--- a/src/jobs.lib/scheduler_jobs.cpp
+++ b/src/jobs.lib/scheduler_jobs.cpp
@@ -5,11 +5,19 @@
 /// The life of a job at its scheduler: it arrives, its steps follow each other, it ends.
 
 #include "scheduler.h"
+#include "store_keys.h"
 
 #include <pathport/log.h>
 
 namespace pathport::jobs {
 
+namespace {
+constexpr Millis shrink_interval { 1500 };
+constexpr Millis shrink_timeout { 2000 };
+/// Rows in one transaction.
+constexpr size_t most_shrunk = max_transaction_entries - 10;
+} // namespace
+
 void Scheduler::record(JobRecord& job, std::function<void()> done)
 {
     m_log.record(job.id(), m_lifetime.wrap([done = std::move(done)] {
@@ -117,6 +125,26 @@
         { { "state", to_string(job->state()) } });
     m_closed[id] = job->state();
     m_jobs.erase(id);
+    m_to_shrink[job_part(id)].push_back(id);
+}
+
+// The rows of closed jobs keep their keys, so that an id stays known, and lose their values,
+// so that a take-over reads less. A write that is lost does no harm.
+void Scheduler::shrink_closed()
+{
+    const Millis now = m_parts.loop.now();
+    if (now - m_shrunk < shrink_interval || !m_log.served() || m_log.unrecorded())
+        return;
+    m_shrunk = now;
+    for (auto& [part, ids] : m_to_shrink) {
+        StoreWrite write;
+        while (!ids.empty() && write.puts.size() < most_shrunk) {
+            write.puts.push_back({ job_row(ids.back()), "" });
+            ids.pop_back();
+        }
+        if (!write.puts.empty())
+            m_parts.store.write(write, shrink_timeout, [](const StoreResult&) {});
+    }
 }
 
 } // namespace pathport::jobs
--- a/src/jobs.lib/scheduler_load.cpp
+++ b/src/jobs.lib/scheduler_load.cpp
@@ -321,7 +321,7 @@
         job_canceled(canceled);
         return;
     }
-    if (m_jobs.count(row.id.key) > 0 || m_closed.count(row.id.key) > 0)
+    if (m_jobs.count(row.id.key) > 0 || m_closed.count(row.id.key) > 0 || row.value.empty())
         return;
     Failure reason;
     const auto job = decode_accepted_job(row.id.key, row.value, reason);
