--- a/src/jobs.lib/cell_test.cpp
+++ b/src/jobs.lib/cell_test.cpp
@@ -263,8 +263,8 @@
     }
 }
 
-// Found by a hunt on the boards (MIXED): jobs whose starts got no answer were not counted as
-// pending, although no task of them had begun.
+// Found by a hunt on the boards (MIXED): jobs whose starts got no answer were not counted
+// as pending, although no task of them had begun.
 BOOST_AUTO_TEST_CASE(job_is_pending_until_a_task_has_begun)
 {
     Cell cell(3, 1, 2);
--- a/src/jobs.lib/head_log.cpp
+++ b/src/jobs.lib/head_log.cpp
@@ -18,6 +18,10 @@
 constexpr Millis gathering_time { 3 };
 /// A write is made at least so often, to renew the lease.
 constexpr Millis renewal_interval { 400 };
+/// A last write that began longer ago means that the store is away; the second holds while
+/// it is known to be slow.
+constexpr Millis usual_write_age { 900 };
+constexpr Millis slow_write_age { 2600 };
 /// Pause before a write is sent again that was refused.
 constexpr Millis refused_pause { 60 };
 /// Rows in one transaction beside the head row and its check.
@@ -90,6 +94,13 @@
     done();
 }
 
+bool HeadLog::served() const
+{
+    const Millis last_write = m_lease_until - leader_lease;
+    const Millis allowed = m_announced_unrecorded ? slow_write_age : usual_write_age;
+    return m_served && m_loop.now() - last_write < allowed;
+}
+
 void HeadLog::schedule(Millis delay)
 {
     const Millis at = m_loop.now() + delay;
--- a/src/jobs.lib/head_log.h
+++ b/src/jobs.lib/head_log.h
@@ -72,8 +72,9 @@
 
     /// Returns until when the leader may give orders on the strength of its last write.
     Millis lease_until() const { return m_lease_until; }
-    /// Returns whether the last call was answered by the store.
-    bool served() const { return m_served; }
+    /// Returns whether the store serves this log: the last call was answered, and a write
+    /// has taken effect not long ago.
+    bool served() const;
     /// Returns whether orders may be sent before they are recorded: the store is slow, and
     /// the head row says that this may happen.
     bool unrecorded() const { return m_announced_unrecorded; }
--- a/src/jobs.lib/job_node.cpp
+++ b/src/jobs.lib/job_node.cpp
@@ -194,7 +194,7 @@
     m_leader_served = answer.served;
     // When the leader is not served, this node finds out whether it is.
     if (!answer.served)
-        m_store.check();
+        m_store.check(m_lifetime.wrap([this] { m_leadership.heartbeat_now(); }));
     const int64_t version = m_configuration ? m_configuration->version : 0;
     if (answer.config_version > version)
         fetch_configuration(m_leadership.leader_address());
--- a/src/jobs.lib/job_node_impl.h
+++ b/src/jobs.lib/job_node_impl.h
@@ -82,6 +82,7 @@
     Millis give_up_time(Millis received, Millis limit) const;
 
     void handle_heartbeat(const PeerRequest& request, PeerAnswer& answer);
+    void note_follower(const PeerRequest& request);
     void handle_state(const PeerRequest& request, PeerAnswer answer,
                       std::function<void(PeerAnswer)> done);
     void handle_accept(const PeerRequest& request, std::function<void(PeerAnswer)> done);
--- a/src/jobs.lib/job_node_peers.cpp
+++ b/src/jobs.lib/job_node_peers.cpp
@@ -90,15 +90,21 @@
         return;
     }
     answer.served = m_scheduler->log().served();
+    if (!request.leads && !request.resigned)
+        note_follower(request);
     answer.resigned = m_scheduler->resigned();
-    if (request.leads || request.resigned)
-        return;
+}
+
+void JobNode::Impl::note_follower(const PeerRequest& request)
+{
+    const Millis now = m_parts.loop.now();
     Follower& follower = m_followers[request.address];
     follower.heard = now;
     follower.store_served = request.store_served;
     follower.promised_until
         = request.promises ? Millis(request.echo_ms) + promise_time : Millis(0);
     update_promises();
+    consider_resigning();
 }
 
 // A leader that does not know the job asks the store, on behalf of a node that perhaps
--- a/src/jobs.lib/leadership.cpp
+++ b/src/jobs.lib/leadership.cpp
@@ -104,6 +104,12 @@
     return m_leading || m_loop.now() - m_answered < seen_time;
 }
 
+void Leadership::heartbeat_now()
+{
+    if (m_timer != 0)
+        schedule_follow(Millis(0));
+}
+
 void Leadership::leader_resigned(int64_t epoch)
 {
     if (m_leading || epoch != m_leader.epoch)
--- a/src/jobs.lib/leadership.h
+++ b/src/jobs.lib/leadership.h
@@ -71,6 +71,8 @@
     std::string leader_address() const;
     /// Returns whether the leader has answered lately.
     bool leader_seen() const;
+    /// Asks the leader now instead of at the next regular time.
+    void heartbeat_now();
     /// The leader of `epoch` says that it gives its place up.
     void leader_resigned(int64_t epoch);
     /// Another node says who leads. It is followed if its epoch is later, also while the
--- a/src/jobs.lib/scheduler.h
+++ b/src/jobs.lib/scheduler.h
@@ -126,6 +126,12 @@
         bool asked = false;
         bool allowed = false;
     };
+    /// A run that may be stopped for more urgent work without losing its progress.
+    struct Victim {
+        TaskId id;
+        Task* task = nullptr;
+        Resources need;
+    };
     static bool fit_first(const Prospect& left, const Prospect& right);
     static bool later_first(const Prospect& left, const Prospect& right);
     static std::vector<std::string> names(const std::vector<Prospect>& prospects, int most);
@@ -196,6 +202,9 @@
     bool is_eligible(const Worker& worker, const JobRecord& job, const Step& step) const;
     std::vector<Prospect> prospects(const JobRecord& job, const Step& step) const;
     void prepare_gang(const JobRecord& job, Step& step, int needed);
+    bool make_room(const JobRecord& job, const Step& step,
+                   const std::vector<Prospect>& kept, int needed);
+    std::vector<Victim> victims_on(const Worker& worker, int priority);
     void ask_for_some(const JobRecord& job, Step& step, int needed);
     void ask(const JobRecord& job, Step& step, std::vector<std::string> workers);
     void explain_wait(const JobRecord& job, Step& step);
--- a/src/jobs.lib/scheduler_advice.cpp
+++ b/src/jobs.lib/scheduler_advice.cpp
@@ -131,8 +131,9 @@
         reserved += room_now ? allowed[used].fit : allowed[used].later_fit;
         m_reserved.insert(allowed[used++].worker);
     }
-    if (room_now && advised) {
-        allowed.resize(used);
+    allowed.resize(used);
+    const bool comes = room_now || make_room(job, step, allowed, needed);
+    if (comes && advised) {
         ask(job, step, names(allowed, most_asked));
         if (step.advice.asking)
             step.advice.asked_for = names(allowed, most_asked);
--- a/src/jobs.lib/scheduler_jobs.cpp
+++ b/src/jobs.lib/scheduler_jobs.cpp
@@ -128,8 +128,8 @@
     m_to_shrink[job_part(id)].push_back(id);
 }
 
-// The rows of closed jobs keep their keys, so that an id stays known, and lose their values,
-// so that a take-over reads less. A write that is lost does no harm.
+// The rows of closed jobs keep their keys, so that an id stays known, and lose their
+// values, so that a take-over reads less. A write that is lost does no harm.
 void Scheduler::shrink_closed()
 {
     const Millis now = m_parts.loop.now();
--- a/src/jobs.lib/store_health.cpp
+++ b/src/jobs.lib/store_health.cpp
@@ -109,13 +109,17 @@
     }));
 }
 
-void StoreHealth::check()
+void StoreHealth::check(std::function<void()> served_now)
 {
     StoreRange range;
     range.table = lead_table;
     range.part = scheduler_part;
     range.limit = 1;
-    read(range, probe_timeout, [](const StoreResult&) {});
+    read(range, probe_timeout,
+         [served_now = std::move(served_now)](const StoreResult& result) {
+             if (served_now && result.status == StoreStatus::ok)
+                 served_now();
+         });
 }
 
 void StoreHealth::write(const StoreWrite& write, Millis timeout, StoreReply done)
--- a/src/jobs.lib/store_health.h
+++ b/src/jobs.lib/store_health.h
@@ -12,6 +12,7 @@
 #include <pathport/jobs/job_store.h>
 #include <pathport/metrics.h>
 
+#include <functional>
 #include <set>
 
 namespace pathport::jobs {
@@ -31,8 +32,9 @@
     /// Returns whether the store does not serve this node: the last call that ended was not
     /// served, or calls have been open for long and none has been served meanwhile.
     bool failing() const;
-    /// Tries the store, so that served() and failing() tell of the present.
-    void check();
+    /// Tries the store, so that served() and failing() tell of the present; `served_now` is
+    /// called if it answers.
+    void check(std::function<void()> served_now = {});
     /// Returns the store's clock as well as it is known; 0 before the first answer.
     int64_t clock_ms() const;
 
