--- a/src/emulator.lib/workers.cpp
+++ b/src/emulator.lib/workers.cpp
@@ -243,8 +243,11 @@
     if (!known.lasting && failed >= known.max_failures)
         failures.started_when_spent = true;
     for (const auto& [id, other] : m_lives) {
-        if (other.up && &other != &life && other.running.count(name) > 0)
-            breach("two runs at once: " + name + " on " + id + " and " + life.info.id);
+        if (!other.up || &other == &life || other.running.count(name) == 0)
+            continue;
+        std::string text = "two runs at once: ";
+        text.append(name).append(" on ").append(id).append(" and ").append(life.info.id);
+        breach(text);
     }
     for (const int earlier : known.after) {
         const TaskFacts& before = m_facts[{ order.task.job, earlier }];
--- a/src/loop.lib/loop_test.cpp
+++ b/src/loop.lib/loop_test.cpp
@@ -81,7 +81,7 @@
     AsyncHttpClient client(loop);
     ClientCall call = call_with("a");
     call.timeout = Millis(100);
-    BOOST_TEST((send_and_run(loop, client, std::move(call)).end == CallEnd::unknown));
+    BOOST_TEST((send_and_run(loop, client, call).end == CallEnd::unknown));
     BOOST_TEST(kept.size() == 1U);
 }
 
