Urgent work prefers workers that are not slow

Change: a worker's run times are compared with what the same queues' guesses usually mean; queues of priority 0 use slow workers last.

--- a/src/jobs.lib/placement.cpp
+++ b/src/jobs.lib/placement.cpp
@@ -80,8 +80,8 @@
                      [&](const WorkerRoom& left, const WorkerRoom& right) {
                          const bool left_far = left.rack != step.near_rack;
                          const bool right_far = right.rack != step.near_rack;
-                         return std::tie(left_far, left.free.cpu_millis)
-                             < std::tie(right_far, right.free.cpu_millis);
+                         return std::tie(left_far, left.slow, left.free.cpu_millis)
+                             < std::tie(right_far, right.slow, right.free.cpu_millis);
                      });
     if (step.same_rack) {
         const std::vector<WorkerRoom> rack = one_rack(step, count, rooms);
--- a/src/jobs.lib/placement.h
+++ b/src/jobs.lib/placement.h
@@ -19,6 +19,7 @@
     std::string worker;
     std::string rack;
     Resources free;
+    bool slow = false; ///< To be used only when others don't suffice.
     int of_step = 0; ///< Tasks of this step that it holds already.
     int at_most = max_tasks_per_step; ///< Tasks that may be added for other reasons.
 };
--- a/src/jobs.lib/scheduler.h
+++ b/src/jobs.lib/scheduler.h
@@ -117,6 +117,8 @@
         int surprises = 0; ///< Failures and standing tasks since the last success.
         std::string last_failed_job;
         Millis avoid_until;
+        /// Smoothed logarithm of its run times against the same queues' elsewhere.
+        double slowness = 0;
     };
     /// A worker that a step may use, or may be allowed to.
     struct Prospect {
@@ -125,6 +127,7 @@
         int later_fit = 0; ///< The same once less urgent tasks there have ended.
         bool asked = false;
         bool allowed = false;
+        bool slow = false; ///< Slower than others, and the step is urgent.
     };
     /// A run that may be stopped for more urgent work without losing its progress.
     struct Victim {
@@ -176,6 +179,9 @@
                        const EndedTask& end);
     static bool count_failure(JobRecord& job, Step& step, Task& task, int64_t run);
     void batch_recorded(const std::string& worker, const std::shared_ptr<EndBatch>& batch);
+    void learn_speed(Worker& worker, const JobRecord& job, const Step& step,
+                     const Task& task);
+    static bool is_slow_for(const Worker& worker, const JobRecord& job);
     void note_surprise(Worker& worker, const std::string& job);
     void release_all(Worker& worker);
 
@@ -268,6 +274,7 @@
     std::map<std::string, Worker> m_workers; ///< By id of the life.
     std::map<std::string, double>
         m_allowed_share; ///< By queue, of the workers asked about.
+    std::map<std::string, double> m_guess_error; ///< By queue, smoothed logarithm.
     Millis m_load_reported;
     bool m_pass_due = false;
     int m_gangs_prepared = 0; ///< In the present pass.
--- a/src/jobs.lib/scheduler_advice.cpp
+++ b/src/jobs.lib/scheduler_advice.cpp
@@ -37,7 +37,7 @@
 
 bool Scheduler::fit_first(const Prospect& left, const Prospect& right)
 {
-    return left.fit > right.fit;
+    return std::make_pair(left.slow, -left.fit) < std::make_pair(right.slow, -right.fit);
 }
 
 bool Scheduler::later_first(const Prospect& left, const Prospect& right)
@@ -69,6 +69,7 @@
             continue;
         Prospect prospect;
         prospect.worker = id;
+        prospect.slow = is_slow_for(worker, job);
         WorkerRoom room = room_on(worker, key);
         prospect.fit = tasks_that_fit(*step.spec, room);
         for (const auto& [task, occupant] : worker.occupants) {
--- a/src/jobs.lib/scheduler_pass.cpp
+++ b/src/jobs.lib/scheduler_pass.cpp
@@ -158,6 +158,7 @@
                 continue;
         }
         WorkerRoom room = room_on(worker, key);
+        room.slow = is_slow_for(worker, job);
         if (tasks_that_fit(*step.spec, room) == 0)
             continue;
         const auto failed_on_it = [&name = room.worker](const Task& task) {
--- a/src/jobs.lib/scheduler_reports.cpp
+++ b/src/jobs.lib/scheduler_reports.cpp
@@ -9,6 +9,7 @@
 #include <pathport/log.h>
 
 #include <algorithm>
+#include <cmath>
 #include <set>
 
 namespace pathport::jobs {
@@ -18,6 +19,13 @@
 /// A worker with so many failures of different jobs in a row is left alone for a while.
 constexpr int most_surprises = 2;
 constexpr Millis avoid_time { 3000 };
+/// Weights of a run in what is learned of its queue's guesses and its worker's speed.
+constexpr double guess_learning = 0.03;
+constexpr double speed_learning = 0.08;
+/// Bounds of what one run can tell, as logarithms.
+constexpr double most_slowness = 1.0;
+/// A worker is slow from here on: about an eighth slower than the others.
+constexpr double slow_worker = 0.12;
 
 } // namespace
 
@@ -192,6 +200,7 @@
         task->checkpoint = end.checkpoint;
     if (end.kind == EndKind::done) {
         worker.surprises = 0;
+        learn_speed(worker, *job, step, *task);
         apply_done(*job, step, *task);
     } else if (end.kind == EndKind::failed) {
         apply_failure(worker, *job, step, *task, end);
@@ -245,6 +254,30 @@
     return true;
 }
 
+// Submitters' guesses are off, each queue's in its own way, so a run is compared with what
+// its queue's guesses usually mean.
+void Scheduler::learn_speed(Worker& worker, const JobRecord& job, const Step& step,
+                            const Task& task)
+{
+    const Millis took = m_parts.loop.now() - task.placed_at;
+    const bool comparable = !step.spec->gang && !step.spec->lasting && !step.spec->fills
+        && task.checkpoint.empty() && step.spec->expected_ms > 0 && took > Millis(0);
+    if (!comparable)
+        return;
+    const double error = std::log(double(took.count()) / double(step.spec->expected_ms));
+    double& usual
+        = m_guess_error.try_emplace(job.accepted().queue.name, error).first->second;
+    usual += guess_learning * (error - usual);
+    const double against_others = std::clamp(error - usual, -most_slowness, most_slowness);
+    worker.slowness += speed_learning * (against_others - worker.slowness);
+}
+
+// Only urgent work is kept from slow workers; the rest has to use them.
+bool Scheduler::is_slow_for(const Worker& worker, const JobRecord& job)
+{
+    return job.accepted().queue.priority == 0 && worker.slowness > slow_worker;
+}
+
 void Scheduler::note_surprise(Worker& worker, const std::string& job)
 {
     if (worker.last_failed_job == job && worker.surprises > 0)
