--- /dev/null
+++ b/src/emulator.lib/worker_port.cpp
@@ -0,0 +1,151 @@
+// Copyright the pathport authors.
+// SPDX-License-Identifier: Apache-2.0
+
+#include <pathport/emulator/workers.h>
+#include <pathport/ids.h>
+
+namespace pathport::emulator {
+
+namespace {
+
+using jobs::OrderAnswer;
+using jobs::OrderStatus;
+
+/// How often a waiting look sees whether a run has ended.
+constexpr Millis look_interval { 10 };
+
+} // namespace
+
+WorkerPort::WorkerPort(Workers& workers, ProcessLoop& loop, std::string node)
+    : m_workers(workers)
+    , m_loop(loop)
+    , m_node(std::move(node))
+{
+}
+
+void WorkerPort::deliver(Millis delay, std::function<void()> work)
+{
+    m_loop.world().after(delay, [this, life = m_loop.life(), work = std::move(work)] {
+        if (*life)
+            m_loop.deliver(work);
+    });
+}
+
+void WorkerPort::order(const std::string& worker, Millis timeout,
+                       std::function<OrderAnswer()> work,
+                       std::function<void(OrderAnswer)> done)
+{
+    World& world = m_loop.world();
+    const auto* life = m_workers.find(worker);
+    const Millis way(1 + int64_t(world.below(3)));
+    if (life == nullptr || !m_workers.reachable(*life, m_node)) {
+        // What is on its way through a cut may arrive or not.
+        deliver(timeout, [done] { done(OrderAnswer()); });
+        return;
+    }
+    if (world.chance(m_workers.trouble.unanswered)) {
+        world.after(Millis(2000 + int64_t(world.below(10000))), [work] { work(); });
+        deliver(timeout, [done] { done(OrderAnswer()); });
+        return;
+    }
+    world.after(way, [this, life = m_loop.life(), work, done, way] {
+        const OrderAnswer answer = work();
+        if (*life)
+            deliver(way, [done, answer] { done(answer); });
+    });
+}
+
+void WorkerPort::start(const jobs::WorkerInfo& worker, const jobs::StartOrder& start,
+                       Millis timeout, std::function<void(OrderAnswer)> done)
+{
+    Workers& workers = m_workers;
+    order(
+        worker.id, timeout,
+        [&workers, id = worker.id, start] { return workers.start_now(id, start); }, done);
+}
+
+void WorkerPort::stop(const jobs::WorkerInfo& worker, const jobs::RunOrder& stop,
+                      Millis timeout, std::function<void(OrderAnswer)> done)
+{
+    Workers& workers = m_workers;
+    order(
+        worker.id, timeout,
+        [&workers, id = worker.id, stop] { return workers.stop_now(id, stop); }, done);
+}
+
+void WorkerPort::pace(const jobs::WorkerInfo&, const jobs::RunOrder&, Millis,
+                      std::function<void(OrderAnswer)> done)
+{
+    deliver(Millis(2), [done] { done(OrderAnswer { OrderStatus::accepted, 0 }); });
+}
+
+void WorkerPort::look(
+    const jobs::WorkerInfo& worker, const jobs::LookOrder& look, Millis timeout,
+    std::function<void(OrderStatus, std::optional<jobs::LookReport>)> done)
+{
+    const auto* life = m_workers.find(worker.id);
+    if (life == nullptr || !m_workers.reachable(*life, m_node)) {
+        deliver(timeout, [done] { done(OrderStatus::unknown, std::nullopt); });
+        return;
+    }
+    m_loop.world().after(
+        Millis(1), [this, life = m_loop.life(), id = worker.id, look, done] {
+            jobs::LookReport report;
+            const OrderStatus status = m_workers.look_now(id, look, report);
+            if (!*life)
+                return;
+            if (status == OrderStatus::accepted && look.wait > Millis(0)
+                && report.ended.empty()) {
+                wait_for_end(id, look, m_loop.world().now() + look.wait, done);
+                return;
+            }
+            deliver(Millis(1), [done, status, report] {
+                done(status,
+                     status == OrderStatus::accepted
+                         ? std::optional<jobs::LookReport>(report)
+                         : std::nullopt);
+            });
+        });
+}
+
+void WorkerPort::wait_for_end(
+    const std::string& worker, const jobs::LookOrder& look, Millis until,
+    std::function<void(OrderStatus, std::optional<jobs::LookReport>)> done)
+{
+    m_loop.world().after(
+        look_interval, [this, life = m_loop.life(), worker, look, until, done] {
+            if (!*life)
+                return;
+            const auto* target = m_workers.find(worker);
+            if (target == nullptr || !target->up || !m_workers.reachable(*target, m_node)) {
+                deliver(Millis(500), [done] { done(OrderStatus::unknown, std::nullopt); });
+                return;
+            }
+            if (target->ended.empty() && m_loop.world().now() < until) {
+                wait_for_end(worker, look, until, done);
+                return;
+            }
+            // The waiting look shows what is there now, whoever has raised the fence since.
+            jobs::LookOrder now = look;
+            now.fence = target->fence;
+            now.hold_until = 0;
+            jobs::LookReport report;
+            m_workers.look_now(worker, now, report);
+            deliver(Millis(1), [done, report] { done(OrderStatus::accepted, report); });
+        });
+}
+
+// A hash decides which workers may run a step, so the answer never changes.
+void WorkerPort::ask(
+    const std::string& step, const std::vector<std::string>& workers, Millis,
+    std::function<void(std::optional<std::vector<jobs::WorkerTicket>>)> done)
+{
+    std::vector<jobs::WorkerTicket> tickets;
+    for (const std::string& worker : workers) {
+        if (stable_hash(step + worker) % 10 < 7)
+            tickets.push_back({ worker, "t" });
+    }
+    deliver(Millis(5 + int64_t(workers.size())), [done, tickets] { done(tickets); });
+}
+
+} // namespace pathport::emulator
