--- a/src/emulator.lib/workers.cpp
+++ b/src/emulator.lib/workers.cpp
@@ -299,7 +299,9 @@
         return;
     for (Run* member : members) {
         member->working = true;
-        member->ends_at = m_world.now() + Millis(facts(task).run_ms);
+        member->waits_since = m_world.now();
+        const TaskFacts& known = facts(task);
+        member->ends_at = m_world.now() + Millis(std::max(known.run_ms, known.slowest_ms));
     }
 }
 
@@ -353,9 +355,9 @@
         jobs::RunningTask running;
         running.task = run.task;
         running.run = run.run;
-        const int64_t left = (run.ends_at - m_world.now()).count();
         const int64_t whole = std::max<int64_t>(1, facts(run.task).run_ms);
-        running.percent = run.working ? static_cast<int>(100 - left * 100 / whole) : 0;
+        const int64_t worked = std::min(whole, (m_world.now() - run.waits_since).count());
+        running.percent = run.working ? static_cast<int>(worked * 100 / whole) : 0;
         report.running.push_back(running);
     }
     return OrderStatus::accepted;
--- a/src/include/pathport/emulator/workers.h
+++ b/src/include/pathport/emulator/workers.h
@@ -23,6 +23,7 @@
 /// What the emulator knows of a step's tasks, beside what its submitter said.
 struct TaskFacts {
     int64_t run_ms = 500; ///< Work of one task.
+    int64_t slowest_ms = 0; ///< Of a gang's slowest member, for which the others wait.
     int fails = 0; ///< So many runs of each task fail before one is done.
     int count = 1; ///< Tasks of the step.
     bool gang = false;
--- a/src/jobs.lib/cell_test.cpp
+++ b/src/jobs.lib/cell_test.cpp
@@ -263,6 +263,22 @@
     }
 }
 
+// Found on the bench (boards, quiet-1): members of a gang that had done their work and
+// waited for a slower one were taken for standing still, and the gang was broken.
+BOOST_AUTO_TEST_CASE(members_that_wait_for_the_slowest_are_left_alone)
+{
+    Cell cell(4, 1, 3);
+    cell.world.run_for(Millis(1500));
+    TaskFacts facts = simple_facts(3, 1000);
+    facts.gang = true;
+    facts.slowest_ms = 8000;
+    cell.submit("job0", spec_of({ facts }), { facts }, false);
+    cell.world.run_for(Millis(12000));
+    const auto wrong = cell.verdict();
+    BOOST_TEST(wrong.empty(), joined(wrong));
+    BOOST_TEST(cell.workers.starts() == 3);
+}
+
 // Found by a hunt on the boards (MIXED): jobs whose starts got no answer were not counted
 // as pending, although no task of them had begun.
 BOOST_AUTO_TEST_CASE(job_is_pending_until_a_task_has_begun)
--- a/src/jobs.lib/scheduler_tick.cpp
+++ b/src/jobs.lib/scheduler_tick.cpp
@@ -18,6 +18,7 @@
 constexpr Millis gang_patience { 2300 };
 /// A task whose progress has not moved for so long stands still.
 constexpr Millis standing_time { 2600 };
+constexpr int all_done_percent = 100;
 
 } // namespace
 
@@ -114,7 +115,10 @@
     const Millis now = m_parts.loop.now();
     for (size_t i = 0; i < step.tasks.size(); ++i) {
         Task& task = step.tasks[i];
-        if (task.phase != TaskPhase::running || now - task.percent_at < standing_time
+        // A gang's member that has done its work waits for the others.
+        const bool works
+            = task.phase == TaskPhase::running && task.percent < all_done_percent;
+        if (!works || now - task.percent_at < standing_time
             || now - task.placed_at < standing_time)
             continue;
         Worker* worker = find_worker(task.worker);
