--- a/src/emulator.lib/workers.cpp
+++ b/src/emulator.lib/workers.cpp
@@ -16,6 +16,9 @@
 constexpr Millis tick_interval { 10 };
 constexpr Millis kill_time { 300 };
 constexpr Millis gang_time { 3000 };
+/// How long the list keeps a worker that is silent.
+constexpr Millis list_patience { 4500 };
+constexpr Millis for_good { 1000000000 };
 /// A start so long after a cancellation was acknowledged is a breach.
 constexpr Millis cancel_time { 3000 };
 
@@ -64,6 +67,12 @@
         life->cut_nodes[node] = m_world.now() + span;
 }
 
+void Workers::vanish(const std::string& id)
+{
+    cut(id, for_good);
+    m_world.after(list_patience, [this, id] { find(id)->listed = false; });
+}
+
 void Workers::drain(const std::string& id, Millis span)
 {
     Life* life = find(id);
@@ -99,7 +108,7 @@
 {
     std::vector<jobs::WorkerInfo> listed;
     for (const auto& [id, life] : m_lives) {
-        if (life.up)
+        if (life.up && life.listed)
             listed.push_back(life.info);
     }
     return listed;
--- a/src/include/pathport/emulator/workers.h
+++ b/src/include/pathport/emulator/workers.h
@@ -53,6 +53,8 @@
     void crash(const std::string& id, Millis pause);
     /// Cuts a worker from all nodes, or only from `node`; what runs there runs on.
     void cut(const std::string& id, Millis span, const std::string& node = "");
+    /// Cuts a worker off for good; the list forgets it after a while.
+    void vanish(const std::string& id);
     /// Announces the end of a worker, which leaves after `span`.
     void drain(const std::string& id, Millis span);
 
@@ -85,6 +87,7 @@
     struct Life {
         jobs::WorkerInfo info;
         bool up = true;
+        bool listed = true;
         Millis cut_until;
         std::map<std::string, Millis> cut_nodes;
         int64_t fence = 0;
--- a/src/jobs.lib/cell_test.cpp
+++ b/src/jobs.lib/cell_test.cpp
@@ -279,6 +279,25 @@
     BOOST_TEST(cell.workers.starts() == 3);
 }
 
+// Found by a hunt on the boards (LOST): each look at a silent worker was counted as a
+// renewal of its lease, so the lease never ran out and its tasks were never placed anew.
+BOOST_AUTO_TEST_CASE(tasks_of_a_worker_that_is_lost_for_good_run_elsewhere)
+{
+    for (const bool gang : { false, true }) {
+        Cell cell(5, 2, 3);
+        cell.world.run_for(Millis(1500));
+        TaskFacts facts = simple_facts(6, 4000);
+        facts.gang = gang;
+        facts.need.cpu_millis = 3000;
+        cell.submit("job0", spec_of({ facts }), { facts }, false);
+        cell.world.run_for(Millis(1000));
+        cell.workers.vanish("w1");
+        cell.world.run_for(Millis(30000));
+        const auto wrong = cell.verdict();
+        BOOST_TEST(wrong.empty(), joined(wrong));
+    }
+}
+
 // Found by a hunt on the boards (MIXED): jobs whose starts got no answer were not counted
 // as pending, although no task of them had begun.
 BOOST_AUTO_TEST_CASE(job_is_pending_until_a_task_has_begun)
