--- a/src/jobs.lib/worker_session.cpp
+++ b/src/jobs.lib/worker_session.cpp
@@ -131,8 +131,8 @@
     LookOrder order;
     order.fence = m_fence;
     order.seen_through = m_recorded;
-    // A silent worker's lease is left to run out: a renewal that may arrive would put off the
-    // time from which its tasks can be placed elsewhere.
+    // A silent worker's lease is left to run out: a renewal that may arrive would put off
+    // the time from which its tasks can be placed elsewhere.
     order.hold_until = m_failed_looks > 0 ? 0 : hold_until();
     const bool waits
         = may_wait && m_fenced && !m_silent && m_doubtful.empty() && m_recorded == m_listed;
