Gangs ask for verdicts at once; loads of workers are kept as sums

Cause: on the grown kiosk 50 to 80 gangs waited while 40% of the room was free: eight at a time were prepared, with one question for 30 workers after the other (asked 0 to 90 of 350, allowed 30%), and their time ran out. Passes took half of the leader's processor (950 of 2,000 ms, now in the load line), most of it summing what each worker holds.

Change: each gang asks about as many workers as it needs as soon as it may run, in one question; only those that wait for room are limited, to 16 in a pass. Tickets that outlast the end of preempted tasks are used, and tasks that end already count before others are stopped. WorkerLoad keeps sums.

--- a/src/base.lib/settings.cpp
+++ b/src/base.lib/settings.cpp
@@ -72,8 +72,7 @@
     }
     case SettingType::decimal: {
         const auto number = parse_decimal(value);
-        return number && *number >= double(spec.minimum)
-            && *number <= double(spec.maximum);
+        return number && *number >= double(spec.minimum) && *number <= double(spec.maximum);
     }
     case SettingType::address:
         return parse_address(value).has_value();
--- a/src/emulator.lib/cell.cpp
+++ b/src/emulator.lib/cell.cpp
@@ -142,8 +142,7 @@
         });
 }
 
-Cell::Cell(uint64_t seed, int nodes, int worker_count,
-           std::map<std::string, int> strengths)
+Cell::Cell(uint64_t seed, int nodes, int worker_count, std::map<std::string, int> strengths)
     : world(seed)
     , store(world)
     , workers(world)
@@ -172,8 +171,8 @@
     if (slot)
         m_dead.push_back(std::move(slot));
     const int strength = m_strengths.try_emplace(node, usual_strength).first->second;
-    slot = std::make_unique<NodeProcess>(
-        *this, node, std::to_string(world.below(1000000000)), strength);
+    slot = std::make_unique<NodeProcess>(*this, node,
+                                         std::to_string(world.below(1000000000)), strength);
 }
 
 NodeProcess* Cell::running(const std::string& node)
--- a/src/jobs.lib/cell_test.cpp
+++ b/src/jobs.lib/cell_test.cpp
@@ -303,7 +303,8 @@
 BOOST_AUTO_TEST_CASE(strongest_node_leads)
 {
     for (uint64_t seed = 1; seed <= 20; ++seed) {
-        Cell cell(seed, 6, 4, { { "n1", 120 }, { "n2", 120 }, { "n3", 120 }, { "n5", 120 } });
+        Cell cell(seed, 6, 4,
+                  { { "n1", 120 }, { "n2", 120 }, { "n3", 120 }, { "n5", 120 } });
         cell.world.run_for(Millis(1500));
         const std::string first = cell.leader();
         BOOST_TEST((first == "n4" || first == "n6"), "seed " << seed << ": " << first);
--- a/src/jobs.lib/jobs_test.cpp
+++ b/src/jobs.lib/jobs_test.cpp
@@ -46,7 +46,7 @@
     return job;
 }
 
-WorkerRoom room_of(const std::string& worker, int64_t cpu, const std::string& rack = "r1-1")
+WorkerRoom room_of(std::string_view worker, int64_t cpu, std::string_view rack = "r1-1")
 {
     WorkerRoom room;
     room.worker = worker;
--- a/src/jobs.lib/placement.cpp
+++ b/src/jobs.lib/placement.cpp
@@ -29,7 +29,7 @@
         const int taken = std::min(count, tasks_that_fit(step, room));
         if (taken == 0)
             continue;
-        shares.push_back({ room.worker, taken });
+        shares.push_back({ std::string(room.worker), taken });
         count -= taken;
     }
     return shares;
@@ -48,7 +48,7 @@
 std::vector<WorkerRoom> one_rack(const StepSpec& step, int count,
                                  const std::vector<WorkerRoom>& rooms)
 {
-    std::map<std::string, std::vector<WorkerRoom>> racks;
+    std::map<std::string_view, std::vector<WorkerRoom>> racks;
     for (const WorkerRoom& room : rooms)
         racks[room.rack].push_back(room);
     const std::vector<WorkerRoom>* best = nullptr;
--- a/src/jobs.lib/placement.h
+++ b/src/jobs.lib/placement.h
@@ -10,14 +10,15 @@
 #include <pathport/jobs/job_model.h>
 
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace pathport::jobs {
 
 /// What one worker that may run the step has to offer.
 struct WorkerRoom {
-    std::string worker;
-    std::string rack;
+    std::string_view worker; ///< Views of names that outlive the choice.
+    std::string_view rack;
     Resources free;
     bool slow = false; ///< To be used only when others don't suffice.
     int of_step = 0; ///< Tasks of this step that it holds already.
--- a/src/jobs.lib/scheduler.cpp
+++ b/src/jobs.lib/scheduler.cpp
@@ -101,33 +101,19 @@
     return count;
 }
 
-namespace {
-std::string step_key(const TaskId& task)
-{
-    return task.job + "." + std::to_string(task.repeat) + "." + std::to_string(task.step);
-}
-} // namespace
-
 void Scheduler::occupy(Worker& worker, const TaskId& task, int64_t run,
                        const StepSpec& spec, int priority)
 {
     Resources need = spec.need;
     if (spec.fills)
         need.cpu_millis = 0;
-    if (worker.occupants.emplace(task.to_string(), Occupant { run, need, priority }).second)
-        ++worker.step_counts[step_key(task)];
+    worker.load.add(task, Occupant { run, need, priority });
 }
 
 void Scheduler::vacate(Worker& worker, const TaskId& task, int64_t run)
 {
-    const auto occupant = worker.occupants.find(task.to_string());
-    if (occupant == worker.occupants.end() || occupant->second.run != run)
-        return;
-    worker.occupants.erase(occupant);
-    const auto count = worker.step_counts.find(step_key(task));
-    if (count != worker.step_counts.end() && --count->second == 0)
-        worker.step_counts.erase(count);
-    schedule_pass();
+    if (worker.load.remove(task, run))
+        schedule_pass();
 }
 
 void Scheduler::release(Task& task)
--- a/src/jobs.lib/scheduler.h
+++ b/src/jobs.lib/scheduler.h
@@ -12,6 +12,7 @@
 #include "job_record.h"
 #include "lifetime.h"
 #include "placement.h"
+#include "worker_load.h"
 #include "worker_session.h"
 
 #include <pathport/event_loop.h>
@@ -101,18 +102,13 @@
         int64_t last_number = 0;
         int open = 0; ///< Jobs whose rows are not written yet.
     };
-    /// What one task takes of a worker.
-    struct Occupant {
-        int64_t run = 0;
-        Resources need;
-        int priority = 0; ///< Of its queue.
-    };
     /// A worker and what was given to it.
     struct Worker {
         std::unique_ptr<WorkerSession> session;
         bool listed = true;
-        std::map<std::string, Occupant> occupants; ///< By task.
-        std::map<std::string, int> step_counts; ///< Tasks there, by step.
+        std::string rack;
+        WorkerLoad load;
+        bool reserved = false; ///< Kept for a gang, in the present pass.
         std::deque<std::shared_ptr<EndBatch>> batches;
         int surprises = 0; ///< Failures and standing tasks since the last success.
         std::string last_failed_job;
@@ -122,22 +118,27 @@
     };
     /// A worker that a step may use, or may be allowed to.
     struct Prospect {
-        std::string worker;
+        Worker* worker = nullptr;
         int fit = 0; ///< Tasks of the step for which there is room.
         int later_fit = 0; ///< The same once less urgent tasks there have ended.
-        bool asked = false;
-        bool allowed = false;
         bool slow = false; ///< Slower than others, and the step is urgent.
     };
+    /// All such workers, those with the most room first.
+    struct Prospects {
+        std::vector<Prospect> allowed;
+        std::vector<Prospect> unasked;
+        int fit = 0; ///< Sums over those allowed.
+        int later_fit = 0;
+    };
     /// A run that may be stopped for more urgent work without losing its progress.
     struct Victim {
         TaskId id;
         Task* task = nullptr;
         Resources need;
+        bool stopping = false; ///< It was told to stop already.
     };
     static bool fit_first(const Prospect& left, const Prospect& right);
-    static bool later_first(const Prospect& left, const Prospect& right);
-    static std::vector<std::string> names(const std::vector<Prospect>& prospects, int most);
+    static std::vector<std::string> names(const std::vector<Prospect>& prospects);
 
     /// A step that has tasks to place.
     struct Candidate {
@@ -196,7 +197,8 @@
     void record(JobRecord& job, std::function<void()> done = {});
     JobRecord* find_job(const std::string& id);
 
-    // Placing (scheduler_pass.cpp, scheduler_advice.cpp, scheduler_start.cpp).
+    // Placing (scheduler_pass.cpp, scheduler_advice.cpp, scheduler_gangs.cpp,
+    // scheduler_start.cpp).
     void schedule_pass();
     void pass();
     std::vector<Candidate> candidates();
@@ -204,13 +206,20 @@
     bool place(Candidate candidate);
     bool gang_may_be_placed(const Step& step) const;
     std::vector<WorkerRoom> rooms_for(const JobRecord& job, const Step& step, int needed);
-    WorkerRoom room_on(const Worker& worker, const std::string& step_key) const;
+    WorkerRoom room_on(const Worker& worker, const Step& step,
+                       const std::string& step_name) const;
     bool is_eligible(const Worker& worker, const JobRecord& job, const Step& step) const;
-    std::vector<Prospect> prospects(const JobRecord& job, const Step& step) const;
+    Prospects prospects(const JobRecord& job, const Step& step, int needed);
+    void reserve(Worker& worker);
+    void clear_reservations();
+    bool choose_for_gang(std::vector<Prospect>& allowed, int needed, bool room_now);
+    bool tickets_last(const Step& step, const std::vector<Prospect>& workers) const;
     void prepare_gang(const JobRecord& job, Step& step, int needed);
     bool make_room(const JobRecord& job, const Step& step,
                    const std::vector<Prospect>& kept, int needed);
     std::vector<Victim> victims_on(const Worker& worker, int priority);
+    void ask_about_more(const JobRecord& job, Step& step, int needed,
+                        const Prospects& found);
     void ask_for_some(const JobRecord& job, Step& step, int needed);
     void ask(const JobRecord& job, Step& step, std::vector<std::string> workers);
     void explain_wait(const JobRecord& job, Step& step);
@@ -277,8 +286,10 @@
     std::map<std::string, double> m_guess_error; ///< By queue, smoothed logarithm.
     Millis m_load_reported;
     bool m_pass_due = false;
+    int64_t m_passes = 0; ///< Since load was last reported.
+    Millis m_pass_time; ///< Spent in them.
     int m_gangs_prepared = 0; ///< In the present pass.
-    std::set<std::string> m_reserved; ///< Workers kept for a gang, in the present pass.
+    int m_reserved_count = 0; ///< Workers kept for gangs, in the present pass.
     Lifetime m_lifetime;
 };
 
--- a/src/jobs.lib/scheduler_advice.cpp
+++ b/src/jobs.lib/scheduler_advice.cpp
@@ -3,7 +3,7 @@
 
 /// \file
 /// Advice: which workers a step may use is asked for when it helps to place tasks, since
-/// calls are dear and tickets run out.
+/// calls are dear and tickets run out. A verdict stays; only its ticket ages.
 
 #include "scheduler.h"
 
@@ -19,169 +19,110 @@
 constexpr Millis ticket_margin { 250 };
 /// Pause after a question that got no answer.
 constexpr Millis advice_retry { 150 };
-/// Pause after an answer that helped to place nothing.
+/// Pause after an answer that brought no verdict that wasn't known.
 constexpr Millis fruitless_pause { 120 };
 /// Workers named in one question.
 constexpr int least_asked = 10;
-constexpr int most_asked = 30;
+constexpr int most_asked = 100;
 /// Asked for beyond what is needed on average, since the advisor's choice varies.
 constexpr double asked_reserve = 1.5;
 constexpr double first_allowed_share = 0.5;
 constexpr double share_learning = 0.1;
-/// Gangs for which advice is asked or workers are kept free at a time.
-constexpr int most_gangs_prepared = 8;
-/// At most one in so many workers is kept free for gangs whose room is not there yet.
-constexpr size_t reserved_fraction = 4;
 
 } // namespace
 
 bool Scheduler::fit_first(const Prospect& left, const Prospect& right)
 {
-    return std::make_pair(left.slow, -left.fit) < std::make_pair(right.slow, -right.fit);
+    return std::make_tuple(left.slow, -left.fit, -left.later_fit)
+        < std::make_tuple(right.slow, -right.fit, -right.later_fit);
 }
 
-bool Scheduler::later_first(const Prospect& left, const Prospect& right)
-{
-    return left.later_fit > right.later_fit;
-}
-
-std::vector<std::string> Scheduler::names(const std::vector<Prospect>& prospects, int most)
+std::vector<std::string> Scheduler::names(const std::vector<Prospect>& prospects)
 {
     std::vector<std::string> workers;
     for (const Prospect& prospect : prospects) {
-        if (workers.size() >= size_t(most))
+        if (workers.size() >= size_t(most_asked))
             break;
-        workers.push_back(prospect.worker);
+        workers.push_back(prospect.worker->session->id());
     }
     return workers;
 }
 
 // Returns the workers that the step could use by what is known, and how many of its tasks
 // each would hold.
-std::vector<Scheduler::Prospect> Scheduler::prospects(const JobRecord& job,
-                                                      const Step& step) const
+Scheduler::Prospects Scheduler::prospects(const JobRecord& job, const Step& step,
+                                          int needed)
 {
     const std::string key = step.name(job.id());
     const int priority = job.accepted().queue.priority;
-    std::vector<Prospect> found;
-    for (const auto& [id, worker] : m_workers) {
-        if (!is_eligible(worker, job, step) || m_reserved.count(id) > 0)
+    const bool advised = job.accepted().queue.advice.has_value();
+    Prospects found;
+    for (auto& [id, worker] : m_workers) {
+        if (!is_eligible(worker, job, step) || worker.reserved)
             continue;
         Prospect prospect;
-        prospect.worker = id;
-        prospect.slow = is_slow_for(worker, job);
-        WorkerRoom room = room_on(worker, key);
-        prospect.fit = tasks_that_fit(*step.spec, room);
-        for (const auto& [task, occupant] : worker.occupants) {
-            if (occupant.priority > priority)
-                room.free = room.free + occupant.need;
-        }
-        prospect.later_fit = tasks_that_fit(*step.spec, room);
+        prospect.worker = &worker;
+        WorkerRoom room = room_on(worker, step, key);
+        prospect.fit = std::min(needed, tasks_that_fit(*step.spec, room));
+        room.free = room.free + worker.load.used_below(priority);
+        prospect.later_fit = std::min(needed, tasks_that_fit(*step.spec, room));
         if (prospect.later_fit == 0)
             continue;
+        prospect.slow = is_slow_for(worker, job);
         const auto known = step.advice.workers.find(id);
-        prospect.asked = known != step.advice.workers.end();
-        prospect.allowed
-            = !job.accepted().queue.advice || (prospect.asked && known->second.allowed);
-        found.push_back(std::move(prospect));
+        const bool asked = known != step.advice.workers.end();
+        if (!advised || (asked && known->second.allowed)) {
+            found.fit += prospect.fit;
+            found.later_fit += prospect.later_fit;
+            found.allowed.push_back(prospect);
+        } else if (!asked) {
+            found.unasked.push_back(prospect);
+        }
     }
+    std::stable_sort(found.allowed.begin(), found.allowed.end(), fit_first);
+    std::stable_sort(found.unasked.begin(), found.unasked.end(), fit_first);
     return found;
 }
 
-// A gang waits for room, tickets or verdicts. Workers that it may use are kept free of what
-// comes after it once they suffice, and tickets are only asked for when the room is there.
-void Scheduler::prepare_gang(const JobRecord& job, Step& step, int needed)
+// Asks about workers whose verdict isn't known, so many that those allowed should suffice.
+// Room that comes when less urgent tasks end counts half.
+void Scheduler::ask_about_more(const JobRecord& job, Step& step, int needed,
+                               const Prospects& found)
 {
-    if (m_gangs_prepared >= most_gangs_prepared)
-        return;
-    ++m_gangs_prepared;
-    if (step.advice.asking) {
-        m_reserved.insert(step.advice.asked_for.begin(), step.advice.asked_for.end());
-        return;
-    }
-    std::vector<Prospect> allowed;
-    std::vector<Prospect> unasked;
-    int fit = 0;
-    int later_fit = 0;
-    for (Prospect& prospect : prospects(job, step)) {
-        if (prospect.allowed) {
-            fit += prospect.fit;
-            later_fit += prospect.later_fit;
-            allowed.push_back(std::move(prospect));
-        } else if (!prospect.asked) {
-            unasked.push_back(std::move(prospect));
-        }
-    }
-    const bool advised = job.accepted().queue.advice.has_value();
-    const bool room_now = fit >= needed;
-    if (!room_now && later_fit < needed && advised && !unasked.empty()) {
-        std::stable_sort(unasked.begin(), unasked.end(), later_first);
-        ask(job, step, names(unasked, most_asked));
-        return;
-    }
-    // If all that it may use is not enough, keeping workers free would help nobody.
-    if (later_fit < needed)
-        return;
-    // Workers with the most room now are free soonest.
-    std::stable_sort(allowed.begin(), allowed.end(), fit_first);
-    const size_t most_reserved = std::max<size_t>(1, m_workers.size() / reserved_fraction);
-    size_t used = 0;
-    int reserved = 0;
-    while (used < allowed.size() && reserved < needed
-           && (room_now || m_reserved.size() < most_reserved)) {
-        reserved += room_now ? allowed[used].fit : allowed[used].later_fit;
-        m_reserved.insert(allowed[used++].worker);
-    }
-    allowed.resize(used);
-    const bool comes = room_now || make_room(job, step, allowed, needed);
-    if (comes && advised) {
-        ask(job, step, names(allowed, most_asked));
-        if (step.advice.asking)
-            step.advice.asked_for = names(allowed, most_asked);
+    const double share
+        = m_allowed_share.try_emplace(job.accepted().queue.name, first_allowed_share)
+              .first->second;
+    double expected = 0.5 * (found.fit + found.later_fit);
+    std::vector<Prospect> chosen;
+    for (const Prospect& prospect : found.unasked) {
+        const bool enough = expected >= asked_reserve * needed;
+        if (enough && chosen.size() >= size_t(least_asked))
+            break;
+        expected += share * 0.5 * (prospect.fit + prospect.later_fit);
+        chosen.push_back(prospect);
     }
+    ask(job, step, names(chosen));
 }
 
 // Tasks that need not start together: asks again about workers that are known to be allowed
 // if they have room for some, else about further ones.
 void Scheduler::ask_for_some(const JobRecord& job, Step& step, int needed)
 {
-    if (step.advice.asking)
+    if (step.advice.asking || m_parts.loop.now() < step.advice.retry_at)
         return;
-    std::vector<Prospect> allowed;
-    std::vector<Prospect> unasked;
-    int fit = 0;
-    for (Prospect& prospect : prospects(job, step)) {
-        prospect.fit = std::min(prospect.fit, needed);
-        if (prospect.fit == 0)
-            continue;
-        if (prospect.allowed) {
-            fit += prospect.fit;
-            allowed.push_back(std::move(prospect));
-        } else if (!prospect.asked) {
-            unasked.push_back(std::move(prospect));
-        }
-    }
-    if (fit >= needed || unasked.empty()) {
-        std::stable_sort(allowed.begin(), allowed.end(), fit_first);
-        size_t used = 0;
-        int found = 0;
-        while (used < allowed.size() && found < needed + 2)
-            found += allowed[used++].fit;
-        allowed.resize(used);
-        ask(job, step, names(allowed, most_asked));
+    Prospects found = prospects(job, step, needed);
+    if (found.fit < needed && !found.unasked.empty() && found.unasked.front().fit > 0) {
+        ask_about_more(job, step, needed, found);
         return;
     }
-    std::stable_sort(unasked.begin(), unasked.end(), fit_first);
-    const double share
-        = m_allowed_share.try_emplace(job.accepted().queue.name, first_allowed_share)
-              .first->second;
-    double expected = fit;
+    constexpr int spare = 2;
     size_t used = 0;
-    while (used < unasked.size()
-           && (used < size_t(least_asked) || expected < asked_reserve * needed))
-        expected += share * unasked[used++].fit;
-    unasked.resize(used);
-    ask(job, step, names(unasked, most_asked));
+    int fit = 0;
+    while (used < found.allowed.size() && fit < needed + spare
+           && found.allowed[used].fit > 0)
+        fit += found.allowed[used++].fit;
+    found.allowed.resize(used);
+    ask(job, step, names(found.allowed));
 }
 
 void Scheduler::ask(const JobRecord& job, Step& step, std::vector<std::string> workers)
@@ -220,16 +161,19 @@
         return;
     }
     const Millis valid(job->accepted().queue.advice->valid_ms);
+    const size_t known_before = step->advice.workers.size();
     for (const std::string& worker : asked)
         step->advice.workers[worker] = Permission {};
     for (const WorkerTicket& ticket : reply.tickets.value())
         step->advice.workers[ticket.worker]
             = Permission { true, ticket.ticket, now + valid - ticket_margin };
-    // An answer that helps to place nothing is not asked for again at once.
-    step->advice.retry_at = now + fruitless_pause;
+    // Tickets that helped to place nothing are not asked for again at once.
+    const bool fruitful = step->advice.workers.size() > known_before;
+    step->advice.retry_at = fruitful ? Millis(0) : now + fruitless_pause;
     double& share = m_allowed_share[job->accepted().queue.name];
     const double seen = double(reply.tickets->size()) / double(asked.size());
-    share += share_learning * (seen - share);
+    if (fruitful)
+        share += share_learning * (seen - share);
     m_parts.metrics.observe_seconds("pathport_advice_seconds",
                                     double((now - asked_at).count()) / 1000);
     log_event(LogLevel::debug, "advice",
--- /dev/null
+++ b/src/jobs.lib/scheduler_gangs.cpp
@@ -0,0 +1,177 @@
+// Copyright the pathport authors.
+// SPDX-License-Identifier: Apache-2.0
+
+/// \file
+/// Gangs that have no room or no tickets yet: their workers are kept free, and a gang that
+/// would be late otherwise takes the place of less urgent tasks whose progress is kept.
+
+#include "scheduler.h"
+
+#include <pathport/log.h>
+
+#include <algorithm>
+
+namespace pathport::jobs {
+
+namespace {
+
+/// A gang that can wait for longer than this preempts nothing.
+constexpr int64_t patient_slack_ms = 5000;
+/// Gangs that wait for room and are looked at in one pass.
+constexpr int most_gangs_prepared = 16;
+/// At most one in so many workers is kept free for gangs whose room is not there yet.
+constexpr int reserved_fraction = 4;
+/// A ticket that holds for so long outlasts the end of the tasks that give way.
+constexpr Millis ticket_reserve { 750 };
+
+} // namespace
+
+void Scheduler::reserve(Worker& worker)
+{
+    if (worker.reserved)
+        return;
+    worker.reserved = true;
+    ++m_reserved_count;
+}
+
+void Scheduler::clear_reservations()
+{
+    m_reserved_count = 0;
+    m_gangs_prepared = 0;
+    for (auto& [id, worker] : m_workers)
+        worker.reserved = false;
+}
+
+// A gang waits for room, tickets or verdicts. Verdicts are asked for at once. Workers that
+// it may use are kept free of what comes after it once they suffice, and tickets are only
+// asked for when the room is there.
+void Scheduler::prepare_gang(const JobRecord& job, Step& step, int needed)
+{
+    const bool advised = job.accepted().queue.advice.has_value();
+    if (step.advice.asking) {
+        for (const std::string& id : step.advice.asked_for) {
+            Worker* worker = find_worker(id);
+            if (worker != nullptr)
+                reserve(*worker);
+        }
+        return;
+    }
+    const bool first_question = advised && step.advice.workers.empty();
+    if (!first_question && ++m_gangs_prepared > most_gangs_prepared)
+        return;
+    if (m_parts.loop.now() < step.advice.retry_at)
+        return;
+    Prospects found = prospects(job, step, needed);
+    const bool room_now = found.fit >= needed;
+    const bool lacks_verdicts = found.later_fit < needed && !found.unasked.empty();
+    if (!room_now && advised && (first_question || lacks_verdicts)) {
+        ask_about_more(job, step, needed, found);
+        return;
+    }
+    // If all that it may use is not enough, keeping workers free would help nobody.
+    if (found.later_fit < needed)
+        return;
+    const bool chosen = choose_for_gang(found.allowed, needed, room_now);
+    if (!room_now && !(chosen && make_room(job, step, found.allowed, needed)))
+        return;
+    if (advised && !tickets_last(step, found.allowed)) {
+        ask(job, step, names(found.allowed));
+        if (step.advice.asking)
+            step.advice.asked_for = names(found.allowed);
+    }
+}
+
+// Keeps workers free for the gang, those with the most room first, and leaves only them in
+// `allowed`. Returns whether they suffice.
+bool Scheduler::choose_for_gang(std::vector<Prospect>& allowed, int needed, bool room_now)
+{
+    const int most_reserved = std::max(1, int(m_workers.size()) / reserved_fraction);
+    size_t used = 0;
+    int kept = 0;
+    while (used < allowed.size() && kept < needed
+           && (room_now || m_reserved_count < most_reserved)) {
+        kept += room_now ? allowed[used].fit : allowed[used].later_fit;
+        reserve(*allowed[used++].worker);
+    }
+    allowed.resize(used);
+    return kept >= needed;
+}
+
+// Returns whether the tickets for all these workers hold until less urgent tasks have
+// ended.
+bool Scheduler::tickets_last(const Step& step, const std::vector<Prospect>& workers) const
+{
+    const Millis until = m_parts.loop.now() + ticket_reserve;
+    return std::all_of(workers.begin(), workers.end(), [&](const Prospect& prospect) {
+        const auto known = step.advice.workers.find(prospect.worker->session->id());
+        return known != step.advice.workers.end() && known->second.holds(until);
+    });
+}
+
+std::vector<Scheduler::Victim> Scheduler::victims_on(const Worker& worker, int priority)
+{
+    std::vector<Victim> victims;
+    for (const auto& [name, occupant] : worker.load.occupants()) {
+        const auto id = TaskId::parse(name);
+        JobRecord* job = id ? find_job(id->job) : nullptr;
+        Task* task = job == nullptr ? nullptr : job->task(*id);
+        if (task == nullptr || task->run != occupant.run || occupant.priority <= priority)
+            continue;
+        const StepSpec& spec = *job->step(id->repeat, id->step)->spec;
+        const bool stoppable = task->phase == TaskPhase::running && spec.saves_progress
+            && !spec.gang && !spec.lasting;
+        const bool stopping = task->phase == TaskPhase::stopping;
+        if (stoppable || stopping)
+            victims.push_back({ *id, task, occupant.need, stopping });
+    }
+    // What is ending anyway is counted before anything else is stopped.
+    std::stable_sort(victims.begin(), victims.end(),
+                     [](const Victim& left, const Victim& right) {
+                         return left.stopping && !right.stopping;
+                     });
+    return victims;
+}
+
+// Stops tasks on the workers that are kept for the gang, if that makes enough room there.
+// Returns whether the room will come.
+bool Scheduler::make_room(const JobRecord& job, const Step& step,
+                          const std::vector<Prospect>& kept, int needed)
+{
+    const int priority = job.accepted().queue.priority;
+    const int64_t slack = slack_ms(*find_job(job.id()), m_parts.store_clock_ms());
+    if (slack < 0 || slack > patient_slack_ms)
+        return false;
+    const std::string key = step.name(job.id());
+    std::vector<std::pair<Worker*, Victim>> chosen;
+    int fit = 0;
+    for (const Prospect& prospect : kept) {
+        WorkerRoom room = room_on(*prospect.worker, step, key);
+        int here = tasks_that_fit(*step.spec, room);
+        const int wanted = std::min(prospect.later_fit, needed - fit);
+        for (const Victim& victim : victims_on(*prospect.worker, priority)) {
+            if (here >= wanted)
+                break;
+            room.free = room.free + victim.need;
+            here = tasks_that_fit(*step.spec, room);
+            if (!victim.stopping)
+                chosen.emplace_back(prospect.worker, victim);
+        }
+        fit += here;
+    }
+    if (fit < needed)
+        return false;
+    for (const auto& [worker, victim] : chosen) {
+        worker->session->stop(victim.id, victim.task->run);
+        victim.task->phase = TaskPhase::stopping;
+    }
+    if (chosen.empty())
+        return true;
+    log_event(LogLevel::info, "preempted",
+              { { "job", job.id() },
+                { "stopped", static_cast<int64_t>(chosen.size()) },
+                { "slack_ms", slack } });
+    m_parts.metrics.count("pathport_preemptions_total", {}, double(chosen.size()));
+    return true;
+}
+
+} // namespace pathport::jobs
--- a/src/jobs.lib/scheduler_load.cpp
+++ b/src/jobs.lib/scheduler_load.cpp
@@ -185,6 +185,7 @@
         present.insert(info.id);
         Worker& worker = m_workers[info.id];
         worker.listed = true;
+        worker.rack = info.rack();
         if (worker.session) {
             if (info.draining && !worker.session->info().draining)
                 log_event(LogLevel::info, "worker_draining",
@@ -216,7 +217,7 @@
     worker.listed = false;
     if (worker.session->info().draining)
         worker.session->left();
-    if (worker.occupants.empty())
+    if (worker.load.empty())
         m_workers.erase(id);
 }
 
--- a/src/jobs.lib/scheduler_pass.cpp
+++ b/src/jobs.lib/scheduler_pass.cpp
@@ -48,10 +48,12 @@
         poll_jobs();
         return;
     }
-    m_reserved.clear();
-    m_gangs_prepared = 0;
+    const Millis begun = m_parts.loop.now();
+    clear_reservations();
     for (const Candidate& candidate : candidates())
         place(candidate);
+    ++m_passes;
+    m_pass_time = m_pass_time + (m_parts.loop.now() - begun);
 }
 
 std::vector<Scheduler::Candidate> Scheduler::candidates()
@@ -121,23 +123,22 @@
         && (step.spec->label.empty() || info.has_label(step.spec->label));
 }
 
-WorkerRoom Scheduler::room_on(const Worker& worker, const std::string& key) const
+WorkerRoom Scheduler::room_on(const Worker& worker, const Step& step,
+                              const std::string& name) const
 {
     WorkerRoom room;
     room.worker = worker.session->id();
-    room.rack = worker.session->info().rack();
-    room.free = worker.session->info().capacity;
-    for (const auto& [task, occupant] : worker.occupants)
-        room.free = room.free - occupant.need;
-    const auto count = worker.step_counts.find(key);
-    room.of_step = count == worker.step_counts.end() ? 0 : count->second;
+    room.rack = worker.rack;
+    room.free = worker.session->info().capacity - worker.load.used();
+    if (step.spec->max_per_worker > 0)
+        room.of_step = worker.load.count_of_step(name);
     // A worker that surprised lately gets nothing for a while, then one task at a time, and
     // then is trusted again: a gang might wait for it in vain otherwise.
     const Millis now = m_parts.loop.now();
     if (now < worker.avoid_until)
         room.at_most = 0;
     else if (now < worker.avoid_until + trial_time && worker.surprises > 0)
-        room.at_most = worker.occupants.empty() ? 1 : 0;
+        room.at_most = worker.load.empty() ? 1 : 0;
     return room;
 }
 
@@ -149,24 +150,29 @@
     const std::string key = step.name(job.id());
     std::vector<WorkerRoom> rooms;
     std::vector<WorkerRoom> second_choice;
-    for (const auto& [id, worker] : m_workers) {
-        if (!is_eligible(worker, job, step) || m_reserved.count(id) > 0)
-            continue;
-        if (advised) {
-            const auto permission = step.advice.workers.find(id);
-            if (permission == step.advice.workers.end() || !permission->second.holds(now))
-                continue;
-        }
-        WorkerRoom room = room_on(worker, key);
+    const auto consider = [&](const Worker& worker) {
+        if (!is_eligible(worker, job, step) || worker.reserved)
+            return;
+        WorkerRoom room = room_on(worker, step, key);
         room.slow = is_slow_for(worker, job);
         if (tasks_that_fit(*step.spec, room) == 0)
-            continue;
+            return;
         const auto failed_on_it = [&name = room.worker](const Task& task) {
             return task.phase == TaskPhase::waiting && task.failed_on == name;
         };
         const bool failed_here
             = std::any_of(step.tasks.begin(), step.tasks.end(), failed_on_it);
-        (failed_here ? second_choice : rooms).push_back(std::move(room));
+        (failed_here ? second_choice : rooms).push_back(room);
+    };
+    if (advised) {
+        for (const auto& [id, permission] : step.advice.workers) {
+            const Worker* worker = permission.holds(now) ? find_worker(id) : nullptr;
+            if (worker != nullptr)
+                consider(*worker);
+        }
+    } else {
+        for (const auto& [id, worker] : m_workers)
+            consider(worker);
     }
     // Where a task has failed before, it goes only when there is no other room.
     int fit = 0;
@@ -222,7 +228,7 @@
         if (known == step.advice.workers.end() || !known->second.allowed)
             continue;
         ++allowed;
-        fit += tasks_that_fit(*step.spec, room_on(worker, step.name(job.id())));
+        fit += tasks_that_fit(*step.spec, room_on(worker, step, step.name(job.id())));
     }
     log_event(LogLevel::info, "step_waits",
               { { "job", job.id() },
--- a/src/jobs.lib/scheduler_reports.cpp
+++ b/src/jobs.lib/scheduler_reports.cpp
@@ -308,8 +308,7 @@
 // All that was placed on the worker is placed anew.
 void Scheduler::release_all(Worker& worker)
 {
-    worker.occupants.clear();
-    worker.step_counts.clear();
+    worker.load.clear();
     const std::string id = worker.session->id();
     for (auto& [name, job] : m_jobs) {
         for (auto& [number, repeat] : job->repeats()) {
--- a/src/jobs.lib/scheduler_start.cpp
+++ b/src/jobs.lib/scheduler_start.cpp
@@ -155,8 +155,7 @@
             return;
         task->phase = TaskPhase::stopping;
     }
-    const bool ended_already
-        = worker == nullptr || worker->occupants.count(id.to_string()) == 0;
+    const bool ended_already = worker == nullptr || !worker->load.holds(id);
     if (!ended_already && (task == nullptr || job->closed()))
         worker->session->stop(id, run);
 }
--- a/src/jobs.lib/scheduler_tick.cpp
+++ b/src/jobs.lib/scheduler_tick.cpp
@@ -61,8 +61,7 @@
         if (!worker.session->usable() || worker.session->info().draining)
             continue;
         total += worker.session->info().capacity.cpu_millis;
-        for (const auto& [task, occupant] : worker.occupants)
-            taken += occupant.need.cpu_millis;
+        taken += worker.load.used().cpu_millis;
     }
     int64_t waiting = 0;
     int64_t waiting_gangs = 0;
@@ -83,10 +82,14 @@
                 { "cpu_total", total },
                 { "cpu_taken", taken },
                 { "open_jobs", static_cast<int64_t>(m_jobs.size()) },
+                { "passes", m_passes },
+                { "pass_ms", m_pass_time.count() },
                 { "waiting_tasks", waiting },
                 { "waiting_gangs", waiting_gangs },
                 { "advice_waiting", static_cast<int64_t>(m_parts.advice.waiting()) },
                 { "log_backlog", static_cast<int64_t>(m_log.backlog()) } });
+    m_passes = 0;
+    m_pass_time = Millis(0);
 }
 
 // Members that wait for one that could not be placed are stopped and placed anew together.
