Gangs keep the workers that they asked tickets for

Reservations were made anew in each pass in the order of urgency, so a gang lost its workers to gangs before it while its tickets were under way, and asked again. Ruled out: the advisor's time (25% of what 42 callers can use) and answers that did not come.

Change: a step keeps its workers from the question to 0.5 s after the answer; a third class of callers leaves two thirds of the nodes to slow questions, and idle callers take faster ones.

--- a/src/emulator.lib/worker_port.cpp
+++ b/src/emulator.lib/worker_port.cpp
@@ -145,7 +145,11 @@
         if (stable_hash(step + worker) % 10 < 7)
             tickets.push_back({ worker, "t" });
     }
-    deliver(Millis(5 + int64_t(workers.size())), [done, tickets] { done(tickets); });
+    ++m_workers.m_questions;
+    const Millis now = m_loop.world().now();
+    m_advisor_free = std::max(now, m_advisor_free) + m_workers.advice_time
+        + Millis(int64_t(workers.size()));
+    deliver(m_advisor_free - now, [done, tickets] { done(tickets); });
 }
 
 } // namespace pathport::emulator
--- a/src/include/pathport/emulator/cell.h
+++ b/src/include/pathport/emulator/cell.h
@@ -39,8 +39,7 @@
 class Cell {
 public:
     /// `strengths` are those of the nodes named; the others have 1000.
-    Cell(uint64_t seed, int nodes, int workers,
-         std::map<std::string, int> strengths = {});
+    Cell(uint64_t seed, int nodes, int workers, std::map<std::string, int> strengths = {});
     ~Cell();
 
     World world;
--- a/src/include/pathport/emulator/workers.h
+++ b/src/include/pathport/emulator/workers.h
@@ -46,6 +46,9 @@
 
     WorkerTrouble trouble;
     Millis max_hold { 6000 };
+    /// The advisor's time for a question, beside one millisecond for each worker named. It
+    /// serves the questions of one node one after the other.
+    Millis advice_time { 5 };
 
     /// Adds a worker and returns its id.
     std::string add(const std::string& service, Resources capacity);
@@ -72,6 +75,8 @@
     /// Returns the breaches that were seen.
     const std::vector<std::string>& breaches() const { return m_breaches; }
     int64_t starts() const { return m_starts; }
+    /// Returns how many questions the advisor has been asked.
+    int64_t questions() const { return m_questions; }
 
 private:
     friend class WorkerPort;
@@ -137,6 +142,7 @@
     std::set<std::string> m_refused;
     std::vector<std::string> m_breaches;
     int m_last_id = 0;
+    int64_t m_questions = 0;
     int64_t m_starts = 0;
 };
 
@@ -170,6 +176,7 @@
     Workers& m_workers;
     ProcessLoop& m_loop;
     std::string m_node;
+    Millis m_advisor_free; ///< When the advisor has served what this node asked.
 };
 
 } // namespace pathport::emulator
--- a/src/jobs.lib/advice_pool.cpp
+++ b/src/jobs.lib/advice_pool.cpp
@@ -9,11 +9,16 @@
 
 namespace {
 
-/// A question of which the advisor's decision alone takes so long is slow: it goes through
-/// other callers than the rest, which would have to wait behind it.
+/// A question of which the advisor's decision alone takes so long is medium or slow. Each
+/// class goes through callers of its own, since the advisor serves a caller's questions one
+/// after the other.
+constexpr double medium_decision_ms = 20;
 constexpr double slow_decision_ms = 150;
-/// Fast questions that one caller has under way; the second covers the way there and back.
-constexpr int fast_under_way = 2;
+/// One in so many callers takes fast questions, and as many take medium ones.
+constexpr size_t quick_fraction = 6;
+/// Questions that one caller has under way unless they are slow; the second covers the way
+/// there and back.
+constexpr int quick_under_way = 2;
 /// How long a caller that gave no answer is left alone.
 constexpr Millis failed_pause { 1000 };
 constexpr Millis call_margin { 600 };
@@ -54,9 +59,11 @@
     dispatch();
 }
 
-bool AdvicePool::is_slow(const AdviceQuestion& question)
+AdvicePool::Pace AdvicePool::pace_of(const AdviceQuestion& question)
 {
-    return question.rule.decision_ms >= slow_decision_ms;
+    if (question.rule.decision_ms >= slow_decision_ms)
+        return Pace::slow;
+    return question.rule.decision_ms >= medium_decision_ms ? Pace::medium : Pace::fast;
 }
 
 void AdvicePool::ask(AdviceQuestion question, std::function<void(AdviceReply)> done)
@@ -69,9 +76,9 @@
     dispatch();
 }
 
-// The first half of the callers, this node among them, takes fast questions, the rest slow
-// ones. A lone caller takes both.
-AdvicePool::Caller* AdvicePool::free_caller(bool slow)
+// The first callers, this node among them, take fast questions, the next ones medium ones,
+// the rest slow ones. One that is idle takes a faster question than its own.
+AdvicePool::Caller* AdvicePool::free_caller(Pace pace)
 {
     const Millis now = m_loop.now();
     std::vector<Caller*> usable;
@@ -81,24 +88,32 @@
     }
     if (usable.empty())
         usable.push_back(&m_callers.front());
-    const size_t fast_count = (usable.size() + 1) / 2;
-    const bool shared = usable.size() == 1;
-    const size_t begin = slow && !shared ? fast_count : 0;
-    const size_t end = slow || shared ? usable.size() : fast_count;
-    const int limit = slow ? 1 : fast_under_way;
+    const size_t share = std::max<size_t>(1, usable.size() / quick_fraction);
+    // Few callers share the classes; the last one always takes slow questions.
+    const size_t medium_begin = std::min(share, usable.size() - 1);
+    const size_t slow_begin = std::min(2 * share, usable.size() - 1);
+    const size_t begins[] = { 0, medium_begin, slow_begin };
+    const size_t ends[] = { std::max<size_t>(1, medium_begin),
+                            std::max(medium_begin + 1, slow_begin), usable.size() };
+    const auto own = static_cast<size_t>(pace);
+    const int limit = pace == Pace::slow ? 1 : quick_under_way;
     Caller* best = nullptr;
-    for (size_t i = begin; i < end; ++i) {
+    for (size_t i = begins[own]; i < ends[own]; ++i) {
         if (usable[i]->under_way < limit
             && (best == nullptr || usable[i]->cost_ms < best->cost_ms))
             best = usable[i];
     }
+    for (size_t i = ends[own]; best == nullptr && i < usable.size(); ++i) {
+        if (usable[i]->under_way == 0)
+            best = usable[i];
+    }
     return best;
 }
 
 void AdvicePool::dispatch()
 {
     for (auto entry = m_waiting.begin(); entry != m_waiting.end();) {
-        Caller* caller = free_caller(is_slow(entry->question));
+        Caller* caller = free_caller(pace_of(entry->question));
         if (caller == nullptr) {
             ++entry;
             continue;
--- a/src/jobs.lib/advice_pool.h
+++ b/src/jobs.lib/advice_pool.h
@@ -62,8 +62,11 @@
         std::function<void(AdviceReply)> done;
     };
 
-    static bool is_slow(const AdviceQuestion& question);
-    Caller* free_caller(bool slow);
+    /// How long the advisor takes for a question.
+    enum class Pace { fast, medium, slow };
+
+    static Pace pace_of(const AdviceQuestion& question);
+    Caller* free_caller(Pace pace);
     void dispatch();
     void send(Caller& caller, Waiting entry);
     void finished(const std::string& address, const AdviceReply& reply,
--- a/src/jobs.lib/cell_test.cpp
+++ b/src/jobs.lib/cell_test.cpp
@@ -376,6 +376,35 @@
     BOOST_TEST(wrong.empty(), joined(wrong));
 }
 
+// Found on the bench (grown kiosk, LOST 39 on trouble-2): a gang lost the workers that it
+// had asked tickets for to gangs before it, so sixty gangs asked again and again and none
+// began.
+BOOST_AUTO_TEST_CASE(gangs_keep_their_workers_while_they_wait_for_tickets)
+{
+    Cell cell(8, 8, 12);
+    jobs::Configuration configuration = cell.store.configuration();
+    ++configuration.version;
+    configuration.queues[1].advice = jobs::AdviceRule { 600, 1, 2000 };
+    configuration.queues[1].stretch = 4;
+    cell.store.configure(configuration);
+    cell.workers.advice_time = Millis(600);
+    cell.world.run_for(Millis(2500));
+    const int gangs = 30;
+    for (int i = 0; i < gangs; ++i) {
+        // Each is more urgent than those before it.
+        TaskFacts facts = simple_facts(4 + i % 5, 4000 - 100 * i);
+        facts.gang = true;
+        facts.need.cpu_millis = 3000;
+        cell.submit("job" + std::to_string(i), spec_of({ facts }), { facts }, true);
+        cell.world.run_for(Millis(100));
+    }
+    cell.world.run_for(Millis(40000));
+    // One or two questions for verdicts, then one or two for tickets once there is room.
+    BOOST_TEST(cell.workers.questions() * 2 <= 7 * gangs);
+    const auto wrong = cell.verdict();
+    BOOST_TEST(wrong.empty(), joined(wrong));
+}
+
 BOOST_AUTO_TEST_CASE(random_schedules_keep_all_promises)
 {
     const uint64_t first = first_seed();
--- a/src/jobs.lib/job_record.h
+++ b/src/jobs.lib/job_record.h
@@ -61,7 +61,6 @@
     std::map<std::string, Permission>
         workers; ///< By worker; those not in it weren't asked.
     bool asking = false;
-    std::vector<std::string> asked_for; ///< Kept free for a gang until the answer comes.
     Millis retry_at; ///< No call before it.
 };
 
@@ -75,6 +74,9 @@
     std::vector<int64_t> gang_failed_runs; ///< Runs of the gang of which a member failed.
     int64_t gang_run = 0; ///< The run that is placed at present.
     StepAdvice advice;
+    /// Workers kept free for a gang while it waits for tickets or for tasks that end.
+    std::vector<std::string> kept_workers;
+    Millis kept_until;
     Millis wait_explained; ///< When the log last told why it waits.
 
     bool finished() const { return done == static_cast<int>(tasks.size()); }
--- a/src/jobs.lib/scheduler.h
+++ b/src/jobs.lib/scheduler.h
@@ -108,11 +108,16 @@
         bool listed = true;
         std::string rack;
         WorkerLoad load;
-        bool reserved = false; ///< Kept for a gang, in the present pass.
+        const Step* kept_for = nullptr; ///< A gang, in the present pass.
         std::deque<std::shared_ptr<EndBatch>> batches;
         int surprises = 0; ///< Failures and standing tasks since the last success.
         std::string last_failed_job;
         Millis avoid_until;
+        /// Returns whether `step` may use what is free.
+        bool free_for(const Step& step) const
+        {
+            return kept_for == nullptr || kept_for == &step;
+        }
         /// Smoothed logarithm of its run times against the same queues' elsewhere.
         double slowness = 0;
     };
@@ -210,9 +215,11 @@
                        const std::string& step_name) const;
     bool is_eligible(const Worker& worker, const JobRecord& job, const Step& step) const;
     Prospects prospects(const JobRecord& job, const Step& step, int needed);
-    void reserve(Worker& worker);
-    void clear_reservations();
-    bool choose_for_gang(std::vector<Prospect>& allowed, int needed, bool room_now);
+    void reserve(Worker& worker, const Step& step);
+    void renew_reservations(const std::vector<Candidate>& waiting);
+    void keep(Step& step, const std::vector<Prospect>& workers, Millis span);
+    bool choose_for_gang(const Step& step, std::vector<Prospect>& allowed, int needed,
+                         bool room_now);
     bool tickets_last(const Step& step, const std::vector<Prospect>& workers) const;
     void prepare_gang(const JobRecord& job, Step& step, int needed);
     bool make_room(const JobRecord& job, const Step& step,
--- a/src/jobs.lib/scheduler_advice.cpp
+++ b/src/jobs.lib/scheduler_advice.cpp
@@ -21,6 +21,8 @@
 constexpr Millis advice_retry { 150 };
 /// Pause after an answer that brought no verdict that wasn't known.
 constexpr Millis fruitless_pause { 120 };
+/// A gang keeps its workers for so long after the tickets for them have come.
+constexpr Millis kept_after_answer { 500 };
 /// Pause after a look at the workers that found none worth a question.
 constexpr Millis nobody_pause { 30 };
 /// Questions of less urgent queues are put off while so many wait for a free caller: their
@@ -63,7 +65,7 @@
     const bool advised = job.accepted().queue.advice.has_value();
     Prospects found;
     for (auto& [id, worker] : m_workers) {
-        if (!is_eligible(worker, job, step) || worker.reserved)
+        if (!is_eligible(worker, job, step) || !worker.free_for(step))
             continue;
         Prospect prospect;
         prospect.worker = &worker;
@@ -147,7 +149,6 @@
     question.rule = *job.accepted().queue.advice;
     question.priority = job.accepted().queue.priority;
     step.advice.asking = true;
-    step.advice.asked_for.clear();
     auto came
         = m_lifetime.wrap([this, id = job.id(), repeat = step.repeat, index = step.index,
                            asked = question.workers, now](const AdviceReply& reply) {
@@ -166,7 +167,7 @@
         return;
     const Millis now = m_parts.loop.now();
     step->advice.asking = false;
-    step->advice.asked_for.clear();
+    step->kept_until = std::min(step->kept_until, now + kept_after_answer);
     if (!reply.tickets) {
         step->advice.retry_at = now + advice_retry;
         return;
--- a/src/jobs.lib/scheduler_gangs.cpp
+++ b/src/jobs.lib/scheduler_gangs.cpp
@@ -23,23 +23,48 @@
 constexpr int reserved_fraction = 4;
 /// A ticket that holds for so long outlasts the end of the tasks that give way.
 constexpr Millis ticket_reserve { 750 };
+/// Workers are kept no longer while an answer of the advisor is waited for.
+constexpr Millis longest_question { 3000 };
+/// Pause after a look that showed that all allowed workers together have too little room.
+constexpr Millis hopeless_pause { 100 };
 
 } // namespace
 
-void Scheduler::reserve(Worker& worker)
+void Scheduler::reserve(Worker& worker, const Step& step)
 {
-    if (worker.reserved)
+    if (worker.kept_for != nullptr)
         return;
-    worker.reserved = true;
+    worker.kept_for = &step;
     ++m_reserved_count;
 }
 
-void Scheduler::clear_reservations()
+// Begins a pass: a gang that waits for tickets or for tasks to end keeps the workers that
+// it chose, also from more urgent gangs, since all that it waits for would be in vain
+// otherwise.
+void Scheduler::renew_reservations(const std::vector<Candidate>& waiting)
 {
     m_reserved_count = 0;
     m_gangs_prepared = 0;
     for (auto& [id, worker] : m_workers)
-        worker.reserved = false;
+        worker.kept_for = nullptr;
+    const Millis now = m_parts.loop.now();
+    for (const Candidate& candidate : waiting) {
+        Step& step = *candidate.step;
+        if (now >= step.kept_until)
+            step.kept_workers.clear();
+        for (const std::string& id : step.kept_workers) {
+            Worker* worker = find_worker(id);
+            if (worker != nullptr)
+                reserve(*worker, step);
+        }
+    }
+}
+
+// Keeps workers for the step over the passes to come.
+void Scheduler::keep(Step& step, const std::vector<Prospect>& workers, Millis span)
+{
+    step.kept_workers = names(workers);
+    step.kept_until = m_parts.loop.now() + span;
 }
 
 // A gang waits for room, tickets or verdicts. Verdicts are asked for at once. Workers that
@@ -48,19 +73,11 @@
 void Scheduler::prepare_gang(const JobRecord& job, Step& step, int needed)
 {
     const bool advised = job.accepted().queue.advice.has_value();
-    if (step.advice.asking) {
-        for (const std::string& id : step.advice.asked_for) {
-            Worker* worker = find_worker(id);
-            if (worker != nullptr)
-                reserve(*worker);
-        }
+    if (step.advice.asking || m_parts.loop.now() < step.advice.retry_at)
         return;
-    }
     const bool first_question = advised && step.advice.workers.empty();
     if (!first_question && ++m_gangs_prepared > most_gangs_prepared)
         return;
-    if (m_parts.loop.now() < step.advice.retry_at)
-        return;
     Prospects found = prospects(job, step, needed);
     const bool room_now = found.fit >= needed;
     const bool lacks_verdicts = found.later_fit < needed && !found.unasked.empty();
@@ -69,21 +86,26 @@
         return;
     }
     // If all that it may use is not enough, keeping workers free would help nobody.
-    if (found.later_fit < needed)
+    if (found.later_fit < needed) {
+        step.advice.retry_at = m_parts.loop.now() + hopeless_pause;
         return;
-    const bool chosen = choose_for_gang(found.allowed, needed, room_now);
+    }
+    const bool chosen = choose_for_gang(step, found.allowed, needed, room_now);
     if (!room_now && !(chosen && make_room(job, step, found.allowed, needed)))
         return;
-    if (advised && !tickets_last(step, found.allowed)) {
-        ask(job, step, names(found.allowed));
-        if (step.advice.asking)
-            step.advice.asked_for = names(found.allowed);
+    if (!advised || tickets_last(step, found.allowed)) {
+        keep(step, found.allowed, ticket_reserve);
+        return;
     }
+    ask(job, step, names(found.allowed));
+    if (step.advice.asking)
+        keep(step, found.allowed, longest_question);
 }
 
 // Keeps workers free for the gang, those with the most room first, and leaves only them in
 // `allowed`. Returns whether they suffice.
-bool Scheduler::choose_for_gang(std::vector<Prospect>& allowed, int needed, bool room_now)
+bool Scheduler::choose_for_gang(const Step& step, std::vector<Prospect>& allowed,
+                                int needed, bool room_now)
 {
     const int most_reserved = std::max(1, int(m_workers.size()) / reserved_fraction);
     size_t used = 0;
@@ -91,7 +113,7 @@
     while (used < allowed.size() && kept < needed
            && (room_now || m_reserved_count < most_reserved)) {
         kept += room_now ? allowed[used].fit : allowed[used].later_fit;
-        reserve(*allowed[used++].worker);
+        reserve(*allowed[used++].worker, step);
     }
     allowed.resize(used);
     return kept >= needed;
--- a/src/jobs.lib/scheduler_pass.cpp
+++ b/src/jobs.lib/scheduler_pass.cpp
@@ -52,9 +52,10 @@
         return;
     }
     const Millis begun = m_parts.loop.now();
-    clear_reservations();
+    const std::vector<Candidate> waiting = candidates();
+    renew_reservations(waiting);
     bool cut_short = false;
-    for (const Candidate& candidate : candidates()) {
+    for (const Candidate& candidate : waiting) {
         cut_short = m_parts.loop.now() - begun > longest_pass;
         if (cut_short)
             break;
@@ -161,7 +162,7 @@
     std::vector<WorkerRoom> rooms;
     std::vector<WorkerRoom> second_choice;
     const auto consider = [&](const Worker& worker) {
-        if (!is_eligible(worker, job, step) || worker.reserved)
+        if (!is_eligible(worker, job, step) || !worker.free_for(step))
             return;
         WorkerRoom room = room_on(worker, step, key);
         room.slow = is_slow_for(worker, job);
