After lost history all rows are read once at a time, and count as old as the read

The leader's log shows 20 readings of all rows, 64 parts each, one begun by every poll that a pass asked for while another reading went on; and each poll moved the time as of which cancellations count as known, although the reading that brought them had begun seconds before. Ruled out: the store (other nodes were answered within 30 ms).

Change: JobFeed follows the jobs table on its own: one poll or reading at a time, a pause after a reading, and its knowledge dates from the beginning of the read, also after a load.

--- a/src/emulator.lib/store.cpp
+++ b/src/emulator.lib/store.cpp
@@ -166,6 +166,7 @@
 void StorePort::read(const jobs::StoreRange& range, Millis timeout, jobs::StoreReply done)
 {
     Store& store = m_store;
+    ++store.m_reads;
     call(
         timeout, [&store, range] { return store.read_now(range); }, std::move(done));
 }
--- a/src/include/pathport/emulator/store.h
+++ b/src/include/pathport/emulator/store.h
@@ -54,8 +54,12 @@
     Millis latency();
     /// Returns the number of writes that were done.
     int64_t version() const { return m_version; }
+    /// Returns how many reads of rows were asked for.
+    int64_t reads() const { return m_reads; }
 
 private:
+    friend class StorePort;
+
     using Key = std::tuple<std::string, std::string, std::string>;
     struct Row {
         std::string value;
@@ -66,6 +70,7 @@
     World& m_world;
     std::map<Key, Row> m_rows;
     int64_t m_version = 0;
+    int64_t m_reads = 0;
     int64_t m_history_from = 0;
     jobs::Configuration m_configuration;
     int64_t m_configuration_version = 0;
--- a/src/jobs.lib/cell_test.cpp
+++ b/src/jobs.lib/cell_test.cpp
@@ -376,6 +376,30 @@
     BOOST_TEST(wrong.empty(), joined(wrong));
 }
 
+// Found on the bench (grown boards, UNASKED 86 on scale-2): while history was forgotten,
+// all rows were read again by many readings at a time, each begun by a pass that waited for
+// one.
+BOOST_AUTO_TEST_CASE(lost_history_is_read_again_once_at_a_time)
+{
+    Cell cell(9, 3, 6);
+    cell.world.run_for(Millis(1500));
+    cell.store.trouble.slow = 250;
+    const int64_t before = cell.store.reads();
+    for (int i = 0; i < 100; ++i) {
+        if (i % 4 == 0)
+            submit_random(cell, i);
+        cell.store.compact();
+        cell.world.run_for(Millis(100));
+    }
+    // One reading of the 64 parts takes a second or more, with retries, and a pause
+    // follows.
+    BOOST_TEST(cell.store.reads() - before < 64 * 12);
+    cell.store.trouble.slow = 1;
+    cell.world.run_for(Millis(30000));
+    const auto wrong = cell.verdict();
+    BOOST_TEST(wrong.empty(), joined(wrong));
+}
+
 // Found on the bench (grown kiosk, LOST 39 on trouble-2): a gang lost the workers that it
 // had asked tickets for to gangs before it, so sixty gangs asked again and again and none
 // began.
--- /dev/null
+++ b/src/jobs.lib/job_feed.h
@@ -0,0 +1,56 @@
+// Copyright the pathport authors.
+// SPDX-License-Identifier: Apache-2.0
+
+/// \file
+/// Follows the rows of the jobs table: hand-ins and cancellations that any node recorded.
+
+#pragma once
+
+#include "lifetime.h"
+
+#include <pathport/event_loop.h>
+#include <pathport/jobs/job_store.h>
+
+#include <functional>
+#include <string>
+
+namespace pathport::jobs {
+
+/// Asks for changes at regular times. When the store has forgotten the changes that were
+/// missed, all rows are read again, by one such reading at a time.
+class JobFeed {
+public:
+    /// `seen` is told each row, some of them more than once.
+    JobFeed(EventLoop& loop, JobStore& store, std::function<void(const StoredRow&)> seen);
+
+    /// Begins. All rows up to `version` are known from reads that began at `read_begun`.
+    void begin(int64_t version, Millis read_begun);
+    /// Asks for changes now instead of at the next regular time.
+    void poll_now();
+    /// Returns the time as of which all rows are known: the beginning of the read that
+    /// brought them, however long its answer took.
+    Millis known_at() const { return m_known_at; }
+
+private:
+    void schedule(Millis delay);
+    void poll();
+    void polled(const StoreResult& result, Millis begun);
+    void reread();
+    void reread_part(const std::string& part, const std::string& from);
+    void part_read(const std::string& part, const std::string& from,
+                   const StoreResult& result);
+
+    EventLoop& m_loop;
+    JobStore& m_store;
+    std::function<void(const StoredRow&)> m_seen;
+    int64_t m_version = 0; ///< Changes are known up to here.
+    Millis m_known_at;
+    bool m_polling = false;
+    EventLoop::TimerId m_timer = 0;
+    int m_parts_left = 0; ///< Of a reading of all rows; 0 when there is none.
+    int64_t m_reread_version = 0; ///< The lowest that its answers named.
+    Millis m_reread_begun;
+    Lifetime m_lifetime;
+};
+
+} // namespace pathport::jobs
--- a/src/jobs.lib/scheduler.cpp
+++ b/src/jobs.lib/scheduler.cpp
@@ -19,6 +19,10 @@
     , m_deposed(std::move(deposed))
     , m_log(m_parts.loop, m_parts.store, *this, claim.head, claim.version, claim.claimed)
     , m_last_run(claim.head.epoch * runs_per_epoch)
+    , m_feed(m_parts.loop, m_parts.store, [this](const StoredRow& row) {
+        if (m_phase != Phase::over)
+            job_row_seen(row);
+    })
 {
     constexpr int64_t slow_clock_percent = 102;
     constexpr Millis margin { 300 };
--- a/src/jobs.lib/scheduler.h
+++ b/src/jobs.lib/scheduler.h
@@ -9,6 +9,7 @@
 
 #include "advice_pool.h"
 #include "head_log.h"
+#include "job_feed.h"
 #include "job_record.h"
 #include "lifetime.h"
 #include "placement.h"
@@ -163,10 +164,6 @@
     void build_records();
     void take_workers(const std::vector<WorkerInfo>& listed);
     void settle();
-    void poll_jobs();
-    void jobs_polled(const StoreResult& result);
-    void reread_jobs();
-    void reread_part(const std::string& part, const std::string& from);
     void job_row_seen(const StoredRow& row);
     void drop_unlisted(const std::string& worker);
     void release_unknown_doubts();
@@ -268,11 +265,8 @@
     int64_t m_jobs_version = -1; ///< The jobs table is known up to here.
     std::vector<StoredRow> m_loaded_jobs;
     std::vector<StoredRow> m_loaded_progress;
-    bool m_polling = false;
-    Millis m_poll_begun;
-    Millis m_jobs_read; ///< Hand-ins and cancellations are known as of then.
-    int m_rereading = 0; ///< Parts that are being read again after history was lost.
-    int64_t m_reread_version = -1;
+    Millis m_load_begun;
+    JobFeed m_feed; ///< Hand-ins and cancellations, from the load on.
     bool m_workers_known = false;
     bool m_reading_workers = false;
     Millis m_settle_by;
--- a/src/jobs.lib/scheduler_load.cpp
+++ b/src/jobs.lib/scheduler_load.cpp
@@ -24,7 +24,6 @@
 constexpr Millis settle_time { 250 };
 constexpr Millis workers_interval { 700 };
 constexpr Millis workers_retry { 150 };
-constexpr Millis jobs_interval { 500 };
 const char* const next_key_suffix = "!";
 
 } // namespace
@@ -34,8 +33,9 @@
     log_event(LogLevel::info, "takeover_begun",
               { { "epoch", m_claim.head.epoch }, { "head_version", m_claim.version } });
     m_loading = job_parts + 1;
+    m_load_begun = m_parts.loop.now();
     for (int part = 0; part < job_parts; ++part)
-        read_rows(jobs_table, "j" + std::to_string(part), "");
+        read_rows(jobs_table, job_part_name(part), "");
     read_rows(progress_table, scheduler_part, "");
     read_workers();
     tick();
@@ -100,11 +100,10 @@
                 { "open_jobs", static_cast<int64_t>(m_jobs.size()) },
                 { "closed_jobs", static_cast<int64_t>(m_closed.size()) },
                 { "after_ms", (m_parts.loop.now() - m_claim.claimed).count() } });
-    m_jobs_read = m_parts.loop.now();
     for (auto& [id, worker] : m_workers)
         worker.session->begin();
     m_parts.loop.after(settle_time, m_lifetime.wrap([this] { settle(); }));
-    poll_jobs();
+    m_feed.begin(m_jobs_version, m_load_begun);
     settle();
 }
 
@@ -240,79 +239,6 @@
     schedule_pass();
 }
 
-void Scheduler::poll_jobs()
-{
-    if (m_phase == Phase::over || m_polling)
-        return;
-    m_polling = true;
-    m_poll_begun = m_parts.loop.now();
-    m_parts.store.watch(jobs_table, m_jobs_version, Millis(0),
-                        m_lifetime.wrap([this](const StoreResult& result) {
-                            m_polling = false;
-                            jobs_polled(result);
-                        }));
-}
-
-void Scheduler::jobs_polled(const StoreResult& result)
-{
-    if (m_phase == Phase::over)
-        return;
-    if (result.status == StoreStatus::ok) {
-        m_jobs_read = m_poll_begun;
-        m_jobs_version = std::max(m_jobs_version, result.version);
-        for (const StoredRow& row : result.rows)
-            job_row_seen(row);
-    }
-    if (result.status == StoreStatus::history_lost) {
-        // What was missed is read whole, as a new leader does.
-        log_event(LogLevel::warn, "job_history_lost", { { "version", m_jobs_version } });
-        reread_jobs();
-        return;
-    }
-    m_parts.loop.after(jobs_interval, m_lifetime.wrap([this] { poll_jobs(); }));
-}
-
-void Scheduler::reread_jobs()
-{
-    m_rereading = job_parts;
-    m_reread_version = -1;
-    for (int part = 0; part < job_parts; ++part)
-        reread_part("j" + std::to_string(part), "");
-}
-
-void Scheduler::reread_part(const std::string& part, const std::string& from)
-{
-    StoreRange range;
-    range.table = jobs_table;
-    range.part = part;
-    range.from = from;
-    range.limit = rows_per_read;
-    m_parts.store.read(
-        range, read_timeout, m_lifetime.wrap([this, part, from](const StoreResult& result) {
-            if (m_phase == Phase::over)
-                return;
-            if (result.status != StoreStatus::ok) {
-                m_parts.loop.after(read_retry, m_lifetime.wrap([this, part, from] {
-                    reread_part(part, from);
-                }));
-                return;
-            }
-            if (m_reread_version < 0 || result.version < m_reread_version)
-                m_reread_version = result.version;
-            for (const StoredRow& row : result.rows)
-                job_row_seen(row);
-            if (result.more && !result.rows.empty()) {
-                reread_part(part, result.rows.back().id.key + next_key_suffix);
-                return;
-            }
-            if (--m_rereading > 0)
-                return;
-            m_jobs_version = std::max(m_jobs_version, m_reread_version);
-            m_jobs_read = m_poll_begun;
-            poll_jobs();
-        }));
-}
-
 void Scheduler::job_row_seen(const StoredRow& row)
 {
     if (row.removed)
--- a/src/jobs.lib/scheduler_pass.cpp
+++ b/src/jobs.lib/scheduler_pass.cpp
@@ -47,8 +47,8 @@
     if (m_phase != Phase::acting || !may_order())
         return;
     // After a pause of this process, cancellations are read before anything is started.
-    if (m_parts.loop.now() - m_jobs_read > stale_jobs) {
-        poll_jobs();
+    if (m_parts.loop.now() - m_feed.known_at() > stale_jobs) {
+        m_feed.poll_now();
         return;
     }
     const Millis begun = m_parts.loop.now();
--- a/src/jobs.lib/store_keys.h
+++ b/src/jobs.lib/store_keys.h
@@ -34,10 +34,16 @@
 inline const char* const leader_key = "leader";
 inline const std::string cancel_suffix = ".cancel";
 
+/// Returns the name of the part with this number, below `job_parts`.
+inline std::string job_part_name(int number)
+{
+    return "j" + std::to_string(number);
+}
+
 /// Returns the part in which the rows of the job `id` lie.
 inline std::string job_part(const std::string& id)
 {
-    return "j" + std::to_string(stable_hash(id) % job_parts);
+    return job_part_name(static_cast<int>(stable_hash(id) % job_parts));
 }
 
 inline RowKey job_row(const std::string& id)
