--- a/src/jobs.lib/jobs_test.cpp
+++ b/src/jobs.lib/jobs_test.cpp
@@ -89,13 +89,15 @@
         : m_world(world)
     {
     }
-    void send(const std::string&, const PeerRequest&, Millis timeout,
+    void send(const std::string& address, const PeerRequest& request, Millis timeout,
               PeerReply done) override
     {
         ++sent;
+        asked[address].push_back(request.job);
         m_world.after(timeout, [done] { done(PeerEnd::silent, {}); });
     }
     int sent = 0;
+    std::map<std::string, std::vector<std::string>> asked; ///< Steps, by address.
 
 private:
     emulator::World& m_world;
@@ -439,3 +441,27 @@
     BOOST_TEST(peers.sent == 1);
     BOOST_TEST(advisor.asked.size() == 4U);
 }
+
+// A slow question must not hold up faster ones behind it at the advisor.
+BOOST_AUTO_TEST_CASE(each_class_of_questions_has_callers_of_its_own)
+{
+    emulator::World world(9);
+    emulator::ProcessLoop loop(world);
+    CountingAdvisor advisor(world);
+    SilentPeers peers(world);
+    AdvicePool pool(loop, advisor, peers);
+    pool.set_peers({ "medium", "slow1", "slow2" });
+    const auto ignore = [](const AdviceReply&) {};
+    for (const char* step : { "s1", "s2", "s3" })
+        pool.ask(question_of(step, 1, 500), ignore);
+    pool.ask(question_of("f1", 0, 5), ignore);
+    pool.ask(question_of("m1", 2, 60), ignore);
+    world.run_for(Millis(10));
+    const std::vector<std::string> fast { "f1" };
+    const std::vector<std::string> medium { "m1" };
+    BOOST_TEST(advisor.asked == fast, boost::test_tools::per_element());
+    BOOST_TEST(peers.asked["medium"] == medium, boost::test_tools::per_element());
+    BOOST_TEST(peers.asked["slow1"].size() == 1U);
+    BOOST_TEST(peers.asked["slow2"].size() == 1U);
+    BOOST_TEST(pool.waiting() == 1U);
+}
--- a/src/jobs.lib/scheduler.h
+++ b/src/jobs.lib/scheduler.h
@@ -289,6 +289,7 @@
     bool m_pass_due = false;
     int64_t m_passes = 0; ///< Since load was last reported.
     Millis m_pass_time; ///< Spent in them.
+    Millis m_pass_begun; ///< The present or last pass; the time that its choices go by.
     int m_gangs_prepared = 0; ///< In the present pass.
     int m_reserved_count = 0; ///< Workers kept for gangs, in the present pass.
     Lifetime m_lifetime;
--- a/src/jobs.lib/scheduler_advice.cpp
+++ b/src/jobs.lib/scheduler_advice.cpp
@@ -115,7 +115,7 @@
 // if they have room for some, else about further ones.
 void Scheduler::ask_for_some(const JobRecord& job, Step& step, int needed)
 {
-    if (step.advice.asking || m_parts.loop.now() < step.advice.retry_at)
+    if (step.advice.asking || m_pass_begun < step.advice.retry_at)
         return;
     Prospects found = prospects(job, step, needed);
     if (found.fit < needed && !found.unasked.empty() && found.unasked.front().fit > 0) {
@@ -134,7 +134,7 @@
 
 void Scheduler::ask(const JobRecord& job, Step& step, std::vector<std::string> workers)
 {
-    const Millis now = m_parts.loop.now();
+    const Millis now = m_pass_begun;
     const bool crowded = job.accepted().queue.priority > 0
         && m_parts.advice.waiting() >= most_waiting_questions;
     if (workers.empty() || crowded) {
--- a/src/jobs.lib/scheduler_gangs.cpp
+++ b/src/jobs.lib/scheduler_gangs.cpp
@@ -47,7 +47,7 @@
     m_gangs_prepared = 0;
     for (auto& [id, worker] : m_workers)
         worker.kept_for = nullptr;
-    const Millis now = m_parts.loop.now();
+    const Millis now = m_pass_begun;
     for (const Candidate& candidate : waiting) {
         Step& step = *candidate.step;
         if (now >= step.kept_until)
@@ -64,7 +64,7 @@
 void Scheduler::keep(Step& step, const std::vector<Prospect>& workers, Millis span)
 {
     step.kept_workers = names(workers);
-    step.kept_until = m_parts.loop.now() + span;
+    step.kept_until = m_pass_begun + span;
 }
 
 // A gang waits for room, tickets or verdicts. Verdicts are asked for at once. Workers that
@@ -73,7 +73,7 @@
 void Scheduler::prepare_gang(const JobRecord& job, Step& step, int needed)
 {
     const bool advised = job.accepted().queue.advice.has_value();
-    if (step.advice.asking || m_parts.loop.now() < step.advice.retry_at)
+    if (step.advice.asking || m_pass_begun < step.advice.retry_at)
         return;
     const bool first_question = advised && step.advice.workers.empty();
     if (!first_question && ++m_gangs_prepared > most_gangs_prepared)
@@ -87,7 +87,7 @@
     }
     // If all that it may use is not enough, keeping workers free would help nobody.
     if (found.later_fit < needed) {
-        step.advice.retry_at = m_parts.loop.now() + hopeless_pause;
+        step.advice.retry_at = m_pass_begun + hopeless_pause;
         return;
     }
     const bool chosen = choose_for_gang(step, found.allowed, needed, room_now);
@@ -123,7 +123,7 @@
 // ended.
 bool Scheduler::tickets_last(const Step& step, const std::vector<Prospect>& workers) const
 {
-    const Millis until = m_parts.loop.now() + ticket_reserve;
+    const Millis until = m_pass_begun + ticket_reserve;
     return std::all_of(workers.begin(), workers.end(), [&](const Prospect& prospect) {
         const auto known = step.advice.workers.find(prospect.worker->session->id());
         return known != step.advice.workers.end() && known->second.holds(until);
--- a/src/jobs.lib/scheduler_pass.cpp
+++ b/src/jobs.lib/scheduler_pass.cpp
@@ -22,6 +22,7 @@
 constexpr Millis longest_pass { 12 };
 /// Nothing is started on knowledge of cancellations that is older.
 constexpr Millis stale_jobs { 2200 };
+constexpr size_t clock_reading_interval = 4; ///< In candidates.
 /// How long a worker that was left alone gets one task at a time.
 constexpr Millis trial_time { 2500 };
 /// A member of a gang may be placed again so long after the others.
@@ -52,14 +53,15 @@
         return;
     }
     const Millis begun = m_parts.loop.now();
+    m_pass_begun = begun;
     const std::vector<Candidate> waiting = candidates();
     renew_reservations(waiting);
     bool cut_short = false;
-    for (const Candidate& candidate : waiting) {
-        cut_short = m_parts.loop.now() - begun > longest_pass;
-        if (cut_short)
-            break;
-        place(candidate);
+    for (size_t i = 0; i < waiting.size() && !cut_short; ++i) {
+        place(waiting[i]);
+        // Reading the clock costs more than many a candidate.
+        if (i % clock_reading_interval == 0)
+            cut_short = m_parts.loop.now() - begun > longest_pass;
     }
     ++m_passes;
     m_pass_time = m_pass_time + (m_parts.loop.now() - begun);
@@ -116,7 +118,7 @@
     const int placed = step.placed();
     if (placed == 0)
         return true;
-    const Millis now = m_parts.loop.now();
+    const Millis now = m_pass_begun;
     return std::all_of(step.tasks.begin(), step.tasks.end(), [&](const Task& task) {
         if (task.phase == TaskPhase::waiting)
             return task.ended_run != step.gang_run;
@@ -145,10 +147,9 @@
         room.of_step = worker.load.count_of_step(name);
     // A worker that surprised lately gets nothing for a while, then one task at a time, and
     // then is trusted again: a gang might wait for it in vain otherwise.
-    const Millis now = m_parts.loop.now();
-    if (now < worker.avoid_until)
+    if (m_pass_begun < worker.avoid_until)
         room.at_most = 0;
-    else if (now < worker.avoid_until + trial_time && worker.surprises > 0)
+    else if (m_pass_begun < worker.avoid_until + trial_time && worker.surprises > 0)
         room.at_most = worker.load.empty() ? 1 : 0;
     return room;
 }
@@ -156,7 +157,7 @@
 std::vector<WorkerRoom> Scheduler::rooms_for(const JobRecord& job, const Step& step,
                                              int needed)
 {
-    const Millis now = m_parts.loop.now();
+    const Millis now = m_pass_begun;
     const bool advised = job.accepted().queue.advice.has_value();
     const std::string key = step.name(job.id());
     std::vector<WorkerRoom> rooms;
--- a/src/jobs.lib/scheduler_start.cpp
+++ b/src/jobs.lib/scheduler_start.cpp
@@ -36,7 +36,7 @@
         task.phase = TaskPhase::intended;
         task.worker = share->worker;
         task.run = run;
-        task.placed_at = m_parts.loop.now();
+        task.placed_at = m_pass_begun;
         const auto permission = step.advice.workers.find(share->worker);
         if (permission != step.advice.workers.end())
             task.ticket = permission->second.ticket;
--- a/src/pathportbench/bench.h
+++ b/src/pathportbench/bench.h
@@ -23,6 +23,9 @@
 /// sizes, for docs/CAPACITY.md.
 void run_sizes();
 
+/// Measures what a whole cell of the job path costs in the emulator, at two sizes.
+void run_cell();
+
 /// Returns the value below which `share` of the sorted values lie.
 double percentile(const std::vector<double>& sorted, double share);
 
--- a/src/pathportbench/main.cpp
+++ b/src/pathportbench/main.cpp
@@ -27,13 +27,15 @@
     try {
         TCLAP::CmdLine cmd("Benchmarks of pathport's decisions.", ' ', "0.1.0");
         TCLAP::UnlabeledMultiArg<std::string> names(
-            "name", "placement, requests or sizes; all when none is given", false, "name",
-            cmd);
+            "name", "cell, placement, requests or sizes; all when none is given", false,
+            "name", cmd);
         cmd.parse(argc, argv);
         const auto wanted = [&](const std::string& name) {
             const auto& list = names.getValue();
             return list.empty() || std::find(list.begin(), list.end(), name) != list.end();
         };
+        if (wanted("cell"))
+            bench::run_cell();
         if (wanted("placement"))
             bench::run_placement();
         if (wanted("requests"))
