--- a/src/jobs.lib/job_record.h
+++ b/src/jobs.lib/job_record.h
@@ -61,6 +61,7 @@
     std::map<std::string, Permission>
         workers; ///< By worker; those not in it weren't asked.
     bool asking = false;
+    Millis tickets_until; ///< No ticket holds any more from then on.
     Millis retry_at; ///< No call before it.
 };
 
@@ -77,6 +78,7 @@
     /// Workers kept free for a gang while it waits for tickets or for tasks that end.
     std::vector<std::string> kept_workers;
     Millis kept_until;
+    Millis check_at; ///< No look for room before it, unless advice comes.
     Millis wait_explained; ///< When the log last told why it waits.
 
     bool finished() const { return done == static_cast<int>(tasks.size()); }
--- a/src/jobs.lib/scheduler.h
+++ b/src/jobs.lib/scheduler.h
@@ -205,7 +205,8 @@
     void pass();
     std::vector<Candidate> candidates();
     static int64_t slack_ms(JobRecord& job, int64_t now_ms);
-    bool place(Candidate candidate);
+    void place(const Candidate& candidate);
+    void check_again_soon();
     bool gang_may_be_placed(const Step& step) const;
     std::vector<WorkerRoom> rooms_for(const JobRecord& job, const Step& step, int needed);
     WorkerRoom room_on(const Worker& worker, const Step& step,
@@ -287,6 +288,7 @@
     std::map<std::string, double> m_guess_error; ///< By queue, smoothed logarithm.
     Millis m_load_reported;
     bool m_pass_due = false;
+    bool m_check_due = false; ///< A pass will follow for steps that wait for room.
     int64_t m_passes = 0; ///< Since load was last reported.
     Millis m_pass_time; ///< Spent in them.
     Millis m_pass_begun; ///< The present or last pass; the time that its choices go by.
--- a/src/jobs.lib/scheduler_advice.cpp
+++ b/src/jobs.lib/scheduler_advice.cpp
@@ -179,6 +179,9 @@
     for (const WorkerTicket& ticket : reply.tickets.value())
         step->advice.workers[ticket.worker]
             = Permission { true, ticket.ticket, now + valid - ticket_margin };
+    step->check_at = Millis(0);
+    if (!reply.tickets->empty())
+        step->advice.tickets_until = now + valid - ticket_margin;
     // Tickets that helped to place nothing are not asked for again at once.
     const bool fruitful = step->advice.workers.size() > known_before;
     step->advice.retry_at = fruitful ? Millis(0) : now + fruitless_pause;
--- a/src/jobs.lib/scheduler_pass.cpp
+++ b/src/jobs.lib/scheduler_pass.cpp
@@ -9,6 +9,8 @@
 #include <pathport/log.h>
 
 #include <algorithm>
+#include <set>
+#include <string_view>
 #include <tuple>
 
 namespace pathport::jobs {
@@ -22,6 +24,9 @@
 constexpr Millis longest_pass { 12 };
 /// Nothing is started on knowledge of cancellations that is older.
 constexpr Millis stale_jobs { 2200 };
+/// A less urgent step for which there was no room is looked at again after this time: with
+/// hundreds of such steps, a look at each end of a task would take all of the processor.
+constexpr Millis room_check_interval { 20 };
 constexpr size_t clock_reading_interval = 4; ///< In candidates.
 /// How long a worker that was left alone gets one task at a time.
 constexpr Millis trial_time { 2500 };
@@ -57,7 +62,12 @@
     const std::vector<Candidate> waiting = candidates();
     renew_reservations(waiting);
     bool cut_short = false;
+    bool put_off = false;
     for (size_t i = 0; i < waiting.size() && !cut_short; ++i) {
+        if (begun < waiting[i].step->check_at) {
+            put_off = true;
+            continue;
+        }
         place(waiting[i]);
         // Reading the clock costs more than many a candidate.
         if (i % clock_reading_interval == 0)
@@ -67,6 +77,20 @@
     m_pass_time = m_pass_time + (m_parts.loop.now() - begun);
     if (cut_short)
         schedule_pass();
+    if (put_off)
+        check_again_soon();
+}
+
+// Steps that were not looked at in this pass are in one to come, also if nothing happens.
+void Scheduler::check_again_soon()
+{
+    if (m_check_due)
+        return;
+    m_check_due = true;
+    m_parts.loop.after(room_check_interval, m_lifetime.wrap([this] {
+        m_check_due = false;
+        schedule_pass();
+    }));
 }
 
 std::vector<Scheduler::Candidate> Scheduler::candidates()
@@ -159,7 +183,14 @@
 {
     const Millis now = m_pass_begun;
     const bool advised = job.accepted().queue.advice.has_value();
+    if (advised && now >= step.advice.tickets_until)
+        return {};
     const std::string key = step.name(job.id());
+    std::set<std::string_view> failed_on;
+    for (const Task& task : step.tasks) {
+        if (task.phase == TaskPhase::waiting && !task.failed_on.empty())
+            failed_on.insert(task.failed_on);
+    }
     std::vector<WorkerRoom> rooms;
     std::vector<WorkerRoom> second_choice;
     const auto consider = [&](const Worker& worker) {
@@ -169,11 +200,7 @@
         room.slow = is_slow_for(worker, job);
         if (tasks_that_fit(*step.spec, room) == 0)
             return;
-        const auto failed_on_it = [&name = room.worker](const Task& task) {
-            return task.phase == TaskPhase::waiting && task.failed_on == name;
-        };
-        const bool failed_here
-            = std::any_of(step.tasks.begin(), step.tasks.end(), failed_on_it);
+        const bool failed_here = failed_on.count(room.worker) > 0;
         (failed_here ? second_choice : rooms).push_back(room);
     };
     if (advised) {
@@ -195,7 +222,7 @@
     return rooms;
 }
 
-bool Scheduler::place(Candidate candidate)
+void Scheduler::place(const Candidate& candidate)
 {
     JobRecord& job = *candidate.job;
     Step& step = *candidate.step;
@@ -204,20 +231,22 @@
     int fit = 0;
     for (const WorkerRoom& room : rooms)
         fit += tasks_that_fit(*step.spec, room);
+    if (job.accepted().queue.priority > 0)
+        step.check_at = m_pass_begun + room_check_interval;
     if (step.spec->gang && fit < needed) {
         prepare_gang(job, step, needed);
-        return false;
+        return;
     }
     if (fit < needed && job.accepted().queue.advice)
         ask_for_some(job, step, needed);
     if (fit == 0)
-        return false;
+        return;
     const std::vector<Share> shares
         = choose_workers(*step.spec, needed, step.spec->gang, rooms);
     if (shares.empty())
-        return false;
+        return;
+    step.check_at = Millis(0);
     intend(job, step, shares);
-    return true;
 }
 
 // Tells in the log why a step has not started, for whoever asks about its job.
