Nodes that the store turns away learn of a new leader

The new leader told only its predecessor, which dropped the message as it still led for 0.1 s; the other node asked that one, got no answer that helped, and refused 662 hand-ins until the store served it again. Ruled out: the acceptance path (forwarded writes were served as soon as the leader was known).

Change: the leader's answers tell the list of nodes when it has changed; a new leader announces itself to all of them; what is announced to a node that still leads is taken up when it has been deposed; a node that can't read who leads asks any other node.

--- a/src/emulator.lib/cell.cpp
+++ b/src/emulator.lib/cell.cpp
@@ -245,6 +245,31 @@
 
 void Cell::submit(const std::string& id, const jobs::JobSpec& spec,
                   const std::vector<TaskFacts>& facts, bool advised)
+{
+    describe(id, spec, facts, advised);
+    try_submit(id, 0);
+}
+
+std::optional<jobs::ClientStatus> Cell::submit_at(const std::string& node,
+                                                  const std::string& id,
+                                                  const jobs::JobSpec& spec,
+                                                  const std::vector<TaskFacts>& facts)
+{
+    describe(id, spec, facts, false);
+    NodeProcess* process = running(node);
+    if (process == nullptr)
+        return std::nullopt;
+    const auto answer = std::make_shared<std::optional<ClientStatus>>();
+    process->node->submit(queue(false), id, spec, world.now(), client_limit,
+                          [answer](ClientStatus status) { *answer = status; });
+    world.run_for(client_limit);
+    m_jobs[id].accepted = *answer == ClientStatus::ok;
+    m_jobs[id].doubtful = !*answer || *answer == ClientStatus::in_doubt;
+    return *answer;
+}
+
+void Cell::describe(const std::string& id, const jobs::JobSpec& spec,
+                    const std::vector<TaskFacts>& facts, bool advised)
 {
     ClientJob& job = m_jobs[id];
     job.queue = queue(advised);
@@ -254,7 +279,6 @@
         workers.describe(id, static_cast<int>(i), facts[i]);
         job.hopeless = job.hopeless || facts[i].fails >= job.queue.max_failures;
     }
-    try_submit(id, 0);
 }
 
 void Cell::try_submit(const std::string& id, int tries)
--- a/src/include/pathport/emulator/cell.h
+++ b/src/include/pathport/emulator/cell.h
@@ -63,6 +63,12 @@
     /// Hands in a job at a node that runs, and again elsewhere after an unclear answer.
     void submit(const std::string& id, const jobs::JobSpec& spec,
                 const std::vector<TaskFacts>& facts, bool advised);
+    /// Hands in a job at this node only and waits for the answer, in virtual time; nothing
+    /// when the node does not run or does not answer.
+    std::optional<jobs::ClientStatus> submit_at(const std::string& node,
+                                                const std::string& id,
+                                                const jobs::JobSpec& spec,
+                                                const std::vector<TaskFacts>& facts);
     /// Cancels a job.
     void cancel(const std::string& id);
     /// Asks a node for the state of a job and waits, in virtual time.
@@ -82,6 +88,8 @@
     void start(const std::string& node);
     NodeProcess* running(const std::string& node);
     NodeProcess* any_running();
+    void describe(const std::string& id, const jobs::JobSpec& spec,
+                  const std::vector<TaskFacts>& facts, bool advised);
     void try_submit(const std::string& id, int tries);
     void check_state(const std::string& id, const ClientJob& job,
                      std::vector<std::string>& wrong);
--- a/src/include/pathport/jobs/peers.h
+++ b/src/include/pathport/jobs/peers.h
@@ -46,6 +46,7 @@
     bool leads = false; ///< The sender leads in `epoch`.
     bool resigned = false; ///< The sender led in `epoch` and gives its place up.
     int strength = 0; ///< The sender's, as in NodeSetup.
+    int64_t peers_hash = 0; ///< Of the list of followers that the sender has.
     bool store_served = false; ///< Whether the store served the sender lately.
     bool promises = false; ///< The sender won't claim leadership for `promise_time`.
     int64_t echo_ms
@@ -65,6 +66,8 @@
     int64_t sent_ms = 0; ///< The leader's clock.
     int64_t config_version = 0;
     int strongest_follower = 0; ///< The highest strength among a leader's live followers.
+    int64_t peers_hash = 0; ///< Of the leader's list of followers.
+    std::vector<std::string> peers; ///< That list, if the sender's is another one.
     int status = 0; ///< Of an acceptance or cancellation, as to a client.
     int64_t count = 0; ///< Pending jobs.
     std::optional<JobState> state;
--- a/src/jobs.lib/cell_test.cpp
+++ b/src/jobs.lib/cell_test.cpp
@@ -315,6 +315,33 @@
     }
 }
 
+// Found on the bench (kiosk, trouble-1: 662 refusals by one node): a node that the store
+// turned away did not learn that another one, which the store served, had become leader.
+BOOST_AUTO_TEST_CASE(node_without_the_store_learns_of_a_new_leader)
+{
+    for (const bool leader_dies : { false, true }) {
+        for (uint64_t seed = 1; seed <= 10; ++seed) {
+            Cell cell(seed, 5, 4);
+            cell.world.run_for(Millis(3000));
+            const std::string first = cell.leader();
+            const std::string turned_away = first == "n1" ? "n2" : "n1";
+            cell.store.trouble.refused_nodes = { turned_away };
+            if (leader_dies)
+                cell.kill(first, Millis(20000));
+            else
+                cell.store.trouble.refused_nodes.insert(first);
+            cell.world.run_for(Millis(2500));
+            const TaskFacts facts = simple_facts(1, 500);
+            const auto status
+                = cell.submit_at(turned_away, "job0", spec_of({ facts }), { facts });
+            BOOST_TEST((status == jobs::ClientStatus::ok), "seed " << seed);
+            cell.world.run_for(Millis(10000));
+            const auto wrong = cell.verdict();
+            BOOST_TEST(wrong.empty(), "seed " << seed << joined(wrong));
+        }
+    }
+}
+
 // Found on the bench (grown kiosk, trouble-2): writes that took 0.9 s each were taken for a
 // store that serves others, so the leadership went round all nodes.
 BOOST_AUTO_TEST_CASE(slow_store_changes_no_leader)
--- a/src/jobs.lib/job_node.cpp
+++ b/src/jobs.lib/job_node.cpp
@@ -150,9 +150,41 @@
     m_scheduler->begin();
     lead_tick();
     announce(predecessor);
+    for (const std::string& peer : m_peers) {
+        if (peer != predecessor && peer != m_setup.peer_address)
+            announce(peer);
+    }
+}
+
+// Asks any other node, since those that the store serves know who leads.
+void JobNode::Impl::leader_untold()
+{
+    if (m_peers.empty() || m_scheduler)
+        return;
+    const std::string peer = m_peers[m_parts.loop.random() % m_peers.size()];
+    PeerRequest request;
+    request.topic = PeerTopic::heartbeat;
+    request.node = m_setup.node;
+    request.address = m_setup.peer_address;
+    request.incarnation = m_setup.incarnation;
+    request.epoch = m_leadership.epoch();
+    request.strength = m_setup.strength;
+    m_parts.peers.send(
+        peer, request, probe_timeout,
+        m_lifetime.wrap([this, peer](PeerEnd end, const PeerAnswer& answer) {
+            if (end != PeerEnd::answered)
+                return;
+            if (answer.leads)
+                m_leadership.leader_announced(
+                    { answer.epoch, { answer.node, peer, answer.incarnation } });
+            else
+                m_leadership.leader_announced(
+                    { answer.epoch,
+                      { answer.leader, answer.leader, answer.leader_incarnation } });
+        }));
 }
 
-// The earlier leader, and through it its followers, may not reach the store to learn of it.
+// Others may not reach the store to learn of it.
 void JobNode::Impl::announce(const std::string& address)
 {
     if (address.empty())
@@ -182,6 +214,7 @@
 {
     request.config_version = m_configuration ? m_configuration->version : 0;
     request.store_served = m_store.served();
+    request.peers_hash = m_peers_hash;
     // Only while the store is away for this node does it give its word not to claim.
     if (!m_store.failing() || m_leader_sent_ms == 0)
         return;
@@ -194,6 +227,10 @@
 {
     m_leader_sent_ms = answer.sent_ms;
     m_leader_served = answer.served;
+    if (answer.peers_hash != m_peers_hash && !answer.peers.empty()) {
+        m_peers_hash = answer.peers_hash;
+        m_peers = answer.peers;
+    }
     // When the leader is not served, this node finds out whether it is.
     if (!answer.served)
         m_store.check(m_lifetime.wrap([this] { m_leadership.heartbeat_now(); }));
@@ -221,11 +258,25 @@
         ++follower;
     }
     m_advice.set_peers(useful);
+    list_followers();
     update_promises();
     consider_resigning();
     m_parts.loop.after(lead_tick_interval, m_lifetime.wrap([this] { lead_tick(); }));
 }
 
+// Followers are told of each other, so that the next leader can tell all of itself.
+void JobNode::Impl::list_followers()
+{
+    std::string joined;
+    m_peers.clear();
+    for (const auto& [address, follower] : m_followers) {
+        m_peers.push_back(address);
+        joined += address + " ";
+    }
+    m_peers.push_back(m_setup.peer_address);
+    m_peers_hash = static_cast<int64_t>(stable_hash(joined + m_setup.peer_address) >> 1);
+}
+
 // A follower whose process is gone has nothing to promise.
 void JobNode::Impl::probe_follower(const std::string& address)
 {
--- a/src/jobs.lib/job_node_impl.h
+++ b/src/jobs.lib/job_node_impl.h
@@ -47,6 +47,7 @@
     void elected(const Claim& claim, const std::string& predecessor) override;
     void fill_heartbeat(PeerRequest& request) override;
     void leader_answered(const PeerAnswer& answer) override;
+    void leader_untold() override;
 
 private:
     /// A node that follows this one.
@@ -68,6 +69,7 @@
     void lead_tick();
     void probe_follower(const std::string& address);
     void update_promises();
+    void list_followers();
     void consider_resigning();
     int strongest_follower() const;
 
@@ -99,6 +101,9 @@
     std::unique_ptr<Scheduler> m_scheduler; ///< Set while this node leads.
     std::shared_ptr<const Configuration> m_configuration;
     std::map<std::string, Follower> m_followers; ///< By address.
+    /// Addresses of all nodes as far as the leader knows them, and a hash of the list.
+    std::vector<std::string> m_peers;
+    int64_t m_peers_hash = 0;
     bool m_leaving = false;
     bool m_fetching_configuration = false;
     bool m_leader_served = false; ///< Whether the store served the leader then.
--- a/src/jobs.lib/job_node_peers.cpp
+++ b/src/jobs.lib/job_node_peers.cpp
@@ -95,6 +95,9 @@
         note_follower(request);
     answer.strongest_follower = strongest_follower();
     answer.resigned = m_scheduler->resigned();
+    answer.peers_hash = m_peers_hash;
+    if (request.peers_hash != m_peers_hash)
+        answer.peers = m_peers;
 }
 
 void JobNode::Impl::note_follower(const PeerRequest& request)
--- a/src/jobs.lib/leadership.cpp
+++ b/src/jobs.lib/leadership.cpp
@@ -102,6 +102,7 @@
     m_silent = false;
     m_refusals = 0;
     read_rows();
+    leader_announced(m_announced);
 }
 
 std::string Leadership::leader_address() const
@@ -130,6 +131,8 @@
 
 void Leadership::leader_announced(const LeaderValue& leader)
 {
+    if (m_leading)
+        m_announced = leader;
     if (m_leading || m_retired || leader.epoch <= m_leader.epoch
         || leader.identity.address.empty()
         || leader.identity.incarnation == m_identity.incarnation)
@@ -184,8 +187,8 @@
     if (m_leading || m_retired)
         return;
     if (result.status != StoreStatus::ok) {
-        // Without the store nobody can claim, so there is nothing better to do than to ask
-        // the leader that was.
+        // Without the store this node can't claim. It asks the leader that was, and others.
+        m_listener.leader_untold();
         if (m_rows_known)
             schedule_follow(store_retry);
         else
--- a/src/jobs.lib/leadership.h
+++ b/src/jobs.lib/leadership.h
@@ -50,6 +50,8 @@
     virtual void fill_heartbeat(PeerRequest& request) = 0;
     /// The leader has answered a heartbeat.
     virtual void leader_answered(const PeerAnswer& answer) = 0;
+    /// The leader that was known is gone, and the store does not tell who follows it.
+    virtual void leader_untold() = 0;
 };
 
 /// The election as one node takes part in it.
@@ -125,6 +127,7 @@
     HeadValue m_head_before; ///< What the last claim was to replace.
     Millis m_claim_started;
     std::string m_predecessor; ///< Address of the leader that the last claim replaced.
+    LeaderValue m_announced; ///< The last that another node told of while this one led.
     Millis m_leader_known; ///< When the present leader was first read of.
     Millis m_answered; ///< When the leader last answered that it leads.
     int m_refusals = 0; ///< In a row, of the leader's address.
--- a/src/jobs.lib/peer_codec.cpp
+++ b/src/jobs.lib/peer_codec.cpp
@@ -45,6 +45,7 @@
     put(json, "promises", request.promises);
     put(json, "echo", request.echo_ms);
     put(json, "strength", request.strength);
+    put(json, "peers_hash", request.peers_hash);
     return json.dump(-1, ' ', false, Json::error_handler_t::replace);
 }
 
@@ -72,6 +73,7 @@
         request.promises = json.value("promises", false);
         request.echo_ms = json.value("echo", int64_t(0));
         request.strength = json.value("strength", 0);
+        request.peers_hash = json.value("peers_hash", int64_t(0));
         return request;
     } catch (const Json::exception&) {
         return std::nullopt;
@@ -92,6 +94,8 @@
     put(json, "sent", answer.sent_ms);
     put(json, "config", answer.config_version);
     put(json, "strongest", answer.strongest_follower);
+    put(json, "peers_hash", answer.peers_hash);
+    put(json, "peers", answer.peers);
     put(json, "status", answer.status);
     put(json, "count", answer.count);
     if (answer.state)
@@ -118,6 +122,8 @@
         answer.sent_ms = json.value("sent", int64_t(0));
         answer.config_version = json.value("config", int64_t(0));
         answer.strongest_follower = json.value("strongest", 0);
+        answer.peers_hash = json.value("peers_hash", int64_t(0));
+        answer.peers = json.value("peers", std::vector<std::string>());
         answer.status = json.value("status", 0);
         answer.count = json.value("count", int64_t(0));
         const int state = json.value("state", -1);
