--- /dev/null
+++ b/src/jobs.lib/advice_pool_test.cpp
@@ -0,0 +1,116 @@
+// Copyright the pathport authors.
+// SPDX-License-Identifier: Apache-2.0
+
+/// \file
+/// Which caller takes which question for advice.
+
+#define BOOST_TEST_MODULE advice_pool
+#include <boost/test/unit_test.hpp>
+
+#include "advice_pool.h"
+
+#include <pathport/emulator/virtual_loop.h>
+#include <pathport/jobs/peers.h>
+
+using namespace pathport;
+using namespace pathport::jobs;
+
+namespace {
+
+/// Answers each question after its cost and counts what it was asked.
+class CountingAdvisor : public Advisor {
+public:
+    explicit CountingAdvisor(emulator::World& world)
+        : m_world(world)
+    {
+    }
+    void ask(const std::string& step, const std::vector<std::string>&, Millis,
+             std::function<void(std::optional<std::vector<WorkerTicket>>)> done) override
+    {
+        asked.push_back(step);
+        m_world.after(Millis(50), [done] { done(std::vector<WorkerTicket>()); });
+    }
+    std::vector<std::string> asked;
+
+private:
+    emulator::World& m_world;
+};
+
+/// Peers that never answer.
+class SilentPeers : public PeerClient {
+public:
+    explicit SilentPeers(emulator::World& world)
+        : m_world(world)
+    {
+    }
+    void send(const std::string& address, const PeerRequest& request, Millis timeout,
+              PeerReply done) override
+    {
+        ++sent;
+        asked[address].push_back(request.job);
+        m_world.after(timeout, [done] { done(PeerEnd::silent, {}); });
+    }
+    int sent = 0;
+    std::map<std::string, std::vector<std::string>> asked; ///< Steps, by address.
+
+private:
+    emulator::World& m_world;
+};
+
+AdviceQuestion question_of(const std::string& step, int priority, double decision_ms)
+{
+    AdviceQuestion question;
+    question.step = step;
+    question.workers = { "w" };
+    question.rule = { decision_ms, 1, 2000 };
+    question.priority = priority;
+    return question;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(urgent_questions_overtake_and_slow_ones_use_other_callers)
+{
+    emulator::World world(8);
+    emulator::ProcessLoop loop(world);
+    CountingAdvisor advisor(world);
+    SilentPeers peers(world);
+    AdvicePool pool(loop, advisor, peers);
+    const auto ignore = [](const AdviceReply&) {};
+    pool.ask(question_of("a", 2, 10), ignore);
+    pool.ask(question_of("b", 2, 10), ignore);
+    pool.ask(question_of("c", 2, 10), ignore);
+    pool.ask(question_of("urgent", 0, 10), ignore);
+    world.run_for(Millis(500));
+    BOOST_REQUIRE(advisor.asked.size() == 4U);
+    BOOST_TEST(advisor.asked[2] == "urgent");
+    pool.set_peers({ "10.0.0.2:1" });
+    pool.ask(question_of("slow", 1, 400), ignore);
+    world.run_for(Millis(10));
+    BOOST_TEST(peers.sent == 1);
+    BOOST_TEST(advisor.asked.size() == 4U);
+}
+
+// A slow question must not hold up faster ones behind it at the advisor.
+BOOST_AUTO_TEST_CASE(each_class_of_questions_has_callers_of_its_own)
+{
+    emulator::World world(9);
+    emulator::ProcessLoop loop(world);
+    CountingAdvisor advisor(world);
+    SilentPeers peers(world);
+    AdvicePool pool(loop, advisor, peers);
+    pool.set_peers({ "medium", "slow1", "slow2" });
+    const auto ignore = [](const AdviceReply&) {};
+    for (const char* step : { "s1", "s2", "s3" })
+        pool.ask(question_of(step, 1, 500), ignore);
+    pool.ask(question_of("f1", 0, 5), ignore);
+    pool.ask(question_of("m1", 2, 60), ignore);
+    world.run_for(Millis(10));
+    const std::vector<std::string> fast { "f1" };
+    const std::vector<std::string> medium { "m1" };
+    BOOST_TEST(advisor.asked == fast, boost::test_tools::per_element());
+    BOOST_TEST(peers.asked["medium"] == medium, boost::test_tools::per_element());
+    BOOST_TEST(peers.asked["slow1"].size() == 1U);
+    BOOST_TEST(peers.asked["slow2"].size() == 1U);
+    BOOST_TEST(pool.waiting() == 1U);
+}
--- /dev/null
+++ b/src/jobs.lib/head_log_test.cpp
@@ -0,0 +1,116 @@
+// Copyright the pathport authors.
+// SPDX-License-Identifier: Apache-2.0
+
+/// \file
+/// The chain of a leader's writes.
+
+#define BOOST_TEST_MODULE head_log
+#include <boost/test/unit_test.hpp>
+
+#include "head_log.h"
+#include "store_keys.h"
+
+#include <pathport/emulator/store.h>
+
+using namespace pathport;
+using namespace pathport::jobs;
+
+namespace {
+
+/// Gives the same value for each job.
+class FixedOwner : public HeadLogOwner {
+public:
+    std::optional<std::string> progress_of(const std::string& job) override
+    {
+        return "row of " + job;
+    }
+    void log_lost() override { lost = true; }
+    bool lost = false;
+};
+
+StoreWrite claim_of(const HeadValue& head)
+{
+    StoreWrite claim;
+    claim.puts.push_back({ lead_row(head_key), encode(head) });
+    return claim;
+}
+
+/// The log of a leader that has just claimed its place in a store of its own.
+struct LoggedStore {
+    explicit LoggedStore(uint64_t seed)
+        : world(seed)
+    {
+    }
+
+    emulator::World world;
+    emulator::Store store { world };
+    emulator::ProcessLoop loop { world };
+    emulator::StorePort port { store, loop, "n1" };
+    FixedOwner owner;
+    HeadValue head { 1, 0, "first", false };
+    HeadLog log { loop,       port, owner, head, store.write_now(claim_of(head)).version,
+                  world.now() };
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(leaders_writes_are_chained)
+{
+    LoggedStore logged(5);
+    emulator::World& world = logged.world;
+    emulator::Store& store = logged.store;
+    FixedOwner& owner = logged.owner;
+    HeadLog& log = logged.log;
+    bool recorded = false;
+    log.record("job", [&] { recorded = true; });
+    world.run_for(Millis(100));
+    BOOST_TEST(recorded);
+    BOOST_TEST(store.value(progress_row("job")) == "row of job");
+    // Another leader's claim ends it: nothing more is written.
+    store.write_now(claim_of(HeadValue { 2, 0, "second", false }));
+    recorded = false;
+    log.record("late", [&] { recorded = true; });
+    world.run_for(Millis(2000));
+    BOOST_TEST(owner.lost);
+    BOOST_TEST(!recorded);
+    BOOST_TEST(store.value(progress_row("late")).empty());
+}
+
+BOOST_AUTO_TEST_CASE(lost_and_late_answers_write_each_row_once)
+{
+    for (const bool late : { false, true }) {
+        LoggedStore logged(6);
+        emulator::World& world = logged.world;
+        emulator::Store& store = logged.store;
+        FixedOwner& owner = logged.owner;
+        HeadLog& log = logged.log;
+        store.trouble.lose = 0.5;
+        store.trouble.late = late;
+        int recorded = 0;
+        for (int i = 0; i < 30; ++i) {
+            log.record("job" + std::to_string(i), [&] { ++recorded; });
+            world.run_for(Millis(100));
+        }
+        world.run_for(Millis(10000));
+        BOOST_TEST(recorded == 30);
+        BOOST_TEST(!owner.lost);
+        BOOST_TEST(log.served());
+    }
+}
+
+BOOST_AUTO_TEST_CASE(lease_ends_while_the_store_is_away)
+{
+    LoggedStore logged(7);
+    emulator::World& world = logged.world;
+    emulator::Store& store = logged.store;
+    HeadLog& log = logged.log;
+    world.run_for(Millis(3000));
+    BOOST_TEST((world.now() < log.lease_until()));
+    store.trouble.busy = true;
+    world.run_for(leader_lease + Millis(100));
+    BOOST_TEST((world.now() > log.lease_until()));
+    BOOST_TEST(!log.served());
+    store.trouble.busy = false;
+    world.run_for(Millis(1000));
+    BOOST_TEST((world.now() < log.lease_until()));
+}
--- a/src/jobs.lib/job_node.cpp
+++ b/src/jobs.lib/job_node.cpp
@@ -58,11 +58,7 @@
     log_event(LogLevel::info, "leadership_resigned",
               { { "epoch", m_leadership.epoch() }, { "reason", "planned_stop" } });
     // Followers are told, so that they don't have to wait for their next heartbeat.
-    PeerRequest notice;
-    notice.topic = PeerTopic::heartbeat;
-    notice.node = m_setup.node;
-    notice.address = m_setup.peer_address;
-    notice.epoch = m_leadership.epoch();
+    PeerRequest notice = own_heartbeat();
     notice.resigned = true;
     for (const auto& [address, follower] : m_followers)
         m_parts.peers.send(address, notice, probe_timeout,
@@ -157,12 +153,9 @@
     }
 }
 
-// Asks any other node, since those that the store serves know who leads.
-void JobNode::Impl::leader_untold()
+// Returns a heartbeat that tells who this node is and the epoch that it knows.
+PeerRequest JobNode::Impl::own_heartbeat() const
 {
-    if (m_peers.empty() || m_scheduler)
-        return;
-    const std::string peer = m_peers[m_parts.loop.random() % m_peers.size()];
     PeerRequest request;
     request.topic = PeerTopic::heartbeat;
     request.node = m_setup.node;
@@ -170,8 +163,17 @@
     request.incarnation = m_setup.incarnation;
     request.epoch = m_leadership.epoch();
     request.strength = m_setup.strength;
+    return request;
+}
+
+// Asks any other node, since those that the store serves know who leads.
+void JobNode::Impl::leader_untold()
+{
+    if (m_peers.empty() || m_scheduler)
+        return;
+    const std::string peer = m_peers[m_parts.loop.random() % m_peers.size()];
     m_parts.peers.send(
-        peer, request, probe_timeout,
+        peer, own_heartbeat(), probe_timeout,
         m_lifetime.wrap([this, peer](PeerEnd end, const PeerAnswer& answer) {
             if (end != PeerEnd::answered)
                 return;
@@ -190,13 +192,7 @@
 {
     if (address.empty())
         return;
-    PeerRequest notice;
-    notice.topic = PeerTopic::heartbeat;
-    notice.node = m_setup.node;
-    notice.address = m_setup.peer_address;
-    notice.incarnation = m_setup.incarnation;
-    notice.epoch = m_leadership.epoch();
-    notice.strength = m_setup.strength;
+    PeerRequest notice = own_heartbeat();
     notice.leads = true;
     m_parts.peers.send(address, notice, probe_timeout, [](PeerEnd, const PeerAnswer&) {});
 }
@@ -285,11 +281,7 @@
     if (follower.probing)
         return;
     follower.probing = true;
-    PeerRequest probe;
-    probe.topic = PeerTopic::heartbeat;
-    probe.node = m_setup.node;
-    probe.address = m_setup.peer_address;
-    probe.epoch = m_leadership.epoch();
+    PeerRequest probe = own_heartbeat();
     probe.leads = true;
     m_parts.peers.send(address, probe, probe_timeout,
                        m_lifetime.wrap([this, address](PeerEnd end, const PeerAnswer&) {
--- a/src/jobs.lib/job_node_impl.h
+++ b/src/jobs.lib/job_node_impl.h
@@ -65,6 +65,7 @@
     void apply(const Configuration& configuration, const char* source);
     void fetch_configuration(const std::string& address);
     void deposed();
+    PeerRequest own_heartbeat() const;
     void announce(const std::string& address);
     void lead_tick();
     void probe_follower(const std::string& address);
