Gangs ask about thirty workers at first, and about more when they wait

Change: a gang's first question names 30 workers at least; one that found no room for 0.6 s asks about further ones.

--- a/src/jobs.lib/job_record.h
+++ b/src/jobs.lib/job_record.h
@@ -61,6 +61,7 @@
     std::map<std::string, Permission>
         workers; ///< By worker; those not in it weren't asked.
     bool asking = false;
+    Millis verdicts_at; ///< When the last new verdicts came.
     Millis tickets_until; ///< No ticket holds any more from then on.
     Millis retry_at; ///< No call before it.
 };
--- a/src/jobs.lib/scheduler_advice.cpp
+++ b/src/jobs.lib/scheduler_advice.cpp
@@ -28,8 +28,10 @@
 /// Questions of less urgent queues are put off while so many wait for a free caller: their
 /// answers would be old when they are used.
 constexpr size_t most_waiting_questions = 64;
-/// Workers named in one question.
+/// Workers named in one question. A gang needs room on many at once, and the time that it
+/// may take allows for a question about thirty.
 constexpr int least_asked = 10;
+constexpr int least_asked_for_gang = 30;
 constexpr int most_asked = 100;
 /// Asked for beyond what is needed on average, since the advisor's choice varies.
 constexpr double asked_reserve = 1.5;
@@ -100,10 +102,11 @@
         = m_allowed_share.try_emplace(job.accepted().queue.name, first_allowed_share)
               .first->second;
     double expected = 0.5 * (found.fit + found.later_fit);
+    const int least = step.spec->gang ? least_asked_for_gang : least_asked;
     std::vector<Prospect> chosen;
     for (const Prospect& prospect : found.unasked) {
         const bool enough = expected >= asked_reserve * needed;
-        if (enough && chosen.size() >= size_t(least_asked))
+        if (enough && chosen.size() >= size_t(least))
             break;
         expected += share * 0.5 * (prospect.fit + prospect.later_fit);
         chosen.push_back(prospect);
@@ -185,6 +188,8 @@
     // Tickets that helped to place nothing are not asked for again at once.
     const bool fruitful = step->advice.workers.size() > known_before;
     step->advice.retry_at = fruitful ? Millis(0) : now + fruitless_pause;
+    if (fruitful)
+        step->advice.verdicts_at = now;
     double& share = m_allowed_share[job->accepted().queue.name];
     const double seen = double(reply.tickets->size()) / double(asked.size());
     if (fruitful)
--- a/src/jobs.lib/scheduler_gangs.cpp
+++ b/src/jobs.lib/scheduler_gangs.cpp
@@ -25,6 +25,9 @@
 constexpr Millis ticket_reserve { 750 };
 /// Workers are kept no longer while an answer of the advisor is waited for.
 constexpr Millis longest_question { 3000 };
+/// A gang that got no room for so long on the workers that it may use asks about further
+/// ones.
+constexpr Millis verdicts_patience { 600 };
 /// Pause after a look that showed that all allowed workers together have too little room.
 constexpr Millis hopeless_pause { 100 };
 
@@ -80,7 +83,9 @@
         return;
     Prospects found = prospects(job, step, needed);
     const bool room_now = found.fit >= needed;
-    const bool lacks_verdicts = found.later_fit < needed && !found.unasked.empty();
+    const bool waited_long = m_pass_begun - step.advice.verdicts_at > verdicts_patience;
+    const bool lacks_verdicts
+        = !found.unasked.empty() && (found.later_fit < needed || waited_long);
     if (!room_now && advised && (first_question || lacks_verdicts)) {
         ask_about_more(job, step, needed, found);
         return;
