--- a/testsuite/run_all.py
+++ b/testsuite/run_all.py
@@ -1,15 +1,18 @@
 # Copyright the pathport authors.
 # SPDX-License-Identifier: Apache-2.0
 """Runs all tests: the libraries' through CTest, then each testsuite/run_*.py as a program.
-Ends with the line "N passed, N failed"; a test named in KNOWN-RED.txt may fail."""
+Ends with the line "N passed, N failed"; a test named in KNOWN-RED.txt may fail: one of the
+libraries' by its name, one run of a program as "run_x.py/run"."""
 
 import os
 import re
 import subprocess
 import sys
+import threading
 
 HERE = os.path.dirname(os.path.abspath(__file__))
 ROOT = os.path.dirname(HERE)
+PROGRAM_SECONDS = 400
 
 
 def known_red():
@@ -33,6 +36,26 @@
     return {name: word == "Passed" for name, _, word in results}
 
 
+def run_program(name):
+    """Runs one program of the testsuite and returns {test: passed}: the program itself, or, when
+    it came to its end and reported violations, the runs that did."""
+    lines = []
+    with subprocess.Popen([sys.executable, os.path.join(HERE, name)], text=True,
+                          stdout=subprocess.PIPE, stderr=subprocess.STDOUT) as program:
+        timer = threading.Timer(PROGRAM_SECONDS, program.kill)
+        timer.start()
+        for line in program.stdout:
+            print(line, end="", flush=True)
+            lines.append(line)
+        code = program.wait()
+        timer.cancel()
+    violated = {line.split(":")[0] for line in lines if ": VIOLATION" in line}
+    ended = code == 1 and not any(line.startswith("Traceback") for line in lines)
+    if violated and ended:
+        return {f"{name}/{run}": False for run in violated}
+    return {name: code == 0}
+
+
 def run_programs():
     """Returns {test: passed} of the whole-program runs."""
     results = {}
@@ -40,13 +63,9 @@
         if not (name.startswith("run_") and name.endswith(".py")) or name == "run_all.py":
             continue
         print(f"== {name}", flush=True)
-        try:
-            code = subprocess.run([sys.executable, os.path.join(HERE, name)], timeout=400,
-                                  check=False).returncode
-        except subprocess.TimeoutExpired:
-            code = -1
-        results[name] = code == 0
-        print(f"== {name}: {'passed' if code == 0 else 'FAILED'}", flush=True)
+        outcome = run_program(name)
+        results.update(outcome)
+        print(f"== {name}: {'passed' if all(outcome.values()) else 'FAILED'}", flush=True)
     return results
 
 
