--- a/src/jobs.lib/acceptor.cpp
+++ b/src/jobs.lib/acceptor.cpp
@@ -19,6 +19,19 @@
 
 } // namespace
 
+const char* to_string(WriteEvidence evidence)
+{
+    switch (evidence) {
+    case WriteEvidence::answer:
+        return "answer";
+    case WriteEvidence::row:
+        return "row";
+    case WriteEvidence::none:
+        break;
+    }
+    return "none";
+}
+
 Acceptor::Acceptor(EventLoop& loop, StoreHealth& store)
     : m_loop(loop)
     , m_store(store)
@@ -160,7 +173,7 @@
     Millis pause(0);
     if (result.status == StoreStatus::ok) {
         for (const EntryPtr& entry : sent)
-            finish(entry, WriteOutcome::written, result.version);
+            finish(entry, { WriteOutcome::written, result.version, WriteEvidence::answer });
     } else {
         if (result.status == StoreStatus::refused)
             pause = refused_pause;
@@ -169,7 +182,7 @@
             int64_t version = 0;
             if (result.status == StoreStatus::conflict
                 && finished_by(**entry, result, version)) {
-                finish(*entry, WriteOutcome::written, version);
+                finish(*entry, { WriteOutcome::written, version, WriteEvidence::row });
                 continue;
             }
             if (result.status == StoreStatus::unknown)
@@ -200,7 +213,7 @@
     }
     part.waiting.swap(kept);
     for (const EntryPtr& entry : late)
-        finish(entry, entry->in_doubt ? WriteOutcome::in_doubt : WriteOutcome::refused);
+        finish(entry, { entry->in_doubt ? WriteOutcome::in_doubt : WriteOutcome::refused });
 }
 
 // Returns whether the rows of a conflict show that there is nothing left to write. A closed
@@ -221,11 +234,11 @@
     return false;
 }
 
-void Acceptor::finish(const EntryPtr& entry, WriteOutcome outcome, int64_t version)
+void Acceptor::finish(const EntryPtr& entry, const WriteResult& result)
 {
     m_open.erase(entry->row.key);
     for (const WriteReply& done : entry->done)
-        done({ outcome, version });
+        done(result);
 }
 
 } // namespace pathport::jobs
--- a/src/jobs.lib/acceptor.h
+++ b/src/jobs.lib/acceptor.h
@@ -31,13 +31,24 @@
     missing, ///< For a cancellation: there is no such job.
 };
 
+/// What an outcome was concluded from.
+enum class WriteEvidence {
+    none, ///< Nothing was written as far as it is known.
+    answer, ///< The store answered that this transaction took effect.
+    row, ///< The row, or that of the closed job, was seen in the store.
+};
+
 /// The same with the version at which a job came into the store; 0 when that isn't known or
 /// the job is closed.
 struct WriteResult {
     WriteOutcome outcome = WriteOutcome::in_doubt;
     int64_t version = 0;
+    WriteEvidence evidence = WriteEvidence::none;
 };
 
+/// Returns the lower-case name of `evidence`.
+const char* to_string(WriteEvidence evidence);
+
 using WriteReply = std::function<void(WriteResult)>;
 
 /// Writes jobs and cancellations.
@@ -73,7 +84,7 @@
     void add(const std::string& part, EntryPtr entry);
     void flush(const std::string& part);
     void answered(const std::string& part, const StoreResult& result);
-    void finish(const EntryPtr& entry, WriteOutcome outcome, int64_t version = 0);
+    void finish(const EntryPtr& entry, const WriteResult& result);
     static bool finished_by(const Entry& entry, const StoreResult& conflict,
                             int64_t& version);
     void give_up_late(Part& part);
--- a/src/jobs.lib/job_node_clients.cpp
+++ b/src/jobs.lib/job_node_clients.cpp
@@ -98,6 +98,8 @@
                                { "config", config_version },
                                { "store", m_store.failing() ? "away" : "serves" },
                                { "outcome", to_string(outcome) },
+                               { "evidence", to_string(result.evidence) },
+                               { "version", result.version },
                                { "after_ms", (m_parts.loop.now() - received).count() } });
                    if (outcome == WriteOutcome::written) {
                        done(ClientStatus::ok);
--- a/src/jobs.lib/scheduler.h
+++ b/src/jobs.lib/scheduler.h
@@ -189,7 +189,7 @@
     void release_all(Worker& worker);
 
     // Jobs (scheduler_jobs.cpp).
-    void job_accepted(const AcceptedJob& job);
+    void job_accepted(const AcceptedJob& job, int64_t version, const char* source);
     void add_job(std::unique_ptr<JobRecord> job);
     void begin_due_repeats(JobRecord& job);
     void after_step_change(JobRecord& job, Step& step);
--- a/src/jobs.lib/scheduler_jobs.cpp
+++ b/src/jobs.lib/scheduler_jobs.cpp
@@ -38,16 +38,21 @@
 void Scheduler::job_announced(const AcceptedJob& accepted, int64_t version)
 {
     if (version > m_claim.version)
-        job_accepted(accepted);
+        job_accepted(accepted, version, "peer");
 }
 
-void Scheduler::job_accepted(const AcceptedJob& accepted)
+// `version` is that of the job's row; `source` tells in the log who told of it.
+void Scheduler::job_accepted(const AcceptedJob& accepted, int64_t version,
+                             const char* source)
 {
     if (m_phase == Phase::loading || m_jobs.count(accepted.id) > 0
         || m_closed.count(accepted.id) > 0)
         return;
     log_event(LogLevel::info, "job_known",
-              { { "job", accepted.id }, { "queue", accepted.queue.name } });
+              { { "job", accepted.id },
+                { "queue", accepted.queue.name },
+                { "source", source },
+                { "version", version } });
     add_job(std::make_unique<JobRecord>(accepted, m_parts.loop.now()));
     schedule_pass();
 }
--- a/src/jobs.lib/scheduler_load.cpp
+++ b/src/jobs.lib/scheduler_load.cpp
@@ -124,8 +124,12 @@
     // What is left belongs to jobs that an earlier leader had archived.
     for (const auto& [id, value] : progress) {
         const auto final_state = final_state_of_progress(*value);
-        if (!final_state)
+        if (!final_state) {
+            // An earlier leader ran tasks of it, so it must have been accepted.
+            log_event(LogLevel::error, "progress_without_job",
+                      { { "job", id }, { "epoch", m_claim.head.epoch } });
             continue;
+        }
         m_closed[id] = *final_state;
         archived({ id });
     }
@@ -238,7 +242,7 @@
     Failure reason;
     const auto job = decode_accepted_job(row.id.key, row.value, reason);
     if (job)
-        job_accepted(*job);
+        job_accepted(*job, row.version, "store");
     else
         log_event(LogLevel::error, "job_row_malformed",
                   { { "job", row.id.key }, { "reason", reason.detail() } });
