A row that was read proves itself, not its transaction

Hand-ins and cancellations share transactions, and their first row may have been put by an earlier write, done late, or by another node. The others of the transaction were then accepted without being in the store, announced and run; the next leader did not know them. Class: evidence of one thing taken for evidence of another.

Change: a result that a read brought is 'unknown' with the row that was seen. The acceptor takes just that row as written and sends the others again; what can't be resolved in time is in doubt, never refused. The leader's log and a claim go on concluding from it, as their first row belongs to one write alone.

--- a/src/jobs.lib/acceptor.cpp
+++ b/src/jobs.lib/acceptor.cpp
@@ -178,10 +178,9 @@
         if (result.status == StoreStatus::refused)
             pause = refused_pause;
         for (auto entry = sent.rbegin(); entry != sent.rend(); ++entry) {
-            // A conflict tells which rows are there already; the others go out again.
+            // Rows that came with the result are there already; the others go out again.
             int64_t version = 0;
-            if (result.status == StoreStatus::conflict
-                && finished_by(**entry, result, version)) {
+            if (finished_by(**entry, result, version)) {
                 finish(*entry, { WriteOutcome::written, version, WriteEvidence::row });
                 continue;
             }
@@ -216,12 +215,12 @@
         finish(entry, { entry->in_doubt ? WriteOutcome::in_doubt : WriteOutcome::refused });
 }
 
-// Returns whether the rows of a conflict show that there is nothing left to write. A closed
-// job's version is left at 0: it says nothing about when the job came.
-bool Acceptor::finished_by(const Entry& entry, const StoreResult& conflict,
-                           int64_t& version)
+// Returns whether the rows of a result, those that a conflict names or one that was read,
+// show that there is nothing left to write. A closed job's version is left at 0: it says
+// nothing about when the job came.
+bool Acceptor::finished_by(const Entry& entry, const StoreResult& result, int64_t& version)
 {
-    for (const StoredRow& row : conflict.rows) {
+    for (const StoredRow& row : result.rows) {
         if (row.version == 0)
             continue;
         if (row.id == entry.row) {
--- a/src/jobs.lib/acceptor.h
+++ b/src/jobs.lib/acceptor.h
@@ -85,7 +85,7 @@
     void flush(const std::string& part);
     void answered(const std::string& part, const StoreResult& result);
     void finish(const EntryPtr& entry, const WriteResult& result);
-    static bool finished_by(const Entry& entry, const StoreResult& conflict,
+    static bool finished_by(const Entry& entry, const StoreResult& result,
                             int64_t& version);
     void give_up_late(Part& part);
 
--- a/src/jobs.lib/head_log.cpp
+++ b/src/jobs.lib/head_log.cpp
@@ -171,7 +171,10 @@
         committed(result.version, asked);
         return;
     case StoreStatus::conflict:
-        conflicted(result, asked);
+        if (const StoredRow* head = own_head(result))
+            committed(head->version, asked);
+        else
+            lost();
         return;
     case StoreStatus::refused:
     case StoreStatus::history_lost:
@@ -179,6 +182,10 @@
         schedule(refused_pause);
         return;
     case StoreStatus::unknown:
+        if (const StoredRow* head = own_head(result)) {
+            committed(head->version, asked);
+            return;
+        }
         // The same write goes out again: its check lets it take effect once at most.
         m_served = false;
         schedule(Millis(1));
@@ -209,16 +216,20 @@
     }
 }
 
-void HeadLog::conflicted(const StoreResult& result, Millis asked)
+// Returns the head row among those of a result if it is the one of the present write. Each
+// write has a head of its own, so an earlier sending of it took effect, and nobody had
+// claimed the leadership when the row was seen.
+const StoredRow* HeadLog::own_head(const StoreResult& result) const
 {
     for (const StoredRow& row : result.rows) {
-        if (row.id == lead_row(head_key) && decode_head(row.value) == m_head) {
-            // An earlier sending of this write took effect, and nobody has claimed the
-            // leadership before this call was made.
-            committed(row.version, asked);
-            return;
-        }
+        if (row.id == lead_row(head_key) && decode_head(row.value) == m_head)
+            return &row;
     }
+    return nullptr;
+}
+
+void HeadLog::lost()
+{
     m_lost = true;
     m_loop.cancel(m_timer);
     log_event(LogLevel::warn, "leadership_lost",
--- a/src/jobs.lib/head_log.h
+++ b/src/jobs.lib/head_log.h
@@ -97,7 +97,8 @@
     void send();
     void answered(const StoreResult& result, Millis asked);
     void committed(int64_t version, Millis asked);
-    void conflicted(const StoreResult& result, Millis asked);
+    const StoredRow* own_head(const StoreResult& result) const;
+    void lost();
 
     EventLoop& m_loop;
     HeadLogOwner& m_owner;
--- a/src/jobs.lib/leadership.cpp
+++ b/src/jobs.lib/leadership.cpp
@@ -400,14 +400,15 @@
     log_event(LogLevel::info, "claim",
               { { "epoch", m_claimed_head.epoch },
                 { "instead_of", m_leader.identity.node },
-                { "won", result.status == StoreStatus::ok ? "yes" : "no" },
+                { "won", claim_version(result) ? "yes" : "no" },
                 { "status", static_cast<int>(result.status) },
                 { "after_ms", (m_loop.now() - asked).count() } });
     if (m_retired)
         return;
-    if (result.status == StoreStatus::ok) {
+    const std::optional<int64_t> won_at = claim_version(result);
+    if (won_at) {
         m_leader = LeaderValue { m_claimed_head.epoch, m_identity };
-        become_leader(result.version, asked);
+        become_leader(*won_at, asked);
         return;
     }
     // The rows tell whether somebody else was first, or whether this claim took effect.
@@ -415,6 +416,23 @@
                  m_lifetime.wrap([this] { read_rows(); }));
 }
 
+// Returns the version of the head row if the claim took effect. Both lead rows are put by
+// every claim and by claims alone, so the leader's row, with this node and epoch, proves
+// the head's as well.
+std::optional<int64_t> Leadership::claim_version(const StoreResult& result) const
+{
+    if (result.status == StoreStatus::ok)
+        return result.version;
+    if (result.status != StoreStatus::unknown)
+        return std::nullopt;
+    const std::string claimed = encode(LeaderValue { m_claimed_head.epoch, m_identity });
+    for (const StoredRow& row : result.rows) {
+        if (row.id == lead_row(leader_key) && row.value == claimed)
+            return row.version;
+    }
+    return std::nullopt;
+}
+
 void Leadership::become_leader(int64_t head_version, Millis claimed)
 {
     m_leading = true;
--- a/src/jobs.lib/leadership.h
+++ b/src/jobs.lib/leadership.h
@@ -102,6 +102,7 @@
     void defer_claim();
     void send_claim();
     void claim_answered(const StoreResult& result, Millis asked);
+    std::optional<int64_t> claim_version(const StoreResult& result) const;
     void become_leader(int64_t head_version, Millis claimed);
 
     EventLoop& m_loop;
--- a/src/jobs.lib/store_writer.cpp
+++ b/src/jobs.lib/store_writer.cpp
@@ -64,9 +64,11 @@
         return;
     for (const StoredRow& row : result.rows) {
         if (row.id == call->first_put.id && row.value == call->first_put.value) {
-            StoreResult done = result;
-            done.version = row.version;
-            finish(call, done);
+            StoreResult seen;
+            seen.status = StoreStatus::unknown;
+            seen.rows = { row };
+            seen.clock_ms = result.clock_ms;
+            finish(call, seen);
             return;
         }
     }
--- a/src/jobs.lib/store_writer.h
+++ b/src/jobs.lib/store_writer.h
@@ -16,16 +16,22 @@
 namespace pathport::jobs {
 
 /// Sends one transaction at a time. When no answer comes for several times the usual
-/// latency, it reads a row that the transaction puts: if that is there, the write has taken
-/// effect; if the read was quick and it isn't, the answer counts as lost; if the read is
+/// latency, it reads the first row that the transaction puts. If that is there, the caller
+/// is told; if the read was quick and it isn't, the answer counts as lost; if the read is
 /// slow too, the store is slow, and the answer is waited for.
+///
+/// A row that is there proves nothing of the transaction's other rows: an earlier write of
+/// the same row, done late, or another node may have put it. So such a result is `unknown`
+/// with that row, and only a caller whose first row is of this transaction alone may
+/// conclude that the whole of it took effect.
 class StoreWriter {
 public:
     StoreWriter(EventLoop& loop, JobStore& store);
 
-    /// Runs `write`, whose first put is not there with that value yet. `done` is called
-    /// exactly once, later. `unknown` means that the write may still be done: the caller
-    /// sends the same write again, whose checks let it take effect once at most.
+    /// Runs `write`. `done` is called exactly once, later. `unknown` means that the write
+    /// may have been done or may still be done; its `rows` hold the first put as it was
+    /// read from the store, or nothing. The caller sends again what it doesn't know to be
+    /// there; the checks let it take effect once at most.
     void send(const StoreWrite& write, StoreReply done);
 
     /// Returns whether the store answers much slower than it should.
