Workers that may run tasks without a record are named in the head row until they have reported

Change: the head row names the workers instead. A leader sends an order before its record only to a worker that both the last write in the store and the one under way name; a claim hands the names on; each name goes once the worker has reported, its life or lease is over, or all that was left has ended; until then jobs that an earlier leader may have started are held back, also those that came while its lease lasted. What is found running is recorded. A write that doesn't hold all that waits says so even if its size was the reason.

--- a/src/jobs.lib/head_log.cpp
+++ b/src/jobs.lib/head_log.cpp
@@ -9,6 +9,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
+
 namespace pathport::jobs {
 
 namespace {
@@ -32,7 +34,7 @@
 std::string encode(const HeadValue& head)
 {
     return nlohmann::json::array(
-               { head.epoch, head.number, head.incarnation, head.unrecorded })
+               { head.epoch, head.number, head.incarnation, head.unrecorded_on })
         .dump();
 }
 
@@ -41,12 +43,19 @@
     try {
         const auto json = nlohmann::json::parse(text);
         return HeadValue { json.at(0).get<int64_t>(), json.at(1).get<int64_t>(),
-                           json.at(2).get<std::string>(), json.at(3).get<bool>() };
+                           json.at(2).get<std::string>(),
+                           json.at(3).get<std::vector<std::string>>() };
     } catch (const nlohmann::json::exception&) {
         return std::nullopt;
     }
 }
 
+bool HeadValue::names(const std::string& worker) const
+{
+    return std::find(unrecorded_on.begin(), unrecorded_on.end(), worker)
+        != unrecorded_on.end();
+}
+
 HeadLog::HeadLog(EventLoop& loop, JobStore& store, HeadLogOwner& owner, HeadValue head,
                  int64_t version, Millis claimed)
     : m_loop(loop)
@@ -97,10 +106,16 @@
 bool HeadLog::served() const
 {
     const Millis last_write = m_lease_until - leader_lease;
-    const Millis allowed = m_announced_unrecorded ? slow_write_age : usual_write_age;
+    const Millis allowed = m_announced.precede ? slow_write_age : usual_write_age;
     return m_served && m_loop.now() - last_write < allowed;
 }
 
+bool HeadLog::may_precede_record(const std::string& worker) const
+{
+    return m_announced.precede && m_filled.precede && m_announced.head.names(worker)
+        && m_filled.head.names(worker);
+}
+
 void HeadLog::schedule(Millis delay)
 {
     const Millis at = m_loop.now() + delay;
@@ -126,12 +141,8 @@
 void HeadLog::fill()
 {
     m_write = {};
-    ++m_head.number;
-    // Once the store is quick again and this write holds all that waits, what comes later
-    // is recorded first.
-    m_head.unrecorded = m_writer.slow() || m_queue.size() > most_rows;
     m_write.checks.push_back({ lead_row(head_key), m_version });
-    m_write.puts.push_back({ lead_row(head_key), encode(m_head) });
+    m_write.puts.push_back({ lead_row(head_key), {} });
     size_t bytes = 0;
     while (!m_queue.empty() && m_under_way.size() < most_rows
            && bytes < max_transaction_bytes) {
@@ -148,6 +159,13 @@
         bytes += value->size();
         m_write.puts.push_back({ progress_row(job), std::move(*value) });
     }
+    // Once the store is quick again and this write holds all that waits, what comes later
+    // is recorded first.
+    m_filled.precede = m_writer.slow() || !m_queue.empty();
+    ++m_head.number;
+    m_head.unrecorded_on = m_owner.unrecorded_workers(m_filled.precede);
+    m_filled.head = m_head;
+    m_write.puts.front().value = encode(m_head);
     m_pending_write = true;
 }
 
@@ -199,7 +217,7 @@
     m_version = version;
     m_lease_until = asked + leader_lease;
     m_pending_write = false;
-    m_announced_unrecorded = m_head.unrecorded;
+    m_announced = m_filled;
     std::vector<Entry> written;
     written.swap(m_under_way);
     const Millis since = m_loop.now() - asked;
--- a/src/jobs.lib/head_log.h
+++ b/src/jobs.lib/head_log.h
@@ -31,15 +31,18 @@
     int64_t epoch = 0;
     int64_t number = 0; ///< Of the write within the epoch.
     std::string incarnation; ///< Of the writer.
-    /// Orders may have been sent before their intents were recorded, since the store is
-    /// slow.
-    bool unrecorded = false;
+    /// Workers that may run tasks of which no record tells: this leader's orders may
+    /// precede their records there, or an earlier leader's did and its tasks are not known
+    /// yet.
+    std::vector<std::string> unrecorded_on;
 
     bool operator==(const HeadValue& other) const
     {
         return epoch == other.epoch && number == other.number
-            && incarnation == other.incarnation && unrecorded == other.unrecorded;
+            && incarnation == other.incarnation && unrecorded_on == other.unrecorded_on;
     }
+    /// Returns whether `worker` is among those of `unrecorded_on`.
+    bool names(const std::string& worker) const;
 };
 
 std::string encode(const HeadValue& head);
@@ -53,6 +56,9 @@
     /// Returns the progress row of `job` as it is to be written; nothing when the row is to
     /// be removed.
     virtual std::optional<std::string> progress_of(const std::string& job) = 0;
+    /// Returns the workers that may run tasks without a record until the next write: those
+    /// that earlier leaders left, and, when `orders_precede`, all that may be given orders.
+    virtual std::vector<std::string> unrecorded_workers(bool orders_precede) = 0;
     /// The head row has been changed by another leader; nothing more can be written.
     virtual void log_lost() = 0;
 };
@@ -77,9 +83,12 @@
     /// Returns whether the store serves this log: the last call was answered, and a write
     /// has taken effect not long ago.
     bool served() const;
-    /// Returns whether orders may be sent before they are recorded: the store is slow, and
-    /// the head row says that this may happen.
-    bool unrecorded() const { return m_announced_unrecorded; }
+    /// Returns whether the store is so slow that orders may precede their records, at the
+    /// workers that the head row names.
+    bool orders_precede() const { return m_announced.precede; }
+    /// Returns whether an order to `worker` may be sent before it is recorded: the head row
+    /// says so, and no write is under way that denies it.
+    bool may_precede_record(const std::string& worker) const;
     /// Returns whether everything handed in is in the store.
     bool idle() const { return m_queue.empty() && m_under_way.empty(); }
     /// Returns the number of rows that wait to be written.
@@ -107,7 +116,13 @@
     Millis m_lease_until;
     Millis m_last_start;
     StoreWriter m_writer;
-    bool m_announced_unrecorded = false; ///< As of the last write that is in the store.
+    /// What a write says of orders without a record.
+    struct Announcement {
+        bool precede = false;
+        HeadValue head;
+    };
+    Announcement m_announced; ///< By the last write that is in the store.
+    Announcement m_filled; ///< By the last write that was filled.
     bool m_served = true;
     bool m_lost = false;
     bool m_sending = false;
--- a/src/jobs.lib/head_log_test.cpp
+++ b/src/jobs.lib/head_log_test.cpp
@@ -12,6 +12,7 @@
 
 #include <pathport/emulator/store.h>
 
+#include <algorithm>
 #include <set>
 
 using namespace pathport;
@@ -26,6 +27,11 @@
     {
         return "row of " + job;
     }
+    std::vector<std::string> unrecorded_workers(bool orders_precede) override
+    {
+        return orders_precede ? std::vector<std::string> { "w1" }
+                              : std::vector<std::string>();
+    }
     void log_lost() override { lost = true; }
     bool lost = false;
 };
@@ -49,7 +55,7 @@
     emulator::ProcessLoop loop { world };
     emulator::StorePort port { store, loop, "n1" };
     FixedOwner owner;
-    HeadValue head { 1, 0, "first", false };
+    HeadValue head { 1, 0, "first", {} };
     HeadLog log { loop,       port, owner, head, store.write_now(claim_of(head)).version,
                   world.now() };
 };
@@ -69,7 +75,7 @@
     BOOST_TEST(recorded);
     BOOST_TEST(store.value(progress_row("job")) == "row of job");
     // Another leader's claim ends it: nothing more is written.
-    store.write_now(claim_of(HeadValue { 2, 0, "second", false }));
+    store.write_now(claim_of(HeadValue { 2, 0, "second", {} }));
     recorded = false;
     log.record("late", [&] { recorded = true; });
     world.run_for(Millis(2000));
@@ -126,23 +132,26 @@
         LoggedStore logged(seed);
         emulator::World& world = logged.world;
         emulator::Store& store = logged.store;
-        std::set<std::string> unrecorded; // Sent, and not in the store yet.
-        int sent = 0;
+        std::set<std::string> sent; // Orders that preceded their records.
         int untold = 0;
         for (int ms = 0; ms < 12000; ++ms) {
             if (ms % 2000 == 0)
                 store.trouble.slow = ms % 4000 == 0 ? 90 : 1;
-            if (ms % 7 == 0 && logged.log.unrecorded()) {
-                const std::string job = "job" + std::to_string(sent++);
-                unrecorded.insert(job);
-                logged.log.record(job, [&unrecorded, job] { unrecorded.erase(job); });
+            if (ms % 7 == 0 && logged.log.may_precede_record("w1")) {
+                const std::string job = "job" + std::to_string(ms);
+                sent.insert(job);
+                logged.log.record(job);
             }
             world.run_for(Millis(1));
             const auto present = decode_head(store.value(lead_row(head_key)));
-            if (!unrecorded.empty() && !present->unrecorded)
+            const bool all_recorded
+                = std::all_of(sent.begin(), sent.end(), [&](const std::string& job) {
+                      return !store.value(progress_row(job)).empty();
+                  });
+            if (!all_recorded && !present->names("w1"))
                 ++untold;
         }
-        BOOST_TEST(sent > 0);
+        BOOST_TEST(!sent.empty());
         BOOST_TEST(untold == 0, "seed " << seed << ": " << untold << " ms");
     }
 }
--- a/src/jobs.lib/leadership.cpp
+++ b/src/jobs.lib/leadership.cpp
@@ -380,9 +380,10 @@
     if (m_retired)
         return;
     LeaderValue leader { m_leader.epoch + 1, m_identity };
-    m_claimed_head = HeadValue { leader.epoch, 0, m_identity.incarnation };
+    // What earlier leaders left is passed on until this one has found it out.
+    m_claimed_head
+        = HeadValue { leader.epoch, 0, m_identity.incarnation, m_head.unrecorded_on };
     m_claim_started = m_loop.now();
-    m_head_before = m_head;
     m_predecessor = m_leader.identity.address;
     StoreWrite write;
     write.checks.push_back({ lead_row(leader_key), m_leader_version });
@@ -444,7 +445,6 @@
     claim.version = head_version;
     claim.claimed = claimed;
     claim.known = m_loop.now();
-    claim.unrecorded_starts = m_head_before.unrecorded;
     m_listener.elected(claim, m_predecessor);
 }
 
--- a/src/jobs.lib/leadership.h
+++ b/src/jobs.lib/leadership.h
@@ -125,7 +125,6 @@
     HeadValue m_head;
     int64_t m_head_version = 0;
     HeadValue m_claimed_head; ///< What the last claim wrote, whether or not it took effect.
-    HeadValue m_head_before; ///< What the last claim was to replace.
     Millis m_claim_started;
     std::string m_predecessor; ///< Address of the leader that the last claim replaced.
     LeaderValue m_announced; ///< The last that another node told of while this one led.
--- a/src/jobs.lib/scheduler.cpp
+++ b/src/jobs.lib/scheduler.cpp
@@ -30,7 +30,7 @@
     constexpr Millis margin { 300 };
     m_unknown_until = claim.known + leader_lease
         + Millis(m_parts.bounds.max_hold.count() * slow_clock_percent / 100) + margin;
-    m_hold_loaded = claim.unrecorded_starts;
+    m_unresolved = { claim.head.unrecorded_on.begin(), claim.head.unrecorded_on.end() };
 }
 
 Scheduler::~Scheduler() = default;
@@ -76,6 +76,16 @@
     return closed == m_closed.end() ? std::string() : encode_final_progress(closed->second);
 }
 
+std::vector<std::string> Scheduler::unrecorded_workers(bool orders_precede)
+{
+    std::set<std::string> workers = m_unresolved;
+    if (orders_precede) {
+        for (const auto& [id, worker] : m_workers)
+            workers.insert(id);
+    }
+    return { workers.begin(), workers.end() };
+}
+
 JobRecord* Scheduler::find_job(const std::string& id)
 {
     const auto found = m_jobs.find(id);
--- a/src/jobs.lib/scheduler.h
+++ b/src/jobs.lib/scheduler.h
@@ -50,8 +50,6 @@
     HeadValue head;
     int64_t version = 0; ///< Of the head row.
     Millis claimed; ///< When the claim's write began; the lease counts from it.
-    /// The earlier leader may have started tasks without recording where.
-    bool unrecorded_starts = false;
     Millis known; ///< When the claim was known to have taken effect.
 };
 
@@ -96,6 +94,7 @@
     void fenced_off(WorkerSession& session) override;
     // HeadLogOwner
     std::optional<std::string> progress_of(const std::string& job) override;
+    std::vector<std::string> unrecorded_workers(bool orders_precede) override;
     void log_lost() override;
 
 private:
@@ -168,6 +167,7 @@
     void drop_unlisted(const std::string& worker);
     void release_unknown_doubts();
     bool holds_back(const JobRecord& job) const;
+    void resolve_unrecorded(const std::string& worker);
 
     // Reports (scheduler_reports.cpp).
     void record_ends(Worker& worker, const LookReport& report,
@@ -234,7 +234,8 @@
                      const std::vector<std::string>& asked, Millis asked_at,
                      const AdviceReply& reply);
     void intend(JobRecord& job, Step& step, const std::vector<Share>& shares);
-    void send_intended(const std::string& job, int repeat, int step, int64_t run);
+    void send_intended(const std::string& job, int repeat, int step, int64_t run,
+                       bool recorded);
     void start_task(JobRecord& job, Step& step, int index);
     void note_begun(JobRecord& job);
     void start_ended(const TaskId& id, const std::string& worker, int64_t run,
@@ -275,9 +276,9 @@
     bool m_workers_known = false;
     bool m_reading_workers = false;
     Millis m_settle_by;
-    /// Jobs of which an earlier leader may have started tasks on workers that are silent to
-    /// this one, without a record.
-    bool m_hold_loaded = false;
+    /// Workers on which earlier leaders may have started tasks without a record, and which
+    /// have not reported to this one.
+    std::set<std::string> m_unresolved;
     Millis
         m_unknown_until; ///< What an earlier leader started without us has ended by then.
 
--- a/src/jobs.lib/scheduler_jobs.cpp
+++ b/src/jobs.lib/scheduler_jobs.cpp
@@ -146,7 +146,8 @@
 void Scheduler::archive_closed()
 {
     const Millis now = m_parts.loop.now();
-    if (now - m_archive_tried < archive_interval || !m_log.served() || m_log.unrecorded())
+    if (now - m_archive_tried < archive_interval || !m_log.served()
+        || m_log.orders_precede())
         return;
     m_archive_tried = now;
     for (auto& [part, ids] : m_to_archive) {
--- a/src/jobs.lib/scheduler_load.cpp
+++ b/src/jobs.lib/scheduler_load.cpp
@@ -71,6 +71,7 @@
               { { "epoch", m_claim.head.epoch },
                 { "open_jobs", static_cast<int64_t>(m_jobs.size()) },
                 { "closed_jobs", static_cast<int64_t>(m_closed.size()) },
+                { "unrecorded_workers", static_cast<int64_t>(m_unresolved.size()) },
                 { "after_ms", (m_parts.loop.now() - m_claim.claimed).count() } });
     for (auto& [id, worker] : m_workers)
         worker.session->begin();
@@ -248,15 +249,25 @@
                   { { "job", row.id.key }, { "reason", reason.detail() } });
 }
 
-// Of a job that an earlier leader knew, a task may run on a worker that is silent to us.
+// Of a job that an earlier leader knew, a task may run without a record on a worker that is
+// silent to us. An earlier leader that isn't aware of this one hears of new jobs as well,
+// as long as its lease lasts.
 bool Scheduler::holds_back(const JobRecord& job) const
 {
-    if (!m_hold_loaded || !job.loaded)
+    if (m_unresolved.empty())
         return false;
-    if (m_parts.loop.now() >= m_unknown_until)
-        return false;
-    return std::any_of(m_workers.begin(), m_workers.end(),
-                       [](const auto& entry) { return !entry.second.session->fenced(); });
+    return job.loaded || job.seen() < m_claim.known + leader_lease;
+}
+
+// What runs on the worker is known now, or nothing does.
+void Scheduler::resolve_unrecorded(const std::string& worker)
+{
+    if (m_unresolved.erase(worker) == 0 || !m_unresolved.empty())
+        return;
+    log_event(LogLevel::info, "unrecorded_tasks_known",
+              { { "epoch", m_claim.head.epoch },
+                { "after_ms", (m_parts.loop.now() - m_claim.claimed).count() } });
+    schedule_pass();
 }
 
 // What an earlier leader intended for workers that are not listed has ended by now.
@@ -264,6 +275,8 @@
 {
     if (m_parts.loop.now() < m_unknown_until)
         return;
+    while (!m_unresolved.empty())
+        resolve_unrecorded(std::string(*m_unresolved.begin()));
     for (auto& [id, job] : m_jobs) {
         for (auto& [number, repeat] : job->repeats()) {
             for (Step& step : repeat.steps) {
--- a/src/jobs.lib/scheduler_reports.cpp
+++ b/src/jobs.lib/scheduler_reports.cpp
@@ -49,6 +49,7 @@
     record_ends(*worker, report, changed);
     if (first) {
         release_missing(*worker);
+        resolve_unrecorded(session.id());
         settle();
         schedule_pass();
     }
@@ -110,6 +111,8 @@
         return;
     }
     const Millis now = m_parts.loop.now();
+    const bool recorded
+        = expected && task->worker == worker.session->id() && task->run == running.run;
     task->phase = TaskPhase::running;
     task->worker = worker.session->id();
     task->run = running.run;
@@ -120,6 +123,9 @@
         task->checkpoint = running.checkpoint;
     step->gang_run = running.run;
     note_begun(*job);
+    // The next leader might not hear from this worker.
+    if (!recorded)
+        record(*job);
 }
 
 void Scheduler::note_progress(Worker& worker, const RunningTask& running)
@@ -333,6 +339,7 @@
     if (worker == nullptr)
         return;
     release_all(*worker);
+    resolve_unrecorded(session.id());
     // The session is in a call of its own.
     std::shared_ptr<WorkerSession> ended(std::move(worker->session));
     m_workers.erase(ended->id());
@@ -346,6 +353,7 @@
     if (worker == nullptr)
         return;
     release_all(*worker);
+    resolve_unrecorded(session.id());
     if (worker->listed)
         return;
     std::shared_ptr<WorkerSession> ended(std::move(worker->session));
--- a/src/jobs.lib/scheduler_start.cpp
+++ b/src/jobs.lib/scheduler_start.cpp
@@ -44,16 +44,19 @@
                *step.spec, job.accepted().queue.priority);
     }
     record(job, [this, id = job.id(), repeat = step.repeat, index = step.index, run] {
-        send_intended(id, repeat, index, run);
+        send_intended(id, repeat, index, run, true);
     });
     // The store is slow, and the head row says that orders may precede their record. Not so
     // once this leader has resigned: its successor may have claimed already, and does not
     // know jobs that came after its load.
-    if (m_log.unrecorded() && !m_resigned)
-        send_intended(job.id(), step.repeat, step.index, run);
+    if (m_log.orders_precede() && !m_resigned)
+        send_intended(job.id(), step.repeat, step.index, run, false);
 }
 
-void Scheduler::send_intended(const std::string& id, int repeat, int index, int64_t run)
+// Sends the orders of a run. Until it is recorded only those to workers that the head row
+// names.
+void Scheduler::send_intended(const std::string& id, int repeat, int index, int64_t run,
+                              bool recorded)
 {
     JobRecord* job = find_job(id);
     Step* step = job == nullptr ? nullptr : job->step(repeat, index);
@@ -61,7 +64,9 @@
         return;
     for (size_t i = 0; i < step->tasks.size(); ++i) {
         const Task& task = step->tasks[i];
-        if (task.phase == TaskPhase::intended && task.run == run)
+        if (task.phase != TaskPhase::intended || task.run != run)
+            continue;
+        if (recorded || m_log.may_precede_record(task.worker))
             start_task(*job, *step, static_cast<int>(i));
     }
 }
