--- a/src/jobs.lib/take_over_test.cpp
+++ b/src/jobs.lib/take_over_test.cpp
@@ -7,6 +7,9 @@
 #define BOOST_TEST_MODULE take_over
 #include <boost/test/unit_test.hpp>
 
+#include "head_log.h"
+#include "store_keys.h"
+
 #include <pathport/emulator/cell.h>
 #include <pathport/log.h>
 
@@ -67,6 +70,53 @@
     }
 }
 
+int64_t epoch_of(const Cell& cell)
+{
+    const auto head = jobs::decode_head(cell.store.value(jobs::lead_row(jobs::head_key)));
+    return head ? head->epoch : 0;
+}
+
+/// Plays a leader that is deposed and does not know it: it starts a task of a job that its
+/// successor has not read of. Returns what was breached.
+std::vector<std::string> start_behind_the_successor(int64_t run_ms)
+{
+    Cell cell(3, 2, 3);
+    cell.world.run_for(Millis(2000));
+    TaskFacts facts = facts_of(1, run_ms);
+    cell.workers.describe("hidden", 0, facts);
+    emulator::ProcessLoop loop(cell.world);
+    emulator::WorkerPort port(cell.workers, loop, "deposed");
+    jobs::StartOrder order;
+    order.task = { "hidden", 0, 0, 0 };
+    order.run = (int64_t(1) << 20) + 500000;
+    order.payload = facts.payload;
+    order.hold_until = cell.world.now().count() + 5000;
+    order.fence = (int64_t(1) << 20) + 1;
+    port.start(cell.workers.list().front(), order, Millis(400), [](jobs::OrderAnswer) {});
+    cell.world.run_for(Millis(10));
+    cell.kill(cell.leader(), Millis(20000));
+    while (epoch_of(cell) < 2)
+        cell.world.run_for(Millis(1));
+    // The successor has read the part of the job's row by then.
+    cell.world.run_for(Millis(70));
+    jobs::AcceptedJob job;
+    job.id = "hidden";
+    job.queue = cell.queue(false);
+    job.spec.payload = facts.payload;
+    jobs::StepSpec step;
+    step.need = facts.need;
+    step.expected_ms = run_ms;
+    job.spec.steps.push_back(step);
+    jobs::StoreWrite write;
+    write.puts.push_back({ jobs::job_row(job.id), encode(job) });
+    cell.store.write_now(write);
+    cell.world.run_for(Millis(12000));
+    auto wrong = cell.workers.breaches();
+    if (!cell.workers.all_done("hidden", 0, 1, false))
+        wrong.emplace_back("not done");
+    return wrong;
+}
+
 } // namespace
 
 BOOST_TEST_GLOBAL_FIXTURE(QuietLog);
@@ -133,3 +183,13 @@
         BOOST_TEST(wrong.empty(), "seed " << seed << joined(wrong));
     }
 }
+
+// Open since a hunt on the boards (TWICE): ends and runs of jobs that a leader did not know
+// yet were dropped, and the job was run again once it was known.
+BOOST_AUTO_TEST_CASE(runs_and_ends_wait_for_jobs_that_are_not_known_yet)
+{
+    for (const int64_t run_ms : { 20, 60, 700, 3000 }) {
+        const auto wrong = start_behind_the_successor(run_ms);
+        BOOST_TEST(wrong.empty(), run_ms << " ms" << joined(wrong));
+    }
+}
