Ends of jobs that aren't known yet wait for the feed

Cause: a leader that isn't aware of its successor may start a job that came after the successor's load.

Change: such ends are kept, unacknowledged, until the feed has caught up with the report; when the job comes they are applied as those of an earlier leader. A run that was stopped for the same reason holds its task until it has ended.

--- a/src/jobs.lib/scheduler.h
+++ b/src/jobs.lib/scheduler.h
@@ -105,6 +105,13 @@
         int64_t last_number = 0;
         int open = 0; ///< Jobs whose rows are not written yet.
     };
+    /// Ends that a worker told of a job that isn't known yet.
+    struct KeptEnds {
+        std::string worker;
+        std::vector<EndedTask> ends;
+        std::function<void()> done; ///< The worker may forget them.
+        Millis told;
+    };
     /// A worker and what was given to it.
     struct Worker {
         std::unique_ptr<WorkerSession> session;
@@ -188,6 +195,13 @@
     void note_surprise(Worker& worker, const std::string& job);
     void release_all(Worker& worker);
 
+    // What is told of jobs that aren't known yet (scheduler_unknown_jobs.cpp).
+    void keep_ends(const std::string& job, const Worker& worker, const LookReport& report,
+                   std::function<void()> done);
+    void take_kept_ends(const std::string& job);
+    void forget_kept_ends();
+    void join_stray_runs(JobRecord& job);
+
     // Jobs (scheduler_jobs.cpp).
     void job_accepted(const AcceptedJob& job, int64_t version, const char* source);
     void add_job(std::unique_ptr<JobRecord> job);
@@ -285,6 +299,8 @@
     std::map<std::string, std::unique_ptr<JobRecord>>
         m_jobs; ///< Those that are not closed.
     std::map<std::string, JobState> m_closed; ///< Final states, recorded.
+    std::map<std::string, std::vector<KeptEnds>> m_kept_ends; ///< By job, not known yet.
+    std::set<std::string> m_stray_jobs; ///< Not known when runs of theirs were found.
     std::map<std::string, std::vector<std::string>> m_to_archive; ///< By part.
     std::set<std::string> m_archived; ///< Their progress rows are not removed yet.
     Millis m_archive_tried;
--- a/src/jobs.lib/scheduler_jobs.cpp
+++ b/src/jobs.lib/scheduler_jobs.cpp
@@ -54,6 +54,8 @@
                 { "source", source },
                 { "version", version } });
     add_job(std::make_unique<JobRecord>(accepted, m_parts.loop.now()));
+    join_stray_runs(*m_jobs[accepted.id]);
+    take_kept_ends(accepted.id);
     schedule_pass();
 }
 
--- a/src/jobs.lib/scheduler_reports.cpp
+++ b/src/jobs.lib/scheduler_reports.cpp
@@ -77,8 +77,10 @@
             --batch->open;
             batch_recorded(worker, batch);
         });
-        JobRecord* job = find_job(id);
-        if (job != nullptr && changed.count(id) > 0)
+        const bool known = find_job(id) != nullptr || m_closed.count(id) > 0;
+        if (!known)
+            keep_ends(id, worker, report, done);
+        else if (changed.count(id) > 0)
             m_log.record(id, done);
         else
             m_log.when_recorded(id, done);
@@ -108,6 +110,8 @@
             LogLevel::info, "stray_run_stopped",
             { { "task", running.task.to_string() }, { "worker", worker.session->id() } });
         worker.session->stop(running.task, running.run);
+        if (job == nullptr && m_closed.count(running.task.job) == 0)
+            m_stray_jobs.insert(running.task.job);
         return;
     }
     const Millis now = m_parts.loop.now();
--- a/src/jobs.lib/scheduler_tick.cpp
+++ b/src/jobs.lib/scheduler_tick.cpp
@@ -28,6 +28,7 @@
         return;
     if (m_phase == Phase::acting && may_order()) {
         release_unknown_doubts();
+        forget_kept_ends();
         for (auto& [id, job] : m_jobs) {
             if (job->closed())
                 continue;
--- /dev/null
+++ b/src/jobs.lib/scheduler_unknown_jobs.cpp
@@ -0,0 +1,87 @@
+// Copyright the pathport authors.
+// SPDX-License-Identifier: Apache-2.0
+
+/// \file
+/// What workers tell of jobs that the scheduler doesn't know yet. An earlier leader that
+/// isn't aware of this one may have started a job that came after this one's load; the feed
+/// brings the job soon. Until the feed has caught up with the report, ends are not
+/// acknowledged, since the job would run again, and a run that was stopped counts as the
+/// task's.
+
+#include "scheduler.h"
+
+#include <pathport/log.h>
+
+namespace pathport::jobs {
+
+void Scheduler::keep_ends(const std::string& job, const Worker& worker,
+                          const LookReport& report, std::function<void()> done)
+{
+    KeptEnds kept;
+    kept.worker = worker.session->id();
+    kept.done = std::move(done);
+    kept.told = m_parts.loop.now();
+    for (const EndedTask& end : report.ended) {
+        if (end.task.job == job)
+            kept.ends.push_back(end);
+    }
+    m_kept_ends[job].push_back(std::move(kept));
+    m_feed.poll_now();
+}
+
+// The job has become known.
+void Scheduler::take_kept_ends(const std::string& job)
+{
+    const auto found = m_kept_ends.find(job);
+    if (found == m_kept_ends.end())
+        return;
+    const std::vector<KeptEnds> all = std::move(found->second);
+    m_kept_ends.erase(found);
+    for (const KeptEnds& kept : all) {
+        Worker* worker = find_worker(kept.worker);
+        bool changed = false;
+        for (const EndedTask& end : kept.ends)
+            changed = (worker != nullptr && apply_end(*worker, end, true)) || changed;
+        if (changed)
+            m_log.record(job, kept.done);
+        else
+            m_log.when_recorded(job, kept.done);
+    }
+}
+
+// A job that the feed has not brought by now was closed and archived by an earlier leader.
+void Scheduler::forget_kept_ends()
+{
+    for (auto entry = m_kept_ends.begin(); entry != m_kept_ends.end();) {
+        if (m_feed.known_at() <= entry->second.back().told) {
+            ++entry;
+            continue;
+        }
+        const std::vector<KeptEnds> all = std::move(entry->second);
+        log_event(LogLevel::info, "ends_of_unknown_job",
+                  { { "job", entry->first }, { "reports", int64_t(all.size()) } });
+        entry = m_kept_ends.erase(entry);
+        for (const KeptEnds& kept : all)
+            kept.done();
+    }
+}
+
+// Runs that were stopped because nothing was known of their job still hold its tasks.
+void Scheduler::join_stray_runs(JobRecord& job)
+{
+    if (m_stray_jobs.erase(job.id()) == 0)
+        return;
+    for (const auto& [id, worker] : m_workers) {
+        for (const auto& [name, occupant] : worker.load.occupants()) {
+            const auto task_id = TaskId::parse(name);
+            Task* task = task_id && task_id->job == job.id() ? job.task(*task_id) : nullptr;
+            if (task == nullptr || task->phase != TaskPhase::waiting)
+                continue;
+            task->phase = TaskPhase::stopping;
+            task->worker = id;
+            task->run = occupant.run;
+        }
+    }
+}
+
+} // namespace pathport::jobs
