--- a/src/jobs.lib/advice_pool.cpp
+++ b/src/jobs.lib/advice_pool.cpp
@@ -110,6 +110,21 @@
     return best;
 }
 
+AdviceBacklog AdvicePool::backlog() const
+{
+    AdviceBacklog backlog;
+    for (const Waiting& entry : m_waiting) {
+        const Pace pace = pace_of(entry.question);
+        backlog.fast += pace == Pace::fast ? 1 : 0;
+        backlog.medium += pace == Pace::medium ? 1 : 0;
+        backlog.slow += pace == Pace::slow ? 1 : 0;
+    }
+    const Millis now = m_loop.now();
+    for (const Caller& caller : m_callers)
+        backlog.callers += caller.avoid_until <= now ? 1 : 0;
+    return backlog;
+}
+
 void AdvicePool::dispatch()
 {
     for (auto entry = m_waiting.begin(); entry != m_waiting.end();) {
--- a/src/jobs.lib/advice_pool.h
+++ b/src/jobs.lib/advice_pool.h
@@ -35,6 +35,15 @@
     std::optional<std::vector<WorkerTicket>> tickets; ///< Nothing when there was no answer.
 };
 
+/// The questions that wait for a free caller, by how long the advisor takes for them, and
+/// the callers that may be used at present.
+struct AdviceBacklog {
+    int fast = 0;
+    int medium = 0;
+    int slow = 0;
+    int callers = 0;
+};
+
 /// Asks through this node and its peers.
 class AdvicePool {
 public:
@@ -48,6 +57,7 @@
 
     /// Returns how many questions wait for a free caller.
     size_t waiting() const { return m_waiting.size(); }
+    AdviceBacklog backlog() const;
 
 private:
     /// A node through which questions go; the empty address is this node.
--- a/src/jobs.lib/scheduler_tick.cpp
+++ b/src/jobs.lib/scheduler_tick.cpp
@@ -77,6 +77,7 @@
             }
         }
     }
+    const AdviceBacklog advice = m_parts.advice.backlog();
     log_event(LogLevel::info, "load",
               { { "epoch", m_claim.head.epoch },
                 { "workers", static_cast<int64_t>(m_workers.size()) },
@@ -87,7 +88,10 @@
                 { "pass_ms", m_pass_time.count() },
                 { "waiting_tasks", waiting },
                 { "waiting_gangs", waiting_gangs },
-                { "advice_waiting", static_cast<int64_t>(m_parts.advice.waiting()) },
+                { "advice_fast", advice.fast },
+                { "advice_medium", advice.medium },
+                { "advice_slow", advice.slow },
+                { "advice_callers", advice.callers },
                 { "log_backlog", static_cast<int64_t>(m_log.backlog()) } });
     m_passes = 0;
     m_pass_time = Millis(0);
