One claim elects once, and a head belongs to one log

Change: rows are neither read nor acted upon while a claim is under way; a log numbers its writes from a random number on; an unreadable head, or one of the earlier form that says so, stands for any worker; a job is held back by the time at which it was accepted, on the store's clock.

--- a/src/jobs.lib/head_log.cpp
+++ b/src/jobs.lib/head_log.cpp
@@ -26,6 +26,8 @@
 constexpr Millis slow_write_age { 2600 };
 /// Pause before a write is sent again that was refused.
 constexpr Millis refused_pause { 60 };
+/// A log counts its writes from a random number below this on.
+constexpr uint64_t first_number_bound = uint64_t(1) << 40;
 /// Rows in one transaction beside the head row and its check.
 constexpr size_t most_rows = max_transaction_entries - 2;
 
@@ -38,13 +40,27 @@
         .dump();
 }
 
+HeadValue unreadable_head()
+{
+    HeadValue head;
+    head.unrecorded_on = { any_worker };
+    return head;
+}
+
 std::optional<HeadValue> decode_head(const std::string& text)
 {
     try {
         const auto json = nlohmann::json::parse(text);
-        return HeadValue { json.at(0).get<int64_t>(), json.at(1).get<int64_t>(),
-                           json.at(2).get<std::string>(),
-                           json.at(3).get<std::vector<std::string>>() };
+        HeadValue head { json.at(0).get<int64_t>(),
+                         json.at(1).get<int64_t>(),
+                         json.at(2).get<std::string>(),
+                         {} };
+        // Earlier versions only said whether there may be such tasks.
+        if (json.at(3).is_array())
+            head.unrecorded_on = json.at(3).get<std::vector<std::string>>();
+        else if (json.at(3).get<bool>())
+            head.unrecorded_on = { any_worker };
+        return head;
     } catch (const nlohmann::json::exception&) {
         return std::nullopt;
     }
@@ -66,6 +82,8 @@
     , m_last_start(claimed)
     , m_writer(loop, store)
 {
+    // Writes of another log under the same claim, if there ever is one, have other numbers.
+    m_head.number = static_cast<int64_t>(loop.random() % first_number_bound);
     schedule(renewal_interval);
 }
 
--- a/src/jobs.lib/head_log.h
+++ b/src/jobs.lib/head_log.h
@@ -45,7 +45,12 @@
     bool names(const std::string& worker) const;
 };
 
+/// In place of workers in HeadValue::unrecorded_on: any worker may run such tasks.
+inline const char* const any_worker = "*";
+
 std::string encode(const HeadValue& head);
+/// Returns what is to be assumed when the head row can't be read.
+HeadValue unreadable_head();
 std::optional<HeadValue> decode_head(const std::string& text);
 
 /// Gives the present value of rows and hears of the log's fate.
--- a/src/jobs.lib/leadership.cpp
+++ b/src/jobs.lib/leadership.cpp
@@ -166,7 +166,7 @@
 
 void Leadership::read_rows()
 {
-    if (m_reading || m_leading || m_retired)
+    if (m_reading || m_leading || m_retired || m_claiming)
         return;
     m_reading = true;
     StoreRange range;
@@ -182,9 +182,10 @@
                  }));
 }
 
+// While a claim is under way, its own answer decides.
 void Leadership::rows_read(const StoreResult& result)
 {
-    if (m_leading || m_retired)
+    if (m_leading || m_retired || m_claiming)
         return;
     if (result.status != StoreStatus::ok) {
         // Without the store this node can't claim. It asks the leader that was, and others.
@@ -207,7 +208,7 @@
         }
         if (row.id.key == head_key) {
             const auto head = decode_head(row.value);
-            m_head = head ? *head : HeadValue();
+            m_head = head ? *head : unreadable_head();
             m_head_version = row.version;
         }
     }
--- a/src/jobs.lib/scheduler.cpp
+++ b/src/jobs.lib/scheduler.cpp
@@ -10,6 +10,8 @@
 namespace {
 /// Runs of one epoch; an epoch's run ids lie above those of all earlier ones.
 constexpr int64_t runs_per_epoch = int64_t(1) << 20;
+/// The store's clock is known from answers, which a slow store gives late by so much.
+constexpr Millis store_clock_error { 2500 };
 } // namespace
 
 Scheduler::Scheduler(SchedulerParts parts, const Claim& claim,
@@ -30,11 +32,19 @@
     constexpr Millis margin { 300 };
     m_unknown_until = claim.known + leader_lease
         + Millis(m_parts.bounds.max_hold.count() * slow_clock_percent / 100) + margin;
+    m_leases_over_ms
+        = store_time_at(claim.known + leader_lease) + store_clock_error.count();
     m_unresolved = { claim.head.unrecorded_on.begin(), claim.head.unrecorded_on.end() };
 }
 
 Scheduler::~Scheduler() = default;
 
+// Returns the store's time at a time of this process.
+int64_t Scheduler::store_time_at(Millis time) const
+{
+    return m_parts.store_clock_ms() + (time - m_parts.loop.now()).count();
+}
+
 bool Scheduler::may_order() const
 {
     if (m_phase == Phase::over)
--- a/src/jobs.lib/scheduler.h
+++ b/src/jobs.lib/scheduler.h
@@ -175,6 +175,7 @@
     void release_unknown_doubts();
     bool holds_back(const JobRecord& job) const;
     void resolve_unrecorded(const std::string& worker);
+    int64_t store_time_at(Millis time) const;
 
     // Reports (scheduler_reports.cpp).
     void record_ends(Worker& worker, const LookReport& report,
@@ -295,6 +296,8 @@
     std::set<std::string> m_unresolved;
     Millis
         m_unknown_until; ///< What an earlier leader started without us has ended by then.
+    /// The store's time when no earlier leader can start anything any more.
+    int64_t m_leases_over_ms = 0;
 
     std::map<std::string, std::unique_ptr<JobRecord>>
         m_jobs; ///< Those that are not closed.
--- a/src/jobs.lib/scheduler_load.cpp
+++ b/src/jobs.lib/scheduler_load.cpp
@@ -251,12 +251,12 @@
 
 // Of a job that an earlier leader knew, a task may run without a record on a worker that is
 // silent to us. An earlier leader that isn't aware of this one hears of new jobs as well,
-// as long as its lease lasts.
+// as long as its lease lasts; what counts is when they came, not when they are known here.
 bool Scheduler::holds_back(const JobRecord& job) const
 {
     if (m_unresolved.empty())
         return false;
-    return job.loaded || job.seen() < m_claim.known + leader_lease;
+    return job.loaded || job.accepted().accepted_ms < m_leases_over_ms;
 }
 
 // What runs on the worker is known now, or nothing does.
