Tests: steps that could run and are never started (four fail)

Failing on the code as it is: a worker that declines all starts is chosen for one task for ever; an empty answer of the advisor turns allowed workers into refused ones for good; a worker that is listed again is looked at under the epoch's first fence, and the leader takes its refusal for a later leader; an urgent step asks about no slow worker while the others are full. Rejected tickets hold up nothing (passes).

--- /dev/null
+++ b/src/jobs.lib/stuck_step_test.cpp
@@ -0,0 +1,339 @@
+// Copyright the pathport authors.
+// SPDX-License-Identifier: Apache-2.0
+
+/// \file
+/// A step that could run must start within a bounded time, whatever single workers or
+/// single answers of the advisor do. One node schedules; the test scripts the advisor and
+/// the workers' answers to starts.
+
+#define BOOST_TEST_MODULE stuck_step
+#include <boost/test/unit_test.hpp>
+
+#include "head_log.h"
+#include "store_keys.h"
+
+#include <pathport/emulator/store.h>
+#include <pathport/emulator/workers.h>
+#include <pathport/jobs/job_node.h>
+#include <pathport/log.h>
+
+#include <algorithm>
+#include <cstdlib>
+#include <map>
+#include <set>
+
+using namespace pathport;
+using namespace pathport::jobs;
+using emulator::TaskFacts;
+
+namespace {
+
+/// Passes all orders on, but starts on workers that decline.
+class ScriptedWorkers : public WorkerClient {
+public:
+    ScriptedWorkers(emulator::WorkerPort& port, EventLoop& loop)
+        : m_port(port)
+        , m_loop(loop)
+    {
+    }
+
+    void start(const WorkerInfo& worker, const StartOrder& order, Millis timeout,
+               std::function<void(OrderAnswer)> done) override
+    {
+        ++starts[worker.id];
+        const auto refusal = refusals.find(worker.id);
+        if (refusal == refusals.end()) {
+            m_port.start(worker, order, timeout, done);
+            return;
+        }
+        m_loop.after(Millis(2), [done, status = refusal->second] {
+            done(OrderAnswer { status, 0 });
+        });
+    }
+    void stop(const WorkerInfo& worker, const RunOrder& order, Millis timeout,
+              std::function<void(OrderAnswer)> done) override
+    {
+        m_port.stop(worker, order, timeout, done);
+    }
+    void pace(const WorkerInfo& worker, const RunOrder& order, Millis timeout,
+              std::function<void(OrderAnswer)> done) override
+    {
+        m_port.pace(worker, order, timeout, done);
+    }
+    void look(const WorkerInfo& worker, const LookOrder& order, Millis timeout,
+              std::function<void(OrderStatus, std::optional<LookReport>)> done) override
+    {
+        m_port.look(worker, order, timeout, done);
+    }
+
+    std::map<std::string, OrderStatus> refusals; ///< Workers that start nothing.
+    std::map<std::string, int> starts; ///< Starts ordered, by worker.
+
+private:
+    emulator::WorkerPort& m_port;
+    EventLoop& m_loop;
+};
+
+/// Allows all workers but those named.
+class ScriptedAdvisor : public Advisor {
+public:
+    explicit ScriptedAdvisor(EventLoop& loop)
+        : m_loop(loop)
+    {
+    }
+
+    void ask(const std::string&, const std::vector<std::string>& workers, Millis,
+             std::function<void(std::optional<std::vector<WorkerTicket>>)> done) override
+    {
+        ++questions;
+        std::vector<WorkerTicket> tickets;
+        for (const std::string& worker : workers) {
+            if (refused.count(worker) == 0)
+                tickets.push_back({ worker, "t" });
+        }
+        if (answers_empty > 0) {
+            --answers_empty;
+            tickets.clear();
+        }
+        m_loop.after(Millis(20), [done, tickets] { done(tickets); });
+    }
+
+    std::set<std::string> refused;
+    int answers_empty = 0; ///< So many answers to come name no worker.
+    int questions = 0;
+
+private:
+    EventLoop& m_loop;
+};
+
+/// A node without peers sends nothing.
+class NoPeers : public PeerClient {
+public:
+    explicit NoPeers(EventLoop& loop)
+        : m_loop(loop)
+    {
+    }
+    void send(const std::string&, const PeerRequest&, Millis, PeerReply done) override
+    {
+        m_loop.after(Millis(1), [done] { done(PeerEnd::refused, {}); });
+    }
+
+private:
+    EventLoop& m_loop;
+};
+
+TaskFacts facts_of(int count, int64_t run_ms, int64_t cpu)
+{
+    TaskFacts facts;
+    facts.count = count;
+    facts.run_ms = run_ms;
+    facts.need = { cpu, 500, 0 };
+    facts.payload = "p";
+    return facts;
+}
+
+/// One node that leads, and what it works with. Queue 0 has no advice, queue 1 has.
+struct Site {
+    Site(int worker_count, int plain_priority, int advised_priority)
+    {
+        store.list_workers = [this] { return listed(); };
+        Configuration configuration;
+        configuration.version = 1;
+        configuration.services = { "pool" };
+        for (const bool advised : { false, true }) {
+            Queue queue;
+            queue.name = advised ? "advised" : "plain";
+            queue.host = "site";
+            queue.path_prefix = "/" + queue.name + "/";
+            queue.service = "pool";
+            queue.priority = advised ? advised_priority : plain_priority;
+            queue.max_failures = 4;
+            queue.stretch = 4;
+            if (advised)
+                queue.advice = AdviceRule { 42, 0.6, 2000 };
+            configuration.queues.push_back(queue);
+        }
+        store.configure(configuration);
+        for (int i = 0; i < worker_count; ++i)
+            emulated.add("pool", { 8000, 16000, 0 });
+        NodeSetup setup;
+        setup.node = "n1";
+        setup.peer_address = "n1";
+        setup.incarnation = "1";
+        node = std::make_unique<JobNode>(
+            NodeParts { loop, store_port, store_port, workers, advisor, peers, metrics,
+                        [this] { return world.now().count(); } },
+            setup);
+        node->begin();
+        world.run_for(Millis(2000));
+        BOOST_REQUIRE(node->leads());
+    }
+
+    std::vector<WorkerInfo> listed() const
+    {
+        std::vector<WorkerInfo> found = emulated.list();
+        const auto hidden
+            = [this](const WorkerInfo& info) { return unlisted.count(info.id) > 0; };
+        found.erase(std::remove_if(found.begin(), found.end(), hidden), found.end());
+        return found;
+    }
+
+    void submit(const std::string& id, int queue, const TaskFacts& facts,
+                const std::string& label = "", int64_t expected_ms = 0)
+    {
+        jobs::JobSpec spec;
+        spec.payload = "p";
+        StepSpec step;
+        step.count = facts.count;
+        step.need = facts.need;
+        step.label = label;
+        step.expected_ms = expected_ms == 0 ? facts.run_ms : expected_ms;
+        spec.steps.push_back(step);
+        emulated.describe(id, 0, facts);
+        node->submit(store.configuration().queues[size_t(queue)], id, spec, world.now(),
+                     Millis(3000), [](ClientStatus) {});
+    }
+
+    bool done(const std::string& id, int count) const
+    {
+        return emulated.all_done(id, 0, count, false);
+    }
+
+    int64_t epoch() const
+    {
+        const auto head = decode_head(store.value(lead_row(head_key)));
+        return head ? head->epoch : 0;
+    }
+
+    emulator::World world { 1 };
+    emulator::Store store { world };
+    emulator::Workers emulated { world };
+    emulator::ProcessLoop loop { world };
+    emulator::StorePort store_port { store, loop, "n1" };
+    emulator::WorkerPort worker_port { emulated, loop, "n1" };
+    ScriptedWorkers workers { worker_port, loop };
+    ScriptedAdvisor advisor { loop };
+    NoPeers peers { loop };
+    Metrics metrics;
+    std::set<std::string> unlisted; ///< Workers that the list leaves out.
+    std::unique_ptr<JobNode> node;
+};
+
+struct QuietLog {
+    QuietLog()
+    {
+        const char* const level = std::getenv("PATHPORT_LOG");
+        start_log("test", log_level_from(level == nullptr ? "error" : level));
+    }
+};
+
+constexpr Millis long_enough { 20000 };
+/// A worker that refuses starts may be tried again, but not all the time.
+constexpr int most_refused_starts = 40;
+
+/// Has the worker that is the first choice refuse all starts, and checks that a task starts
+/// elsewhere.
+void check_refused_starts(OrderStatus refusal, int queue)
+{
+    Site site(3, 2, 2);
+    // The fullest worker that has room is the first choice.
+    site.submit("job0", 0, facts_of(1, 60000, 4000), "r1-1");
+    site.world.run_for(Millis(500));
+    site.workers.refusals["w1"] = refusal;
+    site.submit("job1", queue, facts_of(1, 500, 450));
+    site.world.run_for(long_enough);
+    BOOST_TEST(site.done("job1", 1), to_string(refusal) << ", queue " << queue);
+    BOOST_TEST(site.workers.starts["w1"] <= most_refused_starts,
+               to_string(refusal) << ", queue " << queue << ": "
+                                  << site.workers.starts["w1"] << " starts");
+}
+
+} // namespace
+
+BOOST_TEST_GLOBAL_FIXTURE(QuietLog);
+
+// A worker that declines all starts was chosen for the same task again and again: refusals
+// of one job at one worker count once, so the worker is not avoided.
+BOOST_AUTO_TEST_CASE(worker_that_declines_all_starts_holds_up_no_task)
+{
+    for (const int queue : { 0, 1 })
+        check_refused_starts(OrderStatus::declined, queue);
+}
+
+// The same with refusals that the leader's books should rule out. A fault in the books must
+// not hold up a task for ever either.
+BOOST_AUTO_TEST_CASE(worker_that_refuses_for_other_reasons_holds_up_no_task)
+{
+    for (const OrderStatus refusal :
+         { OrderStatus::no_room, OrderStatus::too_late, OrderStatus::old_run }) {
+        for (const int queue : { 0, 1 })
+            check_refused_starts(refusal, queue);
+    }
+}
+
+// A ticket that is rejected is asked for anew. The worker gives way to others meanwhile.
+BOOST_AUTO_TEST_CASE(worker_that_rejects_all_tickets_holds_up_no_task)
+{
+    check_refused_starts(OrderStatus::bad_ticket, 1);
+}
+
+// An answer that lacks a worker says nothing for good about a worker that was allowed
+// before: its life may have been unknown to the advisor for a moment.
+BOOST_AUTO_TEST_CASE(allowed_workers_stay_allowed_after_an_empty_answer)
+{
+    Site site(6, 2, 2);
+    TaskFacts facts = facts_of(15, 3000, 450);
+    facts.fails = 1;
+    site.submit("job1", 1, facts);
+    // All tasks fail at about the same time, when their tickets have run out.
+    site.world.run_for(Millis(1500));
+    site.advisor.answers_empty = 4;
+    site.world.run_for(long_enough);
+    BOOST_TEST(site.done("job1", 15));
+}
+
+// A worker that has gone from the list and come back, as it may while the store has
+// trouble, was looked at under the first fence of the epoch again. When the leader had
+// raised the fence there, it took the refusal for a later leader's.
+BOOST_AUTO_TEST_CASE(leader_goes_on_when_a_worker_is_listed_again)
+{
+    Site site(2, 2, 2);
+    // An order without an answer raises the fence.
+    site.emulated.trouble.unanswered = 1;
+    site.submit("job0", 0, facts_of(2, 300, 4000), "r1-1");
+    site.world.run_for(Millis(500));
+    site.emulated.trouble.unanswered = 0;
+    site.world.run_for(Millis(4000));
+    BOOST_TEST(site.done("job0", 2));
+    const int64_t epoch = site.epoch();
+    site.unlisted = { "w1" };
+    site.world.run_for(Millis(2000));
+    site.unlisted.clear();
+    site.world.run_for(Millis(4000));
+    BOOST_TEST(site.epoch() == epoch);
+}
+
+// Among workers that an urgent step may be allowed to use, those that are slow come last,
+// also when only they have room: the step asked about none then.
+BOOST_AUTO_TEST_CASE(urgent_step_uses_a_slow_worker_when_the_others_are_full)
+{
+    for (const bool slow : { false, true }) {
+        Site site(3, 1, 0);
+        // w3 is learned to be slow by what its queue's guesses usually mean.
+        for (int i = 0; i < 12; ++i) {
+            const std::string name = std::to_string(i);
+            site.submit("one" + name, 0, facts_of(1, 200, 1000), "r1-1", 200);
+            site.submit("two" + name, 0, facts_of(1, slow ? 900 : 200, 1000), "r1-0", 200);
+            site.world.run_for(Millis(1200));
+        }
+        // The others are full of less urgent tasks.
+        const TaskFacts full = facts_of(1, 60000, 8000);
+        site.submit("full1", 0, full, "r1-1");
+        site.submit("full2", 0, full, "r1-2");
+        site.world.run_for(Millis(500));
+        site.submit("job1", 1, facts_of(1, 500, 450));
+        site.world.run_for(long_enough);
+        BOOST_TEST(site.done("job1", 1), "slow: " << slow);
+        BOOST_TEST(site.advisor.questions > 0, "slow: " << slow);
+    }
+}
