Emulator: further faults of workers, tickets, checkpoints, and a watch for jobs that stand

Faults of single workers (they decline, fail all tasks, stand still, are slow, lose answers, are not listed), calls of all kinds carried out late, and random schedules over them in liveness_test. The schedules of cell_test draw as before.

--- a/src/emulator.lib/cell.cpp
+++ b/src/emulator.lib/cell.cpp
@@ -3,6 +3,8 @@
 
 #include <pathport/emulator/cell.h>
 
+#include <algorithm>
+
 namespace pathport::emulator {
 
 namespace {
@@ -35,6 +37,12 @@
     return configuration;
 }
 
+bool has_lasting(const ClientJob& job)
+{
+    return std::any_of(job.facts.begin(), job.facts.end(),
+                       [](const TaskFacts& facts) { return facts.lasting; });
+}
+
 } // namespace
 
 /// Carries messages between nodes.
@@ -247,7 +255,14 @@
 void Cell::submit(const std::string& id, const jobs::JobSpec& spec,
                   const std::vector<TaskFacts>& facts, bool advised)
 {
-    describe(id, spec, facts, advised);
+    describe(id, spec, facts, queue(advised));
+    try_submit(id, 0);
+}
+
+void Cell::submit_on(const std::string& queue, const std::string& id,
+                     const jobs::JobSpec& spec, const std::vector<TaskFacts>& facts)
+{
+    describe(id, spec, facts, *store.configuration().by_name(queue));
     try_submit(id, 0);
 }
 
@@ -256,7 +271,7 @@
                                                   const jobs::JobSpec& spec,
                                                   const std::vector<TaskFacts>& facts)
 {
-    describe(id, spec, facts, false);
+    describe(id, spec, facts, queue(false));
     NodeProcess* process = running(node);
     if (process == nullptr)
         return std::nullopt;
@@ -265,15 +280,16 @@
                           [answer](ClientStatus status) { *answer = status; });
     world.run_for(client_limit);
     m_jobs[id].accepted = *answer == ClientStatus::ok;
+    m_jobs[id].accepted_at = world.now();
     m_jobs[id].doubtful = !*answer || *answer == ClientStatus::in_doubt;
     return *answer;
 }
 
 void Cell::describe(const std::string& id, const jobs::JobSpec& spec,
-                    const std::vector<TaskFacts>& facts, bool advised)
+                    const std::vector<TaskFacts>& facts, const jobs::Queue& queue)
 {
     ClientJob& job = m_jobs[id];
-    job.queue = queue(advised);
+    job.queue = queue;
     job.spec = spec;
     job.facts = facts;
     for (size_t i = 0; i < facts.size(); ++i) {
@@ -304,8 +320,10 @@
                                   return;
                               *answered = true;
                               ClientJob& handed = m_jobs[id];
-                              if (status == ClientStatus::ok)
+                              if (status == ClientStatus::ok) {
                                   handed.accepted = true;
+                                  handed.accepted_at = world.now();
+                              }
                               if (status == ClientStatus::in_doubt)
                                   handed.doubtful = true;
                               if (status != ClientStatus::ok)
@@ -383,6 +401,7 @@
         wrong.push_back("no state of the accepted job " + id);
         return;
     }
+    check_lasting(id, job, wrong);
     bool done = true;
     for (size_t i = 0; i < job.facts.size(); ++i) {
         done = done
@@ -394,15 +413,16 @@
         wrong.push_back(id + " is shown as completed and isn't done");
     if (*state == jobs::JobState::canceled && !job.cancel_asked)
         wrong.push_back(id + " is shown as canceled and nobody asked for it");
-    if (*state == jobs::JobState::failed && !job.hopeless)
+    if (*state == jobs::JobState::failed && !job.hopeless && !is_spent(id, job))
         wrong.push_back(id + " is shown as failed without cause");
-    if (!is_final(*state))
+    if (!is_final(*state) && !has_lasting(job))
         wrong.push_back(id + " has not ended: " + name);
 }
 
 std::vector<std::string> Cell::verdict()
 {
     std::vector<std::string> wrong = workers.breaches();
+    wrong.insert(wrong.end(), m_standing.begin(), m_standing.end());
     for (const auto& [id, job] : m_jobs) {
         if (job.accepted)
             check_state(id, job, wrong);
--- /dev/null
+++ b/src/emulator.lib/cell_liveness.cpp
@@ -0,0 +1,86 @@
+// Copyright the pathport authors.
+// SPDX-License-Identifier: Apache-2.0
+
+/// \file
+/// Jobs that could run and don't.
+
+#include <pathport/emulator/cell.h>
+
+#include <algorithm>
+
+namespace pathport::emulator {
+
+namespace {
+
+constexpr Millis watch_interval { 250 };
+/// A job that stands for so long is a breach.
+constexpr Millis longest_stand { 3000 };
+/// So long before it, and during it, nothing may have disturbed the cell.
+constexpr Millis calm_before { 4000 };
+
+} // namespace
+
+void Cell::disturbed(Millis span)
+{
+    m_disturbed_until = std::max(m_disturbed_until, world.now() + span);
+}
+
+void Cell::watch_jobs()
+{
+    look_at_jobs();
+    world.after(watch_interval, [this] { watch_jobs(); });
+}
+
+void Cell::look_at_jobs()
+{
+    const bool calm = world.now() - m_disturbed_until >= calm_before;
+    for (auto& [id, job] : m_jobs) {
+        if (!calm)
+            job.stands_since = Millis(0);
+        else
+            look_at_job(id, job);
+    }
+}
+
+void Cell::look_at_job(const std::string& id, ClientJob& job)
+{
+    const bool owed = job.accepted && !job.cancel_asked && !is_spent(id, job);
+    if (!owed || !workers.stands(id, int(job.facts.size()))) {
+        job.stands_since = Millis(0);
+        return;
+    }
+    if (job.stands_since == Millis(0))
+        job.stands_since = world.now();
+    if (world.now() - job.stands_since < longest_stand)
+        return;
+    m_standing.push_back(std::to_string(world.now().count()) + ": " + id
+                         + " could run and doesn't");
+    job.stands_since = world.now() + Millis(1000000); // Told once.
+}
+
+bool Cell::is_spent(const std::string& id, const ClientJob& job) const
+{
+    for (size_t step = 0; step < job.facts.size(); ++step) {
+        for (int i = 0; i < job.facts[step].count; ++i) {
+            if (workers.spent({ id, 0, int(step), i }))
+                return true;
+        }
+    }
+    return false;
+}
+
+void Cell::check_lasting(const std::string& id, const ClientJob& job,
+                         std::vector<std::string>& wrong) const
+{
+    if (job.cancel_asked)
+        return;
+    for (size_t step = 0; step < job.facts.size(); ++step) {
+        for (int i = 0; job.facts[step].lasting && i < job.facts[step].count; ++i) {
+            const jobs::TaskId task { id, 0, int(step), i };
+            if (!workers.runs(task))
+                wrong.push_back(task.to_string() + " lasts and doesn't run");
+        }
+    }
+}
+
+} // namespace pathport::emulator
--- /dev/null
+++ b/src/emulator.lib/worker_faults.cpp
@@ -0,0 +1,127 @@
+// Copyright the pathport authors.
+// SPDX-License-Identifier: Apache-2.0
+
+/// \file
+/// Faults of single workers, checkpoints, tickets, and the checks of where a task starts.
+
+#include <pathport/emulator/workers.h>
+#include <pathport/ids.h>
+
+#include <algorithm>
+
+namespace pathport::emulator {
+
+namespace {
+
+/// The interval at which lives are stepped, as in workers.cpp.
+constexpr Millis step_interval { 10 };
+constexpr Millis checkpoint_interval { 500 };
+
+std::string step_name(const jobs::TaskId& task)
+{
+    return task.job + "." + std::to_string(task.repeat) + "." + std::to_string(task.step);
+}
+
+} // namespace
+
+// A hash decides which workers may run a step, so the answer never changes.
+bool is_allowed(const std::string& step, const std::string& worker)
+{
+    return stable_hash(step + worker) % 10 < 7;
+}
+
+void Workers::afflict(const std::string& id, WorkerFault fault, Millis span, double share)
+{
+    Life* life = find(id);
+    if (life == nullptr)
+        return;
+    life->faults[fault] = m_world.now() + span;
+    life->declined_share = share;
+}
+
+void Workers::leave(const std::string& id, Millis span)
+{
+    Life* life = find(id);
+    if (life == nullptr)
+        return;
+    life->listed = false;
+    m_world.after(span, [this, id] {
+        Life* leaving = find(id);
+        leaving->up = false;
+        leaving->running.clear();
+    });
+}
+
+bool Workers::has(const Life& life, WorkerFault fault) const
+{
+    const auto found = life.faults.find(fault);
+    return found != life.faults.end() && m_world.now() < found->second;
+}
+
+bool Workers::declines(const Life& life, bool start)
+{
+    const bool faulty = has(life, WorkerFault::declines)
+        || (start && has(life, WorkerFault::declines_starts));
+    return faulty && m_world.chance(life.declined_share);
+}
+
+bool Workers::address_taken(const Life& life) const
+{
+    return std::any_of(m_lives.begin(), m_lives.end(), [&](const auto& entry) {
+        return entry.second.up && entry.second.info.address == life.info.address;
+    });
+}
+
+// What runs on a worker that is slow or stands still ends later.
+void Workers::suffer(Life& life)
+{
+    const bool still = has(life, WorkerFault::stands_still);
+    const bool slow = has(life, WorkerFault::slow);
+    for (auto& [name, run] : life.running) {
+        if (still || slow) {
+            const Millis lost(still ? step_interval.count() : step_interval.count() / 2);
+            run.ends_at = run.ends_at + lost;
+            run.waits_since = run.waits_since + lost;
+        }
+        save_progress(run);
+    }
+}
+
+void Workers::save_progress(Run& run)
+{
+    const bool due = run.working && m_world.now() - run.saved_at >= checkpoint_interval;
+    if (!due || !facts(run.task).saves_progress)
+        return;
+    run.saved_at = m_world.now();
+    run.checkpoint = std::to_string(worked_ms(run));
+}
+
+int64_t Workers::worked_ms(const Run& run) const
+{
+    return run.restored_ms + (m_world.now() - run.waits_since).count();
+}
+
+// A ticket is the time until which it holds.
+bool Workers::ticket_good(const jobs::StartOrder& order) const
+{
+    if (trouble.ticket_life == Millis(0) || !facts(order.task).advised)
+        return true;
+    return !order.ticket.empty() && std::stoll(order.ticket) > m_world.now().count();
+}
+
+void Workers::check_place(const Life& life, const jobs::StartOrder& order)
+{
+    const std::string name = order.task.to_string();
+    const TaskFacts& known = facts(order.task);
+    if (known.advised && !is_allowed(step_name(order.task), life.info.id))
+        breach("started on a worker that may not run it: " + name);
+    int alike = 0;
+    for (const auto& [other, run] : life.running)
+        alike += step_name(run.task) == step_name(order.task) ? 1 : 0;
+    if (known.max_per_worker > 0 && alike >= known.max_per_worker)
+        breach("too many of its step on " + life.info.id + ": " + name);
+    if (trouble.ticket_life > Millis(0) && life.running.count(name) > 0)
+        breach("two runs at once on " + life.info.id + ": " + name);
+}
+
+} // namespace pathport::emulator
--- a/src/emulator.lib/worker_port.cpp
+++ b/src/emulator.lib/worker_port.cpp
@@ -31,7 +31,29 @@
     });
 }
 
-void WorkerPort::order(const std::string& worker, Millis timeout,
+// What becomes of a call before it is carried out, if it isn't.
+std::optional<OrderStatus> WorkerPort::early_status(const Workers::Life& life,
+                                                    bool is_start)
+{
+    if (!life.up && m_workers.trouble.dead_are_silent && !m_workers.address_taken(life))
+        return life.listed ? OrderStatus::unknown : OrderStatus::unreachable;
+    if (life.up && m_workers.declines(life, is_start))
+        return OrderStatus::declined;
+    return std::nullopt;
+}
+
+bool WorkerPort::carried_out_late()
+{
+    const double share = m_workers.trouble.late;
+    return share > 0 && m_loop.world().chance(share);
+}
+
+Millis WorkerPort::lateness()
+{
+    return Millis(2000 + int64_t(m_loop.world().below(10000)));
+}
+
+void WorkerPort::order(const std::string& worker, Millis timeout, bool is_start,
                        std::function<OrderAnswer()> work,
                        std::function<void(OrderAnswer)> done)
 {
@@ -43,6 +65,24 @@
         deliver(timeout, [done] { done(OrderAnswer()); });
         return;
     }
+    const auto early = early_status(*life, is_start);
+    if (early) {
+        deliver(*early == OrderStatus::unknown ? timeout : Millis(2),
+                [done, status = *early] {
+                    done(OrderAnswer { status, 0 });
+                });
+        return;
+    }
+    if (m_workers.has(*life, WorkerFault::answers_lost)) {
+        world.after(way, [work] { work(); });
+        deliver(timeout, [done] { done(OrderAnswer()); });
+        return;
+    }
+    if (carried_out_late()) {
+        world.after(lateness(), [work] { work(); });
+        deliver(timeout, [done] { done(OrderAnswer()); });
+        return;
+    }
     if (world.chance(m_workers.trouble.unanswered)) {
         world.after(Millis(2000 + int64_t(world.below(10000))), [work] { work(); });
         deliver(timeout, [done] { done(OrderAnswer()); });
@@ -60,7 +100,7 @@
 {
     Workers& workers = m_workers;
     order(
-        worker.id, timeout,
+        worker.id, timeout, true,
         [&workers, id = worker.id, start] { return workers.start_now(id, start); }, done);
 }
 
@@ -69,7 +109,7 @@
 {
     Workers& workers = m_workers;
     order(
-        worker.id, timeout,
+        worker.id, timeout, false,
         [&workers, id = worker.id, stop] { return workers.stop_now(id, stop); }, done);
 }
 
@@ -88,6 +128,22 @@
         deliver(timeout, [done] { done(OrderStatus::unknown, std::nullopt); });
         return;
     }
+    const auto early = early_status(*life, false);
+    if (early) {
+        deliver(*early == OrderStatus::unknown ? timeout : Millis(2),
+                [done, status = *early] { done(status, std::nullopt); });
+        return;
+    }
+    const bool lost = m_workers.has(*life, WorkerFault::answers_lost);
+    if (lost || carried_out_late()) {
+        m_loop.world().after(lost ? Millis(1) : lateness(),
+                             [&workers = m_workers, id = worker.id, look] {
+                                 jobs::LookReport unread;
+                                 workers.look_now(id, look, unread);
+                             });
+        deliver(timeout, [done] { done(OrderStatus::unknown, std::nullopt); });
+        return;
+    }
     m_loop.world().after(
         Millis(1), [this, life = m_loop.life(), id = worker.id, look, done] {
             jobs::LookReport report;
@@ -141,14 +197,15 @@
     std::function<void(std::optional<std::vector<jobs::WorkerTicket>>)> done)
 {
     std::vector<jobs::WorkerTicket> tickets;
-    for (const std::string& worker : workers) {
-        if (stable_hash(step + worker) % 10 < 7)
-            tickets.push_back({ worker, "t" });
-    }
     ++m_workers.m_questions;
     const Millis now = m_loop.world().now();
     m_advisor_free = std::max(now, m_advisor_free) + m_workers.advice_time
         + Millis(int64_t(workers.size()));
+    const Millis until = m_advisor_free + m_workers.trouble.ticket_life;
+    for (const std::string& worker : workers) {
+        if (is_allowed(step, worker))
+            tickets.push_back({ worker, std::to_string(until.count()) });
+    }
     deliver(m_advisor_free - now, [done, tickets] { done(tickets); });
 }
 
--- a/src/emulator.lib/workers.cpp
+++ b/src/emulator.lib/workers.cpp
@@ -16,6 +16,8 @@
 constexpr Millis tick_interval { 10 };
 constexpr Millis kill_time { 300 };
 constexpr Millis gang_time { 3000 };
+/// How long tasks run on a worker that fails all of them.
+constexpr Millis fault_time { 200 };
 /// How long the list keeps a worker that is silent.
 constexpr Millis list_patience { 4500 };
 constexpr Millis for_good { 1000000000 };
@@ -108,7 +110,7 @@
 {
     std::vector<jobs::WorkerInfo> listed;
     for (const auto& [id, life] : m_lives) {
-        if (life.up && life.listed)
+        if (life.up && life.listed && !has(life, WorkerFault::unlisted))
             listed.push_back(life.info);
     }
     return listed;
@@ -197,6 +199,10 @@
         answer.status = OrderStatus::too_late;
         return answer;
     }
+    if (!ticket_good(order)) {
+        answer.status = OrderStatus::bad_ticket;
+        return answer;
+    }
     extend(*life, order.hold_until);
     if (life->last_run[name] >= order.run
         || (running != life->running.end() && running->second.run > order.run)) {
@@ -204,14 +210,21 @@
         return answer;
     }
     check_start(*life, order);
+    check_place(*life, order);
     ++m_starts;
     Run run;
     run.task = order.task;
     run.run = order.run;
     run.waits_since = m_world.now();
+    run.begun = m_world.now();
+    run.saved_at = m_world.now();
     const TaskFacts& known = facts(order.task);
+    if (known.saves_progress && !order.checkpoint.empty()) {
+        run.checkpoint = order.checkpoint;
+        run.restored_ms = std::stoll(order.checkpoint);
+    }
     run.working = !known.gang;
-    run.ends_at = m_world.now() + Millis(known.run_ms);
+    run.ends_at = m_world.now() + Millis(known.run_ms - run.restored_ms);
     life->running[name] = run;
     if (known.gang)
         begin_gang(order.task, order.run);
@@ -365,8 +378,9 @@
         running.task = run.task;
         running.run = run.run;
         const int64_t whole = std::max<int64_t>(1, facts(run.task).run_ms);
-        const int64_t worked = std::min(whole, (m_world.now() - run.waits_since).count());
+        const int64_t worked = std::min(whole, worked_ms(run));
         running.percent = run.working ? static_cast<int>(worked * 100 / whole) : 0;
+        running.checkpoint = run.checkpoint;
         report.running.push_back(running);
     }
     return OrderStatus::accepted;
@@ -386,6 +400,7 @@
     ended.task = run.task;
     ended.run = run.run;
     ended.kind = kind;
+    ended.checkpoint = run.checkpoint;
     life.ended.push_back(ended);
 }
 
@@ -394,6 +409,7 @@
     const Millis now = m_world.now();
     if (life.hold_until <= now.count())
         life.lapsed_through = life.last_number;
+    suffer(life);
     std::vector<std::pair<std::string, EndKind>> ends;
     for (const auto& [name, run] : life.running) {
         const TaskFacts& known = facts(run.task);
@@ -403,6 +419,9 @@
             ends.emplace_back(name, EndKind::stopped);
         else if (!run.working && now - run.waits_since >= gang_time)
             ends.emplace_back(name, EndKind::alone);
+        else if (run.working && has(life, WorkerFault::fails_tasks)
+                 && now - run.begun >= fault_time)
+            ends.emplace_back(name, EndKind::failed);
         else if (run.working && now >= run.ends_at && !known.lasting)
             ends.emplace_back(name,
                               failures_of(run.task).failed < known.fails ? EndKind::failed
--- a/src/include/pathport/emulator/cell.h
+++ b/src/include/pathport/emulator/cell.h
@@ -33,6 +33,8 @@
     bool cancel_asked = false;
     bool canceled = false; ///< It was told so.
     bool hopeless = false; ///< Its tasks fail too often.
+    Millis accepted_at;
+    Millis stands_since; ///< Since when it could run and doesn't; zero when it does.
 };
 
 /// The cell.
@@ -63,6 +65,9 @@
     /// Hands in a job at a node that runs, and again elsewhere after an unclear answer.
     void submit(const std::string& id, const jobs::JobSpec& spec,
                 const std::vector<TaskFacts>& facts, bool advised);
+    /// Hands in a job on the queue of that name.
+    void submit_on(const std::string& queue, const std::string& id,
+                   const jobs::JobSpec& spec, const std::vector<TaskFacts>& facts);
     /// Hands in a job at this node only and waits for the answer, in virtual time; nothing
     /// when the node does not run or does not answer.
     std::optional<jobs::ClientStatus> submit_at(const std::string& node,
@@ -82,6 +87,12 @@
     /// Checks that all accepted jobs have come to the end that they should; returns what is
     /// wrong, with all breaches seen so far.
     std::vector<std::string> verdict();
+    /// Notes that there is a disturbance for `span` from now on.
+    void disturbed(Millis span);
+    /// From now on notes each job that stands for 3 s although it could run, in calm.
+    void watch_jobs();
+    /// Returns the jobs that were found to stand.
+    const std::vector<std::string>& standing() const { return m_standing; }
     const std::map<std::string, ClientJob>& jobs() const { return m_jobs; }
 
 private:
@@ -91,16 +102,24 @@
     NodeProcess* running(const std::string& node);
     NodeProcess* any_running();
     void describe(const std::string& id, const jobs::JobSpec& spec,
-                  const std::vector<TaskFacts>& facts, bool advised);
+                  const std::vector<TaskFacts>& facts, const jobs::Queue& queue);
     void try_submit(const std::string& id, int tries);
     void check_state(const std::string& id, const ClientJob& job,
                      std::vector<std::string>& wrong);
+    // Liveness (cell_liveness.cpp).
+    void look_at_jobs();
+    void look_at_job(const std::string& id, ClientJob& job);
+    bool is_spent(const std::string& id, const ClientJob& job) const;
+    void check_lasting(const std::string& id, const ClientJob& job,
+                       std::vector<std::string>& wrong) const;
 
     std::map<std::string, int> m_strengths; ///< By node.
     std::map<std::string, std::unique_ptr<NodeProcess>> m_nodes;
     std::vector<std::unique_ptr<NodeProcess>> m_dead; ///< Kept, since events may name them.
     std::map<std::string, Millis> m_cut_until;
     std::map<std::string, ClientJob> m_jobs;
+    Millis m_disturbed_until;
+    std::vector<std::string> m_standing;
 };
 
 } // namespace pathport::emulator
--- a/src/include/pathport/emulator/workers.h
+++ b/src/include/pathport/emulator/workers.h
@@ -14,6 +14,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -32,13 +33,34 @@
     int max_failures = 3;
     std::string payload;
     std::vector<int> after; ///< Steps that must be done first.
+    int max_per_worker = 0; ///< Most tasks of the step on one worker; 0 for no limit.
+    bool saves_progress = false; ///< A run goes on from the checkpoint that it brings.
+    bool advised = false; ///< Its starts need a ticket.
 };
 
 /// How the workers misbehave at present.
 struct WorkerTrouble {
     double unanswered = 0; ///< So many orders get no answer and are carried out late.
+    double late = 0; ///< So many orders and looks are carried out 2 to 12 s late.
+    bool dead_are_silent = false; ///< No other life answers for one that is gone.
+    Millis ticket_life; ///< A ticket holds for so long; zero for ever.
 };
 
+/// A fault of a single worker that lasts for a while.
+enum class WorkerFault {
+    declines, ///< It declines a share of the orders and looks.
+    declines_starts, ///< It declines a share of the starts, and answers looks.
+    fails_tasks, ///< All that runs there ends `failed` soon after its start.
+    stands_still, ///< What runs there makes no progress.
+    slow, ///< What runs there makes half the progress.
+    answers_lost, ///< Orders and looks are carried out, and their answers are lost.
+    unlisted, ///< The list does not name it; it serves on.
+};
+constexpr int worker_faults = 7;
+
+/// Returns whether the advisor lets a worker run a step ("<job>.<repeat>.<step>").
+bool is_allowed(const std::string& step, const std::string& worker);
+
 /// The workers of a world.
 class Workers {
 public:
@@ -60,6 +82,10 @@
     void vanish(const std::string& id);
     /// Announces the end of a worker, which leaves after `span`.
     void drain(const std::string& id, Millis span);
+    /// Gives a worker a fault; `share` is that of the calls that it declines.
+    void afflict(const std::string& id, WorkerFault fault, Millis span, double share = 1);
+    /// Takes a worker from the list without a word; it serves on for `span` and ends.
+    void leave(const std::string& id, Millis span);
 
     /// Tells what the tasks of a step do.
     void describe(const std::string& job, int step, const TaskFacts& facts);
@@ -75,6 +101,15 @@
     /// Returns the breaches that were seen.
     const std::vector<std::string>& breaches() const { return m_breaches; }
     int64_t starts() const { return m_starts; }
+    /// Returns whether a run of the task is there.
+    bool runs(const jobs::TaskId& task) const;
+    /// Returns whether a run of any task of the job is there.
+    bool runs_any(const std::string& job) const;
+    /// Returns whether runs of the task have failed as often as they may.
+    bool spent(const jobs::TaskId& task) const;
+    /// Returns whether a task of the job could run but doesn't: the turn of one has come,
+    /// none runs, there is room for it twice over and under half of all room is in use.
+    bool stands(const std::string& job, int steps) const;
     /// Returns how many questions the advisor has been asked.
     int64_t questions() const { return m_questions; }
 
@@ -88,6 +123,10 @@
         Millis stop_at; ///< Zero while it was not told to stop.
         Millis waits_since; ///< Of a gang's member: for the others.
         bool working = false;
+        Millis begun;
+        int64_t restored_ms = 0; ///< Work that its checkpoint saved.
+        Millis saved_at; ///< When its checkpoint was last renewed.
+        std::string checkpoint;
     };
     struct Life {
         jobs::WorkerInfo info;
@@ -104,6 +143,8 @@
         int64_t seen = 0;
         std::set<int64_t> followed; ///< Ends after which the task was started again.
         int64_t lapsed_through = 0; ///< Ends up to this number were listed before a lapse.
+        std::map<WorkerFault, Millis> faults; ///< Until when it has them.
+        double declined_share = 1;
     };
     /// An end is noted once the worker is told that it was seen, unless its lease ran out
     /// in between.
@@ -133,6 +174,19 @@
     void breach(const std::string& text);
     const TaskFacts& facts(const jobs::TaskId& task) const;
     Resources used(const Life& life) const;
+    // Faults and checkpoints (worker_faults.cpp).
+    bool has(const Life& life, WorkerFault fault) const;
+    bool declines(const Life& life, bool start);
+    bool address_taken(const Life& life) const;
+    void suffer(Life& life);
+    void save_progress(Run& run);
+    int64_t worked_ms(const Run& run) const;
+    bool ticket_good(const jobs::StartOrder& order) const;
+    void check_place(const Life& life, const jobs::StartOrder& order);
+    // Liveness (worker_liveness.cpp).
+    bool turn_has_come(const std::string& job, int step) const;
+    int64_t rooms_for(const std::string& job, int step) const;
+    bool half_free() const;
 
     World& m_world;
     std::map<std::string, Life> m_lives;
@@ -165,7 +219,10 @@
         std::function<void(std::optional<std::vector<jobs::WorkerTicket>>)> done) override;
 
 private:
-    void order(const std::string& worker, Millis timeout,
+    std::optional<jobs::OrderStatus> early_status(const Workers::Life& life, bool is_start);
+    bool carried_out_late();
+    Millis lateness();
+    void order(const std::string& worker, Millis timeout, bool is_start,
                std::function<jobs::OrderAnswer()> work,
                std::function<void(jobs::OrderAnswer)> done);
     void wait_for_end(
--- /dev/null
+++ b/src/jobs.lib/liveness_test.cpp
@@ -0,0 +1,371 @@
+// Copyright the pathport authors.
+// SPDX-License-Identifier: Apache-2.0
+
+/// \file
+/// Cells with further kinds of trouble, in which no job may stand that could run: the
+/// emulator watches all the time, not only at the end.
+
+#define BOOST_TEST_MODULE liveness
+#include <boost/test/unit_test.hpp>
+
+#include <pathport/emulator/cell.h>
+#include <pathport/log.h>
+
+#include <algorithm>
+#include <cstdlib>
+
+using namespace pathport;
+using emulator::Cell;
+using emulator::TaskFacts;
+using emulator::WorkerFault;
+
+namespace {
+
+uint64_t first_seed()
+{
+    const char* const text = std::getenv("PATHPORT_SEED");
+    return text == nullptr ? 1000 : std::strtoull(text, nullptr, 10);
+}
+
+int schedule_count()
+{
+    const char* const text = std::getenv("PATHPORT_SCHEDULES");
+    return text == nullptr ? 20 : std::atoi(text);
+}
+
+/// Which kinds of trouble a hunt draws; the environment may name a mask.
+uint64_t trouble_mask()
+{
+    const char* const text = std::getenv("PATHPORT_TROUBLES");
+    return text == nullptr ? ~uint64_t(0) : std::strtoull(text, nullptr, 0);
+}
+
+struct QuietLog {
+    QuietLog()
+    {
+        const char* const level = std::getenv("PATHPORT_LOG");
+        start_log("test", log_level_from(level == nullptr ? "error" : level));
+    }
+};
+
+std::string joined(const std::vector<std::string>& lines)
+{
+    std::string text;
+    for (const std::string& line : lines)
+        text += "\n  " + line;
+    return text;
+}
+
+/// Queues of each priority, with and without advice: "q0" to "q2", "a0" to "a2".
+void add_queues(Cell& cell)
+{
+    jobs::Configuration configuration = cell.store.configuration();
+    ++configuration.version;
+    for (int i = 0; i < 6; ++i) {
+        const bool advised = i >= 3;
+        jobs::Queue queue;
+        queue.name = (advised ? "a" : "q") + std::to_string(i % 3);
+        queue.host = "cell";
+        queue.path_prefix = "/" + queue.name + "/";
+        queue.service = "pool";
+        queue.priority = i % 3;
+        queue.max_failures = 3 + i % 2;
+        queue.stretch = 2;
+        queue.slo_ms = 1000;
+        if (advised)
+            queue.advice = jobs::AdviceRule { 5, 1, 1500 };
+        configuration.queues.push_back(queue);
+    }
+    cell.store.configure(configuration);
+    cell.workers.trouble.ticket_life = Millis(1500);
+    cell.workers.trouble.dead_are_silent = true;
+}
+
+jobs::JobSpec spec_of(const std::vector<TaskFacts>& facts)
+{
+    jobs::JobSpec spec;
+    spec.payload = "p";
+    for (const TaskFacts& step : facts) {
+        jobs::StepSpec entry;
+        entry.count = step.count;
+        entry.need = step.need;
+        entry.gang = step.gang;
+        entry.after = step.after;
+        entry.expected_ms = step.run_ms;
+        entry.lasting = step.lasting;
+        entry.saves_progress = step.saves_progress;
+        entry.max_per_worker = step.max_per_worker;
+        spec.steps.push_back(entry);
+    }
+    return spec;
+}
+
+void submit(Cell& cell, const std::string& queue, const std::string& id,
+            std::vector<TaskFacts> steps)
+{
+    const jobs::Queue& found = *cell.store.configuration().by_name(queue);
+    for (TaskFacts& facts : steps) {
+        facts.payload = "p";
+        facts.advised = found.advice.has_value();
+        facts.max_failures = found.max_failures;
+    }
+    cell.submit_on(queue, id, spec_of(steps), steps);
+}
+
+TaskFacts simple_facts(int count, int64_t run_ms)
+{
+    TaskFacts facts;
+    facts.count = count;
+    facts.run_ms = run_ms;
+    facts.need = { 1000, 1000, 0 };
+    return facts;
+}
+
+/// A cell under a random schedule.
+class Schedule {
+public:
+    explicit Schedule(uint64_t seed)
+        : m_cell(seed, 4, 14)
+    {
+        add_queues(m_cell);
+    }
+
+    std::vector<std::string> run();
+
+private:
+    int64_t below(int64_t bound) { return int64_t(m_cell.world.below(uint64_t(bound))); }
+    bool chance(double share) { return m_cell.world.chance(share); }
+    std::string random_node();
+    std::string random_worker();
+    void submit_random();
+    void trouble();
+    void node_trouble(int64_t kind, Millis span);
+    void store_trouble(int64_t kind, Millis span);
+    void worker_trouble(int64_t kind, Millis span);
+    void lapse_entries(Millis span);
+    void kill_all();
+
+    Cell m_cell;
+    int m_jobs = 0;
+    std::vector<std::string> m_lasting;
+};
+
+std::string Schedule::random_node()
+{
+    const auto names = m_cell.node_names();
+    const std::string leader = m_cell.leader();
+    return !leader.empty() && chance(0.5) ? leader
+                                          : names[size_t(below(int64_t(names.size())))];
+}
+
+std::string Schedule::random_worker()
+{
+    const auto ids = m_cell.workers.ids();
+    return ids[size_t(below(int64_t(ids.size())))];
+}
+
+void Schedule::submit_random()
+{
+    std::vector<TaskFacts> steps;
+    const auto count = 1 + below(3);
+    const bool advised = chance(0.5);
+    for (int64_t i = 0; i < count; ++i) {
+        TaskFacts facts
+            = simple_facts(1 + int(below(chance(0.2) ? 18 : 6)), 100 + below(2500));
+        facts.gang = chance(0.2);
+        if (facts.gang)
+            facts.count = std::min(facts.count, advised ? 3 : 5);
+        facts.need.cpu_millis = 400 + below(1800);
+        facts.fails = chance(0.25) ? 1 + int(below(3)) : 0;
+        facts.saves_progress = chance(0.3);
+        facts.max_per_worker = !facts.gang && chance(0.2) ? 2 : 0;
+        if (i > 0 && chance(0.7))
+            facts.after = { int(i) - 1 };
+        steps.push_back(facts);
+    }
+    const std::string id = "job" + std::to_string(m_jobs++);
+    if (chance(0.02)) {
+        steps.resize(1);
+        steps[0].gang = false;
+        steps[0].lasting = true;
+        steps[0].count = 2;
+        steps[0].max_per_worker = 0;
+        m_lasting.push_back(id);
+    }
+    submit(m_cell, (advised ? "a" : "q") + std::to_string(below(3)), id, steps);
+}
+
+void Schedule::kill_all()
+{
+    for (const std::string& node : m_cell.node_names())
+        m_cell.kill(node, Millis(300 + below(1500)));
+}
+
+void Schedule::lapse_entries(Millis span)
+{
+    const double share = chance(0.5) ? 1 : 0.4;
+    for (const std::string& id : m_cell.workers.ids()) {
+        if (chance(share))
+            m_cell.workers.afflict(id, WorkerFault::unlisted,
+                                   span + Millis(1000 + below(2000)));
+    }
+}
+
+void Schedule::node_trouble(int64_t kind, Millis span)
+{
+    switch (kind) {
+    case 0:
+    case 1:
+        m_cell.kill(random_node(), Millis(200 + below(3000)));
+        break;
+    case 2:
+        m_cell.freeze(random_node(), span);
+        break;
+    case 3:
+        m_cell.cut_peers(random_node(), span);
+        break;
+    case 4:
+        m_cell.stop(random_node(), Millis(500));
+        break;
+    default:
+        kill_all();
+        break;
+    }
+}
+
+void Schedule::store_trouble(int64_t kind, Millis span)
+{
+    emulator::Store& store = m_cell.store;
+    if (kind < 4 && chance(0.5))
+        lapse_entries(span);
+    switch (kind) {
+    case 0:
+        store.trouble.busy = true;
+        m_cell.world.after(span, [&store] { store.trouble.busy = false; });
+        break;
+    case 1:
+        store.trouble.silent = true;
+        m_cell.world.after(span, [&store] { store.trouble.silent = false; });
+        break;
+    case 2:
+        store.trouble.slow = chance(0.5) ? 100 : 30;
+        m_cell.world.after(span, [&store] { store.trouble.slow = 1; });
+        break;
+    case 3:
+        store.trouble.lose = 0.35;
+        store.trouble.late = chance(0.5);
+        m_cell.world.after(span, [&store] { store.trouble.lose = 0; });
+        break;
+    case 4: {
+        const std::string node = random_node();
+        auto& nodes = chance(0.5) ? store.trouble.refused_nodes : store.trouble.cut_nodes;
+        nodes.insert(node);
+        m_cell.world.after(span, [&nodes, node] { nodes.erase(node); });
+        break;
+    }
+    case 5:
+        lapse_entries(Millis(0));
+        break;
+    default:
+        store.compact();
+        break;
+    }
+}
+
+void Schedule::worker_trouble(int64_t kind, Millis span)
+{
+    emulator::Workers& workers = m_cell.workers;
+    const std::string id = random_worker();
+    switch (kind) {
+    case 0:
+        workers.crash(id, span);
+        break;
+    case 1:
+        workers.cut(id, span);
+        break;
+    case 2:
+        workers.cut(id, span, random_node());
+        break;
+    case 3:
+        workers.trouble.unanswered = 0.2;
+        m_cell.world.after(span, [&workers] { workers.trouble.unanswered = 0; });
+        break;
+    case 4:
+        workers.trouble.late = 0.25;
+        m_cell.world.after(span, [&workers] { workers.trouble.late = 0; });
+        break;
+    case 5:
+        workers.leave(id, span);
+        workers.add("pool", { 8000, 16000, 0 });
+        break;
+    case 6:
+        workers.drain(id, span);
+        workers.add("pool", { 8000, 16000, 0 });
+        break;
+    default:
+        // The faults of single workers, of one or of a third of them.
+        for (const std::string& other : workers.ids()) {
+            if (other == id || (kind % 2 == 0 && chance(0.3)))
+                workers.afflict(other,
+                                static_cast<WorkerFault>(below(emulator::worker_faults)),
+                                span, chance(0.5) ? 1 : 0.5);
+        }
+        break;
+    }
+}
+
+void Schedule::trouble()
+{
+    constexpr int64_t node_kinds = 6;
+    constexpr int64_t store_kinds = 7;
+    constexpr int64_t worker_kinds = 13;
+    const Millis span(500 + below(6000));
+    const int64_t kind = below(node_kinds + store_kinds + worker_kinds);
+    if ((trouble_mask() >> kind & 1) == 0)
+        return;
+    m_cell.disturbed(span + Millis(14000));
+    if (kind < node_kinds)
+        node_trouble(kind, span);
+    else if (kind < node_kinds + store_kinds)
+        store_trouble(kind - node_kinds, span);
+    else
+        worker_trouble(kind - node_kinds - store_kinds, span);
+}
+
+std::vector<std::string> Schedule::run()
+{
+    constexpr int tenths = 300;
+    m_cell.disturbed(Millis(3000));
+    m_cell.watch_jobs();
+    m_cell.world.run_for(Millis(1500));
+    const bool ends_with_kill = chance(0.5);
+    for (int tenth = 0; tenth < tenths; ++tenth) {
+        if (chance(tenth > tenths * 4 / 5 ? 0.5 : 0.3))
+            submit_random();
+        if (chance(0.03) && m_jobs > 0)
+            m_cell.cancel("job" + std::to_string(below(m_jobs)));
+        if (chance(0.05))
+            trouble();
+        m_cell.world.run_for(Millis(100));
+    }
+    if (ends_with_kill) {
+        kill_all();
+        m_cell.disturbed(Millis(3000));
+    }
+    m_cell.world.run_for(Millis(45000));
+    return m_cell.verdict();
+}
+
+} // namespace
+
+BOOST_TEST_GLOBAL_FIXTURE(QuietLog);
+
+BOOST_AUTO_TEST_CASE(random_schedules_leave_no_job_standing)
+{
+    const uint64_t first = first_seed();
+    for (int i = 0; i < schedule_count(); ++i) {
+        const uint64_t seed = first + uint64_t(i);
+        const auto wrong = Schedule(seed).run();
+        BOOST_TEST(wrong.empty(), "seed " << seed << joined(wrong));
+    }
+}
