--- a/src/emulator.lib/worker_port.cpp
+++ b/src/emulator.lib/worker_port.cpp
@@ -39,6 +39,10 @@
         return life.listed ? OrderStatus::unknown : OrderStatus::unreachable;
     if (life.up && m_workers.declines(life, is_start))
         return OrderStatus::declined;
+    if (is_start && m_workers.has(life, WorkerFault::refuses_starts))
+        return OrderStatus::unreachable;
+    if (is_start && m_workers.has(life, WorkerFault::swallows_starts))
+        return OrderStatus::unknown;
     return std::nullopt;
 }
 
--- a/src/include/pathport/emulator/workers.h
+++ b/src/include/pathport/emulator/workers.h
@@ -55,8 +55,10 @@
     slow, ///< What runs there makes half the progress.
     answers_lost, ///< Orders and looks are carried out, and their answers are lost.
     unlisted, ///< The list does not name it; it serves on.
+    refuses_starts, ///< No connection for a start is had; looks go through.
+    swallows_starts, ///< Starts get no answer and are not carried out; looks are answered.
 };
-constexpr int worker_faults = 7;
+constexpr int worker_faults = 9;
 
 /// Returns whether the advisor lets a worker run a step ("<job>.<repeat>.<step>").
 bool is_allowed(const std::string& step, const std::string& worker);
--- /dev/null
+++ b/src/jobs.lib/liveness_fixture.h
@@ -0,0 +1,108 @@
+// Copyright the pathport authors.
+// SPDX-License-Identifier: Apache-2.0
+
+/// \file
+/// What the tests of liveness share: cells with queues of each kind, and jobs for them.
+
+#pragma once
+
+#include <pathport/emulator/cell.h>
+#include <pathport/log.h>
+
+#include <cstdlib>
+#include <string>
+#include <vector>
+
+namespace pathport::liveness {
+
+using emulator::Cell;
+using emulator::TaskFacts;
+using emulator::WorkerFault;
+
+/// Sets the level of the log, from the environment if it names one.
+struct QuietLog {
+    QuietLog()
+    {
+        const char* const level = std::getenv("PATHPORT_LOG");
+        start_log("test", log_level_from(level == nullptr ? "error" : level));
+    }
+};
+
+/// Returns the lines as one text.
+inline std::string joined(const std::vector<std::string>& lines)
+{
+    std::string text;
+    for (const std::string& line : lines)
+        text += "\n  " + line;
+    return text;
+}
+
+/// Queues of each priority, with and without advice: "q0" to "q2", "a0" to "a2".
+inline void add_queues(Cell& cell)
+{
+    jobs::Configuration configuration = cell.store.configuration();
+    ++configuration.version;
+    for (int i = 0; i < 6; ++i) {
+        const bool advised = i >= 3;
+        jobs::Queue queue;
+        queue.name = (advised ? "a" : "q") + std::to_string(i % 3);
+        queue.host = "cell";
+        queue.path_prefix = "/" + queue.name + "/";
+        queue.service = "pool";
+        queue.priority = i % 3;
+        queue.max_failures = 3 + i % 2;
+        queue.stretch = 2;
+        queue.slo_ms = 1000;
+        if (advised)
+            queue.advice = jobs::AdviceRule { 5, 1, 1500 };
+        configuration.queues.push_back(queue);
+    }
+    cell.store.configure(configuration);
+    cell.workers.trouble.ticket_life = Millis(1500);
+    cell.workers.trouble.dead_are_silent = true;
+}
+
+/// Returns the specification that goes with the facts.
+inline jobs::JobSpec spec_of(const std::vector<TaskFacts>& facts)
+{
+    jobs::JobSpec spec;
+    spec.payload = "p";
+    for (const TaskFacts& step : facts) {
+        jobs::StepSpec entry;
+        entry.count = step.count;
+        entry.need = step.need;
+        entry.gang = step.gang;
+        entry.after = step.after;
+        entry.expected_ms = step.run_ms;
+        entry.lasting = step.lasting;
+        entry.saves_progress = step.saves_progress;
+        entry.max_per_worker = step.max_per_worker;
+        spec.steps.push_back(entry);
+    }
+    return spec;
+}
+
+/// Hands in a job on the queue of that name.
+inline void submit(Cell& cell, const std::string& queue, const std::string& id,
+                   std::vector<TaskFacts> steps)
+{
+    const jobs::Queue& found = *cell.store.configuration().by_name(queue);
+    for (TaskFacts& facts : steps) {
+        facts.payload = "p";
+        facts.advised = found.advice.has_value();
+        facts.max_failures = found.max_failures;
+    }
+    cell.submit_on(queue, id, spec_of(steps), steps);
+}
+
+/// Returns a step of small tasks.
+inline TaskFacts simple_facts(int count, int64_t run_ms)
+{
+    TaskFacts facts;
+    facts.count = count;
+    facts.run_ms = run_ms;
+    facts.need = { 1000, 1000, 0 };
+    return facts;
+}
+
+} // namespace pathport::liveness
--- a/src/jobs.lib/liveness_test.cpp
+++ b/src/jobs.lib/liveness_test.cpp
@@ -8,19 +8,13 @@
 #define BOOST_TEST_MODULE liveness
 #include <boost/test/unit_test.hpp>
 
-#include "head_log.h"
-#include "store_keys.h"
-
-#include <pathport/emulator/cell.h>
-#include <pathport/log.h>
+#include "liveness_fixture.h"
 
 #include <algorithm>
 #include <cstdlib>
 
 using namespace pathport;
-using emulator::Cell;
-using emulator::TaskFacts;
-using emulator::WorkerFault;
+using namespace pathport::liveness;
 
 namespace {
 
@@ -43,93 +37,6 @@
     return text == nullptr ? ~uint64_t(0) : std::strtoull(text, nullptr, 0);
 }
 
-struct QuietLog {
-    QuietLog()
-    {
-        const char* const level = std::getenv("PATHPORT_LOG");
-        start_log("test", log_level_from(level == nullptr ? "error" : level));
-    }
-};
-
-std::string joined(const std::vector<std::string>& lines)
-{
-    std::string text;
-    for (const std::string& line : lines)
-        text += "\n  " + line;
-    return text;
-}
-
-/// Queues of each priority, with and without advice: "q0" to "q2", "a0" to "a2".
-void add_queues(Cell& cell)
-{
-    jobs::Configuration configuration = cell.store.configuration();
-    ++configuration.version;
-    for (int i = 0; i < 6; ++i) {
-        const bool advised = i >= 3;
-        jobs::Queue queue;
-        queue.name = (advised ? "a" : "q") + std::to_string(i % 3);
-        queue.host = "cell";
-        queue.path_prefix = "/" + queue.name + "/";
-        queue.service = "pool";
-        queue.priority = i % 3;
-        queue.max_failures = 3 + i % 2;
-        queue.stretch = 2;
-        queue.slo_ms = 1000;
-        if (advised)
-            queue.advice = jobs::AdviceRule { 5, 1, 1500 };
-        configuration.queues.push_back(queue);
-    }
-    cell.store.configure(configuration);
-    cell.workers.trouble.ticket_life = Millis(1500);
-    cell.workers.trouble.dead_are_silent = true;
-}
-
-jobs::JobSpec spec_of(const std::vector<TaskFacts>& facts)
-{
-    jobs::JobSpec spec;
-    spec.payload = "p";
-    for (const TaskFacts& step : facts) {
-        jobs::StepSpec entry;
-        entry.count = step.count;
-        entry.need = step.need;
-        entry.gang = step.gang;
-        entry.after = step.after;
-        entry.expected_ms = step.run_ms;
-        entry.lasting = step.lasting;
-        entry.saves_progress = step.saves_progress;
-        entry.max_per_worker = step.max_per_worker;
-        spec.steps.push_back(entry);
-    }
-    return spec;
-}
-
-void submit(Cell& cell, const std::string& queue, const std::string& id,
-            std::vector<TaskFacts> steps)
-{
-    const jobs::Queue& found = *cell.store.configuration().by_name(queue);
-    for (TaskFacts& facts : steps) {
-        facts.payload = "p";
-        facts.advised = found.advice.has_value();
-        facts.max_failures = found.max_failures;
-    }
-    cell.submit_on(queue, id, spec_of(steps), steps);
-}
-
-TaskFacts simple_facts(int count, int64_t run_ms)
-{
-    TaskFacts facts;
-    facts.count = count;
-    facts.run_ms = run_ms;
-    facts.need = { 1000, 1000, 0 };
-    return facts;
-}
-
-int64_t epoch_of(const Cell& cell)
-{
-    const auto head = jobs::decode_head(cell.store.value(jobs::lead_row(jobs::head_key)));
-    return head ? head->epoch : 0;
-}
-
 /// A cell under a random schedule.
 class Schedule {
 public:
@@ -369,111 +276,6 @@
 
 BOOST_TEST_GLOBAL_FIXTURE(QuietLog);
 
-// The list forgets an idle worker that answers, and names it again: the worker's session
-// was dropped, and the next one began with a fence below the one that the first had raised.
-// The worker refused it, and the leader took that for a later leader's fence and gave up.
-BOOST_AUTO_TEST_CASE(worker_that_is_listed_again_deposes_no_leader)
-{
-    Cell cell(1, 3, 1);
-    add_queues(cell);
-    cell.world.run_for(Millis(2000));
-    // Two starts without an answer raise the fence.
-    cell.workers.trouble.unanswered = 1;
-    submit(cell, "q0", "job0", { simple_facts(2, 300) });
-    cell.world.run_for(Millis(600));
-    cell.workers.trouble.unanswered = 0;
-    cell.world.run_for(Millis(3000));
-    const int64_t epoch = epoch_of(cell);
-    for (const std::string& id : cell.workers.ids())
-        cell.workers.afflict(id, WorkerFault::unlisted, Millis(2000));
-    cell.world.run_for(Millis(6000));
-    BOOST_TEST(epoch_of(cell) == epoch);
-    const auto wrong = cell.verdict();
-    BOOST_TEST(wrong.empty(), joined(wrong));
-}
-
-// A worker that answers looks and declines all starts is chosen again and again for the
-// tasks of one job, although others are free: it was only left alone once it had surprised
-// two jobs in a row.
-BOOST_AUTO_TEST_CASE(task_that_one_worker_declines_runs_elsewhere)
-{
-    Cell cell(2, 3, 4);
-    add_queues(cell);
-    cell.watch_jobs();
-    cell.world.run_for(Millis(2000));
-    cell.workers.afflict("w1", WorkerFault::declines_starts, Millis(60000));
-    submit(cell, "q2", "job0", { simple_facts(1, 500) });
-    cell.world.run_for(Millis(10000));
-    const auto wrong = cell.verdict();
-    BOOST_TEST(wrong.empty(), joined(wrong));
-}
-
-// The same for a worker on which tasks stand still: the stopped task went there again.
-BOOST_AUTO_TEST_CASE(task_that_stood_still_on_one_worker_runs_elsewhere)
-{
-    Cell cell(3, 3, 4);
-    add_queues(cell);
-    cell.world.run_for(Millis(2000));
-    cell.workers.afflict("w1", WorkerFault::stands_still, Millis(60000));
-    submit(cell, "q2", "job0", { simple_facts(1, 500) });
-    cell.world.run_for(Millis(15000));
-    const auto wrong = cell.verdict();
-    BOOST_TEST(wrong.empty(), joined(wrong));
-}
-
-// An earlier leader has started tasks without a record, and the worker is not listed when
-// the next one takes over: it may run them all the same.
-BOOST_AUTO_TEST_CASE(unrecorded_starts_on_an_unlisted_worker_are_waited_for)
-{
-    for (uint64_t seed = 1; seed <= 10; ++seed) {
-        Cell cell(seed, 3, 3);
-        add_queues(cell);
-        cell.world.run_for(Millis(2000));
-        cell.store.trouble.slow = 80;
-        cell.world.run_for(Millis(2000));
-        for (int i = 0; i < 12; ++i) {
-            submit(cell, "q0", "job" + std::to_string(i), { simple_facts(1, 6000) });
-            cell.world.run_for(Millis(100));
-        }
-        for (const std::string& id : cell.workers.ids()) {
-            if (id != "w3")
-                cell.workers.afflict(id, WorkerFault::unlisted, Millis(6000));
-        }
-        cell.kill(cell.leader(), Millis(5000));
-        cell.store.trouble.slow = 1;
-        cell.world.run_for(Millis(30000));
-        const auto wrong = cell.verdict();
-        BOOST_TEST(wrong.empty(), "seed " << seed << joined(wrong));
-    }
-}
-
-// Seed 30104: a second leader claimed while the first one's starts without a record were
-// still to be waited for, and the head row no longer told the third one of them.
-BOOST_AUTO_TEST_CASE(unrecorded_starts_are_waited_for_over_two_take_overs)
-{
-    for (uint64_t seed = 1; seed <= 10; ++seed) {
-        Cell cell(seed, 3, 2);
-        add_queues(cell);
-        cell.world.run_for(Millis(2000));
-        cell.store.trouble.slow = 80;
-        cell.world.run_for(Millis(2000));
-        for (int i = 0; i < 8; ++i) {
-            submit(cell, "q0", "job" + std::to_string(i), { simple_facts(1, 6000) });
-            cell.world.run_for(Millis(100));
-        }
-        // All of them run on the worker that is cut off now.
-        cell.workers.cut("w1", Millis(5500));
-        cell.kill(cell.leader(), Millis(500));
-        cell.store.trouble.slow = 1;
-        for (int i = 0; i < 40 && cell.leader().empty(); ++i)
-            cell.world.run_for(Millis(50));
-        cell.kill(cell.leader(), Millis(500));
-        cell.world.run_for(Millis(30000));
-        const auto wrong = cell.verdict();
-        BOOST_TEST(wrong.empty(), "seed " << seed << joined(wrong));
-    }
-}
-
 BOOST_AUTO_TEST_CASE(random_schedules_leave_no_job_standing)
 {
     const uint64_t first = first_seed();
