A worker that turned a task away is second choice for its step

Cause: a worker whose refusal frees its room at once is the tightest fit again, so it was chosen for the same task 60 times a second. Refusals of one job counted as one surprise, so it wasn't left alone either, and only failures made a worker second choice. A task that stood still went back to its worker in the same way.

Change: a step remembers for 10 s at which workers a start came to nothing or a task stood still, 32 of them at most. They are filled last, also when all room together is too little, and an advised step asks about others before it counts on them. Fences and tickets are the leader's own and tell nothing against a worker; a lost answer makes a second choice but is no surprise, since a cut loses those of many workers at once. A refusal is a surprise unless its start was chosen before the last one was known, also of the same job: a job's failures may be its own doing, refusals are not.

--- a/src/jobs.lib/job_record.cpp
+++ b/src/jobs.lib/job_record.cpp
@@ -6,6 +6,7 @@
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
+#include <iterator>
 
 namespace pathport::jobs {
 
@@ -13,6 +14,14 @@
 
 using Json = nlohmann::json;
 
+/// How long a worker where a task came to nothing is second choice for the step: longer
+/// than a worker that surprised is left alone and tried (5.5 s), so that others make its
+/// trial.
+constexpr Millis turned_away_time { 10000 };
+/// Workers of which a step remembers this: 2.5 kB or so. One that is forgotten early costs
+/// one more start there.
+constexpr size_t most_turned_away = 32;
+
 const char* const state_key = "state";
 const char* const next_key = "next";
 const char* const finished_key = "finished";
@@ -123,6 +132,18 @@
                                           [](const Task& task) { return task.placed(); }));
 }
 
+void Step::note_turned_away(const std::string& worker, Millis now)
+{
+    for (auto entry = turned_away.begin(); entry != turned_away.end();)
+        entry = entry->second <= now ? turned_away.erase(entry) : std::next(entry);
+    turned_away[worker] = now + turned_away_time;
+    if (turned_away.size() <= most_turned_away)
+        return;
+    turned_away.erase(std::min_element(
+        turned_away.begin(), turned_away.end(),
+        [](const auto& left, const auto& right) { return left.second < right.second; }));
+}
+
 bool Repeat::finished() const
 {
     return std::all_of(steps.begin(), steps.end(),
--- a/src/jobs.lib/job_record.h
+++ b/src/jobs.lib/job_record.h
@@ -81,12 +81,17 @@
     Millis kept_until;
     Millis check_at; ///< No look for room before it, unless advice comes.
     Millis wait_explained; ///< When the log last told why it waits.
+    /// Workers at which a start of a task came to nothing or a task stood still, and until
+    /// when they are second choice. A bounded number of them.
+    std::map<std::string, Millis> turned_away;
 
     bool finished() const { return done == static_cast<int>(tasks.size()); }
     /// Returns the step's name: "<job>.<repeat>.<step>".
     std::string name(const std::string& job) const;
     int count(TaskPhase phase) const;
     int placed() const;
+    /// Notes that a task came to nothing at `worker`.
+    void note_turned_away(const std::string& worker, Millis now);
 };
 
 /// One repeat of a job's steps.
--- a/src/jobs.lib/jobs_test.cpp
+++ b/src/jobs.lib/jobs_test.cpp
@@ -273,6 +273,27 @@
     BOOST_TEST(tasks_that_fit(step, room) == 10);
 }
 
+BOOST_AUTO_TEST_CASE(second_choices_are_filled_last)
+{
+    WorkerRoom tight = room_of("a", 1000);
+    tight.second_choice = true;
+    const auto shares
+        = choose_workers(step_of(3, 1000), 2, false, { tight, room_of("b", 8000, "r1-2") });
+    BOOST_REQUIRE(shares.size() == 1);
+    BOOST_TEST(shares[0].worker == "b");
+}
+
+BOOST_AUTO_TEST_CASE(step_remembers_few_workers_that_turned_it_away)
+{
+    Step step;
+    for (int i = 0; i < 1000; ++i)
+        step.note_turned_away("w" + std::to_string(i), Millis(i));
+    BOOST_TEST(step.turned_away.size() <= 100);
+    BOOST_TEST(step.turned_away.count("w999") == 1);
+    step.note_turned_away("w0", Millis(60000));
+    BOOST_TEST(step.turned_away.size() == 1);
+}
+
 BOOST_AUTO_TEST_CASE(one_rack_is_taken_where_it_suffices)
 {
     StepSpec step = step_of(4, 1000);
--- a/src/jobs.lib/placement.cpp
+++ b/src/jobs.lib/placement.cpp
@@ -76,13 +76,14 @@
 std::vector<Share> choose_workers(const StepSpec& step, int count, bool whole,
                                   std::vector<WorkerRoom> rooms)
 {
-    std::stable_sort(rooms.begin(), rooms.end(),
-                     [&](const WorkerRoom& left, const WorkerRoom& right) {
-                         const bool left_far = left.rack != step.near_rack;
-                         const bool right_far = right.rack != step.near_rack;
-                         return std::tie(left_far, left.slow, left.free.cpu_millis)
-                             < std::tie(right_far, right.slow, right.free.cpu_millis);
-                     });
+    std::stable_sort(
+        rooms.begin(), rooms.end(), [&](const WorkerRoom& left, const WorkerRoom& right) {
+            const bool left_far = left.rack != step.near_rack;
+            const bool right_far = right.rack != step.near_rack;
+            return std::tie(left.second_choice, left_far, left.slow, left.free.cpu_millis)
+                < std::tie(right.second_choice, right_far, right.slow,
+                           right.free.cpu_millis);
+        });
     if (step.same_rack) {
         const std::vector<WorkerRoom> rack = one_rack(step, count, rooms);
         if (!rack.empty())
--- a/src/jobs.lib/placement.h
+++ b/src/jobs.lib/placement.h
@@ -20,6 +20,7 @@
     std::string_view worker; ///< Views of names that outlive the choice.
     std::string_view rack;
     Resources free;
+    bool second_choice = false; ///< Tasks of the step came to nothing there lately.
     bool slow = false; ///< To be used only when others don't suffice.
     int of_step = 0; ///< Tasks of this step that it holds already.
     int at_most = max_tasks_per_step; ///< Tasks that may be added for other reasons.
@@ -39,9 +40,9 @@
 /// Returns how many tasks of `step` a worker can take.
 int tasks_that_fit(const StepSpec& step, const WorkerRoom& room);
 
-/// Chooses workers for up to `count` tasks: near the data first, then the tightest fit, so
-/// that large holes stay. For a gang (`whole`) it returns shares for all or nothing, in one
-/// rack where one has room and the step asks for it.
+/// Chooses workers for up to `count` tasks: second choices last, near the data first, then
+/// the tightest fit, so that large holes stay. For a gang (`whole`) it returns shares for
+/// all or nothing, in one rack where one has room and the step asks for it.
 std::vector<Share> choose_workers(const StepSpec& step, int count, bool whole,
                                   std::vector<WorkerRoom> rooms);
 
--- a/src/jobs.lib/scheduler.h
+++ b/src/jobs.lib/scheduler.h
@@ -27,6 +27,7 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace pathport::jobs {
@@ -114,8 +115,9 @@
         WorkerLoad load;
         const Step* kept_for = nullptr; ///< A gang, in the present pass.
         std::deque<std::shared_ptr<EndBatch>> batches;
-        int surprises = 0; ///< Failures and standing tasks since the last success.
+        int surprises = 0; ///< Failures, refusals and standing tasks since a success.
         std::string last_failed_job;
+        Millis refused_at; ///< When a refusal was last counted.
         Millis avoid_until;
         /// Returns whether `step` may use what is free.
         bool free_for(const Step& step) const
@@ -130,12 +132,14 @@
         Worker* worker = nullptr;
         int fit = 0; ///< Tasks of the step for which there is room.
         int later_fit = 0; ///< The same once less urgent tasks there have ended.
+        bool second_choice = false; ///< As in WorkerRoom.
         bool slow = false; ///< Slower than others, and the step is urgent.
     };
     /// All such workers, those with the most room first.
     struct Prospects {
         std::vector<Prospect> allowed;
         std::vector<Prospect> unasked;
+        int first_fit = 0; ///< Sum over those allowed that are no second choice.
         int fit = 0; ///< Sums over those allowed.
         int later_fit = 0;
     };
@@ -186,6 +190,8 @@
                      const Task& task);
     static bool is_slow_for(const Worker& worker, const JobRecord& job);
     void note_surprise(Worker& worker, const std::string& job);
+    void note_refusal(Worker& worker, Millis chosen_at);
+    void count_surprise(Worker& worker);
     void release_all(Worker& worker);
 
     // Jobs (scheduler_jobs.cpp).
@@ -210,6 +216,7 @@
     void place(const Candidate& candidate);
     void check_again_soon();
     bool gang_may_be_placed(const Step& step) const;
+    std::set<std::string_view> second_choices(const Step& step) const;
     std::vector<WorkerRoom> rooms_for(const JobRecord& job, const Step& step, int needed);
     WorkerRoom room_on(const Worker& worker, const Step& step,
                        const std::string& step_name) const;
--- a/src/jobs.lib/scheduler_advice.cpp
+++ b/src/jobs.lib/scheduler_advice.cpp
@@ -42,8 +42,8 @@
 
 bool Scheduler::fit_first(const Prospect& left, const Prospect& right)
 {
-    return std::make_tuple(left.slow, -left.fit, -left.later_fit)
-        < std::make_tuple(right.slow, -right.fit, -right.later_fit);
+    return std::make_tuple(left.second_choice, left.slow, -left.fit, -left.later_fit)
+        < std::make_tuple(right.second_choice, right.slow, -right.fit, -right.later_fit);
 }
 
 std::vector<std::string> Scheduler::names(const std::vector<Prospect>& prospects)
@@ -65,6 +65,7 @@
     const std::string key = step.name(job.id());
     const int priority = job.accepted().queue.priority;
     const bool advised = job.accepted().queue.advice.has_value();
+    const std::set<std::string_view> second = second_choices(step);
     Prospects found;
     for (auto& [id, worker] : m_workers) {
         if (!is_eligible(worker, job, step) || !worker.free_for(step))
@@ -77,10 +78,12 @@
         prospect.later_fit = std::min(needed, tasks_that_fit(*step.spec, room));
         if (prospect.later_fit == 0)
             continue;
+        prospect.second_choice = second.count(id) > 0;
         prospect.slow = is_slow_for(worker, job);
         const auto known = step.advice.workers.find(id);
         const bool asked = known != step.advice.workers.end();
         if (!advised || (asked && known->second.allowed)) {
+            found.first_fit += prospect.second_choice ? 0 : prospect.fit;
             found.fit += prospect.fit;
             found.later_fit += prospect.later_fit;
             found.allowed.push_back(prospect);
@@ -121,7 +124,8 @@
     if (step.advice.asking || m_pass_begun < step.advice.retry_at)
         return;
     Prospects found = prospects(job, step, needed);
-    if (found.fit < needed && !found.unasked.empty() && found.unasked.front().fit > 0) {
+    if (found.first_fit < needed && !found.unasked.empty()
+        && found.unasked.front().fit > 0) {
         ask_about_more(job, step, needed, found);
         return;
     }
--- a/src/jobs.lib/scheduler_pass.cpp
+++ b/src/jobs.lib/scheduler_pass.cpp
@@ -178,6 +178,21 @@
     return room;
 }
 
+// Returns the workers where tasks of the step failed or came to nothing.
+std::set<std::string_view> Scheduler::second_choices(const Step& step) const
+{
+    std::set<std::string_view> workers;
+    for (const Task& task : step.tasks) {
+        if (task.phase == TaskPhase::waiting && !task.failed_on.empty())
+            workers.insert(task.failed_on);
+    }
+    for (const auto& [worker, until] : step.turned_away) {
+        if (m_pass_begun < until)
+            workers.insert(worker);
+    }
+    return workers;
+}
+
 std::vector<WorkerRoom> Scheduler::rooms_for(const JobRecord& job, const Step& step,
                                              int needed)
 {
@@ -186,13 +201,9 @@
     if (advised && now >= step.advice.tickets_until)
         return {};
     const std::string key = step.name(job.id());
-    std::set<std::string_view> failed_on;
-    for (const Task& task : step.tasks) {
-        if (task.phase == TaskPhase::waiting && !task.failed_on.empty())
-            failed_on.insert(task.failed_on);
-    }
+    const std::set<std::string_view> second = second_choices(step);
     std::vector<WorkerRoom> rooms;
-    std::vector<WorkerRoom> second_choice;
+    std::vector<WorkerRoom> second_rooms;
     const auto consider = [&](const Worker& worker) {
         if (!is_eligible(worker, job, step) || !worker.free_for(step))
             return;
@@ -200,8 +211,8 @@
         room.slow = is_slow_for(worker, job);
         if (tasks_that_fit(*step.spec, room) == 0)
             return;
-        const bool failed_here = failed_on.count(room.worker) > 0;
-        (failed_here ? second_choice : rooms).push_back(room);
+        room.second_choice = second.count(room.worker) > 0;
+        (room.second_choice ? second_rooms : rooms).push_back(room);
     };
     if (advised) {
         for (const auto& [id, permission] : step.advice.workers) {
@@ -213,12 +224,12 @@
         for (const auto& [id, worker] : m_workers)
             consider(worker);
     }
-    // Where a task has failed before, it goes only when there is no other room.
+    // Where a task came to nothing before, it goes only when there is no other room.
     int fit = 0;
     for (const WorkerRoom& room : rooms)
         fit += tasks_that_fit(*step.spec, room);
     if (fit < needed)
-        rooms.insert(rooms.end(), second_choice.begin(), second_choice.end());
+        rooms.insert(rooms.end(), second_rooms.begin(), second_rooms.end());
     return rooms;
 }
 
@@ -229,15 +240,19 @@
     const int needed = step.count(TaskPhase::waiting);
     const std::vector<WorkerRoom> rooms = rooms_for(job, step, needed);
     int fit = 0;
-    for (const WorkerRoom& room : rooms)
-        fit += tasks_that_fit(*step.spec, room);
+    int first_fit = 0; // That of which is no second choice.
+    for (const WorkerRoom& room : rooms) {
+        const int here = tasks_that_fit(*step.spec, room);
+        fit += here;
+        first_fit += room.second_choice ? 0 : here;
+    }
     if (job.accepted().queue.priority > 0)
         step.check_at = m_pass_begun + room_check_interval;
     if (step.spec->gang && fit < needed) {
         prepare_gang(job, step, needed);
         return;
     }
-    if (fit < needed && job.accepted().queue.advice)
+    if (first_fit < needed && !step.spec->gang && job.accepted().queue.advice)
         ask_for_some(job, step, needed);
     if (fit == 0)
         return;
--- a/src/jobs.lib/scheduler_reports.cpp
+++ b/src/jobs.lib/scheduler_reports.cpp
@@ -16,7 +16,8 @@
 
 namespace {
 
-/// A worker with so many failures of different jobs in a row is left alone for a while.
+/// A worker with so many surprises in a row is left alone for a while: failures of
+/// different jobs, and refusals.
 constexpr int most_surprises = 2;
 constexpr Millis avoid_time { 3000 };
 /// Weights of a run in what is learned of its queue's guesses and its worker's speed.
@@ -283,6 +284,21 @@
     if (worker.last_failed_job == job && worker.surprises > 0)
         return;
     worker.last_failed_job = job;
+    count_surprise(worker);
+}
+
+// Starts that were chosen before a refusal was known are one surprise with it. Another one
+// counts, also of the same job: no job makes a worker refuse.
+void Scheduler::note_refusal(Worker& worker, Millis chosen_at)
+{
+    if (chosen_at <= worker.refused_at)
+        return;
+    worker.refused_at = m_parts.loop.now();
+    count_surprise(worker);
+}
+
+void Scheduler::count_surprise(Worker& worker)
+{
     if (++worker.surprises < most_surprises)
         return;
     worker.avoid_until = m_parts.loop.now() + avoid_time;
--- a/src/jobs.lib/scheduler_start.cpp
+++ b/src/jobs.lib/scheduler_start.cpp
@@ -11,6 +11,24 @@
 
 namespace pathport::jobs {
 
+namespace {
+
+// Returns whether a start came to nothing for a reason that lies with the worker or the way
+// to it: fences and tickets are the leader's own.
+bool lies_with_worker(OrderStatus status)
+{
+    return status != OrderStatus::stale_fence && status != OrderStatus::bad_ticket;
+}
+
+// Returns whether the worker gave an answer. A lost one tells nothing against it: a cut
+// loses those of many workers at once.
+bool is_refusal(OrderStatus status)
+{
+    return lies_with_worker(status) && status != OrderStatus::unknown;
+}
+
+} // namespace
+
 void Scheduler::intend(JobRecord& job, Step& step, const std::vector<Share>& shares)
 {
     const bool refill = step.spec->gang && step.placed() > 0;
@@ -142,8 +160,10 @@
         Step& step = *job->step(id.repeat, id.step);
         if (status == OrderStatus::bad_ticket)
             step.advice.workers.erase(name);
-        if (status == OrderStatus::declined && worker != nullptr)
-            note_surprise(*worker, id.job);
+        if (lies_with_worker(status))
+            step.note_turned_away(name, m_parts.loop.now());
+        if (is_refusal(status) && worker != nullptr)
+            note_refusal(*worker, task->placed_at);
         release(*task);
         schedule_pass();
         return;
--- a/src/jobs.lib/scheduler_tick.cpp
+++ b/src/jobs.lib/scheduler_tick.cpp
@@ -135,6 +135,7 @@
                     { "percent", task.percent },
                     { "for_ms", (now - task.percent_at).count() } });
         note_surprise(*worker, job.id());
+        step.note_turned_away(task.worker, now);
         worker->session->stop(id, task.run);
         task.phase = TaskPhase::stopping;
     }
--- a/src/jobs.lib/stuck_step_test.cpp
+++ b/src/jobs.lib/stuck_step_test.cpp
@@ -271,6 +271,22 @@
     }
 }
 
+// A worker that refuses all starts and is the only one is tried at times, not all the time.
+BOOST_AUTO_TEST_CASE(only_worker_is_tried_at_times_until_it_starts_tasks)
+{
+    for (const int queue : { 0, 1 }) {
+        Site site(1, 2, 2);
+        site.workers.refusals["w1"] = OrderStatus::declined;
+        site.submit("job1", queue, facts_of(3, 500, 450));
+        site.world.run_for(long_enough);
+        BOOST_TEST(site.workers.starts["w1"] <= most_refused_starts,
+                   "queue " << queue << ": " << site.workers.starts["w1"] << " starts");
+        site.workers.refusals.clear();
+        site.world.run_for(long_enough);
+        BOOST_TEST(site.done("job1", 3), "queue " << queue);
+    }
+}
+
 // A ticket that is rejected is asked for anew. The worker gives way to others meanwhile.
 BOOST_AUTO_TEST_CASE(worker_that_rejects_all_tickets_holds_up_no_task)
 {
