A worker that is listed again meets no lower fence

Cause: the session of a worker that left the list, idle or after its lease, was dropped with the fence that it had raised for orders without an answer. The next session began with the first fence of the epoch, the worker refused it as stale, and the leader took that for a later leader's fence and gave up.

Change: one number, the highest fence of all sessions that have ended, is the least one for the next session with any worker. A table by worker id was ruled out: it needs a limit, and a worker beyond the limit would depose the leader all the same. The number rises by one while an order waits for its answer, no faster than the fence of one session, so the epoch's range holds as before. The three places that ended a session are one function.

--- a/src/jobs.lib/scheduler.h
+++ b/src/jobs.lib/scheduler.h
@@ -170,6 +170,7 @@
     void settle();
     void job_row_seen(const StoredRow& row);
     void drop_unlisted(const std::string& worker);
+    void end_session(Worker& worker);
     void release_unknown_doubts();
     bool holds_back(const JobRecord& job) const;
 
@@ -295,6 +296,10 @@
     std::set<std::string> m_archived; ///< Their progress rows are not removed yet.
     Millis m_archive_tried;
     std::map<std::string, Worker> m_workers; ///< By id of the life.
+    /// The highest fence of the sessions that have ended, since one number is bounded and a
+    /// list of the workers that may come back isn't. It rises no faster than that of one
+    /// session: by one while an order waits for its answer.
+    int64_t m_ended_fence = 0;
     std::map<std::string, double>
         m_allowed_share; ///< By queue, of the workers asked about.
     std::map<std::string, double> m_guess_error; ///< By queue, smoothed logarithm.
--- a/src/jobs.lib/scheduler_load.cpp
+++ b/src/jobs.lib/scheduler_load.cpp
@@ -181,9 +181,9 @@
             worker.session->update(info);
             continue;
         }
-        worker.session = std::make_unique<WorkerSession>(m_parts.loop, m_parts.workers,
-                                                         *this, info, m_claim.head.epoch,
-                                                         m_parts.bounds, m_unknown_until);
+        worker.session = std::make_unique<WorkerSession>(
+            m_parts.loop, m_parts.workers, *this, info, m_claim.head.epoch, m_ended_fence,
+            m_parts.bounds, m_unknown_until);
         if (m_phase != Phase::loading)
             worker.session->begin();
     }
@@ -206,7 +206,17 @@
     if (worker.session->info().draining)
         worker.session->left();
     if (worker.load.empty())
-        m_workers.erase(id);
+        end_session(worker);
+}
+
+// The worker may be listed again, and refuses fences below the highest that it has seen.
+void Scheduler::end_session(Worker& worker)
+{
+    // The session may be in a call of its own.
+    std::shared_ptr<WorkerSession> ended(std::move(worker.session));
+    m_ended_fence = std::max(m_ended_fence, ended->fence());
+    m_workers.erase(ended->id());
+    m_parts.loop.after(Millis(0), [ended] {});
 }
 
 void Scheduler::settle()
--- a/src/jobs.lib/scheduler_reports.cpp
+++ b/src/jobs.lib/scheduler_reports.cpp
@@ -349,10 +349,7 @@
     if (worker == nullptr)
         return;
     release_all(*worker);
-    // The session is in a call of its own.
-    std::shared_ptr<WorkerSession> ended(std::move(worker->session));
-    m_workers.erase(ended->id());
-    m_parts.loop.after(Millis(0), [ended] {});
+    end_session(*worker);
     settle();
 }
 
@@ -362,11 +359,8 @@
     if (worker == nullptr)
         return;
     release_all(*worker);
-    if (worker->listed)
-        return;
-    std::shared_ptr<WorkerSession> ended(std::move(worker->session));
-    m_workers.erase(ended->id());
-    m_parts.loop.after(Millis(0), [ended] {});
+    if (!worker->listed)
+        end_session(*worker);
 }
 
 } // namespace pathport::jobs
--- /dev/null
+++ b/src/jobs.lib/take_over_test.cpp
@@ -0,0 +1,69 @@
+// Copyright the pathport authors.
+// SPDX-License-Identifier: Apache-2.0
+
+/// \file
+/// Faults that let tasks run twice after a take-over, each as a schedule of its own. They
+/// were found by reading and by the schedules of liveness_test.
+
+#define BOOST_TEST_MODULE take_over
+#include <boost/test/unit_test.hpp>
+
+#include "liveness_fixture.h"
+
+using namespace pathport;
+using namespace pathport::liveness;
+
+BOOST_TEST_GLOBAL_FIXTURE(QuietLog);
+
+// An earlier leader has started tasks without a record, and the worker is not listed when
+// the next one takes over: it may run them all the same.
+BOOST_AUTO_TEST_CASE(unrecorded_starts_on_an_unlisted_worker_are_waited_for)
+{
+    for (uint64_t seed = 1; seed <= 10; ++seed) {
+        Cell cell(seed, 3, 3);
+        add_queues(cell);
+        cell.world.run_for(Millis(2000));
+        cell.store.trouble.slow = 80;
+        cell.world.run_for(Millis(2000));
+        for (int i = 0; i < 12; ++i) {
+            submit(cell, "q0", "job" + std::to_string(i), { simple_facts(1, 6000) });
+            cell.world.run_for(Millis(100));
+        }
+        for (const std::string& id : cell.workers.ids()) {
+            if (id != "w3")
+                cell.workers.afflict(id, WorkerFault::unlisted, Millis(6000));
+        }
+        cell.kill(cell.leader(), Millis(5000));
+        cell.store.trouble.slow = 1;
+        cell.world.run_for(Millis(30000));
+        const auto wrong = cell.verdict();
+        BOOST_TEST(wrong.empty(), "seed " << seed << joined(wrong));
+    }
+}
+
+// Seed 30104: a second leader claimed while the first one's starts without a record were
+// still to be waited for, and the head row no longer told the third one of them.
+BOOST_AUTO_TEST_CASE(unrecorded_starts_are_waited_for_over_two_take_overs)
+{
+    for (uint64_t seed = 1; seed <= 10; ++seed) {
+        Cell cell(seed, 3, 2);
+        add_queues(cell);
+        cell.world.run_for(Millis(2000));
+        cell.store.trouble.slow = 80;
+        cell.world.run_for(Millis(2000));
+        for (int i = 0; i < 8; ++i) {
+            submit(cell, "q0", "job" + std::to_string(i), { simple_facts(1, 6000) });
+            cell.world.run_for(Millis(100));
+        }
+        // All of them run on the worker that is cut off now.
+        cell.workers.cut("w1", Millis(5500));
+        cell.kill(cell.leader(), Millis(500));
+        cell.store.trouble.slow = 1;
+        for (int i = 0; i < 40 && cell.leader().empty(); ++i)
+            cell.world.run_for(Millis(50));
+        cell.kill(cell.leader(), Millis(500));
+        cell.world.run_for(Millis(30000));
+        const auto wrong = cell.verdict();
+        BOOST_TEST(wrong.empty(), "seed " << seed << joined(wrong));
+    }
+}
--- a/src/jobs.lib/worker_session.cpp
+++ b/src/jobs.lib/worker_session.cpp
@@ -67,13 +67,13 @@
 
 WorkerSession::WorkerSession(EventLoop& loop, WorkerClient& client,
                              SessionListener& listener, WorkerInfo info, int64_t epoch,
-                             WorkerBounds bounds, Millis unknown_until)
+                             int64_t least_fence, WorkerBounds bounds, Millis unknown_until)
     : m_loop(loop)
     , m_client(client)
     , m_listener(listener)
     , m_info(std::move(info))
     , m_bounds(bounds)
-    , m_fence(epoch * fences_per_epoch + 1)
+    , m_fence(std::max(epoch * fences_per_epoch + 1, least_fence))
     , m_lapse_at(unknown_until)
 {
 }
--- a/src/jobs.lib/worker_session.h
+++ b/src/jobs.lib/worker_session.h
@@ -55,10 +55,11 @@
 /// The session.
 class WorkerSession {
 public:
-    /// Makes a session under fences of `epoch`. Before the first report, something of an
-    /// earlier leader may run there until `unknown_until`.
+    /// Makes a session under fences of `epoch` from `least_fence` on if
+    /// that is one. Before the first report, something of an earlier leader may run there
+    /// until `unknown_until`.
     WorkerSession(EventLoop& loop, WorkerClient& client, SessionListener& listener,
-                  WorkerInfo info, int64_t epoch, WorkerBounds bounds,
+                  WorkerInfo info, int64_t epoch, int64_t least_fence, WorkerBounds bounds,
                   Millis unknown_until);
     ~WorkerSession();
 
@@ -79,6 +80,8 @@
     /// Returns whether it answers and no order to it is in doubt.
     bool usable() const { return m_fenced && !m_silent && m_doubtful.empty(); }
     bool silent() const { return m_silent; }
+    /// Returns the fence under which it orders at present.
+    int64_t fence() const { return m_fence; }
     /// Returns whether an order for the task is unanswered or in doubt.
     bool has_open_order(const TaskId& task) const;
 
@@ -107,7 +110,6 @@
         EventLoop::TimerId timer = 0;
     };
 
-    int64_t fence() const { return m_fence; }
     int64_t hold_until() const;
     void schedule_look(Millis delay);
     void look(bool may_wait);
