An allowance stays, and a refusal is asked about again

Cause: each answer set the verdicts of all workers in the question anew, so one that named none, as while the advisor does not know a worker, refused those that were allowed. A refused worker was never asked about again: a step with no other worker asked about nobody for ever.

Change: an answer that leaves an allowed worker out only marks it, and it is second choice until a ticket comes: it is asked about again, but does not keep the step from asking about others. Refusals of five seconds ago or older are asked about when no first choice has room and nobody else can be asked; for gangs, when the refused ones have the room that the allowed ones lack.

New cases of stuck_step_test: refused workers are asked about again (tasks and gang), other workers are asked about when an allowance ends.

--- a/src/jobs.lib/job_record.h
+++ b/src/jobs.lib/job_record.h
@@ -52,6 +52,8 @@
     bool allowed = false;
     std::string ticket;
     Millis expires; ///< After it the ticket must not be used.
+    Millis answered_at; ///< When the last answer about it came.
+    bool left_out = false; ///< That answer brought no ticket.
 
     bool holds(Millis now) const { return allowed && now < expires; }
 };
--- a/src/jobs.lib/scheduler.h
+++ b/src/jobs.lib/scheduler.h
@@ -139,6 +139,7 @@
     struct Prospects {
         std::vector<Prospect> allowed;
         std::vector<Prospect> unasked;
+        std::vector<Prospect> refused; ///< So long ago that they may be asked about again.
         int first_fit = 0; ///< Sum over those allowed that are no second choice.
         int fit = 0; ///< Sums over those allowed.
         int later_fit = 0;
@@ -223,6 +224,10 @@
                        const std::string& step_name) const;
     bool is_eligible(const Worker& worker, const JobRecord& job, const Step& step) const;
     Prospects prospects(const JobRecord& job, const Step& step, int needed);
+    static void sort_in(Prospects& found, Prospect prospect, const Permission* known,
+                        Millis now);
+    static bool any_room(const std::vector<Prospect>& prospects);
+    static bool refused_would_do(const Prospects& found, int needed);
     void reserve(Worker& worker, const Step& step);
     void renew_reservations(const std::vector<Candidate>& waiting);
     void keep(Step& step, const std::vector<Prospect>& workers, Millis span);
@@ -234,7 +239,10 @@
                    const std::vector<Prospect>& kept, int needed);
     std::vector<Victim> victims_on(const Worker& worker, int priority);
     void ask_about_more(const JobRecord& job, Step& step, int needed,
-                        const Prospects& found);
+                        const Prospects& found, const std::vector<Prospect>& unknown);
+    static bool take_answer(StepAdvice& advice, const std::vector<std::string>& asked,
+                            const std::vector<WorkerTicket>& tickets, Millis now,
+                            Millis expires);
     void ask_for_some(const JobRecord& job, Step& step, int needed);
     void ask(const JobRecord& job, Step& step, std::vector<std::string> workers);
     void explain_wait(const JobRecord& job, Step& step);
--- a/src/jobs.lib/scheduler_advice.cpp
+++ b/src/jobs.lib/scheduler_advice.cpp
@@ -3,7 +3,8 @@
 
 /// \file
 /// Advice: which workers a step may use is asked for when it helps to place tasks, since
-/// calls are dear and tickets run out. A verdict stays; only its ticket ages.
+/// calls are dear and tickets run out. An allowance stays; only its ticket ages. A refusal
+/// is asked about again when a step finds no room without.
 
 #include "scheduler.h"
 
@@ -21,6 +22,10 @@
 constexpr Millis advice_retry { 150 };
 /// Pause after an answer that brought no verdict that wasn't known.
 constexpr Millis fruitless_pause { 120 };
+/// A worker that was refused may be asked about again after this time: a step that stays
+/// refused there costs a question in five seconds at most, and the platform's tickets, of
+/// 2 s, have run out twice since.
+constexpr Millis refusal_age { 5000 };
 /// A gang keeps its workers for so long after the tickets for them have come.
 constexpr Millis kept_after_answer { 500 };
 /// Pause after a look at the workers that found none worth a question.
@@ -57,6 +62,29 @@
     return workers;
 }
 
+bool Scheduler::any_room(const std::vector<Prospect>& prospects)
+{
+    return std::any_of(prospects.begin(), prospects.end(),
+                       [](const Prospect& prospect) { return prospect.fit > 0; });
+}
+
+// Adds a worker to those of its kind; `known` is its verdict, if it has one.
+void Scheduler::sort_in(Prospects& found, Prospect prospect, const Permission* known,
+                        Millis now)
+{
+    if (known == nullptr) {
+        found.unasked.push_back(prospect);
+    } else if (known->allowed) {
+        prospect.second_choice = prospect.second_choice || known->left_out;
+        found.first_fit += prospect.second_choice ? 0 : prospect.fit;
+        found.fit += prospect.fit;
+        found.later_fit += prospect.later_fit;
+        found.allowed.push_back(prospect);
+    } else if (now - known->answered_at >= refusal_age) {
+        found.refused.push_back(prospect);
+    }
+}
+
 // Returns the workers that the step could use by what is known, and how many of its tasks
 // each would hold.
 Scheduler::Prospects Scheduler::prospects(const JobRecord& job, const Step& step,
@@ -65,6 +93,8 @@
     const std::string key = step.name(job.id());
     const int priority = job.accepted().queue.priority;
     const bool advised = job.accepted().queue.advice.has_value();
+    Permission without_advice;
+    without_advice.allowed = true;
     const std::set<std::string_view> second = second_choices(step);
     Prospects found;
     for (auto& [id, worker] : m_workers) {
@@ -80,26 +110,23 @@
             continue;
         prospect.second_choice = second.count(id) > 0;
         prospect.slow = is_slow_for(worker, job);
-        const auto known = step.advice.workers.find(id);
-        const bool asked = known != step.advice.workers.end();
-        if (!advised || (asked && known->second.allowed)) {
-            found.first_fit += prospect.second_choice ? 0 : prospect.fit;
-            found.fit += prospect.fit;
-            found.later_fit += prospect.later_fit;
-            found.allowed.push_back(prospect);
-        } else if (!asked) {
-            found.unasked.push_back(prospect);
+        const Permission* permission = &without_advice;
+        if (advised) {
+            const auto known = step.advice.workers.find(id);
+            permission = known == step.advice.workers.end() ? nullptr : &known->second;
         }
+        sort_in(found, prospect, permission, m_pass_begun);
     }
     std::stable_sort(found.allowed.begin(), found.allowed.end(), fit_first);
     std::stable_sort(found.unasked.begin(), found.unasked.end(), fit_first);
+    std::stable_sort(found.refused.begin(), found.refused.end(), fit_first);
     return found;
 }
 
-// Asks about workers whose verdict isn't known, so many that those allowed should suffice.
-// Room that comes when less urgent tasks end counts half.
+// Asks about workers whose verdict isn't known, or may have changed, so many that those
+// allowed should suffice. Room that comes when less urgent tasks end counts half.
 void Scheduler::ask_about_more(const JobRecord& job, Step& step, int needed,
-                               const Prospects& found)
+                               const Prospects& found, const std::vector<Prospect>& unknown)
 {
     const double share
         = m_allowed_share.try_emplace(job.accepted().queue.name, first_allowed_share)
@@ -107,7 +134,7 @@
     double expected = 0.5 * (found.fit + found.later_fit);
     const int least = step.spec->gang ? least_asked_for_gang : least_asked;
     std::vector<Prospect> chosen;
-    for (const Prospect& prospect : found.unasked) {
+    for (const Prospect& prospect : unknown) {
         const bool enough = expected >= asked_reserve * needed;
         if (enough && chosen.size() >= size_t(least))
             break;
@@ -118,7 +145,7 @@
 }
 
 // Tasks that need not start together: asks again about workers that are known to be allowed
-// if they have room for some, else about further ones.
+// if they have room for some, else about further ones, and at last about refused ones.
 void Scheduler::ask_for_some(const JobRecord& job, Step& step, int needed)
 {
     if (step.advice.asking || m_pass_begun < step.advice.retry_at)
@@ -126,7 +153,11 @@
     Prospects found = prospects(job, step, needed);
     if (found.first_fit < needed && !found.unasked.empty()
         && found.unasked.front().fit > 0) {
-        ask_about_more(job, step, needed, found);
+        ask_about_more(job, step, needed, found, found.unasked);
+        return;
+    }
+    if (found.first_fit == 0 && any_room(found.refused)) {
+        ask_about_more(job, step, needed, found, found.refused);
         return;
     }
     constexpr int spare = 2;
@@ -164,6 +195,32 @@
     m_parts.advice.ask(std::move(question), std::move(came));
 }
 
+// Takes over an answer; returns whether it brought a verdict that wasn't known. An allowed
+// worker that it leaves out stays allowed, as a second choice: the advisor may not have
+// known it for a moment.
+bool Scheduler::take_answer(StepAdvice& advice, const std::vector<std::string>& asked,
+                            const std::vector<WorkerTicket>& tickets, Millis now,
+                            Millis expires)
+{
+    bool fruitful = false;
+    for (const std::string& worker : asked) {
+        const auto [entry, added] = advice.workers.try_emplace(worker);
+        entry->second.answered_at = now;
+        entry->second.left_out = true;
+        fruitful = fruitful || added;
+    }
+    for (const WorkerTicket& ticket : tickets) {
+        Permission& permission = advice.workers[ticket.worker];
+        fruitful = fruitful || !permission.allowed;
+        permission = Permission { true, ticket.ticket, expires, now };
+    }
+    if (!tickets.empty())
+        advice.tickets_until = expires;
+    if (fruitful)
+        advice.verdicts_at = now;
+    return fruitful;
+}
+
 void Scheduler::advice_came(const std::string& id, int repeat, int index,
                             const std::vector<std::string>& asked, Millis asked_at,
                             const AdviceReply& reply)
@@ -180,20 +237,11 @@
         return;
     }
     const Millis valid(job->accepted().queue.advice->valid_ms);
-    const size_t known_before = step->advice.workers.size();
-    for (const std::string& worker : asked)
-        step->advice.workers[worker] = Permission {};
-    for (const WorkerTicket& ticket : reply.tickets.value())
-        step->advice.workers[ticket.worker]
-            = Permission { true, ticket.ticket, now + valid - ticket_margin };
+    const bool fruitful = take_answer(step->advice, asked, *reply.tickets, now,
+                                      now + valid - ticket_margin);
     step->check_at = Millis(0);
-    if (!reply.tickets->empty())
-        step->advice.tickets_until = now + valid - ticket_margin;
     // Tickets that helped to place nothing are not asked for again at once.
-    const bool fruitful = step->advice.workers.size() > known_before;
     step->advice.retry_at = fruitful ? Millis(0) : now + fruitless_pause;
-    if (fruitful)
-        step->advice.verdicts_at = now;
     double& share = m_allowed_share[job->accepted().queue.name];
     const double seen = double(reply.tickets->size()) / double(asked.size());
     if (fruitful)
--- a/src/jobs.lib/scheduler_gangs.cpp
+++ b/src/jobs.lib/scheduler_gangs.cpp
@@ -70,6 +70,15 @@
     step.kept_until = m_pass_begun + span;
 }
 
+// Returns whether the gang has room, but for verdicts that may have changed.
+bool Scheduler::refused_would_do(const Prospects& found, int needed)
+{
+    int fit = found.fit;
+    for (const Prospect& prospect : found.refused)
+        fit += prospect.fit;
+    return fit >= needed;
+}
+
 // A gang waits for room, tickets or verdicts. Verdicts are asked for at once. Workers that
 // it may use are kept free of what comes after it once they suffice, and tickets are only
 // asked for when the room is there.
@@ -87,7 +96,11 @@
     const bool lacks_verdicts
         = !found.unasked.empty() && (found.later_fit < needed || waited_long);
     if (!room_now && advised && (first_question || lacks_verdicts)) {
-        ask_about_more(job, step, needed, found);
+        ask_about_more(job, step, needed, found, found.unasked);
+        return;
+    }
+    if (advised && found.later_fit < needed && refused_would_do(found, needed)) {
+        ask_about_more(job, step, needed, found, found.refused);
         return;
     }
     // If all that it may use is not enough, keeping workers free would help nobody.
--- a/src/jobs.lib/stuck_step_test.cpp
+++ b/src/jobs.lib/stuck_step_test.cpp
@@ -187,6 +187,7 @@
         step.count = facts.count;
         step.need = facts.need;
         step.label = label;
+        step.gang = facts.gang;
         step.expected_ms = expected_ms == 0 ? facts.run_ms : expected_ms;
         spec.steps.push_back(step);
         emulated.describe(id, 0, facts);
@@ -230,6 +231,8 @@
 constexpr Millis long_enough { 20000 };
 /// A worker that refuses starts may be tried again, but not all the time.
 constexpr int most_refused_starts = 40;
+/// Nor may the advisor be asked all the time about workers that it refuses.
+constexpr int most_questions_in_vain = 10;
 
 /// Has the worker that is the first choice refuse all starts, and checks that a task starts
 /// elsewhere.
@@ -308,6 +311,47 @@
     BOOST_TEST(site.done("job1", 15));
 }
 
+// A refusal may be one of a moment too, and no other worker has room: it is asked about
+// again, but not all the time.
+BOOST_AUTO_TEST_CASE(refused_workers_are_asked_about_again)
+{
+    for (const bool gang : { false, true }) {
+        Site site(4, 2, 2);
+        site.advisor.refused = { "w1", "w2", "w3", "w4" };
+        TaskFacts facts = facts_of(2, 500, 5000);
+        facts.gang = gang;
+        site.submit("job1", 1, facts);
+        site.world.run_for(long_enough);
+        BOOST_TEST(site.advisor.questions > 0, "gang: " << gang);
+        BOOST_TEST(site.advisor.questions <= most_questions_in_vain,
+                   "gang: " << gang << ": " << site.advisor.questions << " questions");
+        site.advisor.refused.clear();
+        site.world.run_for(long_enough);
+        BOOST_TEST(site.done("job1", 2), "gang: " << gang);
+    }
+}
+
+// The advisor may also change its mind for good. Of two jobs that may use one worker, one
+// waits for room there, and then it may use another one only.
+BOOST_AUTO_TEST_CASE(other_workers_are_asked_about_when_an_allowance_ends)
+{
+    Site site(14, 2, 2);
+    const auto refuse_all_but = [&site](const std::string& allowed) {
+        for (const WorkerInfo& info : site.emulated.list())
+            site.advisor.refused.insert(info.id);
+        site.advisor.refused.erase(allowed);
+    };
+    refuse_all_but("w14");
+    site.submit("job1", 1, facts_of(1, 3000, 5000));
+    site.submit("job2", 1, facts_of(1, 3000, 5000));
+    site.world.run_for(Millis(1000));
+    refuse_all_but("w7");
+    site.world.run_for(long_enough);
+    BOOST_TEST(site.workers.starts["w14"] == 1);
+    BOOST_TEST(site.done("job1", 1));
+    BOOST_TEST(site.done("job2", 1));
+}
+
 // A worker that has gone from the list and come back, as it may while the store has
 // trouble, was looked at under the first fence of the epoch again. When the leader had
 // raised the fence there, it took the refusal for a later leader's.
