Slow workers no longer hide that they have room

Cause: workers were sorted by slowness before room, and a step looked whether the first one not asked about had room, and stopped at the first allowed one that had none. A fast worker that was full hid slow ones with room from an urgent step, for ever.

Change: those without room at present come last, whatever speaks against the others, and whether any has room is asked of all.

--- a/src/jobs.lib/scheduler_advice.cpp
+++ b/src/jobs.lib/scheduler_advice.cpp
@@ -45,10 +45,14 @@
 
 } // namespace
 
+// Whatever speaks against a worker, it comes before those that have no room at present.
 bool Scheduler::fit_first(const Prospect& left, const Prospect& right)
 {
-    return std::make_tuple(left.second_choice, left.slow, -left.fit, -left.later_fit)
-        < std::make_tuple(right.second_choice, right.slow, -right.fit, -right.later_fit);
+    const auto key = [](const Prospect& prospect) {
+        return std::make_tuple(prospect.fit == 0, prospect.second_choice, prospect.slow,
+                               -prospect.fit, -prospect.later_fit);
+    };
+    return key(left) < key(right);
 }
 
 std::vector<std::string> Scheduler::names(const std::vector<Prospect>& prospects)
@@ -151,8 +155,7 @@
     if (step.advice.asking || m_pass_begun < step.advice.retry_at)
         return;
     Prospects found = prospects(job, step, needed);
-    if (found.first_fit < needed && !found.unasked.empty()
-        && found.unasked.front().fit > 0) {
+    if (found.first_fit < needed && any_room(found.unasked)) {
         ask_about_more(job, step, needed, found, found.unasked);
         return;
     }
