--- a/src/jobs.lib/scheduler.h
+++ b/src/jobs.lib/scheduler.h
@@ -27,6 +27,7 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace pathport::jobs {
@@ -120,8 +121,9 @@
         WorkerLoad load;
         const Step* kept_for = nullptr; ///< A gang, in the present pass.
         std::deque<std::shared_ptr<EndBatch>> batches;
-        int surprises = 0; ///< Failures and standing tasks since the last success.
+        int surprises = 0; ///< Failures, refusals and standing tasks since a success.
         std::string last_failed_job;
+        Millis refused_at; ///< When a refusal was last counted.
         Millis avoid_until;
         /// Returns whether `step` may use what is free.
         bool free_for(const Step& step) const
@@ -136,12 +138,15 @@
         Worker* worker = nullptr;
         int fit = 0; ///< Tasks of the step for which there is room.
         int later_fit = 0; ///< The same once less urgent tasks there have ended.
+        bool second_choice = false; ///< As in WorkerRoom.
         bool slow = false; ///< Slower than others, and the step is urgent.
     };
     /// All such workers, those with the most room first.
     struct Prospects {
         std::vector<Prospect> allowed;
         std::vector<Prospect> unasked;
+        std::vector<Prospect> refused; ///< So long ago that they may be asked about again.
+        int first_fit = 0; ///< Sum over those allowed that are no second choice.
         int fit = 0; ///< Sums over those allowed.
         int later_fit = 0;
     };
@@ -172,6 +177,7 @@
     void settle();
     void job_row_seen(const StoredRow& row);
     void drop_unlisted(const std::string& worker);
+    void end_session(Worker& worker);
     void release_unknown_doubts();
     bool holds_back(const JobRecord& job) const;
     void resolve_unrecorded(const std::string& worker);
@@ -194,6 +200,8 @@
                      const Task& task);
     static bool is_slow_for(const Worker& worker, const JobRecord& job);
     void note_surprise(Worker& worker, const std::string& job);
+    void note_refusal(Worker& worker, Millis chosen_at);
+    void count_surprise(Worker& worker);
     void release_all(Worker& worker);
 
     // What is told of jobs that aren't known yet (scheduler_unknown_jobs.cpp).
@@ -225,11 +233,16 @@
     void place(const Candidate& candidate);
     void check_again_soon();
     bool gang_may_be_placed(const Step& step) const;
+    std::set<std::string_view> second_choices(const Step& step) const;
     std::vector<WorkerRoom> rooms_for(const JobRecord& job, const Step& step, int needed);
     WorkerRoom room_on(const Worker& worker, const Step& step,
                        const std::string& step_name) const;
     bool is_eligible(const Worker& worker, const JobRecord& job, const Step& step) const;
     Prospects prospects(const JobRecord& job, const Step& step, int needed);
+    static void sort_in(Prospects& found, Prospect prospect, const Permission* known,
+                        Millis now);
+    static bool any_room(const std::vector<Prospect>& prospects);
+    static bool refused_would_do(const Prospects& found, int needed);
     void reserve(Worker& worker, const Step& step);
     void renew_reservations(const std::vector<Candidate>& waiting);
     void keep(Step& step, const std::vector<Prospect>& workers, Millis span);
@@ -241,7 +254,10 @@
                    const std::vector<Prospect>& kept, int needed);
     std::vector<Victim> victims_on(const Worker& worker, int priority);
     void ask_about_more(const JobRecord& job, Step& step, int needed,
-                        const Prospects& found);
+                        const Prospects& found, const std::vector<Prospect>& unknown);
+    static bool take_answer(StepAdvice& advice, const std::vector<std::string>& asked,
+                            const std::vector<WorkerTicket>& tickets, Millis now,
+                            Millis expires);
     void ask_for_some(const JobRecord& job, Step& step, int needed);
     void ask(const JobRecord& job, Step& step, std::vector<std::string> workers);
     void explain_wait(const JobRecord& job, Step& step);
@@ -308,6 +324,10 @@
     std::set<std::string> m_archived; ///< Their progress rows are not removed yet.
     Millis m_archive_tried;
     std::map<std::string, Worker> m_workers; ///< By id of the life.
+    /// The highest fence of the sessions that have ended, since one number is bounded and a
+    /// list of the workers that may come back isn't. It rises no faster than that of one
+    /// session: by one while an order waits for its answer.
+    int64_t m_ended_fence = 0;
     std::map<std::string, double>
         m_allowed_share; ///< By queue, of the workers asked about.
     std::map<std::string, double> m_guess_error; ///< By queue, smoothed logarithm.
