Questions for advice are made up when they can be sent

Ruled out: gangs that reserve all workers (10 of 39 kept, trial), lost answers, a stuck caller.

Change: at most two questions of a length wait; the step that is most urgent when one is sent asks, about the room of that moment. A step whose answers place nothing pauses twice as long each time, up to 2 s.

every_step_gets_its_turn_when_advice_is_scarce: 893 lines of standing jobs before, 0 after.

--- a/src/jobs.lib/advice_pool.cpp
+++ b/src/jobs.lib/advice_pool.cpp
@@ -59,11 +59,11 @@
     dispatch();
 }
 
-AdvicePool::Pace AdvicePool::pace_of(const AdviceQuestion& question)
+AdvicePool::Pace AdvicePool::pace_of(const AdviceRule& rule)
 {
-    if (question.rule.decision_ms >= slow_decision_ms)
+    if (rule.decision_ms >= slow_decision_ms)
         return Pace::slow;
-    return question.rule.decision_ms >= medium_decision_ms ? Pace::medium : Pace::fast;
+    return rule.decision_ms >= medium_decision_ms ? Pace::medium : Pace::fast;
 }
 
 void AdvicePool::ask(AdviceQuestion question, std::function<void(AdviceReply)> done)
@@ -110,11 +110,19 @@
     return best;
 }
 
+size_t AdvicePool::waiting_like(const AdviceRule& rule) const
+{
+    const Pace pace = pace_of(rule);
+    const auto alike
+        = [pace](const Waiting& entry) { return pace_of(entry.question.rule) == pace; };
+    return static_cast<size_t>(std::count_if(m_waiting.begin(), m_waiting.end(), alike));
+}
+
 AdviceBacklog AdvicePool::backlog() const
 {
     AdviceBacklog backlog;
     for (const Waiting& entry : m_waiting) {
-        const Pace pace = pace_of(entry.question);
+        const Pace pace = pace_of(entry.question.rule);
         backlog.fast += pace == Pace::fast ? 1 : 0;
         backlog.medium += pace == Pace::medium ? 1 : 0;
         backlog.slow += pace == Pace::slow ? 1 : 0;
@@ -128,7 +136,7 @@
 void AdvicePool::dispatch()
 {
     for (auto entry = m_waiting.begin(); entry != m_waiting.end();) {
-        Caller* caller = free_caller(pace_of(entry->question));
+        Caller* caller = free_caller(pace_of(entry->question.rule));
         if (caller == nullptr) {
             ++entry;
             continue;
--- a/src/jobs.lib/advice_pool.h
+++ b/src/jobs.lib/advice_pool.h
@@ -57,6 +57,9 @@
 
     /// Returns how many questions wait for a free caller.
     size_t waiting() const { return m_waiting.size(); }
+    /// Returns how many of them take the advisor about as long as one under `rule`: these
+    /// go through the same callers.
+    size_t waiting_like(const AdviceRule& rule) const;
     AdviceBacklog backlog() const;
 
 private:
@@ -75,7 +78,7 @@
     /// How long the advisor takes for a question.
     enum class Pace { fast, medium, slow };
 
-    static Pace pace_of(const AdviceQuestion& question);
+    static Pace pace_of(const AdviceRule& rule);
     Caller* free_caller(Pace pace);
     void dispatch();
     void send(Caller& caller, Waiting entry);
--- a/src/jobs.lib/job_record.h
+++ b/src/jobs.lib/job_record.h
@@ -66,6 +66,7 @@
     Millis verdicts_at; ///< When the last new verdicts came.
     Millis tickets_until; ///< No ticket holds any more from then on.
     Millis retry_at; ///< No call before it.
+    int fruitless = 0; ///< Answers in a row that helped to place nothing.
 };
 
 /// One step of one repeat of a job.
--- a/src/jobs.lib/scheduler_advice.cpp
+++ b/src/jobs.lib/scheduler_advice.cpp
@@ -22,6 +22,9 @@
 constexpr Millis advice_retry { 150 };
 /// Pause after an answer that brought no verdict that wasn't known.
 constexpr Millis fruitless_pause { 120 };
+/// The pause doubles with each such answer in a row, so often at most (to about 2 s): steps
+/// that ask in vain leave the advisor to the others.
+constexpr int most_doublings = 4;
 /// A worker that was refused may be asked about again after this time: a step that stays
 /// refused there costs a question in five seconds at most, and the platform's tickets, of
 /// 2 s, have run out twice since.
@@ -30,9 +33,10 @@
 constexpr Millis kept_after_answer { 500 };
 /// Pause after a look at the workers that found none worth a question.
 constexpr Millis nobody_pause { 30 };
-/// Questions of less urgent queues are put off while so many wait for a free caller: their
-/// answers would be old when they are used.
-constexpr size_t most_waiting_questions = 64;
+/// A question is only made up when it can be sent soon: what it asks about, the room of the
+/// moment, is stale otherwise, and the most urgent step of that moment should be the one
+/// that asks. One waits behind each that is sent, so that no caller idles.
+constexpr size_t most_waiting_alike = 2;
 /// Workers named in one question. A gang needs room on many at once, and the time that it
 /// may take allows for a question about thirty.
 constexpr int least_asked = 10;
@@ -152,7 +156,7 @@
 // if they have room for some, else about further ones, and at last about refused ones.
 void Scheduler::ask_for_some(const JobRecord& job, Step& step, int needed)
 {
-    if (step.advice.asking || m_pass_begun < step.advice.retry_at)
+    if (step.advice.asking || m_pass_begun < step.advice.retry_at || advice_crowded(job))
         return;
     Prospects found = prospects(job, step, needed);
     if (found.first_fit < needed && any_room(found.unasked)) {
@@ -173,16 +177,22 @@
     ask(job, step, names(found.allowed));
 }
 
+// The most urgent queue's questions are quick and always asked.
+bool Scheduler::advice_crowded(const JobRecord& job) const
+{
+    const Queue& queue = job.accepted().queue;
+    return queue.priority > 0
+        && m_parts.advice.waiting_like(*queue.advice) >= most_waiting_alike;
+}
+
 void Scheduler::ask(const JobRecord& job, Step& step, std::vector<std::string> workers)
 {
     const Millis now = m_pass_begun;
-    const bool crowded = job.accepted().queue.priority > 0
-        && m_parts.advice.waiting() >= most_waiting_questions;
-    if (workers.empty() || crowded) {
+    if (workers.empty()) {
         step.advice.retry_at = now + nobody_pause;
         return;
     }
-    if (now < step.advice.retry_at)
+    if (now < step.advice.retry_at || advice_crowded(job))
         return;
     AdviceQuestion question;
     question.step = step.name(job.id());
@@ -244,7 +254,11 @@
                                       now + valid - ticket_margin);
     step->check_at = Millis(0);
     // Tickets that helped to place nothing are not asked for again at once.
-    step->advice.retry_at = fruitful ? Millis(0) : now + fruitless_pause;
+    step->advice.retry_at = fruitful
+        ? Millis(0)
+        : now + Millis(fruitless_pause.count() << step->advice.fruitless);
+    step->advice.fruitless
+        = fruitful ? 0 : std::min(step->advice.fruitless + 1, most_doublings);
     double& share = m_allowed_share[job->accepted().queue.name];
     const double seen = double(reply.tickets->size()) / double(asked.size());
     if (fruitful)
--- a/src/jobs.lib/scheduler_start.cpp
+++ b/src/jobs.lib/scheduler_start.cpp
@@ -33,6 +33,7 @@
 {
     const bool refill = step.spec->gang && step.placed() > 0;
     step.advice.retry_at = Millis(0);
+    step.advice.fruitless = 0;
     step.kept_workers.clear();
     const int64_t run = refill ? step.gang_run : ++m_last_run;
     step.gang_run = run;
