A gang's first question covers full workers as well

Change: a verdict outlasts the room of the moment, so a gang's question takes in workers without room, behind those with room.

--- a/src/jobs.lib/scheduler_advice.cpp
+++ b/src/jobs.lib/scheduler_advice.cpp
@@ -106,16 +106,16 @@
     const std::set<std::string_view> second = second_choices(step);
     Prospects found;
     for (auto& [id, worker] : m_workers) {
-        if (!is_eligible(worker, job, step) || !worker.free_for(step))
+        if (!is_eligible(worker, job, step))
             continue;
         Prospect prospect;
         prospect.worker = &worker;
-        WorkerRoom room = room_on(worker, step, key);
-        prospect.fit = std::min(needed, tasks_that_fit(*step.spec, room));
-        room.free = room.free + worker.load.used_below(priority);
-        prospect.later_fit = std::min(needed, tasks_that_fit(*step.spec, room));
-        if (prospect.later_fit == 0)
-            continue;
+        if (worker.free_for(step)) {
+            WorkerRoom room = room_on(worker, step, key);
+            prospect.fit = std::min(needed, tasks_that_fit(*step.spec, room));
+            room.free = room.free + worker.load.used_below(priority);
+            prospect.later_fit = std::min(needed, tasks_that_fit(*step.spec, room));
+        }
         prospect.second_choice = second.count(id) > 0;
         prospect.slow = is_slow_for(worker, job);
         const Permission* permission = &without_advice;
@@ -123,6 +123,12 @@
             const auto known = step.advice.workers.find(id);
             permission = known == step.advice.workers.end() ? nullptr : &known->second;
         }
+        // A verdict outlasts the room of the moment: a gang asks about full workers as
+        // well.
+        const bool worth_a_verdict = permission == nullptr && step.spec->gang
+            && step.spec->need.fits_in(worker.session->info().capacity);
+        if (prospect.later_fit == 0 && !worth_a_verdict)
+            continue;
         sort_in(found, prospect, permission, m_pass_begun);
     }
     std::stable_sort(found.allowed.begin(), found.allowed.end(), fit_first);
