Failures count against a worker only if the step has not failed elsewhere; few workers are avoided at a time

Jobs that can never be done fail everywhere, so sound workers were left alone, most of them at once, and what could run stood.

Change: a step that has failed on two workers counts against none; at most a quarter of the workers are left alone at a time.

--- a/src/jobs.lib/job_record.cpp
+++ b/src/jobs.lib/job_record.cpp
@@ -95,7 +95,8 @@
     for (const Json& failure : json.at(3)) {
         Task& task = step.tasks.at(failure.at(0).get<size_t>());
         task.failed_runs = failure.at(1).get<std::vector<int64_t>>();
-        task.ended_run = task.failed_runs.back();
+        task.run = *std::max_element(task.failed_runs.begin(), task.failed_runs.end());
+        task.ended_run = task.run;
     }
     for (const auto& [worker, runs] : json.at(4).items()) {
         for (const Json& entry : runs) {
--- a/src/jobs.lib/job_record.h
+++ b/src/jobs.lib/job_record.h
@@ -77,6 +77,7 @@
     std::vector<Task> tasks;
     int done = 0; ///< Tasks in phase done.
     std::vector<int64_t> gang_failed_runs; ///< Runs of the gang of which a member failed.
+    std::set<std::string> failed_workers; ///< Where tasks of it failed, under this leader.
     int64_t gang_run = 0; ///< The run that is placed at present.
     StepAdvice advice;
     /// Workers kept free for a gang while it waits for tickets or for tasks that end.
--- a/src/jobs.lib/scheduler.h
+++ b/src/jobs.lib/scheduler.h
@@ -32,6 +32,9 @@
 
 namespace pathport::jobs {
 
+/// How long a worker that was left alone gets one task at a time.
+constexpr Millis trial_time { 2500 };
+
 /// What a scheduler works with; all of it outlives the scheduler.
 struct SchedulerParts {
     EventLoop& loop;
@@ -200,6 +203,7 @@
                      const Task& task);
     static bool is_slow_for(const Worker& worker, const JobRecord& job);
     void note_surprise(Worker& worker, const std::string& job);
+    bool avoids_enough_besides(const Worker& worker) const;
     void note_refusal(Worker& worker, Millis chosen_at);
     void count_surprise(Worker& worker);
     void release_all(Worker& worker);
--- a/src/jobs.lib/scheduler_pass.cpp
+++ b/src/jobs.lib/scheduler_pass.cpp
@@ -28,8 +28,6 @@
 /// hundreds of such steps, a look at each end of a task would take all of the processor.
 constexpr Millis room_check_interval { 20 };
 constexpr size_t clock_reading_interval = 4; ///< In candidates.
-/// How long a worker that was left alone gets one task at a time.
-constexpr Millis trial_time { 2500 };
 /// A member of a gang may be placed again so long after the others.
 constexpr Millis gang_refill_time { 1800 };
 /// A step that has waited for so long is explained in the log, again and again.
--- a/src/jobs.lib/scheduler_reports.cpp
+++ b/src/jobs.lib/scheduler_reports.cpp
@@ -19,6 +19,11 @@
 /// A worker with so many surprises in a row is left alone for a while: failures of
 /// different jobs, and refusals.
 constexpr int most_surprises = 2;
+/// A step that has failed on so many workers is taken to fail by its own fault.
+constexpr size_t workers_of_own_fault = 2;
+/// At most one in so many workers is left alone at a time: when more seem to fail, it is
+/// the tasks that do, and the others would stand.
+constexpr size_t avoided_fraction = 4;
 constexpr Millis avoid_time { 3000 };
 /// Weights of a run in what is learned of its queue's guesses and its worker's speed.
 constexpr double guess_learning = 0.03;
@@ -247,7 +252,10 @@
 {
     task.failed_on = worker.session->id();
     release(task);
-    note_surprise(worker, job.id());
+    step.failed_workers.insert(worker.session->id());
+    // What fails on several workers fails by its own fault.
+    if (step.failed_workers.size() < workers_of_own_fault)
+        note_surprise(worker, job.id());
     count_failure(job, step, task, end.run);
 }
 
@@ -307,9 +315,21 @@
     count_surprise(worker);
 }
 
+// Returns whether so many others are left alone that this one is not.
+bool Scheduler::avoids_enough_besides(const Worker& worker) const
+{
+    const Millis now = m_parts.loop.now();
+    const auto avoided = std::count_if(
+        m_workers.begin(), m_workers.end(), [&](const auto& entry) {
+            return &entry.second != &worker && now < entry.second.avoid_until + trial_time;
+        });
+    return static_cast<size_t>(avoided)
+        >= std::max<size_t>(1, m_workers.size() / avoided_fraction);
+}
+
 void Scheduler::count_surprise(Worker& worker)
 {
-    if (++worker.surprises < most_surprises)
+    if (++worker.surprises < most_surprises || avoids_enough_besides(worker))
         return;
     worker.avoid_until = m_parts.loop.now() + avoid_time;
     log_event(LogLevel::warn, "worker_avoided",
