--- a/src/emulator.lib/workers.cpp
+++ b/src/emulator.lib/workers.cpp
@@ -19,6 +19,8 @@
 /// How long the list keeps a worker that is silent.
 constexpr Millis list_patience { 4500 };
 constexpr Millis for_good { 1000000000 };
+/// A report lists so many ends at most, the earliest first (PROTOCOL.md).
+constexpr size_t most_listed = 500;
 /// A start so long after a cancellation was acknowledged is a breach.
 constexpr Millis cancel_time { 3000 };
 
@@ -359,7 +361,8 @@
                                      }),
                       life->ended.end());
     report.clock_ms = m_world.now().count();
-    report.ended = life->ended;
+    const size_t listed = std::min(life->ended.size(), most_listed);
+    report.ended.assign(life->ended.begin(), life->ended.begin() + std::ptrdiff_t(listed));
     for (const auto& [name, run] : life->running) {
         jobs::RunningTask running;
         running.task = run.task;
--- a/src/jobs.lib/acceptor_test.cpp
+++ b/src/jobs.lib/acceptor_test.cpp
@@ -259,3 +259,90 @@
         BOOST_TEST(text.empty(), "seed " << seed << text);
     }
 }
+
+// What an acceptor says, against what the store holds ten seconds later.
+BOOST_AUTO_TEST_CASE(outcomes_of_hand_ins_hold)
+{
+    int refused = 0;
+    int in_doubt = 0;
+    int written = 0;
+    for (uint64_t seed = 1; seed <= 300; ++seed) {
+        emulator::World world { seed };
+        emulator::Store store { world };
+        emulator::ProcessLoop loop { world };
+        emulator::ProcessLoop other_loop { world };
+        emulator::StorePort port { store, loop, "n1" };
+        emulator::StorePort other_port { store, other_loop, "n2" };
+        Metrics metrics;
+        StoreHealth health { loop, port, metrics };
+        StoreHealth other_health { other_loop, other_port, metrics };
+        Acceptor acceptor { loop, health };
+        Acceptor other { other_loop, other_health };
+        std::vector<std::string> ids;
+        for (int i = 0; ids.size() < 40; ++i) {
+            const std::string id = "job" + std::to_string(i);
+            if (job_part(id) == job_part("job0"))
+                ids.push_back(id);
+        }
+        std::map<std::string, std::vector<WriteResult>> results;
+        const auto stored = [&store](const RowKey& row) -> int64_t {
+            StoreRange range { row.table, row.part, row.key, row.key + "!", 1 };
+            const auto found = store.read_now(range);
+            return found.rows.empty() ? 0 : found.rows.front().version;
+        };
+        for (int i = 0; i < 120; ++i) {
+            const std::string id = ids[world.below(ids.size())];
+            Acceptor& node = world.chance(0.7) ? acceptor : other;
+            store.trouble.lose = world.chance(0.5) ? 0.5 : 0;
+            store.trouble.late = world.chance(0.5);
+            store.trouble.busy = world.chance(0.1);
+            store.trouble.silent = world.chance(0.05);
+            store.trouble.slow = world.chance(0.3) ? 60 : 1;
+            if (world.chance(0.2)) {
+                // A hand-in that is still under way may come after the cancellation looked.
+                const bool was_there = stored(job_row(id)) > 0;
+                node.cancel(id, world.now() + Millis(1200),
+                            [&, id, was_there](WriteResult result) {
+                                if (result.outcome == WriteOutcome::written)
+                                    BOOST_TEST((stored(cancel_row(id)) > 0
+                                                || stored(closed_row(id)) > 0));
+                                if (result.outcome == WriteOutcome::missing)
+                                    BOOST_TEST(!was_there);
+                            });
+            } else if (world.chance(0.1) && stored(job_row(id)) > 0) {
+                StoreWrite archive;
+                archive.puts.push_back({ closed_row(id), "x" });
+                archive.removes.push_back(job_row(id));
+                store.write_now(archive);
+            } else {
+                node.accept(id, "row" + std::to_string(i), world.now() + Millis(1200),
+                            [&, id](WriteResult result) {
+                                results[id].push_back(result);
+                                if (result.outcome != WriteOutcome::written)
+                                    return;
+                                const int64_t at = stored(job_row(id));
+                                BOOST_TEST((at > 0 || stored(closed_row(id)) > 0),
+                                           "seed " << seed << " " << id);
+                                if (at > 0 && result.version != 0)
+                                    BOOST_TEST(at == result.version);
+                            });
+            }
+            world.run_for(Millis(int64_t(world.below(150))));
+        }
+        world.run_for(Millis(15000));
+        for (const auto& [id, all] : results) {
+            bool only_refused = true;
+            for (const WriteResult& result : all) {
+                only_refused = only_refused && result.outcome == WriteOutcome::refused;
+                refused += result.outcome == WriteOutcome::refused ? 1 : 0;
+                in_doubt += result.outcome == WriteOutcome::in_doubt ? 1 : 0;
+                written += result.outcome == WriteOutcome::written ? 1 : 0;
+            }
+            if (only_refused)
+                BOOST_TEST((stored(job_row(id)) == 0 && stored(closed_row(id)) == 0),
+                           "seed " << seed << " refused and there: " << id);
+        }
+    }
+    BOOST_TEST_MESSAGE("written " << written << " refused " << refused << " in doubt "
+                                  << in_doubt);
+}
--- /dev/null
+++ b/src/jobs.lib/client_answers_test.cpp
@@ -0,0 +1,294 @@
+// Copyright the pathport authors.
+// SPDX-License-Identifier: Apache-2.0
+
+/// \file
+/// What nodes tell clients and each other of jobs while the leadership changes.
+
+#define BOOST_TEST_MODULE client_answers
+#include <boost/test/unit_test.hpp>
+
+#include "head_log.h"
+#include "job_record.h"
+#include "leadership.h"
+#include "store_keys.h"
+
+#include <pathport/emulator/cell.h>
+#include <pathport/log.h>
+
+#include <cstdlib>
+#include <optional>
+
+using namespace pathport;
+using namespace pathport::jobs;
+using emulator::Cell;
+using emulator::TaskFacts;
+
+namespace {
+
+struct QuietLog {
+    QuietLog()
+    {
+        const char* const level = std::getenv("PATHPORT_LOG");
+        start_log("test", log_level_from(level == nullptr ? "error" : level));
+    }
+};
+
+TaskFacts facts_of(int count, int64_t run_ms)
+{
+    TaskFacts facts;
+    facts.count = count;
+    facts.run_ms = run_ms;
+    facts.need = { 450, 500, 0 };
+    facts.payload = "p";
+    return facts;
+}
+
+void submit(Cell& cell, const std::string& id, const TaskFacts& facts)
+{
+    jobs::JobSpec spec;
+    spec.payload = "p";
+    StepSpec step;
+    step.count = facts.count;
+    step.need = facts.need;
+    step.expected_ms = facts.run_ms;
+    spec.steps.push_back(step);
+    cell.submit(id, spec, { facts }, false);
+}
+
+/// Keeps what is sent and answers nothing.
+class SilentPeers : public PeerClient {
+public:
+    std::vector<PeerRequest> sent;
+    void send(const std::string&, const PeerRequest& request, Millis, PeerReply) override
+    {
+        sent.push_back(request);
+    }
+};
+
+/// Archives a job as soon as its row has been read.
+class ArchivingStore : public JobStore {
+public:
+    ArchivingStore(emulator::Store& store, emulator::ProcessLoop& loop, std::string job)
+        : m_rows(store)
+        , m_port(store, loop, "b")
+        , m_job(std::move(job))
+    {
+    }
+    void write(const StoreWrite& write, Millis timeout, StoreReply done) override
+    {
+        m_port.write(write, timeout, std::move(done));
+    }
+    void watch(const std::string& table, int64_t version, Millis wait,
+               StoreReply done) override
+    {
+        m_port.watch(table, version, wait, std::move(done));
+    }
+    void read(const StoreRange& range, Millis timeout, StoreReply done) override
+    {
+        m_port.read(range, timeout, [this, range, done](const StoreResult& result) {
+            if (range.table == jobs_table && !m_archived) {
+                m_archived = true;
+                StoreWrite write;
+                write.puts.push_back(
+                    { closed_row(m_job), encode_final_progress(JobState::completed) });
+                write.removes.push_back(job_row(m_job));
+                m_rows.write_now(write);
+                StoreWrite forget;
+                forget.removes.push_back(progress_row(m_job));
+                m_rows.write_now(forget);
+            }
+            done(result);
+        });
+    }
+
+private:
+    emulator::Store& m_rows;
+    emulator::StorePort m_port;
+    std::string m_job;
+    bool m_archived = false;
+};
+
+/// A node that follows the leader "a", which is silent.
+struct Follower {
+    emulator::World world { 8 };
+    emulator::Store store { world };
+    emulator::Workers workers { world };
+    emulator::ProcessLoop loop { world };
+    emulator::StorePort directory { store, loop, "b" };
+    emulator::WorkerPort worker_port { workers, loop, "b" };
+    SilentPeers peers;
+    Metrics metrics;
+    std::unique_ptr<JobNode> node;
+
+    /// Puts `rows` beside those of the leader and begins the node on `port`.
+    void begin(JobStore& port, StoreWrite rows)
+    {
+        store.list_workers = [this] { return workers.list(); };
+        Configuration configuration;
+        configuration.version = 1;
+        store.configure(configuration);
+        rows.puts.push_back(
+            { lead_row(leader_key), encode(LeaderValue { 1, { "a", "a", "x", 1000 } }) });
+        rows.puts.push_back({ lead_row(head_key), encode(HeadValue { 1, 5, "x", {} }) });
+        store.write_now(rows);
+        NodeSetup setup;
+        setup.node = setup.peer_address = "b";
+        setup.incarnation = "y";
+        node = std::make_unique<JobNode>(
+            NodeParts { loop, port, directory, worker_port, worker_port, peers, metrics,
+                        [this] { return world.now().count(); } },
+            setup);
+        node->begin();
+        world.run_for(Millis(50));
+    }
+    /// Returns the rows that the leader was told of.
+    std::vector<std::string> announced() const
+    {
+        std::vector<std::string> rows;
+        for (const PeerRequest& request : peers.sent) {
+            if (request.topic == PeerTopic::job_accepted)
+                rows.push_back(request.row);
+        }
+        return rows;
+    }
+    /// Hands in "job1" with this payload and runs on until it is answered.
+    void submit(const std::string& payload)
+    {
+        jobs::JobSpec spec;
+        spec.payload = payload;
+        spec.steps.push_back(StepSpec());
+        node->submit(Queue(), "job1", spec, world.now(), Millis(2000),
+                     [this](ClientStatus status) { answers.push_back(status); });
+    }
+    std::vector<ClientStatus> answers;
+};
+
+std::string payload_of(const std::string& row)
+{
+    Failure reason;
+    const auto job = decode_accepted_job("job1", row, reason);
+    return job ? job->spec.payload : "malformed";
+}
+
+} // namespace
+
+BOOST_TEST_GLOBAL_FIXTURE(QuietLog);
+
+// A leader that has not loaded its jobs yet knows nothing of how many wait.
+BOOST_AUTO_TEST_CASE(leader_that_loads_does_not_count_no_jobs)
+{
+    Cell cell(4, 2, 1);
+    cell.world.run_for(Millis(2000));
+    for (int i = 0; i < 40; ++i)
+        submit(cell, "job" + std::to_string(i), facts_of(10, 60000));
+    cell.world.run_for(Millis(3000));
+    const int64_t before = cell.ask_pending(false);
+    BOOST_REQUIRE(before > 10);
+    cell.store.trouble.slow = 20;
+    cell.kill(cell.leader(), Millis(60000));
+    for (int i = 0; i < 100; ++i) {
+        const int64_t count = cell.ask_pending(false);
+        BOOST_TEST((count == -1 || count > 10), "count " << count << " after " << i * 50);
+        if (count == 0)
+            break;
+    }
+}
+
+// A leader that was frozen knows by its own clock that its lease is over. What it remembers
+// of a job is not to be told to clients: its successor has shown the job as completed.
+BOOST_AUTO_TEST_CASE(woken_leader_does_not_tell_old_states)
+{
+    Cell cell(5, 2, 3);
+    cell.world.run_for(Millis(2000));
+    submit(cell, "job1", facts_of(1, 3000));
+    cell.world.run_for(Millis(1000));
+    const std::string first = cell.leader();
+    const std::string second = first == "n1" ? "n2" : "n1";
+    cell.freeze(first, Millis(20000));
+    cell.world.run_for(Millis(12000));
+    const auto shown = cell.ask_state("job1");
+    BOOST_REQUIRE((shown && *shown == JobState::completed));
+    cell.world.run_for(Millis(4999));
+    cell.kill(second, Millis(60000));
+    cell.world.run_for(Millis(1));
+    const auto again = cell.ask_state("job1");
+    BOOST_TEST((!again || *again == JobState::completed),
+               "shown again as " << (again ? to_string(*again) : "nothing"));
+}
+
+// The same for the number of jobs that wait: all of them have begun meanwhile.
+BOOST_AUTO_TEST_CASE(woken_leader_does_not_tell_old_counts)
+{
+    Cell cell(5, 2, 1);
+    cell.world.run_for(Millis(2000));
+    for (int i = 0; i < 20; ++i)
+        submit(cell, "job" + std::to_string(i), facts_of(2, 700));
+    cell.world.run_for(Millis(500));
+    BOOST_REQUIRE(cell.ask_pending(false) > 0);
+    const std::string first = cell.leader();
+    const std::string second = first == "n1" ? "n2" : "n1";
+    cell.freeze(first, Millis(40000));
+    cell.world.run_for(Millis(39000));
+    BOOST_REQUIRE(cell.ask_pending(false) == 0);
+    cell.world.run_for(Millis(949));
+    cell.kill(second, Millis(60000));
+    cell.world.run_for(Millis(1));
+    const int64_t again = cell.ask_pending(false);
+    BOOST_TEST((again == 0 || again == -1), "counted again: " << again);
+}
+
+// A node reads the row of a job, the leader archives the job, and the node finds no
+// progress: the job has not begun, it says, after others were told that it is completed.
+BOOST_AUTO_TEST_CASE(job_archived_between_two_reads_is_not_pending)
+{
+    Follower follower;
+    ArchivingStore port { follower.store, follower.loop, "job1" };
+    StoreWrite rows;
+    rows.puts.push_back({ job_row("job1"), "row" });
+    rows.puts.push_back(
+        { progress_row("job1"), encode_final_progress(JobState::completed) });
+    follower.begin(port, rows);
+    std::optional<std::pair<ClientStatus, JobState>> answer;
+    follower.node->query("job1", follower.world.now(), Millis(2000),
+                         [&answer](ClientStatus status, JobState state) {
+                             answer = { status, state };
+                         });
+    follower.world.run_for(Millis(500));
+    BOOST_REQUIRE(answer.has_value());
+    BOOST_TEST((answer->first != ClientStatus::ok || answer->second == JobState::completed),
+               "status " << int(answer->first) << ", " << to_string(answer->second));
+}
+
+// The store holds another row under this id, whose answer was lost perhaps. The leader is
+// to hear of that one only.
+BOOST_AUTO_TEST_CASE(row_that_is_in_the_store_is_announced)
+{
+    Follower follower;
+    AcceptedJob stored;
+    stored.id = "job1";
+    stored.spec.payload = "first";
+    stored.spec.steps.push_back(StepSpec());
+    StoreWrite rows;
+    rows.puts.push_back({ job_row("job1"), encode(stored) });
+    follower.begin(follower.directory, rows);
+    follower.submit("second");
+    follower.world.run_for(Millis(200));
+    BOOST_REQUIRE(follower.answers.size() == 1U);
+    BOOST_TEST((follower.answers[0] == ClientStatus::ok));
+    BOOST_REQUIRE(follower.announced().size() == 1U);
+    BOOST_TEST(payload_of(follower.announced()[0]) == "first");
+}
+
+// Two hand-ins under one id share a write, which holds the first one's row.
+BOOST_AUTO_TEST_CASE(row_of_a_shared_write_is_announced)
+{
+    Follower follower;
+    follower.begin(follower.directory, {});
+    follower.submit("first");
+    follower.submit("second");
+    follower.world.run_for(Millis(200));
+    BOOST_TEST(follower.answers.size() == 2U);
+    BOOST_REQUIRE(!follower.announced().empty());
+    for (const std::string& row : follower.announced())
+        BOOST_TEST(payload_of(row) == "first");
+}
--- a/src/jobs.lib/take_over_test.cpp
+++ b/src/jobs.lib/take_over_test.cpp
@@ -193,3 +193,32 @@
         BOOST_TEST(wrong.empty(), run_ms << " ms" << joined(wrong));
     }
 }
+
+// A hunt for the same in whole cells: planned stops while answers to writes are lost.
+BOOST_AUTO_TEST_CASE(planned_stops_with_lost_answers)
+{
+    for (uint64_t seed = 1; seed <= 60; ++seed) {
+        Cell cell(seed, 3, 4);
+        cell.world.run_for(Millis(2000));
+        for (int round = 0; round < 8; ++round) {
+            cell.store.trouble.lose = 0.7;
+            cell.store.trouble.slow = 1 + int64_t(cell.world.below(60));
+            for (int i = 0; i < 6; ++i) {
+                submit(cell, round * 6 + i, facts_of(2, 700));
+                cell.world.run_for(Millis(int64_t(cell.world.below(150))));
+            }
+            const std::string leader = cell.leader();
+            if (!leader.empty()) {
+                cell.stop(leader, Millis(300));
+                cell.world.run_for(Millis(int64_t(cell.world.below(250))));
+                cell.freeze(leader, Millis(100 + int64_t(cell.world.below(1500))));
+            }
+            cell.world.run_for(Millis(1500 + int64_t(cell.world.below(1500))));
+        }
+        cell.store.trouble.lose = 0;
+        cell.store.trouble.slow = 1;
+        cell.world.run_for(Millis(40000));
+        const auto wrong = cell.verdict();
+        BOOST_TEST(wrong.empty(), "seed " << seed << joined(wrong));
+    }
+}
