A connection that timed out ends no worker's life

Cause: the adapter translated a refused connection and one that did not come about into the same OrderStatus::unreachable, and a session took that for the end of a worker that had announced its end and gone from the list. A worker that is cut off goes from the list after three heartbeats and goes on with its runs until its lease ends; its tasks were placed anew meanwhile. Change: OrderStatus::refused tells that nothing listens at the address. Only that ends the life of a worker that has left; otherwise its lease has to run out.

--- a/src/include/pathport/jobs/worker_client.h
+++ b/src/include/pathport/jobs/worker_client.h
@@ -27,7 +27,8 @@
     bad_ticket, ///< The ticket has run out or is missing; nothing was done.
     declined, ///< The worker is unhealthy or the order malformed; nothing was done.
     other_life, ///< Another life of the worker answered: the one meant is over.
-    unreachable, ///< Nothing was sent.
+    refused, ///< Nothing listens at the worker's address; nothing was sent.
+    unreachable, ///< No connection came about; nothing was sent, the worker may be there.
     unknown, ///< No answer: it may have been done, or be done seconds later.
 };
 /// Returns the lower-case name of `status`.
--- a/src/jobs.lib/worker_session.cpp
+++ b/src/jobs.lib/worker_session.cpp
@@ -57,6 +57,8 @@
         return "declined";
     case OrderStatus::other_life:
         return "other_life";
+    case OrderStatus::refused:
+        return "refused";
     case OrderStatus::unreachable:
         return "unreachable";
     case OrderStatus::unknown:
@@ -202,7 +204,8 @@
         return;
     if (m_looks_open > 0 && m_doubtful.empty())
         return;
-    if (status == OrderStatus::unreachable && m_left) {
+    // A time-out would not tell: the worker may be cut off and go on until its lease ends.
+    if (status == OrderStatus::refused && m_left) {
         end_life();
         return;
     }
@@ -337,6 +340,7 @@
             return;
         }
         break;
+    case OrderStatus::refused:
     case OrderStatus::unreachable:
         schedule_look(Millis(0));
         break;
--- a/src/jobs.lib/worker_session.h
+++ b/src/jobs.lib/worker_session.h
@@ -68,7 +68,7 @@
     void update(const WorkerInfo& info) { m_info = info; }
 
     /// Notes that the worker announced its end and has gone from the list: when nothing
-    /// answers at its address any more, its life is over.
+    /// listens at its address any more, its life is over.
     void left() { m_left = true; }
 
     /// Begins to look.
--- a/src/jobs.lib/worker_session_test.cpp
+++ b/src/jobs.lib/worker_session_test.cpp
@@ -238,26 +238,60 @@
     BOOST_TEST(over.worker.starts.size() == 1U);
 }
 
-// A draining worker has gone from the list, since it was cut off for three heartbeats, and
-// connecting to it times out, which the adapter calls unreachable. Its lease has not run
-// out, so what runs there may run on.
-BOOST_AUTO_TEST_CASE(worker_that_cannot_be_reached_within_its_lease_is_not_over)
-{
+namespace {
+
+/// A session with a draining worker that has gone from the list while its lease still
+/// holds.
+struct LeftWorker {
     emulator::World world { 7 };
     emulator::ProcessLoop loop { world };
     HeldWorker worker;
     Heard heard;
-    WorkerInfo info;
-    info.id = "w1";
-    info.draining = true;
-    WorkerSession session(loop, worker, heard, info, 1, WorkerBounds(), world.now());
-    session.begin();
-    worker.looks.at(0).second(OrderStatus::accepted, report_at(world.now()));
-    world.run_for(Millis(5)); // The next look leases for 5.85 s.
-    BOOST_REQUIRE(worker.looks.at(1).first.hold_until > world.now().count() + 5000);
-    session.left();
-    worker.looks.at(1).second(OrderStatus::unknown, std::nullopt);
-    world.run_for(Millis(500));
-    worker.looks.back().second(OrderStatus::unreachable, std::nullopt);
-    BOOST_TEST(heard.over == 0);
+    std::unique_ptr<WorkerSession> session;
+
+    LeftWorker()
+    {
+        WorkerInfo info;
+        info.id = "w1";
+        info.draining = true;
+        session = std::make_unique<WorkerSession>(loop, worker, heard, info, 1,
+                                                  WorkerBounds(), world.now());
+        session->begin();
+        worker.looks.at(0).second(OrderStatus::accepted, report_at(world.now()));
+        world.run_for(Millis(5)); // The next look leases for 5.85 s.
+        BOOST_REQUIRE(worker.looks.at(1).first.hold_until > world.now().count() + 5000);
+        session->left();
+        worker.looks.at(1).second(OrderStatus::unknown, std::nullopt);
+        world.run_for(Millis(500));
+    }
+    void answer_look(OrderStatus status)
+    {
+        worker.looks.back().second(status, std::nullopt);
+    }
+};
+
+} // namespace
+
+// The worker has gone from the list, since it was cut off for three heartbeats, and
+// connecting to it times out. Its lease has not run out, so what runs there may run on.
+BOOST_AUTO_TEST_CASE(worker_that_cannot_be_reached_within_its_lease_is_not_over)
+{
+    LeftWorker left;
+    left.answer_look(OrderStatus::unreachable);
+    BOOST_TEST(left.heard.over == 0);
+    BOOST_TEST(left.heard.lapsed == 0);
+    for (int i = 0; i < 30; ++i) {
+        left.world.run_for(Millis(250));
+        left.answer_look(OrderStatus::unreachable);
+    }
+    BOOST_TEST(left.heard.over == 0);
+    BOOST_TEST(left.heard.lapsed == 1);
+}
+
+// Nothing listens there any more, as it had announced.
+BOOST_AUTO_TEST_CASE(worker_that_has_left_and_refuses_connections_is_over)
+{
+    LeftWorker left;
+    left.answer_look(OrderStatus::refused);
+    BOOST_TEST(left.heard.over == 1);
 }
