A full list of ends tells of no run that it is missing

Cause: a report lists 500 ends at most, but resolve_doubts() and release_missing() took a run that is not in it for one that is not there. The run's end may be the next one; its task was started again after it was done. Change: LookReport::lists_all_ends() (most_listed_ends, from PROTOCOL.md). With a full list doubts stay open for runs that it doesn't name, and the report counts as ReportStage::first_part until a whole one has come: ends of earlier leaders count, what runs is adopted once, nothing is released, unrecorded tasks are not held for known, and the worker gets no orders.

--- a/src/emulator.lib/workers.cpp
+++ b/src/emulator.lib/workers.cpp
@@ -19,8 +19,6 @@
 /// How long the list keeps a worker that is silent.
 constexpr Millis list_patience { 4500 };
 constexpr Millis for_good { 1000000000 };
-/// A report lists so many ends at most, the earliest first (PROTOCOL.md).
-constexpr size_t most_listed = 500;
 /// A start so long after a cancellation was acknowledged is a breach.
 constexpr Millis cancel_time { 3000 };
 
@@ -361,7 +359,7 @@
                                      }),
                       life->ended.end());
     report.clock_ms = m_world.now().count();
-    const size_t listed = std::min(life->ended.size(), most_listed);
+    const size_t listed = std::min(life->ended.size(), jobs::most_listed_ends);
     report.ended.assign(life->ended.begin(), life->ended.begin() + std::ptrdiff_t(listed));
     for (const auto& [name, run] : life->running) {
         jobs::RunningTask running;
--- a/src/include/pathport/jobs/worker_client.h
+++ b/src/include/pathport/jobs/worker_client.h
@@ -81,11 +81,18 @@
     std::string checkpoint;
 };
 
+/// The most ends that one report lists, the earliest first (PROTOCOL.md of the platform).
+constexpr size_t most_listed_ends = 500;
+
 /// What a look brought.
 struct LookReport {
     int64_t clock_ms = 0;
     std::vector<RunningTask> running;
     std::vector<EndedTask> ended; ///< Those after `seen_through`.
+
+    /// Returns whether there are no ends beyond those listed. A run that is missing in a
+    /// full list may be among the next.
+    bool lists_all_ends() const { return ended.size() < most_listed_ends; }
 };
 
 /// The answer to an order.
--- a/src/jobs.lib/scheduler.h
+++ b/src/jobs.lib/scheduler.h
@@ -88,7 +88,8 @@
 
     // SessionListener
     bool may_order() const override;
-    void reported(WorkerSession& session, const LookReport& report, bool first) override;
+    void reported(WorkerSession& session, const LookReport& report,
+                  ReportStage stage) override;
     void life_over(WorkerSession& session) override;
     void lease_lapsed(WorkerSession& session) override;
     void fenced_off(WorkerSession& session) override;
--- a/src/jobs.lib/scheduler_reports.cpp
+++ b/src/jobs.lib/scheduler_reports.cpp
@@ -29,25 +29,28 @@
 
 } // namespace
 
-void Scheduler::reported(WorkerSession& session, const LookReport& report, bool first)
+void Scheduler::reported(WorkerSession& session, const LookReport& report,
+                         ReportStage stage)
 {
     Worker* worker = find_worker(session.id());
     if (worker == nullptr || m_phase == Phase::over)
         return;
+    const bool first = stage != ReportStage::later;
     std::set<std::string> changed;
     for (const EndedTask& end : report.ended) {
         if (apply_end(*worker, end, first))
             changed.insert(end.task.job);
     }
-    // What runs is looked at after what has ended before it.
+    // What runs is looked at after what has ended before it. A first report in parts names
+    // it in each.
     for (const RunningTask& running : report.running) {
-        if (first)
+        if (first && !worker->load.holds(running.task))
             adopt(*worker, running);
         else
             note_progress(*worker, running);
     }
     record_ends(*worker, report, changed);
-    if (first) {
+    if (stage == ReportStage::first_whole) {
         release_missing(*worker);
         resolve_unrecorded(session.id());
         settle();
--- a/src/jobs.lib/worker_session.cpp
+++ b/src/jobs.lib/worker_session.cpp
@@ -36,6 +36,15 @@
     return Millis(std::max<int64_t>(0, span_ms) * slow_clock_percent / 100);
 }
 
+/// Returns whether the run is among those that run or have ended.
+bool lists(const LookReport& report, const TaskId& task, int64_t run)
+{
+    const auto is_run
+        = [&](const auto& entry) { return entry.task == task && entry.run == run; };
+    return std::any_of(report.running.begin(), report.running.end(), is_run)
+        || std::any_of(report.ended.begin(), report.ended.end(), is_run);
+}
+
 } // namespace
 
 const char* to_string(OrderStatus status)
@@ -136,8 +145,7 @@
     // A silent worker's lease is left to run out: a renewal that may arrive would put off
     // the time from which its tasks can be placed elsewhere.
     order.hold_until = m_failed_looks > 0 ? 0 : hold_until();
-    const bool waits
-        = may_wait && m_fenced && !m_silent && m_doubtful.empty() && m_recorded == m_listed;
+    const bool waits = may_wait && usable() && m_recorded == m_listed;
     order.wait = waits ? look_wait : Millis(0);
     note_lease(order.hold_until);
     ++m_looks_open;
@@ -249,8 +257,8 @@
 
 void WorkerSession::report_arrived(const LookReport& report, int64_t fence)
 {
-    const bool first = !m_fenced;
     m_fenced = true;
+    const ReportStage stage = take_stage(report);
     resolve_doubts(report, fence);
     LookReport fresh;
     fresh.clock_ms = report.clock_ms;
@@ -266,31 +274,35 @@
     }
     if (!fresh.ended.empty())
         m_listed = fresh.ended.back().number;
-    m_listener.reported(*this, fresh, first);
+    m_listener.reported(*this, fresh, stage);
 }
 
-// Under a higher fence the worker does nothing for a late order, so what is not there now
-// never will be.
+ReportStage WorkerSession::take_stage(const LookReport& report)
+{
+    if (m_reported_all)
+        return ReportStage::later;
+    m_reported_all = report.lists_all_ends();
+    return m_reported_all ? ReportStage::first_whole : ReportStage::first_part;
+}
+
+// Under a higher fence the worker does nothing for a late order, so what is neither there
+// now nor among all its ends never will be.
 void WorkerSession::resolve_doubts(const LookReport& report, int64_t fence)
 {
-    std::vector<Doubt> resolved;
+    std::vector<std::pair<Doubt, StartResult>> resolved;
     for (auto doubt = m_doubtful.begin(); doubt != m_doubtful.end();) {
-        if (doubt->fence >= fence) {
+        const bool there = lists(report, doubt->task, doubt->run);
+        const bool known = there || report.lists_all_ends();
+        if (doubt->fence >= fence || !known) {
             ++doubt;
             continue;
         }
-        resolved.push_back(std::move(*doubt));
+        resolved.emplace_back(std::move(*doubt),
+                              there ? StartResult::running : StartResult::not_started);
         doubt = m_doubtful.erase(doubt);
     }
-    for (const Doubt& doubt : resolved) {
-        const auto is_run = [&](const auto& entry) {
-            return entry.task == doubt.task && entry.run == doubt.run;
-        };
-        const bool ran = std::any_of(report.running.begin(), report.running.end(), is_run)
-            || std::any_of(report.ended.begin(), report.ended.end(), is_run);
-        doubt.done(ran ? StartResult::running : StartResult::not_started,
-                   OrderStatus::unknown);
-    }
+    for (const auto& [doubt, result] : resolved)
+        doubt.done(result, OrderStatus::unknown);
 }
 
 void WorkerSession::start(const TaskId& task, int64_t run, const std::string& payload,
--- a/src/jobs.lib/worker_session.h
+++ b/src/jobs.lib/worker_session.h
@@ -35,6 +35,13 @@
     not_started, ///< It is not there and never will be.
 };
 
+/// How a report stands to what earlier leaders left at its worker.
+enum class ReportStage {
+    first_part, ///< Its list of ends is full: what it lacks may come with the next.
+    first_whole, ///< With it all is known that runs or has ended there.
+    later, ///< A whole one has come before.
+};
+
 /// Hears what a session learns.
 class SessionListener {
 public:
@@ -42,8 +49,10 @@
 
     /// Returns whether orders may be given now.
     virtual bool may_order() const = 0;
-    /// A look brought a report. `first` is set for the first one under this leader's fence.
-    virtual void reported(WorkerSession& session, const LookReport& report, bool first) = 0;
+    /// A look brought a report under this leader's fence.
+    virtual void reported(WorkerSession& session, const LookReport& report,
+                          ReportStage stage)
+        = 0;
     /// The life is over: nothing runs there, and its unlisted ends are lost.
     virtual void life_over(WorkerSession& session) = 0;
     /// The lease of all that ran there has surely run out.
@@ -76,8 +85,9 @@
 
     /// Returns whether the worker has accepted this leader's fence.
     bool fenced() const { return m_fenced; }
-    /// Returns whether it answers and no order to it is in doubt.
-    bool usable() const { return m_fenced && !m_silent && m_doubtful.empty(); }
+    /// Returns whether it answers, what earlier leaders left there is known, and no order
+    /// to it is in doubt.
+    bool usable() const { return m_reported_all && !m_silent && m_doubtful.empty(); }
     bool silent() const { return m_silent; }
     /// Returns whether an order for the task is unanswered or in doubt.
     bool has_open_order(const TaskId& task) const;
@@ -117,6 +127,7 @@
     void note_lease(int64_t until);
     void note_answer(int64_t clock_ms, int64_t until);
     void report_arrived(const LookReport& report, int64_t fence);
+    ReportStage take_stage(const LookReport& report);
     void resolve_doubts(const LookReport& report, int64_t fence);
     void start_answered(const OrderAnswer& answer, Doubt order);
     void raise_fence();
@@ -131,6 +142,7 @@
     WorkerBounds m_bounds;
     int64_t m_fence;
     bool m_fenced = false;
+    bool m_reported_all = false; ///< A report that lists all ends has come.
     bool m_silent = false;
     bool m_over = false;
     bool m_left = false;
