A leader tells from memory only what is loaded and within its lease

Cause: state_of() and pending_in() answered from whatever the scheduler held. A leader that had been frozen told of a job as active that its successor had shown as completed; one that was still loading counted no waiting jobs. Change: once the lease, or what the followers' promises add to it, is over, only recorded final states are told from memory; other states come from the store. Counts are told when the jobs are loaded and within the lease; otherwise the client is told to come back, since a count from the store would take a read of all 64 parts.

--- a/src/jobs.lib/job_node_clients.cpp
+++ b/src/jobs.lib/job_node_clients.cpp
@@ -330,7 +330,8 @@
 void JobNode::Impl::count_pending(const Queue& queue, Millis, Millis, CountReply done)
 {
     if (m_scheduler) {
-        done(ClientStatus::ok, m_scheduler->pending_in(queue.name));
+        const auto count = m_scheduler->pending_in(queue.name);
+        done(count ? ClientStatus::ok : ClientStatus::unavailable, count.value_or(0));
         return;
     }
     const std::string leader = leader_to_ask();
--- a/src/jobs.lib/job_node_peers.cpp
+++ b/src/jobs.lib/job_node_peers.cpp
@@ -51,8 +51,9 @@
         return;
     case PeerTopic::queue_pending:
         if (m_scheduler) {
-            answer.count = m_scheduler->pending_in(request.queue);
-            answer.served = true;
+            const auto count = m_scheduler->pending_in(request.queue);
+            answer.count = count.value_or(0);
+            answer.served = count.has_value();
         }
         break;
     case PeerTopic::configuration:
--- a/src/jobs.lib/scheduler.cpp
+++ b/src/jobs.lib/scheduler.cpp
@@ -104,13 +104,15 @@
     if (closed != m_closed.end())
         return closed->second;
     const auto open = m_jobs.find(id);
-    if (open == m_jobs.end())
+    if (open == m_jobs.end() || !may_order())
         return std::nullopt;
     return open->second->shown_state();
 }
 
-int64_t Scheduler::pending_in(const std::string& queue) const
+std::optional<int64_t> Scheduler::pending_in(const std::string& queue) const
 {
+    if (m_phase == Phase::loading || !may_order())
+        return std::nullopt;
     int64_t count = 0;
     for (const auto& [id, job] : m_jobs) {
         if (job->accepted().queue.name == queue && job->state() == JobState::pending)
--- a/src/jobs.lib/scheduler.h
+++ b/src/jobs.lib/scheduler.h
@@ -75,10 +75,12 @@
     void job_announced(const AcceptedJob& job, int64_t version);
     /// Takes a cancellation that is recorded.
     void job_canceled(const std::string& id);
-    /// Returns the state of a job, or nothing when it isn't known here.
+    /// Returns the state of a job, or nothing when it isn't known here. Once the lease is
+    /// over a successor may have shown a later one, so only a final state is told then.
     std::optional<JobState> state_of(const std::string& id) const;
-    /// Returns how many jobs of a queue have not begun.
-    int64_t pending_in(const std::string& queue) const;
+    /// Returns how many jobs of a queue have not begun, or nothing while the jobs are not
+    /// loaded or once the lease is over.
+    std::optional<int64_t> pending_in(const std::string& queue) const;
     /// Extends the time in which orders may be given, on the strength of the other nodes'
     /// promises not to take over.
     void set_promised_until(Millis until) { m_promised_until = until; }
