A leader that was paused does not forget its followers for it

Cause: after a pause of more than 30 s a leader forgot all followers, since none had been heard for that long, and with nobody left to promise anything it took the condition "all followers promise not to claim" for met: may_order() held for 1.5 s though its lease was long over. Found with woken_leader_does_not_tell_old_counts (a pause of 40 s). Change: allow_for_own_pause() takes what the node itself slept through off the followers' silence. Before: that case red (11 jobs counted again); after: green.

--- a/src/jobs.lib/job_node.cpp
+++ b/src/jobs.lib/job_node.cpp
@@ -132,6 +132,7 @@
 {
     log_event(LogLevel::info, "elected", { { "epoch", claim.head.epoch } });
     m_followers.clear();
+    m_lead_ticked = m_parts.loop.now();
     SchedulerParts parts { m_parts.loop,
                            m_store,
                            m_parts.directory,
@@ -240,6 +241,7 @@
 {
     if (!m_scheduler)
         return;
+    allow_for_own_pause();
     const Millis now = m_parts.loop.now();
     std::vector<std::string> useful;
     for (auto follower = m_followers.begin(); follower != m_followers.end();) {
@@ -261,6 +263,19 @@
     m_parts.loop.after(lead_tick_interval, m_lifetime.wrap([this] { lead_tick(); }));
 }
 
+// What this node has slept through is no silence of its followers. If it forgot them for
+// it, nobody would be left whose promise its orders need.
+void JobNode::Impl::allow_for_own_pause()
+{
+    const Millis now = m_parts.loop.now();
+    const Millis slept = now - m_lead_ticked - lead_tick_interval;
+    m_lead_ticked = now;
+    if (slept <= Millis(0))
+        return;
+    for (auto& [address, follower] : m_followers)
+        follower.heard = std::min(now, follower.heard + slept);
+}
+
 // Followers are told of each other, so that the next leader can tell all of itself.
 void JobNode::Impl::list_followers()
 {
--- a/src/jobs.lib/job_node_impl.h
+++ b/src/jobs.lib/job_node_impl.h
@@ -68,6 +68,7 @@
     PeerRequest own_heartbeat() const;
     void announce(const std::string& address);
     void lead_tick();
+    void allow_for_own_pause();
     void probe_follower(const std::string& address);
     void update_promises();
     void list_followers();
@@ -106,6 +107,7 @@
     /// Addresses of all nodes as far as the leader knows them, and a hash of the list.
     std::vector<std::string> m_peers;
     int64_t m_peers_hash = 0;
+    Millis m_lead_ticked; ///< When lead_tick() ran last.
     bool m_leaving = false;
     bool m_fetching_configuration = false;
     bool m_leader_served = false; ///< Whether the store served the leader then.
