A job that is archived between two reads is not shown as pending

Cause: a node that asks the store reads the job's row, then its progress. A job that was closed and archived between the two has no progress any more and counted as not begun. Change: without progress the closed table is read as well; its row comes before the progress goes. Before: job_archived_between_two_reads_is_not_pending red (status ok, pending); after: green.

--- a/src/jobs.lib/job_node_clients.cpp
+++ b/src/jobs.lib/job_node_clients.cpp
@@ -273,12 +273,14 @@
             if (present)
                 query_progress(id, canceled, done);
             else
-                query_closed(id, done);
+                query_closed(id, std::nullopt, done);
         }));
 }
 
-// A job row goes only together with the coming of the row that is read here.
-void JobNode::Impl::query_closed(const std::string& id, StateReply done)
+// A job row goes only together with the coming of the row that is read here. A job that
+// isn't closed is in `open_state`; nothing there means that its row is missing.
+void JobNode::Impl::query_closed(const std::string& id, std::optional<JobState> open_state,
+                                 StateReply done)
 {
     StoreRange range;
     range.table = closed_table;
@@ -286,21 +288,25 @@
     range.from = id;
     range.to = id + "!";
     range.limit = 1;
-    m_store.read(range, read_timeout, m_lifetime.wrap([done](const StoreResult& result) {
-        if (result.status != StoreStatus::ok) {
-            done(ClientStatus::unavailable, JobState::pending);
-            return;
-        }
-        if (result.rows.empty()) {
-            done(ClientStatus::not_found, JobState::pending);
-            return;
-        }
-        const auto state = final_state_of_progress(result.rows.front().value);
-        done(state ? ClientStatus::ok : ClientStatus::unavailable,
-             state.value_or(JobState::pending));
-    }));
+    m_store.read(range, read_timeout,
+                 m_lifetime.wrap([open_state, done](const StoreResult& result) {
+                     if (result.status != StoreStatus::ok) {
+                         done(ClientStatus::unavailable, JobState::pending);
+                         return;
+                     }
+                     if (result.rows.empty()) {
+                         done(open_state ? ClientStatus::ok : ClientStatus::not_found,
+                              open_state.value_or(JobState::pending));
+                         return;
+                     }
+                     const auto state = final_state_of_progress(result.rows.front().value);
+                     done(state ? ClientStatus::ok : ClientStatus::unavailable,
+                          state.value_or(JobState::pending));
+                 }));
 }
 
+// Without progress a job has not begun, or it was archived since its row was read: its
+// progress goes only after the row of the closed job has come.
 void JobNode::Impl::query_progress(const std::string& id, bool canceled, StateReply done)
 {
     StoreRange range;
@@ -310,20 +316,19 @@
     range.to = id + "!";
     range.limit = 1;
     m_store.read(
-        range, read_timeout, m_lifetime.wrap([canceled, done](const StoreResult& result) {
+        range, read_timeout,
+        m_lifetime.wrap([this, id, canceled, done](const StoreResult& result) {
             if (result.status != StoreStatus::ok) {
                 done(ClientStatus::unavailable, JobState::pending);
                 return;
             }
-            JobState state = result.rows.empty() ? JobState::pending : JobState::active;
-            if (canceled)
-                state = JobState::canceled;
-            if (!result.rows.empty()) {
-                const auto final_state = final_state_of_progress(result.rows.front().value);
-                if (final_state)
-                    state = *final_state;
+            if (result.rows.empty()) {
+                query_closed(id, canceled ? JobState::canceled : JobState::pending, done);
+                return;
             }
-            done(ClientStatus::ok, state);
+            const auto final_state = final_state_of_progress(result.rows.front().value);
+            const JobState open_state = canceled ? JobState::canceled : JobState::active;
+            done(ClientStatus::ok, final_state.value_or(open_state));
         }));
 }
 
--- a/src/jobs.lib/job_node_impl.h
+++ b/src/jobs.lib/job_node_impl.h
@@ -83,7 +83,8 @@
     void forward_write(PeerTopic topic, const std::string& id, const std::string& row,
                        WriteOutcome own, ClientReply done);
     void query_store(const std::string& id, Millis deadline, StateReply done);
-    void query_closed(const std::string& id, StateReply done);
+    void query_closed(const std::string& id, std::optional<JobState> open_state,
+                      StateReply done);
     void query_progress(const std::string& id, bool canceled, StateReply done);
     std::string leader_to_ask() const;
     Millis give_up_time(Millis received, Millis limit) const;
