The leader is told of the row that is in the store

Cause: after a hand-in that the store already held, or that shared the write of another one under the same id, a node announced the row of its own hand-in, with the version of the one in the store. The leader could run a job other than the recorded one; its successor would load another. Change: WriteResult carries the row as the store holds it (from the transaction, the conflict or the read); only that is announced. Where it isn't known the leader reads it from the store.

--- a/src/jobs.lib/acceptor.cpp
+++ b/src/jobs.lib/acceptor.cpp
@@ -173,15 +173,17 @@
     Millis pause(0);
     if (result.status == StoreStatus::ok) {
         for (const EntryPtr& entry : sent)
-            finish(entry, { WriteOutcome::written, result.version, WriteEvidence::answer });
+            finish(entry,
+                   { WriteOutcome::written, result.version, WriteEvidence::answer,
+                     entry->value });
     } else {
         if (result.status == StoreStatus::refused)
             pause = refused_pause;
         for (auto entry = sent.rbegin(); entry != sent.rend(); ++entry) {
             // Rows that came with the result are there already; the others go out again.
-            int64_t version = 0;
-            if (finished_by(**entry, result, version)) {
-                finish(*entry, { WriteOutcome::written, version, WriteEvidence::row });
+            const auto finished = finished_by(**entry, result);
+            if (finished) {
+                finish(*entry, *finished);
                 continue;
             }
             if (result.status == StoreStatus::unknown)
@@ -215,22 +217,22 @@
         finish(entry, { entry->in_doubt ? WriteOutcome::in_doubt : WriteOutcome::refused });
 }
 
-// Returns whether the rows of a result, those that a conflict names or one that was read,
-// show that there is nothing left to write. A closed job's version is left at 0: it says
-// nothing about when the job came.
-bool Acceptor::finished_by(const Entry& entry, const StoreResult& result, int64_t& version)
+// Returns the outcome if the rows of a result, those that a conflict names or one that was
+// read, show that there is nothing left to write. A closed job's version is left at 0: it
+// says nothing about when the job came.
+std::optional<WriteResult> Acceptor::finished_by(const Entry& entry,
+                                                 const StoreResult& result)
 {
     for (const StoredRow& row : result.rows) {
         if (row.version == 0)
             continue;
-        if (row.id == entry.row) {
-            version = row.version;
-            return true;
-        }
+        if (row.id == entry.row)
+            return WriteResult { WriteOutcome::written, row.version, WriteEvidence::row,
+                                 row.value };
         if (entry.is_job && row.id == closed_row(entry.id))
-            return true;
+            return WriteResult { WriteOutcome::written, 0, WriteEvidence::row };
     }
-    return false;
+    return std::nullopt;
 }
 
 void Acceptor::finish(const EntryPtr& entry, const WriteResult& result)
--- a/src/jobs.lib/acceptor.h
+++ b/src/jobs.lib/acceptor.h
@@ -18,6 +18,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -38,12 +39,14 @@
     row, ///< The row, or that of the closed job, was seen in the store.
 };
 
-/// The same with the version at which a job came into the store; 0 when that isn't known or
+/// The same with the row of the job as the store holds it, which another hand-in under its
+/// id may have brought, and the version at which it came; "" and 0 when that isn't known or
 /// the job is closed.
 struct WriteResult {
     WriteOutcome outcome = WriteOutcome::in_doubt;
     int64_t version = 0;
     WriteEvidence evidence = WriteEvidence::none;
+    std::string row {};
 };
 
 /// Returns the lower-case name of `evidence`.
@@ -85,8 +88,8 @@
     void flush(const std::string& part);
     void answered(const std::string& part, const StoreResult& result);
     void finish(const EntryPtr& entry, const WriteResult& result);
-    static bool finished_by(const Entry& entry, const StoreResult& result,
-                            int64_t& version);
+    static std::optional<WriteResult> finished_by(const Entry& entry,
+                                                  const StoreResult& result);
     void give_up_late(Part& part);
 
     /// What the store says of a job.
--- a/src/jobs.lib/job_node_clients.cpp
+++ b/src/jobs.lib/job_node_clients.cpp
@@ -103,7 +103,7 @@
                                { "after_ms", (m_parts.loop.now() - received).count() } });
                    if (outcome == WriteOutcome::written) {
                        done(ClientStatus::ok);
-                       accepted(id, row, result.version);
+                       accepted(id, result);
                        return;
                    }
                    forward_write(PeerTopic::accept_job, id, row, outcome, done);
@@ -116,14 +116,17 @@
     m_acceptor.accept(id, row, give_up, std::move(done));
 }
 
-// The leader learns of it at once by a message, or soon from the store.
-void JobNode::Impl::accepted(const std::string& id, const std::string& row, int64_t version)
+// The leader learns of it at once by a message, or soon from the store: of the row that is
+// there, which need not be the one that was handed in to this node.
+void JobNode::Impl::accepted(const std::string& id, const WriteResult& written)
 {
+    if (written.row.empty())
+        return;
     if (m_scheduler) {
         Failure reason;
-        const auto job = decode_accepted_job(id, row, reason);
+        const auto job = decode_accepted_job(id, written.row, reason);
         if (job)
-            m_scheduler->job_announced(*job, version);
+            m_scheduler->job_announced(*job, written.version);
         return;
     }
     const std::string leader = leader_to_ask();
@@ -133,8 +136,8 @@
     notice.topic = PeerTopic::job_accepted;
     notice.node = m_setup.node;
     notice.job = id;
-    notice.row = row;
-    notice.version = version;
+    notice.row = written.row;
+    notice.version = written.version;
     m_parts.peers.send(leader, notice, ask_timeout, [](PeerEnd, const PeerAnswer&) {});
 }
 
--- a/src/jobs.lib/job_node_impl.h
+++ b/src/jobs.lib/job_node_impl.h
@@ -78,7 +78,7 @@
     void note_call(const char* call, const char* outcome, Millis received);
     void accept_row(const std::string& id, const std::string& row, Millis give_up,
                     WriteReply done);
-    void accepted(const std::string& id, const std::string& row, int64_t version);
+    void accepted(const std::string& id, const WriteResult& written);
     void record_cancel(const std::string& id, Millis give_up, WriteReply done);
     void forward_write(PeerTopic topic, const std::string& id, const std::string& row,
                        WriteOutcome own, ClientReply done);
--- a/src/jobs.lib/job_node_peers.cpp
+++ b/src/jobs.lib/job_node_peers.cpp
@@ -154,7 +154,7 @@
         answer.status = static_cast<int>(status);
         done(answer);
         if (outcome == WriteOutcome::written && request.topic == PeerTopic::accept_job)
-            accepted(request.job, request.row, result.version);
+            accepted(request.job, result);
     };
     if (request.topic == PeerTopic::cancel_job) {
         record_cancel(request.job, give_up, reply);
