--- a/src/emulator.lib/workers.cpp
+++ b/src/emulator.lib/workers.cpp
@@ -372,7 +372,8 @@
                                      }),
                       life->ended.end());
     report.clock_ms = m_world.now().count();
-    report.ended = life->ended;
+    const size_t listed = std::min(life->ended.size(), jobs::most_listed_ends);
+    report.ended.assign(life->ended.begin(), life->ended.begin() + std::ptrdiff_t(listed));
     for (const auto& [name, run] : life->running) {
         jobs::RunningTask running;
         running.task = run.task;
--- a/src/include/pathport/jobs/worker_client.h
+++ b/src/include/pathport/jobs/worker_client.h
@@ -27,7 +27,8 @@
     bad_ticket, ///< The ticket has run out or is missing; nothing was done.
     declined, ///< The worker is unhealthy or the order malformed; nothing was done.
     other_life, ///< Another life of the worker answered: the one meant is over.
-    unreachable, ///< Nothing was sent.
+    refused, ///< Nothing listens at the worker's address; nothing was sent.
+    unreachable, ///< No connection came about; nothing was sent, the worker may be there.
     unknown, ///< No answer: it may have been done, or be done seconds later.
 };
 /// Returns the lower-case name of `status`.
@@ -80,11 +81,18 @@
     std::string checkpoint;
 };
 
+/// The most ends that one report lists, the earliest first (PROTOCOL.md of the platform).
+constexpr size_t most_listed_ends = 500;
+
 /// What a look brought.
 struct LookReport {
     int64_t clock_ms = 0;
     std::vector<RunningTask> running;
     std::vector<EndedTask> ended; ///< Those after `seen_through`.
+
+    /// Returns whether there are no ends beyond those listed. A run that is missing in a
+    /// full list may be among the next.
+    bool lists_all_ends() const { return ended.size() < most_listed_ends; }
 };
 
 /// The answer to an order.
--- a/src/jobs.lib/job_node_impl.h
+++ b/src/jobs.lib/job_node_impl.h
@@ -68,6 +68,7 @@
     PeerRequest own_heartbeat() const;
     void announce(const std::string& address);
     void lead_tick();
+    void allow_for_own_pause();
     void probe_follower(const std::string& address);
     void update_promises();
     void list_followers();
@@ -77,12 +78,13 @@
     void note_call(const char* call, const char* outcome, Millis received);
     void accept_row(const std::string& id, const std::string& row, Millis give_up,
                     WriteReply done);
-    void accepted(const std::string& id, const std::string& row, int64_t version);
+    void accepted(const std::string& id, const WriteResult& written);
     void record_cancel(const std::string& id, Millis give_up, WriteReply done);
     void forward_write(PeerTopic topic, const std::string& id, const std::string& row,
                        WriteOutcome own, ClientReply done);
     void query_store(const std::string& id, Millis deadline, StateReply done);
-    void query_closed(const std::string& id, StateReply done);
+    void query_closed(const std::string& id, std::optional<JobState> open_state,
+                      StateReply done);
     void query_progress(const std::string& id, bool canceled, StateReply done);
     std::string leader_to_ask() const;
     Millis give_up_time(Millis received, Millis limit) const;
@@ -106,6 +108,7 @@
     /// Addresses of all nodes as far as the leader knows them, and a hash of the list.
     std::vector<std::string> m_peers;
     int64_t m_peers_hash = 0;
+    Millis m_lead_ticked; ///< When lead_tick() ran last.
     bool m_leaving = false;
     bool m_fetching_configuration = false;
     bool m_leader_served = false; ///< Whether the store served the leader then.
--- a/src/jobs.lib/job_node_peers.cpp
+++ b/src/jobs.lib/job_node_peers.cpp
@@ -51,8 +51,9 @@
         return;
     case PeerTopic::queue_pending:
         if (m_scheduler) {
-            answer.count = m_scheduler->pending_in(request.queue);
-            answer.served = true;
+            const auto count = m_scheduler->pending_in(request.queue);
+            answer.count = count.value_or(0);
+            answer.served = count.has_value();
         }
         break;
     case PeerTopic::configuration:
@@ -153,7 +154,7 @@
         answer.status = static_cast<int>(status);
         done(answer);
         if (outcome == WriteOutcome::written && request.topic == PeerTopic::accept_job)
-            accepted(request.job, request.row, result.version);
+            accepted(request.job, result);
     };
     if (request.topic == PeerTopic::cancel_job) {
         record_cancel(request.job, give_up, reply);
