Soak: a fault soak of pathport_jobd of our own, first whole

Real daemons and a stand-in of the users' platform on loopback, a proxy on every link, faults drawn from a seed.

--- /dev/null
+++ b/testsuite/soak/platform_main.py
@@ -0,0 +1,205 @@
+# Copyright the pathport authors.
+# SPDX-License-Identifier: Apache-2.0
+"""The stand-in of the users' platform, a process of its own: store, workers, advisor.
+
+python3 -m soak.platform_main --base PORT --workers N --seed N"""
+
+import argparse
+import asyncio
+import gc
+import json
+import signal
+import sys
+import time
+
+from . import control, wire
+from .addresses import Plan
+from .advisor import Advisor, Tickets
+from .http1 import Server
+from .ledger import Ledger
+from .model import QUEUES, SERVICE, JobFacts
+from .store import Store
+from .store_service import Rates, StoreService, Trouble
+from .workers import Workers
+
+LIST_S = 0.2
+LIST_PATIENCE_S = 4.5
+
+
+class Platform:
+    """Everything that the daemons meet beside each other."""
+
+    def __init__(self, plan, worker_count, seed, rates):
+        self.plan = plan
+        self.ledger = Ledger(self.log)
+        self.tickets = Tickets()
+        self.workers = Workers(self.ledger, self.log, self.tickets, seed, worker_count)
+        self.store = Store()
+        self.service = StoreService(self.store, rates, seed, plan.view_of, self.translate)
+        self.advisor = Advisor(self.ledger, self.workers, self.tickets, plan.view_of)
+        self.servers = {}
+        self.listed = {}  # life's id -> the value of its row
+        self.dead_since = {}
+        self.version = 0
+
+    @staticmethod
+    def log(event, **fields):
+        print(json.dumps({"time_ms": int(time.time() * 1000), "process": "platform",
+                          "event": event, **fields}))
+
+    def translate(self, value, view):
+        """Rows name daemons and workers as the daemon that reads them finds them."""
+        value = self.plan.translate(value, view)
+        real = b'"address":"127.100.'
+        return value.replace(real, b'"address":"127.%d.' % (100 + view))
+
+    async def begin(self):
+        self.configure()
+        await Server(self.service.handle, self.plan.store).open()
+        await Server(self.advisor.handle, self.plan.advice).open()
+        for slot in list(self.workers.slots):
+            await self.open_slot(slot)
+        await Server(self.command, self.plan.control).open()
+
+    async def open_slot(self, slot):
+        async def handle(request):
+            return await self.workers.handle(slot, request, self.plan.view_of(request.local_ip))
+        if slot not in self.servers:
+            self.servers[slot] = Server(handle, self.plan.worker_port(slot))
+        await self.servers[slot].open()
+
+    def configure(self, extra_queues=()):
+        self.version += 3
+        value = wire.configuration_value(self.version, list(QUEUES) + list(extra_queues),
+                                         [SERVICE])
+        self.put(wire.OPERATOR_TABLE, wire.CONFIG_KEY, value)
+
+    def put(self, table, key, value):
+        name = wire.RowName(table, "", key)
+        change = wire.Write([], [(name, value)], []) if value else wire.Write([], [], [name])
+        self.service.apply(change)
+
+    def list_workers(self):
+        """Renews the rows of workers; a worker that is gone stays listed for a while."""
+        for life in self.workers.lives:
+            if not life.up and life.id not in self.listed:
+                continue
+            if not life.up:
+                since = self.dead_since.setdefault(life.id, time.monotonic())
+                if time.monotonic() - since > LIST_PATIENCE_S or life.draining:
+                    del self.listed[life.id]
+                    self.put(wire.SERVERS_TABLE, life.id, b"")
+                continue
+            address = (f"{self.plan.worker_ip(life.slot, 0)}:"
+                       f"{self.plan.proxied_worker(life.slot)}")
+            state = (life.draining,)
+            if self.listed.get(life.id) != state:
+                self.listed[life.id] = state
+                self.put(wire.SERVERS_TABLE, life.id, self.workers.value(life, address))
+
+    async def keep_list(self):
+        while True:
+            if 0 not in self.service.trouble.refused:
+                self.list_workers()
+            sys.stdout.flush()
+            await asyncio.sleep(LIST_S)
+
+    async def command(self, request):
+        name = request.target.strip("/")
+        arguments = json.loads(request.body or b"{}")
+        done = getattr(self, "do_" + name)(**arguments)
+        if asyncio.iscoroutine(done):
+            done = await done
+        return control.answer(done)
+
+    # What the driver may ask for.
+
+    def do_describe(self, jobs):
+        for text in jobs:
+            facts = JobFacts.decode(text)
+            self.ledger.jobs[facts.id] = facts
+
+    def do_refused(self, job):
+        self.log("refused", job=job)
+        self.ledger.refused[job] = time.monotonic()
+
+    def do_canceled(self, job, at):
+        self.log("canceled", job=job)
+        self.ledger.canceled[job] = at
+
+    def do_accepted(self, job, node):
+        self.log("accepted", job=job, node=node)
+
+    def do_fault(self, text):
+        self.log("fault", text=text)
+
+    def do_trouble(self, **trouble):
+        refused = {int(k): how for k, how in trouble.pop("refused", {}).items()}
+        self.service.trouble = Trouble(refused=refused, **trouble)
+
+    def do_forget_history(self):
+        self.store.forget()
+
+    def do_configure(self):
+        self.configure()
+
+    async def do_worker_down(self, slot):
+        self.workers.end_life(slot)
+        self.servers[slot].close()
+
+    async def do_worker_up(self, slot, kind=""):
+        if slot not in self.workers.slots or not self.workers.slots[slot].up:
+            self.workers.begin_life(slot, kind)
+        await self.open_slot(slot)
+
+    def do_worker_drain(self, slot, span_s):
+        life = self.workers.slots[slot]
+        life.draining, life.leaves_at = True, time.monotonic() + span_s
+
+    def do_worker_trouble(self, slot, **trouble):
+        for name, value in trouble.items():
+            setattr(self.workers.trouble[slot], name, value)
+
+    def do_status(self):
+        breaches = [[b.promise, b.text, b.at] for b in self.ledger.breaches]
+        return {"breaches": breaches, "checked": self.ledger.checked,
+                "leader": self.workers.last_leader, "writer": self.service.last_writer,
+                "starts": self.ledger.starts, "store_calls": self.service.calls,
+                "store_refusals": self.service.refusals, "alone": self.workers.alone,
+                "running": sum(len(life.running) for life in self.workers.lives)}
+
+    def do_verdicts(self, jobs):
+        return {job: self.ledger.verdict_on(job) for job in jobs}
+
+    def do_idle_lasting(self):
+        return self.workers.idle_lasting()
+
+
+async def serve(arguments):
+    platform = Platform(Plan(arguments.base), arguments.workers, arguments.seed,
+                        Rates(arguments.writes, arguments.reads))
+    await platform.begin()
+    loop = asyncio.get_running_loop()
+    tasks = [loop.create_task(platform.keep_list()),
+             loop.create_task(platform.workers.run_clock())]
+    ended = asyncio.Event()
+    loop.add_signal_handler(signal.SIGTERM, ended.set)
+    await asyncio.wait([asyncio.ensure_future(ended.wait()), *tasks],
+                       return_when=asyncio.FIRST_COMPLETED)
+    for task in tasks:
+        if task.done():
+            task.result()
+
+
+def main():
+    parser = argparse.ArgumentParser(description=__doc__)
+    for name in ("base", "workers", "seed"):
+        parser.add_argument("--" + name, type=int, required=True)
+    parser.add_argument("--writes", type=float, default=600)
+    parser.add_argument("--reads", type=float, default=2000)
+    gc.freeze()
+    asyncio.run(serve(parser.parse_args()))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/testsuite/soak/proxy.py
@@ -0,0 +1,201 @@
+# Copyright the pathport authors.
+# SPDX-License-Identifier: Apache-2.0
+"""TCP proxies between daemons and the stand-in and among daemons, with troubles on their links.
+
+A link runs from a daemon (its view) to a service of one kind and number. A cut direction holds
+its bytes back until the cut ends; they are lost if an end closes meanwhile, unless the trouble
+delivers late."""
+
+import asyncio
+import re
+from dataclasses import dataclass
+
+from .addresses import is_loopback
+from .http1 import reset
+
+READ_BYTES = 65536
+POLL_S = 0.01
+SPLIT_ADDRESS = re.compile(rb"127[.\d:]{0,20}$")
+SPLIT_WAIT_S = 0.005
+
+
+@dataclass
+class LinkTrouble:
+    """A trouble on all links that match; 0 and the empty text match all.
+
+    how: 'delay' (by delay_s), 'reset', 'cut_to' (towards the service), 'cut_from', 'silence'."""
+    how: str
+    view: int = 0
+    kind: str = ""
+    number: int = 0
+    delay_s: float = 0
+    late: bool = False
+    peer_side: int = 0  # Cuts this daemon from its peers: as caller and as called.
+
+    def matches(self, link):
+        if self.peer_side:
+            return link.kind == "peer" and self.peer_side in (link.view, link.number)
+        return (self.view in (0, link.view) and self.kind in ("", link.kind)
+                and self.number in (0, link.number))
+
+
+@dataclass(frozen=True)
+class Link:
+    """From a daemon to a service: store, advice, peer or worker, the last two with a number."""
+    view: int
+    kind: str
+    number: int
+
+
+class Connection:
+    """One proxied connection."""
+
+    def __init__(self, link, reader, writer, proxies):
+        self.link, self.proxies = link, proxies
+        self.reader, self.writer = reader, writer
+        self.far_writer = None
+
+    def held(self, outward):
+        cut = "cut_to" if outward else "cut_from"
+        return any(t.how in (cut, "silence") for t in self.troubles())
+
+    def troubles(self):
+        return [t for t in self.proxies.troubles if t.matches(self.link)]
+
+    def delay(self):
+        return max((t.delay_s for t in self.troubles() if t.how == "delay"), default=0)
+
+    def late(self):
+        return any(t.late for t in self.troubles())
+
+    async def run(self, host, port):
+        try:
+            far_reader, self.far_writer = await asyncio.open_connection(host, port)
+        except OSError:
+            self.reset()
+            return
+        outward = asyncio.ensure_future(
+            self.pump(self.reader, self.far_writer, True, self.link.number))
+        inward = asyncio.ensure_future(
+            self.pump(far_reader, self.writer, False, self.link.view))
+        _, pending = await asyncio.wait([outward, inward], return_when=asyncio.FIRST_COMPLETED)
+        for task in pending:
+            task.cancel()
+        await asyncio.gather(outward, inward, return_exceptions=True)
+        self.close()
+
+    async def pump(self, reader, writer, outward, view):
+        held = b""
+        while True:
+            data = held + await reader.read(READ_BYTES)
+            ended = len(data) == len(held)
+            held = b""
+            if ended and self.held(outward) and not self.late():
+                return
+            if self.link.kind == "peer" and not ended:
+                data = await self.whole_addresses(reader, data)
+                data = self.proxies.plan.translate(data, view)
+            delay = self.delay()
+            if delay:
+                await asyncio.sleep(delay)
+            while self.held(outward):
+                await asyncio.sleep(POLL_S)
+                if reader.at_eof() and not self.late():
+                    return
+            if data:
+                writer.write(data)
+                await writer.drain()
+                self.proxies.bytes += len(data)
+            if ended:
+                return
+
+    @staticmethod
+    async def whole_addresses(reader, data):
+        """Waits a little for the rest of an address that a reading may have split."""
+        while SPLIT_ADDRESS.search(data):
+            try:
+                more = await asyncio.wait_for(reader.read(READ_BYTES), SPLIT_WAIT_S)
+            except asyncio.TimeoutError:
+                break
+            if not more:
+                break
+            data += more
+        return data
+
+    def reset(self):
+        for writer in (self.writer, self.far_writer):
+            if writer is not None:
+                reset(writer.transport)
+
+    def close(self):
+        for writer in (self.writer, self.far_writer):
+            if writer is not None:
+                writer.close()
+
+
+class Proxies:
+    """All proxies of a soak, and the troubles on their links."""
+
+    def __init__(self, plan):
+        self.plan = plan
+        self.troubles = []
+        self.connections = set()
+        self.servers = {}  # (kind, number) -> the listener
+        self.bytes = 0
+        self.resets = 0
+
+    def place(self, kind, number):
+        """Returns the port to listen on, and a function from a view to the real address."""
+        plan = self.plan
+        if kind == "store":
+            return plan.proxied_store, lambda view: (plan.service_ip(view), plan.store)
+        if kind == "advice":
+            return plan.proxied_advice, lambda view: (plan.service_ip(view), plan.advice)
+        if kind == "peer":
+            return plan.proxied_peer(number), lambda _: (plan.daemon_ip(number), plan.peers)
+        return plan.proxied_worker(number), lambda view: (
+            plan.worker_ip(number, view), plan.worker_port(number))
+
+    async def open(self, kind, number=0):
+        if (kind, number) in self.servers:
+            return
+        port, target = self.place(kind, number)
+
+        async def accept(reader, writer):
+            if not is_loopback(writer.get_extra_info("peername")[0]):
+                writer.transport.abort()
+                return
+            view = self.plan.view_of(writer.get_extra_info("sockname")[0])
+            link = Link(view, kind, number)
+            connection = Connection(link, reader, writer, self)
+            if any(t.how == "reset" for t in connection.troubles()):
+                self.resets += 1
+                connection.reset()
+                return
+            self.connections.add(connection)
+            try:
+                await connection.run(*target(view))
+            except (OSError, asyncio.CancelledError):
+                connection.reset()
+            finally:
+                self.connections.discard(connection)
+
+        self.servers[kind, number] = await asyncio.start_server(
+            accept, "0.0.0.0", port, backlog=1024)
+
+    def close(self, kind, number=0):
+        """Refuses connections to this service from now on."""
+        server = self.servers.pop((kind, number), None)
+        if server is not None:
+            server.close()
+
+    def add(self, trouble):
+        self.troubles.append(trouble)
+        if trouble.how == "reset":
+            for connection in list(self.connections):
+                if trouble.matches(connection.link):
+                    self.resets += 1
+                    connection.reset()
+
+    def remove(self, trouble):
+        self.troubles.remove(trouble)
--- /dev/null
+++ b/testsuite/soak/schedule.py
@@ -0,0 +1,198 @@
+# Copyright the pathport authors.
+# SPDX-License-Identifier: Apache-2.0
+"""The plan of one soak, drawn from its seed: which jobs come when, and which faults."""
+
+import random
+from dataclasses import dataclass, field
+
+from .model import QUEUES, JobFacts
+from .wire import Step
+
+FIRST_FAULT_S = 3.0
+MOST_STEPS = 3
+LEADER, WRITER = "leader", "writer"
+
+
+@dataclass
+class PlannedJob:
+    """A job and what its caller does with it; times count from the soak's begin, 0 means never."""
+    at: float
+    facts: JobFacts
+    cancel_after: float = 0
+    again_after: float = 0
+    ask_every: float = 0
+
+
+@dataclass
+class Fault:
+    """One fault; its arguments depend on the kind."""
+    at: float
+    kind: str
+    span: float
+    arguments: dict = field(default_factory=dict)
+
+    def __str__(self):
+        words = " ".join(f"{key}={value}" for key, value in self.arguments.items())
+        return f"{self.at:6.2f} {self.kind} {self.span:.2f} s {words}"
+
+
+@dataclass
+class Size:
+    """How large a soak is."""
+    daemons: int = 4
+    workers: int = 8
+    load_s: float = 30
+    jobs_per_s: float = 4
+    faults_per_s: float = 0.7
+
+
+class Schedule:
+    """Jobs and faults of one seed."""
+
+    def __init__(self, seed, size):
+        self.seed, self.size = seed, size
+        self.random = random.Random(seed)
+        self.faults = self.draw_faults()
+        self.jobs = self.draw_jobs()
+
+    def text(self):
+        return "".join(f"{fault}\n" for fault in self.faults)
+
+    # Jobs.
+
+    def draw_jobs(self):
+        draw = random.Random(self.seed + 1)
+        count = int(self.size.load_s * self.size.jobs_per_s)
+        jobs = [self.draw_job(draw, draw.uniform(0.5, self.size.load_s)) for _ in range(count)]
+        jobs += [self.draw_lasting(draw) for _ in range(2)]
+        return sorted(jobs, key=lambda job: job.at)
+
+    @staticmethod
+    def draw_id(draw):
+        return f"{draw.randrange(1 << 64):016x}"
+
+    def draw_job(self, draw, at):
+        queue = draw.choice(QUEUES)
+        steps, fails = [], []
+        for number in range(draw.randint(1, MOST_STEPS)):
+            steps.append(self.draw_step(draw, number, queue.advised))
+            fails.append(draw.randint(1, 3) if draw.random() < 0.15 else 0)
+        facts = JobFacts(self.draw_id(draw), queue.name, f"spec {draw.random()} \u00fc \"q\"",
+                         steps, fails)
+        if draw.random() < 0.05:
+            facts.repeats, facts.interval_ms = draw.randint(2, 3), draw.randint(300, 3000)
+        return PlannedJob(
+            at, facts,
+            cancel_after=draw.uniform(0.1, 4) if draw.random() < 0.12 else 0,
+            again_after=draw.uniform(0.2, 6) if draw.random() < 0.2 else 0,
+            ask_every=draw.uniform(0.5, 2) if draw.random() < 0.5 else 0)
+
+    @staticmethod
+    def draw_step(draw, number, advised):
+        step = Step(draw.randint(1, 5), draw.randint(300, 2500), draw.randint(100, 1000),
+                    int(draw.expovariate(1 / 900)) + 50)
+        if number and draw.random() < 0.7:
+            step.after = [number - 1]
+        step.gang = draw.random() < 0.25
+        if step.gang:
+            step.count = min(step.count, 3)
+        step.saves = draw.random() < 0.3
+        if step.saves and draw.random() < 0.3:
+            step.run_ms += 4000
+        if not advised and draw.random() < 0.1:
+            step.label = draw.choice(("small", "large"))
+        if draw.random() < 0.2:
+            step.rack = f"r{draw.randrange(3)}"
+        if not step.gang and draw.random() < 0.1:
+            step.count, step.per_worker = min(step.count, 2), draw.randint(1, 2)
+        return step
+
+    def draw_lasting(self, draw):
+        step = Step(draw.randint(1, 3), 500, 200, 1500, lasting=True)
+        facts = JobFacts(self.draw_id(draw), "plain", "a service", [step],
+                         [draw.randint(0, 2)])
+        return PlannedJob(draw.uniform(0.5, self.size.load_s / 2), facts, ask_every=2)
+
+    # Faults.
+
+    def draw_faults(self):
+        draw = self.random
+        count = int(self.size.load_s * self.size.faults_per_s)
+        makers = [self.node_fault] * 5 + [self.link_fault] * 4 + [self.store_fault] * 4 \
+            + [self.worker_fault] * 4 + [self.other_fault]
+        faults = []
+        while len(faults) < count:
+            at = draw.uniform(FIRST_FAULT_S, self.size.load_s)
+            made = draw.choice(makers)(draw, at)
+            faults.append(made)
+            if draw.random() < 0.25:  # The same again, as a series.
+                for again in range(1, draw.randint(2, 4)):
+                    faults.append(Fault(at + again * draw.uniform(0.3, 2.5), made.kind,
+                                        made.span, dict(made.arguments)))
+        return sorted(faults, key=lambda fault: fault.at)
+
+    def draw_node(self, draw):
+        lot = draw.random()
+        if lot < 0.4:
+            return LEADER
+        return WRITER if lot < 0.5 else draw.randint(1, self.size.daemons)
+
+    def node_fault(self, draw, at):
+        kind = draw.choice(("kill", "kill", "freeze", "freeze", "stop", "stop", "hup",
+                            "kill_all", "replace_all", "stop_then_kill"))
+        if kind in ("kill_all", "replace_all") and draw.random() < 0.6:
+            kind = "kill"
+        span = draw.uniform(0.1, 6) if kind in ("freeze",) else draw.uniform(0.05, 3)
+        return Fault(at, "node_" + kind, span, {"node": self.draw_node(draw)})
+
+    def link_fault(self, draw, at):
+        how = draw.choice(("delay", "reset", "cut_to", "cut_from", "silence"))
+        kind = draw.choice(("store", "peer", "peer_side", "worker", "worker", "advice", ""))
+        span = 0.02 if how == "reset" and draw.random() < 0.5 else draw.uniform(0.3, 6)
+        arguments = {"how": how, "service": kind, "node": self.draw_node(draw),
+                     "late": draw.random() < 0.4}
+        if how == "delay":
+            arguments["delay_s"] = round(draw.choice((0.02, 0.1, 0.4)) * draw.uniform(0.5, 1.5), 3)
+        if kind == "worker":
+            arguments["number"] = draw.randint(1, self.size.workers)
+            if draw.random() < 0.5:
+                arguments["node"] = 0  # From all daemons to one worker.
+        if kind == "" and how != "delay":
+            span = min(span, 3)
+        return Fault(at, "link", span, arguments)
+
+    def store_fault(self, draw, at):
+        kind = draw.choice(("slow", "away", "lose", "late", "refuse", "refuse", "forget"))
+        span = draw.uniform(0.5, 7)
+        how = draw.choice(("503", "429", "reset", "silence"))
+        if kind == "slow":
+            return Fault(at, "store_slow", span, {"factor": draw.choice((5, 20, 60, 96))})
+        if kind == "away":
+            return Fault(at, "store_away", min(span, 5), {"how": how})
+        if kind in ("lose", "late"):
+            return Fault(at, "store_" + kind, span, {"share": draw.choice((0.05, 0.2, 0.5))})
+        if kind == "refuse":
+            node = LEADER if draw.random() < 0.6 else self.draw_node(draw)
+            return Fault(at, "store_refuse", span, {"how": how, "node": node})
+        return Fault(at, "store_forget", 0)
+
+    def worker_fault(self, draw, at):
+        kind = draw.choice(("crash", "crash", "decline", "hang", "fail_all", "leave", "lost"))
+        span = draw.uniform(0.2, 5)
+        if kind == "fail_all":
+            span = min(span, 1.5)
+        arguments = {"slot": draw.randint(1, self.size.workers)}
+        if kind == "crash" and draw.random() < 0.3:
+            arguments["kind"] = draw.choice(("small", "large"))
+        return Fault(at, "worker_" + kind, span, arguments)
+
+    @staticmethod
+    def other_fault(draw, at):
+        return Fault(at, draw.choice(("configure", "node_hup")), 0, {"node": LEADER})
+
+
+def begin_times(jobs, begin_wall_s):
+    """Gives timed jobs their first time, once the soak's begin is known."""
+    for job in jobs:
+        if job.facts.repeats:
+            job.facts.first_due_ms = int((begin_wall_s + job.at) * 1000) + 500
--- /dev/null
+++ b/testsuite/soak/soak.py
@@ -0,0 +1,204 @@
+# Copyright the pathport authors.
+# SPDX-License-Identifier: Apache-2.0
+"""One soak: starts all processes, plays a schedule, checks the promises, ends what it started."""
+
+import asyncio
+import os
+import shutil
+import subprocess
+import sys
+import tempfile
+import time
+from dataclasses import dataclass, field
+
+from .addresses import Plan
+from .callers import Callers
+from .control import PlatformClient
+from .daemons import Daemon
+from .injector import Injector
+from .proxy import Proxies
+from .schedule import Schedule, begin_times
+
+TESTSUITE = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
+ROOT = os.path.dirname(TESTSUITE)
+BIN = os.environ.get("PATHPORT_BIN", os.path.join(ROOT, "build", "bin"))
+CALM_BOUND_S = 90.0
+STOPPED_BOUND_S = 15.0
+START_BOUND_S = 30.0
+WATCH_S = 0.25
+# After a breach the soak goes on a little, for the logs, and then ends.
+AFTER_BREACH_S = 3.0
+MOST_BREACHES = 20
+
+
+@dataclass
+class Result:
+    """What came out of one seed."""
+    seed: int
+    broken: list = field(default_factory=list)  # (promise, text)
+    checked: dict = field(default_factory=dict)
+    faults: dict = field(default_factory=dict)
+    requests: dict = field(default_factory=dict)
+    accepted: int = 0
+    starts: int = 0
+    store_calls: int = 0
+    calm_s: float = 0
+    folder: str = ""
+
+
+class Soak:
+    """Plays one seed."""
+
+    def __init__(self, seed, size):
+        self.size = size
+        self.schedule = Schedule(seed, size)
+        self.result = Result(seed)
+        self.plan = Plan.find()
+        self.folder = tempfile.mkdtemp(prefix=f"pathport-soak-{seed}-")
+        self.result.folder = self.folder
+        self.proxies = Proxies(self.plan)
+        self.daemons = [Daemon(i + 1, self.plan, self.folder,
+                               os.path.join(BIN, "pathport_jobd"), self.proxies)
+                        for i in range(size.daemons)]
+        self.platform = PlatformClient("127.0.0.1", self.plan.control)
+        self.platform_process = None
+        self.callers = Callers(self.daemons, self.plan, self.platform, self.breach, seed)
+        self.background = []
+
+    def breach(self, promise, text):
+        if len(self.result.broken) < MOST_BREACHES:
+            self.result.broken.append((promise, text))
+        print(f"soak: {time.time():.3f} {promise}: {text}",
+              file=open(os.path.join(self.folder, "breaches.txt"), "a", encoding="utf-8"))
+
+    async def run(self):
+        """Returns the result; the folder is kept only on a breach."""
+        try:
+            await self.start()
+            await self.play()
+        except Exception as error:
+            self.breach("the soak itself", repr(error))
+            raise
+        finally:
+            for task in self.background:
+                task.cancel()
+            self.end_processes()
+            self.keep_schedule()
+        if not self.result.broken:
+            shutil.rmtree(self.folder)
+            self.result.folder = ""
+        return self.result
+
+    async def start(self):
+        self.start_platform()
+        end = time.monotonic() + START_BOUND_S
+        while True:
+            try:
+                await self.platform.call("status")
+                break
+            except OSError:
+                if time.monotonic() > end:
+                    raise
+                await asyncio.sleep(0.1)
+        await self.proxies.open("store")
+        await self.proxies.open("advice")
+        for slot in range(1, self.size.workers + 1):
+            await self.proxies.open("worker", slot)
+        await asyncio.gather(*[daemon.start() for daemon in self.daemons])
+
+    def start_platform(self):
+        large = self.size.daemons > 20
+        command = [sys.executable, "-m", "soak.platform_main", "--base", str(self.plan.base),
+                   "--workers", str(self.size.workers), "--seed", str(self.result.seed)]
+        if large:
+            command += ["--writes", "1200", "--reads", "6000"]
+        with open(os.path.join(self.folder, "platform.log"), "ab") as log:
+            self.platform_process = subprocess.Popen(command, cwd=TESTSUITE, stdout=log,
+                                                     stderr=log)
+
+    async def play(self):
+        begin = time.monotonic()
+        begin_times(self.schedule.jobs, time.time())
+        injector = Injector(self.daemons, self.proxies, self.platform, self.breach, begin)
+        self.result.faults = injector.counts
+        watch = asyncio.ensure_future(self.watch())
+        self.background.append(watch)
+        parts = asyncio.gather(self.callers.run(self.schedule.jobs, begin),
+                               injector.run(self.schedule.faults))
+        self.background.append(parts)
+        await self.unless_broken(parts)
+        if not self.result.broken:
+            calm = time.monotonic()
+            await self.unless_broken(asyncio.ensure_future(self.calm_end()))
+            self.result.calm_s = time.monotonic() - calm
+        await self.take_status()
+        self.count()
+
+    async def unless_broken(self, work):
+        """Waits for some work, or until a while after a breach."""
+        broken_at = 0.0
+        while not work.done():
+            await asyncio.wait([work], timeout=WATCH_S)
+            if self.result.broken and not broken_at:
+                broken_at = time.monotonic()
+            if broken_at and time.monotonic() - broken_at > AFTER_BREACH_S:
+                work.cancel()
+                return
+        work.result()
+
+    async def calm_end(self):
+        await self.callers.await_ends(CALM_BOUND_S)
+        end = time.monotonic() + STOPPED_BOUND_S
+        while idle := await self.lasting_tasks_away():
+            if time.monotonic() > end:
+                self.breach("nothing that could run stands still", f"{idle} run nowhere")
+                break
+            await asyncio.sleep(0.5)
+        await self.callers.cancel_lasting()
+        end = time.monotonic() + STOPPED_BOUND_S
+        while (await self.platform.call("status"))["running"]:
+            if time.monotonic() > end:
+                self.breach("nothing runs on after its job", "tasks run after all jobs ended")
+                break
+            await asyncio.sleep(0.2)
+
+    async def lasting_tasks_away(self):
+        accepted = {job for job, view in self.callers.views.items() if view.accepted_at}
+        away = await self.platform.call("idle_lasting")
+        return [task for task in away if task.split(".")[0] in accepted]
+
+    async def watch(self):
+        """Looks for breaches while the soak runs."""
+        while True:
+            await asyncio.sleep(WATCH_S)
+            for daemon in self.daemons:
+                problem = daemon.check_alive()
+                if problem:
+                    self.breach("daemons end only when told", problem)
+            await self.take_status()
+
+    async def take_status(self):
+        status = await self.platform.call("status")
+        known = {text for _, text in self.result.broken}
+        for promise, text, _ in status["breaches"]:
+            if text not in known:
+                self.breach(promise, text)
+        self.result.starts, self.result.store_calls = status["starts"], status["store_calls"]
+        self.result.checked = dict(status["checked"])
+
+    def count(self):
+        for promise, count in self.callers.checked.items():
+            self.result.checked[promise] = self.result.checked.get(promise, 0) + count
+        self.result.requests = self.callers.lines.requests
+        self.result.accepted = sum(1 for v in self.callers.views.values() if v.accepted_at)
+
+    def end_processes(self):
+        for daemon in self.daemons:
+            daemon.end()
+        if self.platform_process is not None and self.platform_process.poll() is None:
+            self.platform_process.terminate()
+            self.platform_process.wait(10)
+
+    def keep_schedule(self):
+        with open(os.path.join(self.folder, "schedule.txt"), "w", encoding="utf-8") as file:
+            file.write(f"seed {self.result.seed} {self.size}\n{self.schedule.text()}")
