--- a/testsuite/soak/callers.py
+++ b/testsuite/soak/callers.py
@@ -45,12 +45,12 @@
         self.idle = {daemon.number: [] for daemon in daemons}
         self.requests = {}  # status -> count
         self.background = set()
+        self.ended_calls = 0  # Calls that came to an end as they should.
 
     async def call(self, daemon, method, path, body=b""):
         """Returns (status, body). A call that outlasts its limit is watched on in the
         background, on its connection."""
-        lines = self.idle[daemon.number]
-        client = lines.pop() if lines else Client(daemon.ip, self.plan.clients)
+        client = self.line_to(daemon)
         task = asyncio.ensure_future(self.exchange(daemon, client, method, path, body))
         done, _ = await asyncio.wait([task], timeout=CALL_LIMIT_S + 0.5)
         if not done:
@@ -62,8 +62,20 @@
         self.requests[status] = self.requests.get(status, 0) + 1
         return status, answer
 
+    def line_to(self, daemon):
+        """Returns an open connection to the present process, or one that is still to be opened."""
+        lines = self.idle[daemon.number]
+        while lines:
+            client = lines.pop()
+            if client.life == daemon.life and not client.reader.at_eof():
+                return client
+            client.close()  # Its process has ended, or it was idle for long.
+        client = Client(daemon.ip, self.plan.clients)
+        client.life = daemon.life
+        return client
+
     async def exchange(self, daemon, client, method, path, body):
-        life, began = daemon.life, time.monotonic()
+        life, began = client.life, time.monotonic()
         headers = {"Host": HOST, wire.DEADLINE_HEADER: str(int(CALL_LIMIT_S * 1000)),
                    "Content-Type": "application/json"}
         fresh = client.writer is None
@@ -82,6 +94,7 @@
                 client.close()
                 return UNANSWERED, b""
         error = task.exception()
+        self.ended_calls += 1
         if error is None:
             answer = task.result()
             if client.writer is not None:
--- a/testsuite/soak/http1.py
+++ b/testsuite/soak/http1.py
@@ -152,6 +152,7 @@
 
     def __init__(self, host, port):
         self.host, self.port = host, port
+        self.life = 0  # Which life of its server it was opened to, for those that care.
         self.reader = self.writer = None
 
     async def call(self, method, target, headers=None, body=b"", timeout=30.0):
--- a/testsuite/soak/soak.py
+++ b/testsuite/soak/soak.py
@@ -143,6 +143,7 @@
                 broken_at = time.monotonic()
             if broken_at and time.monotonic() - broken_at > AFTER_BREACH_S:
                 work.cancel()
+                await asyncio.wait([work], timeout=STOPPED_BOUND_S)
                 return
         work.result()
 
@@ -189,6 +190,7 @@
     def count(self):
         for promise, count in self.callers.checked.items():
             self.result.checked[promise] = self.result.checked.get(promise, 0) + count
+        self.result.checked["calls get an answer"] = self.callers.lines.ended_calls
         self.result.requests = self.callers.lines.requests
         self.result.accepted = sum(1 for v in self.callers.views.values() if v.accepted_at)
 
