--- /dev/null
+++ b/testsuite/run_soak_checks.py
@@ -0,0 +1,258 @@
+# Copyright the pathport authors.
+# SPDX-License-Identifier: Apache-2.0
+"""Shows that the soak's own checks bite: orders that break a promise, given straight to the
+stand-in's workers, are each reported, and a blameless course of orders is not."""
+
+import asyncio
+import sys
+import time
+
+from soak.advisor import Tickets
+from soak.ledger import CANCEL_S, Ledger
+from soak.model import JobFacts
+from soak.store import HistoryLost, Store
+from soak.wire import Order, Range, RowName, Step, Write
+from soak.workers import ROOM, Workers
+
+JOB = "0123456789abcdef"
+PAYLOAD = "p"
+
+
+class Bench:
+    """Workers without a network, and one job on the plain queue."""
+
+    def __init__(self, steps, fails=None, queue="plain", workers=2):
+        self.ledger = Ledger(lambda *_, **__: None)
+        self.tickets = Tickets()
+        self.workers = Workers(self.ledger, lambda *_, **__: None, self.tickets, 1, workers)
+        self.ledger.jobs[JOB] = JobFacts(JOB, queue, PAYLOAD, steps, fails or [0] * len(steps))
+
+    def order(self, slot, step=0, index=0, run=1, fence=1, **more):
+        life = self.workers.slots[slot]
+        fields = {"payload": PAYLOAD, "until": life.clock_ms() + 5000, **more}
+        return Order(f"{JOB}.0.{step}.{index}", run, fence, **fields)
+
+    def start(self, slot, **more):
+        return self.workers.start(self.workers.slots[slot], self.order(slot, **more))
+
+    def finish(self, slot, how="done", index=0, step=0):
+        life = self.workers.slots[slot]
+        self.workers.end(life, life.running[f"{JOB}.0.{step}.{index}"], how)
+
+    def see(self, slot):
+        """A look that takes note of all ends."""
+        life = self.workers.slots[slot]
+        order = Order(fence=life.fence, seen=life.last_number)
+        return asyncio.run(self.workers.look(life, order))
+
+    def broken(self):
+        return {breach.promise for breach in self.ledger.breaches}
+
+
+def step(**more):
+    return Step(**{"count": 2, "cpu": 1000, "mem": 100, "run_ms": 1000, **more})
+
+
+def blameless_course():
+    bench = Bench([step(), step(after=[0])])
+    for index in (0, 1):
+        assert bench.start(1, index=index) == ""
+        bench.finish(1, index=index)
+    bench.see(1)
+    assert bench.start(2, step=1) == ""
+    assert bench.start(2, step=1) == ""  # The same run again changes nothing.
+    bench.finish(2, "failed", step=1)
+    bench.see(2)
+    assert bench.start(1, step=1, run=2) == ""
+    return set(), bench.broken()
+
+
+def two_runs_at_once():
+    bench = Bench([step()])
+    bench.start(1)
+    bench.start(2, run=2)
+    return {"no two runs at once"}, bench.broken()
+
+
+def start_after_noted_done():
+    bench = Bench([step()])
+    bench.start(1)
+    bench.finish(1)
+    bench.see(1)
+    bench.start(2, run=2)
+    return {"no start after a noted done"}, bench.broken()
+
+
+def start_before_a_done_is_noted():
+    bench = Bench([step()])
+    bench.start(1)
+    bench.finish(1)
+    bench.start(2, run=2)
+    assert not bench.broken()
+    bench.see(1)
+    return {"no start after a noted done"}, bench.broken()
+
+
+def one_done_stands_for_a_gang():
+    bench = Bench([step(gang=True)])
+    bench.start(1, index=0)
+    bench.start(2, index=1)
+    bench.finish(1, index=0)
+    bench.finish(2, index=1)
+    bench.see(1)
+    bench.start(2, index=1, run=2)
+    return {"no start after a noted done"}, bench.broken()
+
+
+def start_after_the_last_failure():
+    bench = Bench([step()])
+    for run in (1, 2, 3):
+        bench.start(1, run=run)
+        bench.finish(1, "failed")
+        bench.see(1)
+        assert not bench.broken()
+    bench.start(1, run=4)
+    return {"no start after the last failure"}, bench.broken()
+
+
+def start_before_the_last_failure_is_noted():
+    bench = Bench([step()])
+    for run in (1, 2, 3):
+        bench.start(1, run=run)
+        bench.finish(1, "failed")
+    bench.start(2, run=4)
+    assert not bench.broken()
+    bench.see(1)
+    return {"no start after the last failure"}, bench.broken()
+
+
+def over_the_room():
+    bench = Bench([step(count=9, cpu=ROOM["small"][0] // 4)])
+    slot = next(s for s, life in bench.workers.slots.items() if life.kind == "small")
+    for index in range(4):
+        bench.start(slot, index=index)
+    assert not bench.broken()
+    bench.start(slot, index=4)
+    return {"room of workers"}, bench.broken()
+
+
+def out_of_order():
+    bench = Bench([step(), step(after=[0])])
+    bench.start(1, step=1)
+    return {"order of steps"}, bench.broken()
+
+
+def other_payload():
+    bench = Bench([step()])
+    bench.start(1, payload="q")
+    return {"payload unchanged"}, bench.broken()
+
+
+def foreign_checkpoint():
+    bench = Bench([step(saves=True)])
+    bench.start(1, checkpoint="000007d000000000")
+    return {"checkpoints are the task's own"}, bench.broken()
+
+
+def refused_job():
+    bench = Bench([step()])
+    bench.ledger.refused[JOB] = time.monotonic()
+    bench.start(1)
+    return {"refused jobs never run"}, bench.broken()
+
+
+def canceled_job():
+    bench = Bench([step()])
+    bench.ledger.canceled[JOB] = time.monotonic()
+    bench.start(1)
+    assert not bench.broken()
+    bench.ledger.canceled[JOB] = time.monotonic() - CANCEL_S - 0.1
+    bench.start(1, index=1)
+    return {"cancelled jobs start nothing"}, bench.broken()
+
+
+def unknown_job():
+    bench = Bench([step()])
+    bench.ledger.jobs.clear()
+    bench.start(1)
+    return {"only what callers sent is started"}, bench.broken()
+
+
+def too_many_on_a_worker():
+    bench = Bench([step(per_worker=1)])
+    bench.start(1, index=0)
+    bench.start(1, index=1)
+    return {"a step's tasks per worker"}, bench.broken()
+
+
+def without_the_label():
+    bench = Bench([step(label="none")])
+    bench.start(1)
+    return {"workers have the step's label"}, bench.broken()
+
+
+def before_its_time():
+    bench = Bench([step()])
+    facts = bench.ledger.jobs[JOB]
+    facts.repeats, facts.first_due_ms = 1, int(time.time() * 1000) + 5000
+    bench.start(1)
+    return {"no start before its time"}, bench.broken()
+
+
+def workers_keep_the_protocol():
+    """Fences, old runs, late starts, tickets and leases."""
+    bench = Bench([step()], queue="advised")
+    life = bench.workers.slots[1]
+    assert bench.start(1) == "ticket"
+    ticket = bench.tickets.give(f"{JOB}.0.0", life.id, 5)
+    assert bench.start(1, ticket=ticket, until=life.clock_ms() - 1) == "late"
+    assert bench.start(1, ticket=ticket, fence=5) == ""
+    assert bench.start(1, ticket=ticket, fence=4, index=1) == "fence"
+    life.hold_until = 0
+    bench.workers.tick()
+    assert [end.how for end in life.ended] == ["lapsed"]
+    assert bench.start(1, ticket=ticket, fence=5) == "old"
+    return set(), bench.broken()
+
+
+def store_keeps_the_protocol():
+    """Conditions, one counter of versions, readings in the order of keys, lost history."""
+    store = Store()
+    name, other = RowName("t", "p", "k"), RowName("t", "p", "a")
+    assert store.write(Write([(name, 0)], [(name, b"1")], []))[0]
+    version = store.find(name).version
+    held, rows = store.write(Write([(name, version - 1)], [(name, b"2")], []))
+    assert not held and rows[0].version == version and rows[0].value == b"1"
+    assert store.write(Write([(name, version)], [(other, b"3")], []))[0]
+    rows, more = store.read(Range("t", "p", "", "", 1))
+    assert [row.name for row in rows] == [other] and more
+    assert store.write(Write([(name, version)], [], [name]))[0]
+    assert [row.removed for row in store.changes("t", version)] == [False, True]
+    store.forget()
+    try:
+        store.changes("t", version)
+        return {"history is lost"}, set()
+    except HistoryLost:
+        return set(), set()
+
+
+RUNS = [blameless_course, two_runs_at_once, start_after_noted_done, start_before_a_done_is_noted,
+        one_done_stands_for_a_gang, start_after_the_last_failure,
+        start_before_the_last_failure_is_noted, over_the_room, out_of_order, other_payload,
+        foreign_checkpoint, refused_job, canceled_job, unknown_job, too_many_on_a_worker,
+        without_the_label, before_its_time, workers_keep_the_protocol, store_keeps_the_protocol]
+
+
+def main():
+    failed = 0
+    for run in RUNS:
+        expected, broken = run()
+        if expected != broken:
+            failed += 1
+            print(f"{run.__name__}: VIOLATION expected {expected}, reported {broken}")
+    print(f"{len(RUNS) - failed} of {len(RUNS)} checks of the soak bite")
+    return 1 if failed else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/testsuite/soak/addresses.py
+++ b/testsuite/soak/addresses.py
@@ -9,20 +9,28 @@
 import socket
 
 FIRST_BASE, LAST_BASE, BASE_STEP = 20000, 31000, 1000
+CLAIM = 999  # The port that marks a range as taken.
 DAEMON_NET = 200
 FIRST_DAEMON = 100
-REAL_VIEW = 100  # The second byte of the addresses that daemons really listen on.
 WORKERS_PER_NET = 250
 
 
-def port_is_free(port):
-    with socket.socket() as probe:
-        probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        try:
-            probe.bind(("0.0.0.0", port))
-        except OSError:
-            return False
-        return True
+def claim(port):
+    """Returns a socket that holds a port, or nothing when another program has it."""
+    holder = socket.socket()
+    try:
+        holder.bind(("0.0.0.0", port))
+    except OSError:
+        holder.close()
+        return None
+    return holder
+
+
+def is_free(port):
+    holder = claim(port)
+    if holder is not None:
+        holder.close()
+    return holder is not None
 
 
 def is_loopback(address):
@@ -37,15 +45,22 @@
         self.control, self.store, self.advice = range(base + 4, base + 7)
         self.proxied_store, self.proxied_advice = base + 7, base + 8
         self.base = base
+        self.holder = None
         self.peer_pattern = re.compile(
             rb"127\.(\d{3})\.200\.(\d{3}):(\d{5})")
 
     @staticmethod
     def find():
-        """Returns a plan whose ports are free."""
+        """Returns a plan whose ports are free; while it lives, no other soak gets them."""
         for base in range(FIRST_BASE, LAST_BASE, BASE_STEP):
-            if all(port_is_free(base + i) for i in (0, 2, 4, 5, 7, 11, 111, 311, 611)):
-                return Plan(base)
+            holder = claim(base + CLAIM)
+            if holder is None:
+                continue
+            if all(is_free(base + i) for i in (*range(9), 101, 211, 611)):
+                plan = Plan(base)
+                plan.holder = holder
+                return plan
+            holder.close()
         raise RuntimeError("no free range of ports")
 
     def daemon_ip(self, daemon, view=0):
