--- a/testsuite/run_soak.py
+++ b/testsuite/run_soak.py
@@ -25,6 +25,8 @@
     parser.add_argument("--seconds", type=float, default=25, help="how long jobs and faults come")
     parser.add_argument("--rate", type=float, default=0, help="jobs a second")
     parser.add_argument("--faults", type=float, default=0.7, help="faults a second")
+    parser.add_argument("--standstill", type=float, default=40,
+                        help="seconds that a job which could run may stand still at the end")
     return parser.parse_args()
 
 
@@ -32,15 +34,15 @@
     wanted = arguments()
     seeds = [wanted.first + i for i in range(wanted.seeds)] or CI_SEEDS
     size = Size(wanted.nodes, wanted.workers, wanted.seconds,
-                wanted.rate or wanted.workers * 0.4, wanted.faults)
+                wanted.rate or wanted.workers * 0.4, wanted.faults, wanted.standstill)
     results = []
     for seed in seeds:
         began = time.monotonic()
         result = asyncio.run(Soak(seed, size).run())
         results.append(result)
         print(f"soak_{seed}: {time.monotonic() - began:.0f} s, {result.accepted} jobs, "
-              f"{result.starts} starts, all ended {result.calm_s:.1f} s after the faults",
-              flush=True)
+              f"{result.starts} starts, all ended {result.calm_s:.1f} s after the faults, "
+              f"longest standstill {result.standstill[0]:.1f} s {result.standstill[1]}", flush=True)
         for promise, text in result.broken:
             print(f"soak_{seed}: VIOLATION {promise}: {text}", flush=True)
     print_table(results)
--- a/testsuite/soak/addresses.py
+++ b/testsuite/soak/addresses.py
@@ -8,7 +8,7 @@
 import re
 import socket
 
-FIRST_BASE, LAST_BASE, BASE_STEP = 20000, 31000, 1000
+FIRST_BASE, LAST_BASE, BASE_STEP = 10000, 19000, 1000
 CLAIM = 999  # The port that marks a range as taken.
 DAEMON_NET = 200
 FIRST_DAEMON = 100
@@ -27,10 +27,14 @@
 
 
 def is_free(port):
-    holder = claim(port)
-    if holder is not None:
-        holder.close()
-    return holder is not None
+    """Whether a listener may be opened; connections that have ended don't count."""
+    with socket.socket() as probe:
+        probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        try:
+            probe.bind(("0.0.0.0", port))
+        except OSError:
+            return False
+        return True
 
 
 def is_loopback(address):
--- a/testsuite/soak/ledger.py
+++ b/testsuite/soak/ledger.py
@@ -183,6 +183,21 @@
         return any(record.failed >= attempts for task, record in self.tasks.items()
                    if task.startswith(job + "."))
 
+    def ready_tasks(self, job):
+        """Returns (task name, step) of the tasks whose turn has come and that are not done."""
+        facts = self.jobs[job]
+        ready = []
+        for time_number in range(facts.times):
+            if time.time() * 1000 < facts.first_due_ms + time_number * facts.interval_ms:
+                continue
+            for number, step in enumerate(facts.steps):
+                if not all(self.step_done(job, time_number, earlier) for earlier in step.after):
+                    continue
+                names = [TaskName(job, time_number, number, i) for i in range(step.count)]
+                ready += [(name, step) for name in names
+                          if step.lasting or not self.record_of(name).done]
+        return ready
+
     def verdict_on(self, job):
         """What callers are told of a job at its end: (done, may have failed)."""
         return {"done": self.job_done(job), "may_fail": self.job_may_fail(job)}
--- a/testsuite/soak/platform_main.py
+++ b/testsuite/soak/platform_main.py
@@ -18,6 +18,7 @@
 from .http1 import Server
 from .ledger import Ledger
 from .model import QUEUES, SERVICE, JobFacts
+from .standstill import Standstill
 from .store import Store
 from .store_service import Rates, StoreService, Trouble
 from .workers import Workers
@@ -37,6 +38,7 @@
         self.store = Store()
         self.service = StoreService(self.store, rates, seed, plan.view_of, self.translate)
         self.advisor = Advisor(self.ledger, self.workers, self.tickets, plan.view_of)
+        self.standstill = Standstill(self.ledger, self.workers, self.advisor.allows)
         self.servers = {}
         self.listed = {}  # life's id -> the value of its row
         self.dead_since = {}
@@ -101,6 +103,7 @@
         while True:
             if 0 not in self.service.trouble.refused:
                 self.list_workers()
+            self.standstill.look()
             sys.stdout.flush()
             await asyncio.sleep(LIST_S)
 
@@ -129,6 +132,11 @@
 
     def do_accepted(self, job, node):
         self.log("accepted", job=job, node=node)
+        self.standstill.accepted.add(job)
+
+    def do_calm(self):
+        self.log("calm")
+        self.standstill.calm = True
 
     def do_fault(self, text):
         self.log("fault", text=text)
@@ -171,6 +179,9 @@
     def do_verdicts(self, jobs):
         return {job: self.ledger.verdict_on(job) for job in jobs}
 
+    def do_longest_standstill(self):
+        return [self.standstill.longest.span_s, self.standstill.longest.task]
+
     def do_idle_lasting(self):
         return self.workers.idle_lasting()
 
--- a/testsuite/soak/schedule.py
+++ b/testsuite/soak/schedule.py
@@ -44,6 +44,7 @@
     load_s: float = 30
     jobs_per_s: float = 4
     faults_per_s: float = 0.7
+    standstill_s: float = 40  # The longest that a job which could run may stand still.
 
 
 class Schedule:
--- a/testsuite/soak/soak.py
+++ b/testsuite/soak/soak.py
@@ -43,6 +43,7 @@
     starts: int = 0
     store_calls: int = 0
     calm_s: float = 0
+    standstill: tuple = (0, "")  # The longest in the calm time: seconds, task.
     folder: str = ""
 
 
@@ -124,7 +125,7 @@
         watch = asyncio.ensure_future(self.watch())
         self.background.append(watch)
         parts = asyncio.gather(self.callers.run(self.schedule.jobs, begin),
-                               injector.run(self.schedule.faults))
+                               self.bring_about_faults(injector))
         self.background.append(parts)
         await self.unless_broken(parts)
         if not self.result.broken:
@@ -134,6 +135,10 @@
         await self.take_status()
         self.count()
 
+    async def bring_about_faults(self, injector):
+        await injector.run(self.schedule.faults)
+        await self.platform.call("calm")
+
     async def unless_broken(self, work):
         """Waits for some work, or until a while after a breach."""
         broken_at = 0.0
@@ -163,6 +168,15 @@
                 break
             await asyncio.sleep(0.2)
 
+        self.result.standstill = tuple(await self.platform.call("longest_standstill"))
+        self.check_standstill()
+
+    def check_standstill(self):
+        """A job that could run may wait for leases and take-overs, but no longer."""
+        span, task = self.result.standstill
+        self.callers.check("nothing that could run stands still", span < self.size.standstill_s,
+                           f"{task} stood still for {span:.1f} s of the calm time")
+
     async def lasting_tasks_away(self):
         accepted = {job for job, view in self.callers.views.items() if view.accepted_at}
         away = await self.platform.call("idle_lasting")
