--- a/testsuite/soak/soak.py
+++ b/testsuite/soak/soak.py
@@ -69,8 +69,9 @@
     def breach(self, promise, text):
         if len(self.result.broken) < MOST_BREACHES:
             self.result.broken.append((promise, text))
-        print(f"soak: {time.time():.3f} {promise}: {text}",
-              file=open(os.path.join(self.folder, "breaches.txt"), "a", encoding="utf-8"))
+        path = os.path.join(self.folder, "breaches.txt")
+        with open(path, "a", encoding="utf-8") as file:
+            file.write(f"{time.time():.3f} {promise}: {text}\n")
 
     async def run(self):
         """Returns the result; the folder is kept only on a breach."""
@@ -84,6 +85,7 @@
             for task in self.background:
                 task.cancel()
             self.end_processes()
+            self.plan.holder.close()
             self.keep_schedule()
         if not self.result.broken:
             shutil.rmtree(self.folder)
