--- a/testsuite/run_soak.py
+++ b/testsuite/run_soak.py
@@ -1,27 +1,33 @@
 # Copyright the pathport authors.
 # SPDX-License-Identifier: Apache-2.0
 """Plays soaks of pathport_jobd: real daemons, a stand-in of the users' platform, faults from
-outside. Without arguments: the seeds of CI. By hand: run_soak.py --seeds 50 --first 1000, or
---nodes 100 --workers 150."""
+outside. Without arguments: the seed of CI and the newest of those that failed once. By hand:
+run_soak.py --seeds 50 --first 1000, or --nodes 100 --workers 150."""
 
 import argparse
 import asyncio
+import signal
 import sys
 import time
 
 from soak.report import print_table
 from soak.schedule import Size
+from soak.seeds import FAILED_ONCE
 from soak.soak import Soak
 
-CI_SEEDS = (1, 2)
+CI_SEED = 1
+CI_SIZE = Size(load_s=20, jobs_per_s=4, faults_per_s=1)
+USUAL_NODES, USUAL_WORKERS = 4, 8
+JOBS_PER_WORKER, MOST_JOBS = 0.4, 20  # A second.
+MOST_FAILED_SEEDS = 2  # So many of them fit into CI's time.
 
 
 def arguments():
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--seeds", type=int, default=0, help="how many seeds")
     parser.add_argument("--first", type=int, default=1000, help="the first of them")
-    parser.add_argument("--nodes", type=int, default=4)
-    parser.add_argument("--workers", type=int, default=8)
+    parser.add_argument("--nodes", type=int, default=0, help="how many daemons, 4 if not said")
+    parser.add_argument("--workers", type=int, default=0, help="8 if not said")
     parser.add_argument("--seconds", type=float, default=25, help="how long jobs and faults come")
     parser.add_argument("--rate", type=float, default=0, help="jobs a second")
     parser.add_argument("--faults", type=float, default=0.7, help="faults a second")
@@ -30,13 +36,22 @@
     return parser.parse_args()
 
 
+def plays(wanted):
+    """Returns the (seed, size) to play."""
+    if not (wanted.seeds or wanted.nodes or wanted.workers):
+        newest = FAILED_ONCE[-MOST_FAILED_SEEDS:]
+        return [(CI_SEED, CI_SIZE)] + [(failed.seed, failed.size) for failed in newest]
+    workers = wanted.workers or USUAL_WORKERS
+    size = Size(wanted.nodes or USUAL_NODES, workers, wanted.seconds,
+                wanted.rate or min(MOST_JOBS, workers * JOBS_PER_WORKER), wanted.faults,
+                wanted.standstill)
+    return [(wanted.first + i, size) for i in range(wanted.seeds or 1)]
+
+
 def main():
-    wanted = arguments()
-    seeds = [wanted.first + i for i in range(wanted.seeds)] or CI_SEEDS
-    size = Size(wanted.nodes, wanted.workers, wanted.seconds,
-                wanted.rate or wanted.workers * 0.4, wanted.faults, wanted.standstill)
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(1))
     results = []
-    for seed in seeds:
+    for seed, size in plays(arguments()):
         began = time.monotonic()
         result = asyncio.run(Soak(seed, size).run())
         results.append(result)
--- a/testsuite/soak/daemons.py
+++ b/testsuite/soak/daemons.py
@@ -5,9 +5,10 @@
 import asyncio
 import os
 import signal
-import subprocess
 import time
 
+from . import processes
+
 SETTINGS = """[node]
 name = node-{number}
 log_level = info
@@ -66,9 +67,8 @@
                 number=self.number, ip=self.ip, plan=self.plan,
                 share=STRENGTHS[self.number % len(STRENGTHS)],
                 service_ip=self.plan.service_ip(self.number)))
-        with open(os.path.join(self.folder, f"node-{self.number}.log"), "ab") as log:
-            self.process = subprocess.Popen(
-                [self.program, "--settings", self.settings_path()], stdout=log, stderr=log)
+        self.process = processes.start([self.program, "--settings", self.settings_path()],
+                                       os.path.join(self.folder, f"node-{self.number}.log"))
         self.life += 1
         self.wanted_up, self.signalled_at, self.frozen = True, 0.0, False
         await self.wait_for_listener()
--- a/testsuite/soak/soak.py
+++ b/testsuite/soak/soak.py
@@ -5,12 +5,12 @@
 import asyncio
 import os
 import shutil
-import subprocess
 import sys
 import tempfile
 import time
 from dataclasses import dataclass, field
 
+from . import processes
 from .addresses import Plan
 from .callers import Callers
 from .control import PlatformClient
@@ -115,9 +115,8 @@
                    "--workers", str(self.size.workers), "--seed", str(self.result.seed)]
         if large:
             command += ["--writes", "1200", "--reads", "6000"]
-        with open(os.path.join(self.folder, "platform.log"), "ab") as log:
-            self.platform_process = subprocess.Popen(command, cwd=TESTSUITE, stdout=log,
-                                                     stderr=log)
+        self.platform_process = processes.start(
+            command, os.path.join(self.folder, "platform.log"), TESTSUITE)
 
     async def play(self):
         begin = time.monotonic()
