--- a/testsuite/run_soak_checks.py
+++ b/testsuite/run_soak_checks.py
@@ -7,9 +7,11 @@
 import sys
 import time
 
+from soak.addresses import Plan
 from soak.advisor import Tickets
 from soak.ledger import CANCEL_S, Ledger
 from soak.model import JobFacts
+from soak.standstill import Standstill
 from soak.store import HistoryLost, Store
 from soak.wire import Order, Range, RowName, Step, Write
 from soak.workers import ROOM, Workers
@@ -236,11 +238,37 @@
         return set(), set()
 
 
+def addresses_are_translated():
+    """A daemon reads others under addresses of its view, itself under the real one."""
+    plan = Plan(10000)
+    own = f"{plan.daemon_ip(2)}:{plan.peers}"
+    other = f"{plan.daemon_ip(1, 2)}:{plan.proxied_peer(1)}"
+    told = f"[{plan.daemon_ip(1)}:{plan.peers}] [{plan.daemon_ip(2, 3)}:{plan.proxied_peer(2)}]"
+    read = plan.translate(told.encode(), 2).decode()
+    assert len(read) == len(told)
+    return {f"[{other}] [{own}]"}, {read}
+
+
+def resting_jobs_are_measured():
+    """A job whose turn has come and that runs nowhere stands still; one that runs does not."""
+    bench = Bench([step()], workers=4)
+    standstill = Standstill(bench.ledger, bench.workers, lambda *_: True)
+    standstill.calm = True
+    standstill.accepted.add(JOB)
+    bench.start(1)
+    standstill.look()
+    assert not standstill.since
+    bench.finish(1, "stopped")
+    standstill.look()
+    return {JOB}, set(standstill.since)
+
+
 RUNS = [blameless_course, two_runs_at_once, start_after_noted_done, start_before_a_done_is_noted,
         one_done_stands_for_a_gang, start_after_the_last_failure,
         start_before_the_last_failure_is_noted, over_the_room, out_of_order, other_payload,
         foreign_checkpoint, refused_job, canceled_job, unknown_job, too_many_on_a_worker,
-        without_the_label, before_its_time, workers_keep_the_protocol, store_keeps_the_protocol]
+        without_the_label, before_its_time, workers_keep_the_protocol, store_keeps_the_protocol,
+        addresses_are_translated, resting_jobs_are_measured]
 
 
 def main():
--- a/testsuite/soak/addresses.py
+++ b/testsuite/soak/addresses.py
@@ -15,6 +15,10 @@
 WORKERS_PER_NET = 250
 
 
+# The address of a daemon, as itself or as another one knows it.
+DAEMON_ADDRESS = re.compile(rb"127\.\d{3}\.200\.(\d{3}):(\d{5})")
+
+
 def claim(port):
     """Returns a socket that holds a port, or nothing when another program has it."""
     holder = socket.socket()
@@ -50,8 +54,6 @@
         self.proxied_store, self.proxied_advice = base + 7, base + 8
         self.base = base
         self.holder = None
-        self.peer_pattern = re.compile(
-            rb"127\.(\d{3})\.200\.(\d{3}):(\d{5})")
 
     @staticmethod
     def find():
@@ -71,6 +73,11 @@
         """Where a daemon listens; with a view, where the daemon of that number finds it."""
         return f"127.{FIRST_DAEMON + view}.{DAEMON_NET}.{FIRST_DAEMON + daemon}"
 
+    @staticmethod
+    def view_prefix(view):
+        """How all addresses begin under which a daemon finds others."""
+        return b"127.%d." % (FIRST_DAEMON + view)
+
     def service_ip(self, view):
         """Where a daemon finds store and advice."""
         return f"127.{FIRST_DAEMON + view}.201.1"
@@ -99,12 +106,12 @@
         real = b"%d" % self.peers
 
         def translated(found):
-            daemon = int(found.group(2)) - FIRST_DAEMON
-            port = found.group(3)
+            daemon = int(found.group(1)) - FIRST_DAEMON
+            port = found.group(2)
             if port != real and int(port) != self.proxied_peer(daemon):
                 return found.group(0)
             if daemon == view:
                 return f"{self.daemon_ip(daemon)}:{self.peers}".encode()
             return f"{self.daemon_ip(daemon, view)}:{self.proxied_peer(daemon)}".encode()
 
-        return self.peer_pattern.sub(translated, data)
+        return DAEMON_ADDRESS.sub(translated, data)
--- a/testsuite/soak/platform_main.py
+++ b/testsuite/soak/platform_main.py
@@ -52,8 +52,8 @@
     def translate(self, value, view):
         """Rows name daemons and workers as the daemon that reads them finds them."""
         value = self.plan.translate(value, view)
-        real = b'"address":"127.100.'
-        return value.replace(real, b'"address":"127.%d.' % (100 + view))
+        return value.replace(wire.ADDRESS_FIELD + self.plan.view_prefix(0),
+                             wire.ADDRESS_FIELD + self.plan.view_prefix(view))
 
     async def begin(self):
         self.configure()
--- a/testsuite/soak/store_service.py
+++ b/testsuite/soak/store_service.py
@@ -71,21 +71,21 @@
         refused = self.suffer(view)
         if refused:
             return wire.error_answer(refused)
-        bucket = self.writes if path == "/v1/rows-tx" else self.reads
+        bucket = self.writes if path == wire.ROWS_WRITE else self.reads
         if not bucket.take():
             self.refusals += 1
             return wire.error_answer(429)
-        if path == "/v1/rows-tx":
+        if path == wire.ROWS_WRITE:
             return await self.transact(wire.write_from(request.body), view)
         await asyncio.sleep(0.001 * self.trouble.slow)
-        if path == "/v1/rows-feed":
+        if path == wire.ROWS_WATCH:
             return await self.feed(wire.watch_from(query), view)
         if self.trouble.lose and self.random.random() < self.trouble.lose:
             raise NoAnswer
-        if path == "/v1/rows-get":
+        if path == wire.ROWS_READ:
             rows, more = self.store.read(wire.range_from(query))
             return self.answer(200, rows, view, more)
-        if path == "/v1/rows-parts":
+        if path == wire.ROWS_PARTS:
             return wire.parts_answer(self.store.version, self.store.now_ms(),
                                      self.store.part_names(query.get("table", "")))
         return wire.error_answer(404)
--- a/testsuite/soak/wire.py
+++ b/testsuite/soak/wire.py
@@ -12,6 +12,12 @@
 LIFE_HEADER = "x-target-instance"
 DEADLINE_HEADER = "X-Deadline-Ms"
 SERVERS_TABLE, OPERATOR_TABLE, CONFIG_KEY = "servers", "op", "config"
+ADDRESS_FIELD = b'"address":"'  # How the address of a worker begins in its row.
+ROWS_WRITE, ROWS_READ = "/v1/rows-tx", "/v1/rows-get"
+ROWS_WATCH, ROWS_PARTS = "/v1/rows-feed", "/v1/rows-parts"
+START, STOP, PACE, LOOK = "/v1/run-start", "/v1/run-stop", "/v1/pace", "/v1/hold"
+# Why a worker refuses an order.
+STALE_FENCE, OLD_RUN, TOO_LATE, NO_ROOM, BAD_TICKET = "fence", "old", "late", "room", "ticket"
 STATES = {"pending": "waiting", "active": "running", "completed": "completed",
           "failed": "failed", "canceled": "canceled"}
 
--- a/testsuite/soak/workers.py
+++ b/testsuite/soak/workers.py
@@ -157,16 +157,16 @@
             return wire.error_answer(421)
         path, _ = wire.call_of(request)
         order = wire.order_from(request)
-        if path == "/v1/hold":
+        if path == wire.LOOK:
             return await self.look(life, order)
-        if trouble.decline and path == "/v1/run-start":
+        if trouble.decline and path == wire.START:
             return wire.error_answer(self.random.choice((429, 503)))
         self.last_leader = view
-        if path == "/v1/run-start":
+        if path == wire.START:
             return wire.order_answer(life.clock_ms(), self.start(life, order))
-        if path == "/v1/run-stop":
+        if path == wire.STOP:
             return wire.order_answer(life.clock_ms(), self.stop(life, order))
-        if path == "/v1/pace":
+        if path == wire.PACE:
             return wire.order_answer(life.clock_ms())
         return wire.error_answer(404)
 
@@ -176,25 +176,25 @@
     def start(self, life, order):
         """Returns the reason for which the start is refused, empty if it is not."""
         if order.fence < life.fence:
-            return "fence"
+            return wire.STALE_FENCE
         life.fence = order.fence
         present = life.running.get(order.task)
         if present is not None and present.number == order.run:
             return ""
         if order.until <= life.clock_ms():
-            return "late"
+            return wire.TOO_LATE
         self.extend(life, order.until)
         if life.last_run.get(order.task, 0) >= order.run \
                 or (present is not None and present.number >= order.run):
-            return "old"
+            return wire.OLD_RUN
         name = TaskName.parse(order.task)
         facts = self.ledger.jobs.get(name.job)
         if facts is not None and facts.queue_of().advised \
                 and not self.tickets.holds(order.ticket, name, life):
-            return "ticket"
+            return wire.BAD_TICKET
         self.ledger.check_start(order, life, self.lives)
         if facts is None or name.step >= len(facts.steps):
-            return "room"
+            return wire.NO_ROOM
         self.begin(life, order, name, facts)
         self.ledger.check_room(life)
         self.log("start", job=name.job, task=order.task, run=order.run, worker=life.id,
@@ -237,7 +237,7 @@
 
     def stop(self, life, order):
         if order.fence < life.fence:
-            return "fence"
+            return wire.STALE_FENCE
         life.fence = order.fence
         run = life.running.get(order.task)
         if run is not None and run.number == order.run:
@@ -249,7 +249,7 @@
 
     async def look(self, life, order):
         if order.fence < life.fence:
-            return wire.order_answer(life.clock_ms(), "fence")
+            return wire.order_answer(life.clock_ms(), wire.STALE_FENCE)
         life.fence = order.fence
         if order.until:
             self.extend(life, order.until)
