--- a/testsuite/soak/seeds.py
+++ b/testsuite/soak/seeds.py
@@ -10,8 +10,8 @@
 HARD_HUNT = Size(daemons=4, workers=8, load_s=25, jobs_per_s=5, faults_per_s=2.5)
 WIDE_HUNT = Size(daemons=7, workers=16, load_s=25, jobs_per_s=8, faults_per_s=1.6)
 
-SHARED_WRITE = ("an accepted job was in no row: the probe of an overdue write of several rows found "
-                "the first one, put by an earlier write, and took all of them for written")
+SHARED_WRITE = ("an accepted job was in no row: the probe of an overdue write of several rows "
+                "found the first one, put by an earlier write, and took all of them for written")
 
 
 @dataclass(frozen=True)
