--- a/src/jobs.lib/worker_session_test.cpp
+++ b/src/jobs.lib/worker_session_test.cpp
@@ -254,7 +254,7 @@
         WorkerInfo info;
         info.id = "w1";
         info.draining = true;
-        session = std::make_unique<WorkerSession>(loop, worker, heard, info, 1,
+        session = std::make_unique<WorkerSession>(loop, worker, heard, info, 1, 0,
                                                   WorkerBounds(), world.now());
         session->begin();
         worker.looks.at(0).second(OrderStatus::accepted, report_at(world.now()));
