--- a/src/include/pathport/http.h
+++ b/src/include/pathport/http.h
@@ -73,7 +73,8 @@
 
     /// Starts listening. Returns false and sets `reason` when the address can't be used.
     bool start(Failure& reason);
-    /// Stops listening, after the answers that are being sent.
+    /// Stops listening. Requests on connections that have begun get their answers first,
+    /// for up to 2 s; later connections are refused.
     void stop();
 
 private:
--- a/src/include/pathport/peer.h
+++ b/src/include/pathport/peer.h
@@ -177,7 +177,8 @@
 
     /// Starts listening. Returns false and sets `reason` when the address can't be used.
     bool start(Failure& reason);
-    /// Ends all connections and the hub's thread. Calls under way end as failures.
+    /// Ends all connections and the hub's thread. Forwards that peers have sent get their
+    /// answers first, for up to half a second; own calls under way end as failures.
     void stop();
 
     /// Forwards `request`. When no answer comes, the outcome is `not_run` only if the
--- a/src/node.lib/node.cpp
+++ b/src/node.lib/node.cpp
@@ -170,12 +170,18 @@
     }
     const auto open = std::make_shared<Open>();
     ++m_open_requests;
-    const auto finish = [this, open, done](const ForwardAnswer& answer) {
+    const std::string id = request.request_id;
+    const auto finish = [this, open, id, done](const ForwardAnswer& answer) {
         // The deadline's answer and the target's may come at once; the first one counts.
         if (open->answered.exchange(true))
             return;
-        --m_open_requests;
+        if (answer.outcome == RequestOutcome::may_have_run)
+            log_event(LogLevel::info, "request_in_doubt",
+                      { { "request", id },
+                        { "reason", answer.failure.detail() },
+                        { "leaving", m_leaving.load() } });
         done(answer);
+        --m_open_requests;
     };
     m_timers->after(request.time_left + answer_grace,
                     [finish] { finish(may_have_run_answer("no answer within its time")); });
@@ -186,8 +192,8 @@
 {
     ++m_open_requests;
     const auto finish = [this, done = std::move(done)](const ForwardAnswer& answer) {
-        --m_open_requests;
         done(answer);
+        --m_open_requests;
     };
     if (request.stage == ForwardStage::admit)
         m_router.admit_and_route(request, finish);
--- a/src/node.lib/peer_loop.cpp
+++ b/src/node.lib/peer_loop.cpp
@@ -115,7 +115,10 @@
 {
     Millis next_beat = m_clock.now();
     while (!m_stopping) {
-        update_own_load();
+        // What this node has handed over counts as its own until the next owner tells of
+        // it: replicas of a shard that nobody tells of would be placed anew elsewhere.
+        if (!m_left)
+            update_own_load();
         if (m_clock.now() >= next_beat) {
             beat_peers();
             next_beat = m_clock.now() + m_settings.peer_heartbeat;
--- a/src/rpc.lib/peer_hub.cpp
+++ b/src/rpc.lib/peer_hub.cpp
@@ -25,6 +25,10 @@
 // costing a connection attempt for each request.
 constexpr auto reconnect_pause = 200 * kj::MILLISECONDS;
 constexpr auto connect_timeout = 500 * kj::MILLISECONDS;
+// A stop goes on in rounds until some of them have brought no forward and left none open.
+constexpr auto stop_round = 10 * kj::MILLISECONDS;
+constexpr int quiet_stop_rounds = 3;
+constexpr int longest_stop_rounds = 50;
 
 // A client connection to one peer. It exists while the stream is open.
 class PeerLink {
@@ -134,7 +138,13 @@
                    const RangeMemory& memory)
     {
         call<bool>(
-            address, [](bool) {},
+            address,
+            [address, shard, epoch](bool taken) {
+                if (!taken)
+                    log_event(
+                        LogLevel::warn, "hand_over_lost",
+                        { { "shard", shard }, { "epoch", epoch }, { "to", address } });
+            },
             [shard, epoch, memory](wire::Peer::Client& peer) {
                 auto call = peer.handOverRequest();
                 call.setShard(shard);
@@ -176,11 +186,13 @@
                                                       .parseAddress(m_listen.to_string())
                                                       .wait(io.waitScope);
             kj::Own<kj::ConnectionReceiver> receiver = address->listen();
-            capnp::TwoPartyServer server(kj::heap<PeerServer>(m_handler, m_mailbox));
+            capnp::TwoPartyServer server(
+                kj::heap<PeerServer>(m_handler, m_mailbox, m_taken));
             tasks.add(server.listen(*receiver));
             started.set_value("");
             told = true;
             drain_mailbox(io);
+            answer_forwards(io);
             m_links.clear();
             m_tasks = nullptr;
         } catch (const kj::Exception& error) {
@@ -206,6 +218,22 @@
         }
     }
 
+    // Before the connections close: takes what peers have sent by now and sends the answers
+    // that are known, until no more come.
+    void answer_forwards(kj::AsyncIoContext& io)
+    {
+        int quiet = 0;
+        for (int i = 0; i < longest_stop_rounds && quiet < quiet_stop_rounds; ++i) {
+            const int64_t taken = m_taken.all;
+            for (const auto& work : m_mailbox.take())
+                work();
+            io.provider->getTimer().afterDelay(stop_round).wait(io.waitScope);
+            quiet = m_taken.open == 0 && m_taken.all == taken ? quiet + 1 : 0;
+        }
+        if (m_taken.open > 0)
+            log_event(LogLevel::warn, "forwards_cut_off", { { "requests", m_taken.open } });
+    }
+
     bool read_counter(uint64_t& count) const
     {
         return ::read(m_mailbox.descriptor(), &count, sizeof count) == sizeof count;
@@ -316,6 +344,7 @@
     kj::AsyncIoContext* m_io = nullptr;
     kj::TaskSet* m_tasks = nullptr;
     std::map<std::string, LinkFork> m_links;
+    TakenForwards m_taken;
 };
 
 PeerHub::PeerHub(Address listen, Millis timeout, PeerHandler& handler)
--- a/src/rpc.lib/peer_server.h
+++ b/src/rpc.lib/peer_server.h
@@ -20,13 +20,21 @@
 
 namespace pathport {
 
+/// The forwarded requests that a hub has taken from its peers. It belongs to the hub's
+/// thread.
+struct TakenForwards {
+    int64_t all = 0;
+    int64_t open = 0; ///< Those that have no answer yet.
+};
+
 /// Serves the calls of peers. An answer may come from any thread; it goes back through the
 /// mailbox, since promises belong to the hub's thread.
 class PeerServer final : public wire::Peer::Server {
 public:
-    PeerServer(PeerHandler& handler, Mailbox& mailbox)
+    PeerServer(PeerHandler& handler, Mailbox& mailbox, TakenForwards& taken)
         : m_handler(handler)
         , m_mailbox(mailbox)
+        , m_taken(taken)
     {
     }
 
@@ -39,12 +47,15 @@
             = std::make_shared<kj::Own<kj::PromiseFulfiller<ForwardAnswer>>>(
                 kj::mv(pair.fulfiller));
         Mailbox& mailbox = m_mailbox;
+        ++m_taken.all;
+        ++m_taken.open;
         m_handler.on_forward(std::move(request), [fulfiller, &mailbox](ForwardAnswer a) {
             mailbox.post([fulfiller, a = std::move(a)]() mutable {
                 (*fulfiller)->fulfill(std::move(a));
             });
         });
-        return pair.promise.then([context](ForwardAnswer answer) mutable {
+        return pair.promise.then([this, context](ForwardAnswer answer) mutable {
+            --m_taken.open;
             write(answer, context.getResults().initAnswer());
         });
     }
@@ -100,6 +111,7 @@
 private:
     PeerHandler& m_handler;
     Mailbox& m_mailbox;
+    TakenForwards& m_taken;
 };
 
 } // namespace pathport
