A given admission range waits for its memory; what is kept keeps it

Cause: as the tests before say: the new owner of a range decided by the barrier while the giver's message was on its way, and gave the range on without it; memory was used again after it had been emptied.

Memory is used once; a range that this node loses and takes back under the same epoch has what it knew. Nothing is admitted that was not admitted before.

--- a/src/include/pathport/admission.h
+++ b/src/include/pathport/admission.h
@@ -42,7 +42,8 @@
     unknown, ///< It may have been admitted by an earlier owner, or is too old to be
              ///< remembered.
     too_new, ///< Its time lies in the future; it was not admitted.
-    not_owner, ///< This node does not own the range; it was not admitted.
+    not_owner, ///< This node does not own the range, or can't decide before the memory of a
+               ///< given range has come; it was not admitted.
 };
 
 /// Returns the lower-case name of `verdict`.
@@ -116,19 +117,29 @@
 
 private:
     struct Range {
+        bool waits(const AdmissionSpans& spans, Millis table_earliest) const
+        {
+            return owned && awaits_memory && table_earliest < given + spans.memory_wait;
+        }
+
         mutable std::mutex mutex;
         bool owned = false;
         int64_t epoch = 0;
-        int64_t memory_epoch
-            = 0; ///< Of `memory`, which came before the range was acquired.
+        /// Of `memory`, which came before the range was acquired, or is this node's own of
+        /// a range that it has lost.
+        int64_t memory_epoch = 0;
         RangeMemory memory;
         Millis barrier;
+        bool awaits_memory = false; ///< Given, and its memory has not come.
+        Millis given; ///< By the table's clock, when `awaits_memory`.
         /// The latest table time seen. A thread that was held up can't bring back an age at
         /// which an id, forgotten meanwhile, would have been young enough.
         Millis latest;
         std::unordered_map<std::string, Millis> ids; ///< Id to its time.
     };
 
+    static void take_over(Range& range, int64_t epoch, Millis barrier);
+
     AdmissionSpans m_spans;
     std::array<Range, admission_ranges> m_ranges;
 };
--- a/src/node.lib/heartbeat.cpp
+++ b/src/node.lib/heartbeat.cpp
@@ -182,7 +182,7 @@
                 = known != m_admission_epochs.end() && known->second == record.epoch;
             if (mine && !has_it) {
                 // Given by its owner, who has stopped to admit before.
-                m_admission.acquire(range_of(item.first), record.epoch, table_time);
+                m_admission.acquire_given(range_of(item.first), record.epoch, table_time);
                 m_admission_epochs[item.first] = record.epoch;
             } else if (!mine && known != m_admission_epochs.end()) {
                 m_admission.lose(range_of(item.first));
@@ -218,6 +218,14 @@
         return !old_lease_over && is_admission(step.record.shard) && step.record.epoch > 1;
     };
     steps.erase(std::remove_if(steps.begin(), steps.end(), too_early), steps.end());
+    // A range given on before its memory has come would leave the next owner without it.
+    const Millis table_time = m_cell.table_time().value_or(Millis());
+    const auto incomplete = [&](const OwnershipStep& step) {
+        const auto range = admission_range_of(step.record.shard);
+        return range && step.record.owner != m_settings.node
+            && m_admission.awaits_memory(*range, table_time);
+    };
+    steps.erase(std::remove_if(steps.begin(), steps.end(), incomplete), steps.end());
     if (!steps.empty())
         make_steps(std::move(steps));
 }
--- a/src/node.lib/node.cpp
+++ b/src/node.lib/node.cpp
@@ -274,6 +274,9 @@
     const auto range = admission_range_of(shard);
     if (range)
         m_admission.take_memory(*range, epoch, memory);
+    // What waited for it can be given on.
+    if (m_leaving)
+        wake_heartbeat();
 }
 
 std::optional<std::string> Node::on_ask(const std::string& kind, const std::string& name)
--- a/src/ownership.lib/admission.cpp
+++ b/src/ownership.lib/admission.cpp
@@ -53,26 +53,41 @@
 {
     Range& r = m_ranges.at(static_cast<size_t>(range));
     const std::lock_guard<std::mutex> lock(r.mutex);
+    take_over(r, epoch, barrier);
+}
+
+void AdmissionLedger::take_over(Range& r, int64_t epoch, Millis barrier)
+{
     r.owned = true;
     r.epoch = epoch;
     r.barrier = barrier;
+    r.awaits_memory = false;
     r.ids.clear();
     if (r.memory_epoch == epoch) {
         r.barrier = r.memory.barrier;
         for (const AdmittedId& one : r.memory.ids)
             r.ids.emplace(one.id, one.time);
     }
+    // Used once: the range admits ids from here on, which only `ids` remembers.
     r.memory = RangeMemory();
+    r.memory_epoch = 0;
 }
 
 void AdmissionLedger::acquire_given(int range, int64_t epoch, Millis barrier)
 {
-    acquire(range, epoch, barrier);
+    Range& r = m_ranges.at(static_cast<size_t>(range));
+    const std::lock_guard<std::mutex> lock(r.mutex);
+    const bool has_memory = r.memory_epoch == epoch;
+    take_over(r, epoch, barrier);
+    r.awaits_memory = !has_memory;
+    r.given = barrier;
 }
 
-bool AdmissionLedger::awaits_memory(int /*range*/, Millis /*table_earliest*/) const
+bool AdmissionLedger::awaits_memory(int range, Millis table_earliest) const
 {
-    return false;
+    const Range& r = m_ranges.at(static_cast<size_t>(range));
+    const std::lock_guard<std::mutex> lock(r.mutex);
+    return r.waits(m_spans, std::max(r.latest, table_earliest));
 }
 
 RangeMemory AdmissionLedger::lose(int range)
@@ -83,6 +98,11 @@
     memory.barrier = r.barrier;
     for (const auto& one : r.ids)
         memory.ids.push_back({ one.first, one.second });
+    // Should this node keep the range, nobody else has decided under its epoch.
+    if (r.owned && r.memory_epoch < r.epoch) {
+        r.memory_epoch = r.epoch;
+        r.memory = memory;
+    }
     r.owned = false;
     r.ids.clear();
     return memory;
@@ -93,6 +113,7 @@
     Range& r = m_ranges.at(static_cast<size_t>(range));
     const std::lock_guard<std::mutex> lock(r.mutex);
     if (r.owned && r.epoch == epoch) {
+        r.awaits_memory = false;
         r.barrier = memory.barrier;
         for (const AdmittedId& one : memory.ids)
             r.ids.emplace(one.id, one.time);
@@ -116,6 +137,8 @@
     // owner's barrier would not cover it.
     if (id_time > table_earliest + m_spans.margin)
         return AdmissionVerdict::too_new;
+    if (id_time <= r.barrier + m_spans.margin && r.waits(m_spans, r.latest))
+        return AdmissionVerdict::not_owner;
     if (id_time <= r.barrier + m_spans.margin || id_time + m_spans.memory <= r.latest)
         return AdmissionVerdict::unknown;
     r.ids.emplace(request_id, id_time);
