Tests of departures: a node tells that it leaves before it has left

Cause: a trial of replaced_nodes left one single request in doubt ('may have been admitted before'). node-2 gave admit.00 to node-1 19 ms before node-1 was stopped; node-1 owned nothing as far as it had read, and wrote 'left' in the transaction that read the gift. node-3 took the range from the node that had left, without its memory.

Change: class Departure, without effect yet, and two tests that fail: the decision as it is now goes from live to left.

--- a/src/include/pathport/membership.h
+++ b/src/include/pathport/membership.h
@@ -41,6 +41,28 @@
     bool met = false; ///< Whether its counter was ever seen to change, or it was heard.
 };
 
+/// The steps in which a node leaves the cell. Others take what a node owns that has left,
+/// without its memory of it, so it must not leave while it is given something.
+class Departure {
+public:
+    /// Returns the state that the next heartbeat writes, for a node that is or is not
+    /// `leaving` and that owns nothing as far as it has read.
+    NodeState next(bool leaving, bool owns_nothing) const;
+    /// Notes that the table took a heartbeat with this state; what it read is known.
+    void taken(NodeState written);
+    /// Notes that the table refused the last step, since rows of shards have changed that
+    /// this node has not read.
+    void overtaken();
+
+    /// Returns whether others can know that this node leaves.
+    bool is_told() const { return m_told; }
+
+private:
+    bool m_told = false;
+    bool m_left = false;
+    bool m_must_read = false;
+};
+
 /// The nodes as this one sees them. Not safe from several threads at once.
 class Membership {
 public:
--- a/src/ownership.lib/membership.cpp
+++ b/src/ownership.lib/membership.cpp
@@ -7,6 +7,24 @@
 
 namespace pathport {
 
+NodeState Departure::next(bool leaving, bool owns_nothing) const
+{
+    if (!leaving)
+        return NodeState::live;
+    return owns_nothing ? NodeState::left : NodeState::leaving;
+}
+
+void Departure::taken(NodeState written)
+{
+    m_told = m_told || written == NodeState::leaving;
+    m_must_read = false;
+}
+
+void Departure::overtaken()
+{
+    m_must_read = true;
+}
+
 void Membership::observe(const NodeRecord& record, int64_t row_version, Millis now,
                          Millis table_time)
 {
--- a/src/ownership.lib/ownership_test.cpp
+++ b/src/ownership.lib/ownership_test.cpp
@@ -132,6 +132,28 @@
     BOOST_TEST(members.may_take_from("a", stale));
 }
 
+// A node that had just joined was stopped; in the same moment another gave it a range. It
+// wrote that it had left in the transaction that read the gift.
+BOOST_AUTO_TEST_CASE(node_tells_that_it_leaves_before_it_has_left)
+{
+    Departure departure;
+    BOOST_TEST((departure.next(false, true) == NodeState::live));
+    BOOST_TEST((departure.next(true, true) == NodeState::leaving));
+    departure.taken(NodeState::leaving);
+    BOOST_TEST((departure.next(true, false) == NodeState::leaving));
+    BOOST_TEST((departure.next(true, true) == NodeState::left));
+}
+
+BOOST_AUTO_TEST_CASE(node_reads_changed_rows_before_it_has_left)
+{
+    Departure departure;
+    departure.taken(NodeState::leaving);
+    departure.overtaken();
+    BOOST_TEST((departure.next(true, true) == NodeState::leaving));
+    departure.taken(NodeState::leaving);
+    BOOST_TEST((departure.next(true, true) == NodeState::left));
+}
+
 BOOST_AUTO_TEST_CASE(promise_is_for_one_incarnation)
 {
     Membership members = observed_twice("a");
