A node leaves only when it has read all that it was given

Change: the heartbeat writes 'leaving' first and wakes the peers, who give nothing to a node that leaves; 'left' is written only if no row of a shard has changed since it was read. Left open: a giver that has not read the 'leaving' may still give in the moment after the 'left'.

--- a/src/node.lib/heartbeat.cpp
+++ b/src/node.lib/heartbeat.cpp
@@ -71,14 +71,18 @@
     }
 }
 
-TableTxn Node::make_beat() const
+TableTxn Node::make_beat(NodeState state) const
 {
     TableTxn txn;
     NodeRecord self = m_cell.self();
     self.counter = m_counter + 1;
-    if (m_left_sent)
-        self.state = NodeState::left;
+    self.state = state;
     txn.checks.push_back({ node_key(self.node), m_row_version });
+    // Whoever has given this node a shard that it has not read of keeps it from leaving.
+    if (state == NodeState::left && !m_left) {
+        for (const auto& row : m_cell.shard_rows())
+            txn.checks.push_back({ rows::shard_key(row.first), row.second.version });
+    }
     txn.puts.push_back({ node_key(self.node), encode(self) });
     txn.ranges = { { "nodes/", m_seen_revision },
                    { "shards/", m_seen_revision },
@@ -90,8 +94,9 @@
 
 bool Node::beat_table()
 {
-    m_left_sent = m_leaving && m_keeper.shards().empty() && m_admission_epochs.empty();
-    const TableTxn txn = make_beat();
+    const bool owns_nothing = m_keeper.shards().empty() && m_admission_epochs.empty();
+    const NodeState state = m_departure.next(m_leaving, owns_nothing);
+    const TableTxn txn = make_beat(state);
     const Millis sent = m_clock.now();
     Failure reason;
     const auto result = m_table.run(txn, reason);
@@ -106,13 +111,22 @@
         return false;
     }
     if (!result->committed) {
+        const std::string key = node_key(m_settings.node);
+        const auto& conflicts = result->conflicts;
+        const auto own_row
+            = std::find_if(conflicts.begin(), conflicts.end(),
+                           [&](const TableRow& changed) { return changed.key == key; });
+        if (own_row == conflicts.end() && !conflicts.empty()) {
+            m_departure.overtaken();
+            wake_heartbeat();
+            return false;
+        }
         // The row was changed by an earlier beat whose answer was lost, by an earlier
         // process of this node, or by a node that judged this one dead.
-        m_row_version = result->conflicts.empty() ? 0 : result->conflicts.front().version;
+        m_row_version = conflicts.empty() ? 0 : own_row->version;
         Failure ignored;
-        const auto row = result->conflicts.empty()
-            ? std::nullopt
-            : decode_node(result->conflicts.front().value, ignored);
+        const auto row
+            = conflicts.empty() ? std::nullopt : decode_node(own_row->value, ignored);
         const bool own = row && row->incarnation == m_incarnation;
         if (own && row->state == NodeState::left && !m_leaving)
             rejoin();
@@ -126,8 +140,12 @@
     }
     if (m_counter++ == 0)
         m_first_beat = received;
-    if (m_left_sent)
+    const bool first_told = !m_departure.is_told() && state == NodeState::leaving;
+    m_departure.taken(state);
+    if (state == NodeState::left)
         m_left = true;
+    if (first_told)
+        wake({}); // Who reads it gives this node nothing more.
     m_row_version = result->revision;
     m_beat_sent = sent;
     m_cell.observe(*result, sent, received);
--- a/src/node.lib/node.h
+++ b/src/node.lib/node.h
@@ -86,7 +86,7 @@
     // heartbeat.cpp, peer_loop.cpp
     void heartbeat_loop();
     bool beat_table();
-    TableTxn make_beat() const;
+    TableTxn make_beat(NodeState state) const;
     void take_beat(const TableResult& result);
     void rejoin();
     void own_shards();
@@ -164,7 +164,7 @@
     int64_t m_row_version = 0;
     int64_t m_seen_revision = 0;
     std::map<std::string, int64_t> m_admission_epochs;
-    bool m_left_sent = false;
+    Departure m_departure;
     Millis m_beat_sent; ///< When the last heartbeat that the table took was sent.
     Millis m_first_beat; ///< When the table took the first heartbeat; 0 before.
 
--- a/src/ownership.lib/membership.cpp
+++ b/src/ownership.lib/membership.cpp
@@ -11,12 +11,14 @@
 {
     if (!leaving)
         return NodeState::live;
-    return owns_nothing ? NodeState::left : NodeState::leaving;
+    const bool may_leave = m_left || (owns_nothing && m_told && !m_must_read);
+    return may_leave ? NodeState::left : NodeState::leaving;
 }
 
 void Departure::taken(NodeState written)
 {
     m_told = m_told || written == NodeState::leaving;
+    m_left = m_left || written == NodeState::left;
     m_must_read = false;
 }
 
