--- a/src/include/pathport/admission.h
+++ b/src/include/pathport/admission.h
@@ -42,7 +42,8 @@
     unknown, ///< It may have been admitted by an earlier owner, or is too old to be
              ///< remembered.
     too_new, ///< Its time lies in the future; it was not admitted.
-    not_owner, ///< This node does not own the range; it was not admitted.
+    not_owner, ///< This node does not own the range, or can't decide before the memory of a
+               ///< given range has come; it was not admitted.
 };
 
 /// Returns the lower-case name of `verdict`.
@@ -54,6 +55,8 @@
     Millis margin { 500 };
     /// How long ids are remembered, by their time. An older id is never admitted.
     Millis memory { 120000 };
+    /// How long the memory of a range that was given here is waited for.
+    Millis memory_wait { 500 };
 };
 
 /// An id that was admitted, with its time.
@@ -86,6 +89,12 @@
     /// Takes over a range. Ids whose time is not after `barrier` (table time) may have been
     /// admitted by an earlier owner, and are not admitted here.
     void acquire(int range, int64_t epoch, Millis barrier);
+    /// Takes over a range that its owner has given, which sends its memory too. `barrier`
+    /// counts until the memory comes.
+    void acquire_given(int range, int64_t epoch, Millis barrier);
+    /// Returns whether the memory of a range that was given here has yet to come, at a time
+    /// of the table at which it is still waited for.
+    bool awaits_memory(int range, Millis table_earliest) const;
     /// Gives up a range. Returns what is remembered of it; nothing is admitted afterwards,
     /// so that it can be handed to the next owner.
     RangeMemory lose(int range);
@@ -108,19 +117,29 @@
 
 private:
     struct Range {
+        bool waits(const AdmissionSpans& spans, Millis table_earliest) const
+        {
+            return owned && awaits_memory && table_earliest < given + spans.memory_wait;
+        }
+
         mutable std::mutex mutex;
         bool owned = false;
         int64_t epoch = 0;
-        int64_t memory_epoch
-            = 0; ///< Of `memory`, which came before the range was acquired.
+        /// Of `memory`, which came before the range was acquired, or is this node's own of
+        /// a range that it has lost.
+        int64_t memory_epoch = 0;
         RangeMemory memory;
         Millis barrier;
+        bool awaits_memory = false; ///< Given, and its memory has not come.
+        Millis given; ///< By the table's clock, when `awaits_memory`.
         /// The latest table time seen. A thread that was held up can't bring back an age at
         /// which an id, forgotten meanwhile, would have been young enough.
         Millis latest;
         std::unordered_map<std::string, Millis> ids; ///< Id to its time.
     };
 
+    static void take_over(Range& range, int64_t epoch, Millis barrier);
+
     AdmissionSpans m_spans;
     std::array<Range, admission_ranges> m_ranges;
 };
--- a/src/ownership.lib/membership.cpp
+++ b/src/ownership.lib/membership.cpp
@@ -7,6 +7,26 @@
 
 namespace pathport {
 
+NodeState Departure::next(bool leaving, bool owns_nothing) const
+{
+    if (!leaving)
+        return NodeState::live;
+    const bool may_leave = m_left || (owns_nothing && m_told && !m_must_read);
+    return may_leave ? NodeState::left : NodeState::leaving;
+}
+
+void Departure::taken(NodeState written)
+{
+    m_told = m_told || written == NodeState::leaving;
+    m_left = m_left || written == NodeState::left;
+    m_must_read = false;
+}
+
+void Departure::overtaken()
+{
+    m_must_read = true;
+}
+
 void Membership::observe(const NodeRecord& record, int64_t row_version, Millis now,
                          Millis table_time)
 {
