Test: a seed in which a task that failed on the only allowed worker stands, red

Cause, by its log: the worker where the task failed is second choice; a step without a first choice asks about refused workers, always some are old enough, and a ticket for the second choice is never asked for.

--- a/src/jobs.lib/liveness_test.cpp
+++ b/src/jobs.lib/liveness_test.cpp
@@ -315,3 +315,16 @@
         BOOST_TEST_MESSAGE("seed " << seed << " played");
     }
 }
+
+// Schedules that have failed once, with their style and the cause that was found.
+BOOST_AUTO_TEST_CASE(schedules_that_failed_once)
+{
+    const std::pair<uint64_t, int> kept[] = {
+        { 600062, 2 }, // A task had failed on the only worker that the advisor allows, and
+                       // refused ones were asked about for ever in place of a ticket there.
+    };
+    for (const auto& [seed, style] : kept) {
+        const auto wrong = Schedule(seed, make_style(style)).run();
+        BOOST_TEST(wrong.empty(), "seed " << seed << joined(wrong));
+    }
+}
