A step without a first choice asks for a ticket for its second choices as well

Change: the question about refused workers takes in those that are allowed and have room.

liveness_test schedules_that_failed_once: red, green; stuck_step, stuck_tasks, cell and advice_pool green.

--- a/src/jobs.lib/scheduler_advice.cpp
+++ b/src/jobs.lib/scheduler_advice.cpp
@@ -170,7 +170,10 @@
         return;
     }
     if (found.first_fit == 0 && any_room(found.refused)) {
-        ask_about_more(job, step, needed, found, found.refused);
+        // A ticket for the second choices comes with the same answer.
+        std::vector<Prospect> both = found.allowed;
+        both.insert(both.end(), found.refused.begin(), found.refused.end());
+        ask_about_more(job, step, needed, found, both);
         return;
     }
     constexpr int spare = 2;
