A request that was written once is never told as not sent

Cause: when a kept connection closes on a request, the library sends it again by itself. If the server is gone by then, it reports the refused connection, and the client told unavailable (surely not received) though the server had read the first sending whole.

Change: the client notes through the library's progress handler that a sending was written; then a failure to connect is outcome_unknown.

Not run: any other test, and runs of whole programs.

--- a/src/http.lib/http_client.cpp
+++ b/src/http.lib/http_client.cpp
@@ -5,6 +5,7 @@
 
 #include <cpprest/http_client.h>
 
+#include <atomic>
 #include <future>
 
 namespace pathport {
@@ -14,11 +15,13 @@
 namespace {
 
 // cpprestsdk reports `host_unreachable` when it could not connect, and when the peer had
-// closed before the request's head was written; in both cases nothing can have run.
-Failure classify(const rest::http_exception& error)
+// closed before the request's head was written; in both cases nothing can have run, unless
+// an earlier sending was written: when a kept connection closes on a request, the library
+// sends it again by itself and reports only what became of the last sending.
+Failure classify(const rest::http_exception& error, bool written)
 {
-    const bool not_sent
-        = error.error_code() == std::make_error_condition(std::errc::host_unreachable);
+    const bool not_sent = !written
+        && error.error_code() == std::make_error_condition(std::errc::host_unreachable);
     return Failure(not_sent ? FailureKind::unavailable : FailureKind::outcome_unknown,
                    error.what());
 }
@@ -74,6 +77,13 @@
         rest::http_request message = convert(request);
         if (connection == HttpConnection::fresh)
             message.headers()["Connection"] = "close";
+        // The library calls this when a sending, or a part of its body, has been written.
+        const auto written = std::make_shared<std::atomic<bool>>(false);
+        message.set_progress_handler(
+            [written](rest::message_direction::direction direction, utility::size64_t) {
+                if (direction == rest::message_direction::upload)
+                    *written = true;
+            });
         client->request(message)
             .then([client](const rest::http_response& response) {
                 return response.extract_vector().then(
@@ -81,18 +91,19 @@
                         return convert(response, body);
                     });
             })
-            .then([done = std::move(done)](const pplx::task<HttpAnswer>& received) {
-                done(outcome_of(received));
-            });
+            .then(
+                [done = std::move(done), written](const pplx::task<HttpAnswer>& received) {
+                    done(outcome_of(received, *written));
+                });
     }
 
 private:
-    static HttpOutcome outcome_of(const pplx::task<HttpAnswer>& received)
+    static HttpOutcome outcome_of(const pplx::task<HttpAnswer>& received, bool written)
     {
         try {
             return { received.get(), Failure() };
         } catch (const rest::http_exception& error) {
-            return { std::nullopt, classify(error) };
+            return { std::nullopt, classify(error, written) };
         } catch (const std::exception& error) {
             return { std::nullopt, Failure(FailureKind::outcome_unknown, error.what()) };
         }
--- a/src/http.lib/http_test.cpp
+++ b/src/http.lib/http_test.cpp
@@ -25,8 +25,9 @@
 // all connections at once: a client may open another one while it keeps the first.
 class DyingServer {
 public:
-    DyingServer()
-        : m_socket(socket(AF_INET, SOCK_STREAM, 0))
+    explicit DyingServer(bool dies_whole = false)
+        : m_dies_whole(dies_whole)
+        , m_socket(socket(AF_INET, SOCK_STREAM, 0))
     {
         sockaddr_in address {};
         address.sin_family = AF_INET;
@@ -80,8 +81,11 @@
         const std::string answer = "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok";
         if (read_request(connection))
             (void)!write(connection, answer.data(), answer.size());
-        if (read_request(connection))
+        if (read_request(connection)) {
             ++dropped;
+            if (m_dies_whole)
+                shutdown(m_socket, SHUT_RDWR); // New connections are refused from here on.
+        }
         shutdown(connection, SHUT_RDWR);
     }
 
@@ -99,6 +103,7 @@
         return true;
     }
 
+    const bool m_dies_whole;
     int m_socket;
     uint16_t m_port = 0;
     std::thread m_thread;
@@ -293,6 +298,17 @@
     BOOST_TEST_MESSAGE("the library sent the request again: " << sent_again);
 }
 
+// The library sends the request again by itself, and then tells of the refused connection
+// only.
+BOOST_AUTO_TEST_CASE(lost_answer_of_a_server_that_is_gone_is_not_told_as_not_sent)
+{
+    DyingServer server(true);
+    HttpClient client(server.address(), Millis(5000));
+    const HttpOutcome outcome = send_until_dropped(client, server);
+    BOOST_TEST(!outcome.answer.has_value());
+    BOOST_TEST((outcome.failure.kind() == FailureKind::outcome_unknown));
+}
+
 BOOST_AUTO_TEST_CASE(refused_connection_is_told_as_not_sent)
 {
     HttpClient client({ "127.0.0.1", free_port() }, Millis(5000));
