--- a/src/jobs.lib/cell_test.cpp
+++ b/src/jobs.lib/cell_test.cpp
@@ -8,15 +8,13 @@
 #define BOOST_TEST_MODULE cell
 #include <boost/test/unit_test.hpp>
 
-#include <pathport/emulator/cell.h>
-#include <pathport/log.h>
+#include "cell_fixture.h"
 
 #include <algorithm>
 #include <cstdlib>
 
 using namespace pathport;
-using emulator::Cell;
-using emulator::TaskFacts;
+using namespace pathport::cell_tests;
 
 namespace {
 
@@ -34,48 +32,22 @@
     return text == nullptr ? 40 : std::atoi(text);
 }
 
-TaskFacts simple_facts(int count, int64_t run_ms)
+/// Returns a step of small tasks with the payload of all jobs here.
+TaskFacts payload_facts(int count, int64_t run_ms)
 {
-    TaskFacts facts;
-    facts.count = count;
-    facts.run_ms = run_ms;
-    facts.need = { 1000, 1000, 0 };
+    TaskFacts facts = simple_facts(count, run_ms);
     facts.payload = "p";
     return facts;
 }
 
-jobs::JobSpec spec_of(const std::vector<TaskFacts>& facts)
-{
-    jobs::JobSpec spec;
-    spec.payload = "p";
-    for (const TaskFacts& step : facts) {
-        jobs::StepSpec entry;
-        entry.count = step.count;
-        entry.need = step.need;
-        entry.gang = step.gang;
-        entry.after = step.after;
-        entry.expected_ms = step.run_ms;
-        spec.steps.push_back(entry);
-    }
-    return spec;
-}
-
-std::string joined(const std::vector<std::string>& lines)
-{
-    std::string text;
-    for (const std::string& line : lines)
-        text += "\n  " + line;
-    return text;
-}
-
 /// Hands in a job with random steps.
 void submit_random(Cell& cell, int number)
 {
     std::vector<TaskFacts> steps;
     const auto count = 1 + cell.world.below(3);
     for (uint64_t i = 0; i < count; ++i) {
-        TaskFacts facts = simple_facts(1 + int(cell.world.below(5)),
-                                       100 + int64_t(cell.world.below(2500)));
+        TaskFacts facts = payload_facts(1 + int(cell.world.below(5)),
+                                        100 + int64_t(cell.world.below(2500)));
         facts.gang = cell.world.chance(0.3);
         facts.need.cpu_millis = 500 + int64_t(cell.world.below(2000));
         facts.fails = cell.world.chance(0.2) ? 1 + int(cell.world.below(3)) : 0;
@@ -192,14 +164,6 @@
     return cell.verdict();
 }
 
-struct QuietLog {
-    QuietLog()
-    {
-        const char* const level = std::getenv("PATHPORT_LOG");
-        start_log("test", log_level_from(level == nullptr ? "error" : level));
-    }
-};
-
 } // namespace
 
 BOOST_TEST_GLOBAL_FIXTURE(QuietLog);
@@ -228,7 +192,7 @@
     for (uint64_t seed = 1; seed <= 80; ++seed) {
         Cell cell(seed, 3, 1);
         cell.world.run_for(Millis(1500));
-        TaskFacts facts = simple_facts(1, 300);
+        TaskFacts facts = payload_facts(1, 300);
         facts.fails = 2; // Two of the three failures that a task may have.
         cell.submit("job0", spec_of({ facts }), { facts }, false);
         cell.world.run_for(Millis(320 + int64_t(seed)));
@@ -269,7 +233,7 @@
 {
     Cell cell(4, 1, 3);
     cell.world.run_for(Millis(1500));
-    TaskFacts facts = simple_facts(3, 1000);
+    TaskFacts facts = payload_facts(3, 1000);
     facts.gang = true;
     facts.slowest_ms = 8000;
     cell.submit("job0", spec_of({ facts }), { facts }, false);
@@ -286,7 +250,7 @@
     for (const bool gang : { false, true }) {
         Cell cell(5, 2, 3);
         cell.world.run_for(Millis(1500));
-        TaskFacts facts = simple_facts(6, 4000);
+        TaskFacts facts = payload_facts(6, 4000);
         facts.gang = gang;
         facts.need.cpu_millis = 3000;
         cell.submit("job0", spec_of({ facts }), { facts }, false);
@@ -331,7 +295,7 @@
             else
                 cell.store.trouble.refused_nodes.insert(first);
             cell.world.run_for(Millis(2500));
-            const TaskFacts facts = simple_facts(1, 500);
+            const TaskFacts facts = payload_facts(1, 500);
             const auto status
                 = cell.submit_at(turned_away, "job0", spec_of({ facts }), { facts });
             BOOST_TEST((status == jobs::ClientStatus::ok), "seed " << seed);
@@ -379,7 +343,7 @@
         cell.world.run_for(Millis(1500));
         cell.store.trouble.slow = 80;
         for (int i = 0; i < 240; ++i) {
-            const TaskFacts facts = simple_facts(1, 120);
+            const TaskFacts facts = payload_facts(1, 120);
             cell.submit("job" + std::to_string(i), spec_of({ facts }), { facts }, false);
             if (i == 40 + int(seed) * 4)
                 cell.stop(cell.leader(), Millis(500));
@@ -420,7 +384,7 @@
         Cell cell(seed, 3, 4, { { "n1", 120 }, { "n2", 120 } });
         cell.world.run_for(Millis(1500));
         BOOST_TEST(cell.leader() == "n3", "seed " << seed);
-        cell.submit("job0", spec_of({ simple_facts(3, 1500) }), { simple_facts(3, 1500) },
+        cell.submit("job0", spec_of({ payload_facts(3, 1500) }), { payload_facts(3, 1500) },
                     false);
         cell.kill("n3", Millis(3000));
         cell.world.run_for(Millis(1200));
@@ -441,7 +405,7 @@
     cell.world.run_for(Millis(1500));
     cell.workers.trouble.unanswered = 1;
     for (int i = 0; i < 3; ++i) {
-        const TaskFacts facts = simple_facts(1, 500);
+        const TaskFacts facts = payload_facts(1, 500);
         cell.submit("job" + std::to_string(i), spec_of({ facts }), { facts }, false);
     }
     cell.world.run_for(Millis(900));
@@ -493,7 +457,7 @@
     const int gangs = 30;
     for (int i = 0; i < gangs; ++i) {
         // Each is more urgent than those before it.
-        TaskFacts facts = simple_facts(4 + i % 5, 4000 - 100 * i);
+        TaskFacts facts = payload_facts(4 + i % 5, 4000 - 100 * i);
         facts.gang = true;
         facts.need.cpu_millis = 3000;
         cell.submit("job" + std::to_string(i), spec_of({ facts }), { facts }, true);
