--- a/testsuite/random_days.py
+++ b/testsuite/random_days.py
@@ -16,12 +16,14 @@
 """
 import argparse
 import concurrent.futures
+import contextlib
 import os
 import pathlib
 import random
 import re
 import subprocess
 import sys
+import threading
 import tomllib
 
 # kind -> variants; a value may be a list (one is drawn) or a (low, high) pair (drawn between).
@@ -171,10 +173,12 @@
     """Writes a copy of the site whose traffic lasts `length` seconds, beside a link to its messages."""
     text = re.sub(r"(?m)^length_s = .*$", f"length_s = {length}", site_path.read_text(), count=1)
     wire = tomllib.loads(text).get("wire")
-    if wire and not (keep / wire).exists():
-        (keep / wire).symlink_to((site_path.parent / wire).resolve())
+    if wire:
+        with contextlib.suppress(FileExistsError):
+            (keep / wire).symlink_to((site_path.parent / wire).resolve())
     copy = keep / f"{site_path.stem}-{length:g}s.toml"
-    fresh = copy.with_suffix(f".{os.getpid()}")
+    # Plays side by side write the same copy, in one process or in several.
+    fresh = copy.with_suffix(f".{os.getpid()}-{threading.get_ident()}")
     fresh.write_text(text)
     fresh.replace(copy)
     return copy
