--- a/src/jobs.lib/advice_pool.h
+++ b/src/jobs.lib/advice_pool.h
@@ -24,6 +24,7 @@
 
 /// A question to the advisor.
 struct AdviceQuestion {
+    std::string queue; ///< Of the job; queues share the callers.
     std::string step; ///< "<job>.<repeat>.<step>".
     std::vector<std::string> workers;
     AdviceRule rule;
--- a/src/jobs.lib/advice_pool_test.cpp
+++ b/src/jobs.lib/advice_pool_test.cpp
@@ -12,6 +12,8 @@
 #include <pathport/emulator/virtual_loop.h>
 #include <pathport/jobs/peers.h>
 
+#include <algorithm>
+
 using namespace pathport;
 using namespace pathport::jobs;
 
@@ -114,3 +116,35 @@
     BOOST_TEST(peers.asked["slow2"].size() == 1U);
     BOOST_TEST(pool.waiting() == 1U);
 }
+
+// Steps of an urgent queue that wait for room may ask again and again. The advisor's time is
+// shared, so a less urgent queue gets its answers too.
+BOOST_AUTO_TEST_CASE(no_queue_takes_all_of_the_advisors_time)
+{
+    emulator::World world(10);
+    emulator::ProcessLoop loop(world);
+    CountingAdvisor advisor(world);
+    SilentPeers peers(world);
+    AdvicePool pool(loop, advisor, peers);
+    const auto ask = [&pool](const std::string& queue, const std::string& step, int priority,
+                             std::function<void(AdviceReply)> done) {
+        AdviceQuestion question = question_of(step, priority, 400);
+        question.queue = queue;
+        pool.ask(question, std::move(done));
+    };
+    std::function<void(AdviceReply)> again = [&](const AdviceReply&) {
+        ask("scans", "scan", 1, [&](const AdviceReply& reply) { again(reply); });
+    };
+    for (int i = 0; i < 4; ++i)
+        again({});
+    std::vector<std::string> answered;
+    for (const char* step : { "first", "second", "third" })
+        ask("summaries", step, 2,
+            [&answered, step](const AdviceReply&) { answered.push_back(step); });
+    world.run_for(Millis(1000));
+    const std::vector<std::string> all { "first", "second", "third" };
+    BOOST_TEST(answered == all, boost::test_tools::per_element());
+    // The urgent queue keeps the larger share.
+    const auto scans = std::count(advisor.asked.begin(), advisor.asked.end(), "scan");
+    BOOST_TEST(scans >= 12);
+}
--- /dev/null
+++ b/src/jobs.lib/advice_share_test.cpp
@@ -0,0 +1,80 @@
+// Copyright the pathport authors.
+// SPDX-License-Identifier: Apache-2.0
+
+/// \file
+/// The advisor's time is scarce. A whole cell with slow questions: steps that wait for a
+/// scarce resource must not keep others, for which there is room, from being asked about.
+
+#define BOOST_TEST_MODULE advice_share
+#include <boost/test/unit_test.hpp>
+
+#include "cell_fixture.h"
+
+using namespace pathport;
+using namespace pathport::cell_tests;
+
+BOOST_TEST_GLOBAL_FIXTURE(QuietLog);
+
+namespace {
+
+constexpr int64_t slow_advice_ms = 450;
+
+// Two queues with slow advice, one of them more urgent.
+void add_slow_queues(Cell& cell)
+{
+    jobs::Configuration configuration = cell.store.configuration();
+    ++configuration.version;
+    for (const int priority : { 1, 2 }) {
+        jobs::Queue queue;
+        queue.name = priority == 1 ? "scans" : "summaries";
+        queue.host = "cell";
+        queue.path_prefix = "/" + queue.name + "/";
+        queue.service = "pool";
+        queue.priority = priority;
+        queue.max_failures = 3;
+        queue.stretch = 4;
+        queue.slo_ms = 3000;
+        queue.advice = jobs::AdviceRule { double(slow_advice_ms), 7, 2000 };
+        configuration.queues.push_back(queue);
+    }
+    cell.store.configure(configuration);
+    cell.workers.trouble.ticket_life = Millis(2000);
+    cell.workers.allowed_tenths = 3;
+}
+
+TaskFacts slow_facts(int count, int64_t run_ms, Resources need)
+{
+    TaskFacts facts;
+    facts.count = count;
+    facts.run_ms = run_ms;
+    facts.need = need;
+    facts.advice_ms = slow_advice_ms;
+    return facts;
+}
+
+} // namespace
+
+// Found on random days of a site with accelerators: steps of an urgent queue, short of room
+// on the workers that they may use, asked again and again; those of another queue, with most
+// of the room free, were asked about no worker for 15 s.
+BOOST_AUTO_TEST_CASE(steps_with_room_are_asked_about_while_urgent_ones_wait)
+{
+    for (const uint64_t seed : { 1, 2, 3 }) {
+        Cell cell(seed, 3, 14);
+        add_slow_queues(cell);
+        cell.world.run_for(Millis(2500));
+        constexpr int scans = 100;
+        constexpr int before_summaries = 40;
+        for (int i = 0; i < scans; ++i) {
+            if (i >= before_summaries && i < before_summaries + 3)
+                submit(cell, "summaries", "summary" + std::to_string(i - before_summaries),
+                       { slow_facts(3, 500, { 500, 500, 0 }) });
+            submit(cell, "scans", "scan" + std::to_string(i),
+                   { slow_facts(1, 3000, { 4100, 1000, 0 }) });
+            cell.world.run_for(Millis(250));
+        }
+        for (int i = 0; i < 3; ++i)
+            BOOST_TEST(cell.workers.all_done("summary" + std::to_string(i), 0, 3, false),
+                       "seed " << seed << ", summary " << i);
+    }
+}
--- a/src/jobs.lib/scheduler_advice.cpp
+++ b/src/jobs.lib/scheduler_advice.cpp
@@ -204,6 +204,7 @@
     if (now < step.advice.retry_at || advice_crowded(job))
         return;
     AdviceQuestion question;
+    question.queue = job.accepted().queue.name;
     question.step = step.name(job.id());
     question.workers = std::move(workers);
     question.rule = *job.accepted().queue.advice;
