--- a/src/jobs.lib/advice_pool.cpp
+++ b/src/jobs.lib/advice_pool.cpp
@@ -4,6 +4,9 @@
 #include "advice_pool.h"
 
 #include <algorithm>
+#include <cmath>
+#include <numeric>
+#include <tuple>
 
 namespace pathport::jobs {
 
@@ -22,6 +25,9 @@
 /// How long a caller that gave no answer is left alone.
 constexpr Millis failed_pause { 1000 };
 constexpr Millis call_margin { 600 };
+/// What a queue has had of the advisor's time counts half after this time: about four
+/// answers of a slow queue, so that a short crowd of questions is soon forgotten.
+constexpr double share_half_life_ms = 2000;
 
 double cost_of(const AdviceQuestion& question)
 {
@@ -68,14 +74,48 @@
 
 void AdvicePool::ask(AdviceQuestion question, std::function<void(AdviceReply)> done)
 {
-    const auto behind
-        = std::find_if(m_waiting.begin(), m_waiting.end(), [&](const Waiting& entry) {
-              return entry.question.priority > question.priority;
-          });
-    m_waiting.insert(behind, Waiting { std::move(question), std::move(done) });
+    m_waiting.push_back(Waiting { std::move(question), std::move(done) });
     dispatch();
 }
 
+// Returns what the queue has had of the advisor's time, as it counts at present.
+double AdvicePool::present_cost(const std::string& queue) const
+{
+    const auto found = m_shares.find(queue);
+    if (found == m_shares.end())
+        return 0;
+    const double age = double((m_loop.now() - found->second.at).count());
+    return found->second.cost_ms * std::exp2(-age / share_half_life_ms);
+}
+
+// The less urgent a queue, the dearer its questions: one of priority 2 gets half of the
+// time that one of priority 1 gets while both have questions waiting.
+void AdvicePool::charge(const AdviceQuestion& question)
+{
+    const double cost
+        = present_cost(question.queue) + question.priority * cost_of(question);
+    m_shares[question.queue] = Share { cost, m_loop.now() };
+}
+
+// Returns the indices of the waiting questions in the order in which they should be sent:
+// those of priority 0, then those of the queues that had the least of their share.
+std::vector<size_t> AdvicePool::order_of_waiting() const
+{
+    std::map<std::string, double> costs;
+    for (const Waiting& entry : m_waiting)
+        costs.try_emplace(entry.question.queue, present_cost(entry.question.queue));
+    std::vector<size_t> order(m_waiting.size());
+    std::iota(order.begin(), order.end(), size_t(0));
+    const auto key = [&](size_t index) {
+        const AdviceQuestion& question = m_waiting[index].question;
+        return std::make_tuple(question.priority > 0, costs[question.queue],
+                               question.priority);
+    };
+    std::stable_sort(order.begin(), order.end(),
+                     [&](size_t left, size_t right) { return key(left) < key(right); });
+    return order;
+}
+
 // The first callers, this node among them, take fast questions, the next ones medium ones,
 // the rest slow ones. One that is idle takes a faster question than its own.
 AdvicePool::Caller* AdvicePool::free_caller(Pace pace)
@@ -110,11 +150,10 @@
     return best;
 }
 
-size_t AdvicePool::waiting_like(const AdviceRule& rule) const
+size_t AdvicePool::waiting_of(const std::string& queue) const
 {
-    const Pace pace = pace_of(rule);
     const auto alike
-        = [pace](const Waiting& entry) { return pace_of(entry.question.rule) == pace; };
+        = [&queue](const Waiting& entry) { return entry.question.queue == queue; };
     return static_cast<size_t>(std::count_if(m_waiting.begin(), m_waiting.end(), alike));
 }
 
@@ -135,16 +174,23 @@
 
 void AdvicePool::dispatch()
 {
-    for (auto entry = m_waiting.begin(); entry != m_waiting.end();) {
-        Caller* caller = free_caller(pace_of(entry->question.rule));
-        if (caller == nullptr) {
-            ++entry;
+    while (dispatch_one()) { }
+}
+
+// Sends the first question in order for which there is a caller; returns whether one was.
+bool AdvicePool::dispatch_one()
+{
+    for (const size_t index : order_of_waiting()) {
+        Caller* caller = free_caller(pace_of(m_waiting[index].question.rule));
+        if (caller == nullptr)
             continue;
-        }
-        Waiting next = std::move(*entry);
-        entry = m_waiting.erase(entry);
+        Waiting next = std::move(m_waiting[index]);
+        m_waiting.erase(m_waiting.begin() + static_cast<std::ptrdiff_t>(index));
+        charge(next.question);
         send(*caller, std::move(next));
+        return true;
     }
+    return false;
 }
 
 void AdvicePool::send(Caller& caller, Waiting entry)
--- a/src/jobs.lib/advice_pool.h
+++ b/src/jobs.lib/advice_pool.h
@@ -58,9 +58,8 @@
 
     /// Returns how many questions wait for a free caller.
     size_t waiting() const { return m_waiting.size(); }
-    /// Returns how many of them take the advisor about as long as one under `rule`: these
-    /// go through the same callers.
-    size_t waiting_like(const AdviceRule& rule) const;
+    /// Returns how many of them are of `queue`.
+    size_t waiting_of(const std::string& queue) const;
     AdviceBacklog backlog() const;
 
 private:
@@ -75,13 +74,23 @@
         AdviceQuestion question;
         std::function<void(AdviceReply)> done;
     };
+    /// The advisor's time that a queue has had, weighted by its priority and halved every
+    /// `share_half_life`.
+    struct Share {
+        double cost_ms = 0;
+        Millis at; ///< When `cost_ms` was last brought up to date.
+    };
 
     /// How long the advisor takes for a question.
     enum class Pace { fast, medium, slow };
 
     static Pace pace_of(const AdviceRule& rule);
     Caller* free_caller(Pace pace);
+    double present_cost(const std::string& queue) const;
+    void charge(const AdviceQuestion& question);
+    std::vector<size_t> order_of_waiting() const;
     void dispatch();
+    bool dispatch_one();
     void send(Caller& caller, Waiting entry);
     void finished(const std::string& address, const AdviceReply& reply,
                   const Waiting& entry);
@@ -90,7 +99,8 @@
     Advisor& m_advisor;
     PeerClient& m_peers;
     std::vector<Caller> m_callers;
-    std::deque<Waiting> m_waiting; ///< By priority, then in order of arrival.
+    std::deque<Waiting> m_waiting; ///< In order of arrival.
+    std::map<std::string, Share> m_shares; ///< By queue.
     Lifetime m_lifetime;
 };
 
--- a/src/jobs.lib/advice_pool_test.cpp
+++ b/src/jobs.lib/advice_pool_test.cpp
@@ -117,8 +117,8 @@
     BOOST_TEST(pool.waiting() == 1U);
 }
 
-// Steps of an urgent queue that wait for room may ask again and again. The advisor's time is
-// shared, so a less urgent queue gets its answers too.
+// Steps of an urgent queue that wait for room may ask again and again. The advisor's time
+// is shared, so a less urgent queue gets its answers too.
 BOOST_AUTO_TEST_CASE(no_queue_takes_all_of_the_advisors_time)
 {
     emulator::World world(10);
@@ -126,8 +126,8 @@
     CountingAdvisor advisor(world);
     SilentPeers peers(world);
     AdvicePool pool(loop, advisor, peers);
-    const auto ask = [&pool](const std::string& queue, const std::string& step, int priority,
-                             std::function<void(AdviceReply)> done) {
+    const auto ask = [&pool](const std::string& queue, const std::string& step,
+                             int priority, std::function<void(AdviceReply)> done) {
         AdviceQuestion question = question_of(step, priority, 400);
         question.queue = queue;
         pool.ask(question, std::move(done));
--- a/src/jobs.lib/advice_share_test.cpp
+++ b/src/jobs.lib/advice_share_test.cpp
@@ -55,8 +55,8 @@
 } // namespace
 
 // Found on random days of a site with accelerators: steps of an urgent queue, short of room
-// on the workers that they may use, asked again and again; those of another queue, with most
-// of the room free, were asked about no worker for 15 s.
+// on the workers that they may use, asked again and again; those of another queue, with
+// most of the room free, were asked about no worker for 15 s.
 BOOST_AUTO_TEST_CASE(steps_with_room_are_asked_about_while_urgent_ones_wait)
 {
     for (const uint64_t seed : { 1, 2, 3 }) {
--- a/src/jobs.lib/job_record.h
+++ b/src/jobs.lib/job_record.h
@@ -52,8 +52,9 @@
     bool allowed = false;
     std::string ticket;
     Millis expires; ///< After it the ticket must not be used.
-    Millis answered_at; ///< When the last answer about it came.
-    bool left_out = false; ///< That answer brought no ticket.
+    bool left_out = false; ///< The last answer about it brought no ticket.
+    int refusals = 0; ///< Such answers in a row, up to a bound.
+    Millis ask_again_at; ///< A refused worker is not asked about before it.
 
     bool holds(Millis now) const { return allowed && now < expires; }
 };
--- a/src/jobs.lib/scheduler_advice.cpp
+++ b/src/jobs.lib/scheduler_advice.cpp
@@ -25,18 +25,20 @@
 /// The pause doubles with each such answer in a row, so often at most (to about 2 s): steps
 /// that ask in vain leave the advisor to the others.
 constexpr int most_doublings = 4;
-/// A worker that was refused may be asked about again after this time: a step that stays
-/// refused there costs a question in five seconds at most, and the platform's tickets, of
-/// 2 s, have run out twice since.
+/// A worker that was refused may be asked about again after this time, and after twice as
+/// long with each further refusal: the advisor's verdict stands, but it may not have known
+/// a worker for a moment. The platform's tickets, of 2 s, have run out twice since.
 constexpr Millis refusal_age { 5000 };
+/// The time doubles so often at most (to 80 s).
+constexpr int most_refusal_doublings = 4;
 /// A gang keeps its workers for so long after the tickets for them have come.
 constexpr Millis kept_after_answer { 500 };
 /// Pause after a look at the workers that found none worth a question.
 constexpr Millis nobody_pause { 30 };
 /// A question is only made up when it can be sent soon: what it asks about, the room of the
 /// moment, is stale otherwise, and the most urgent step of that moment should be the one
-/// that asks. One waits behind each that is sent, so that no caller idles.
-constexpr size_t most_waiting_alike = 2;
+/// that asks. So many of each queue wait, so that no caller idles.
+constexpr size_t most_waiting_of_queue = 2;
 /// Workers named in one question. A gang needs room on many at once, and the time that it
 /// may take allows for a question about thirty.
 constexpr int least_asked = 10;
@@ -88,7 +90,7 @@
         found.fit += prospect.fit;
         found.later_fit += prospect.later_fit;
         found.allowed.push_back(prospect);
-    } else if (now - known->answered_at >= refusal_age) {
+    } else if (now >= known->ask_again_at) {
         found.refused.push_back(prospect);
     }
 }
@@ -191,7 +193,7 @@
 {
     const Queue& queue = job.accepted().queue;
     return queue.priority > 0
-        && m_parts.advice.waiting_like(*queue.advice) >= most_waiting_alike;
+        && m_parts.advice.waiting_of(queue.name) >= most_waiting_of_queue;
 }
 
 void Scheduler::ask(const JobRecord& job, Step& step, std::vector<std::string> workers)
@@ -228,14 +230,19 @@
     bool fruitful = false;
     for (const std::string& worker : asked) {
         const auto [entry, added] = advice.workers.try_emplace(worker);
-        entry->second.answered_at = now;
-        entry->second.left_out = true;
+        Permission& known = entry->second;
+        known.left_out = true;
+        known.ask_again_at = now + Millis(refusal_age.count() << known.refusals);
+        known.refusals = std::min(known.refusals + 1, most_refusal_doublings);
         fruitful = fruitful || added;
     }
     for (const WorkerTicket& ticket : tickets) {
         Permission& permission = advice.workers[ticket.worker];
         fruitful = fruitful || !permission.allowed;
-        permission = Permission { true, ticket.ticket, expires, now };
+        permission = Permission();
+        permission.allowed = true;
+        permission.ticket = ticket.ticket;
+        permission.expires = expires;
     }
     if (!tickets.empty())
         advice.tickets_until = expires;
