Six connections to a worker at most, and idle ones are closed

The users' workers reset connections over 64; the client kept up to 24 to each and opened any number beside them; those of leaders that lost power stay open at the worker, and a leader that was deposed kept its own for ever.

Change: a client has a bound of connections to one server; calls wait for one and end 'unreachable' (nothing was sent) when their time is over; idle connections are closed after 12 s. For workers the bound is 6: one look and orders. Tests: loop_test calls_share..., call_that_gets_no..., idle_....

--- a/src/include/pathport/async_http.h
+++ b/src/include/pathport/async_http.h
@@ -105,10 +105,20 @@
     std::string body;
 };
 
+/// Limits of a client.
+struct ClientLimits {
+    /// Connections to one server, at most. Further calls wait for one, in the order in
+    /// which they came; one that gets none in its time ends `unreachable`.
+    size_t max_connections = 256;
+    /// A kept connection that nothing has used for so long is closed, since the server may
+    /// be about to close it.
+    Millis max_idle { 12000 };
+};
+
 /// A client with kept connections to any number of servers.
 class AsyncHttpClient {
 public:
-    explicit AsyncHttpClient(IoLoop& loop);
+    explicit AsyncHttpClient(IoLoop& loop, ClientLimits limits = {});
     ~AsyncHttpClient();
     AsyncHttpClient(const AsyncHttpClient&) = delete;
     AsyncHttpClient& operator=(const AsyncHttpClient&) = delete;
@@ -117,6 +127,8 @@
     void send(ClientCall call, std::function<void(CallOutcome)> done);
     /// Closes kept connections to `server`.
     void forget(const Address& server);
+    /// Returns the number of connections, kept ones and those that carry a call.
+    size_t open_connections() const;
 
 private:
     class Impl;
--- a/src/loop.lib/async_http_client.cpp
+++ b/src/loop.lib/async_http_client.cpp
@@ -11,6 +11,9 @@
 
 #include <netinet/tcp.h>
 
+#include <algorithm>
+#include <deque>
+#include <iterator>
 #include <map>
 
 namespace pathport {
@@ -23,9 +26,6 @@
 
 /// Kept connections to one server, at most.
 constexpr size_t max_kept_connections = 24;
-/// A connection that nothing has used for so long is closed rather than reused, since the
-/// server may be about to close it.
-constexpr Millis max_idle { 12000 };
 /// The largest answer that is read.
 constexpr size_t max_answer_bytes = size_t(8) * 1024 * 1024;
 
@@ -48,8 +48,9 @@
 
 class AsyncHttpClient::Impl : public std::enable_shared_from_this<AsyncHttpClient::Impl> {
 public:
-    explicit Impl(IoLoop& loop)
+    Impl(IoLoop& loop, ClientLimits limits)
         : m_loop(loop)
+        , m_limits(limits)
     {
     }
 
@@ -58,6 +59,7 @@
         ClientCall call;
         std::function<void(CallOutcome)> done;
         std::unique_ptr<Connection> connection;
+        Millis waits_until; ///< Of a call that waits for a connection.
         http::request<http::string_body> request;
         std::unique_ptr<http::response_parser<http::string_body>> parser;
     };
@@ -68,7 +70,36 @@
         auto exchange = std::make_shared<Exchange>();
         exchange->call = std::move(call);
         exchange->done = std::move(done);
-        exchange->connection = take_kept(exchange->call.server);
+        Server& server = m_servers[pool_key(exchange->call.server)];
+        if (server.busy >= m_limits.max_connections) {
+            wait(server, exchange);
+            return;
+        }
+        begin(server, exchange);
+    }
+
+    void forget(const Address& server) { m_servers[pool_key(server)].kept.clear(); }
+
+    size_t open_connections() const
+    {
+        size_t count = 0;
+        for (const auto& [key, server] : m_servers)
+            count += server.busy + server.kept.size();
+        return count;
+    }
+
+private:
+    /// What there is of one server.
+    struct Server {
+        std::vector<std::unique_ptr<Connection>> kept;
+        std::deque<ExchangePtr> waiting; ///< For a connection.
+        size_t busy = 0; ///< Connections that carry a call.
+    };
+
+    void begin(Server& server, const ExchangePtr& exchange)
+    {
+        ++server.busy;
+        exchange->connection = take_kept(server);
         if (exchange->connection) {
             write(exchange);
             return;
@@ -76,28 +107,97 @@
         connect(exchange);
     }
 
-    void forget(const Address& server) { m_kept.erase(pool_key(server)); }
+    void wait(Server& server, const ExchangePtr& exchange)
+    {
+        exchange->waits_until = m_loop.now() + exchange->call.timeout;
+        server.waiting.push_back(exchange);
+        m_loop.after(exchange->call.timeout, [self = shared_from_this(), exchange] {
+            if (exchange->connection || exchange->done == nullptr)
+                return;
+            self->give_up_waiting(exchange);
+        });
+    }
 
-private:
-    std::unique_ptr<Connection> take_kept(const Address& server)
-    {
-        const auto entry = m_kept.find(pool_key(server));
-        if (entry == m_kept.end())
-            return nullptr;
-        auto& kept = entry->second;
-        while (!kept.empty()) {
-            std::unique_ptr<Connection> connection = std::move(kept.back());
-            kept.pop_back();
+    void give_up_waiting(const ExchangePtr& exchange)
+    {
+        auto& waiting = m_servers[pool_key(exchange->call.server)].waiting;
+        const auto found = std::find(waiting.begin(), waiting.end(), exchange);
+        if (found == waiting.end())
+            return;
+        waiting.erase(found);
+        CallOutcome outcome;
+        outcome.end = CallEnd::unreachable;
+        tell(exchange, std::move(outcome));
+    }
+
+    // A call has ended: the next one that waits may have its place.
+    void release(const ExchangePtr& exchange)
+    {
+        Server& server = m_servers[pool_key(exchange->call.server)];
+        --server.busy;
+        if (server.waiting.empty())
+            return;
+        const ExchangePtr next = server.waiting.front();
+        server.waiting.pop_front();
+        // What is left of its time is for the call itself.
+        next->call.timeout = std::max(Millis(1), next->waits_until - m_loop.now());
+        begin(server, next);
+    }
+
+    static void tell(const ExchangePtr& exchange, CallOutcome outcome)
+    {
+        const auto done = std::move(exchange->done);
+        exchange->done = nullptr;
+        done(std::move(outcome));
+    }
+
+    std::unique_ptr<Connection> take_kept(Server& server)
+    {
+        while (!server.kept.empty()) {
+            std::unique_ptr<Connection> connection = std::move(server.kept.back());
+            server.kept.pop_back();
             if (is_usable(*connection))
                 return connection;
         }
         return nullptr;
     }
 
+    void sweep_later()
+    {
+        if (m_sweeping)
+            return;
+        m_sweeping = true;
+        m_loop.after(m_limits.max_idle, [weak = weak_from_this()] {
+            if (const auto self = weak.lock())
+                self->sweep();
+        });
+    }
+
+    // Closes what has been idle for too long; the oldest of a server come first.
+    void sweep()
+    {
+        m_sweeping = false;
+        const Millis oldest = m_loop.now() - m_limits.max_idle;
+        bool any_kept = false;
+        for (auto entry = m_servers.begin(); entry != m_servers.end();) {
+            Server& server = entry->second;
+            const auto fresh = std::find_if(
+                server.kept.begin(), server.kept.end(),
+                [&](const auto& connection) { return connection->idle_since > oldest; });
+            server.kept.erase(server.kept.begin(), fresh);
+            any_kept = any_kept || !server.kept.empty();
+            const bool unused
+                = server.kept.empty() && server.waiting.empty() && server.busy == 0;
+            entry = unused ? m_servers.erase(entry) : std::next(entry);
+        }
+        if (any_kept)
+            sweep_later();
+    }
+
     // A kept connection that has something to read was closed, or holds a late answer.
     bool is_usable(Connection& connection) const
     {
-        if (m_loop.now() - connection.idle_since > max_idle)
+        if (m_loop.now() - connection.idle_since > m_limits.max_idle)
             return false;
         auto& socket = connection.stream.socket();
         boost::system::error_code error;
@@ -192,12 +292,13 @@
         outcome.body = std::move(exchange->parser->get().body());
         if (exchange->parser->get().keep_alive())
             keep(exchange->call.server, std::move(exchange->connection));
-        exchange->done(std::move(outcome));
+        release(exchange);
+        tell(exchange, std::move(outcome));
     }
 
     void keep(const Address& server, std::unique_ptr<Connection> connection)
     {
-        auto& kept = m_kept[pool_key(server)];
+        auto& kept = m_servers[pool_key(server)].kept;
         if (kept.size() >= max_kept_connections)
             return;
         connection->stream.expires_never();
@@ -205,14 +306,16 @@
         connection->buffer.clear();
         connection->buffer.shrink_to_fit();
         kept.push_back(std::move(connection));
+        sweep_later();
     }
 
     void finish(const ExchangePtr& exchange, CallEnd end)
     {
         exchange->connection.reset();
+        release(exchange);
         CallOutcome outcome;
         outcome.end = end;
-        exchange->done(std::move(outcome));
+        tell(exchange, std::move(outcome));
     }
 
     void finish_later(const ExchangePtr& exchange, CallEnd end)
@@ -223,11 +326,13 @@
     }
 
     IoLoop& m_loop;
-    std::map<std::string, std::vector<std::unique_ptr<Connection>>> m_kept;
+    ClientLimits m_limits;
+    std::map<std::string, Server> m_servers; ///< By address.
+    bool m_sweeping = false; ///< sweep() is due.
 };
 
-AsyncHttpClient::AsyncHttpClient(IoLoop& loop)
-    : m_impl(std::make_shared<Impl>(loop))
+AsyncHttpClient::AsyncHttpClient(IoLoop& loop, ClientLimits limits)
+    : m_impl(std::make_shared<Impl>(loop, limits))
 {
 }
 
@@ -243,4 +348,9 @@
     m_impl->forget(server);
 }
 
+size_t AsyncHttpClient::open_connections() const
+{
+    return m_impl->open_connections();
+}
+
 } // namespace pathport
--- a/src/loop.lib/loop_test.cpp
+++ b/src/loop.lib/loop_test.cpp
@@ -9,6 +9,7 @@
 
 #include <pathport/async_http.h>
 
+#include <algorithm>
 #include <string>
 
 using namespace pathport;
@@ -112,6 +113,77 @@
     BOOST_TEST(server.requests_under_way() == 0U);
 }
 
+// A server may reset connections over a number of its own, and those of dead clients count.
+BOOST_AUTO_TEST_CASE(calls_share_a_bounded_number_of_connections)
+{
+    IoLoop loop;
+    size_t most_under_way = 0;
+    size_t under_way = 0;
+    AsyncHttpServer server(loop, address,
+                           [&](const ServerRequest&, const ServerReply& reply) {
+                               most_under_way = std::max(most_under_way, ++under_way);
+                               loop.after(Millis(10), [&under_way, reply] {
+                                   --under_way;
+                                   reply({});
+                               });
+                           },
+                           {});
+    BOOST_REQUIRE(server.start());
+    constexpr size_t connections = 3;
+    constexpr int calls = 20;
+    ClientLimits limits;
+    limits.max_connections = connections;
+    AsyncHttpClient client(loop, limits);
+    int answered = 0;
+    int ended = 0;
+    for (int i = 0; i < calls; ++i) {
+        client.send(call_with(std::to_string(i)), [&](const CallOutcome& outcome) {
+            answered += outcome.end == CallEnd::answered ? 1 : 0;
+            if (++ended == calls)
+                loop.stop();
+        });
+    }
+    loop.run();
+    BOOST_TEST(answered == calls);
+    BOOST_TEST(most_under_way == connections);
+}
+
+// A call that got no connection in its time has sent nothing, and says so.
+BOOST_AUTO_TEST_CASE(call_that_gets_no_connection_in_its_time_is_unreachable)
+{
+    IoLoop loop;
+    std::vector<ServerReply> kept;
+    AsyncHttpServer server(
+        loop, address,
+        [&](const ServerRequest&, ServerReply reply) { kept.push_back(std::move(reply)); },
+        {});
+    BOOST_REQUIRE(server.start());
+    ClientLimits limits;
+    limits.max_connections = 1;
+    AsyncHttpClient client(loop, limits);
+    client.send(call_with("first"), [](const CallOutcome&) {});
+    ClientCall second = call_with("second");
+    second.timeout = Millis(100);
+    BOOST_TEST((send_and_run(loop, client, second).end == CallEnd::unreachable));
+    BOOST_TEST(kept.size() == 1U);
+}
+
+// A node that leads no more would otherwise hold its connections to all workers for good.
+BOOST_AUTO_TEST_CASE(idle_connections_are_closed)
+{
+    IoLoop loop;
+    AsyncHttpServer server(loop, address, echo, {});
+    BOOST_REQUIRE(server.start());
+    ClientLimits limits;
+    limits.max_idle = Millis(50);
+    AsyncHttpClient client(loop, limits);
+    BOOST_TEST(send_and_run(loop, client, call_with("1")).status == 200);
+    BOOST_TEST(client.open_connections() == 1U);
+    loop.after(Millis(300), [&] { loop.stop(); });
+    loop.run();
+    BOOST_TEST(client.open_connections() == 0U);
+}
+
 BOOST_AUTO_TEST_CASE(timers_fire_in_order_and_can_be_dropped)
 {
     IoLoop loop;
--- a/src/pathport_jobd/main.cpp
+++ b/src/pathport_jobd/main.cpp
@@ -33,17 +33,29 @@
 constexpr size_t max_peer_body = size_t(4) * 1024 * 1024;
 constexpr Millis limits_interval { 500 };
 constexpr Millis drain_check { 50 };
+/// Connections to one worker: one look and some orders. The users' workers reset those over
+/// 64, and the connections of leaders that lost power stay open there: with 24 or more each,
+/// three of them left a worker that reset nearly all orders until the end of the day.
+constexpr size_t worker_connections = 6;
 /// Clients' open connections are closed so long before the end of the grace.
 constexpr Millis closing_time { 1500 };
 
+ClientLimits worker_limits()
+{
+    ClientLimits limits;
+    limits.max_connections = worker_connections;
+    return limits;
+}
+
 /// The program: everything that lives as long as the process.
 class Program {
 public:
     explicit Program(const JobdSettings& settings)
         : m_settings(settings)
         , m_http(m_loop)
+        , m_worker_http(m_loop, worker_limits())
         , m_store(m_http, settings.store)
-        , m_workers(m_http)
+        , m_workers(m_worker_http)
         , m_advice(m_http, settings.advice)
         , m_peers(m_http)
         , m_node({ m_loop, m_store, m_store, m_workers, m_advice, m_peers, m_metrics,
@@ -173,6 +185,7 @@
     JobdSettings m_settings;
     IoLoop m_loop;
     AsyncHttpClient m_http;
+    AsyncHttpClient m_worker_http;
     platform::StoreClient m_store;
     platform::WorkerOrders m_workers;
     platform::AdviceClient m_advice;
