Orders go out as soon as the head row names their workers; ends are heard sooner in a slow store

And while ends waited to be recorded, a worker was looked at only every 300 ms.

Change: when a write that names the workers has taken effect, all intended tasks there are ordered; looks come every 120 ms while ends wait. Slow writes are told of in the log (log_write_slow).

--- a/src/jobs.lib/head_log.cpp
+++ b/src/jobs.lib/head_log.cpp
@@ -24,6 +24,8 @@
 /// it is known to be slow.
 constexpr Millis usual_write_age { 900 };
 constexpr Millis slow_write_age { 2600 };
+/// A write that took longer is told of in the log.
+constexpr Millis slow_write { 100 };
 /// Pause before a write is sent again that was refused.
 constexpr Millis refused_pause { 60 };
 /// A log counts its writes from a random number below this on.
@@ -227,6 +229,15 @@
 {
     if (m_lost)
         return;
+    const Millis took = m_loop.now() - asked;
+    if (took > slow_write || result.status != StoreStatus::ok)
+        log_event(LogLevel::info, "log_write_slow",
+                  { { "epoch", m_head.epoch },
+                    { "status", to_string(result.status) },
+                    { "rows", static_cast<int64_t>(m_under_way.size()) },
+                    { "waiting", static_cast<int64_t>(m_queue.size()) },
+                    { "unrecorded_orders", m_filled.precede ? "yes" : "no" },
+                    { "after_ms", took.count() } });
     switch (result.status) {
     case StoreStatus::ok:
         committed(result.version, asked);
@@ -282,6 +293,8 @@
     }
     if (handed_over)
         m_successor->done();
+    else if (m_announced.precede)
+        m_owner.orders_released();
 }
 
 // Returns the head row among those of a result if it is the one of the present write. Each
--- a/src/jobs.lib/head_log.h
+++ b/src/jobs.lib/head_log.h
@@ -68,6 +68,8 @@
     /// Returns the workers that may run tasks without a record until the next write: those
     /// that earlier leaders left, and, when `orders_precede`, all that may be given orders.
     virtual std::vector<std::string> unrecorded_workers(bool orders_precede) = 0;
+    /// Orders may precede their records at the workers that the head row names now.
+    virtual void orders_released() = 0;
     /// The head row has been changed by another leader; nothing more can be written.
     virtual void log_lost() = 0;
 };
--- a/src/jobs.lib/head_log_test.cpp
+++ b/src/jobs.lib/head_log_test.cpp
@@ -32,6 +32,7 @@
         return orders_precede ? std::vector<std::string> { "w1" }
                               : std::vector<std::string>();
     }
+    void orders_released() override { }
     void log_lost() override { lost = true; }
     bool lost = false;
 };
--- a/src/jobs.lib/leadership_test.cpp
+++ b/src/jobs.lib/leadership_test.cpp
@@ -78,6 +78,7 @@
         return "progress of " + job;
     }
     std::vector<std::string> unrecorded_workers(bool) override { return {}; }
+    void orders_released() override { }
     void log_lost() override { }
 };
 
--- a/src/jobs.lib/scheduler.h
+++ b/src/jobs.lib/scheduler.h
@@ -106,6 +106,7 @@
     // HeadLogOwner
     std::optional<std::string> progress_of(const std::string& job) override;
     std::vector<std::string> unrecorded_workers(bool orders_precede) override;
+    void orders_released() override;
     void log_lost() override;
 
 private:
--- a/src/jobs.lib/scheduler_start.cpp
+++ b/src/jobs.lib/scheduler_start.cpp
@@ -72,6 +72,26 @@
         send_intended(job.id(), step.repeat, step.index, run, false);
 }
 
+// What was intended before the head row said that orders may precede their records needs
+// not wait for its own record any more.
+void Scheduler::orders_released()
+{
+    if (m_resigned)
+        return;
+    for (auto& [id, job] : m_jobs) {
+        for (auto& [number, repeat] : job->repeats()) {
+            for (Step& step : repeat.steps) {
+                for (size_t i = 0; i < step.tasks.size(); ++i) {
+                    const Task& task = step.tasks[i];
+                    if (task.phase == TaskPhase::intended
+                        && m_log.may_precede_record(task.worker))
+                        start_task(*job, step, static_cast<int>(i));
+                }
+            }
+        }
+    }
+}
+
 // Sends the orders of a run. Until it is recorded only those to workers that the head row
 // names.
 void Scheduler::send_intended(const std::string& id, int repeat, int index, int64_t run,
--- a/src/jobs.lib/worker_session.cpp
+++ b/src/jobs.lib/worker_session.cpp
@@ -19,8 +19,9 @@
 /// Pause after a look that got no answer; the first pause is shorter.
 constexpr Millis look_retry { 250 };
 constexpr Millis first_look_retry { 60 };
-/// Pause between looks while ends wait to be recorded.
-constexpr Millis unrecorded_pause { 300 };
+/// Pause between looks while ends wait to be recorded, since a look does not wait for
+/// further ends then: about the time in which an end should be known.
+constexpr Millis unrecorded_pause { 120 };
 constexpr Millis stop_retry { 500 };
 /// Left off the longest lease, since the worker's clock as we count it may run ahead.
 constexpr Millis hold_margin { 150 };
