Steps that are no gangs preempt less urgent tasks too, and keep the workers that they empty

Only gangs preempted, and only with slack left.

Change: a step without any room on the workers that it may use has less urgent tasks that keep their progress stopped there, keeps these workers, and asks for tickets meanwhile. What is late does so too, until three times its time are over.

--- a/src/jobs.lib/scheduler.h
+++ b/src/jobs.lib/scheduler.h
@@ -242,6 +242,7 @@
     void pass();
     std::vector<Candidate> candidates();
     static int64_t slack_ms(JobRecord& job, int64_t now_ms);
+    static int64_t allowed_ms(JobRecord& job);
     void place(const Candidate& candidate);
     void check_again_soon();
     bool gang_may_be_placed(const Step& step) const;
@@ -264,6 +265,8 @@
     void prepare_gang(const JobRecord& job, Step& step, int needed);
     bool make_room(const JobRecord& job, const Step& step,
                    const std::vector<Prospect>& kept, int needed);
+    bool may_preempt(const JobRecord& job) const;
+    bool prepare_some(const JobRecord& job, Step& step, Prospects& found, int needed);
     std::vector<Victim> victims_on(const Worker& worker, int priority);
     void ask_about_more(const JobRecord& job, Step& step, int needed,
                         const Prospects& found, const std::vector<Prospect>& unknown);
--- a/src/jobs.lib/scheduler_advice.cpp
+++ b/src/jobs.lib/scheduler_advice.cpp
@@ -178,6 +178,8 @@
         ask_about_more(job, step, needed, found, both);
         return;
     }
+    if (prepare_some(job, step, found, needed))
+        return;
     constexpr int spare = 2;
     size_t used = 0;
     int fit = 0;
--- a/src/jobs.lib/scheduler_gangs.cpp
+++ b/src/jobs.lib/scheduler_gangs.cpp
@@ -15,8 +15,11 @@
 
 namespace {
 
-/// A gang that can wait for longer than this preempts nothing.
+/// A step that can wait for longer than this preempts nothing.
 constexpr int64_t patient_slack_ms = 5000;
+/// A job is worth something to its caller until so many times the time that it is allowed
+/// (the users' rules on late jobs); after that it preempts nothing.
+constexpr int64_t late_multiple = 3;
 /// Gangs that wait for room and are looked at in one pass.
 constexpr int most_gangs_prepared = 16;
 /// At most one in so many workers is kept free for gangs whose room is not there yet.
@@ -172,14 +175,55 @@
     return victims;
 }
 
+// Returns whether the job can't wait long any more and is still worth something.
+bool Scheduler::may_preempt(const JobRecord& job) const
+{
+    const int64_t now_ms = m_parts.store_clock_ms();
+    JobRecord& record = *m_jobs.at(job.id());
+    const int64_t allowed = allowed_ms(record);
+    const bool worthless
+        = now_ms - job.accepted().accepted_ms > late_multiple * allowed;
+    return !worthless && slack_ms(record, now_ms) <= patient_slack_ms;
+}
+
+// Tasks that need not start together, and have no room on any worker that they may use:
+// less urgent tasks there give way, on as few workers as needed, which are kept until then.
+// Returns whether room will come.
+bool Scheduler::prepare_some(const JobRecord& job, Step& step, Prospects& found, int needed)
+{
+    if (found.fit > 0 || found.later_fit == 0 || !may_preempt(job))
+        return false;
+    auto& allowed = found.allowed;
+    const auto without_room = std::remove_if(
+        allowed.begin(), allowed.end(),
+        [](const Prospect& prospect) { return prospect.later_fit == 0; });
+    allowed.erase(without_room, allowed.end());
+    const int wanted = std::min(needed, found.later_fit);
+    size_t used = 0;
+    int fit = 0;
+    while (used < allowed.size() && fit < wanted)
+        fit += allowed[used++].later_fit;
+    allowed.resize(used);
+    if (!make_room(job, step, allowed, wanted))
+        return false;
+    for (const Prospect& prospect : allowed)
+        reserve(*prospect.worker, step);
+    if (!job.accepted().queue.advice || tickets_last(step, allowed)) {
+        keep(step, allowed, ticket_reserve);
+        return true;
+    }
+    ask(job, step, names(allowed));
+    keep(step, allowed, step.advice.asking ? longest_question : ticket_reserve);
+    return true;
+}
+
 // Stops tasks on the workers that are kept for the gang, if that makes enough room there.
 // Returns whether the room will come.
 bool Scheduler::make_room(const JobRecord& job, const Step& step,
                           const std::vector<Prospect>& kept, int needed)
 {
     const int priority = job.accepted().queue.priority;
-    const int64_t slack = slack_ms(*find_job(job.id()), m_parts.store_clock_ms());
-    if (slack < 0 || slack > patient_slack_ms)
+    if (!may_preempt(job))
         return false;
     const std::string key = step.name(job.id());
     std::vector<std::pair<Worker*, Victim>> chosen;
@@ -207,9 +251,7 @@
     if (chosen.empty())
         return true;
     log_event(LogLevel::info, "preempted",
-              { { "job", job.id() },
-                { "stopped", static_cast<int64_t>(chosen.size()) },
-                { "slack_ms", slack } });
+              { { "job", job.id() }, { "stopped", static_cast<int64_t>(chosen.size()) } });
     m_parts.metrics.count("pathport_preemptions_total", {}, double(chosen.size()));
     return true;
 }
--- a/src/jobs.lib/scheduler_pass.cpp
+++ b/src/jobs.lib/scheduler_pass.cpp
@@ -125,14 +125,18 @@
 // of its work; below 0 when it will be late anyhow.
 int64_t Scheduler::slack_ms(JobRecord& job, int64_t now_ms)
 {
-    const AcceptedJob& accepted = job.accepted();
-    const int64_t allowed
-        = static_cast<int64_t>(accepted.queue.stretch * double(job.longest_chain_ms()))
-        + accepted.queue.slo_ms;
-    const int64_t due = accepted.accepted_ms + allowed;
+    const int64_t due = job.accepted().accepted_ms + allowed_ms(job);
     return due - now_ms - job.remaining_chain_ms();
 }
 
+// Returns how long the job may take in all, by its submitter's guess of its work.
+int64_t Scheduler::allowed_ms(JobRecord& job)
+{
+    const Queue& queue = job.accepted().queue;
+    return static_cast<int64_t>(queue.stretch * double(job.longest_chain_ms()))
+        + queue.slo_ms;
+}
+
 // A gang is placed whole, or a member that never started soon after the others. A member
 // whose run has ended can't join that run again.
 bool Scheduler::gang_may_be_placed(const Step& step) const
