Packing goes by the resource of which most is in use in the pool

Hypothesis: where accelerators are scarce, the tightest fit by free processors spreads one-GPU tasks over all workers, so that tasks that want a whole worker wait. Change: the tightest fit is by the resource of which the largest share is in use in the service's pool.

--- a/src/jobs.lib/scheduler.h
+++ b/src/jobs.lib/scheduler.h
@@ -240,6 +240,7 @@
     // scheduler_start.cpp).
     void schedule_pass();
     void pass();
+    void find_scarce_resources();
     std::vector<Candidate> candidates();
     static int64_t slack_ms(JobRecord& job, int64_t now_ms);
     static int64_t allowed_ms(JobRecord& job);
@@ -347,6 +348,7 @@
     std::map<std::string, double>
         m_allowed_share; ///< By queue, of the workers asked about.
     std::map<std::string, double> m_guess_error; ///< By queue, smoothed logarithm.
+    std::map<std::string, ResourceKind> m_scarce; ///< By service, in the present pass.
     Millis m_load_reported;
     bool m_pass_due = false;
     bool m_check_due = false; ///< A pass will follow for steps that wait for room.
