--- a/src/jobs.lib/scheduler_jobs.cpp
+++ b/src/jobs.lib/scheduler_jobs.cpp
@@ -52,7 +52,9 @@
               { { "job", accepted.id },
                 { "queue", accepted.queue.name },
                 { "source", source },
-                { "version", version } });
+                { "version", version },
+                { "stretch_percent", static_cast<int64_t>(accepted.queue.stretch * 100) },
+                { "slo_ms", accepted.queue.slo_ms } });
     add_job(std::make_unique<JobRecord>(accepted, m_parts.loop.now()));
     join_stray_runs(*m_jobs[accepted.id]);
     take_kept_ends(accepted.id);
