Missing answers of workers are noticed after a learned time; a look waits 0.5 s where something runs

A lost look was noticed after 1.8 + 0.6 s, in which the worker's ends were not heard of; a lost start after 0.4 s.

Change: the time after which an answer counts as missing is learned for each worker (RFC 6298: smoothed time and four deviations, doubled while answers are missing), from 100 to 400 ms, in place of 400 and 600 ms; a look waits for 0.5 s, not 1.8 s, at a worker where something is placed.

--- a/src/jobs.lib/scheduler.cpp
+++ b/src/jobs.lib/scheduler.cpp
@@ -148,12 +148,15 @@
     if (spec.fills)
         need.cpu_millis = 0;
     worker.load.add(task, Occupant { run, need, priority });
+    worker.session->set_busy(true);
 }
 
 void Scheduler::vacate(Worker& worker, const TaskId& task, int64_t run)
 {
-    if (worker.load.remove(task, run))
-        schedule_pass();
+    if (!worker.load.remove(task, run))
+        return;
+    worker.session->set_busy(!worker.load.empty());
+    schedule_pass();
 }
 
 void Scheduler::release(Task& task)
--- a/src/jobs.lib/scheduler_reports.cpp
+++ b/src/jobs.lib/scheduler_reports.cpp
@@ -358,6 +358,7 @@
 void Scheduler::release_all(Worker& worker)
 {
     worker.load.clear();
+    worker.session->set_busy(false);
     const std::string id = worker.session->id();
     for (auto& [name, job] : m_jobs) {
         for (auto& [number, repeat] : job->repeats()) {
--- a/src/jobs.lib/worker_session.cpp
+++ b/src/jobs.lib/worker_session.cpp
@@ -11,11 +11,16 @@
 
 namespace {
 
-/// How long a look waits at the worker for an end.
-constexpr Millis look_wait { 1800 };
-/// How long an answer may take beyond what a call waits at the worker.
-constexpr Millis look_timeout { 600 };
-constexpr Millis order_timeout { 400 };
+/// How long a look waits at the worker for an end. An end is heard of so late when the look
+/// was lost, so where something runs it waits for less; the looks of a busy worker are
+/// answered sooner anyhow.
+constexpr Millis idle_look_wait { 1800 };
+constexpr Millis busy_look_wait { 500 };
+/// Bounds of the time after which an answer counts as missing: some passes of the scheduler
+/// (12 ms each), which hold up both the call and the answer; and what was waited before the
+/// time was learned.
+constexpr Millis least_answer_time { 100 };
+constexpr Millis most_answer_time { 400 };
 /// Pause after a look that got no answer; the first pause is shorter.
 constexpr Millis look_retry { 250 };
 constexpr Millis first_look_retry { 60 };
@@ -86,6 +91,7 @@
     , m_info(std::move(info))
     , m_bounds(bounds)
     , m_fence(std::max(epoch * fences_per_epoch + 1, least_fence))
+    , m_response(least_answer_time, most_answer_time)
     , m_lapse_at(unknown_until)
 {
 }
@@ -146,21 +152,39 @@
     // A silent worker's lease is left to run out: a renewal that may arrive would put off
     // the time from which its tasks can be placed elsewhere.
     order.hold_until = m_failed_looks > 0 ? 0 : hold_until();
-    const bool waits = may_wait && usable() && m_recorded == m_listed;
-    order.wait = waits ? look_wait : Millis(0);
+    order.wait = wait_of_look(may_wait);
     note_lease(order.hold_until);
     ++m_looks_open;
     const Millis asked = m_loop.now();
     m_look_started = asked;
     m_client.look(
-        m_info, order, order.wait + look_timeout,
-        m_lifetime.wrap([this, fence = order.fence, until = order.hold_until, asked](
+        m_info, order, order.wait + m_response.limit(),
+        m_lifetime.wrap([this, fence = order.fence, until = order.hold_until, asked,
+                         waited = order.wait > Millis(0)](
                             OrderStatus status, const std::optional<LookReport>& report) {
             --m_looks_open;
+            if (!waited)
+                note_response(status, asked);
             look_answered(status, report, fence, until, asked);
         }));
 }
 
+// A look that is to be answered at once waits for nothing.
+Millis WorkerSession::wait_of_look(bool may_wait) const
+{
+    if (!may_wait || !usable() || m_recorded != m_listed)
+        return Millis(0);
+    return m_busy ? busy_look_wait : idle_look_wait;
+}
+
+void WorkerSession::note_response(OrderStatus status, Millis asked)
+{
+    if (status == OrderStatus::unknown || status == OrderStatus::unreachable)
+        m_response.note_missing();
+    else
+        m_response.note(m_loop.now() - asked);
+}
+
 void WorkerSession::look_answered(OrderStatus status,
                                   const std::optional<LookReport>& report, int64_t fence,
                                   int64_t until, Millis asked)
@@ -321,9 +345,11 @@
     note_lease(order.hold_until);
     ++m_unanswered[task.to_string()];
     Doubt open { task, run, m_fence, std::move(done) };
+    const Millis asked = m_loop.now();
     m_client.start(
-        m_info, order, order_timeout,
-        m_lifetime.wrap([this, open = std::move(open)](const OrderAnswer& answer) {
+        m_info, order, m_response.limit(),
+        m_lifetime.wrap([this, asked, open = std::move(open)](const OrderAnswer& answer) {
+            note_response(answer.status, asked);
             start_answered(answer, open);
         }));
 }
@@ -397,7 +423,7 @@
     order.task = request.task;
     order.run = request.run;
     order.fence = m_fence;
-    m_client.stop(m_info, order, order_timeout,
+    m_client.stop(m_info, order, m_response.limit(),
                   m_lifetime.wrap([this](const OrderAnswer& answer) {
                       if (answer.status == OrderStatus::other_life)
                           end_life();
@@ -411,7 +437,7 @@
     order.run = run;
     order.fence = m_fence;
     order.percent = percent;
-    m_client.pace(m_info, order, order_timeout, [](const OrderAnswer&) {});
+    m_client.pace(m_info, order, m_response.limit(), [](const OrderAnswer&) {});
 }
 
 void WorkerSession::ends_recorded(int64_t number)
--- a/src/jobs.lib/worker_session.h
+++ b/src/jobs.lib/worker_session.h
@@ -8,6 +8,7 @@
 #pragma once
 
 #include "lifetime.h"
+#include "response_time.h"
 
 #include <pathport/event_loop.h>
 #include <pathport/jobs/worker_client.h>
@@ -84,6 +85,9 @@
     /// Begins to look.
     void begin();
 
+    /// Tells whether anything is placed there, so that ends are to be heard of soon.
+    void set_busy(bool busy) { m_busy = busy; }
+
     /// Returns whether the worker has accepted this leader's fence.
     bool fenced() const { return m_fenced; }
     /// Returns whether it answers, what earlier leaders left there is known, and no order
@@ -123,6 +127,8 @@
     int64_t hold_until() const;
     void schedule_look(Millis delay);
     void look(bool may_wait);
+    Millis wait_of_look(bool may_wait) const;
+    void note_response(OrderStatus status, Millis asked);
     void look_answered(OrderStatus status, const std::optional<LookReport>& report,
                        int64_t fence, int64_t until, Millis asked);
     void look_failed(OrderStatus status, Millis asked);
@@ -149,6 +155,8 @@
     bool m_over = false;
     bool m_left = false;
     bool m_lapse_told = false;
+    bool m_busy = false;
+    ResponseTime m_response; ///< Of its answers, beyond the time that a look waits.
     int64_t m_clock_ms = 0; ///< The worker's clock as last heard.
     Millis m_clock_at; ///< When it was heard; zero when it never was.
     int64_t m_longest_until = 0; ///< The latest lease end that was ever sent.
