--- a/src/emulator.lib/store.cpp
+++ b/src/emulator.lib/store.cpp
@@ -14,6 +14,8 @@
 
 constexpr int64_t usual_latency_ms = 4;
 constexpr int64_t latency_spread_ms = 4;
+/// As the adapter of the users' platform waits for the answer to a watch.
+constexpr Millis watch_margin { 3000 };
 constexpr Millis watch_poll { 20 };
 
 StoreResult with_status(StoreStatus status)
@@ -208,7 +210,7 @@
 {
     Store& store = m_store;
     call(
-        wait + Millis(1000),
+        wait + watch_margin,
         [&store, table, version] { return store.watch_now(table, version); },
         std::move(done));
 }
--- a/src/jobs.lib/head_log_test.cpp
+++ b/src/jobs.lib/head_log_test.cpp
@@ -156,3 +156,19 @@
         BOOST_TEST(untold == 0, "seed " << seed << ": " << untold << " ms");
     }
 }
+
+// A write that was lost with the store's outage is sent again soon after it.
+BOOST_AUTO_TEST_CASE(log_is_written_soon_after_a_silent_store_is_back)
+{
+    for (int outage_ms = 2000; outage_ms < 4000; outage_ms += 100) {
+        LoggedStore logged(8);
+        logged.world.run_for(Millis(1000));
+        logged.store.trouble.silent = true;
+        logged.log.record("job");
+        logged.world.run_for(Millis(outage_ms));
+        logged.store.trouble.silent = false;
+        logged.world.run_for(Millis(600));
+        BOOST_TEST(!logged.store.value(progress_row("job")).empty(),
+                   "outage of " << outage_ms << " ms");
+    }
+}
--- a/src/jobs.lib/job_feed_test.cpp
+++ b/src/jobs.lib/job_feed_test.cpp
@@ -134,3 +134,20 @@
     followed.world.run_for(Millis(2000));
     BOOST_TEST(followed.seen.count("aa") == 1U);
 }
+
+// A call that was lost with the store's outage must not hold up the first one after it.
+BOOST_AUTO_TEST_CASE(feed_knows_all_rows_soon_after_a_silent_store_is_back)
+{
+    for (int outage_ms = 2000; outage_ms < 3000; outage_ms += 100) {
+        FollowedStore followed;
+        followed.world.run_for(Millis(1000));
+        followed.store.trouble.silent = true;
+        followed.world.run_for(Millis(outage_ms));
+        followed.store.trouble.silent = false;
+        const Millis back = followed.world.now();
+        followed.put("aa");
+        followed.world.run_for(Millis(600));
+        BOOST_TEST(followed.seen.count("aa") == 1U, "outage of " << outage_ms << " ms");
+        BOOST_TEST((followed.feed.known_at() >= back), "outage of " << outage_ms << " ms");
+    }
+}
