Calls that an outage swallowed are overtaken by new ones

A poll of the feed, sent during the outage, was waited for 3 s, and nothing is started on old knowledge of cancellations; the log's write was found to be lost at 23.0 s, since the read that shows it was itself swallowed and waited for 1.5 s.

Change: a poll without an answer is followed by another after 0.5 s, a read of a written row after 0.4 s, four open at most; a poll is waited for 1.5 s.

--- a/src/emulator.lib/store.cpp
+++ b/src/emulator.lib/store.cpp
@@ -15,7 +15,7 @@
 constexpr int64_t usual_latency_ms = 4;
 constexpr int64_t latency_spread_ms = 4;
 /// As the adapter of the users' platform waits for the answer to a watch.
-constexpr Millis watch_margin { 3000 };
+constexpr Millis watch_margin { 1500 };
 constexpr Millis watch_poll { 20 };
 
 StoreResult with_status(StoreStatus status)
--- a/src/jobs.lib/job_feed.cpp
+++ b/src/jobs.lib/job_feed.cpp
@@ -14,6 +14,8 @@
 namespace {
 
 constexpr Millis poll_interval { 500 };
+/// So many polls may be without an answer at a time.
+constexpr int most_open_polls = 4;
 /// Pause after all rows were read: the store may forget its history again and again.
 constexpr Millis reread_pause { 900 };
 
@@ -37,26 +39,35 @@
 
 void JobFeed::poll_now()
 {
-    if (!m_polling && !m_reader.reading())
+    if (m_polls_open == 0 && !m_reader.reading())
         poll();
 }
 
+void JobFeed::timer_fired()
+{
+    if (m_polls_open < most_open_polls && !m_reader.reading())
+        poll();
+    else
+        schedule(poll_interval);
+}
+
 void JobFeed::schedule(Millis delay)
 {
     m_loop.cancel(m_timer);
     m_timer = m_loop.after(delay, m_lifetime.wrap([this] {
         m_timer = 0;
-        poll_now();
+        timer_fired();
     }));
 }
 
 void JobFeed::poll()
 {
-    m_polling = true;
+    ++m_polls_open;
     const Millis begun = m_loop.now();
+    schedule(poll_interval);
     m_store.watch(jobs_table, m_version, Millis(0),
                   m_lifetime.wrap([this, begun](const StoreResult& result) {
-                      m_polling = false;
+                      --m_polls_open;
                       polled(result, begun);
                   }));
 }
@@ -64,14 +75,15 @@
 void JobFeed::polled(const StoreResult& result, Millis begun)
 {
     if (result.status == StoreStatus::history_lost) {
+        if (m_reader.reading())
+            return;
         log_event(LogLevel::warn, "job_history_lost", { { "version", m_version } });
         reread();
         return;
     }
-    schedule(poll_interval);
     if (result.status != StoreStatus::ok)
         return;
-    m_known_at = begun;
+    m_known_at = std::max(m_known_at, begun);
     m_version = std::max(m_version, result.version);
     tell(result.rows);
 }
@@ -82,7 +94,7 @@
     const auto seen = [this](const std::vector<StoredRow>& rows) { tell(rows); };
     m_reader.read(jobs_table, job_part_names(), seen, [this, begun](int64_t version) {
         m_version = std::max(m_version, version);
-        m_known_at = begun;
+        m_known_at = std::max(m_known_at, begun);
         schedule(reread_pause);
     });
 }
--- a/src/jobs.lib/job_feed.h
+++ b/src/jobs.lib/job_feed.h
@@ -18,7 +18,8 @@
 namespace pathport::jobs {
 
 /// Asks for changes at regular times. When the store has forgotten the changes that were
-/// missed, all rows are read again, by one such reading at a time.
+/// missed, all rows are read again, by one such reading at a time. A poll that gets no answer
+/// is soon followed by another: it may have been lost with an outage that is over.
 class JobFeed {
 public:
     /// `seen` is told each row, some of them more than once.
@@ -34,6 +35,7 @@
 
 private:
     void schedule(Millis delay);
+    void timer_fired();
     void poll();
     void polled(const StoreResult& result, Millis begun);
     void reread();
@@ -44,7 +46,7 @@
     std::function<void(const StoredRow&)> m_seen;
     int64_t m_version = 0; ///< Changes are known up to here.
     Millis m_known_at;
-    bool m_polling = false;
+    int m_polls_open = 0; ///< Without an answer.
     EventLoop::TimerId m_timer = 0;
     TableReader m_reader;
     Lifetime m_lifetime;
--- a/src/jobs.lib/store_writer.cpp
+++ b/src/jobs.lib/store_writer.cpp
@@ -18,8 +18,9 @@
 /// The longest that an answer is waited for.
 constexpr Millis longest_wait { 2500 };
 constexpr Millis probe_timeout { 1500 };
-/// Pause after a read that was refused or not answered.
-constexpr Millis probe_retry { 100 };
+/// The row is read again at this interval, with so many reads open at most.
+constexpr Millis probe_interval { 400 };
+constexpr int most_open_probes = 4;
 /// A read that was answered within this time was quick.
 constexpr Millis quick_read { 100 };
 
@@ -41,15 +42,23 @@
                   m_lifetime.wrap(
                       [this, call](const StoreResult& result) { answered(call, result); }));
     const Millis overdue(std::max(overdue_multiple * m_latency_ms, least_overdue_ms));
-    m_loop.after(slow() ? first_read_when_slow : overdue,
-                 m_lifetime.wrap([this, call] { probe(call); }));
+    probe_later(call, slow() ? first_read_when_slow : overdue);
+}
+
+void StoreWriter::probe_later(const CallPtr& call, Millis delay)
+{
+    m_loop.after(delay, m_lifetime.wrap([this, call] { probe(call); }));
 }
 
 void StoreWriter::probe(const CallPtr& call)
 {
     if (call->ended)
         return;
-    call->probed = m_loop.now();
+    // A read may be lost with an outage that is over: others follow while it is open.
+    probe_later(call, probe_interval);
+    if (call->probes_open >= most_open_probes)
+        return;
+    ++call->probes_open;
     const RowKey& row = call->first_put.id;
     StoreRange range;
     range.table = row.table;
@@ -59,18 +68,17 @@
     range.limit = 1;
     m_store.read(
         range, probe_timeout,
-        m_lifetime.wrap([this, call](const StoreResult& result) { probed(call, result); }));
+        m_lifetime.wrap([this, call, asked = m_loop.now()](const StoreResult& result) {
+            --call->probes_open;
+            probed(call, result, asked);
+        }));
 }
 
-void StoreWriter::probed(const CallPtr& call, const StoreResult& result)
+void StoreWriter::probed(const CallPtr& call, const StoreResult& result, Millis asked)
 {
-    if (call->ended)
+    if (call->ended || result.status != StoreStatus::ok)
         return;
-    if (result.status != StoreStatus::ok) {
-        m_loop.after(probe_retry, m_lifetime.wrap([this, call] { probe(call); }));
-        return;
-    }
-    const Millis took = m_loop.now() - call->probed;
+    const Millis took = m_loop.now() - asked;
     const bool slow_read = took > quick_read;
     if (slow_read)
         m_latency_ms = std::max(m_latency_ms, took.count());
@@ -84,10 +92,8 @@
             return;
         }
     }
-    if (slow_read) {
-        probe(call);
+    if (slow_read)
         return;
-    }
     StoreResult lost;
     lost.status = StoreStatus::unknown;
     finish(call, lost);
--- a/src/jobs.lib/store_writer.h
+++ b/src/jobs.lib/store_writer.h
@@ -42,7 +42,7 @@
         StoreReply done;
         RowPut first_put;
         Millis asked;
-        Millis probed;
+        int probes_open = 0; ///< Reads of the row without an answer.
         bool ended = false;
     };
     using CallPtr = std::shared_ptr<Call>;
@@ -51,7 +51,8 @@
     static constexpr int64_t slow_latency_ms = 60;
 
     void probe(const CallPtr& call);
-    void probed(const CallPtr& call, const StoreResult& result);
+    void probe_later(const CallPtr& call, Millis delay);
+    void probed(const CallPtr& call, const StoreResult& result, Millis asked);
     void answered(const CallPtr& call, const StoreResult& result);
     void finish(const CallPtr& call, const StoreResult& result);
 
