--- a/src/include/pathport/jobs/job_node.h
+++ b/src/include/pathport/jobs/job_node.h
@@ -10,6 +10,7 @@
 #include <pathport/event_loop.h>
 #include <pathport/jobs/job_model.h>
 #include <pathport/jobs/job_store.h>
+#include <pathport/jobs/mechanisms.h>
 #include <pathport/jobs/peers.h>
 #include <pathport/jobs/worker_client.h>
 #include <pathport/metrics.h>
@@ -49,6 +50,8 @@
     Millis hand_over_by { 2500 };
     /// So many closed jobs of one part of the store are archived together.
     size_t archive_batch = 12;
+    /// For experiments only.
+    Mechanisms mechanisms;
 };
 
 /// How a client's call ended.
--- a/src/jobs.lib/advice_pool.cpp
+++ b/src/jobs.lib/advice_pool.cpp
@@ -42,10 +42,12 @@
 
 } // namespace
 
-AdvicePool::AdvicePool(EventLoop& loop, Advisor& advisor, PeerClient& peers)
+AdvicePool::AdvicePool(EventLoop& loop, Advisor& advisor, PeerClient& peers,
+                       Mechanisms mechanisms)
     : m_loop(loop)
     , m_advisor(advisor)
     , m_peers(peers)
+    , m_mechanisms(mechanisms)
 {
     m_callers.push_back({});
 }
@@ -54,6 +56,8 @@
 {
     std::vector<Caller> callers;
     callers.push_back(m_callers.front());
+    if (!m_mechanisms.uses(Mechanism::advice_spread))
+        return;
     for (const std::string& address : addresses) {
         const auto known
             = std::find_if(m_callers.begin() + 1, m_callers.end(),
@@ -106,9 +110,10 @@
         costs.try_emplace(entry.question.queue, present_cost(entry.question.queue));
     std::vector<size_t> order(m_waiting.size());
     std::iota(order.begin(), order.end(), size_t(0));
+    const bool shared = m_mechanisms.uses(Mechanism::advice_shares);
     const auto key = [&](size_t index) {
         const AdviceQuestion& question = m_waiting[index].question;
-        return std::make_tuple(question.priority > 0, costs[question.queue],
+        return std::make_tuple(question.priority > 0, shared ? costs[question.queue] : 0,
                                question.priority);
     };
     std::stable_sort(order.begin(), order.end(),
--- a/src/jobs.lib/advice_pool.h
+++ b/src/jobs.lib/advice_pool.h
@@ -10,6 +10,7 @@
 #include "lifetime.h"
 
 #include <pathport/event_loop.h>
+#include <pathport/jobs/mechanisms.h>
 #include <pathport/jobs/peers.h>
 #include <pathport/jobs/worker_client.h>
 
@@ -48,7 +49,8 @@
 /// Asks through this node and its peers.
 class AdvicePool {
 public:
-    AdvicePool(EventLoop& loop, Advisor& advisor, PeerClient& peers);
+    AdvicePool(EventLoop& loop, Advisor& advisor, PeerClient& peers,
+               Mechanisms mechanisms = {});
 
     /// Sets the addresses of the other nodes.
     void set_peers(const std::vector<std::string>& addresses);
@@ -98,6 +100,7 @@
     EventLoop& m_loop;
     Advisor& m_advisor;
     PeerClient& m_peers;
+    Mechanisms m_mechanisms;
     std::vector<Caller> m_callers;
     std::deque<Waiting> m_waiting; ///< In order of arrival.
     std::map<std::string, Share> m_shares; ///< By queue.
--- a/src/jobs.lib/head_log.cpp
+++ b/src/jobs.lib/head_log.cpp
@@ -75,14 +75,15 @@
 }
 
 HeadLog::HeadLog(EventLoop& loop, JobStore& store, HeadLogOwner& owner, HeadValue head,
-                 int64_t version, Millis claimed)
+                 int64_t version, Millis claimed, Mechanisms mechanisms)
     : m_loop(loop)
     , m_owner(owner)
+    , m_mechanisms(mechanisms)
     , m_head(std::move(head))
     , m_version(version)
     , m_lease_until(claimed + leader_lease)
     , m_last_start(claimed)
-    , m_writer(loop, store)
+    , m_writer(loop, store, mechanisms)
 {
     // Writes of another log under the same claim, if there ever is one, have other numbers.
     m_head.number = static_cast<int64_t>(loop.random() % first_number_bound);
@@ -112,8 +113,8 @@
 {
     if (m_lost || m_successor)
         return;
-    m_successor
-        = Successor { std::move(leader_row), std::move(incarnation), std::move(done), false };
+    m_successor = Successor { std::move(leader_row), std::move(incarnation),
+                              std::move(done), false };
     if (!m_sending && !m_pending_write)
         schedule(Millis(1));
 }
@@ -175,8 +176,8 @@
     m_write.checks.push_back({ lead_row(head_key), m_version });
     m_write.puts.push_back({ lead_row(head_key), {} });
     size_t bytes = 0;
-    while (!m_queue.empty() && m_under_way.size() < most_rows
-           && bytes < max_transaction_bytes) {
+    const size_t most = m_mechanisms.uses(Mechanism::write_batching) ? most_rows : 1;
+    while (!m_queue.empty() && m_under_way.size() < most && bytes < max_transaction_bytes) {
         const std::string job = m_queue.front();
         m_queue.pop_front();
         const auto entry = m_waiting.find(job);
@@ -199,7 +200,8 @@
     const bool last = m_successor && m_queue.empty();
     // Once the store is quick again and this write holds all that waits, what comes later
     // is recorded first.
-    m_filled.precede = !last && (m_writer.slow() || !m_queue.empty());
+    m_filled.precede = !last && (m_writer.slow() || !m_queue.empty())
+        && m_mechanisms.uses(Mechanism::early_orders);
     ++m_head.number;
     if (last) {
         // A head that no claim writes, so that it proves this write alone.
--- a/src/jobs.lib/head_log.h
+++ b/src/jobs.lib/head_log.h
@@ -13,6 +13,7 @@
 
 #include <pathport/event_loop.h>
 #include <pathport/jobs/job_store.h>
+#include <pathport/jobs/mechanisms.h>
 
 #include <deque>
 #include <functional>
@@ -29,8 +30,8 @@
 /// What the head row holds.
 struct HeadValue {
     int64_t epoch = 0;
-    /// Of the write within the epoch: 0 for a claim, above it for the leader's writes, below
-    /// it for the write by which the leader before made this one its successor.
+    /// Of the write within the epoch: 0 for a claim, above it for the leader's writes,
+    /// below it for the write by which the leader before made this one its successor.
     int64_t number = 0;
     std::string incarnation; ///< Of the writer.
     /// Workers that may run tasks of which no record tells: this leader's orders may
@@ -79,7 +80,7 @@
 public:
     /// Starts the log after the claim that wrote `head` with `version`, begun at `claimed`.
     HeadLog(EventLoop& loop, JobStore& store, HeadLogOwner& owner, HeadValue head,
-            int64_t version, Millis claimed);
+            int64_t version, Millis claimed, Mechanisms mechanisms = {});
 
     /// Has the progress row of `job` written with its value as of the write, which begins
     /// after this call; `done` is called when it is in the store.
@@ -131,6 +132,7 @@
 
     EventLoop& m_loop;
     HeadLogOwner& m_owner;
+    Mechanisms m_mechanisms;
     HeadValue m_head;
     int64_t m_version;
     Millis m_lease_until;
--- a/src/jobs.lib/job_node.cpp
+++ b/src/jobs.lib/job_node.cpp
@@ -36,7 +36,7 @@
     , m_setup(setup)
     , m_store(parts.loop, parts.store, parts.metrics)
     , m_acceptor(parts.loop, m_store)
-    , m_advice(parts.loop, parts.advisor, parts.peers)
+    , m_advice(parts.loop, parts.advisor, parts.peers, setup.mechanisms)
     , m_leadership(parts.loop, m_store, parts.peers,
                    { setup.node, setup.peer_address, setup.incarnation, setup.strength },
                    *this)
@@ -149,7 +149,8 @@
                            [this] { return m_store.clock_ms(); },
                            m_parts.metrics,
                            WorkerBounds { m_setup.max_hold, m_setup.kill_grace },
-                           m_setup.archive_batch };
+                           m_setup.archive_batch,
+                           m_setup.mechanisms };
     m_scheduler
         = std::make_unique<Scheduler>(parts, claim, m_lifetime.wrap([this] { deposed(); }));
     m_scheduler->begin();
@@ -359,7 +360,8 @@
 // while the store is slow this node goes on as long as its grace allows.
 bool JobNode::Impl::hand_over_due() const
 {
-    if (m_handing_over || !m_scheduler->acting())
+    if (m_handing_over || !m_scheduler->acting()
+        || !m_setup.mechanisms.uses(Mechanism::hand_over))
         return false;
     const bool stronger = strongest_follower() > m_setup.strength;
     const bool overdue
--- a/src/jobs.lib/scheduler.cpp
+++ b/src/jobs.lib/scheduler.cpp
@@ -19,7 +19,8 @@
     : m_parts(std::move(parts))
     , m_claim(claim)
     , m_deposed(std::move(deposed))
-    , m_log(m_parts.loop, m_parts.store, *this, claim.head, claim.version, claim.claimed)
+    , m_log(m_parts.loop, m_parts.store, *this, claim.head, claim.version, claim.claimed,
+            m_parts.mechanisms)
     , m_last_run(claim.head.epoch * runs_per_epoch)
     , m_job_reader(m_parts.loop, m_parts.store)
     , m_progress_reader(m_parts.loop, m_parts.store)
--- a/src/jobs.lib/scheduler.h
+++ b/src/jobs.lib/scheduler.h
@@ -18,6 +18,7 @@
 
 #include <pathport/event_loop.h>
 #include <pathport/jobs/job_store.h>
+#include <pathport/jobs/mechanisms.h>
 #include <pathport/jobs/worker_client.h>
 #include <pathport/metrics.h>
 
@@ -47,6 +48,7 @@
     Metrics& metrics;
     WorkerBounds bounds;
     size_t archive_batch = 1; ///< As in NodeSetup.
+    Mechanisms mechanisms;
 };
 
 /// The claim that began an epoch.
@@ -209,7 +211,7 @@
     void batch_recorded(const std::string& worker, const std::shared_ptr<EndBatch>& batch);
     void learn_speed(Worker& worker, const JobRecord& job, const Step& step,
                      const Task& task);
-    static bool is_slow_for(const Worker& worker, const JobRecord& job);
+    bool is_slow_for(const Worker& worker, const JobRecord& job) const;
     void note_surprise(Worker& worker, const std::string& job);
     bool avoids_enough_besides(const Worker& worker) const;
     void note_refusal(Worker& worker, Millis chosen_at);
@@ -297,6 +299,7 @@
     void check_standing(JobRecord& job, Step& step);
     void leave_draining(JobRecord& job, Step& step);
 
+    bool uses(Mechanism mechanism) const { return m_parts.mechanisms.uses(mechanism); }
     Worker* find_worker(const std::string& id);
     void occupy(Worker& worker, const TaskId& task, int64_t run, const StepSpec& spec,
                 int priority);
--- a/src/jobs.lib/scheduler_gangs.cpp
+++ b/src/jobs.lib/scheduler_gangs.cpp
@@ -38,7 +38,7 @@
 
 void Scheduler::reserve(Worker& worker, const Step& step)
 {
-    if (worker.kept_for != nullptr)
+    if (worker.kept_for != nullptr || !uses(Mechanism::reservations))
         return;
     worker.kept_for = &step;
     ++m_reserved_count;
@@ -181,9 +181,9 @@
     const int64_t now_ms = m_parts.store_clock_ms();
     JobRecord& record = *m_jobs.at(job.id());
     const int64_t allowed = allowed_ms(record);
-    const bool worthless
-        = now_ms - job.accepted().accepted_ms > late_multiple * allowed;
-    return !worthless && slack_ms(record, now_ms) <= patient_slack_ms;
+    const bool worthless = now_ms - job.accepted().accepted_ms > late_multiple * allowed;
+    return uses(Mechanism::preemption) && !worthless
+        && slack_ms(record, now_ms) <= patient_slack_ms;
 }
 
 // Tasks that need not start together, and have no room on any worker that they may use:
@@ -194,9 +194,9 @@
     if (found.fit > 0 || found.later_fit == 0 || !may_preempt(job))
         return false;
     auto& allowed = found.allowed;
-    const auto without_room = std::remove_if(
-        allowed.begin(), allowed.end(),
-        [](const Prospect& prospect) { return prospect.later_fit == 0; });
+    const auto without_room
+        = std::remove_if(allowed.begin(), allowed.end(),
+                         [](const Prospect& prospect) { return prospect.later_fit == 0; });
     allowed.erase(without_room, allowed.end());
     const int wanted = std::min(needed, found.later_fit);
     size_t used = 0;
--- a/src/jobs.lib/scheduler_jobs.cpp
+++ b/src/jobs.lib/scheduler_jobs.cpp
@@ -151,7 +151,7 @@
 {
     const Millis now = m_parts.loop.now();
     if (now - m_archive_tried < archive_interval || !m_log.served()
-        || m_log.orders_precede())
+        || m_log.orders_precede() || !uses(Mechanism::archive))
         return;
     m_archive_tried = now;
     for (auto& [part, ids] : m_to_archive) {
--- a/src/jobs.lib/scheduler_load.cpp
+++ b/src/jobs.lib/scheduler_load.cpp
@@ -184,7 +184,7 @@
         }
         worker.session = std::make_unique<WorkerSession>(
             m_parts.loop, m_parts.workers, *this, info, m_claim.head.epoch, m_ended_fence,
-            m_parts.bounds, m_unknown_until);
+            m_parts.bounds, m_unknown_until, m_parts.mechanisms);
         if (m_phase != Phase::loading)
             worker.session->begin();
     }
--- a/src/jobs.lib/scheduler_pass.cpp
+++ b/src/jobs.lib/scheduler_pass.cpp
@@ -83,6 +83,8 @@
 // What is scarce in each service's pool follows from what is in use there now.
 void Scheduler::find_scarce_resources()
 {
+    if (!uses(Mechanism::scarce_packing))
+        return;
     std::map<std::string_view, std::pair<Resources, Resources>> pools;
     for (const auto& [id, worker] : m_workers) {
         const WorkerInfo& info = worker.session->info();
@@ -125,9 +127,11 @@
         candidate.slack_ms = slack_ms(*candidate.job, now_ms);
         candidate.late = candidate.slack_ms < 0;
     }
-    const auto key = [](const Candidate& candidate) {
-        return std::make_tuple(candidate.job->accepted().queue.priority, candidate.late,
-                               candidate.slack_ms);
+    const bool by_slack = uses(Mechanism::slack_order);
+    const auto key = [by_slack](const Candidate& candidate) {
+        const AcceptedJob& job = candidate.job->accepted();
+        return std::make_tuple(job.queue.priority, by_slack && candidate.late,
+                               by_slack ? candidate.slack_ms : job.accepted_ms);
     };
     std::stable_sort(found.begin(), found.end(),
                      [&](const Candidate& left, const Candidate& right) {
@@ -199,6 +203,8 @@
 std::set<std::string_view> Scheduler::second_choices(const Step& step) const
 {
     std::set<std::string_view> workers;
+    if (!uses(Mechanism::second_choices))
+        return workers;
     for (const Task& task : step.tasks) {
         if (task.phase == TaskPhase::waiting && !task.failed_on.empty())
             workers.insert(task.failed_on);
@@ -273,9 +279,8 @@
         ask_for_some(job, step, needed);
     if (fit == 0)
         return;
-    const std::vector<Share> shares
-        = choose_workers(*step.spec, needed, step.spec->gang,
-                         m_scarce[job.accepted().queue.service], rooms);
+    const std::vector<Share> shares = choose_workers(
+        *step.spec, needed, step.spec->gang, m_scarce[job.accepted().queue.service], rooms);
     if (shares.empty())
         return;
     step.check_at = Millis(0);
--- a/src/jobs.lib/scheduler_reports.cpp
+++ b/src/jobs.lib/scheduler_reports.cpp
@@ -295,9 +295,10 @@
 }
 
 // Only urgent work is kept from slow workers; the rest has to use them.
-bool Scheduler::is_slow_for(const Worker& worker, const JobRecord& job)
+bool Scheduler::is_slow_for(const Worker& worker, const JobRecord& job) const
 {
-    return job.accepted().queue.priority == 0 && worker.slowness > slow_worker;
+    return uses(Mechanism::slow_workers) && job.accepted().queue.priority == 0
+        && worker.slowness > slow_worker;
 }
 
 void Scheduler::note_surprise(Worker& worker, const std::string& job)
@@ -332,7 +333,8 @@
 
 void Scheduler::count_surprise(Worker& worker)
 {
-    if (++worker.surprises < most_surprises || avoids_enough_besides(worker))
+    if (++worker.surprises < most_surprises || avoids_enough_besides(worker)
+        || !uses(Mechanism::avoided_workers))
         return;
     worker.avoid_until = m_parts.loop.now() + avoid_time;
     log_event(LogLevel::warn, "worker_avoided",
--- a/src/jobs.lib/store_writer.cpp
+++ b/src/jobs.lib/store_writer.cpp
@@ -26,9 +26,10 @@
 
 } // namespace
 
-StoreWriter::StoreWriter(EventLoop& loop, JobStore& store)
+StoreWriter::StoreWriter(EventLoop& loop, JobStore& store, Mechanisms mechanisms)
     : m_loop(loop)
     , m_store(store)
+    , m_mechanisms(mechanisms)
 {
 }
 
@@ -42,7 +43,8 @@
                   m_lifetime.wrap(
                       [this, call](const StoreResult& result) { answered(call, result); }));
     const Millis overdue(std::max(overdue_multiple * m_latency_ms, least_overdue_ms));
-    probe_later(call, slow() ? first_read_when_slow : overdue);
+    const bool early = slow() && m_mechanisms.uses(Mechanism::early_reads);
+    probe_later(call, early ? first_read_when_slow : overdue);
 }
 
 void StoreWriter::probe_later(const CallPtr& call, Millis delay)
--- a/src/jobs.lib/store_writer.h
+++ b/src/jobs.lib/store_writer.h
@@ -10,6 +10,7 @@
 
 #include <pathport/event_loop.h>
 #include <pathport/jobs/job_store.h>
+#include <pathport/jobs/mechanisms.h>
 
 #include <memory>
 
@@ -26,7 +27,7 @@
 /// conclude that the whole of it took effect.
 class StoreWriter {
 public:
-    StoreWriter(EventLoop& loop, JobStore& store);
+    StoreWriter(EventLoop& loop, JobStore& store, Mechanisms mechanisms = {});
 
     /// Runs `write`. `done` is called exactly once, later. `unknown` means that the write
     /// may have been done or may still be done; its `rows` hold the first put as it was
@@ -58,6 +59,7 @@
 
     EventLoop& m_loop;
     JobStore& m_store;
+    Mechanisms m_mechanisms;
     int64_t m_latency_ms = 10; ///< Smoothed.
     Lifetime m_lifetime;
 };
--- a/src/jobs.lib/worker_session.cpp
+++ b/src/jobs.lib/worker_session.cpp
@@ -84,14 +84,18 @@
 
 WorkerSession::WorkerSession(EventLoop& loop, WorkerClient& client,
                              SessionListener& listener, WorkerInfo info, int64_t epoch,
-                             int64_t least_fence, WorkerBounds bounds, Millis unknown_until)
+                             int64_t least_fence, WorkerBounds bounds, Millis unknown_until,
+                             Mechanisms mechanisms)
     : m_loop(loop)
     , m_client(client)
     , m_listener(listener)
     , m_info(std::move(info))
     , m_bounds(bounds)
     , m_fence(std::max(epoch * fences_per_epoch + 1, least_fence))
-    , m_response(least_answer_time, most_answer_time)
+    , m_mechanisms(mechanisms)
+    , m_response(mechanisms.uses(Mechanism::learned_timeouts) ? least_answer_time
+                                                              : most_answer_time,
+                 most_answer_time)
     , m_lapse_at(unknown_until)
 {
 }
@@ -174,7 +178,8 @@
 {
     if (!may_wait || !usable() || m_recorded != m_listed)
         return Millis(0);
-    return m_busy ? busy_look_wait : idle_look_wait;
+    return m_busy && m_mechanisms.uses(Mechanism::short_looks) ? busy_look_wait
+                                                               : idle_look_wait;
 }
 
 void WorkerSession::note_response(OrderStatus status, Millis asked)
--- a/src/jobs.lib/worker_session.h
+++ b/src/jobs.lib/worker_session.h
@@ -11,6 +11,7 @@
 #include "response_time.h"
 
 #include <pathport/event_loop.h>
+#include <pathport/jobs/mechanisms.h>
 #include <pathport/jobs/worker_client.h>
 
 #include <functional>
@@ -70,7 +71,7 @@
     /// until `unknown_until`.
     WorkerSession(EventLoop& loop, WorkerClient& client, SessionListener& listener,
                   WorkerInfo info, int64_t epoch, int64_t least_fence, WorkerBounds bounds,
-                  Millis unknown_until);
+                  Millis unknown_until, Mechanisms mechanisms = {});
     ~WorkerSession();
 
     const std::string& id() const { return m_info.id; }
@@ -156,6 +157,7 @@
     bool m_left = false;
     bool m_lapse_told = false;
     bool m_busy = false;
+    Mechanisms m_mechanisms;
     ResponseTime m_response; ///< Of its answers, beyond the time that a look waits.
     int64_t m_clock_ms = 0; ///< The worker's clock as last heard.
     Millis m_clock_at; ///< When it was heard; zero when it never was.
--- a/src/pathport_jobd/jobd_settings.cpp
+++ b/src/pathport_jobd/jobd_settings.cpp
@@ -48,12 +48,15 @@
 
 std::vector<SettingSpec> specs()
 {
+    SettingSpec off = text("experiments", "off");
+    off.default_value = "none";
     SettingSpec level = text("node", "log_level");
     level.type = SettingType::choice;
     level.choices = { "debug", "info", "warn", "error" };
     level.default_value = "info";
     return { text("node", "name"),
              level,
+             off,
              span("node", "stop_grace_ms", 500, 600000, "5000"),
              decimal("machine", "processor_share", "1"),
              decimal("machine", "processor_cores", "1"),
@@ -79,7 +82,14 @@
     const auto file = Settings::load(path, specs(), reason);
     if (!file)
         return std::nullopt;
+    const auto mechanisms
+        = jobs::Mechanisms::without(file->text("experiments", "off"), reason);
+    if (!mechanisms) {
+        reason = Failure(reason.kind(), path + ": [experiments] off: " + reason.detail());
+        return std::nullopt;
+    }
     JobdSettings settings;
+    settings.mechanisms = *mechanisms;
     settings.node = file->text("node", "name");
     settings.log_level = file->text("node", "log_level");
     settings.stop_grace = file->millis("node", "stop_grace_ms");
--- a/src/pathport_jobd/jobd_settings.h
+++ b/src/pathport_jobd/jobd_settings.h
@@ -6,6 +6,7 @@
 
 #pragma once
 
+#include <pathport/jobs/mechanisms.h>
 #include <pathport/settings.h>
 
 #include <optional>
@@ -26,6 +27,7 @@
     Millis max_hold; ///< The longest lease that a worker grants.
     Millis kill_grace; ///< How long a stop takes at a worker.
     Millis stop_grace; ///< How long a planned stop may take.
+    jobs::Mechanisms mechanisms; ///< For experiments only.
     int strength = 0; ///< Processor time that it may use, in thousandths of a core.
 
     /// Reads a file. On failure returns nothing, and `reason` names the key, its value and
--- a/src/pathport_jobd/main.cpp
+++ b/src/pathport_jobd/main.cpp
@@ -34,8 +34,8 @@
 constexpr Millis limits_interval { 500 };
 constexpr Millis drain_check { 50 };
 /// Connections to one worker: one look and some orders. The users' workers reset those over
-/// 64, and the connections of leaders that lost power stay open there: with 24 or more each,
-/// three of them left a worker that reset nearly all orders until the end of the day.
+/// 64, and the connections of leaders that lost power stay open there: with 24 or more
+/// each, three of them left a worker that reset nearly all orders until the end of the day.
 constexpr size_t worker_connections = 6;
 /// Clients' open connections are closed so long before the end of the grace.
 constexpr Millis closing_time { 1500 };
@@ -115,10 +115,14 @@
         setup.node = settings.node;
         setup.peer_address = settings.peers.to_string();
         setup.incarnation = random_token();
+        setup.mechanisms = settings.mechanisms;
         setup.hand_over_by = Millis(settings.stop_grace.count() / 2);
         setup.max_hold = settings.max_hold;
         setup.kill_grace = settings.kill_grace;
-        setup.strength = settings.strength;
+        // All nodes are alike in an experiment without this.
+        setup.strength = settings.mechanisms.uses(jobs::Mechanism::strongest_leads)
+            ? settings.strength
+            : 1;
         return setup;
     }
 
