A task that failed waits for other workers before it goes back to the same one

Change: a step whose task has just failed leaves second choices alone for the time of two answers of the advisor and 0.1 s, for each failure.

--- a/src/jobs.lib/job_record.h
+++ b/src/jobs.lib/job_record.h
@@ -37,6 +37,7 @@
     std::string worker; ///< Where it is intended, starting, running, stopping or in doubt.
     std::string checkpoint; ///< To go on from.
     std::string failed_on; ///< The worker where it failed last.
+    Millis failed_at; ///< When it did, under this leader.
     std::string ticket; ///< Of the intended start.
     Millis placed_at; ///< When the worker was chosen.
     int percent = 0; ///< As last reported.
--- a/src/jobs.lib/scheduler.h
+++ b/src/jobs.lib/scheduler.h
@@ -250,6 +250,7 @@
     void check_again_soon();
     bool gang_may_be_placed(const Step& step) const;
     std::set<std::string_view> second_choices(const Step& step) const;
+    bool avoids_second_choices(const JobRecord& job, const Step& step) const;
     std::vector<WorkerRoom> rooms_for(const JobRecord& job, const Step& step, int needed);
     WorkerRoom room_on(const Worker& worker, const Step& step,
                        const std::string& step_name) const;
--- a/src/jobs.lib/scheduler_pass.cpp
+++ b/src/jobs.lib/scheduler_pass.cpp
@@ -216,6 +216,25 @@
     return workers;
 }
 
+// Returns whether a task of the step has failed so lately that others should be found first,
+// and there may be others: what has just failed leaves its room on the same worker, and its
+// tickets, at hand. The time is that of an answer about further workers, for each failure.
+bool Scheduler::avoids_second_choices(const JobRecord& job, const Step& step) const
+{
+    constexpr int answers = 2; // The present one of the queue may be under way.
+    constexpr int workers_asked = 30;
+    constexpr Millis way { 100 };
+    const auto& rule = job.accepted().queue.advice;
+    const double answer_ms
+        = rule ? rule->decision_ms + rule->per_worker_ms * workers_asked : 0;
+    const Millis patience = way + Millis(static_cast<int64_t>(answers * answer_ms));
+    return std::any_of(step.tasks.begin(), step.tasks.end(), [&](const Task& task) {
+        const auto failures = static_cast<int64_t>(task.failed_runs.size());
+        return task.phase == TaskPhase::waiting && failures > 0
+            && m_pass_begun - task.failed_at < Millis(patience.count() * failures);
+    });
+}
+
 std::vector<WorkerRoom> Scheduler::rooms_for(const JobRecord& job, const Step& step,
                                              int needed)
 {
@@ -251,7 +270,7 @@
     int fit = 0;
     for (const WorkerRoom& room : rooms)
         fit += tasks_that_fit(*step.spec, room);
-    if (fit < needed)
+    if (fit < needed && !avoids_second_choices(job, step))
         rooms.insert(rooms.end(), second_rooms.begin(), second_rooms.end());
     return rooms;
 }
--- a/src/jobs.lib/scheduler_reports.cpp
+++ b/src/jobs.lib/scheduler_reports.cpp
@@ -254,6 +254,7 @@
                               const EndedTask& end)
 {
     task.failed_on = worker.session->id();
+    task.failed_at = m_parts.loop.now();
     release(task);
     step.failed_workers.insert(worker.session->id());
     // What fails on several workers fails by its own fault.
--- a/src/jobs.lib/stuck_step_test.cpp
+++ b/src/jobs.lib/stuck_step_test.cpp
@@ -397,3 +397,19 @@
         BOOST_TEST(site.advisor.questions > 0, "slow: " << slow);
     }
 }
+
+// Found on the bench (grown core library, scale-2): tasks on a worker that fails all it starts
+// went back there three times within 130 ms, since it alone had room and tickets at hand, and
+// their job had failed before others were asked about.
+BOOST_AUTO_TEST_CASE(failed_task_goes_to_other_workers)
+{
+    Site site(14, 2, 2);
+    // The workers that are asked about first, all but the one that fails.
+    site.advisor.refused = { "w10", "w11", "w12", "w13", "w14", "w2", "w3", "w4", "w5" };
+    site.emulated.afflict("w1", emulator::WorkerFault::fails_tasks, long_enough);
+    site.submit("job1", 1, facts_of(4, 500, 450));
+    site.world.run_for(long_enough);
+    BOOST_TEST(site.done("job1", 4));
+    // Each of its tasks was tried there once at most.
+    BOOST_TEST(site.workers.starts["w1"] <= 4);
+}
