What is not urgent asks about more workers in one question, full ones too

Change: a queue that isn't urgent names so many workers that they add half to the time of the decision.

--- a/src/jobs.lib/scheduler.h
+++ b/src/jobs.lib/scheduler.h
@@ -278,6 +278,7 @@
                             const std::vector<WorkerTicket>& tickets, Millis now,
                             Millis expires);
     void ask_for_some(const JobRecord& job, Step& step, int needed);
+    static int least_to_ask(const JobRecord& job, const Step& step);
     bool advice_crowded(const JobRecord& job) const;
     void ask(const JobRecord& job, Step& step, std::vector<std::string> workers);
     void explain_wait(const JobRecord& job, Step& step);
--- a/src/jobs.lib/scheduler_advice.cpp
+++ b/src/jobs.lib/scheduler_advice.cpp
@@ -40,9 +40,12 @@
 /// that asks. So many of each queue wait, so that no caller idles.
 constexpr size_t most_waiting_of_queue = 2;
 /// Workers named in one question. A gang needs room on many at once, and the time that it
-/// may take allows for a question about thirty.
+/// may take allows for a question about thirty. What is not urgent asks about so many that
+/// they add half to the time of the decision: verdicts stay, and a second question takes
+/// that time again.
 constexpr int least_asked = 10;
 constexpr int least_asked_for_gang = 30;
+constexpr double named_per_decision = 0.5;
 constexpr int most_asked = 100;
 /// Asked for beyond what is needed on average, since the advisor's choice varies.
 constexpr double asked_reserve = 1.5;
@@ -125,9 +128,10 @@
             const auto known = step.advice.workers.find(id);
             permission = known == step.advice.workers.end() ? nullptr : &known->second;
         }
-        // A verdict outlasts the room of the moment: a gang asks about full workers as
-        // well.
-        const bool worth_a_verdict = permission == nullptr && step.spec->gang
+        // A verdict outlasts the room of the moment: what isn't urgent asks about full
+        // workers as well.
+        const bool worth_a_verdict = permission == nullptr
+            && (step.spec->gang || priority > 0)
             && step.spec->need.fits_in(worker.session->info().capacity);
         if (prospect.later_fit == 0 && !worth_a_verdict)
             continue;
@@ -139,6 +143,18 @@
     return found;
 }
 
+int Scheduler::least_to_ask(const JobRecord& job, const Step& step)
+{
+    const Queue& queue = job.accepted().queue;
+    if (step.spec->gang)
+        return least_asked_for_gang;
+    if (queue.priority == 0 || queue.advice->per_worker_ms <= 0)
+        return least_asked;
+    const double named
+        = named_per_decision * queue.advice->decision_ms / queue.advice->per_worker_ms;
+    return std::clamp(static_cast<int>(named), least_asked, most_asked);
+}
+
 // Asks about workers whose verdict isn't known, or may have changed, so many that those
 // allowed should suffice. Room that comes when less urgent tasks end counts half.
 void Scheduler::ask_about_more(const JobRecord& job, Step& step, int needed,
@@ -148,7 +164,7 @@
         = m_allowed_share.try_emplace(job.accepted().queue.name, first_allowed_share)
               .first->second;
     double expected = 0.5 * (found.fit + found.later_fit);
-    const int least = step.spec->gang ? least_asked_for_gang : least_asked;
+    const int least = least_to_ask(job, step);
     std::vector<Prospect> chosen;
     for (const Prospect& prospect : unknown) {
         const bool enough = expected >= asked_reserve * needed;
