--- a/src/jobs.lib/scheduler_advice.cpp
+++ b/src/jobs.lib/scheduler_advice.cpp
@@ -183,7 +183,8 @@
     if (step.advice.asking || m_pass_begun < step.advice.retry_at || advice_crowded(job))
         return;
     Prospects found = prospects(job, step, needed);
-    if (found.first_fit < needed && any_room(found.unasked)) {
+    const bool first_question = step.advice.workers.empty();
+    if (found.first_fit < needed && (first_question || any_room(found.unasked))) {
         ask_about_more(job, step, needed, found, found.unasked);
         return;
     }
