Looks wait for less while answers go missing; gangs' times follow from the settings

Looks: 0.25 s in place of 0.5 s where something runs, while a worker left a call unanswered in the last 3 s.

Gangs: how long a gang with a missing member is left alone was 2.3 s, and 1.8 s for placing it again, from the kiosk's time-out of 3 s; with a time-out under 2.3 s members would have given up first. Both now follow from [workers] gang_timeout_ms, which the platform's settings fill in.

--- a/scripts/where_lost.py
+++ b/scripts/where_lost.py
@@ -20,7 +20,7 @@
   closed     from its last end to its final state in the store
   never      it was accepted and did not end; `never placed`: nothing of it was started
 
-A line that can't be read is named with its file and number. Exit code 2 if a file can't be read.
+A line that can't be read is named with its file and number. Exit code 1 if a file can't be read.
 """
 import argparse
 import collections
--- a/src/include/pathport/jobs/job_node.h
+++ b/src/include/pathport/jobs/job_node.h
@@ -42,6 +42,7 @@
     std::string incarnation; ///< Changes with each start.
     Millis max_hold { 6000 }; ///< The longest lease of a worker.
     Millis kill_grace { 400 }; ///< How long a stop takes at a worker.
+    Millis gang_timeout { 3000 }; ///< So long a gang's member waits for the others.
     /// The processor time that the node may use, in thousandths of a core. A node leads
     /// only while no stronger one can.
     int strength = 1000;
--- a/src/jobs.lib/scheduler.cpp
+++ b/src/jobs.lib/scheduler.cpp
@@ -54,6 +54,13 @@
     return now < m_log.lease_until() || now < m_promised_until;
 }
 
+bool Scheduler::answers_go_missing() const
+{
+    // Some thousand calls are made in this time, so even rare losses keep it up.
+    constexpr Millis memory { 3000 };
+    return m_answer_missed_at && m_parts.loop.now() - *m_answer_missed_at < memory;
+}
+
 void Scheduler::depose()
 {
     if (m_phase == Phase::over)
--- a/src/jobs.lib/scheduler.h
+++ b/src/jobs.lib/scheduler.h
@@ -100,6 +100,8 @@
 
     // SessionListener
     bool may_order() const override;
+    void answer_missing() override { m_answer_missed_at = m_parts.loop.now(); }
+    bool answers_go_missing() const override;
     void reported(WorkerSession& session, const LookReport& report,
                   ReportStage stage) override;
     void life_over(WorkerSession& session) override;
@@ -354,6 +356,8 @@
         m_allowed_share; ///< By queue, of the workers asked about.
     std::map<std::string, double> m_guess_error; ///< By queue, smoothed logarithm.
     std::map<std::string, ResourceKind> m_scarce; ///< By service, in the present pass.
+    std::optional<Millis>
+        m_answer_missed_at; ///< When a worker last left a call unanswered.
     Millis m_load_reported;
     bool m_pass_due = false;
     bool m_check_due = false; ///< A pass will follow for steps that wait for room.
--- a/src/jobs.lib/scheduler_pass.cpp
+++ b/src/jobs.lib/scheduler_pass.cpp
@@ -28,8 +28,9 @@
 /// hundreds of such steps, a look at each end of a task would take all of the processor.
 constexpr Millis room_check_interval { 20 };
 constexpr size_t clock_reading_interval = 4; ///< In candidates.
-/// A member of a gang may be placed again so long after the others.
-constexpr Millis gang_refill_time { 1800 };
+/// A member of a gang is not placed again later than so long before the others give up: its
+/// order has to be recorded and to arrive, and the gang is stopped 0.7 s before.
+constexpr Millis gang_refill_margin { 1200 };
 /// A step that has waited for so long is explained in the log, again and again.
 constexpr Millis wait_explained_after { 2000 };
 
@@ -164,11 +165,12 @@
     if (placed == 0)
         return true;
     const Millis now = m_pass_begun;
+    const Millis refill_time = m_parts.bounds.gang_timeout - gang_refill_margin;
     return std::all_of(step.tasks.begin(), step.tasks.end(), [&](const Task& task) {
         if (task.phase == TaskPhase::waiting)
             return task.ended_run != step.gang_run;
         return (task.phase == TaskPhase::starting || task.phase == TaskPhase::running)
-            && task.run == step.gang_run && now - task.placed_at < gang_refill_time;
+            && task.run == step.gang_run && now - task.placed_at < refill_time;
     });
 }
 
@@ -216,9 +218,10 @@
     return workers;
 }
 
-// Returns whether a task of the step has failed so lately that others should be found first,
-// and there may be others: what has just failed leaves its room on the same worker, and its
-// tickets, at hand. The time is that of an answer about further workers, for each failure.
+// Returns whether a task of the step has failed so lately that others should be found
+// first, and there may be others: what has just failed leaves its room on the same worker,
+// and its tickets, at hand. The time is that of an answer about further workers, for each
+// failure.
 bool Scheduler::avoids_second_choices(const JobRecord& job, const Step& step) const
 {
     constexpr int answers = 2; // The present one of the queue may be under way.
--- a/src/jobs.lib/scheduler_tick.cpp
+++ b/src/jobs.lib/scheduler_tick.cpp
@@ -14,8 +14,9 @@
 
 constexpr Millis tick_interval { 200 };
 constexpr Millis load_interval { 2000 };
-/// A gang of which a member is missing for so long is stopped, before its members give up.
-constexpr Millis gang_patience { 2300 };
+/// A gang of which a member is missing is stopped so long before its members give up: a
+/// tick, the order and its repetition.
+constexpr Millis gang_margin { 700 };
 /// A task whose progress has not moved for so long stands still.
 constexpr Millis standing_time { 2600 };
 constexpr int all_done_percent = 100;
@@ -103,9 +104,10 @@
     if (!step.spec->gang || step.count(TaskPhase::waiting) == 0)
         return;
     const Millis now = m_parts.loop.now();
+    const Millis patience = m_parts.bounds.gang_timeout - gang_margin;
     for (size_t i = 0; i < step.tasks.size(); ++i) {
         Task& task = step.tasks[i];
-        if (task.phase != TaskPhase::running || now - task.placed_at < gang_patience)
+        if (task.phase != TaskPhase::running || now - task.placed_at < patience)
             continue;
         Worker* worker = find_worker(task.worker);
         if (worker == nullptr)
--- a/src/jobs.lib/worker_session.cpp
+++ b/src/jobs.lib/worker_session.cpp
@@ -12,10 +12,11 @@
 namespace {
 
 /// How long a look waits at the worker for an end. An end is heard of so late when the look
-/// was lost, so where something runs it waits for less; the looks of a busy worker are
-/// answered sooner anyhow.
+/// was lost, so where something runs it waits for less, and for less again while answers go
+/// missing; the looks of a busy worker are answered sooner anyhow.
 constexpr Millis idle_look_wait { 1800 };
 constexpr Millis busy_look_wait { 500 };
+constexpr Millis lossy_look_wait { 250 };
 /// Bounds of the time after which an answer counts as missing: some passes of the scheduler
 /// (12 ms each), which hold up both the call and the answer; and what was waited before the
 /// time was learned.
@@ -169,6 +170,8 @@
             --m_looks_open;
             if (!waited)
                 note_response(status, asked);
+            else if (status == OrderStatus::unknown)
+                m_listener.answer_missing();
             look_answered(status, report, fence, until, asked);
         }));
 }
@@ -178,16 +181,21 @@
 {
     if (!may_wait || !usable() || m_recorded != m_listed)
         return Millis(0);
+    if (m_busy && m_mechanisms.uses(Mechanism::short_looks)
+        && m_listener.answers_go_missing())
+        return lossy_look_wait;
     return m_busy && m_mechanisms.uses(Mechanism::short_looks) ? busy_look_wait
                                                                : idle_look_wait;
 }
 
 void WorkerSession::note_response(OrderStatus status, Millis asked)
 {
-    if (status == OrderStatus::unknown || status == OrderStatus::unreachable)
+    if (status == OrderStatus::unknown || status == OrderStatus::unreachable) {
         m_response.note_missing();
-    else
-        m_response.note(m_loop.now() - asked);
+        m_listener.answer_missing();
+        return;
+    }
+    m_response.note(m_loop.now() - asked);
 }
 
 void WorkerSession::look_answered(OrderStatus status,
--- a/src/jobs.lib/worker_session.h
+++ b/src/jobs.lib/worker_session.h
@@ -29,6 +29,7 @@
 struct WorkerBounds {
     Millis max_hold { 6000 }; ///< The longest lease that a worker grants.
     Millis kill_grace { 400 }; ///< How long a stop takes at most.
+    Millis gang_timeout { 3000 }; ///< So long a gang's member waits for the others.
 };
 
 /// What became of a start.
@@ -51,6 +52,10 @@
 
     /// Returns whether orders may be given now.
     virtual bool may_order() const = 0;
+    /// A call to some worker was not answered.
+    virtual void answer_missing() = 0;
+    /// Returns whether workers have left calls unanswered lately.
+    virtual bool answers_go_missing() const = 0;
     /// A look brought a report under this leader's fence.
     virtual void reported(WorkerSession& session, const LookReport& report,
                           ReportStage stage)
--- a/src/jobs.lib/worker_session_test.cpp
+++ b/src/jobs.lib/worker_session_test.cpp
@@ -71,6 +71,9 @@
     int over = 0;
     int lapsed = 0;
     bool may_order() const override { return true; }
+    void answer_missing() override { ++missing; }
+    bool answers_go_missing() const override { return missing > 0; }
+    int missing = 0; ///< Calls that were not answered.
     void reported(WorkerSession&, const LookReport&, ReportStage) override { }
     void life_over(WorkerSession&) override { ++over; }
     void lease_lapsed(WorkerSession&) override { ++lapsed; }
--- a/src/pathport_jobd/jobd_settings.cpp
+++ b/src/pathport_jobd/jobd_settings.cpp
@@ -67,7 +67,8 @@
              address("services", "store"),
              address("services", "advice"),
              span("workers", "max_hold_ms", 1000, 3600000, "6000"),
-             span("workers", "kill_grace_ms", 1, 600000, "400") };
+             span("workers", "kill_grace_ms", 1, 600000, "400"),
+             span("workers", "gang_timeout_ms", 1500, 600000, "3000") };
 }
 
 Address address_of(const Settings& settings, const char* section, const char* key)
@@ -103,6 +104,7 @@
     settings.store = address_of(*file, "services", "store");
     settings.advice = address_of(*file, "services", "advice");
     settings.max_hold = file->millis("workers", "max_hold_ms");
+    settings.gang_timeout = file->millis("workers", "gang_timeout_ms");
     settings.kill_grace = file->millis("workers", "kill_grace_ms");
     return settings;
 }
--- a/src/pathport_jobd/jobd_settings.h
+++ b/src/pathport_jobd/jobd_settings.h
@@ -26,6 +26,7 @@
     Address advice;
     Millis max_hold; ///< The longest lease that a worker grants.
     Millis kill_grace; ///< How long a stop takes at a worker.
+    Millis gang_timeout; ///< So long a gang's member waits for the others.
     Millis stop_grace; ///< How long a planned stop may take.
     jobs::Mechanisms mechanisms; ///< For experiments only.
     int strength = 0; ///< Processor time that it may use, in thousandths of a core.
--- a/src/pathport_jobd/main.cpp
+++ b/src/pathport_jobd/main.cpp
@@ -115,6 +115,7 @@
         setup.node = settings.node;
         setup.peer_address = settings.peers.to_string();
         setup.incarnation = random_token();
+        setup.gang_timeout = settings.gang_timeout;
         setup.mechanisms = settings.mechanisms;
         setup.hand_over_by = Millis(settings.stop_grace.count() / 2);
         setup.max_hold = settings.max_hold;
