A take-over's reads overtake those that an outage swallowed; promises hold for 1 s

And a leader that lost power just after the first outage was replaced 1.8 s later, since the promises of followers, not to claim, held for 1.5 s.

Change: a page that is not read is asked for again every 0.3 s while the earlier reads are open, six at most; promises hold for 1 s. Test: job_feed_test table_is_read_soon_after_a_silent_store_is_back.

--- a/src/jobs.lib/job_feed_test.cpp
+++ b/src/jobs.lib/job_feed_test.cpp
@@ -151,3 +151,24 @@
         BOOST_TEST((followed.feed.known_at() >= back), "outage of " << outage_ms << " ms");
     }
 }
+
+// A take-over reads all rows; its reads may be lost with an outage as well.
+BOOST_AUTO_TEST_CASE(table_is_read_soon_after_a_silent_store_is_back)
+{
+    for (int outage_ms = 200; outage_ms < 4000; outage_ms += 100) {
+        emulator::World world { 12 };
+        emulator::Store store { world };
+        emulator::ProcessLoop loop { world };
+        emulator::StorePort port { store, loop, "n1" };
+        TableReader reader(loop, port);
+        bool done = false;
+        store.trouble.silent = true;
+        reader.read(
+            jobs_table, job_part_names(), [](const std::vector<StoredRow>&) {},
+            [&](int64_t) { done = true; });
+        world.run_for(Millis(outage_ms));
+        store.trouble.silent = false;
+        world.run_for(Millis(500));
+        BOOST_TEST(done, "outage of " << outage_ms << " ms");
+    }
+}
--- a/src/jobs.lib/job_node_impl.h
+++ b/src/jobs.lib/job_node_impl.h
@@ -17,8 +17,10 @@
 
 namespace pathport::jobs {
 
-/// How long a promise not to claim the leadership holds.
-constexpr Millis promise_time { 1500 };
+/// How long a promise not to claim the leadership holds: three heartbeats and the time of
+/// one that gets no answer. After an outage a leader that has lost power is not replaced
+/// before, so it is no longer than needed.
+constexpr Millis promise_time { 1000 };
 
 /// The node behind JobNode.
 class JobNode::Impl : public LeadershipListener {
--- a/src/jobs.lib/table_reader.cpp
+++ b/src/jobs.lib/table_reader.cpp
@@ -12,10 +12,11 @@
 
 /// Parts that are read at a time.
 constexpr int most_open = 8;
-/// A read that was lost on its way is sent again soon; one to a slow store gets more time.
-constexpr Millis first_timeout { 300 };
-constexpr Millis later_timeout { 1500 };
-constexpr Millis retry_pause { 80 };
+constexpr Millis read_timeout { 1500 };
+/// A read is sent again after this time, with so many open at most: about thirty times what
+/// the users' store takes for one.
+constexpr Millis reread_interval { 300 };
+constexpr int most_open_reads = 6;
 constexpr int rows_per_read = 500;
 /// Sorts below every character that keys hold.
 const char* const next_key_suffix = "!";
@@ -46,31 +47,41 @@
     const std::string part = m_waiting.front();
     m_waiting.pop_front();
     ++m_open;
-    read_part(part, "", true);
+    read_page(part, "");
 }
 
-void TableReader::read_part(const std::string& part, const std::string& from,
-                            bool first_try)
+void TableReader::read_page(const std::string& part, const std::string& from)
 {
+    auto page = std::make_shared<Page>();
+    page->part = part;
+    page->from = from;
+    send_read(page);
+}
+
+void TableReader::send_read(const PagePtr& page)
+{
+    if (page->answered)
+        return;
+    m_loop.after(reread_interval, m_lifetime.wrap([this, page] { send_read(page); }));
+    if (page->reads_open >= most_open_reads)
+        return;
+    ++page->reads_open;
     StoreRange range;
     range.table = m_table;
-    range.part = part;
-    range.from = from;
+    range.part = page->part;
+    range.from = page->from;
     range.limit = rows_per_read;
-    m_store.read(range, first_try ? first_timeout : later_timeout,
-                 m_lifetime.wrap([this, part, from](StoreResult result) {
-                     answered(part, from, std::move(result));
-                 }));
+    m_store.read(range, read_timeout, m_lifetime.wrap([this, page](StoreResult result) {
+        --page->reads_open;
+        answered(page, std::move(result));
+    }));
 }
 
-void TableReader::answered(const std::string& part, const std::string& from,
-                           StoreResult result)
+void TableReader::answered(const PagePtr& page, StoreResult result)
 {
-    if (result.status != StoreStatus::ok) {
-        m_loop.after(retry_pause,
-                     m_lifetime.wrap([this, part, from] { read_part(part, from, false); }));
+    if (page->answered || result.status != StoreStatus::ok)
         return;
-    }
+    page->answered = true;
     m_version = std::min(m_version, result.version);
     const std::string last = result.rows.empty() ? "" : result.rows.back().id.key;
     const auto alive = m_lifetime.observe();
@@ -78,7 +89,7 @@
     if (alive.expired())
         return;
     if (result.more && !last.empty()) {
-        read_part(part, last + next_key_suffix, true);
+        read_page(page->part, last + next_key_suffix);
         return;
     }
     --m_open;
--- a/src/jobs.lib/table_reader.h
+++ b/src/jobs.lib/table_reader.h
@@ -14,6 +14,7 @@
 #include <cstdint>
 #include <deque>
 #include <functional>
+#include <memory>
 #include <string>
 #include <vector>
 
@@ -21,7 +22,9 @@
 
 /// Reads all rows of some parts of a table, a few parts at a time, until it has them all.
 /// Many connections that are opened at once might be dropped and tried again only after
-/// seconds.
+/// seconds. A read without an answer is soon followed by another, since it may have been
+/// lost on its way or with an outage that is over; in a slow store the first one is
+/// answered.
 class TableReader {
 public:
     TableReader(EventLoop& loop, JobStore& store);
@@ -35,9 +38,19 @@
     bool reading() const { return m_open > 0; }
 
 private:
+    /// The reads of one page of a part's rows; the first answer counts.
+    struct Page {
+        std::string part;
+        std::string from; ///< The first key.
+        int reads_open = 0;
+        bool answered = false;
+    };
+    using PagePtr = std::shared_ptr<Page>;
+
     void next_part();
-    void read_part(const std::string& part, const std::string& from, bool first_try);
-    void answered(const std::string& part, const std::string& from, StoreResult result);
+    void read_page(const std::string& part, const std::string& from);
+    void send_read(const PagePtr& page);
+    void answered(const PagePtr& page, StoreResult result);
 
     EventLoop& m_loop;
     JobStore& m_store;
