--- a/src/jobs.lib/job_node_impl.h
+++ b/src/jobs.lib/job_node_impl.h
@@ -22,6 +22,11 @@
 /// before, so it is no longer than needed.
 constexpr Millis promise_time { 1000 };
 
+/// A follower that was not heard of for so long is probed, and not made the successor.
+constexpr Millis follower_late { 600 };
+/// How long an answer to a message without content is waited for.
+constexpr Millis probe_timeout { 300 };
+
 /// The node behind JobNode.
 class JobNode::Impl : public LeadershipListener {
 public:
--- /dev/null
+++ b/src/jobs.lib/job_node_succession.cpp
@@ -0,0 +1,124 @@
+// Copyright the pathport authors.
+// SPDX-License-Identifier: Apache-2.0
+
+/// \file
+/// When a node gives the leadership up, and to whom.
+
+#include "job_node_impl.h"
+
+#include <pathport/log.h>
+
+#include <algorithm>
+#include <tuple>
+
+namespace pathport::jobs {
+
+namespace {
+
+/// A leader that the store has not served for so long gives up its place to a follower
+/// that it serves.
+constexpr Millis unserved_time { 700 };
+
+} // namespace
+
+// The leader must not make this node its successor any more.
+void JobNode::Impl::tell_leader_of_leaving()
+{
+    const std::string leader = m_leadership.leader_address();
+    if (leader.empty())
+        return;
+    PeerRequest notice = own_heartbeat();
+    notice.resigned = true;
+    m_parts.peers.send(leader, notice, probe_timeout, [](PeerEnd, const PeerAnswer&) {});
+}
+
+void JobNode::Impl::consider_resigning()
+{
+    const Millis now = m_parts.loop.now();
+    const Millis last_write = m_scheduler->log().lease_until() - leader_lease;
+    // A store that is slow is so for all: another leader would not be better off.
+    const bool unserved = !m_scheduler->log().served() && m_store.failing()
+        && now - last_write > unserved_time;
+    const bool other_served
+        = std::any_of(m_followers.begin(), m_followers.end(), [&](const auto& entry) {
+              return entry.second.store_served && now - entry.second.heard < follower_late;
+          });
+    const std::string next = successor();
+    if (hand_over_due() && !next.empty()) {
+        hand_over_to(next, m_leaving ? "planned_stop" : "stronger_node");
+        return;
+    }
+    const bool resigns = unserved && other_served;
+    if (resigns == m_scheduler->resigned())
+        return;
+    m_scheduler->set_resigned(resigns);
+    log_event(LogLevel::warn, resigns ? "leadership_resigned" : "leadership_resumed",
+              { { "epoch", m_leadership.epoch() },
+                { "reason", "store" },
+                { "unserved_ms", (now - last_write).count() } });
+}
+
+// Returns whether another node should lead from now on. A take-over reads all open jobs, so
+// while the store is slow this node goes on as long as its grace allows.
+bool JobNode::Impl::hand_over_due() const
+{
+    if (m_handing_over || !m_scheduler->acting()
+        || !m_setup.mechanisms.uses(Mechanism::hand_over))
+        return false;
+    const bool stronger = strongest_follower() > m_setup.strength;
+    const bool overdue
+        = m_leaving && m_parts.loop.now() - m_left_at >= m_setup.hand_over_by;
+    return (m_leaving || stronger) && (!m_scheduler->log().slow() || overdue);
+}
+
+// Returns the address of the strongest follower that lives and that the store does not
+// fail, or "". One that the store is known to serve goes first.
+std::string JobNode::Impl::successor() const
+{
+    const Millis now = m_parts.loop.now();
+    const auto fit = [&](const Follower& follower) {
+        return now - follower.heard < follower_late && !follower.store_fails;
+    };
+    const auto key = [&](const Follower& follower) {
+        return std::make_tuple(fit(follower), follower.strength, follower.store_served,
+                               follower.heard);
+    };
+    const auto best = std::max_element(m_followers.begin(), m_followers.end(),
+                                       [&](const auto& left, const auto& right) {
+                                           return key(left.second) < key(right.second);
+                                       });
+    return best != m_followers.end() && fit(best->second) ? best->first : "";
+}
+
+void JobNode::Impl::hand_over_to(const std::string& address, const char* reason)
+{
+    m_handing_over = true;
+    const LeaderValue next { m_leadership.epoch() + 1,
+                             m_followers[address].identity(address) };
+    log_event(LogLevel::info, "leadership_handed_over",
+              { { "epoch", m_leadership.epoch() },
+                { "to", next.identity.node },
+                { "reason", reason } });
+    PeerRequest notice = own_heartbeat();
+    notice.resigned = true;
+    m_scheduler->hand_over(encode(next), next.identity.incarnation,
+                           [this, next, address, notice] {
+                               m_parts.peers.send(address, notice, probe_timeout,
+                                                  [](PeerEnd, const PeerAnswer&) {});
+                               m_successor = next;
+                           });
+}
+
+// Returns the highest strength among the followers that live and that the store serves.
+int JobNode::Impl::strongest_follower() const
+{
+    const Millis now = m_parts.loop.now();
+    int strongest = 0;
+    for (const auto& [address, follower] : m_followers) {
+        if (follower.store_served && now - follower.heard < follower_late)
+            strongest = std::max(strongest, follower.strength);
+    }
+    return strongest;
+}
+
+} // namespace pathport::jobs
