--- a/src/include/pathport/jobs/mechanisms.h
+++ b/src/include/pathport/jobs/mechanisms.h
@@ -27,7 +27,6 @@
     slack_order, ///< Within a queue's priority the least slack goes first; else the oldest.
     preemption, ///< Less urgent tasks that keep their progress give way.
     reservations, ///< Workers are kept for steps that wait for room or tickets there.
-    scarce_packing, ///< Packing by the scarcest resource; else by processors.
     early_orders, ///< In a slow store, orders precede their records.
     early_reads, ///< In a slow store, a written row is read at once.
     write_batching, ///< Jobs share the transactions of the leader's log.
@@ -37,7 +36,7 @@
     strongest_leads, ///< Nodes with more processor time lead.
     archive, ///< Closed jobs leave the table that a take-over reads.
 };
-constexpr size_t mechanism_count = 17;
+constexpr size_t mechanism_count = 16;
 
 /// Returns the name of a mechanism, as settings have it.
 const char* to_string(Mechanism mechanism);
--- a/src/jobs.lib/jobs_test.cpp
+++ b/src/jobs.lib/jobs_test.cpp
@@ -240,7 +240,7 @@
 
 BOOST_AUTO_TEST_CASE(tightest_fit_comes_first)
 {
-    const auto shares = choose_workers(step_of(3, 1000), 3, false, ResourceKind::cpu,
+    const auto shares = choose_workers(step_of(3, 1000), 3, false,
                                        { room_of("wide", 8000), room_of("tight", 2000) });
     BOOST_REQUIRE(shares.size() == 2U);
     BOOST_TEST((shares[0] == Share { "tight", 2 }));
@@ -251,9 +251,9 @@
 {
     const StepSpec step = step_of(5, 1000);
     BOOST_TEST(
-        choose_workers(step, 5, true, ResourceKind::cpu, { room_of("a", 2000), room_of("b", 2000) }).empty());
+        choose_workers(step, 5, true, { room_of("a", 2000), room_of("b", 2000) }).empty());
     const auto shares
-        = choose_workers(step, 5, true, ResourceKind::cpu, { room_of("a", 3000), room_of("b", 2000) });
+        = choose_workers(step, 5, true, { room_of("a", 3000), room_of("b", 2000) });
     BOOST_TEST(shares.size() == 2U);
 }
 
@@ -278,7 +278,7 @@
     WorkerRoom tight = room_of("a", 1000);
     tight.second_choice = true;
     const auto shares
-        = choose_workers(step_of(3, 1000), 2, false, ResourceKind::cpu, { tight, room_of("b", 8000, "r1-2") });
+        = choose_workers(step_of(3, 1000), 2, false, { tight, room_of("b", 8000, "r1-2") });
     BOOST_REQUIRE(shares.size() == 1);
     BOOST_TEST(shares[0].worker == "b");
 }
@@ -299,36 +299,9 @@
     StepSpec step = step_of(4, 1000);
     step.same_rack = true;
     const auto shares
-        = choose_workers(step, 4, true, ResourceKind::cpu,
+        = choose_workers(step, 4, true,
                          { room_of("a", 1000, "r1-1"), room_of("b", 4000, "r1-2"),
                            room_of("c", 2000, "r1-1") });
     BOOST_REQUIRE(shares.size() == 1U);
     BOOST_TEST(shares[0].worker == "b");
 }
-
-// Where accelerators are scarce, tasks that need few of them leave whole workers free.
-BOOST_AUTO_TEST_CASE(tight_fit_goes_by_the_scarce_resource)
-{
-    WorkerRoom partly_used = room_of("a", 9000);
-    partly_used.free.accelerators = 2;
-    WorkerRoom whole = room_of("b", 4000);
-    whole.free.accelerators = 8;
-    StepSpec step = step_of(1, 1000);
-    step.need.accelerators = 1;
-    const auto by_cpu
-        = choose_workers(step, 1, false, ResourceKind::cpu, { partly_used, whole });
-    BOOST_REQUIRE(by_cpu.size() == 1U);
-    BOOST_TEST(by_cpu[0].worker == "b");
-    const auto by_accelerators
-        = choose_workers(step, 1, false, ResourceKind::accelerators, { partly_used, whole });
-    BOOST_REQUIRE(by_accelerators.size() == 1U);
-    BOOST_TEST(by_accelerators[0].worker == "a");
-}
-
-BOOST_AUTO_TEST_CASE(scarcest_resource_is_the_one_most_in_use)
-{
-    const Resources total { 64000, 128000, 8 };
-    BOOST_TEST((scarcest({ 32000, 1000, 2 }, total) == ResourceKind::cpu));
-    BOOST_TEST((scarcest({ 16000, 1000, 6 }, total) == ResourceKind::accelerators));
-    BOOST_TEST((scarcest({ 0, 0, 0 }, { 1000, 1000, 0 }) == ResourceKind::cpu));
-}
--- a/src/jobs.lib/mechanisms.cpp
+++ b/src/jobs.lib/mechanisms.cpp
@@ -8,11 +8,10 @@
 namespace {
 
 constexpr const char* names_of_mechanisms[mechanism_count] = {
-    "advice_spread",    "advice_shares", "second_choices", "avoided_workers",
-    "slow_workers",     "slack_order",   "preemption",     "reservations",
-    "scarce_packing",   "early_orders",  "early_reads",    "write_batching",
-    "learned_timeouts", "short_looks",   "hand_over",      "strongest_leads",
-    "archive",
+    "advice_spread", "advice_shares", "second_choices",  "avoided_workers",
+    "slow_workers",  "slack_order",   "preemption",      "reservations",
+    "early_orders",  "early_reads",   "write_batching",  "learned_timeouts",
+    "short_looks",   "hand_over",     "strongest_leads", "archive",
 };
 constexpr std::string_view no_names = "none";
 
--- a/src/jobs.lib/placement.cpp
+++ b/src/jobs.lib/placement.cpp
@@ -62,35 +62,6 @@
 
 } // namespace
 
-int64_t amount_of(const Resources& resources, ResourceKind kind)
-{
-    switch (kind) {
-    case ResourceKind::memory:
-        return resources.memory_mb;
-    case ResourceKind::accelerators:
-        return resources.accelerators;
-    case ResourceKind::cpu:
-        break;
-    }
-    return resources.cpu_millis;
-}
-
-ResourceKind scarcest(const Resources& used, const Resources& total)
-{
-    ResourceKind found = ResourceKind::cpu;
-    double most = -1;
-    for (const ResourceKind kind :
-         { ResourceKind::cpu, ResourceKind::memory, ResourceKind::accelerators }) {
-        const int64_t all = amount_of(total, kind);
-        const double share = all > 0 ? double(amount_of(used, kind)) / double(all) : -1;
-        if (share > most) {
-            most = share;
-            found = kind;
-        }
-    }
-    return found;
-}
-
 int tasks_that_fit(const StepSpec& step, const WorkerRoom& room)
 {
     int64_t fit = std::min(times(room.free.memory_mb, step.need.memory_mb),
@@ -103,17 +74,14 @@
 }
 
 std::vector<Share> choose_workers(const StepSpec& step, int count, bool whole,
-                                  ResourceKind scarce, std::vector<WorkerRoom> rooms)
+                                  std::vector<WorkerRoom> rooms)
 {
     std::stable_sort(
         rooms.begin(), rooms.end(), [&](const WorkerRoom& left, const WorkerRoom& right) {
             const bool left_far = left.rack != step.near_rack;
             const bool right_far = right.rack != step.near_rack;
-            const int64_t left_free = amount_of(left.free, scarce);
-            const int64_t right_free = amount_of(right.free, scarce);
-            return std::tie(left.second_choice, left_far, left.slow, left_free,
-                            left.free.cpu_millis)
-                < std::tie(right.second_choice, right_far, right.slow, right_free,
+            return std::tie(left.second_choice, left_far, left.slow, left.free.cpu_millis)
+                < std::tie(right.second_choice, right_far, right.slow,
                            right.free.cpu_millis);
         });
     if (step.same_rack) {
--- a/src/jobs.lib/placement.h
+++ b/src/jobs.lib/placement.h
@@ -15,14 +15,6 @@
 
 namespace pathport::jobs {
 
-/// The kinds of resources.
-enum class ResourceKind { cpu, memory, accelerators };
-
-/// Returns the amount of a kind.
-int64_t amount_of(const Resources& resources, ResourceKind kind);
-/// Returns the kind of which the largest share is in use.
-ResourceKind scarcest(const Resources& used, const Resources& total);
-
 /// What one worker that may run the step has to offer.
 struct WorkerRoom {
     std::string_view worker; ///< Views of names that outlive the choice.
@@ -49,9 +41,9 @@
 int tasks_that_fit(const StepSpec& step, const WorkerRoom& room);
 
 /// Chooses workers for up to `count` tasks: second choices last, near the data first, then
-/// the tightest fit by the resource that is scarce, so that large holes stay. For a gang (`whole`) it returns shares for
+/// the tightest fit, so that large holes stay. For a gang (`whole`) it returns shares for
 /// all or nothing, in one rack where one has room and the step asks for it.
 std::vector<Share> choose_workers(const StepSpec& step, int count, bool whole,
-                                  ResourceKind scarce, std::vector<WorkerRoom> rooms);
+                                  std::vector<WorkerRoom> rooms);
 
 } // namespace pathport::jobs
--- a/src/jobs.lib/scheduler.h
+++ b/src/jobs.lib/scheduler.h
@@ -36,6 +36,11 @@
 /// How long a worker that was left alone gets one task at a time.
 constexpr Millis trial_time { 2500 };
 
+/// A ticket that holds for so long outlasts the end of the tasks that give way.
+constexpr Millis ticket_reserve { 750 };
+/// Workers are kept no longer while an answer of the advisor is waited for.
+constexpr Millis longest_question { 3000 };
+
 /// What a scheduler works with; all of it outlives the scheduler.
 struct SchedulerParts {
     EventLoop& loop;
@@ -241,10 +246,9 @@
     JobRecord* find_job(const std::string& id);
 
     // Placing (scheduler_pass.cpp, scheduler_advice.cpp, scheduler_gangs.cpp,
-    // scheduler_start.cpp).
+    // scheduler_preempt.cpp, scheduler_start.cpp).
     void schedule_pass();
     void pass();
-    void find_scarce_resources();
     std::vector<Candidate> candidates();
     static int64_t slack_ms(JobRecord& job, int64_t now_ms);
     static int64_t allowed_ms(JobRecord& job);
@@ -355,7 +359,6 @@
     std::map<std::string, double>
         m_allowed_share; ///< By queue, of the workers asked about.
     std::map<std::string, double> m_guess_error; ///< By queue, smoothed logarithm.
-    std::map<std::string, ResourceKind> m_scarce; ///< By service, in the present pass.
     std::optional<Millis>
         m_answer_missed_at; ///< When a worker last left a call unanswered.
     Millis m_load_reported;
--- a/src/jobs.lib/scheduler_pass.cpp
+++ b/src/jobs.lib/scheduler_pass.cpp
@@ -59,7 +59,6 @@
     const Millis begun = m_parts.loop.now();
     m_pass_begun = begun;
     const std::vector<Candidate> waiting = candidates();
-    find_scarce_resources();
     renew_reservations(waiting);
     bool cut_short = false;
     bool put_off = false;
@@ -81,22 +80,6 @@
         check_again_soon();
 }
 
-// What is scarce in each service's pool follows from what is in use there now.
-void Scheduler::find_scarce_resources()
-{
-    if (!uses(Mechanism::scarce_packing))
-        return;
-    std::map<std::string_view, std::pair<Resources, Resources>> pools;
-    for (const auto& [id, worker] : m_workers) {
-        const WorkerInfo& info = worker.session->info();
-        auto& [used, total] = pools[info.service];
-        used = used + worker.load.used();
-        total = total + info.capacity;
-    }
-    for (const auto& [service, sums] : pools)
-        m_scarce[std::string(service)] = scarcest(sums.first, sums.second);
-}
-
 // Steps that were not looked at in this pass are in one to come, also if nothing happens.
 void Scheduler::check_again_soon()
 {
@@ -301,8 +284,8 @@
         ask_for_some(job, step, needed);
     if (fit == 0)
         return;
-    const std::vector<Share> shares = choose_workers(
-        *step.spec, needed, step.spec->gang, m_scarce[job.accepted().queue.service], rooms);
+    const std::vector<Share> shares
+        = choose_workers(*step.spec, needed, step.spec->gang, rooms);
     if (shares.empty())
         return;
     step.check_at = Millis(0);
