--- a/src/jobs.lib/job_node_impl.h
+++ b/src/jobs.lib/job_node_impl.h
@@ -87,6 +87,7 @@
     void probe_follower(const std::string& address);
     void update_promises();
     void list_followers();
+    // Succession (job_node_succession.cpp).
     void consider_resigning();
     bool hand_over_due() const;
     void hand_over_to(const std::string& address, const char* reason);
