--- a/src/include/pathport/jobs/peers.h
+++ b/src/include/pathport/jobs/peers.h
@@ -45,8 +45,8 @@
     int64_t epoch = 0; ///< The highest that the sender knows.
     int64_t config_version = 0; ///< The sender's.
     bool leads = false; ///< The sender leads in `epoch`.
-    /// The sender led in `epoch` and gives its place up; or it follows and stops, so that it
-    /// must not be made the successor.
+    /// The sender led in `epoch` and gives its place up; or it follows and stops, so that
+    /// it must not be made the successor.
     bool resigned = false;
     int strength = 0; ///< The sender's, as in NodeSetup.
     int64_t peers_hash = 0; ///< Of the list of followers that the sender has.
--- a/src/jobs.lib/hand_over_test.cpp
+++ b/src/jobs.lib/hand_over_test.cpp
@@ -17,7 +17,8 @@
 
 namespace {
 
-/// From the last order of a leader that stops to the first of the next one, in a calm store.
+/// From the last order of a leader that stops to the first of the next one, in a calm
+/// store.
 constexpr Millis quick_hand_over { 100 };
 
 // Hands in a job every 5 ms for `span` and returns the longest time without a start.
@@ -123,7 +124,8 @@
             if (seed % 3 == 0)
                 cell.stop(cell.leader(), Millis(300));
             for (int i = 0; i < 15; ++i) {
-                submit_plain(cell, "job" + std::to_string(submitted++), small_facts(2, 300));
+                submit_plain(cell, "job" + std::to_string(submitted++),
+                             small_facts(2, 300));
                 cell.world.run_for(Millis(100));
             }
         }
--- a/src/jobs.lib/job_feed.h
+++ b/src/jobs.lib/job_feed.h
@@ -18,8 +18,8 @@
 namespace pathport::jobs {
 
 /// Asks for changes at regular times. When the store has forgotten the changes that were
-/// missed, all rows are read again, by one such reading at a time. A poll that gets no answer
-/// is soon followed by another: it may have been lost with an outage that is over.
+/// missed, all rows are read again, by one such reading at a time. A poll that gets no
+/// answer is soon followed by another: it may have been lost with an outage that is over.
 class JobFeed {
 public:
     /// `seen` is told each row, some of them more than once.
--- a/src/jobs.lib/leadership.cpp
+++ b/src/jobs.lib/leadership.cpp
@@ -184,13 +184,12 @@
     range.table = lead_table;
     range.part = scheduler_part;
     m_read_asked = m_loop.now();
-    m_store.read(range, read_timeout,
-                 m_lifetime.wrap([this](const StoreResult& result) {
-                     m_reading = false;
-                     if (result.status == StoreStatus::ok)
-                         m_read_time = m_loop.now() - m_read_asked;
-                     rows_read(result);
-                 }));
+    m_store.read(range, read_timeout, m_lifetime.wrap([this](const StoreResult& result) {
+        m_reading = false;
+        if (result.status == StoreStatus::ok)
+            m_read_time = m_loop.now() - m_read_asked;
+        rows_read(result);
+    }));
 }
 
 // While a claim is under way, its own answer decides.
@@ -236,7 +235,8 @@
 {
     const bool own_row = m_leader.identity.incarnation == m_identity.incarnation;
     if (own_row && m_head.handed_over() && m_head.epoch == m_leader.epoch) {
-        // Whoever claims later does so after this read, from whose beginning the lease counts.
+        // Whoever claims later does so after this read, from whose beginning the lease
+        // counts.
         m_claimed_head = m_head;
         become_leader(m_head_version, m_read_asked);
         return;
--- a/src/jobs.lib/response_time.h
+++ b/src/jobs.lib/response_time.h
@@ -12,10 +12,10 @@
 
 namespace pathport::jobs {
 
-/// After which time an answer counts as missing: the smoothed time of answers and four times
-/// their smoothed deviation, as TCP does for its retransmissions (RFC 6298), within bounds.
-/// Each missing answer doubles the time until another answer comes, so that a peer that has
-/// become slow is not taken for a silent one again and again.
+/// After which time an answer counts as missing: the smoothed time of answers and four
+/// times their smoothed deviation, as TCP does for its retransmissions (RFC 6298), within
+/// bounds. Each missing answer doubles the time until another answer comes, so that a peer
+/// that has become slow is not taken for a silent one again and again.
 class ResponseTime {
 public:
     /// `most` also counts as long as nothing is known.
--- a/src/jobs.lib/stuck_step_test.cpp
+++ b/src/jobs.lib/stuck_step_test.cpp
@@ -398,9 +398,9 @@
     }
 }
 
-// Found on the bench (grown core library, scale-2): tasks on a worker that fails all it starts
-// went back there three times within 130 ms, since it alone had room and tickets at hand, and
-// their job had failed before others were asked about.
+// Found on the bench (grown core library, scale-2): tasks on a worker that fails all it
+// starts went back there three times within 130 ms, since it alone had room and tickets at
+// hand, and their job had failed before others were asked about.
 BOOST_AUTO_TEST_CASE(failed_task_goes_to_other_workers)
 {
     Site site(14, 2, 2);
