Nothing is started on a list of workers that may lack an announced end

The list of 1,100 workers comes in pages of 500, one after the other; each page that is lost or slow begins the reading anew, and nothing looked at the age of the list that was there. Ruled out: an order that the worker held up (such are not counted).

The list now has an age, that of the beginning of its reading. Once it is within 400 ms (record and order) of the time in which an announced end has to be heeded (new setting drain_ms), no pass runs and no order goes out; it is read three times within that time at least. Such a stretch is logged.

--- a/src/emulator.lib/store.cpp
+++ b/src/emulator.lib/store.cpp
@@ -4,6 +4,7 @@
 #include <pathport/emulator/store.h>
 
 #include <algorithm>
+#include <memory>
 
 namespace pathport::emulator {
 
@@ -17,6 +18,8 @@
 /// As the adapter of the users' platform waits for the answer to a watch.
 constexpr Millis watch_margin { 1500 };
 constexpr Millis watch_poll { 20 };
+/// Workers on one page of the list.
+constexpr size_t page_rows = 500;
 
 StoreResult with_status(StoreStatus status)
 {
@@ -219,14 +222,26 @@
     Millis timeout,
     std::function<void(jobs::DirectoryAnswer<std::vector<jobs::WorkerInfo>>)> done)
 {
+    const auto listed = std::make_shared<std::vector<jobs::WorkerInfo>>();
+    Store& store = m_store;
     call(
-        timeout, [] { return with_status(StoreStatus::ok); },
-        [this, done](const StoreResult& result) {
+        timeout,
+        [&store, listed] {
+            *listed = store.list_workers();
+            return with_status(StoreStatus::ok);
+        },
+        [this, done, listed](const StoreResult& result) {
             jobs::DirectoryAnswer<std::vector<jobs::WorkerInfo>> answer;
             answer.status = result.status;
             if (result.status == StoreStatus::ok)
-                answer.value = m_store.list_workers();
-            done(answer);
+                answer.value = *listed;
+            // Further pages come one after the other; the first one is the oldest.
+            const auto further = static_cast<int64_t>(listed->size() / page_rows);
+            if (further == 0)
+                done(answer);
+            else
+                m_loop.after(Millis(further * m_store.latency().count()),
+                             [done, answer] { done(answer); });
         });
 }
 
--- a/src/emulator.lib/worker_port.cpp
+++ b/src/emulator.lib/worker_port.cpp
@@ -57,6 +57,15 @@
     return Millis(2000 + int64_t(m_loop.world().below(10000)));
 }
 
+void WorkerPort::carry_out_late(std::function<OrderAnswer()> work)
+{
+    m_loop.world().after(lateness(), [&workers = m_workers, work = std::move(work)] {
+        workers.m_carries_out_late = true;
+        work();
+        workers.m_carries_out_late = false;
+    });
+}
+
 void WorkerPort::order(const std::string& worker, Millis timeout, bool is_start,
                        std::function<OrderAnswer()> work,
                        std::function<void(OrderAnswer)> done)
@@ -82,13 +91,8 @@
         deliver(timeout, [done] { done(OrderAnswer()); });
         return;
     }
-    if (carried_out_late()) {
-        world.after(lateness(), [work] { work(); });
-        deliver(timeout, [done] { done(OrderAnswer()); });
-        return;
-    }
-    if (world.chance(m_workers.trouble.unanswered)) {
-        world.after(Millis(2000 + int64_t(world.below(10000))), [work] { work(); });
+    if (carried_out_late() || world.chance(m_workers.trouble.unanswered)) {
+        carry_out_late(work);
         deliver(timeout, [done] { done(OrderAnswer()); });
         return;
     }
--- a/src/emulator.lib/workers.cpp
+++ b/src/emulator.lib/workers.cpp
@@ -82,6 +82,7 @@
         return;
     life->info.draining = true;
     life->info.remaining_ms = span.count();
+    life->drains_since = m_world.now();
     m_world.after(span, [this, id] {
         Life* leaving = find(id);
         leaving->up = false;
@@ -244,6 +245,9 @@
     const auto canceled = m_canceled.find(order.task.job);
     if (canceled != m_canceled.end() && m_world.now() - canceled->second > cancel_time)
         breach("started though cancelled: " + name);
+    const bool drains = life.drains_since > Millis(0) && !m_carries_out_late;
+    if (drains && m_world.now() - life.drains_since > drain_time)
+        breach("started on " + life.info.id + " after it had announced its end: " + name);
     if (m_history[name].done_noted)
         breach("started again after it was done: " + name);
     TaskHistory& failures = failures_of(order.task);
--- a/src/include/pathport/emulator/workers.h
+++ b/src/include/pathport/emulator/workers.h
@@ -68,6 +68,8 @@
 
     WorkerTrouble trouble;
     Millis max_hold { 6000 };
+    /// A worker gets no new task so long after it has announced its end.
+    Millis drain_time { 2000 };
     /// The advisor's time for a question, beside one millisecond for each worker named. It
     /// serves the questions of one node one after the other.
     Millis advice_time { 5 };
@@ -138,6 +140,7 @@
         jobs::WorkerInfo info;
         bool up = true;
         bool listed = true;
+        Millis drains_since; ///< Zero while it has not announced its end.
         Millis cut_until;
         std::map<std::string, Millis> cut_nodes;
         int64_t fence = 0;
@@ -195,6 +198,7 @@
     bool half_free() const;
 
     World& m_world;
+    bool m_carries_out_late = false; ///< The present order is one that was held up.
     std::map<std::string, Life> m_lives;
     std::map<std::pair<std::string, int>, TaskFacts> m_facts;
     std::map<std::string, TaskHistory> m_history;
@@ -227,6 +231,7 @@
 private:
     std::optional<jobs::OrderStatus> early_status(const Workers::Life& life, bool is_start);
     bool carried_out_late();
+    void carry_out_late(std::function<jobs::OrderAnswer()> work);
     Millis lateness();
     void order(const std::string& worker, Millis timeout, bool is_start,
                std::function<jobs::OrderAnswer()> work,
--- a/src/include/pathport/jobs/job_node.h
+++ b/src/include/pathport/jobs/job_node.h
@@ -43,6 +43,8 @@
     Millis max_hold { 6000 }; ///< The longest lease of a worker.
     Millis kill_grace { 400 }; ///< How long a stop takes at a worker.
     Millis gang_timeout { 3000 }; ///< So long a gang's member waits for the others.
+    /// Within this time a worker that announces its end gets no new task any more.
+    Millis drain { 2000 };
     /// The processor time that the node may use, in thousandths of a core. A node leads
     /// only while no stronger one can.
     int strength = 1000;
--- a/src/jobs.lib/job_node.cpp
+++ b/src/jobs.lib/job_node.cpp
@@ -131,7 +131,7 @@
                            [this] { return m_store.clock_ms(); },
                            m_parts.metrics,
                            WorkerBounds { m_setup.max_hold, m_setup.kill_grace,
-                                          m_setup.gang_timeout },
+                                          m_setup.gang_timeout, m_setup.drain },
                            m_setup.archive_batch,
                            m_setup.mechanisms };
     m_scheduler
--- a/src/jobs.lib/scheduler.h
+++ b/src/jobs.lib/scheduler.h
@@ -190,7 +190,9 @@
 
     // Loading (scheduler_load.cpp).
     void read_workers();
-    void workers_read(const DirectoryAnswer<std::vector<WorkerInfo>>& answer);
+    bool list_is_fresh() const;
+    using WorkerList = DirectoryAnswer<std::vector<WorkerInfo>>;
+    void workers_read(const WorkerList& answer, Millis begun);
     void loaded_table();
     void build_records();
     void take_workers(const std::vector<WorkerInfo>& listed);
@@ -333,6 +335,8 @@
     Millis m_load_begun;
     JobFeed m_feed; ///< Hand-ins and cancellations, from the load on.
     bool m_workers_known = false;
+    Millis m_workers_as_of; ///< The present list of workers is no older.
+    bool m_stale_list_told = false;
     bool m_reading_workers = false;
     Millis m_settle_by;
     /// Workers on which earlier leaders may have started tasks without a record, and which
--- a/src/jobs.lib/scheduler_load.cpp
+++ b/src/jobs.lib/scheduler_load.cpp
@@ -23,6 +23,12 @@
 constexpr Millis settle_time { 250 };
 constexpr Millis workers_interval { 700 };
 constexpr Millis workers_retry { 150 };
+/// The list is read so often within the time that is left to heed an announced end: two
+/// reads may be lost or slow.
+constexpr int reads_of_list = 3;
+/// A start takes so long at most from the choice of the worker to the worker: the record
+/// and the order. Left off the time in which an announced end has to be heeded.
+constexpr Millis start_time { 400 };
 
 void append(std::vector<StoredRow>& all, std::vector<StoredRow> rows)
 {
@@ -145,25 +151,40 @@
     if (m_phase == Phase::over || m_reading_workers)
         return;
     m_reading_workers = true;
-    m_parts.directory.read_workers(
-        read_timeout,
-        m_lifetime.wrap([this](const DirectoryAnswer<std::vector<WorkerInfo>>& answer) {
-            m_reading_workers = false;
-            workers_read(answer);
-        }));
+    const Millis begun = m_parts.loop.now();
+    m_parts.directory.read_workers(read_timeout,
+                                   m_lifetime.wrap([this, begun](const WorkerList& answer) {
+                                       m_reading_workers = false;
+                                       workers_read(answer, begun);
+                                   }));
 }
 
-void Scheduler::workers_read(const DirectoryAnswer<std::vector<WorkerInfo>>& answer)
+// A worker that announces its end must not get a task later than a known time after that,
+// so a list that may lack such an announcement is no ground for a start. A list of a
+// thousand workers comes in pages, and a store that is slow or loses answers, or a node
+// that is short of processor time, can make it older than that.
+bool Scheduler::list_is_fresh() const
+{
+    return m_parts.loop.now() - m_workers_as_of < m_parts.bounds.drain - start_time;
+}
+
+void Scheduler::workers_read(const WorkerList& answer, Millis begun)
 {
     if (m_phase == Phase::over)
         return;
     const bool good = answer.status == StoreStatus::ok && answer.value;
     if (good) {
+        m_workers_as_of = begun;
+        m_stale_list_told = false;
         take_workers(*answer.value);
         m_workers_known = true;
         settle();
     }
-    m_parts.loop.after(good ? workers_interval : workers_retry,
+    const Millis heeded = m_parts.bounds.drain - start_time;
+    const Millis interval
+        = std::min(workers_interval, Millis(heeded.count() / reads_of_list));
+    const Millis took = m_parts.loop.now() - begun;
+    m_parts.loop.after(good ? std::max(Millis(0), interval - took) : workers_retry,
                        m_lifetime.wrap([this] { read_workers(); }));
 }
 
--- a/src/jobs.lib/scheduler_pass.cpp
+++ b/src/jobs.lib/scheduler_pass.cpp
@@ -56,6 +56,13 @@
         m_feed.poll_now();
         return;
     }
+    if (!list_is_fresh()) {
+        if (!m_stale_list_told)
+            log_event(LogLevel::warn, "worker_list_stale",
+                      { { "age_ms", (m_parts.loop.now() - m_workers_as_of).count() } });
+        m_stale_list_told = true;
+        return; // The list's next reading causes a pass.
+    }
     const Millis begun = m_parts.loop.now();
     m_pass_begun = begun;
     const std::vector<Candidate> waiting = candidates();
--- a/src/jobs.lib/scheduler_start.cpp
+++ b/src/jobs.lib/scheduler_start.cpp
@@ -122,8 +122,8 @@
         ticket_good
             = permission != step.advice.workers.end() && permission->second.holds(now);
     }
-    if (worker == nullptr || job.closed() || !may_order() || !ticket_good
-        || !is_eligible(*worker, job, step)) {
+    if (worker == nullptr || job.closed() || !may_order() || !list_is_fresh()
+        || !ticket_good || !is_eligible(*worker, job, step)) {
         if (worker != nullptr)
             vacate(*worker, id, task.run);
         release(task);
--- a/src/jobs.lib/worker_session.h
+++ b/src/jobs.lib/worker_session.h
@@ -30,6 +30,8 @@
     Millis max_hold { 6000 }; ///< The longest lease that a worker grants.
     Millis kill_grace { 400 }; ///< How long a stop takes at most.
     Millis gang_timeout { 3000 }; ///< So long a gang's member waits for the others.
+    /// Within this time a worker that announces its end gets no new task any more.
+    Millis drain { 2000 };
 };
 
 /// What became of a start.
--- a/src/pathport_jobd/jobd_settings.cpp
+++ b/src/pathport_jobd/jobd_settings.cpp
@@ -68,7 +68,8 @@
              address("services", "advice"),
              span("workers", "max_hold_ms", 1000, 3600000, "6000"),
              span("workers", "kill_grace_ms", 1, 600000, "400"),
-             span("workers", "gang_timeout_ms", 1500, 600000, "3000") };
+             span("workers", "gang_timeout_ms", 1500, 600000, "3000"),
+             span("workers", "drain_ms", 1000, 600000, "2000") };
 }
 
 Address address_of(const Settings& settings, const char* section, const char* key)
@@ -106,6 +107,7 @@
     settings.max_hold = file->millis("workers", "max_hold_ms");
     settings.gang_timeout = file->millis("workers", "gang_timeout_ms");
     settings.kill_grace = file->millis("workers", "kill_grace_ms");
+    settings.drain = file->millis("workers", "drain_ms");
     return settings;
 }
 
--- a/src/pathport_jobd/jobd_settings.h
+++ b/src/pathport_jobd/jobd_settings.h
@@ -27,6 +27,7 @@
     Millis max_hold; ///< The longest lease that a worker grants.
     Millis kill_grace; ///< How long a stop takes at a worker.
     Millis gang_timeout; ///< So long a gang's member waits for the others.
+    Millis drain; ///< Within it a worker that announces its end gets no new task any more.
     Millis stop_grace; ///< How long a planned stop may take.
     jobs::Mechanisms mechanisms; ///< For experiments only.
     int strength = 0; ///< Processor time that it may use, in thousandths of a core.
--- a/src/pathport_jobd/main.cpp
+++ b/src/pathport_jobd/main.cpp
@@ -116,6 +116,7 @@
         setup.peer_address = settings.peers.to_string();
         setup.incarnation = random_token();
         setup.gang_timeout = settings.gang_timeout;
+        setup.drain = settings.drain;
         setup.mechanisms = settings.mechanisms;
         setup.hand_over_by = Millis(settings.stop_grace.count() / 2);
         setup.max_hold = settings.max_hold;
