The log tells what each kind of call takes of the link

A leader's link was full and nothing said with what. Each five seconds one line, link_traffic, names the bytes sent and received by path, for paths that moved 10 kB or more.

--- a/src/include/pathport/async_http.h
+++ b/src/include/pathport/async_http.h
@@ -13,6 +13,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
 #include <string>
 #include <utility>
@@ -41,6 +42,19 @@
     HeaderList headers;
 };
 
+/// Bytes that calls took on the link, with their headers.
+struct HttpTraffic {
+    int64_t sent = 0;
+    int64_t received = 0;
+
+    bool operator==(const HttpTraffic& other) const
+    {
+        return sent == other.sent && received == other.received;
+    }
+};
+/// The traffic by path, without queries. There are as many as a program names.
+using HttpTrafficByPath = std::map<std::string, HttpTraffic>;
+
 /// Sends the answer; call it exactly once, on the loop's thread.
 using ServerReply = std::function<void(ServerAnswer)>;
 /// Handles one request; must not block.
@@ -73,6 +87,8 @@
     size_t requests_under_way() const;
     /// Changes the limits of requests that come later.
     void set_limits(const ServerLimits& limits);
+    /// Returns what all requests so far took.
+    const HttpTraffic& traffic() const;
 
 private:
     class Impl;
@@ -129,6 +145,8 @@
     void forget(const Address& server);
     /// Returns the number of connections, kept ones and those that carry a call.
     size_t open_connections() const;
+    /// Returns what all calls so far took.
+    const HttpTrafficByPath& traffic() const;
 
 private:
     class Impl;
--- a/src/loop.lib/async_http_client.cpp
+++ b/src/loop.lib/async_http_client.cpp
@@ -65,6 +65,8 @@
     };
     using ExchangePtr = std::shared_ptr<Exchange>;
 
+    const HttpTrafficByPath& traffic() const { return m_traffic; }
+
     void send(ClientCall call, std::function<void(CallOutcome)> done)
     {
         auto exchange = std::make_shared<Exchange>();
@@ -257,11 +259,18 @@
         request.prepare_payload();
         auto& stream = exchange->connection->stream;
         stream.expires_after(std::chrono::milliseconds(call.timeout.count()));
-        http::async_write(
-            stream, request,
-            [self = shared_from_this(), exchange](boost::system::error_code error, size_t) {
-                self->written(exchange, error);
-            });
+        http::async_write(stream, request,
+                          [self = shared_from_this(),
+                           exchange](boost::system::error_code error, size_t bytes) {
+                              self->traffic_of(exchange->call).sent
+                                  += static_cast<int64_t>(bytes);
+                              self->written(exchange, error);
+                          });
+    }
+
+    HttpTraffic& traffic_of(const ClientCall& call)
+    {
+        return m_traffic[call.target.substr(0, call.target.find('?'))];
     }
 
     void written(const ExchangePtr& exchange, boost::system::error_code error)
@@ -275,7 +284,9 @@
         auto& connection = *exchange->connection;
         http::async_read(connection.stream, connection.buffer, *exchange->parser,
                          [self = shared_from_this(),
-                          exchange](boost::system::error_code failure, size_t) {
+                          exchange](boost::system::error_code failure, size_t bytes) {
+                             self->traffic_of(exchange->call).received
+                                 += static_cast<int64_t>(bytes);
                              self->read(exchange, failure);
                          });
     }
@@ -328,6 +339,7 @@
     IoLoop& m_loop;
     ClientLimits m_limits;
     std::map<std::string, Server> m_servers; ///< By address.
+    HttpTrafficByPath m_traffic;
     bool m_sweeping = false; ///< sweep() is due.
 };
 
@@ -348,6 +360,11 @@
     m_impl->forget(server);
 }
 
+const HttpTrafficByPath& AsyncHttpClient::traffic() const
+{
+    return m_impl->traffic();
+}
+
 size_t AsyncHttpClient::open_connections() const
 {
     return m_impl->open_connections();
--- a/src/loop.lib/async_http_server.cpp
+++ b/src/loop.lib/async_http_server.cpp
@@ -60,6 +60,7 @@
     std::unordered_set<Session*> sessions;
     bool draining = false;
     size_t under_way = 0;
+    HttpTraffic traffic;
 };
 
 /// One connection: reads a request, waits for its answer, writes it, and so on.
@@ -83,9 +84,12 @@
         m_parser->body_limit(m_server->limits.max_body_bytes);
         m_stream.expires_after(
             std::chrono::milliseconds(m_server->limits.idle_timeout.count()));
-        http::async_read(m_stream, m_buffer, *m_parser,
-                         [self = shared_from_this()](boost::system::error_code error,
-                                                     size_t) { self->on_read(error); });
+        http::async_read(
+            m_stream, m_buffer, *m_parser,
+            [self = shared_from_this()](boost::system::error_code error, size_t bytes) {
+                self->m_server->traffic.received += static_cast<int64_t>(bytes);
+                self->on_read(error);
+            });
     }
 
     /// Closes the connection if it waits for a request of which nothing has come.
@@ -158,9 +162,12 @@
         m_response.body() = std::move(answer.body);
         m_response.prepare_payload();
         m_stream.expires_after(write_timeout);
-        http::async_write(m_stream, m_response,
-                          [self = shared_from_this()](boost::system::error_code error,
-                                                      size_t) { self->on_written(error); });
+        http::async_write(
+            m_stream, m_response,
+            [self = shared_from_this()](boost::system::error_code error, size_t bytes) {
+                self->m_server->traffic.sent += static_cast<int64_t>(bytes);
+                self->on_written(error);
+            });
     }
 
     void on_written(boost::system::error_code error)
@@ -264,6 +271,11 @@
     return m_impl->under_way;
 }
 
+const HttpTraffic& AsyncHttpServer::traffic() const
+{
+    return m_impl->traffic;
+}
+
 void AsyncHttpServer::set_limits(const ServerLimits& limits)
 {
     m_impl->limits = limits;
--- a/src/pathport_jobd/main.cpp
+++ b/src/pathport_jobd/main.cpp
@@ -33,6 +33,9 @@
 constexpr size_t max_peer_body = size_t(4) * 1024 * 1024;
 constexpr Millis limits_interval { 500 };
 constexpr Millis drain_check { 50 };
+constexpr Millis traffic_interval { 5000 };
+/// Kinds of calls that moved less in that time are not told of, in bytes.
+constexpr int64_t least_traffic_told = 10000;
 /// Connections to one worker: one look and some orders. The users' workers reset those over
 /// 64, and the connections of leaders that lost power stay open there: with 24 or more
 /// each, three of them left a worker that reset nearly all orders until the end of the day.
@@ -100,6 +103,7 @@
                   { { "clients", m_settings.clients.to_string() } });
         m_node.begin();
         follow_limits();
+        tell_traffic();
         m_loop.run();
         const ProcessUsage usage = process_usage();
         log_event(
@@ -148,6 +152,31 @@
         return answer;
     }
 
+    // What each kind of call takes of the link, in the log from time to time.
+    void tell_traffic()
+    {
+        HttpTrafficByPath all = m_http.traffic();
+        for (const auto& [path, traffic] : m_worker_http.traffic())
+            all[path] = traffic;
+        all["clients"] = m_clients.traffic();
+        all["peers"] = m_peer_server.traffic();
+        std::string text;
+        for (const auto& [path, traffic] : all) {
+            const HttpTraffic& before = m_told_traffic[path];
+            const int64_t sent = traffic.sent - before.sent;
+            const int64_t received = traffic.received - before.received;
+            if (sent + received > least_traffic_told)
+                text += path + " " + std::to_string(sent) + "/" + std::to_string(received)
+                    + " ";
+        }
+        m_told_traffic = std::move(all);
+        if (!text.empty())
+            log_event(LogLevel::info, "link_traffic",
+                      { { "span_ms", traffic_interval.count() },
+                        { "sent_received_bytes", text } });
+        m_loop.after(traffic_interval, [this] { tell_traffic(); });
+    }
+
     // The configuration sets the limits of clients' requests.
     void follow_limits()
     {
@@ -205,6 +234,7 @@
     AsyncHttpServer m_readiness;
     AsyncHttpServer m_peer_server;
     AsyncHttpServer m_metrics_server;
+    HttpTrafficByPath m_told_traffic;
     bool m_stopping = false;
 };
 
