Progress rows by run, writes spaced by what they take, fewer heartbeats

Cause: a job's row is written anew for each of its tasks that starts or ends, up to 60 times a second, 100 kB/s on the twin's link of 250; and 146 followers that ask four times a second are 584 exchanges, a fifth of the large site's leader.

Rows name the run once for all tasks that share it. A write's rows take at most an eighth of the processor's time and a fifth of the link: the pause between writes grows with what the last one took, up to 100 ms. Followers ask each 4 ms times their number, between 250 and 500 ms: the first of many to miss a leader misses it as soon as before. Messages' paths name their topic, for the log's link_traffic.

--- a/src/include/pathport/jobs/peers.h
+++ b/src/include/pathport/jobs/peers.h
@@ -34,6 +34,9 @@
     worker_list, ///< Read the list of workers; what has changed since `version`?
 };
 
+/// Returns the lower-case name of `topic`.
+const char* to_string(PeerTopic topic);
+
 /// A message to a peer. Each topic uses some of the fields.
 struct PeerRequest {
     PeerTopic topic = PeerTopic::heartbeat;
--- a/src/jobs.lib/head_log.cpp
+++ b/src/jobs.lib/head_log.cpp
@@ -15,8 +15,15 @@
 
 namespace {
 
-/// Pause between the starts of two writes, so that rows share transactions.
-constexpr Millis write_spacing { 16 };
+/// Pause between the starts of two writes, so that rows share transactions. A job's row is
+/// written anew for each of its tasks that starts or ends, so a longer pause writes fewer.
+constexpr Millis least_spacing { 16 };
+/// No pause is longer: starts wait for their records.
+constexpr Millis most_spacing { 100 };
+/// The rows of a write take so much of the processor's time and of the link at most. With
+/// 1,600 starts and ends a second they would take a fifth of half a core.
+constexpr int64_t processor_share = 8;
+constexpr int64_t link_share = 5;
 constexpr Millis gathering_time { 3 };
 /// A write is made at least so often, to renew the lease.
 constexpr Millis renewal_interval { 400 };
@@ -83,6 +90,7 @@
     , m_version(version)
     , m_lease_until(claimed + leader_lease)
     , m_last_start(claimed)
+    , m_spacing(least_spacing)
     , m_writer(loop, store, mechanisms)
 {
     // Writes of another log under the same claim, if there ever is one, have other numbers.
@@ -104,7 +112,7 @@
     if (!m_sending && !m_pending_write) {
         const Millis since = m_loop.now() - m_last_start;
         // An end and the intents of the pass that follows it share a transaction.
-        schedule(std::max(gathering_time, write_spacing - since));
+        schedule(std::max(gathering_time, m_spacing - since));
     }
 }
 
@@ -170,8 +178,22 @@
     send();
 }
 
+// Spaces writes by what the last one took.
+void HeadLog::learn_spacing(Millis filling, size_t bytes)
+{
+    Millis wanted = Millis(filling.count() * processor_share);
+    if (m_link_bytes > 0) {
+        constexpr int64_t millis_of_a_second = 1000;
+        const auto sent = static_cast<int64_t>(bytes);
+        wanted = std::max(wanted,
+                          Millis(sent * link_share * millis_of_a_second / m_link_bytes));
+    }
+    m_spacing = std::clamp(wanted, least_spacing, most_spacing);
+}
+
 void HeadLog::fill()
 {
+    const Millis begun = m_loop.now();
     m_write = {};
     m_write.checks.push_back({ lead_row(head_key), m_version });
     m_write.puts.push_back({ lead_row(head_key), {} });
@@ -193,6 +215,7 @@
     }
     fill_head();
     m_pending_write = true;
+    learn_spacing(m_loop.now() - begun, bytes);
 }
 
 void HeadLog::fill_head()
@@ -281,9 +304,8 @@
     if (handed_over)
         m_lost = true;
     else
-        schedule(m_queue.empty() && !m_successor
-                     ? renewal_interval
-                     : std::max(Millis(1), write_spacing - since));
+        schedule(m_queue.empty() && !m_successor ? renewal_interval
+                                                 : std::max(Millis(1), m_spacing - since));
     // A callback may end this leadership and destroy the log.
     const auto alive = m_lifetime.observe();
     for (const Entry& entry : written) {
--- a/src/jobs.lib/head_log.h
+++ b/src/jobs.lib/head_log.h
@@ -90,6 +90,9 @@
     /// if it is already.
     void when_recorded(const std::string& job, std::function<void()> done);
 
+    /// Sets what the node's link moves in a second, in bytes; 0 for no bound.
+    void set_link(int64_t bytes) { m_link_bytes = bytes; }
+
     /// Makes another node the leader by the next write that holds all that waits: it puts
     /// `leader_row` and a head of the next epoch for `incarnation`. Nothing can be written
     /// after it. `done` is called when it has taken effect.
@@ -124,6 +127,7 @@
     void flush();
     void fill();
     void fill_head();
+    void learn_spacing(Millis filling, size_t bytes);
     void send();
     void answered(const StoreResult& result, Millis asked);
     void committed(int64_t version, Millis asked);
@@ -137,6 +141,8 @@
     int64_t m_version;
     Millis m_lease_until;
     Millis m_last_start;
+    Millis m_spacing; ///< Between the starts of two writes.
+    int64_t m_link_bytes = 0;
     StoreWriter m_writer;
     /// What a write says of orders without a record.
     struct Announcement {
--- a/src/jobs.lib/job_node.cpp
+++ b/src/jobs.lib/job_node.cpp
@@ -144,6 +144,7 @@
                            WorkerBounds { m_setup.max_hold, m_setup.kill_grace,
                                           m_setup.gang_timeout, m_setup.drain },
                            m_setup.archive_batch,
+                           m_setup.link_bytes,
                            m_setup.mechanisms };
     m_relayed.begin_epoch(claim.head.epoch);
     m_scheduler
@@ -245,6 +246,7 @@
     if (answer.peers_hash != m_peers_hash && !answer.peers.empty()) {
         m_peers_hash = answer.peers_hash;
         m_peers = answer.peers;
+        m_leadership.set_group_size(m_peers.size());
     }
     // When the leader is not served, this node finds out whether it is.
     if (!answer.served)
--- a/src/jobs.lib/job_record.cpp
+++ b/src/jobs.lib/job_record.cpp
@@ -63,7 +63,8 @@
     }
     json.push_back(step.done > 0 ? done_digits(step) : "");
     Json failures = Json::array();
-    Json workers = Json::object();
+    // By run, then by worker: the tasks of a step mostly share a run, and some a worker.
+    Json runs = Json::object();
     Json checkpoints = Json::array();
     for (size_t i = 0; i < step.tasks.size(); ++i) {
         const Task& task = step.tasks[i];
@@ -72,12 +73,12 @@
         if (!task.failed_runs.empty())
             failures.push_back({ i, task.failed_runs });
         if (task.placed())
-            workers[task.worker].push_back({ i, task.run });
+            runs[std::to_string(task.run)][task.worker].push_back(i);
         if (!task.checkpoint.empty())
             checkpoints.push_back({ i, task.checkpoint });
     }
     json.push_back(std::move(failures));
-    json.push_back(std::move(workers));
+    json.push_back(std::move(runs));
     json.push_back(std::move(checkpoints));
     json.push_back(step.gang_failed_runs);
     return json;
@@ -98,12 +99,14 @@
         task.run = *std::max_element(task.failed_runs.begin(), task.failed_runs.end());
         task.ended_run = task.run;
     }
-    for (const auto& [worker, runs] : json.at(4).items()) {
-        for (const Json& entry : runs) {
-            Task& task = step.tasks.at(entry.at(0).get<size_t>());
-            task.phase = TaskPhase::in_doubt;
-            task.worker = worker;
-            task.run = entry.at(1).get<int64_t>();
+    for (const auto& [run, workers] : json.at(4).items()) {
+        for (const auto& [worker, indices] : workers.items()) {
+            for (const Json& index : indices) {
+                Task& task = step.tasks.at(index.get<size_t>());
+                task.phase = TaskPhase::in_doubt;
+                task.worker = worker;
+                task.run = std::stoll(run);
+            }
         }
     }
     for (const Json& checkpoint : json.at(5)) {
--- a/src/jobs.lib/leadership.cpp
+++ b/src/jobs.lib/leadership.cpp
@@ -16,6 +16,11 @@
 namespace {
 
 constexpr Millis heartbeat_interval { 250 };
+/// With many nodes each asks less often: the first of them to miss a leader does so as soon
+/// as before, and 146 nodes that ask four times a second cost the leader a fifth of half a
+/// core. It stays below the time after which the leader looks after a follower itself.
+constexpr Millis longest_heartbeat_interval { 500 };
+constexpr int64_t heartbeat_interval_per_node_ms = 4;
 constexpr Millis heartbeat_timeout { 300 };
 /// Pause before a leader whose address refused a connection is asked again.
 constexpr Millis refused_pause { 40 };
@@ -306,7 +311,7 @@
         m_deferred = false;
         m_strongest_peer = answer.strongest_follower;
         m_listener.leader_answered(answer);
-        schedule_follow(heartbeat_interval);
+        schedule_follow(heartbeat_pause());
         return;
     }
     if (answer.epoch > epoch && !answer.leader.empty()) {
@@ -326,6 +331,13 @@
     read_rows();
 }
 
+Millis Leadership::heartbeat_pause() const
+{
+    const auto wanted
+        = Millis(static_cast<int64_t>(m_group_size) * heartbeat_interval_per_node_ms);
+    return std::clamp(wanted, heartbeat_interval, longest_heartbeat_interval);
+}
+
 void Leadership::suspect_dead()
 {
     if (++m_refusals < refusals_of_a_dead_leader) {
--- a/src/jobs.lib/leadership.h
+++ b/src/jobs.lib/leadership.h
@@ -74,6 +74,8 @@
     std::string leader_address() const;
     /// Returns whether the leader has answered lately.
     bool leader_seen() const;
+    /// Sets how many nodes ask the leader.
+    void set_group_size(size_t nodes) { m_group_size = nodes; }
     /// Asks the leader now instead of at the next regular time.
     void heartbeat_now();
     /// This node led and has handed over to `successor`.
@@ -97,6 +99,7 @@
     void schedule_follow(Millis delay);
     void follow();
     void heartbeat_answered(PeerEnd end, const PeerAnswer& answer, int64_t epoch);
+    Millis heartbeat_pause() const;
     void suspect_dead();
     void suspect_silent();
     void claim();
@@ -121,6 +124,7 @@
     bool m_claim_wanted = false; ///< Claim when the rows have been read.
     bool m_deferring = false; ///< Stronger nodes are given time to claim first.
     bool m_deferred = false; ///< They have had it, for the present leader's place.
+    size_t m_group_size = 1; ///< Nodes that ask the leader.
     int m_strongest_peer = 0; ///< Among the other followers, as the leader last told.
     Millis m_read_time; ///< How long the last read of the rows took.
     Millis m_read_asked; ///< When the last read of the rows began.
--- a/src/jobs.lib/peer_codec.cpp
+++ b/src/jobs.lib/peer_codec.cpp
@@ -26,6 +26,37 @@
 
 } // namespace
 
+const char* to_string(PeerTopic topic)
+{
+    switch (topic) {
+    case PeerTopic::heartbeat:
+        return "heartbeat";
+    case PeerTopic::job_accepted:
+        return "job_accepted";
+    case PeerTopic::job_canceled:
+        return "job_canceled";
+    case PeerTopic::job_state:
+        return "job_state";
+    case PeerTopic::queue_pending:
+        return "queue_pending";
+    case PeerTopic::advice:
+        return "advice";
+    case PeerTopic::accept_job:
+        return "accept_job";
+    case PeerTopic::cancel_job:
+        return "cancel_job";
+    case PeerTopic::configuration:
+        return "configuration";
+    case PeerTopic::worker_calls:
+        return "worker_calls";
+    case PeerTopic::job_payload:
+        return "job_payload";
+    case PeerTopic::worker_list:
+        break;
+    }
+    return "worker_list";
+}
+
 std::string encode(const PeerRequest& request)
 {
     Json json;
--- a/src/jobs.lib/relayed_workers.cpp
+++ b/src/jobs.lib/relayed_workers.cpp
@@ -15,9 +15,9 @@
 
 /// Orders to one relay that come within this time go in one message, and looks that wait
 /// there anyhow with them. A message costs a leader as much as a call that it makes itself.
-constexpr Millis order_delay { 15 };
+constexpr Millis order_delay { 20 };
 /// A look goes so late at most. An end that it would have heard of waits for it.
-constexpr Millis look_delay { 45 };
+constexpr Millis look_delay { 60 };
 /// The way to a relay and back, and what it and this node wait for others to join.
 constexpr Millis relay_margin { 250 };
 /// A relay that gives no answer for so long beyond the time that it may hold a message is
@@ -31,9 +31,10 @@
 constexpr Millis sweep_interval { 50 };
 /// The load is weighed so often; half of it is of the last interval.
 constexpr Millis weigh_interval { 500 };
-/// Bytes of a call with its answer beside its payload, with the headers of HTTP.
-constexpr double order_bytes = 900;
-constexpr double look_bytes = 1100;
+/// Bytes of a call beside its payload, in the direction that has more of them, with the
+/// headers of HTTP (the log's link_traffic at 175 starts and 350 looks a second).
+constexpr double order_bytes = 400;
+constexpr double look_bytes = 450;
 /// Jobs of which the acceptor is remembered: those of half a minute at the users' largest
 /// site; one that was forgotten costs its payload once for each relay.
 constexpr size_t most_acceptors = 5000;
--- a/src/jobs.lib/scheduler.cpp
+++ b/src/jobs.lib/scheduler.cpp
@@ -36,6 +36,7 @@
     m_leases_over_ms
         = store_time_at(claim.known + leader_lease) + store_clock_error.count();
     m_unresolved = { claim.head.unrecorded_on.begin(), claim.head.unrecorded_on.end() };
+    m_log.set_link(m_parts.link_bytes);
 }
 
 Scheduler::~Scheduler() = default;
--- a/src/jobs.lib/scheduler.h
+++ b/src/jobs.lib/scheduler.h
@@ -53,6 +53,7 @@
     Metrics& metrics;
     WorkerBounds bounds;
     size_t archive_batch = 1; ///< As in NodeSetup.
+    int64_t link_bytes = 0; ///< The same.
     Mechanisms mechanisms;
 };
 
--- a/src/pathport_jobd/http_peers.cpp
+++ b/src/pathport_jobd/http_peers.cpp
@@ -6,7 +6,9 @@
 namespace pathport {
 
 namespace {
-const char* const peer_target = "/peer";
+/// The path of a message, before the name of its topic, which is there for whoever looks at
+/// the traffic: the message names its topic itself.
+const std::string peer_target = "/peer/";
 } // namespace
 
 HttpPeers::HttpPeers(AsyncHttpClient& http)
@@ -21,7 +23,7 @@
     const auto server = parse_address(address);
     if (server)
         call.server = *server;
-    call.target = peer_target;
+    call.target = peer_target + to_string(request.topic);
     call.body = encode(request);
     call.timeout = timeout;
     m_http.send(std::move(call), [done = std::move(done)](const CallOutcome& outcome) {
@@ -41,7 +43,7 @@
                          const ServerReply& reply)
 {
     const auto message = jobs::decode_peer_request(request.body);
-    if (request.target != peer_target || !message) {
+    if (request.target.rfind(peer_target, 0) != 0 || !message) {
         ServerAnswer answer;
         answer.status = 400;
         reply(std::move(answer));
