A new leader has relays from the start; a leader that hears nobody keeps them

Followers are told what the leader's calls take, and the next leader begins with that load and with the nodes that the last one knew. A relay counts as silent only if others were heard meanwhile; the workers of a lost one go to other nodes before they come back to the leader.

--- a/src/include/pathport/jobs/peers.h
+++ b/src/include/pathport/jobs/peers.h
@@ -78,6 +78,8 @@
     int64_t sent_ms = 0; ///< The leader's clock.
     int64_t config_version = 0;
     int strongest_follower = 0; ///< The highest strength among a leader's live followers.
+    int64_t call_rate = 0; ///< Calls to workers that a leader has made in a second lately.
+    int64_t call_bytes = 0; ///< What they take on a link, in bytes a second.
     int64_t peers_hash = 0; ///< Of the leader's list of followers.
     std::vector<std::string> peers; ///< That list, if the sender's is another one.
     int status = 0; ///< Of an acceptance or cancellation, as to a client.
--- a/src/jobs.lib/job_node.cpp
+++ b/src/jobs.lib/job_node.cpp
@@ -8,6 +8,7 @@
 #include <pathport/log.h>
 
 #include <algorithm>
+#include <iterator>
 
 namespace pathport::jobs {
 
@@ -133,6 +134,7 @@
     m_followers.clear();
     m_handing_over = false;
     m_lead_ticked = m_parts.loop.now();
+    m_elected_at = m_lead_ticked;
     SchedulerParts parts { m_parts.loop,
                            m_store,
                            m_relayed_directory,
@@ -146,7 +148,11 @@
                            m_setup.archive_batch,
                            m_setup.link_bytes,
                            m_setup.mechanisms };
-    m_relayed.begin_epoch(claim.head.epoch);
+    std::vector<std::string> others;
+    if (m_setup.mechanisms.uses(Mechanism::worker_relays))
+        std::remove_copy(m_peers.begin(), m_peers.end(), std::back_inserter(others),
+                         m_setup.peer_address);
+    m_relayed.begin_epoch(claim.head.epoch, m_leaders_load, others);
     m_scheduler
         = std::make_unique<Scheduler>(parts, claim, m_lifetime.wrap([this] { deposed(); }));
     m_scheduler->begin();
@@ -243,6 +249,7 @@
 {
     m_leader_sent_ms = answer.sent_ms;
     m_leader_served = answer.served;
+    m_leaders_load = { double(answer.call_rate), double(answer.call_bytes) };
     if (answer.peers_hash != m_peers_hash && !answer.peers.empty()) {
         m_peers_hash = answer.peers_hash;
         m_peers = answer.peers;
@@ -309,12 +316,14 @@
     m_peers_hash = static_cast<int64_t>(stable_hash(joined + m_setup.peer_address) >> 1);
 }
 
-// One that stops in order is no follower any more, so its share moves before it ends.
+// One that stops in order is no follower any more, so its share moves before it ends. A new
+// leader goes by the nodes that the last one knew until all that live have asked it.
 void JobNode::Impl::list_relays()
 {
-    if (!m_setup.mechanisms.uses(Mechanism::worker_relays))
-        return;
     const Millis now = m_parts.loop.now();
+    if (!m_setup.mechanisms.uses(Mechanism::worker_relays)
+        || now - m_elected_at < follower_useful)
+        return;
     std::vector<RelayNode> nodes;
     for (const auto& [address, follower] : m_followers) {
         if (now - follower.heard < follower_useful)
--- a/src/jobs.lib/job_node_impl.h
+++ b/src/jobs.lib/job_node_impl.h
@@ -143,12 +143,14 @@
     std::vector<std::string> m_peers;
     int64_t m_peers_hash = 0;
     Millis m_lead_ticked; ///< When lead_tick() ran last.
+    Millis m_elected_at; ///< When this node became the leader.
     bool m_leaving = false;
     Millis m_left_at; ///< When the planned stop began.
     std::optional<LeaderValue> m_successor; ///< Named by the last write of this leader.
     bool m_handing_over = false; ///< The log was told to make another node the leader.
     bool m_fetching_configuration = false;
     bool m_leader_served = false; ///< Whether the store served the leader then.
+    CallLoad m_leaders_load; ///< What its calls to workers took then.
     int64_t m_leader_sent_ms = 0; ///< The leader's clock in its last answer.
     Lifetime m_lifetime;
 };
--- a/src/jobs.lib/job_node_peers.cpp
+++ b/src/jobs.lib/job_node_peers.cpp
@@ -121,6 +121,8 @@
         note_follower(request);
     }
     answer.strongest_follower = strongest_follower();
+    answer.call_rate = static_cast<int64_t>(m_relayed.load().calls);
+    answer.call_bytes = static_cast<int64_t>(m_relayed.load().bytes);
     answer.resigned = m_scheduler->resigned();
     answer.peers_hash = m_peers_hash;
     if (request.peers_hash != m_peers_hash)
--- a/src/jobs.lib/peer_codec.cpp
+++ b/src/jobs.lib/peer_codec.cpp
@@ -133,6 +133,8 @@
     put(json, "sent", answer.sent_ms);
     put(json, "config", answer.config_version);
     put(json, "strongest", answer.strongest_follower);
+    put(json, "call_rate", answer.call_rate);
+    put(json, "call_bytes", answer.call_bytes);
     put(json, "peers_hash", answer.peers_hash);
     put(json, "peers", answer.peers);
     put(json, "status", answer.status);
@@ -162,6 +164,8 @@
         answer.sent_ms = json.value("sent", int64_t(0));
         answer.config_version = json.value("config", int64_t(0));
         answer.strongest_follower = json.value("strongest", 0);
+        answer.call_rate = json.value("call_rate", int64_t(0));
+        answer.call_bytes = json.value("call_bytes", int64_t(0));
         answer.peers_hash = json.value("peers_hash", int64_t(0));
         answer.peers = json.value("peers", std::vector<std::string>());
         answer.status = json.value("status", 0);
--- a/src/jobs.lib/relayed_workers.cpp
+++ b/src/jobs.lib/relayed_workers.cpp
@@ -8,6 +8,7 @@
 #include <pathport/log.h>
 
 #include <algorithm>
+#include <iterator>
 
 namespace pathport::jobs {
 
@@ -61,12 +62,18 @@
     m_message.link_bytes = 0;
 }
 
-void RelayedWorkers::begin_epoch(int64_t epoch)
+void RelayedWorkers::begin_epoch(int64_t epoch, const CallLoad& expected,
+                                 const std::vector<std::string>& peers)
 {
     end_epoch();
     m_message.epoch = epoch;
     m_leads = true;
+    m_load = expected;
     m_weighed = m_loop.now();
+    std::vector<RelayNode> nodes;
+    for (const std::string& peer : peers)
+        nodes.push_back({ peer, m_own });
+    set_nodes(std::move(nodes));
     sweep();
 }
 
@@ -254,7 +261,8 @@
 }
 
 // Returns the relay for a worker, or nothing when this node makes the call. The workers of
-// one that is lost are shared out among the others until it may be used again.
+// one that is lost are shared out among the others until it may be used again. When all
+// seem lost it is this node that can't be heard: their calls would be one more load on it.
 const RelayNode* RelayedWorkers::route(const std::string& worker)
 {
     if (m_relays.empty())
@@ -266,17 +274,13 @@
     if (usable(usual))
         return &usual;
     std::vector<RelayNode> others;
-    for (const RelayNode& relay : m_relays) {
-        if (usable(relay))
-            others.push_back(relay);
-    }
+    std::copy_if(m_nodes.begin(), m_nodes.end(), std::back_inserter(others),
+                 [this](const RelayNode& node) { return usable(node); });
     if (others.empty())
-        return nullptr;
+        return &usual;
     const std::string& address = others[relay_of(worker, others)].address;
-    const auto other
-        = std::find_if(m_relays.begin(), m_relays.end(),
-                       [&](const RelayNode& relay) { return relay.address == address; });
-    return &*other;
+    return &*std::find_if(m_nodes.begin(), m_nodes.end(),
+                          [&](const RelayNode& node) { return node.address == address; });
 }
 
 void RelayedWorkers::leave_out_payload(RelayedCall& call) const
@@ -424,8 +428,13 @@
     const auto alive = m_epoch_lifetime.observe();
     for (const int64_t number : not_sent) {
         auto pending = take_pending(number);
-        if (pending)
+        const RelayNode* other = pending ? route(pending->call.worker) : nullptr;
+        if (other != nullptr && other->address != address) {
+            pending->relay = other->address;
+            give(other->address, std::move(*pending));
+        } else if (pending) {
             make_directly(pending->call, std::move(pending->done));
+        }
     }
     for (const int64_t number : in_doubt) {
         auto pending = take_pending(number);
@@ -436,6 +445,15 @@
     }
 }
 
+// Returns whether other relays have answered since a call was given to its own. If not, it
+// is this node that hears nobody.
+bool RelayedWorkers::others_heard(const Pending& pending) const
+{
+    return std::any_of(m_links.begin(), m_links.end(), [&](const auto& link) {
+        return link.first != pending.relay && link.second.heard > pending.since;
+    });
+}
+
 // Ends calls whose time is over, and finds relays that have said nothing since they were
 // given one of them.
 void RelayedWorkers::sweep()
@@ -453,7 +471,7 @@
             continue;
         overdue.push_back(number);
         const bool unheard = m_links[pending.relay].heard < pending.since
-            && now - pending.since > unheard_time;
+            && now - pending.since > unheard_time && others_heard(pending);
         if (unheard
             && std::find(silent.begin(), silent.end(), pending.relay) == silent.end())
             silent.push_back(pending.relay);
--- a/src/jobs.lib/relayed_workers.h
+++ b/src/jobs.lib/relayed_workers.h
@@ -34,8 +34,11 @@
     RelayedWorkers(EventLoop& loop, WorkerClient& direct, PeerClient& peers, NodePower own,
                    PeerRequest identity);
 
-    /// Begins an epoch in which this node leads.
-    void begin_epoch(int64_t epoch);
+    /// Begins an epoch in which this node leads. `expected` is what the last leader's calls
+    /// took, and `peers` are the nodes that it knew: a take-over looks at all workers at
+    /// once, before this node has heard of any other.
+    void begin_epoch(int64_t epoch, const CallLoad& expected,
+                     const std::vector<std::string>& peers);
     /// Ends it: answers that are still to come are dropped.
     void end_epoch();
     /// Sets the nodes that may be relays at present.
@@ -44,6 +47,8 @@
     void note_acceptor(const std::string& job, const std::string& address);
     /// Returns through how many nodes calls go at present; 0 when this one makes them.
     size_t relay_count() const { return m_relays.size(); }
+    /// Returns what calls took lately.
+    const CallLoad& load() const { return m_load; }
     /// Returns the address of the first relay that was not lost lately, or "".
     std::string first_relay();
 
@@ -94,6 +99,7 @@
                     const char* reason);
     void take_answer(const RelayedAnswer& answer);
     std::optional<Pending> take_pending(int64_t number);
+    bool others_heard(const Pending& pending) const;
     void sweep();
 
     EventLoop& m_loop;
--- a/src/jobs.lib/relayed_workers_test.cpp
+++ b/src/jobs.lib/relayed_workers_test.cpp
@@ -119,7 +119,7 @@
         : workers(loop, here, wire, NodePower { 1000, 1 }, leader())
     {
         restart("one");
-        workers.begin_epoch(5);
+        workers.begin_epoch(5, {}, {});
         workers.set_nodes({ { "r", { 1000, 0 } } });
         // The load is known after a while.
         for (int i = 0; i < 10; ++i) {
