Passes take a quarter of the time at most; verdicts lie side by side

Verdicts are in a flat map (Boost). The pause before the next pass grows with what the last one took, up to 25 ms, so that passes take a quarter of the time.

Tests of relays: a silent one is left once it is no follower any more.

--- a/src/jobs.lib/job_record.h
+++ b/src/jobs.lib/job_record.h
@@ -11,6 +11,8 @@
 
 #include <pathport/jobs/job_model.h>
 
+#include <boost/container/flat_map.hpp>
+
 #include <map>
 #include <memory>
 #include <set>
@@ -64,7 +66,9 @@
 
 /// The advice that was had for a step.
 struct StepAdvice {
-    std::map<WorkerNumber, Permission> workers; ///< Those not in it weren't asked about.
+    /// Those not in it weren't asked about. Each pass reads those of all steps that wait,
+    /// so they lie side by side.
+    boost::container::flat_map<WorkerNumber, Permission> workers;
     bool asking = false;
     Millis verdicts_at; ///< When the last new verdicts came.
     Millis tickets_until; ///< No ticket holds any more from then on.
--- a/src/jobs.lib/relayed_workers_test.cpp
+++ b/src/jobs.lib/relayed_workers_test.cpp
@@ -247,7 +247,8 @@
     path.world.run_for(Millis(1200));
     BOOST_TEST(path.unknown == 1);
     BOOST_TEST(path.here.starts.empty());
-    // It is left alone from then on.
+    // Soon it is no follower any more, and this node makes its calls itself.
+    path.workers.set_nodes({});
     path.start("job2", "p");
     path.world.run_for(Millis(300));
     BOOST_TEST(path.accepted == 1);
--- a/src/jobs.lib/scheduler.h
+++ b/src/jobs.lib/scheduler.h
@@ -380,6 +380,7 @@
     bool m_check_due = false; ///< A pass will follow for steps that wait for room.
     int64_t m_passes = 0; ///< Since load was last reported.
     Millis m_pass_time; ///< Spent in them.
+    Millis m_last_pass_time; ///< Spent in the last one.
     Millis m_pass_begun; ///< The present or last pass; the time that its choices go by.
     int m_gangs_prepared = 0; ///< In the present pass.
     Lifetime m_lifetime;
--- a/src/jobs.lib/scheduler_pass.cpp
+++ b/src/jobs.lib/scheduler_pass.cpp
@@ -17,6 +17,11 @@
 
 /// What happens within this time is dealt with in one pass.
 constexpr Millis pass_delay { 2 };
+/// Passes take at most one part in so many of the time: with hundreds of steps that wait
+/// they would take all that the exchange with workers, store and clients leaves.
+constexpr int64_t pass_part = 4;
+/// The pause that follows from that is no longer: urgent steps wait for it.
+constexpr Millis longest_pass_pause { 25 };
 /// A pass ends after this time even if candidates are left, so that leases and orders are
 /// not held up by a long queue; the next pass begins with the most urgent ones again.
 constexpr Millis longest_pass { 12 };
@@ -39,7 +44,10 @@
     if (m_pass_due || m_phase != Phase::acting)
         return;
     m_pass_due = true;
-    m_parts.loop.after(pass_delay, m_lifetime.wrap([this] {
+    const Millis since = m_parts.loop.now() - m_pass_begun;
+    const Millis pause = std::min(longest_pass_pause,
+                                  Millis(m_last_pass_time.count() * pass_part) - since);
+    m_parts.loop.after(std::max(pass_delay, pause), m_lifetime.wrap([this] {
         m_pass_due = false;
         pass();
     }));
@@ -79,7 +87,8 @@
             cut_short = m_parts.loop.now() - begun > longest_pass;
     }
     ++m_passes;
-    m_pass_time = m_pass_time + (m_parts.loop.now() - begun);
+    m_last_pass_time = m_parts.loop.now() - begun;
+    m_pass_time = m_pass_time + m_last_pass_time;
     if (cut_short)
         schedule_pass();
     if (put_off)
