A new leader reads no more at a time than its link moves in a tenth of a second

Cause: a take-over read eight parts of the jobs' table at a time and pages of 500 progress rows, and sent each read again after 300 ms, up to six times. On a link of 2 Mbit/s the answers queued for seconds, the reads that were sent again made it six times as much, and the new leader's own writes, without which the others take it for dead, waited behind them.

--- a/src/jobs.lib/job_feed.h
+++ b/src/jobs.lib/job_feed.h
@@ -25,6 +25,8 @@
     /// `seen` is told each row, some of them more than once.
     JobFeed(EventLoop& loop, JobStore& store, std::function<void(const StoredRow&)> seen);
 
+    /// Sets what the node's link moves in a second, in bytes; 0 for no bound.
+    void set_link(int64_t bytes) { m_reader.set_link(bytes); }
     /// Begins. All rows up to `version` are known from reads that began at `read_begun`.
     void begin(int64_t version, Millis read_begun);
     /// Asks for changes now instead of at the next regular time.
--- a/src/jobs.lib/scheduler.cpp
+++ b/src/jobs.lib/scheduler.cpp
@@ -37,6 +37,9 @@
         = store_time_at(claim.known + leader_lease) + store_clock_error.count();
     m_unresolved = { claim.head.unrecorded_on.begin(), claim.head.unrecorded_on.end() };
     m_log.set_link(m_parts.link_bytes);
+    m_job_reader.set_link(m_parts.link_bytes);
+    m_progress_reader.set_link(m_parts.link_bytes);
+    m_feed.set_link(m_parts.link_bytes);
 }
 
 Scheduler::~Scheduler() = default;
--- a/src/jobs.lib/table_reader.cpp
+++ b/src/jobs.lib/table_reader.cpp
@@ -10,14 +10,23 @@
 
 namespace {
 
-/// Parts that are read at a time.
-constexpr int most_open = 8;
+/// Parts that are read at a time, and rows on a page, at most.
+constexpr int64_t most_open_parts = 8;
+constexpr int64_t most_rows = 500;
+/// What is read at a time fills the link for a tenth of a second at most: a page that takes
+/// longer than `reread_interval` is sent again and again, and a new leader's own writes,
+/// without which it is taken for dead, wait behind it.
+constexpr int64_t link_fraction = 10;
+/// Bytes of a part of the jobs' table and of a progress row, about, at the users' largest
+/// load.
+constexpr int64_t bytes_of_part = 16000;
+constexpr int64_t bytes_of_row = 600;
+constexpr int64_t least_rows = 40;
 constexpr Millis read_timeout { 1500 };
 /// A read is sent again after this time, with so many open at most: about thirty times what
 /// the users' store takes for one.
 constexpr Millis reread_interval { 300 };
 constexpr int most_open_reads = 6;
-constexpr int rows_per_read = 500;
 /// Sorts below every character that keys hold.
 const char* const next_key_suffix = "!";
 
@@ -26,9 +35,20 @@
 TableReader::TableReader(EventLoop& loop, JobStore& store)
     : m_loop(loop)
     , m_store(store)
+    , m_most_open(most_open_parts)
+    , m_rows_of_page(most_rows)
 {
 }
 
+void TableReader::set_link(int64_t bytes)
+{
+    if (bytes <= 0)
+        return;
+    const int64_t at_once = bytes / link_fraction;
+    m_most_open = std::clamp<int64_t>(at_once / bytes_of_part, 1, most_open_parts);
+    m_rows_of_page = std::clamp(at_once / bytes_of_row, least_rows, most_rows);
+}
+
 void TableReader::read(const std::string& table, const std::vector<std::string>& parts,
                        std::function<void(std::vector<StoredRow>)> seen,
                        std::function<void(int64_t)> done)
@@ -38,7 +58,7 @@
     m_version = std::numeric_limits<int64_t>::max();
     m_seen = std::move(seen);
     m_done = std::move(done);
-    while (!m_waiting.empty() && m_open < most_open)
+    while (!m_waiting.empty() && m_open < m_most_open)
         next_part();
 }
 
@@ -70,7 +90,7 @@
     range.table = m_table;
     range.part = page->part;
     range.from = page->from;
-    range.limit = rows_per_read;
+    range.limit = static_cast<int>(m_rows_of_page);
     m_store.read(range, read_timeout, m_lifetime.wrap([this, page](StoreResult result) {
         --page->reads_open;
         answered(page, std::move(result));
--- a/src/jobs.lib/table_reader.h
+++ b/src/jobs.lib/table_reader.h
@@ -29,6 +29,9 @@
 public:
     TableReader(EventLoop& loop, JobStore& store);
 
+    /// Sets what the node's link moves in a second, in bytes; 0 for no bound. Less is read
+    /// at a time through a thin one.
+    void set_link(int64_t bytes);
     /// Begins; one reading at a time. `seen` is told the rows, `done` the lowest version
     /// that an answer named: all rows are known as of then.
     void read(const std::string& table, const std::vector<std::string>& parts,
@@ -56,7 +59,9 @@
     JobStore& m_store;
     std::string m_table;
     std::deque<std::string> m_waiting; ///< Parts that no read has been sent for.
-    int m_open = 0; ///< Parts that are being read.
+    int64_t m_most_open;
+    int64_t m_rows_of_page;
+    int64_t m_open = 0; ///< Parts that are being read.
     int64_t m_version = 0;
     std::function<void(std::vector<StoredRow>)> m_seen;
     std::function<void(int64_t)> m_done;
