--- a/src/jobs.lib/relayed_workers.cpp
+++ b/src/jobs.lib/relayed_workers.cpp
@@ -37,12 +37,15 @@
 constexpr double order_bytes = 400;
 constexpr double look_bytes = 450;
 /// Jobs of which the acceptor is remembered: those of half a minute at the users' largest
-/// site; one that was forgotten costs its payload once for each relay.
+/// site; one that was forgotten costs its payload with each order.
 constexpr size_t most_acceptors = 5000;
 
-OrderAnswer order_answer(const RelayedAnswer& answer)
+// Returns what takes the answer to a relayed order for `done`.
+std::function<void(RelayedAnswer)> order_done(std::function<void(OrderAnswer)> done)
 {
-    return { answer.status, answer.clock_ms };
+    return [done = std::move(done)](const RelayedAnswer& answer) {
+        done(OrderAnswer { answer.status, answer.clock_ms });
+    };
 }
 
 } // namespace
@@ -117,9 +120,7 @@
     call.timeout = timeout;
     call.start = order;
     submit(worker, std::move(call), order_bytes + double(order.payload.size()),
-           [done = std::move(done)](const RelayedAnswer& answer) {
-               done(order_answer(answer));
-           });
+           order_done(std::move(done)));
 }
 
 void RelayedWorkers::stop(const WorkerInfo& worker, const RunOrder& order, Millis timeout,
@@ -129,10 +130,7 @@
     call.kind = RelayedKind::stop;
     call.timeout = timeout;
     call.run = order;
-    submit(worker, std::move(call), order_bytes,
-           [done = std::move(done)](const RelayedAnswer& answer) {
-               done(order_answer(answer));
-           });
+    submit(worker, std::move(call), order_bytes, order_done(std::move(done)));
 }
 
 void RelayedWorkers::pace(const WorkerInfo& worker, const RunOrder& order, Millis timeout,
@@ -142,10 +140,7 @@
     call.kind = RelayedKind::pace;
     call.timeout = timeout;
     call.run = order;
-    submit(worker, std::move(call), order_bytes,
-           [done = std::move(done)](const RelayedAnswer& answer) {
-               done(order_answer(answer));
-           });
+    submit(worker, std::move(call), order_bytes, order_done(std::move(done)));
 }
 
 void RelayedWorkers::look(const WorkerInfo& worker, const LookOrder& order, Millis timeout,
@@ -185,7 +180,7 @@
     WorkerInfo worker;
     worker.id = call.worker;
     worker.address = call.address;
-    const auto order_done = [done](const OrderAnswer& answer) {
+    const auto answered = [done](const OrderAnswer& answer) {
         RelayedAnswer own;
         own.status = answer.status;
         own.clock_ms = answer.clock_ms;
@@ -193,13 +188,13 @@
     };
     switch (call.kind) {
     case RelayedKind::start:
-        m_direct.start(worker, call.start, call.timeout, order_done);
+        m_direct.start(worker, call.start, call.timeout, answered);
         break;
     case RelayedKind::stop:
-        m_direct.stop(worker, call.run, call.timeout, order_done);
+        m_direct.stop(worker, call.run, call.timeout, answered);
         break;
     case RelayedKind::pace:
-        m_direct.pace(worker, call.run, call.timeout, order_done);
+        m_direct.pace(worker, call.run, call.timeout, answered);
         break;
     case RelayedKind::look:
         m_direct.look(worker, call.look, call.timeout,
--- a/testsuite/run_soak.py
+++ b/testsuite/run_soak.py
@@ -10,6 +10,7 @@
 import sys
 import time
 
+from soak.daemons import Daemon
 from soak.report import print_table
 from soak.schedule import Size
 from soak.seeds import one_of_each_cause
@@ -31,6 +32,8 @@
     parser.add_argument("--seconds", type=float, default=25, help="how long jobs and faults come")
     parser.add_argument("--rate", type=float, default=0, help="jobs a second")
     parser.add_argument("--faults", type=float, default=0.7, help="faults a second")
+    parser.add_argument("--link-mbps", type=float, default=Daemon.link_mbps,
+                        help="what the daemons are told of their links; with 0.05 calls go through relays")
     parser.add_argument("--standstill", type=float, default=40,
                         help="seconds that a job which could run may stand still at the end")
     return parser.parse_args()
@@ -51,7 +54,9 @@
 def main():
     signal.signal(signal.SIGTERM, lambda *_: sys.exit(1))
     results = []
-    for seed, size in plays(arguments()):
+    wanted = arguments()
+    Daemon.link_mbps = wanted.link_mbps
+    for seed, size in plays(wanted):
         began = time.monotonic()
         result = asyncio.run(Soak(seed, size).run())
         results.append(result)
--- a/testsuite/soak/daemons.py
+++ b/testsuite/soak/daemons.py
@@ -15,6 +15,7 @@
 [machine]
 processor_share = {share}
 processor_cores = 1
+link_mbps = {link}
 [listen]
 clients = {ip}:{plan.clients}
 readiness = {ip}:{plan.readiness}
@@ -37,6 +38,10 @@
 class Daemon:
     """One daemon over its lives."""
 
+    # What the daemons are told of their links, in megabits a second. With a thin one the leader has the
+    # others make its calls to workers; nothing else is done to their traffic.
+    link_mbps = 1000
+
     def __init__(self, number, plan, folder, program, proxies):
         self.number, self.plan, self.folder = number, plan, folder
         self.program, self.proxies = program, proxies
@@ -65,7 +70,7 @@
         with open(self.settings_path(), "w", encoding="utf-8") as file:
             file.write(SETTINGS.format(
                 number=self.number, ip=self.ip, plan=self.plan,
-                share=STRENGTHS[self.number % len(STRENGTHS)],
+                share=STRENGTHS[self.number % len(STRENGTHS)], link=self.link_mbps,
                 service_ip=self.plan.service_ip(self.number)))
         self.process = processes.start([self.program, "--settings", self.settings_path()],
                                        os.path.join(self.folder, f"node-{self.number}.log"))
