Sight: stops, their reasons and what becomes of them in the log; the emulator sees cancelled jobs that run on

The hypotheses about a task of a cancelled job that ran on could not be told apart: stops were not in the log at all, nor whether the leader heard of a cancellation by a message or from the store. Now task_stop and task_stop_overdue (order count, last answer, whether the worker counts as silent), job_canceled with its source and the age of what the feed knows, cancel_not_told, cancel_of_unknown_job, and the open orders that a lapsed lease drops.

The emulator never looked whether a task of a cancelled job runs on. It does now, by the platform's own spans, and styles 3 and 4 of liveness_test cancel half of the jobs soon after they come.

--- a/src/emulator.lib/cell.cpp
+++ b/src/emulator.lib/cell.cpp
@@ -362,6 +362,7 @@
         if (status != ClientStatus::ok)
             return;
         m_jobs[id].canceled = true;
+        m_jobs[id].canceled_at = world.now();
         workers.canceled(id);
     });
 }
@@ -427,6 +428,8 @@
     std::vector<std::string> wrong = workers.breaches();
     wrong.insert(wrong.end(), m_standing.begin(), m_standing.end());
     for (const auto& [id, job] : m_jobs) {
+        if (job.canceled && workers.runs_any(id))
+            wrong.push_back(id + " was cancelled and runs at the end");
         if (job.accepted)
             check_state(id, job, wrong);
     }
--- a/src/emulator.lib/cell_liveness.cpp
+++ b/src/emulator.lib/cell_liveness.cpp
@@ -2,7 +2,7 @@
 // SPDX-License-Identifier: Apache-2.0
 
 /// \file
-/// Jobs that could run and don't.
+/// Jobs that could run and don't, and cancelled ones that run on.
 
 #include <pathport/emulator/cell.h>
 
@@ -17,12 +17,19 @@
 constexpr Millis longest_stand { 3000 };
 /// So long before it, and during it, nothing may have disturbed the cell.
 constexpr Millis calm_before { 4000 };
+/// All nodes are in touch again so long after a disturbance (the platform's `contact_ms`).
+constexpr Millis contact_time { 3000 };
+/// A task of a cancelled job has ended so long after that (`cancel_ms`, `kill_grace_ms`).
+constexpr Millis cancel_time { 3000 };
+constexpr Millis kill_grace { 400 };
 
 } // namespace
 
-void Cell::disturbed(Millis span)
+void Cell::disturbed(Millis span, Millis settles_in)
 {
-    m_disturbed_until = std::max(m_disturbed_until, world.now() + span);
+    const Millis until = world.now() + span;
+    m_trouble_until = std::max(m_trouble_until, until);
+    m_disturbed_until = std::max(m_disturbed_until, until + settles_in);
 }
 
 void Cell::watch_jobs()
@@ -39,9 +46,25 @@
             job.stands_since = Millis(0);
         else
             look_at_job(id, job);
+        look_at_canceled(id, job);
     }
 }
 
+void Cell::look_at_canceled(const std::string& id, ClientJob& job)
+{
+    if (!job.canceled || !workers.runs_any(id))
+        return;
+    const Millis calm_since = m_trouble_until + contact_time;
+    const Millis since = std::max(job.canceled_at, calm_since);
+    if (world.now() - since <= cancel_time + kill_grace)
+        return;
+    m_standing.push_back(std::to_string(world.now().count()) + ": " + id
+                         + " runs on, cancelled at "
+                         + std::to_string(job.canceled_at.count()) + ", calm since "
+                         + std::to_string(calm_since.count()));
+    job.canceled_at = world.now() + Millis(1000000); // Told once.
+}
+
 void Cell::look_at_job(const std::string& id, ClientJob& job)
 {
     const bool owed = job.accepted && !job.cancel_asked && !is_spent(id, job);
--- a/src/include/pathport/emulator/cell.h
+++ b/src/include/pathport/emulator/cell.h
@@ -34,6 +34,7 @@
     bool canceled = false; ///< It was told so.
     bool hopeless = false; ///< Its tasks fail too often.
     Millis accepted_at;
+    Millis canceled_at; ///< When it was told that it is cancelled.
     Millis stands_since; ///< Since when it could run and doesn't; zero when it does.
 };
 
@@ -89,9 +90,11 @@
     /// Checks that all accepted jobs have come to the end that they should; returns what is
     /// wrong, with all breaches seen so far.
     std::vector<std::string> verdict();
-    /// Notes that there is a disturbance for `span` from now on.
-    void disturbed(Millis span);
-    /// From now on notes each job that stands for 3 s although it could run, in calm.
+    /// Notes that there is a disturbance for `span` from now on, and that jobs may stand
+    /// for `settles_in` after it.
+    void disturbed(Millis span, Millis settles_in = Millis(0));
+    /// From now on notes each job that stands for 3 s although it could run, in calm, and
+    /// each that runs on though it was cancelled.
     void watch_jobs();
     /// Returns the jobs that were found to stand.
     const std::vector<std::string>& standing() const { return m_standing; }
@@ -111,6 +114,7 @@
     // Liveness (cell_liveness.cpp).
     void look_at_jobs();
     void look_at_job(const std::string& id, ClientJob& job);
+    void look_at_canceled(const std::string& id, ClientJob& job);
     bool is_spent(const std::string& id, const ClientJob& job) const;
     void check_lasting(const std::string& id, const ClientJob& job,
                        std::vector<std::string>& wrong) const;
@@ -121,7 +125,8 @@
     std::vector<std::unique_ptr<NodeProcess>> m_dead; ///< Kept, since events may name them.
     std::map<std::string, Millis> m_cut_until;
     std::map<std::string, ClientJob> m_jobs;
-    Millis m_disturbed_until;
+    Millis m_trouble_until; ///< The last disturbance ends then.
+    Millis m_disturbed_until; ///< The same with the time that jobs may stand after it.
     std::vector<std::string> m_standing;
 };
 
--- a/src/jobs.lib/job_node_clients.cpp
+++ b/src/jobs.lib/job_node_clients.cpp
@@ -180,7 +180,7 @@
 {
     m_acceptor.cancel(id, give_up, [this, id, done](WriteResult result) {
         if (result.outcome == WriteOutcome::written && m_scheduler)
-            m_scheduler->job_canceled(id);
+            m_scheduler->job_canceled(id, "own");
         done(result);
     });
 }
@@ -209,7 +209,19 @@
             notice.node = m_setup.node;
             notice.job = id;
             m_parts.peers.send(leader, notice, ask_timeout,
-                               [](PeerEnd, const PeerAnswer&) {});
+                               [id, leader](PeerEnd end, const PeerAnswer& answer) {
+                                   if (end == PeerEnd::answered && answer.served)
+                                       return;
+                                   // The leader learns of it from the store.
+                                   log_event(
+                                       LogLevel::info, "cancel_not_told",
+                                       { { "job", id },
+                                         { "leader", leader },
+                                         { "outcome",
+                                           end == PeerEnd::answered      ? "declined"
+                                               : end == PeerEnd::refused ? "refused"
+                                                                         : "silent" } });
+                               });
         });
 }
 
--- a/src/jobs.lib/job_node_peers.cpp
+++ b/src/jobs.lib/job_node_peers.cpp
@@ -36,7 +36,7 @@
         break;
     case PeerTopic::job_canceled:
         if (m_scheduler) {
-            m_scheduler->job_canceled(request.job);
+            m_scheduler->job_canceled(request.job, "peer");
             answer.served = true;
         }
         break;
--- a/src/jobs.lib/liveness_test.cpp
+++ b/src/jobs.lib/liveness_test.cpp
@@ -2,8 +2,8 @@
 // SPDX-License-Identifier: Apache-2.0
 
 /// \file
-/// Cells with further kinds of trouble, in which no job may stand that could run: the
-/// emulator watches all the time, not only at the end.
+/// Cells with further kinds of trouble, in which no job may stand that could run, and none
+/// that was cancelled may run on: the emulator watches all the time, not only at the end.
 
 #define BOOST_TEST_MODULE liveness
 #include <boost/test/unit_test.hpp>
@@ -51,6 +51,7 @@
     uint64_t allowed_tenths = 7; ///< Of the workers, by the advisor.
     int workers = 14;
     double late = 0.25; ///< Calls carried out late while that trouble lasts.
+    double canceled = 0; ///< Share of the jobs that are cancelled soon after they come.
 };
 
 Style make_style(int number)
@@ -60,6 +61,10 @@
         return { 0.012, Millis(10500), 5, 20, 0.5 };
     case 2: // Many at once.
         return { 0.1, Millis(12000), 5, 20, 0.6 };
+    case 3: // Half of the jobs are cancelled soon, and there is calm in between.
+        return { 0.02, Millis(10500), 7, 14, 0.5, 0.5 };
+    case 4: // The same in more trouble.
+        return { 0.06, Millis(12000), 7, 14, 0.5, 0.5 };
     default:
         return {};
     }
@@ -84,6 +89,7 @@
     std::string random_node();
     std::string random_worker();
     void submit_random();
+    void cancel_soon(const std::string& id);
     void trouble();
     void node_trouble(int64_t kind, Millis span);
     void store_trouble(int64_t kind, Millis span);
@@ -138,6 +144,14 @@
         steps[0].max_per_worker = 0;
     }
     submit(m_cell, (advised ? "a" : "q") + std::to_string(below(3)), id, steps);
+    if (m_style.canceled > 0 && chance(m_style.canceled))
+        cancel_soon(id);
+}
+
+void Schedule::cancel_soon(const std::string& id)
+{
+    const Millis after(5 + below(chance(0.5) ? 300 : 3000));
+    m_cell.world.after(after, [this, id] { m_cell.cancel(id); });
 }
 
 void Schedule::kill_all()
@@ -268,7 +282,7 @@
     const int64_t kind = below(node_kinds + store_kinds + worker_kinds);
     if ((trouble_mask() >> kind & 1) == 0)
         return;
-    m_cell.disturbed(span + m_style.settles_in);
+    m_cell.disturbed(span, m_style.settles_in);
     if (kind < node_kinds)
         node_trouble(kind, span);
     else if (kind < node_kinds + store_kinds)
--- a/src/jobs.lib/scheduler.h
+++ b/src/jobs.lib/scheduler.h
@@ -89,8 +89,8 @@
     /// came into the store. A job that came before this epoch was loaded if it was open, so
     /// such a message, which may be late, says nothing.
     void job_announced(const AcceptedJob& job, int64_t version);
-    /// Takes a cancellation that is recorded.
-    void job_canceled(const std::string& id);
+    /// Takes a cancellation that is recorded; `source` tells in the log who told of it.
+    void job_canceled(const std::string& id, const char* source);
     /// Returns the state of a job, or nothing when it isn't known here. Once the lease is
     /// over a successor may have shown a later one, so only a final state is told then.
     std::optional<JobState> state_of(const std::string& id) const;
--- a/src/jobs.lib/scheduler_jobs.cpp
+++ b/src/jobs.lib/scheduler_jobs.cpp
@@ -61,13 +61,21 @@
     schedule_pass();
 }
 
-void Scheduler::job_canceled(const std::string& id)
+void Scheduler::job_canceled(const std::string& id, const char* source)
 {
     JobRecord* job = find_job(id);
+    if (job == nullptr && m_closed.count(id) == 0)
+        log_event(LogLevel::info, "cancel_of_unknown_job",
+                  { { "job", id },
+                    { "source", source },
+                    { "loading", m_phase == Phase::loading ? "yes" : "no" } });
     if (job == nullptr || job->canceled || job->closed())
         return;
     job->canceled = true;
-    log_event(LogLevel::info, "job_canceled", { { "job", id } });
+    log_event(LogLevel::info, "job_canceled",
+              { { "job", id },
+                { "source", source },
+                { "feed_age_ms", (m_parts.loop.now() - m_feed.known_at()).count() } });
     close_if_final(*job);
 }
 
@@ -112,7 +120,7 @@
                 if (worker == nullptr)
                     continue;
                 if (task.phase == TaskPhase::running) {
-                    worker->session->stop(id, task.run);
+                    worker->session->stop(id, task.run, StopReason::job_closed);
                     task.phase = TaskPhase::stopping;
                 }
                 if (task.phase == TaskPhase::intended) {
--- a/src/jobs.lib/scheduler_load.cpp
+++ b/src/jobs.lib/scheduler_load.cpp
@@ -274,7 +274,7 @@
         return;
     const std::string canceled = canceled_job(row.id.key);
     if (!canceled.empty()) {
-        job_canceled(canceled);
+        job_canceled(canceled, "store");
         return;
     }
     if (m_jobs.count(row.id.key) > 0 || m_closed.count(row.id.key) > 0 || row.value.empty())
--- a/src/jobs.lib/scheduler_preempt.cpp
+++ b/src/jobs.lib/scheduler_preempt.cpp
@@ -121,7 +121,7 @@
     if (fit < needed)
         return false;
     for (const auto& [worker, victim] : chosen) {
-        worker->session->stop(victim.id, victim.task->run);
+        worker->session->stop(victim.id, victim.task->run, StopReason::preempted);
         victim.task->phase = TaskPhase::stopping;
     }
     if (chosen.empty())
--- a/src/jobs.lib/scheduler_reports.cpp
+++ b/src/jobs.lib/scheduler_reports.cpp
@@ -119,7 +119,9 @@
         log_event(
             LogLevel::info, "stray_run_stopped",
             { { "task", running.task.to_string() }, { "worker", worker.session->id() } });
-        worker.session->stop(running.task, running.run);
+        worker.session->stop(running.task, running.run,
+                             job != nullptr && job->closed() ? StopReason::job_closed
+                                                             : StopReason::unknown_run);
         if (job == nullptr && m_closed.count(running.task.job) == 0)
             m_stray_jobs.insert(running.task.job);
         return;
--- a/src/jobs.lib/scheduler_start.cpp
+++ b/src/jobs.lib/scheduler_start.cpp
@@ -206,7 +206,7 @@
     }
     const bool ended_already = worker == nullptr || !worker->load.holds(id);
     if (!ended_already && (task == nullptr || job->closed()))
-        worker->session->stop(id, run);
+        worker->session->stop(id, run, StopReason::job_closed);
 }
 
 } // namespace pathport::jobs
--- a/src/jobs.lib/scheduler_tick.cpp
+++ b/src/jobs.lib/scheduler_tick.cpp
@@ -113,7 +113,7 @@
         if (worker == nullptr)
             continue;
         worker->session->stop({ job.id(), step.repeat, step.index, static_cast<int>(i) },
-                              task.run);
+                              task.run, StopReason::gang_incomplete);
         task.phase = TaskPhase::stopping;
     }
 }
@@ -143,7 +143,7 @@
                     { "for_ms", (now - task.percent_at).count() } });
         note_surprise(*worker, job.id());
         step.note_turned_away(task.worker, now);
-        worker->session->stop(id, task.run);
+        worker->session->stop(id, task.run, StopReason::stands_still);
         task.phase = TaskPhase::stopping;
     }
 }
@@ -160,7 +160,7 @@
             || !worker->session->info().draining)
             continue;
         worker->session->stop({ job.id(), step.repeat, step.index, static_cast<int>(i) },
-                              task.run);
+                              task.run, StopReason::worker_drains);
         task.phase = TaskPhase::stopping;
     }
 }
--- a/src/jobs.lib/worker_session.cpp
+++ b/src/jobs.lib/worker_session.cpp
@@ -29,6 +29,9 @@
 /// further ends then: about the time in which an end should be known.
 constexpr Millis unrecorded_pause { 120 };
 constexpr Millis stop_retry { 500 };
+/// A stop that takes longer is told of in the log, and again after as long: the kill takes
+/// 0.4 s at most on the users' workers, and an order that was lost 0.5 s more.
+constexpr Millis overdue_stop { 1500 };
 /// Left off the longest lease, since the worker's clock as we count it may run ahead.
 constexpr Millis hold_margin { 150 };
 /// A worker's clock may run slow by two hundredths.
@@ -83,6 +86,25 @@
     return "unknown";
 }
 
+const char* to_string(StopReason reason)
+{
+    switch (reason) {
+    case StopReason::job_closed:
+        return "job_closed";
+    case StopReason::preempted:
+        return "preempted";
+    case StopReason::gang_incomplete:
+        return "gang_incomplete";
+    case StopReason::stands_still:
+        return "stands_still";
+    case StopReason::worker_drains:
+        return "worker_drains";
+    case StopReason::unknown_run:
+        break;
+    }
+    return "unknown_run";
+}
+
 WorkerSession::WorkerSession(EventLoop& loop, WorkerClient& client,
                              SessionListener& listener, WorkerInfo info, int64_t epoch,
                              int64_t least_fence, WorkerBounds bounds, Millis unknown_until,
@@ -288,8 +310,11 @@
     m_doubtful.clear();
     for (const auto& [key, stop] : m_stops)
         m_loop.cancel(stop.timer);
+    log_event(LogLevel::info, "worker_lease_lapsed",
+              { { "worker", id() },
+                { "open_stops", static_cast<int64_t>(m_stops.size()) },
+                { "open_starts", static_cast<int64_t>(m_unanswered.size()) } });
     m_stops.clear();
-    log_event(LogLevel::info, "worker_lease_lapsed", { { "worker", id() } });
     m_listener.lease_lapsed(*this);
 }
 
@@ -413,15 +438,46 @@
     look(false);
 }
 
-void WorkerSession::stop(const TaskId& task, int64_t run)
+void WorkerSession::stop(const TaskId& task, int64_t run, StopReason reason)
 {
     const std::string key = task.to_string();
     if (m_over || m_stops.count(key) > 0)
         return;
-    m_stops[key] = StopRequest { task, run, 0 };
+    StopRequest request;
+    request.task = task;
+    request.run = run;
+    request.reason = reason;
+    request.asked = m_loop.now();
+    request.told_overdue = request.asked;
+    m_stops[key] = request;
+    log_event(LogLevel::info, "task_stop",
+              { { "job", task.job },
+                { "task", key },
+                { "run", run },
+                { "worker", id() },
+                { "reason", to_string(reason) },
+                { "silent", m_silent ? "yes" : "no" } });
     send_stop(key);
 }
 
+void WorkerSession::tell_overdue(StopRequest& request)
+{
+    const Millis now = m_loop.now();
+    if (now - request.told_overdue < overdue_stop)
+        return;
+    request.told_overdue = now;
+    log_event(LogLevel::warn, "task_stop_overdue",
+              { { "job", request.task.job },
+                { "task", request.task.to_string() },
+                { "run", request.run },
+                { "worker", id() },
+                { "reason", to_string(request.reason) },
+                { "sent", request.sent },
+                { "last_answer", to_string(request.answer) },
+                { "silent", m_silent ? "yes" : "no" },
+                { "after_ms", (now - request.asked).count() } });
+}
+
 void WorkerSession::send_stop(const std::string& key)
 {
     const auto entry = m_stops.find(key);
@@ -430,14 +486,19 @@
     StopRequest& request = entry->second;
     request.timer
         = m_loop.after(stop_retry, m_lifetime.wrap([this, key] { send_stop(key); }));
+    tell_overdue(request);
     if (!m_listener.may_order() || m_silent)
         return;
     RunOrder order;
     order.task = request.task;
     order.run = request.run;
     order.fence = m_fence;
+    ++request.sent;
     m_client.stop(m_info, order, m_response.limit(),
-                  m_lifetime.wrap([this](const OrderAnswer& answer) {
+                  m_lifetime.wrap([this, key](const OrderAnswer& answer) {
+                      const auto open = m_stops.find(key);
+                      if (open != m_stops.end())
+                          open->second.answer = answer.status;
                       if (answer.status == OrderStatus::other_life)
                           end_life();
                   }));
--- a/src/jobs.lib/worker_session.h
+++ b/src/jobs.lib/worker_session.h
@@ -40,6 +40,17 @@
     not_started, ///< It is not there and never will be.
 };
 
+/// Why a run is stopped.
+enum class StopReason {
+    job_closed, ///< The job was cancelled or has failed.
+    preempted, ///< More urgent work needs its room.
+    gang_incomplete, ///< The others of its gang can't all be placed.
+    stands_still, ///< It makes no progress.
+    worker_drains, ///< It would not end before its worker does.
+    unknown_run, ///< It should not be there.
+};
+const char* to_string(StopReason reason);
+
 /// How a report stands to what earlier leaders left at its worker.
 enum class ReportStage {
     first_part, ///< Its list of ends is full: what it lacks may come with the next.
@@ -112,7 +123,7 @@
                const std::string& checkpoint, const std::string& ticket,
                std::function<void(StartResult, OrderStatus)> done);
     /// Orders a stop, again and again until the run is gone.
-    void stop(const TaskId& task, int64_t run);
+    void stop(const TaskId& task, int64_t run, StopReason reason);
     /// Orders a share of speed, once.
     void pace(const TaskId& task, int64_t run, int percent);
 
@@ -129,6 +140,11 @@
     struct StopRequest {
         TaskId task;
         int64_t run = 0;
+        StopReason reason = StopReason::unknown_run;
+        Millis asked;
+        Millis told_overdue; ///< When the log last told that it takes long.
+        int sent = 0;
+        OrderStatus answer = OrderStatus::unknown; ///< To the last order.
         EventLoop::TimerId timer = 0;
     };
 
@@ -148,6 +164,7 @@
     void start_answered(const OrderAnswer& answer, Doubt order);
     void raise_fence();
     void send_stop(const std::string& key);
+    void tell_overdue(StopRequest& request);
     void end_life();
     void check_lapse();
 
