What runs is compared with what should in every report of a worker

Cause: a run was stopped once, by what the leader held of it when its job closed. The leader can lose sight of a run: it takes a silent worker's lease to be over and drops the run and its stop, or a stop of an earlier run of the same task at the same worker swallows that of the later one. After a worker's first report nothing looked at runs that the leader does not hold, so such a run went on to its end, cancelled or not.

Change: each report in the order of the worker's clock is compared with the leader's books. A run that should not be there is stopped, takes room until it has ended, and keeps its task from being placed anew; one of a closed job is stopped again if its stop was lost. Stops are kept by task and run, go out at once when a worker is heard again, and end when a later look lists the run no more. Doubtful orders that a lapsed lease drops are voided by a raised fence besides.

--- a/src/jobs.lib/scheduler.h
+++ b/src/jobs.lib/scheduler.h
@@ -112,6 +112,7 @@
                   ReportStage stage) override;
     void life_over(WorkerSession& session) override;
     void lease_lapsed(WorkerSession& session) override;
+    void run_gone(WorkerSession& session, const TaskId& task, int64_t run) override;
     void fenced_off(WorkerSession& session) override;
     // HeadLogOwner
     std::optional<std::string> progress_of(const std::string& job) override;
@@ -206,6 +207,9 @@
     void record_ends(Worker& worker, const LookReport& report,
                      const std::set<std::string>& changed);
     void adopt(Worker& worker, const RunningTask& running);
+    void occupy_unplanned(Worker& worker, const RunningTask& running);
+    void compare(Worker& worker, const RunningTask& running);
+    void stop_unwanted(Worker& worker, const RunningTask& running);
     void note_progress(Worker& worker, const RunningTask& running);
     void release_missing(const Worker& worker);
     void release_doubts(const std::string& worker, const std::vector<TaskId>& tasks);
--- a/src/jobs.lib/scheduler_reports.cpp
+++ b/src/jobs.lib/scheduler_reports.cpp
@@ -50,7 +50,9 @@
     // What runs is looked at after what has ended before it. A first report in parts names
     // it in each.
     for (const RunningTask& running : report.running) {
-        if (first && !worker->load.holds(running.task))
+        if (!first)
+            compare(*worker, running);
+        else if (!worker->load.holds(running.task))
             adopt(*worker, running);
         else
             note_progress(*worker, running);
@@ -110,11 +112,7 @@
     const bool untold = task != nullptr && task->phase == TaskPhase::waiting;
     Step* step
         = job == nullptr ? nullptr : job->step(running.task.repeat, running.task.step);
-    // Of a run whose job is closed it isn't known what it takes: the whole worker at most.
-    StepSpec unknown;
-    unknown.need = worker.session->info().capacity;
-    occupy(worker, running.task, running.run, step == nullptr ? unknown : *step->spec,
-           job == nullptr ? 0 : job->accepted().queue.priority);
+    occupy_unplanned(worker, running);
     if (step == nullptr || task == nullptr || job->closed() || !(expected || untold)) {
         log_event(
             LogLevel::info, "stray_run_stopped",
@@ -144,6 +142,73 @@
         record(*job);
 }
 
+// Of a run whose job is closed it isn't known what it takes: the whole worker at most.
+void Scheduler::occupy_unplanned(Worker& worker, const RunningTask& running)
+{
+    JobRecord* job = find_job(running.task.job);
+    const Step* step
+        = job == nullptr ? nullptr : job->step(running.task.repeat, running.task.step);
+    StepSpec unknown;
+    unknown.need = worker.session->info().capacity;
+    occupy(worker, running.task, running.run, step == nullptr ? unknown : *step->spec,
+           job == nullptr ? 0 : job->accepted().queue.priority);
+}
+
+// What runs is compared with what should in every report, not only in the first: a run that
+// the leader has lost sight of, for whatever reason, would otherwise go on to its end, also
+// when its job is cancelled.
+void Scheduler::compare(Worker& worker, const RunningTask& running)
+{
+    const JobRecord* job = find_job(running.task.job);
+    const bool wanted
+        = job != nullptr && !job->closed() && worker.load.holds(running.task, running.run);
+    if (wanted)
+        note_progress(worker, running);
+    else
+        stop_unwanted(worker, running);
+}
+
+// Until it has ended, it takes room, and its task is not placed anew beside it.
+void Scheduler::stop_unwanted(Worker& worker, const RunningTask& running)
+{
+    JobRecord* job = find_job(running.task.job);
+    const bool closed = job == nullptr || job->closed();
+    if (!worker.load.holds(running.task, running.run)) {
+        log_event(LogLevel::warn, "unwanted_run",
+                  { { "job", running.task.job },
+                    { "task", running.task.to_string() },
+                    { "run", running.run },
+                    { "worker", worker.session->id() },
+                    { "job_open", closed ? "no" : "yes" } });
+        if (!worker.load.holds(running.task))
+            occupy_unplanned(worker, running);
+        Task* task = closed ? nullptr : job->task(running.task);
+        if (task != nullptr && task->phase == TaskPhase::waiting) {
+            task->phase = TaskPhase::stopping;
+            task->worker = worker.session->id();
+            task->run = running.run;
+        }
+    }
+    worker.session->stop(running.task, running.run,
+                         closed ? StopReason::job_closed : StopReason::unknown_run);
+}
+
+void Scheduler::run_gone(WorkerSession& session, const TaskId& id, int64_t run)
+{
+    Worker* worker = find_worker(session.id());
+    if (worker == nullptr || m_phase == Phase::over)
+        return;
+    vacate(*worker, id, run);
+    JobRecord* job = find_job(id.job);
+    Task* task = job == nullptr ? nullptr : job->task(id);
+    const bool awaited = task != nullptr && task->phase == TaskPhase::stopping
+        && task->worker == session.id() && task->run == run;
+    if (!awaited)
+        return;
+    release(*task);
+    schedule_pass();
+}
+
 void Scheduler::note_progress(Worker& worker, const RunningTask& running)
 {
     JobRecord* job = find_job(running.task.job);
--- a/src/jobs.lib/take_over_fixture.h
+++ b/src/jobs.lib/take_over_fixture.h
@@ -62,6 +62,7 @@
 public:
     int over = 0;
     int lapsed = 0;
+    int gone = 0;
     bool may_order() const override { return true; }
     void answer_missing() override { ++missing; }
     bool answers_go_missing() const override { return missing > 0; }
@@ -69,6 +70,7 @@
     void reported(WorkerSession&, const LookReport&, ReportStage) override { }
     void life_over(WorkerSession&) override { ++over; }
     void lease_lapsed(WorkerSession&) override { ++lapsed; }
+    void run_gone(WorkerSession&, const TaskId&, int64_t) override { ++gone; }
     void fenced_off(WorkerSession&) override { }
 };
 
--- a/src/jobs.lib/unwanted_runs_test.cpp
+++ b/src/jobs.lib/unwanted_runs_test.cpp
@@ -141,10 +141,10 @@
     report.running.push_back(running_task(unknown, 3));
     job.report(report);
     job.report_running(job.run);
-    const int stops = job.worker.stops;
     job.report_running(job.run);
+    const int stops = stops_of(job.worker, unknown, 3);
     job.world.run_for(Millis(3000));
-    BOOST_TEST(job.worker.stops == stops);
+    BOOST_TEST(stops_of(job.worker, unknown, 3) == stops);
 }
 
 // A stop of an earlier run that never came about is outstanding at the same worker.
--- a/src/jobs.lib/worker_load.cpp
+++ b/src/jobs.lib/worker_load.cpp
@@ -61,6 +61,12 @@
     return m_occupants.count(task.to_string()) > 0;
 }
 
+bool WorkerLoad::holds(const TaskId& task, int64_t run) const
+{
+    const auto found = m_occupants.find(task.to_string());
+    return found != m_occupants.end() && found->second.run == run;
+}
+
 Resources WorkerLoad::used_below(int priority) const
 {
     Resources sum;
--- a/src/jobs.lib/worker_load.h
+++ b/src/jobs.lib/worker_load.h
@@ -35,6 +35,8 @@
 
     bool empty() const { return m_occupants.empty(); }
     bool holds(const TaskId& task) const;
+    /// Returns whether this run of the task holds room there.
+    bool holds(const TaskId& task, int64_t run) const;
     /// Returns the sum of what all tasks take.
     const Resources& used() const { return m_used; }
     /// Returns what the tasks of queues that are less urgent than `priority` take.
--- a/src/jobs.lib/worker_session.cpp
+++ b/src/jobs.lib/worker_session.cpp
@@ -6,6 +6,7 @@
 #include <pathport/log.h>
 
 #include <algorithm>
+#include <limits>
 
 namespace pathport::jobs {
 
@@ -238,15 +239,18 @@
         look_failed(status, asked);
         return;
     }
-    if (m_silent)
+    const bool regained = m_silent;
+    if (regained)
         log_event(LogLevel::info, "worker_regained", { { "worker", id() } });
     m_silent = false;
     m_failed_looks = 0;
     note_answer(report->clock_ms, until);
     const auto alive = m_lifetime.observe();
-    report_arrived(*report, fence);
+    report_arrived(*report, fence, asked);
     if (alive.expired() || m_over)
         return;
+    if (regained)
+        send_stops();
     // One look is open at a time, but for doubts, which the next look is to resolve.
     if (m_looks_open > 0 && m_doubtful.empty())
         return;
@@ -306,7 +310,10 @@
     if (m_lapse_told || now <= m_lapse_at)
         return;
     m_lapse_told = true;
-    // A late order can't be carried out any more either: its lease has ended.
+    // A late order can't be carried out any more either: its lease has ended. The fence
+    // makes sure, in case the worker's lease is longer than was reckoned here.
+    if (!m_doubtful.empty())
+        ++m_fence;
     m_doubtful.clear();
     for (const auto& [key, stop] : m_stops)
         m_loop.cancel(stop.timer);
@@ -318,26 +325,69 @@
     m_listener.lease_lapsed(*this);
 }
 
-void WorkerSession::report_arrived(const LookReport& report, int64_t fence)
+void WorkerSession::report_arrived(const LookReport& report, int64_t fence, Millis asked)
 {
     m_fenced = true;
     const ReportStage stage = take_stage(report);
     resolve_doubts(report, fence);
     LookReport fresh;
     fresh.clock_ms = report.clock_ms;
-    fresh.running = report.running;
+    // Answers may pass each other: what runs in an older one may have ended since.
+    const bool newest = report.clock_ms >= m_reported_ms;
+    m_reported_ms = std::max(m_reported_ms, report.clock_ms);
+    if (newest)
+        fresh.running = report.running;
+    fresh.running_left_out = report.running_left_out || !newest;
     for (const EndedTask& end : report.ended) {
         if (end.number > m_listed)
             fresh.ended.push_back(end);
-        const auto stop = m_stops.find(end.task.to_string());
-        if (stop != m_stops.end() && stop->second.run <= end.run) {
-            m_loop.cancel(stop->second.timer);
-            m_stops.erase(stop);
-        }
     }
     if (!fresh.ended.empty())
         m_listed = fresh.ended.back().number;
+    drop_ended_stops(report);
+    const auto alive = m_lifetime.observe();
     m_listener.reported(*this, fresh, stage);
+    if (!alive.expired() && !m_over && !fresh.running_left_out && report.lists_all_ends())
+        drop_gone_stops(report, asked);
+}
+
+void WorkerSession::drop_ended_stops(const LookReport& report)
+{
+    if (m_stops.empty())
+        return;
+    for (const EndedTask& end : report.ended) {
+        const std::string task = end.task.to_string();
+        auto stop = m_stops.lower_bound({ task, std::numeric_limits<int64_t>::min() });
+        while (stop != m_stops.end() && stop->first.first == task
+               && stop->first.second <= end.run) {
+            m_loop.cancel(stop->second.timer);
+            stop = m_stops.erase(stop);
+        }
+    }
+}
+
+// A run that the report of a later look does not list is not there. Its end was noted
+// before, or it never was: a stop would be repeated for ever.
+void WorkerSession::drop_gone_stops(const LookReport& report, Millis asked)
+{
+    std::vector<StopRequest> gone;
+    for (auto stop = m_stops.begin(); stop != m_stops.end();) {
+        const StopRequest& request = stop->second;
+        if (request.asked >= asked || lists(report, request.task, request.run)) {
+            ++stop;
+            continue;
+        }
+        m_loop.cancel(request.timer);
+        gone.push_back(request);
+        stop = m_stops.erase(stop);
+    }
+    for (const StopRequest& request : gone) {
+        log_event(LogLevel::info, "stopped_run_gone",
+                  { { "task", request.task.to_string() },
+                    { "run", request.run },
+                    { "worker", id() } });
+        m_listener.run_gone(*this, request.task, request.run);
+    }
 }
 
 ReportStage WorkerSession::take_stage(const LookReport& report)
@@ -440,7 +490,7 @@
 
 void WorkerSession::stop(const TaskId& task, int64_t run, StopReason reason)
 {
-    const std::string key = task.to_string();
+    const RunKey key { task.to_string(), run };
     if (m_over || m_stops.count(key) > 0)
         return;
     StopRequest request;
@@ -452,7 +502,7 @@
     m_stops[key] = request;
     log_event(LogLevel::info, "task_stop",
               { { "job", task.job },
-                { "task", key },
+                { "task", key.first },
                 { "run", run },
                 { "worker", id() },
                 { "reason", to_string(reason) },
@@ -478,12 +528,23 @@
                 { "after_ms", (now - request.asked).count() } });
 }
 
-void WorkerSession::send_stop(const std::string& key)
+// Those that waited for a worker that was silent go out at once.
+void WorkerSession::send_stops()
+{
+    std::vector<RunKey> keys;
+    for (const auto& [key, stop] : m_stops)
+        keys.push_back(key);
+    for (const RunKey& key : keys)
+        send_stop(key);
+}
+
+void WorkerSession::send_stop(const RunKey& key)
 {
     const auto entry = m_stops.find(key);
     if (m_over || entry == m_stops.end())
         return;
     StopRequest& request = entry->second;
+    m_loop.cancel(request.timer);
     request.timer
         = m_loop.after(stop_retry, m_lifetime.wrap([this, key] { send_stop(key); }));
     tell_overdue(request);
--- a/src/jobs.lib/worker_session.h
+++ b/src/jobs.lib/worker_session.h
@@ -19,6 +19,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace pathport::jobs {
@@ -77,6 +78,8 @@
     virtual void life_over(WorkerSession& session) = 0;
     /// The lease of all that ran there has surely run out.
     virtual void lease_lapsed(WorkerSession& session) = 0;
+    /// A run that was told to stop is not there any more, and its end is not listed.
+    virtual void run_gone(WorkerSession& session, const TaskId& task, int64_t run) = 0;
     /// A worker refused a fence that this leader did not raise: there is a later leader.
     virtual void fenced_off(WorkerSession& session) = 0;
 };
@@ -137,6 +140,8 @@
         int64_t fence = 0; ///< Under which the order was sent.
         std::function<void(StartResult, OrderStatus)> done;
     };
+    /// A run of a task, by its name: two runs of one task may be told to stop.
+    using RunKey = std::pair<std::string, int64_t>;
     struct StopRequest {
         TaskId task;
         int64_t run = 0;
@@ -158,12 +163,15 @@
     void look_failed(OrderStatus status, Millis asked);
     void note_lease(int64_t until);
     void note_answer(int64_t clock_ms, int64_t until);
-    void report_arrived(const LookReport& report, int64_t fence);
+    void report_arrived(const LookReport& report, int64_t fence, Millis asked);
+    void drop_ended_stops(const LookReport& report);
+    void drop_gone_stops(const LookReport& report, Millis asked);
     ReportStage take_stage(const LookReport& report);
     void resolve_doubts(const LookReport& report, int64_t fence);
     void start_answered(const OrderAnswer& answer, Doubt order);
     void raise_fence();
-    void send_stop(const std::string& key);
+    void send_stop(const RunKey& key);
+    void send_stops();
     void tell_overdue(StopRequest& request);
     void end_life();
     void check_lapse();
@@ -184,6 +192,7 @@
     Mechanisms m_mechanisms;
     ResponseTime m_response; ///< Of its answers, beyond the time that a look waits.
     int64_t m_clock_ms = 0; ///< The worker's clock as last heard.
+    int64_t m_reported_ms = 0; ///< The worker's clock at the newest report.
     Millis m_clock_at; ///< When it was heard; zero when it never was.
     int64_t m_longest_until = 0; ///< The latest lease end that was ever sent.
     Millis m_lapse_at; ///< After it nothing that was leased before runs any more.
@@ -196,7 +205,7 @@
     Millis m_look_at;
     std::vector<Doubt> m_doubtful; ///< Starts without an answer.
     std::map<std::string, int> m_unanswered; ///< Starts under way, by task.
-    std::map<std::string, StopRequest> m_stops;
+    std::map<RunKey, StopRequest> m_stops;
     Lifetime m_lifetime;
 };
 
