--- a/src/jobs.lib/worker_session.cpp
+++ b/src/jobs.lib/worker_session.cpp
@@ -131,6 +131,13 @@
         m_loop.cancel(stop.timer);
 }
 
+// One that is listed again had not left: its entry had lapsed.
+void WorkerSession::update(const WorkerInfo& info)
+{
+    m_info = info;
+    m_left = false;
+}
+
 void WorkerSession::begin()
 {
     look(false);
--- a/src/jobs.lib/worker_session.h
+++ b/src/jobs.lib/worker_session.h
@@ -98,7 +98,7 @@
     const std::string& id() const { return m_info.id; }
     const WorkerInfo& info() const { return m_info; }
     /// Takes over what the platform's list says at present.
-    void update(const WorkerInfo& info) { m_info = info; }
+    void update(const WorkerInfo& info);
 
     /// Notes that the worker announced its end and has gone from the list: when nothing
     /// listens at its address any more, its life is over.
--- a/src/jobs.lib/worker_session_test.cpp
+++ b/src/jobs.lib/worker_session_test.cpp
@@ -158,3 +158,12 @@
     left.answer_look(OrderStatus::refused);
     BOOST_TEST(left.heard.over == 1);
 }
+
+// It is listed again, so it had not left: its entry had lapsed.
+BOOST_AUTO_TEST_CASE(worker_that_is_listed_again_and_refuses_connections_is_not_over)
+{
+    LeftWorker left;
+    left.session->update(left.session->info());
+    left.answer_look(OrderStatus::refused);
+    BOOST_TEST(left.heard.over == 0);
+}
