Test: the answer to a second sending of a request is not told as such, red

The caller's client gives up after 4,000 ms; cpprestsdk then closes the kept connection itself, takes that for a close by the server, and sends the request again. Ruled out: a caller that forgets a doubtful try (none of the requests had one).

--- a/src/http.lib/http_test.cpp
+++ b/src/http.lib/http_test.cpp
@@ -309,6 +309,38 @@
     BOOST_TEST((outcome.failure.kind() == FailureKind::outcome_unknown));
 }
 
+// A kept connection closes on a request that the server has taken. The library sends it
+// again by itself, and the answer is that to the second sending: a refusal in it says
+// nothing about the first.
+BOOST_AUTO_TEST_CASE(answer_to_a_second_sending_is_told_as_such)
+{
+    DyingServer server;
+    HttpClient client(server.address(), Millis(5000));
+    const HttpOutcome outcome = send_until_dropped(client, server);
+    BOOST_TEST((outcome.answer.has_value() == outcome.sent_again));
+}
+
+BOOST_AUTO_TEST_CASE(answer_to_the_only_sending_is_not_told_as_a_second_ones)
+{
+    EchoHandler handler;
+    const Address address { "127.0.0.1", free_port() };
+    HttpServer server(address, 1024, handler);
+    Failure reason;
+    BOOST_REQUIRE(server.start(reason));
+    HttpClient client(address, Millis(5000));
+    for (const char* const body : { "", "some bytes" }) {
+        HttpRequest request;
+        request.method = "POST";
+        request.body = body;
+        for (int i = 0; i < 3; ++i) {
+            const HttpOutcome outcome = client.send_and_wait(request);
+            BOOST_REQUIRE(outcome.answer);
+            BOOST_TEST(!outcome.sent_again);
+        }
+    }
+    server.stop();
+}
+
 BOOST_AUTO_TEST_CASE(refused_connection_is_told_as_not_sent)
 {
     HttpClient client({ "127.0.0.1", free_port() }, Millis(5000));
--- a/src/include/pathport/http.h
+++ b/src/include/pathport/http.h
@@ -88,6 +88,9 @@
     /// Set when there is no answer: `unavailable` when the server surely did not get the
     /// whole request, `outcome_unknown` otherwise.
     Failure failure;
+    /// The library sent the request more than once by itself: the answer is that to the
+    /// last sending, and the server may have taken an earlier one.
+    bool sent_again = false;
 };
 
 /// Whether a request may travel on a connection that carried others before.
