The answer to a second sending is told as such

Change: the client counts the sendings of a request; a refusal in the answer to a further one leaves the request in doubt, at nodes (box refuses) and at the stand-in caller (node refuses).

--- a/src/http.lib/http_client.cpp
+++ b/src/http.lib/http_client.cpp
@@ -77,12 +77,14 @@
         rest::http_request message = convert(request);
         if (connection == HttpConnection::fresh)
             message.headers()["Connection"] = "close";
-        // The library calls this when a sending, or a part of its body, has been written.
-        const auto written = std::make_shared<std::atomic<bool>>(false);
+        // The library calls this when the head of a sending has been written, with no bytes
+        // of the body yet, and after each part of the body.
+        const auto sendings = std::make_shared<std::atomic<int>>(0);
         message.set_progress_handler(
-            [written](rest::message_direction::direction direction, utility::size64_t) {
-                if (direction == rest::message_direction::upload)
-                    *written = true;
+            [sendings](rest::message_direction::direction direction,
+                       utility::size64_t bytes) {
+                if (direction == rest::message_direction::upload && bytes == 0)
+                    ++*sendings;
             });
         client->request(message)
             .then([client](const rest::http_response& response) {
@@ -92,8 +94,10 @@
                     });
             })
             .then(
-                [done = std::move(done), written](const pplx::task<HttpAnswer>& received) {
-                    done(outcome_of(received, *written));
+                [done = std::move(done), sendings](const pplx::task<HttpAnswer>& received) {
+                    HttpOutcome outcome = outcome_of(received, *sendings > 0);
+                    outcome.sent_again = *sendings > 1;
+                    done(std::move(outcome));
                 });
     }
 
@@ -101,11 +105,12 @@
     static HttpOutcome outcome_of(const pplx::task<HttpAnswer>& received, bool written)
     {
         try {
-            return { received.get(), Failure() };
+            return { received.get(), Failure(), false };
         } catch (const rest::http_exception& error) {
-            return { std::nullopt, classify(error, written) };
+            return { std::nullopt, classify(error, written), false };
         } catch (const std::exception& error) {
-            return { std::nullopt, Failure(FailureKind::outcome_unknown, error.what()) };
+            return { std::nullopt, Failure(FailureKind::outcome_unknown, error.what()),
+                     false };
         }
     }
 
--- a/src/platform.lib/http_platform.cpp
+++ b/src/platform.lib/http_platform.cpp
@@ -180,7 +180,10 @@
     const HttpAnswer& http = *outcome.answer;
     const auto refused = http.headers.find("pathport-refused");
     if (refused != http.headers.end()) {
-        answer.outcome = RequestOutcome::not_run;
+        // The library closes a kept connection itself when a call takes too long, and sends
+        // the request again: a refusal of the second sending says nothing about the first.
+        answer.outcome
+            = outcome.sent_again ? RequestOutcome::may_have_run : RequestOutcome::not_run;
         answer.failure
             = Failure(refused->second == "stale_epoch" ? FailureKind::stale_epoch
                                                        : FailureKind::unavailable,
--- a/src/standins/caller_main.cpp
+++ b/src/standins/caller_main.cpp
@@ -185,7 +185,10 @@
         }
         const HttpAnswer& answer = *outcome.answer;
         const auto mark = answer.headers.find("pathport-outcome");
-        const std::string word = mark == answer.headers.end() ? "untyped" : mark->second;
+        std::string word = mark == answer.headers.end() ? "untyped" : mark->second;
+        // The answer to the second sending says nothing about the first.
+        if (word == "not_run" && outcome.sent_again)
+            word = "may_have_run";
         if (word == "answered") {
             finish(request, judge(request, answer));
             return;
