Reports that cross, intents, late ends: the leader's books follow the workers in these too

Cause: the comparison of what runs with what should took a report of the same millisecond for newer; left an intent elsewhere standing when the task's earlier run was found; dropped a done end that came after a reckoned lapse; did not record a run that it stops; sent no stops to a worker that declines looks, and some to runs whose ends stand in the same report, or of a later epoch; and saw no lasting task that is not listed any more. A report that is not the newest is no whole first report either.

--- a/src/include/pathport/jobs/worker_client.h
+++ b/src/include/pathport/jobs/worker_client.h
@@ -94,6 +94,8 @@
     /// Returns whether there are no ends beyond those listed. A run that is missing in a
     /// full list may be among the next.
     bool lists_all_ends() const { return ended.size() < most_listed_ends; }
+    /// Returns whether the run is among those that run or have ended.
+    bool lists(const TaskId& task, int64_t run) const;
 };
 
 /// The answer to an order.
--- a/src/jobs.lib/job_record.h
+++ b/src/jobs.lib/job_record.h
@@ -46,6 +46,7 @@
     Millis placed_at; ///< When the worker was chosen.
     int percent = 0; ///< As last reported.
     Millis percent_at; ///< When `percent` last changed.
+    Millis listed_at; ///< When its worker last listed it, or accepted it.
     int pace = 100; ///< The share of its speed that it was last told.
 
     /// Returns whether a worker may be running it, or is about to.
--- a/src/jobs.lib/scheduler.cpp
+++ b/src/jobs.lib/scheduler.cpp
@@ -8,8 +8,6 @@
 namespace pathport::jobs {
 
 namespace {
-/// Runs of one epoch; an epoch's run ids lie above those of all earlier ones.
-constexpr int64_t runs_per_epoch = int64_t(1) << 20;
 /// The store's clock is known from answers, which a slow store gives late by so much.
 constexpr Millis store_clock_error { 2500 };
 } // namespace
--- a/src/jobs.lib/scheduler.h
+++ b/src/jobs.lib/scheduler.h
@@ -57,6 +57,9 @@
     Mechanisms mechanisms;
 };
 
+/// Runs of one epoch; an epoch's run ids lie above those of all earlier ones.
+constexpr int64_t runs_per_epoch = int64_t(1) << 20;
+
 /// The claim that began an epoch.
 struct Claim {
     HeadValue head;
@@ -203,13 +206,15 @@
     void resolve_unrecorded(const std::string& worker);
     int64_t store_time_at(Millis time) const;
 
-    // Reports (scheduler_reports.cpp).
+    // Reports (scheduler_reports.cpp, scheduler_compare.cpp).
     void record_ends(Worker& worker, const LookReport& report,
                      const std::set<std::string>& changed);
     void adopt(Worker& worker, const RunningTask& running);
     void occupy_unplanned(Worker& worker, const RunningTask& running);
     void compare(Worker& worker, const RunningTask& running);
     void stop_unwanted(Worker& worker, const RunningTask& running);
+    bool take_back_intent(const TaskId& id, Task& task);
+    static bool is_late_success(const Step& step, const EndedTask& end);
     void note_progress(Worker& worker, const RunningTask& running);
     void release_missing(const Worker& worker);
     void release_doubts(const std::string& worker, const std::vector<TaskId>& tasks);
@@ -314,6 +319,7 @@
     void check_gang(JobRecord& job, Step& step);
     void check_standing(JobRecord& job, Step& step);
     void leave_draining(JobRecord& job, Step& step);
+    void check_listed(JobRecord& job, Step& step);
 
     bool uses(Mechanism mechanism) const { return m_parts.mechanisms.uses(mechanism); }
     Worker* find_worker(const std::string& id);
--- a/src/jobs.lib/scheduler_jobs.cpp
+++ b/src/jobs.lib/scheduler_jobs.cpp
@@ -120,7 +120,8 @@
                 if (worker == nullptr)
                     continue;
                 if (task.phase == TaskPhase::running) {
-                    worker->session->stop(id, task.run, StopReason::job_closed);
+                    if (worker->load.holds(id, task.run))
+                        worker->session->stop(id, task.run, StopReason::job_closed);
                     task.phase = TaskPhase::stopping;
                 }
                 if (task.phase == TaskPhase::intended) {
--- a/src/jobs.lib/scheduler_reports.cpp
+++ b/src/jobs.lib/scheduler_reports.cpp
@@ -43,6 +43,10 @@
         return;
     const bool first = stage != ReportStage::later;
     std::set<std::string> changed;
+    // All of them are gone before the first is applied: it may close the job, and what has
+    // ended is not told to stop.
+    for (const EndedTask& end : report.ended)
+        vacate(*worker, end.task, end.run);
     for (const EndedTask& end : report.ended) {
         if (apply_end(*worker, end, first))
             changed.insert(end.task.job);
@@ -133,6 +137,7 @@
     task->placed_at = now;
     task->percent = running.percent;
     task->percent_at = now;
+    task->listed_at = now;
     if (!running.checkpoint.empty())
         task->checkpoint = running.checkpoint;
     step->gang_run = running.run;
@@ -142,73 +147,6 @@
         record(*job);
 }
 
-// Of a run whose job is closed it isn't known what it takes: the whole worker at most.
-void Scheduler::occupy_unplanned(Worker& worker, const RunningTask& running)
-{
-    JobRecord* job = find_job(running.task.job);
-    const Step* step
-        = job == nullptr ? nullptr : job->step(running.task.repeat, running.task.step);
-    StepSpec unknown;
-    unknown.need = worker.session->info().capacity;
-    occupy(worker, running.task, running.run, step == nullptr ? unknown : *step->spec,
-           job == nullptr ? 0 : job->accepted().queue.priority);
-}
-
-// What runs is compared with what should in every report, not only in the first: a run that
-// the leader has lost sight of, for whatever reason, would otherwise go on to its end, also
-// when its job is cancelled.
-void Scheduler::compare(Worker& worker, const RunningTask& running)
-{
-    const JobRecord* job = find_job(running.task.job);
-    const bool wanted
-        = job != nullptr && !job->closed() && worker.load.holds(running.task, running.run);
-    if (wanted)
-        note_progress(worker, running);
-    else
-        stop_unwanted(worker, running);
-}
-
-// Until it has ended, it takes room, and its task is not placed anew beside it.
-void Scheduler::stop_unwanted(Worker& worker, const RunningTask& running)
-{
-    JobRecord* job = find_job(running.task.job);
-    const bool closed = job == nullptr || job->closed();
-    if (!worker.load.holds(running.task, running.run)) {
-        log_event(LogLevel::warn, "unwanted_run",
-                  { { "job", running.task.job },
-                    { "task", running.task.to_string() },
-                    { "run", running.run },
-                    { "worker", worker.session->id() },
-                    { "job_open", closed ? "no" : "yes" } });
-        if (!worker.load.holds(running.task))
-            occupy_unplanned(worker, running);
-        Task* task = closed ? nullptr : job->task(running.task);
-        if (task != nullptr && task->phase == TaskPhase::waiting) {
-            task->phase = TaskPhase::stopping;
-            task->worker = worker.session->id();
-            task->run = running.run;
-        }
-    }
-    worker.session->stop(running.task, running.run,
-                         closed ? StopReason::job_closed : StopReason::unknown_run);
-}
-
-void Scheduler::run_gone(WorkerSession& session, const TaskId& id, int64_t run)
-{
-    Worker* worker = find_worker(session.id());
-    if (worker == nullptr || m_phase == Phase::over)
-        return;
-    vacate(*worker, id, run);
-    JobRecord* job = find_job(id.job);
-    Task* task = job == nullptr ? nullptr : job->task(id);
-    const bool awaited = task != nullptr && task->phase == TaskPhase::stopping
-        && task->worker == session.id() && task->run == run;
-    if (!awaited)
-        return;
-    release(*task);
-    schedule_pass();
-}
-
 void Scheduler::note_progress(Worker& worker, const RunningTask& running)
 {
     JobRecord* job = find_job(running.task.job);
@@ -217,10 +155,12 @@
         return;
     if (!running.checkpoint.empty())
         task->checkpoint = running.checkpoint;
+    const Millis now = m_parts.loop.now();
+    task->listed_at = now;
     if (task->percent == running.percent)
         return;
     task->percent = running.percent;
-    task->percent_at = m_parts.loop.now();
+    task->percent_at = now;
 }
 
 // Tasks that were intended for the worker and are not there: the order did not arrive, and
@@ -255,6 +195,14 @@
     return task.phase == TaskPhase::in_doubt && end.run > task.run;
 }
 
+// A run that was taken for lapsed and has done its work all the same: its task is not to
+// run again. A gang that is placed anew is left alone.
+bool Scheduler::is_late_success(const Step& step, const EndedTask& end)
+{
+    return end.kind == EndKind::done && !step.spec->lasting
+        && (!step.spec->gang || step.placed() == 0);
+}
+
 bool Scheduler::apply_end(Worker& worker, const EndedTask& end, bool first)
 {
     m_parts.metrics.count("pathport_ends_total", { { "how", to_string(end.kind) } });
@@ -275,6 +223,12 @@
                 { "number", end.number },
                 { "counts", ours ? "yes" : "no" } });
     Step* found = job == nullptr ? nullptr : job->step(end.task.repeat, end.task.step);
+    if (!ours && task != nullptr && is_late_success(*found, end)
+        && take_back_intent(end.task, *task)) {
+        apply_done(*job, *found, *task);
+        after_step_change(*job, *found);
+        return true;
+    }
     if (!ours) {
         // The failure of an earlier run, not recorded, of a task that runs again elsewhere.
         const bool untold_failure = first && task != nullptr && end.kind == EndKind::failed
--- a/src/jobs.lib/scheduler_start.cpp
+++ b/src/jobs.lib/scheduler_start.cpp
@@ -200,6 +200,7 @@
         task->phase = TaskPhase::running;
         task->percent = 0;
         task->percent_at = m_parts.loop.now();
+        task->listed_at = task->percent_at;
         if (!job->closed())
             return;
         task->phase = TaskPhase::stopping;
--- a/src/jobs.lib/scheduler_tick.cpp
+++ b/src/jobs.lib/scheduler_tick.cpp
@@ -39,6 +39,7 @@
                     check_gang(*job, step);
                     check_standing(*job, step);
                     leave_draining(*job, step);
+                    check_listed(*job, step);
                     explain_wait(*job, step);
                 }
             }
@@ -148,6 +149,24 @@
     }
 }
 
+// A lasting task makes no progress by which one could see that it stands. One that the
+// report of a later look doesn't list has gone without a listed end; the stop makes sure.
+void Scheduler::check_listed(JobRecord& job, Step& step)
+{
+    if (!step.spec->lasting)
+        return;
+    for (size_t i = 0; i < step.tasks.size(); ++i) {
+        Task& task = step.tasks[i];
+        Worker* worker = find_worker(task.worker);
+        if (task.phase != TaskPhase::running || worker == nullptr
+            || worker->session->known_as_of() <= task.listed_at)
+            continue;
+        worker->session->stop({ job.id(), step.repeat, step.index, static_cast<int>(i) },
+                              task.run, StopReason::stands_still);
+        task.phase = TaskPhase::stopping;
+    }
+}
+
 // Lasting tasks leave a draining worker at once, since they can't end before it does.
 void Scheduler::leave_draining(JobRecord& job, Step& step)
 {
--- a/src/jobs.lib/worker_session.cpp
+++ b/src/jobs.lib/worker_session.cpp
@@ -6,7 +6,6 @@
 #include <pathport/log.h>
 
 #include <algorithm>
-#include <limits>
 
 namespace pathport::jobs {
 
@@ -29,10 +28,6 @@
 /// Pause between looks while ends wait to be recorded, since a look does not wait for
 /// further ends then: about the time in which an end should be known.
 constexpr Millis unrecorded_pause { 120 };
-constexpr Millis stop_retry { 500 };
-/// A stop that takes longer is told of in the log, and again after as long: the kill takes
-/// 0.4 s at most on the users' workers, and an order that was lost 0.5 s more.
-constexpr Millis overdue_stop { 1500 };
 /// Left off the longest lease, since the worker's clock as we count it may run ahead.
 constexpr Millis hold_margin { 150 };
 /// A worker's clock may run slow by two hundredths.
@@ -47,17 +42,16 @@
     return Millis(std::max<int64_t>(0, span_ms) * slow_clock_percent / 100);
 }
 
-/// Returns whether the run is among those that run or have ended.
-bool lists(const LookReport& report, const TaskId& task, int64_t run)
+} // namespace
+
+bool LookReport::lists(const TaskId& task, int64_t run) const
 {
     const auto is_run
         = [&](const auto& entry) { return entry.task == task && entry.run == run; };
-    return std::any_of(report.running.begin(), report.running.end(), is_run)
-        || std::any_of(report.ended.begin(), report.ended.end(), is_run);
+    return std::any_of(running.begin(), running.end(), is_run)
+        || std::any_of(ended.begin(), ended.end(), is_run);
 }
 
-} // namespace
-
 const char* to_string(OrderStatus status)
 {
     switch (status) {
@@ -87,25 +81,6 @@
     return "unknown";
 }
 
-const char* to_string(StopReason reason)
-{
-    switch (reason) {
-    case StopReason::job_closed:
-        return "job_closed";
-    case StopReason::preempted:
-        return "preempted";
-    case StopReason::gang_incomplete:
-        return "gang_incomplete";
-    case StopReason::stands_still:
-        return "stands_still";
-    case StopReason::worker_drains:
-        return "worker_drains";
-    case StopReason::unknown_run:
-        break;
-    }
-    return "unknown_run";
-}
-
 WorkerSession::WorkerSession(EventLoop& loop, WorkerClient& client,
                              SessionListener& listener, WorkerInfo info, int64_t epoch,
                              int64_t least_fence, WorkerBounds bounds, Millis unknown_until,
@@ -250,6 +225,7 @@
     if (regained)
         log_event(LogLevel::info, "worker_regained", { { "worker", id() } });
     m_silent = false;
+    m_declines = false;
     m_failed_looks = 0;
     note_answer(report->clock_ms, until);
     const auto alive = m_lifetime.observe();
@@ -269,6 +245,7 @@
 {
     const Millis now = m_loop.now();
     ++m_failed_looks;
+    m_declines = status == OrderStatus::declined;
     if (!m_silent && m_failed_looks >= 2) {
         m_silent = true;
         log_event(LogLevel::warn, "worker_lost",
@@ -335,16 +312,18 @@
 void WorkerSession::report_arrived(const LookReport& report, int64_t fence, Millis asked)
 {
     m_fenced = true;
-    const ReportStage stage = take_stage(report);
     resolve_doubts(report, fence);
     LookReport fresh;
     fresh.clock_ms = report.clock_ms;
-    // Answers may pass each other: what runs in an older one may have ended since.
-    const bool newest = report.clock_ms >= m_reported_ms;
+    // Answers may pass each other, also those of one millisecond: what runs in an older one
+    // may have ended since.
+    const bool newest = report.clock_ms > m_reported_ms;
     m_reported_ms = std::max(m_reported_ms, report.clock_ms);
     if (newest)
         fresh.running = report.running;
     fresh.running_left_out = report.running_left_out || !newest;
+    const ReportStage stage
+        = take_stage(report.lists_all_ends() && !fresh.running_left_out);
     for (const EndedTask& end : report.ended) {
         if (end.number > m_listed)
             fresh.ended.push_back(end);
@@ -352,56 +331,20 @@
     if (!fresh.ended.empty())
         m_listed = fresh.ended.back().number;
     drop_ended_stops(report);
+    const bool whole = !fresh.running_left_out && report.lists_all_ends();
+    if (whole)
+        m_known_as_of = std::max(m_known_as_of, asked);
     const auto alive = m_lifetime.observe();
     m_listener.reported(*this, fresh, stage);
-    if (!alive.expired() && !m_over && !fresh.running_left_out && report.lists_all_ends())
+    if (!alive.expired() && !m_over && whole)
         drop_gone_stops(report, asked);
 }
 
-void WorkerSession::drop_ended_stops(const LookReport& report)
-{
-    if (m_stops.empty())
-        return;
-    for (const EndedTask& end : report.ended) {
-        const std::string task = end.task.to_string();
-        auto stop = m_stops.lower_bound({ task, std::numeric_limits<int64_t>::min() });
-        while (stop != m_stops.end() && stop->first.first == task
-               && stop->first.second <= end.run) {
-            m_loop.cancel(stop->second.timer);
-            stop = m_stops.erase(stop);
-        }
-    }
-}
-
-// A run that the report of a later look does not list is not there. Its end was noted
-// before, or it never was: a stop would be repeated for ever.
-void WorkerSession::drop_gone_stops(const LookReport& report, Millis asked)
-{
-    std::vector<StopRequest> gone;
-    for (auto stop = m_stops.begin(); stop != m_stops.end();) {
-        const StopRequest& request = stop->second;
-        if (request.asked >= asked || lists(report, request.task, request.run)) {
-            ++stop;
-            continue;
-        }
-        m_loop.cancel(request.timer);
-        gone.push_back(request);
-        stop = m_stops.erase(stop);
-    }
-    for (const StopRequest& request : gone) {
-        log_event(LogLevel::info, "stopped_run_gone",
-                  { { "task", request.task.to_string() },
-                    { "run", request.run },
-                    { "worker", id() } });
-        m_listener.run_gone(*this, request.task, request.run);
-    }
-}
-
-ReportStage WorkerSession::take_stage(const LookReport& report)
+ReportStage WorkerSession::take_stage(bool whole)
 {
     if (m_reported_all)
         return ReportStage::later;
-    m_reported_all = report.lists_all_ends() && !report.running_left_out;
+    m_reported_all = whole;
     return m_reported_all ? ReportStage::first_whole : ReportStage::first_part;
 }
 
@@ -411,7 +354,7 @@
 {
     std::vector<std::pair<Doubt, StartResult>> resolved;
     for (auto doubt = m_doubtful.begin(); doubt != m_doubtful.end();) {
-        const bool there = lists(report, doubt->task, doubt->run);
+        const bool there = report.lists(doubt->task, doubt->run);
         const bool known = there || (report.lists_all_ends() && !report.running_left_out);
         if (doubt->fence >= fence || !known) {
             ++doubt;
@@ -495,83 +438,6 @@
     look(false);
 }
 
-void WorkerSession::stop(const TaskId& task, int64_t run, StopReason reason)
-{
-    const RunKey key { task.to_string(), run };
-    if (m_over || m_stops.count(key) > 0)
-        return;
-    StopRequest request;
-    request.task = task;
-    request.run = run;
-    request.reason = reason;
-    request.asked = m_loop.now();
-    request.told_overdue = request.asked;
-    m_stops[key] = request;
-    log_event(LogLevel::info, "task_stop",
-              { { "job", task.job },
-                { "task", key.first },
-                { "run", run },
-                { "worker", id() },
-                { "reason", to_string(reason) },
-                { "silent", m_silent ? "yes" : "no" } });
-    send_stop(key);
-}
-
-void WorkerSession::tell_overdue(StopRequest& request)
-{
-    const Millis now = m_loop.now();
-    if (now - request.told_overdue < overdue_stop)
-        return;
-    request.told_overdue = now;
-    log_event(LogLevel::warn, "task_stop_overdue",
-              { { "job", request.task.job },
-                { "task", request.task.to_string() },
-                { "run", request.run },
-                { "worker", id() },
-                { "reason", to_string(request.reason) },
-                { "sent", request.sent },
-                { "last_answer", to_string(request.answer) },
-                { "silent", m_silent ? "yes" : "no" },
-                { "after_ms", (now - request.asked).count() } });
-}
-
-// Those that waited for a worker that was silent go out at once.
-void WorkerSession::send_stops()
-{
-    std::vector<RunKey> keys;
-    for (const auto& [key, stop] : m_stops)
-        keys.push_back(key);
-    for (const RunKey& key : keys)
-        send_stop(key);
-}
-
-void WorkerSession::send_stop(const RunKey& key)
-{
-    const auto entry = m_stops.find(key);
-    if (m_over || entry == m_stops.end())
-        return;
-    StopRequest& request = entry->second;
-    m_loop.cancel(request.timer);
-    request.timer
-        = m_loop.after(stop_retry, m_lifetime.wrap([this, key] { send_stop(key); }));
-    tell_overdue(request);
-    if (!m_listener.may_order() || m_silent)
-        return;
-    RunOrder order;
-    order.task = request.task;
-    order.run = request.run;
-    order.fence = m_fence;
-    ++request.sent;
-    m_client.stop(m_info, order, m_response.limit(),
-                  m_lifetime.wrap([this, key](const OrderAnswer& answer) {
-                      const auto open = m_stops.find(key);
-                      if (open != m_stops.end())
-                          open->second.answer = answer.status;
-                      if (answer.status == OrderStatus::other_life)
-                          end_life();
-                  }));
-}
-
 void WorkerSession::pace(const TaskId& task, int64_t run, int percent)
 {
     RunOrder order;
--- a/src/jobs.lib/worker_session.h
+++ b/src/jobs.lib/worker_session.h
@@ -116,6 +116,9 @@
     /// to it is in doubt.
     bool usable() const { return m_reported_all && !m_silent && m_doubtful.empty(); }
     bool silent() const { return m_silent; }
+    /// Returns when the look was sent that last brought a report of all that runs there and
+    /// has ended; zero when there is none.
+    Millis known_as_of() const { return m_known_as_of; }
     /// Returns the fence under which it orders at present.
     int64_t fence() const { return m_fence; }
     /// Returns whether an order for the task is unanswered or in doubt.
@@ -166,7 +169,7 @@
     void report_arrived(const LookReport& report, int64_t fence, Millis asked);
     void drop_ended_stops(const LookReport& report);
     void drop_gone_stops(const LookReport& report, Millis asked);
-    ReportStage take_stage(const LookReport& report);
+    ReportStage take_stage(bool whole);
     void resolve_doubts(const LookReport& report, int64_t fence);
     void start_answered(const OrderAnswer& answer, Doubt order);
     void raise_fence();
@@ -185,6 +188,7 @@
     bool m_fenced = false;
     bool m_reported_all = false; ///< A report that lists all ends has come.
     bool m_silent = false;
+    bool m_declines = false; ///< It answered the last look, with a refusal.
     bool m_over = false;
     bool m_left = false;
     bool m_lapse_told = false;
@@ -193,6 +197,7 @@
     ResponseTime m_response; ///< Of its answers, beyond the time that a look waits.
     int64_t m_clock_ms = 0; ///< The worker's clock as last heard.
     int64_t m_reported_ms = 0; ///< The worker's clock at the newest report.
+    Millis m_known_as_of;
     Millis m_clock_at; ///< When it was heard; zero when it never was.
     int64_t m_longest_until = 0; ///< The latest lease end that was ever sent.
     Millis m_lapse_at; ///< After it nothing that was leased before runs any more.
--- /dev/null
+++ b/src/jobs.lib/worker_session_stops.cpp
@@ -0,0 +1,160 @@
+// Copyright the pathport authors.
+// SPDX-License-Identifier: Apache-2.0
+
+/// \file
+/// How a session stops runs: again and again, until the worker lists them no more.
+
+#include "worker_session.h"
+
+#include <pathport/log.h>
+
+#include <limits>
+
+namespace pathport::jobs {
+
+namespace {
+
+constexpr Millis stop_retry { 500 };
+/// A stop that takes longer is told of in the log, and again after as long: the kill takes
+/// 0.4 s at most on the users' workers, and an order that was lost 0.5 s more.
+constexpr Millis overdue_stop { 1500 };
+
+} // namespace
+
+const char* to_string(StopReason reason)
+{
+    switch (reason) {
+    case StopReason::job_closed:
+        return "job_closed";
+    case StopReason::preempted:
+        return "preempted";
+    case StopReason::gang_incomplete:
+        return "gang_incomplete";
+    case StopReason::stands_still:
+        return "stands_still";
+    case StopReason::worker_drains:
+        return "worker_drains";
+    case StopReason::unknown_run:
+        break;
+    }
+    return "unknown_run";
+}
+
+void WorkerSession::stop(const TaskId& task, int64_t run, StopReason reason)
+{
+    const RunKey key { task.to_string(), run };
+    if (m_over || m_stops.count(key) > 0)
+        return;
+    StopRequest request;
+    request.task = task;
+    request.run = run;
+    request.reason = reason;
+    request.asked = m_loop.now();
+    request.told_overdue = request.asked;
+    m_stops[key] = request;
+    log_event(LogLevel::info, "task_stop",
+              { { "job", task.job },
+                { "task", key.first },
+                { "run", run },
+                { "worker", id() },
+                { "reason", to_string(reason) },
+                { "silent", m_silent ? "yes" : "no" } });
+    send_stop(key);
+}
+
+void WorkerSession::tell_overdue(StopRequest& request)
+{
+    const Millis now = m_loop.now();
+    if (now - request.told_overdue < overdue_stop)
+        return;
+    request.told_overdue = now;
+    log_event(LogLevel::warn, "task_stop_overdue",
+              { { "job", request.task.job },
+                { "task", request.task.to_string() },
+                { "run", request.run },
+                { "worker", id() },
+                { "reason", to_string(request.reason) },
+                { "sent", request.sent },
+                { "last_answer", to_string(request.answer) },
+                { "silent", m_silent ? "yes" : "no" },
+                { "after_ms", (now - request.asked).count() } });
+}
+
+// Those that waited for a worker that was silent go out at once.
+void WorkerSession::send_stops()
+{
+    std::vector<RunKey> keys;
+    for (const auto& [key, stop] : m_stops)
+        keys.push_back(key);
+    for (const RunKey& key : keys)
+        send_stop(key);
+}
+
+void WorkerSession::send_stop(const RunKey& key)
+{
+    const auto entry = m_stops.find(key);
+    if (m_over || entry == m_stops.end())
+        return;
+    StopRequest& request = entry->second;
+    m_loop.cancel(request.timer);
+    request.timer
+        = m_loop.after(stop_retry, m_lifetime.wrap([this, key] { send_stop(key); }));
+    tell_overdue(request);
+    // A worker that declines looks may take a stop.
+    if (!m_listener.may_order() || (m_silent && !m_declines))
+        return;
+    RunOrder order;
+    order.task = request.task;
+    order.run = request.run;
+    order.fence = m_fence;
+    ++request.sent;
+    m_client.stop(m_info, order, m_response.limit(),
+                  m_lifetime.wrap([this, key](const OrderAnswer& answer) {
+                      const auto open = m_stops.find(key);
+                      if (open != m_stops.end())
+                          open->second.answer = answer.status;
+                      if (answer.status == OrderStatus::other_life)
+                          end_life();
+                  }));
+}
+
+void WorkerSession::drop_ended_stops(const LookReport& report)
+{
+    if (m_stops.empty())
+        return;
+    for (const EndedTask& end : report.ended) {
+        const std::string task = end.task.to_string();
+        auto stop = m_stops.lower_bound({ task, std::numeric_limits<int64_t>::min() });
+        while (stop != m_stops.end() && stop->first.first == task
+               && stop->first.second <= end.run) {
+            m_loop.cancel(stop->second.timer);
+            stop = m_stops.erase(stop);
+        }
+    }
+}
+
+// A run that the report of a later look does not list is not there. Its end was noted
+// before, or it never was: a stop would be repeated for ever.
+void WorkerSession::drop_gone_stops(const LookReport& report, Millis asked)
+{
+    std::vector<StopRequest> gone;
+    for (auto stop = m_stops.begin(); stop != m_stops.end();) {
+        const StopRequest& request = stop->second;
+        if (request.asked >= asked || report.lists(request.task, request.run)) {
+            ++stop;
+            continue;
+        }
+        m_loop.cancel(request.timer);
+        gone.push_back(request);
+        stop = m_stops.erase(stop);
+    }
+    for (const StopRequest& request : gone) {
+        log_event(LogLevel::info, "stopped_run_gone",
+                  { { "task", request.task.to_string() },
+                    { "run", request.run },
+                    { "worker", id() } });
+        m_listener.run_gone(*this, request.task, request.run);
+    }
+}
+
+} // namespace pathport::jobs
