A call that hears nothing on a kept connection makes the others suspect

Cause: open connections may go silent for good, without a reset, while new ones work. Each kept connection, up to 24 to a server and the last used first, was found out by one call of its own and all of its time. Change: a call on a reused connection that got no byte in its time closes the idle ones of that server that have not answered since its answer was due. `hold` of a call says for how long the server may hold it back by design (watches, waiting looks, messages held at relays), since within that time an answer on another connection proves nothing.

--- a/src/include/pathport/async_http.h
+++ b/src/include/pathport/async_http.h
@@ -112,6 +112,8 @@
     std::string content_type = "application/json";
     HeaderList headers;
     Millis timeout { 1000 };
+    /// Of `timeout`: the server may hold its answer back for so long.
+    Millis hold;
 };
 
 /// What became of a call.
@@ -131,7 +133,9 @@
     Millis max_idle { 12000 };
 };
 
-/// A client with kept connections to any number of servers.
+/// A client with kept connections to any number of servers. Once a call on a kept
+/// connection has got no byte in its time, others of that server which have not answered
+/// since its answer was due are closed as well.
 class AsyncHttpClient {
 public:
     explicit AsyncHttpClient(IoLoop& loop, ClientLimits limits = {});
--- a/src/include/pathport/jobs/peers.h
+++ b/src/include/pathport/jobs/peers.h
@@ -18,6 +18,9 @@
 
 namespace pathport::jobs {
 
+/// How long a relay holds a leader's message open at most while it has no answers.
+constexpr Millis relay_hold { 400 };
+
 /// What a peer asks or tells.
 enum class PeerTopic {
     heartbeat, ///< A follower asks its leader whether it still leads.
--- a/src/jobs.lib/worker_relay.h
+++ b/src/jobs.lib/worker_relay.h
@@ -24,9 +24,6 @@
 
 namespace pathport::jobs {
 
-/// How long a relay holds a leader's message open at most while it has no answers.
-constexpr Millis relay_hold { 400 };
-
 /// The relay.
 class WorkerRelay {
 public:
--- a/src/loop.lib/async_http_client.cpp
+++ b/src/loop.lib/async_http_client.cpp
@@ -36,7 +36,8 @@
     }
     beast::tcp_stream stream;
     beast::flat_buffer buffer;
-    Millis idle_since;
+    Millis idle_since; ///< When its last answer came.
+    bool reused = false; ///< It has answered an earlier call.
 };
 
 std::string pool_key(const Address& address)
@@ -60,6 +61,7 @@
         std::function<void(CallOutcome)> done;
         std::unique_ptr<Connection> connection;
         Millis waits_until; ///< Of a call that waits for a connection.
+        Millis sent; ///< When it was given to its connection.
         http::request<http::string_body> request;
         std::unique_ptr<http::response_parser<http::string_body>> parser;
     };
@@ -158,8 +160,10 @@
         while (!server.kept.empty()) {
             std::unique_ptr<Connection> connection = std::move(server.kept.back());
             server.kept.pop_back();
-            if (is_usable(*connection))
-                return connection;
+            if (!is_usable(*connection))
+                continue;
+            connection->reused = true;
+            return connection;
         }
         return nullptr;
     }
@@ -245,6 +249,7 @@
 
     void write(const ExchangePtr& exchange)
     {
+        exchange->sent = m_loop.now();
         const ClientCall& call = exchange->call;
         auto& request = exchange->request;
         request.version(11);
@@ -276,6 +281,8 @@
     void written(const ExchangePtr& exchange, boost::system::error_code error)
     {
         if (error) {
+            if (error == beast::error::timeout)
+                suspect_kept(*exchange);
             finish(exchange, CallEnd::unknown);
             return;
         }
@@ -287,6 +294,10 @@
                           exchange](boost::system::error_code failure, size_t bytes) {
                              self->traffic_of(exchange->call).received
                                  += static_cast<int64_t>(bytes);
+                             const bool silent = failure == beast::error::timeout
+                                 && bytes == 0 && exchange->connection->buffer.size() == 0;
+                             if (silent)
+                                 self->suspect_kept(*exchange);
                              self->read(exchange, failure);
                          });
     }
@@ -307,6 +318,27 @@
         tell(exchange, std::move(outcome));
     }
 
+    // A call heard nothing in its time. Open connections may go silent without a reset
+    // while new ones work, and then most of a server's do so together: whichever of them
+    // has not answered since the call was sent is not used again. Without this each of up
+    // to 24 kept connections takes one more call and all of its time; with it the call
+    // after the first is answered at once (silent_connections_test). While a server held a
+    // call back by design, its connection may have gone silent at any moment, so that only
+    // an answer after that proves another one. A connection that carries a call is left to
+    // that call, and a new one that got no answer says nothing about older ones.
+    void suspect_kept(const Exchange& silent)
+    {
+        if (!silent.connection->reused)
+            return;
+        const Millis due = silent.sent + silent.call.hold;
+        auto& kept = m_servers[pool_key(silent.call.server)].kept;
+        const auto proven
+            = std::find_if(kept.begin(), kept.end(), [&](const auto& connection) {
+                  return connection->idle_since > due;
+              });
+        kept.erase(kept.begin(), proven); // The longest idle come first.
+    }
+
     void keep(const Address& server, std::unique_ptr<Connection> connection)
     {
         auto& kept = m_servers[pool_key(server)].kept;
--- a/src/loop.lib/silent_connections_test.cpp
+++ b/src/loop.lib/silent_connections_test.cpp
@@ -264,6 +264,29 @@
     BOOST_TEST(cell.server.accepted() == connections);
 }
 
+// A connection that answered while the server held the call back may have gone silent
+// since.
+BOOST_AUTO_TEST_CASE(answers_while_a_call_was_held_back_prove_nothing)
+{
+    Fixture cell;
+    ClientCall held = call_to("/wait/400", Millis(600));
+    held.hold = Millis(400);
+    CallEnd end = CallEnd::answered;
+    cell.client.send(held, [&](const CallOutcome& outcome) {
+        end = outcome.end;
+        cell.loop.stop();
+    });
+    cell.loop.after(Millis(20), [&] {
+        for (size_t i = 0; i + 1 < connections; ++i)
+            cell.client.send(call_to("/wait/20"), [](const CallOutcome&) {});
+    });
+    cell.loop.after(Millis(150), [&] { cell.server.silence_open_connections(); });
+    cell.loop.run();
+    BOOST_TEST((end == CallEnd::unknown));
+    BOOST_TEST(cell.answers_at_once());
+    BOOST_TEST(cell.client.open_connections() == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(connection_that_carries_a_call_is_not_cut_off)
 {
     Fixture cell;
--- a/src/pathport_jobd/http_peers.cpp
+++ b/src/pathport_jobd/http_peers.cpp
@@ -9,6 +9,19 @@
 /// The path of a message, before the name of its topic, which is there for whoever looks at
 /// the traffic: the message names its topic itself.
 const std::string peer_target = "/peer/";
+
+// Returns for how long a peer may hold its answer back.
+Millis hold_of(jobs::PeerTopic topic, Millis timeout)
+{
+    if (topic == jobs::PeerTopic::worker_calls)
+        return jobs::relay_hold;
+    // It waits for the advisor or the store on our behalf.
+    const bool asks_others = topic == jobs::PeerTopic::advice
+        || topic == jobs::PeerTopic::accept_job || topic == jobs::PeerTopic::cancel_job
+        || topic == jobs::PeerTopic::job_state || topic == jobs::PeerTopic::worker_list;
+    return asks_others ? timeout : Millis(0);
+}
+
 } // namespace
 
 HttpPeers::HttpPeers(AsyncHttpClient& http)
@@ -26,6 +39,7 @@
     call.target = peer_target + to_string(request.topic);
     call.body = encode(request);
     call.timeout = timeout;
+    call.hold = hold_of(request.topic, timeout);
     m_http.send(std::move(call), [done = std::move(done)](const CallOutcome& outcome) {
         if (outcome.end == CallEnd::refused) {
             done(jobs::PeerEnd::refused, {});
