A call that is late makes kept connections suspect before its time is over

Cause: a call with seconds to wait (a feed 1.5 s, a write 2.5 s) found a silent connection out at the end of its time only; until then others were lost one after another on the rest. Change: when a connection is chosen for the next call and an earlier one on a kept connection has heard nothing for 300 ms after its answer was due, the idle ones that have not answered since are closed. No timer is needed.

--- a/src/loop.lib/async_http_client.cpp
+++ b/src/loop.lib/async_http_client.cpp
@@ -29,6 +29,10 @@
 /// The largest answer that is read.
 constexpr size_t max_answer_bytes = size_t(8) * 1024 * 1024;
 
+/// An answer that has not begun so long after it was due is late: about thirty times what
+/// the users' store takes, and as long as a heartbeat waits.
+constexpr Millis late_time { 300 };
+
 struct Connection {
     explicit Connection(boost::asio::io_context& context)
         : stream(context)
@@ -64,6 +68,14 @@
         Millis sent; ///< When it was given to its connection.
         http::request<http::string_body> request;
         std::unique_ptr<http::response_parser<http::string_body>> parser;
+
+        /// Returns when the server should have answered.
+        Millis due() const { return sent + call.hold; }
+        /// Returns whether any byte of the answer has come.
+        bool heard() const
+        {
+            return connection->buffer.size() > 0 || (parser && parser->got_some());
+        }
     };
     using ExchangePtr = std::shared_ptr<Exchange>;
 
@@ -98,13 +110,16 @@
         std::vector<std::unique_ptr<Connection>> kept;
         std::deque<ExchangePtr> waiting; ///< For a connection.
         size_t busy = 0; ///< Connections that carry a call.
+        std::vector<ExchangePtr> on_reused; ///< Calls on connections that were kept.
     };
 
     void begin(Server& server, const ExchangePtr& exchange)
     {
         ++server.busy;
+        doubt_late_calls(server);
         exchange->connection = take_kept(server);
         if (exchange->connection) {
+            server.on_reused.push_back(exchange);
             write(exchange);
             return;
         }
@@ -139,6 +154,8 @@
     {
         Server& server = m_servers[pool_key(exchange->call.server)];
         --server.busy;
+        auto& reused = server.on_reused;
+        reused.erase(std::remove(reused.begin(), reused.end(), exchange), reused.end());
         if (server.waiting.empty())
             return;
         const ExchangePtr next = server.waiting.front();
@@ -294,9 +311,7 @@
                           exchange](boost::system::error_code failure, size_t bytes) {
                              self->traffic_of(exchange->call).received
                                  += static_cast<int64_t>(bytes);
-                             const bool silent = failure == beast::error::timeout
-                                 && bytes == 0 && exchange->connection->buffer.size() == 0;
-                             if (silent)
+                             if (failure == beast::error::timeout && !exchange->heard())
                                  self->suspect_kept(*exchange);
                              self->read(exchange, failure);
                          });
@@ -318,25 +333,43 @@
         tell(exchange, std::move(outcome));
     }
 
-    // A call heard nothing in its time. Open connections may go silent without a reset
-    // while new ones work, and then most of a server's do so together: whichever of them
-    // has not answered since the call was sent is not used again. Without this each of up
-    // to 24 kept connections takes one more call and all of its time; with it the call
-    // after the first is answered at once (silent_connections_test). While a server held a
-    // call back by design, its connection may have gone silent at any moment, so that only
-    // an answer after that proves another one. A connection that carries a call is left to
-    // that call, and a new one that got no answer says nothing about older ones.
+    // A call on a kept connection heard nothing in its time. Open connections may go silent
+    // without a reset while new ones work, and then most of a server's do so together:
+    // whichever of them has not answered since the call's answer was due is not used again.
+    // Without this each of up to 24 kept connections takes one more call and all of its
+    // time; with it the call after the first is answered at once (silent_connections_test).
+    // A connection that carries a call is left to that call, and a new one that got no
+    // answer says nothing about older ones.
     void suspect_kept(const Exchange& silent)
     {
-        if (!silent.connection->reused)
-            return;
-        const Millis due = silent.sent + silent.call.hold;
-        auto& kept = m_servers[pool_key(silent.call.server)].kept;
-        const auto proven
-            = std::find_if(kept.begin(), kept.end(), [&](const auto& connection) {
-                  return connection->idle_since > due;
-              });
-        kept.erase(kept.begin(), proven); // The longest idle come first.
+        if (silent.connection->reused)
+            drop_unproven(m_servers[pool_key(silent.call.server)], silent.due());
+    }
+
+    // The same before its time is over, when a connection is chosen for the next call.
+    // Calls with a second or more would otherwise hide silent connections from others for
+    // so long: after 0.5 s of a call's 5 s the next one is answered at once
+    // (silent_connections_test).
+    static bool is_late(const Exchange& exchange, Millis now)
+    {
+        return now - exchange.due() > late_time && !exchange.heard();
+    }
+
+    void doubt_late_calls(Server& server)
+    {
+        const Millis now = m_loop.now();
+        for (const ExchangePtr& exchange : server.on_reused) {
+            if (is_late(*exchange, now))
+                drop_unproven(server, exchange->due());
+        }
+    }
+
+    static void drop_unproven(Server& server, Millis due)
+    {
+        const auto proven = std::find_if(
+            server.kept.begin(), server.kept.end(),
+            [&](const auto& connection) { return connection->idle_since > due; });
+        server.kept.erase(server.kept.begin(), proven); // The longest idle come first.
     }
 
     void keep(const Address& server, std::unique_ptr<Connection> connection)
--- a/src/loop.lib/silent_connections_test.cpp
+++ b/src/loop.lib/silent_connections_test.cpp
@@ -37,6 +37,8 @@
 constexpr size_t connections = 5;
 constexpr Millis call_time { 200 };
 constexpr Millis long_call_time { 800 };
+/// A call that has heard nothing for so long is late.
+constexpr Millis late_time { 500 };
 /// An answer of a server that is well comes within this time, also on a busy machine.
 constexpr Millis at_once { 100 };
 const std::string whole_answer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
@@ -182,6 +184,12 @@
         return ends;
     }
 
+    void run_for(Millis span)
+    {
+        loop.after(span, [this] { loop.stop(); });
+        loop.run();
+    }
+
     /// Returns whether a call is answered at once.
     bool answers_at_once()
     {
@@ -287,6 +295,42 @@
     BOOST_TEST(cell.client.open_connections() == 1U);
 }
 
+// A call that may wait for seconds is no reason to lose others for as long.
+BOOST_AUTO_TEST_CASE(late_call_makes_others_suspect_before_its_time_is_over)
+{
+    Fixture cell;
+    cell.server.silence_open_connections();
+    bool ended = false;
+    cell.client.send(call_to("/", Millis(5000)), [&](const CallOutcome&) { ended = true; });
+    cell.run_for(late_time);
+    BOOST_TEST(cell.answers_at_once());
+    BOOST_TEST(!ended);
+    BOOST_TEST(cell.client.open_connections() == 2U); // The call's own is left to it.
+}
+
+BOOST_AUTO_TEST_CASE(call_that_the_server_may_hold_back_is_not_late)
+{
+    Fixture cell;
+    ClientCall held = call_to("/wait/1500", Millis(5000));
+    held.hold = Millis(1500);
+    CallEnd end = CallEnd::unknown;
+    cell.client.send(held, [&](const CallOutcome& outcome) { end = outcome.end; });
+    cell.run_for(late_time);
+    BOOST_TEST(cell.answers_at_once());
+    BOOST_TEST(cell.server.accepted() == connections);
+    cell.run_for(held.timeout - late_time - late_time);
+    BOOST_TEST((end == CallEnd::answered));
+}
+
+BOOST_AUTO_TEST_CASE(late_call_whose_answer_has_begun_makes_nothing_suspect)
+{
+    Fixture cell;
+    cell.client.send(call_to("/begin", Millis(5000)), [](const CallOutcome&) {});
+    cell.run_for(late_time);
+    BOOST_TEST(cell.answers_at_once());
+    BOOST_TEST(cell.server.accepted() == connections);
+}
+
 BOOST_AUTO_TEST_CASE(connection_that_carries_a_call_is_not_cut_off)
 {
     Fixture cell;
