A message lost on a silent connection loses no relay

Cause: a relay that left one message unanswered counted as lost for two seconds, and all calls given to it as in doubt, also when it had answered later messages on other connections. And as long as the lost message counted as open at the relay, answers that came after the next one had been given back waited for it, up to a second. Change: a relay that has been heard of since a message was sent lives; the calls of that message end when their own time is over. The answer to a message counts all earlier ones as given back or lost.

--- a/src/jobs.lib/relayed_workers.cpp
+++ b/src/jobs.lib/relayed_workers.cpp
@@ -315,46 +315,51 @@
 {
     Relay& relay = m_links[address];
     relay.batch_due = false;
-    std::vector<int64_t> sent;
+    Message message;
     std::vector<RelayedCall> calls;
     for (const int64_t number : relay.queued) {
         const auto found = m_pending.find(number);
         if (found == m_pending.end())
             continue; // Its time was over.
-        sent.push_back(number);
+        message.calls.push_back(number);
         calls.push_back(found->second.call);
         if (found->second.call.payload_left_out)
             calls.back().start.payload.clear();
     }
     relay.queued.clear();
-    if (calls.empty() && (relay.open > 0 || relay.pending == 0))
+    if (calls.empty() && (!relay.open.empty() || relay.pending == 0))
         return;
     PeerRequest request = m_message;
     if (!calls.empty())
         request.calls = encode(calls);
-    ++relay.open;
-    m_peers.send(
-        address, request, relay_hold + relay_timeout,
-        m_epoch_lifetime.wrap([this, address, sent](PeerEnd end, const PeerAnswer& answer) {
-            batch_answered(address, sent, end, answer);
-        }));
+    message.number = ++m_last_message;
+    message.sent = m_loop.now();
+    relay.open.insert(message.number);
+    m_peers.send(address, request, relay_hold + relay_timeout,
+                 m_epoch_lifetime.wrap(
+                     [this, address, message](PeerEnd end, const PeerAnswer& answer) {
+                         batch_answered(address, message, end, answer);
+                     }));
 }
 
-void RelayedWorkers::batch_answered(const std::string& address,
-                                    const std::vector<int64_t>& sent, PeerEnd end,
-                                    const PeerAnswer& answer)
+void RelayedWorkers::batch_answered(const std::string& address, const Message& message,
+                                    PeerEnd end, const PeerAnswer& answer)
 {
     Relay& relay = m_links[address];
-    --relay.open;
+    relay.open.erase(message.number);
     if (end == PeerEnd::refused || (end == PeerEnd::answered && !answer.served)) {
-        relay_lost(address, sent, end == PeerEnd::refused ? "refused" : "declined");
+        relay_lost(address, message.calls,
+                   end == PeerEnd::refused ? "refused" : "declined");
         return;
     }
     if (end == PeerEnd::silent) {
-        relay_lost(address, {}, "silent");
+        message_unanswered(address, message);
         return;
     }
     relay.heard = m_loop.now();
+    // A relay gives the earlier message back when the next one comes, so those that were
+    // sent before this one are under way or lost.
+    relay.open.erase(relay.open.begin(), relay.open.upper_bound(message.number));
     if (!relay.incarnation.empty() && relay.incarnation != answer.incarnation)
         relay_lost(address, {}, "another_process");
     relay.incarnation = answer.incarnation;
@@ -370,8 +375,30 @@
         if (alive.expired())
             return;
     }
-    Relay& present = m_links[address];
-    if (present.open == 0 && present.pending > 0 && !present.batch_due)
+    keep_message_open(address);
+}
+
+// A connection may go silent for good while the relay serves on: one that has answered
+// since lives. The calls that the lost message brought end when their own time is over, as
+// they would anyhow; those of later messages go on. Without this each lost message cost all
+// calls at the relay and its use for two seconds (relayed_workers_test).
+void RelayedWorkers::message_unanswered(const std::string& address, const Message& message)
+{
+    if (m_links[address].heard <= message.sent) {
+        relay_lost(address, {}, "silent");
+        return;
+    }
+    log_event(LogLevel::info, "relay_message_lost",
+              { { "relay", address },
+                { "calls", static_cast<int64_t>(message.calls.size()) },
+                { "heard_ms_ago", (m_loop.now() - m_links[address].heard).count() } });
+    keep_message_open(address);
+}
+
+void RelayedWorkers::keep_message_open(const std::string& address)
+{
+    const Relay& relay = m_links[address];
+    if (relay.open.empty() && relay.pending > 0 && !relay.batch_due)
         send_batch(address);
 }
 
--- a/src/jobs.lib/relayed_workers.h
+++ b/src/jobs.lib/relayed_workers.h
@@ -21,6 +21,7 @@
 #include <deque>
 #include <functional>
 #include <map>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -77,13 +78,20 @@
         std::vector<int64_t> queued; ///< Calls that wait for the next batch.
         Millis batch_at; ///< When the next batch is due, if any is.
         bool batch_due = false;
-        int open = 0; ///< Messages that are not answered yet.
+        std::set<int64_t> open; ///< Messages that may be answered yet, in their order.
         size_t pending = 0; ///< Calls, queued or under way.
         std::string incarnation; ///< Of the process that answered last.
         Millis heard;
         Millis avoid_until;
     };
 
+    /// A message to a relay.
+    struct Message {
+        int64_t number = 0;
+        Millis sent;
+        std::vector<int64_t> calls; ///< That it brings.
+    };
+
     void submit(const WorkerInfo& worker, RelayedCall call, double bytes, Done done);
     void make_directly(const RelayedCall& call, Done done);
     void note_load(double bytes);
@@ -93,8 +101,10 @@
     void give(const std::string& relay, Pending pending);
     void leave_out_payload(RelayedCall& call) const;
     void send_batch(const std::string& address);
-    void batch_answered(const std::string& address, const std::vector<int64_t>& sent,
-                        PeerEnd end, const PeerAnswer& answer);
+    void batch_answered(const std::string& address, const Message& message, PeerEnd end,
+                        const PeerAnswer& answer);
+    void message_unanswered(const std::string& address, const Message& message);
+    void keep_message_open(const std::string& address);
     void relay_lost(const std::string& address, const std::vector<int64_t>& unsent,
                     const char* reason);
     void take_answer(const RelayedAnswer& answer);
@@ -114,6 +124,7 @@
     std::map<std::string, Relay> m_links; ///< By address.
     std::map<int64_t, Pending> m_pending; ///< By number.
     int64_t m_last_number = 0;
+    int64_t m_last_message = 0;
     std::unordered_map<std::string, std::string> m_acceptors; ///< By job.
     std::deque<std::string> m_acceptor_order; ///< Jobs, the oldest first.
     CallLoad m_load; ///< Smoothed.
--- a/src/jobs.lib/relayed_workers_test.cpp
+++ b/src/jobs.lib/relayed_workers_test.cpp
@@ -69,6 +69,7 @@
     std::vector<PeerRequest> sent;
     bool refuses = false;
     bool swallows = false;
+    bool swallows_next = false; ///< As a silent connection does.
 
     void send(const std::string& address, const PeerRequest& request, Millis timeout,
               PeerReply done) override
@@ -78,7 +79,8 @@
             m_loop.after(Millis(1), [done] { done(PeerEnd::refused, {}); });
             return;
         }
-        if (swallows) {
+        if (swallows || swallows_next) {
+            swallows_next = false;
             m_loop.after(timeout, [done] { done(PeerEnd::silent, {}); });
             return;
         }
@@ -255,6 +257,56 @@
     BOOST_TEST(path.here.starts.size() == 1U);
 }
 
+// One message was lost on a connection that went silent; the relay answers later ones.
+BOOST_AUTO_TEST_CASE(message_lost_on_a_silent_connection_loses_no_relay)
+{
+    Path path;
+    path.world.run_for(Millis(500)); // No message is open.
+    path.wire.swallows_next = true;
+    path.start("lost", "p");
+    path.world.run_for(Millis(60));
+    path.start("begun", "p");
+    path.world.run_for(Millis(200));
+    BOOST_TEST(path.accepted == 1);
+    constexpr int rounds = 30;
+    for (int i = 0; i < rounds; ++i) {
+        path.start("job" + std::to_string(i), "p");
+        path.world.run_for(Millis(50));
+    }
+    path.world.run_for(Millis(200));
+    BOOST_TEST(path.accepted == rounds + 1);
+    BOOST_TEST(path.unknown == 1);
+    BOOST_TEST(path.here.starts.empty());
+    BOOST_TEST(path.workers.first_relay() == "r");
+}
+
+// Answers need a message that is open at the relay, and the lost one is not.
+BOOST_AUTO_TEST_CASE(answers_do_not_wait_for_a_message_that_was_lost)
+{
+    Path path;
+    path.world.run_for(Millis(500));
+    path.wire.swallows_next = true;
+    path.start("lost", "p");
+    path.world.run_for(Millis(60));
+    bool seen = false;
+    LookOrder look;
+    look.wait = Millis(1800);
+    WorkerInfo worker;
+    worker.id = "w1";
+    path.workers.look(worker, look, Millis(2100),
+                      [&](OrderStatus, const std::optional<LookReport>& report) {
+                          seen = report.has_value();
+                      });
+    // The message that brought it is given back empty after its hold.
+    path.world.run_for(Millis(60) + relay_hold + Millis(60));
+    BOOST_REQUIRE(path.there.looks.size() == 1U);
+    LookReport report;
+    report.ended.push_back({ 12, { "job", 0, 0, 2 }, 3, EndKind::failed, "d" });
+    path.there.looks.front()(OrderStatus::accepted, report);
+    path.world.run_for(Millis(60));
+    BOOST_TEST(seen);
+}
+
 BOOST_AUTO_TEST_CASE(calls_of_an_earlier_process_are_in_doubt)
 {
     Path path;
