Emulator: kept connections that go silent for good; style 5 of the random schedules

Each path of a node, to the store, a worker, the advisor and a peer, has a number of kept connections that swallow one call each until the client finds out as AsyncHttpClient does; calls that are open at that moment lose their answers (waiting looks, watches of the configuration, messages held at relays).

--- a/src/emulator.lib/cell.cpp
+++ b/src/emulator.lib/cell.cpp
@@ -58,6 +58,13 @@
     void send(const std::string& address, const jobs::PeerRequest& request, Millis timeout,
               jobs::PeerReply done) override;
 
+    /// The connections to all peers go silent, `kept` idle ones each.
+    void silence(int kept)
+    {
+        for (auto& [address, connections] : m_connections)
+            connections.silence(kept);
+    }
+
 private:
     void deliver(Millis delay, std::function<void()> work)
     {
@@ -70,6 +77,7 @@
     Cell& m_cell;
     ProcessLoop& m_loop;
     std::string m_node;
+    std::map<std::string, KeptConnections> m_connections; ///< By address.
 };
 
 class NodeProcess {
@@ -115,7 +123,10 @@
         deliver(Millis(1), [done] { done(jobs::PeerEnd::refused, {}); });
         return;
     }
-    if (cut || target->loop.frozen()) {
+    KeptConnections& connections = m_connections[address];
+    const bool held = request.topic == jobs::PeerTopic::worker_calls;
+    const Millis hold = held ? jobs::relay_hold : Millis(0);
+    if (cut || target->loop.frozen() || connections.swallows(now, hold, timeout)) {
         deliver(timeout, [done] { done(jobs::PeerEnd::silent, {}); });
         return;
     }
@@ -130,25 +141,31 @@
     // Messages travel encoded, so that the codec is tested as well.
     const std::string text = encode(request);
     m_loop.world().after(
-        Millis(1), [this, life = m_loop.life(), address, text, ended, done] {
+        Millis(1),
+        [this, life = m_loop.life(), address, text, ended, done,
+         generation = connections.generation()] {
             NodeProcess* receiver = m_cell.running(address);
             if (receiver == nullptr)
                 return;
-            receiver->loop.deliver([this, life, receiver, text, ended, done] {
-                const auto message = jobs::decode_peer_request(text);
-                receiver->node->handle_peer(
-                    *message, [this, life, ended, done](const jobs::PeerAnswer& answer) {
-                        if (!*life)
-                            return;
-                        const auto decoded = jobs::decode_peer_answer(encode(answer));
-                        deliver(Millis(1), [ended, done, decoded] {
-                            if (*ended)
+            receiver->loop.deliver(
+                [this, life, receiver, address, text, ended, done, generation] {
+                    const auto message = jobs::decode_peer_request(text);
+                    receiver->node->handle_peer(
+                        *message,
+                        [this, life, address, ended, done,
+                         generation](const jobs::PeerAnswer& answer) {
+                            // What went silent since loses the answer.
+                            if (!*life || m_connections[address].generation() != generation)
                                 return;
-                            *ended = true;
-                            done(jobs::PeerEnd::answered, *decoded);
+                            const auto decoded = jobs::decode_peer_answer(encode(answer));
+                            deliver(Millis(1), [ended, done, decoded] {
+                                if (*ended)
+                                    return;
+                                *ended = true;
+                                done(jobs::PeerEnd::answered, *decoded);
+                            });
                         });
-                    });
-            });
+                });
         });
 }
 
@@ -243,6 +260,23 @@
     m_cut_until[node] = world.now() + span;
 }
 
+void Cell::silence_connections(int kept)
+{
+    for (const auto& [name, process] : m_nodes) {
+        process->store.connections.silence(kept);
+        process->workers.silence(kept);
+        process->peers.silence(kept);
+    }
+}
+
+int64_t Cell::configuration_version(const std::string& node)
+{
+    const NodeProcess* process = running(node);
+    const auto configuration
+        = process == nullptr ? nullptr : process->node->configuration();
+    return configuration ? configuration->version : 0;
+}
+
 void Cell::stop(const std::string& node, Millis pause)
 {
     NodeProcess* process = running(node);
--- a/src/emulator.lib/store.cpp
+++ b/src/emulator.lib/store.cpp
@@ -157,9 +157,19 @@
                          });
 }
 
+bool StorePort::swallowed(Millis timeout, const jobs::StoreReply& done)
+{
+    if (!connections.swallows(m_loop.world().now(), Millis(0), timeout))
+        return false;
+    answer(timeout, with_status(StoreStatus::unknown), done);
+    return true;
+}
+
 void StorePort::call(Millis timeout, std::function<StoreResult()> work,
                      jobs::StoreReply done)
 {
+    if (swallowed(timeout, done))
+        return;
     const Millis latency = m_store.latency();
     if (reach() == Reach::refused) {
         answer(Millis(2), with_status(StoreStatus::refused), done);
@@ -190,6 +200,8 @@
 {
     World& world = m_loop.world();
     Store& store = m_store;
+    if (swallowed(timeout, done))
+        return;
     if (reach() == Reach::served && world.chance(store.trouble.lose)) {
         const Millis when = store.trouble.late ? Millis(1000 + int64_t(world.below(5000)))
                                                : store.latency();
@@ -264,13 +276,32 @@
     int64_t version, Millis wait,
     std::function<void(jobs::DirectoryAnswer<jobs::Configuration>)> done)
 {
-    if (wait <= Millis(0) || m_store.configuration_version() > version) {
-        read_configuration(Millis(1000), std::move(done));
+    const Millis now = m_loop.now();
+    const Millis gives_up = now + wait + watch_margin;
+    const Watch watch { version, wait, gives_up, connections.generation(),
+                        std::move(done) };
+    if (!connections.swallows(now, wait, wait + watch_margin)) {
+        look_at_configuration(watch);
+        return;
+    }
+    m_loop.after(gives_up - now, [done = watch.done] { done({}); });
+}
+
+void StorePort::look_at_configuration(const Watch& watch)
+{
+    const Millis now = m_loop.now();
+    if (watch.connections != connections.generation()) {
+        m_loop.after(watch.gives_up - now, [done = watch.done] { done({}); });
+        return;
+    }
+    if (watch.left <= Millis(0) || m_store.configuration_version() > watch.version) {
+        read_configuration(Millis(1000), watch.done);
         return;
     }
-    m_loop.after(watch_poll, [this, version, wait, done] {
-        watch_configuration(version, wait - watch_poll, done);
-    });
+    Watch next = watch;
+    next.left = watch.left - watch_poll;
+    m_loop.after(watch_poll,
+                 [this, next = std::move(next)] { look_at_configuration(next); });
 }
 
 } // namespace pathport::emulator
--- a/src/emulator.lib/worker_port.cpp
+++ b/src/emulator.lib/worker_port.cpp
@@ -4,6 +4,8 @@
 #include <pathport/emulator/workers.h>
 #include <pathport/ids.h>
 
+#include <algorithm>
+
 namespace pathport::emulator {
 
 namespace {
@@ -73,6 +75,10 @@
     World& world = m_loop.world();
     const auto* life = m_workers.find(worker);
     const Millis way(1 + int64_t(world.below(3)));
+    if (m_connections[worker].swallows(world.now(), Millis(0), timeout)) {
+        deliver(timeout, [done] { done(OrderAnswer()); });
+        return;
+    }
     if (life == nullptr || !m_workers.reachable(*life, m_node)) {
         // What is on its way through a cut may arrive or not.
         deliver(timeout, [done] { done(OrderAnswer()); });
@@ -132,6 +138,12 @@
     std::function<void(OrderStatus, std::optional<jobs::LookReport>)> done)
 {
     const auto* life = m_workers.find(worker.id);
+    KeptConnections& connections = m_connections[worker.id];
+    const Millis gives_up = m_loop.world().now() + timeout;
+    if (connections.swallows(m_loop.world().now(), look.wait, timeout)) {
+        deliver(timeout, [done] { done(OrderStatus::unknown, std::nullopt); });
+        return;
+    }
     if (life == nullptr || !m_workers.reachable(*life, m_node)) {
         deliver(timeout, [done] { done(OrderStatus::unknown, std::nullopt); });
         return;
@@ -152,58 +164,76 @@
         deliver(timeout, [done] { done(OrderStatus::unknown, std::nullopt); });
         return;
     }
-    m_loop.world().after(
-        Millis(1), [this, life = m_loop.life(), id = worker.id, look, done] {
-            jobs::LookReport report;
-            const OrderStatus status = m_workers.look_now(id, look, report);
-            if (!*life)
-                return;
-            if (status == OrderStatus::accepted && look.wait > Millis(0)
-                && report.ended.empty()) {
-                wait_for_end(id, look, m_loop.world().now() + look.wait, done);
-                return;
-            }
-            deliver(Millis(1), [done, status, report] {
-                done(status,
-                     status == OrderStatus::accepted
-                         ? std::optional<jobs::LookReport>(report)
-                         : std::nullopt);
-            });
-        });
+    m_loop.world().after(Millis(1),
+                         [this, life = m_loop.life(), id = worker.id, look, done, gives_up,
+                          generation = connections.generation()] {
+                             jobs::LookReport report;
+                             const OrderStatus status
+                                 = m_workers.look_now(id, look, report);
+                             if (!*life)
+                                 return;
+                             if (status == OrderStatus::accepted && look.wait > Millis(0)
+                                 && report.ended.empty()) {
+                                 wait_for_end({ id, look, m_loop.world().now() + look.wait,
+                                                generation, gives_up, done });
+                                 return;
+                             }
+                             deliver(Millis(1), [done, status, report] {
+                                 done(status,
+                                      status == OrderStatus::accepted
+                                          ? std::optional<jobs::LookReport>(report)
+                                          : std::nullopt);
+                             });
+                         });
 }
 
-void WorkerPort::wait_for_end(
-    const std::string& worker, const jobs::LookOrder& look, Millis until,
-    std::function<void(OrderStatus, std::optional<jobs::LookReport>)> done)
+void WorkerPort::wait_for_end(const WaitingLook& look)
 {
-    m_loop.world().after(
-        look_interval, [this, life = m_loop.life(), worker, look, until, done] {
-            if (!*life)
-                return;
-            const auto* target = m_workers.find(worker);
-            if (target == nullptr || !target->up || !m_workers.reachable(*target, m_node)) {
-                deliver(Millis(500), [done] { done(OrderStatus::unknown, std::nullopt); });
-                return;
-            }
-            if (target->ended.empty() && m_loop.world().now() < until) {
-                wait_for_end(worker, look, until, done);
-                return;
-            }
-            // The waiting look shows what is there now, whoever has raised the fence since.
-            jobs::LookOrder now = look;
-            now.fence = target->fence;
-            now.hold_until = 0;
-            jobs::LookReport report;
-            m_workers.look_now(worker, now, report);
-            deliver(Millis(1), [done, report] { done(OrderStatus::accepted, report); });
-        });
+    m_loop.world().after(look_interval, [this, life = m_loop.life(), look] {
+        if (!*life)
+            return;
+        const Millis now = m_loop.world().now();
+        const LookReply& done = look.done;
+        if (look.connections != m_connections[look.worker].generation()) {
+            deliver(std::max(Millis(1), look.gives_up - now),
+                    [done] { done(OrderStatus::unknown, std::nullopt); });
+            return;
+        }
+        const auto* target = m_workers.find(look.worker);
+        if (target == nullptr || !target->up || !m_workers.reachable(*target, m_node)) {
+            deliver(Millis(500), [done] { done(OrderStatus::unknown, std::nullopt); });
+            return;
+        }
+        if (target->ended.empty() && now < look.until) {
+            wait_for_end(look);
+            return;
+        }
+        // The waiting look shows what is there now, whoever has raised the fence since.
+        jobs::LookOrder present = look.order;
+        present.fence = target->fence;
+        present.hold_until = 0;
+        jobs::LookReport report;
+        m_workers.look_now(look.worker, present, report);
+        deliver(Millis(1), [done, report] { done(OrderStatus::accepted, report); });
+    });
+}
+
+void WorkerPort::silence(int kept)
+{
+    for (auto& [worker, connections] : m_connections)
+        connections.silence(kept);
+    m_advisor_connections.silence(kept);
 }
 
 // A hash decides which workers may run a step, so the answer never changes.
 void WorkerPort::ask(
-    const std::string& step, const std::vector<std::string>& workers, Millis,
+    const std::string& step, const std::vector<std::string>& workers, Millis timeout,
     std::function<void(std::optional<std::vector<jobs::WorkerTicket>>)> done)
 {
+    if (m_advisor_connections.swallows(m_loop.world().now(), timeout, timeout)) {
+        deliver(timeout, [done] { done(std::nullopt); });
+        return;
+    }
     std::vector<jobs::WorkerTicket> tickets;
     ++m_workers.m_questions;
     const Millis now = m_loop.world().now();
--- a/src/include/pathport/emulator/cell.h
+++ b/src/include/pathport/emulator/cell.h
@@ -62,6 +62,11 @@
     void freeze(const std::string& node, Millis span);
     /// Cuts a node from its peers.
     void cut_peers(const std::string& node, Millis span);
+    /// The open connections of all nodes, to the store, the workers, the advisor and each
+    /// other, go silent for good, `kept` idle ones each; new ones work.
+    void silence_connections(int kept);
+    /// Returns the version of the configuration that a node goes by, or 0.
+    int64_t configuration_version(const std::string& node);
     /// Stops a node in order; another process starts after `pause`.
     void stop(const std::string& node, Millis pause);
 
--- a/src/include/pathport/emulator/store.h
+++ b/src/include/pathport/emulator/store.h
@@ -7,6 +7,7 @@
 
 #pragma once
 
+#include <pathport/emulator/kept_connections.h>
 #include <pathport/emulator/virtual_loop.h>
 #include <pathport/jobs/job_store.h>
 
@@ -100,10 +101,25 @@
         int64_t version, Millis wait,
         std::function<void(jobs::DirectoryAnswer<jobs::Configuration>)> done) override;
 
+    /// This process's connections.
+    KeptConnections connections;
+
 private:
     enum class Reach { served, refused, silent };
 
+    /// A watch of the configuration that is open.
+    struct Watch {
+        int64_t version = 0;
+        Millis left; ///< The store holds it back so long yet, at most.
+        Millis gives_up; ///< The caller does.
+        int64_t connections = 0; ///< Their generation when it began.
+        std::function<void(jobs::DirectoryAnswer<jobs::Configuration>)> done;
+    };
+
     Reach reach() const;
+    /// Returns whether a call's connection is silent; then it ends `unknown` in its time.
+    bool swallowed(Millis timeout, const jobs::StoreReply& done);
+    void look_at_configuration(const Watch& watch);
     /// Answers a call that changes nothing with what `work` returns.
     void call(Millis timeout, std::function<jobs::StoreResult()> work,
               jobs::StoreReply done);
--- a/src/include/pathport/emulator/workers.h
+++ b/src/include/pathport/emulator/workers.h
@@ -8,6 +8,7 @@
 
 #pragma once
 
+#include <pathport/emulator/kept_connections.h>
 #include <pathport/emulator/virtual_loop.h>
 #include <pathport/jobs/worker_client.h>
 
@@ -229,7 +230,23 @@
     ask(const std::string& step, const std::vector<std::string>& workers, Millis timeout,
         std::function<void(std::optional<std::vector<jobs::WorkerTicket>>)> done) override;
 
+    /// The connections of this process to all workers and to the advisor go silent; `kept`
+    /// idle ones each.
+    void silence(int kept);
+
 private:
+    using LookReply
+        = std::function<void(jobs::OrderStatus, std::optional<jobs::LookReport>)>;
+    /// A look that waits at its worker for an end.
+    struct WaitingLook {
+        std::string worker;
+        jobs::LookOrder order;
+        Millis until;
+        int64_t connections = 0; ///< Their generation when it began.
+        Millis gives_up; ///< The caller does.
+        LookReply done;
+    };
+
     std::optional<jobs::OrderStatus> early_status(const Workers::Life& life, bool is_start);
     bool carried_out_late();
     void carry_out_late(std::function<jobs::OrderAnswer()> work);
@@ -237,14 +254,14 @@
     void order(const std::string& worker, Millis timeout, bool is_start,
                std::function<jobs::OrderAnswer()> work,
                std::function<void(jobs::OrderAnswer)> done);
-    void wait_for_end(
-        const std::string& worker, const jobs::LookOrder& order, Millis until,
-        std::function<void(jobs::OrderStatus, std::optional<jobs::LookReport>)> done);
+    void wait_for_end(const WaitingLook& look);
     void deliver(Millis delay, std::function<void()> work);
 
     Workers& m_workers;
     ProcessLoop& m_loop;
     std::string m_node;
+    std::map<std::string, KeptConnections> m_connections; ///< By worker.
+    KeptConnections m_advisor_connections;
     Millis m_advisor_free; ///< When the advisor has served what this node asked.
 };
 
--- a/src/jobs.lib/liveness_test.cpp
+++ b/src/jobs.lib/liveness_test.cpp
@@ -52,6 +52,7 @@
     int workers = 14;
     double late = 0.25; ///< Calls carried out late while that trouble lasts.
     double canceled = 0; ///< Share of the jobs that are cancelled soon after they come.
+    double silenced = 0; ///< Chance in a tenth of a second that open connections go silent.
 };
 
 Style make_style(int number)
@@ -65,6 +66,8 @@
         return { 0.02, Millis(10500), 7, 14, 0.5, 0.5 };
     case 4: // The same in more trouble.
         return { 0.06, Millis(12000), 7, 14, 0.5, 0.5 };
+    case 5: // The same, and open connections go silent now and then.
+        return { 0.02, Millis(10500), 7, 14, 0.5, 0.5, 0.015 };
     default:
         return {};
     }
@@ -91,6 +94,7 @@
     void submit_random();
     void cancel_soon(const std::string& id);
     void trouble();
+    void silence_connections();
     void node_trouble(int64_t kind, Millis span);
     void store_trouble(int64_t kind, Millis span);
     void worker_trouble(int64_t kind, Millis span);
@@ -291,6 +295,15 @@
         worker_trouble(kind - node_kinds - store_kinds, span);
 }
 
+// The rules count a node as in touch again so long after that.
+void Schedule::silence_connections()
+{
+    constexpr Millis in_touch_after { 3000 };
+    constexpr int64_t most_kept = 24;
+    m_cell.disturbed(in_touch_after, m_style.settles_in);
+    m_cell.silence_connections(int(below(most_kept + 1)));
+}
+
 std::vector<std::string> Schedule::run()
 {
     constexpr int tenths = 300;
@@ -305,6 +318,8 @@
             m_cell.cancel("job" + std::to_string(below(m_jobs)));
         if (chance(m_style.trouble))
             trouble();
+        if (m_style.silenced > 0 && chance(m_style.silenced))
+            silence_connections();
         m_cell.world.run_for(Millis(100));
     }
     if (ends_with_kill) {
