--- a/src/jobs.lib/books_and_reports_test.cpp
+++ b/src/jobs.lib/books_and_reports_test.cpp
@@ -334,3 +334,31 @@
     site.serve(Millis(1000));
     BOOST_TEST(stops_of(site, run) > 0);
 }
+
+// Looks at the worker get no answers, one after the other, as on connections that have gone
+// silent. A stop would go on one of its own, and is not even sent.
+BOOST_AUTO_TEST_CASE(a_stop_is_tried_at_a_worker_that_answers_no_looks)
+{
+    Site site({ "w1" }, job_of("job1"), { { "w1", 7 } });
+    site.serve(Millis(500));
+    site.workers["w1"].silent = true;
+    site.serve(Millis(1000));
+    site.scheduler->job_canceled("job1", "test");
+    site.serve(Millis(3000));
+    BOOST_TEST(stops_of(site, 7) > 0);
+}
+
+// The leader hears of a cancellation before it knows the job, and of the job from a peer;
+// the store's feed brings neither.
+BOOST_AUTO_TEST_CASE(a_cancellation_told_before_its_job_counts_without_the_feed)
+{
+    Site site({ "w1" }, job_of("job1"), { { "w1", 7 } });
+    site.scheduler->job_canceled("job3", "test"); // While it loads.
+    site.serve(Millis(500));
+    site.scheduler->job_canceled("job2", "test");
+    site.scheduler->job_announced(job_of("job2"), 1000000);
+    site.scheduler->job_announced(job_of("job3"), 1000001);
+    site.serve(Millis(2000));
+    BOOST_TEST(site.starts_of({ "job2", 0, 0, 0 }) == 0);
+    BOOST_TEST(site.starts_of({ "job3", 0, 0, 0 }) == 0);
+}
--- a/src/jobs.lib/client_answers_test.cpp
+++ b/src/jobs.lib/client_answers_test.cpp
@@ -21,13 +21,17 @@
 
 namespace {
 
-/// Keeps what is sent and answers nothing.
+/// Keeps what is sent and answers nothing, unless a test does.
 class SilentPeers : public PeerClient {
 public:
     std::vector<PeerRequest> sent;
-    void send(const std::string&, const PeerRequest& request, Millis, PeerReply) override
+    std::function<void(const PeerRequest&, const PeerReply&)> on_send;
+    void send(const std::string&, const PeerRequest& request, Millis,
+              PeerReply done) override
     {
         sent.push_back(request);
+        if (on_send)
+            on_send(request, done);
     }
 };
 
@@ -258,3 +262,30 @@
     for (const std::string& row : follower.announced())
         BOOST_TEST(payload_of(row) == "first");
 }
+
+// The leader that a node knows of is about to be another one, and declines: the one that
+// follows has to hear of the cancellation too, whatever the feed brings it.
+BOOST_AUTO_TEST_CASE(a_cancellation_is_told_until_a_leader_has_taken_it)
+{
+    Follower follower;
+    int told = 0;
+    follower.peers.on_send = [&](const PeerRequest& request, const PeerReply& done) {
+        if (request.topic != PeerTopic::job_canceled)
+            return;
+        PeerAnswer answer;
+        answer.served = ++told == 3;
+        follower.world.after(Millis(5),
+                             [done, answer] { done(PeerEnd::answered, answer); });
+    };
+    AcceptedJob job;
+    job.id = "job1";
+    StoreWrite rows;
+    rows.puts.push_back({ job_row(job.id), encode(job) });
+    follower.begin(follower.directory, rows);
+    std::optional<ClientStatus> status;
+    follower.node->cancel("job1", follower.world.now(), Millis(2000),
+                          [&status](ClientStatus answer) { status = answer; });
+    follower.world.run_for(Millis(1000));
+    BOOST_TEST((status == ClientStatus::ok));
+    BOOST_TEST(told == 3);
+}
