Cancellations are told until a leader has taken them, kept until their job is known, and stops go to silent workers too

Cause: the leader learned of a cancellation by one message of 400 ms, which a leader that is about to be another one declines and one that loads or does not know the job dropped, and else by its feed; and it sent no stop to a worker whose last two looks got no answer. Change: the node that recorded the cancellation repeats the message for up to 15 s until it is taken; a leader keeps those of jobs that it does not know yet; stops go out also to silent workers, two at a time, and at once again after a refused fence. A stop whose end had been noted before gives its task back. The raised fence at a lapse goes: every order in doubt has a lower one already, so it changed nothing.

--- a/src/jobs.lib/job_node_clients.cpp
+++ b/src/jobs.lib/job_node_clients.cpp
@@ -21,6 +21,10 @@
 constexpr Millis answer_margin { 150 };
 constexpr Millis forward_timeout { 1500 };
 constexpr Millis ask_timeout { 400 };
+/// A cancellation is told to the leader again after this pause, and for so long in all: a
+/// few changes of leader.
+constexpr Millis tell_cancel_pause { 200 };
+constexpr Millis tell_cancel_for { 15000 };
 constexpr Millis read_timeout { 600 };
 /// Pause before a state is asked for again that the store did not tell.
 constexpr Millis query_retry { 100 };
@@ -201,30 +205,52 @@
                 return;
             }
             done(ClientStatus::ok);
-            const std::string leader = leader_to_ask();
-            if (leader.empty())
-                return;
-            PeerRequest notice;
-            notice.topic = PeerTopic::job_canceled;
-            notice.node = m_setup.node;
-            notice.job = id;
-            m_parts.peers.send(leader, notice, ask_timeout,
-                               [id, leader](PeerEnd end, const PeerAnswer& answer) {
-                                   if (end == PeerEnd::answered && answer.served)
-                                       return;
-                                   // The leader learns of it from the store.
-                                   log_event(
-                                       LogLevel::info, "cancel_not_told",
-                                       { { "job", id },
-                                         { "leader", leader },
-                                         { "outcome",
-                                           end == PeerEnd::answered      ? "declined"
-                                               : end == PeerEnd::refused ? "refused"
-                                                                         : "silent" } });
-                               });
+            tell_of_cancel(id, m_parts.loop.now() + tell_cancel_for);
         });
 }
 
+// The leader hears of it at once by a message, which is repeated until a leader has taken
+// it: one that is about to be another one declines it, and the feed of one that is behind
+// may bring it many seconds later, while the job's tasks run on.
+void JobNode::Impl::tell_of_cancel(const std::string& id, Millis until)
+{
+    if (m_scheduler) {
+        m_scheduler->job_canceled(id, "own");
+        return;
+    }
+    const std::string leader = leader_to_ask();
+    if (leader.empty()) {
+        tell_of_cancel_again(id, until);
+        return;
+    }
+    PeerRequest notice;
+    notice.topic = PeerTopic::job_canceled;
+    notice.node = m_setup.node;
+    notice.job = id;
+    m_parts.peers.send(
+        leader, notice, ask_timeout,
+        m_lifetime.wrap([this, id, leader, until](PeerEnd end, const PeerAnswer& answer) {
+            if (end == PeerEnd::answered && answer.served)
+                return;
+            log_event(LogLevel::info, "cancel_not_told",
+                      { { "job", id },
+                        { "leader", leader },
+                        { "outcome",
+                          end == PeerEnd::answered      ? "declined"
+                              : end == PeerEnd::refused ? "refused"
+                                                        : "silent" } });
+            tell_of_cancel_again(id, until);
+        }));
+}
+
+void JobNode::Impl::tell_of_cancel_again(const std::string& id, Millis until)
+{
+    if (m_parts.loop.now() + tell_cancel_pause >= until)
+        return;
+    m_parts.loop.after(tell_cancel_pause,
+                       m_lifetime.wrap([this, id, until] { tell_of_cancel(id, until); }));
+}
+
 void JobNode::Impl::query(const std::string& id, Millis received, Millis limit,
                           StateReply done)
 {
--- a/src/jobs.lib/job_node_impl.h
+++ b/src/jobs.lib/job_node_impl.h
@@ -106,6 +106,8 @@
     void accept_row(const std::string& id, const std::string& row, Millis give_up,
                     WriteReply done);
     void accepted(const std::string& id, const WriteResult& written);
+    void tell_of_cancel(const std::string& id, Millis until);
+    void tell_of_cancel_again(const std::string& id, Millis until);
     void record_cancel(const std::string& id, Millis give_up, WriteReply done);
     void forward_write(PeerTopic topic, const std::string& id, const std::string& row,
                        WriteOutcome own, ClientReply done);
--- a/src/jobs.lib/scheduler.h
+++ b/src/jobs.lib/scheduler.h
@@ -367,6 +367,7 @@
         m_jobs; ///< Those that are not closed.
     std::map<std::string, JobState> m_closed; ///< Final states, recorded.
     std::map<std::string, std::vector<KeptEnds>> m_kept_ends; ///< By job, not known yet.
+    std::set<std::string> m_early_cancels; ///< Of jobs that are not known yet.
     std::set<std::string> m_stray_jobs; ///< Not known when runs of theirs were found.
     std::map<std::string, std::vector<std::string>> m_to_archive; ///< By part.
     std::set<std::string> m_archived; ///< Their progress rows are not removed yet.
--- a/src/jobs.lib/scheduler_jobs.cpp
+++ b/src/jobs.lib/scheduler_jobs.cpp
@@ -16,6 +16,9 @@
 constexpr Millis archive_timeout { 2000 };
 /// Entries that an archived job takes in a transaction, and jobs in one transaction.
 constexpr size_t archive_entries = 3;
+/// Cancellations of jobs that are not known yet, remembered at a time: those of some ten
+/// seconds at the users' largest site, 16 bytes each and the set's.
+constexpr size_t most_early_cancels = 2000;
 constexpr size_t most_archived = max_transaction_entries / archive_entries;
 } // namespace
 
@@ -30,6 +33,8 @@
 void Scheduler::add_job(std::unique_ptr<JobRecord> job)
 {
     JobRecord& added = *job;
+    if (m_early_cancels.erase(added.id()) > 0)
+        added.canceled = true;
     m_jobs[added.id()] = std::move(job);
     begin_due_repeats(added);
     close_if_final(added);
@@ -64,11 +69,15 @@
 void Scheduler::job_canceled(const std::string& id, const char* source)
 {
     JobRecord* job = find_job(id);
-    if (job == nullptr && m_closed.count(id) == 0)
+    if (job == nullptr && m_closed.count(id) == 0) {
+        // The feed, which brings both in their order, may stand still for long.
+        if (m_early_cancels.size() < most_early_cancels)
+            m_early_cancels.insert(id);
         log_event(LogLevel::info, "cancel_of_unknown_job",
                   { { "job", id },
                     { "source", source },
                     { "loading", m_phase == Phase::loading ? "yes" : "no" } });
+    }
     if (job == nullptr || job->canceled || job->closed())
         return;
     job->canceled = true;
--- a/src/jobs.lib/worker_session.cpp
+++ b/src/jobs.lib/worker_session.cpp
@@ -225,7 +225,6 @@
     if (regained)
         log_event(LogLevel::info, "worker_regained", { { "worker", id() } });
     m_silent = false;
-    m_declines = false;
     m_failed_looks = 0;
     note_answer(report->clock_ms, until);
     const auto alive = m_lifetime.observe();
@@ -245,7 +244,6 @@
 {
     const Millis now = m_loop.now();
     ++m_failed_looks;
-    m_declines = status == OrderStatus::declined;
     if (!m_silent && m_failed_looks >= 2) {
         m_silent = true;
         log_event(LogLevel::warn, "worker_lost",
@@ -294,10 +292,7 @@
     if (m_lapse_told || now <= m_lapse_at)
         return;
     m_lapse_told = true;
-    // A late order can't be carried out any more either: its lease has ended. The fence
-    // makes sure, in case the worker's lease is longer than was reckoned here.
-    if (!m_doubtful.empty())
-        ++m_fence;
+    // A late order can't be carried out any more either: its lease has ended.
     m_doubtful.clear();
     for (const auto& [key, stop] : m_stops)
         m_loop.cancel(stop.timer);
@@ -330,13 +325,17 @@
     }
     if (!fresh.ended.empty())
         m_listed = fresh.ended.back().number;
-    drop_ended_stops(report);
+    const std::vector<StopRequest> noted = drop_ended_stops(report, fresh);
     const bool whole = !fresh.running_left_out && report.lists_all_ends();
     if (whole)
         m_known_as_of = std::max(m_known_as_of, asked);
     const auto alive = m_lifetime.observe();
     m_listener.reported(*this, fresh, stage);
-    if (!alive.expired() && !m_over && whole)
+    if (alive.expired() || m_over)
+        return;
+    for (const StopRequest& request : noted)
+        m_listener.run_gone(*this, request.task, request.run);
+    if (whole)
         drop_gone_stops(report, asked);
 }
 
--- a/src/jobs.lib/worker_session.h
+++ b/src/jobs.lib/worker_session.h
@@ -167,7 +167,8 @@
     void note_lease(int64_t until);
     void note_answer(int64_t clock_ms, int64_t until);
     void report_arrived(const LookReport& report, int64_t fence, Millis asked);
-    void drop_ended_stops(const LookReport& report);
+    std::vector<StopRequest> drop_ended_stops(const LookReport& report,
+                                              const LookReport& fresh);
     void drop_gone_stops(const LookReport& report, Millis asked);
     ReportStage take_stage(bool whole);
     void resolve_doubts(const LookReport& report, int64_t fence);
@@ -188,7 +189,7 @@
     bool m_fenced = false;
     bool m_reported_all = false; ///< A report that lists all ends has come.
     bool m_silent = false;
-    bool m_declines = false; ///< It answered the last look, with a refusal.
+    int m_stops_open = 0; ///< Stops without an answer yet.
     bool m_over = false;
     bool m_left = false;
     bool m_lapse_told = false;
--- a/src/jobs.lib/worker_session_stops.cpp
+++ b/src/jobs.lib/worker_session_stops.cpp
@@ -18,6 +18,8 @@
 /// A stop that takes longer is told of in the log, and again after as long: the kill takes
 /// 0.4 s at most on the users' workers, and an order that was lost 0.5 s more.
 constexpr Millis overdue_stop { 1500 };
+/// To a worker that counts as silent; looks need connections too, of which it gets six.
+constexpr int most_stops_while_silent = 2;
 
 } // namespace
 
@@ -100,37 +102,48 @@
     request.timer
         = m_loop.after(stop_retry, m_lifetime.wrap([this, key] { send_stop(key); }));
     tell_overdue(request);
-    // A worker that declines looks may take a stop.
-    if (!m_listener.may_order() || (m_silent && !m_declines))
+    // Also while looks get no answer: a stop may go through on another connection.
+    if (!m_listener.may_order() || (m_silent && m_stops_open >= most_stops_while_silent))
         return;
     RunOrder order;
     order.task = request.task;
     order.run = request.run;
     order.fence = m_fence;
     ++request.sent;
-    m_client.stop(m_info, order, m_response.limit(),
-                  m_lifetime.wrap([this, key](const OrderAnswer& answer) {
-                      const auto open = m_stops.find(key);
-                      if (open != m_stops.end())
-                          open->second.answer = answer.status;
-                      if (answer.status == OrderStatus::other_life)
-                          end_life();
-                  }));
+    ++m_stops_open;
+    m_client.stop(
+        m_info, order, m_response.limit(),
+        m_lifetime.wrap([this, key, fence = order.fence](const OrderAnswer& answer) {
+            --m_stops_open;
+            const auto open = m_stops.find(key);
+            if (open != m_stops.end())
+                open->second.answer = answer.status;
+            if (answer.status == OrderStatus::other_life)
+                end_life();
+            else if (answer.status == OrderStatus::stale_fence && fence < m_fence)
+                send_stop(key);
+        }));
 }
 
-void WorkerSession::drop_ended_stops(const LookReport& report)
+// Returns those whose end was noted before: the listener will not hear of it again.
+std::vector<WorkerSession::StopRequest>
+WorkerSession::drop_ended_stops(const LookReport& report, const LookReport& fresh)
 {
+    std::vector<StopRequest> noted;
     if (m_stops.empty())
-        return;
+        return noted;
     for (const EndedTask& end : report.ended) {
         const std::string task = end.task.to_string();
         auto stop = m_stops.lower_bound({ task, std::numeric_limits<int64_t>::min() });
         while (stop != m_stops.end() && stop->first.first == task
                && stop->first.second <= end.run) {
             m_loop.cancel(stop->second.timer);
+            if (!fresh.lists(stop->second.task, stop->second.run))
+                noted.push_back(stop->second);
             stop = m_stops.erase(stop);
         }
     }
+    return noted;
 }
 
 // A run that the report of a later look does not list is not there. Its end was noted
