--- a/src/jobs.lib/job_node.cpp
+++ b/src/jobs.lib/job_node.cpp
@@ -16,10 +16,10 @@
 
 constexpr Millis configuration_timeout { 2000 };
 /// How long the store holds a watch back. A watch whose connection went silent is given up
-/// 1.5 s later, and this node learns of a change 0.4 s after that. With 20 s no node had a
-/// change in force 5 s after such a moment; with 2 s all have (silent_paths_test, where a
-/// change has 2 s and nodes count as in touch after 3 s). It costs a node a read of the
-/// store in 2 s, of the 2,000 a second that the users' store allows.
+/// 1.5 s later, and this node learns of a change 0.4 s after that. With 20 s some node
+/// lacked a change 5 s after such a moment in each of eight cells, with 2 s none did
+/// (silent_paths_test; a change has 2 s, and nodes count as in touch after 3 s). It costs a
+/// node a read of the store in 2 s, of the 2,000 a second that the users' store allows.
 constexpr Millis configuration_wait { 2000 };
 constexpr Millis configuration_retry { 400 };
 constexpr Millis lead_tick_interval { 250 };
