The head row tells until when silent workers may still run tasks

Cause: each leader counted the longest lease that an earlier one may have given (8.8 s) from its own claim on, also at workers that no leader had reached since they were lost. Tasks there, and gangs with members there, stood that long after each change of leader, with room free.

Ruled out: freeing earlier because the platform's list lacks the worker; one that is cut off is not listed either and runs on until its lease ends.

Change: the head row names workers that the leader counts as silent, those that it never reached, and ended lives, each with the store's time at which its leases are over; claims and hand-overs carry the entries on. A successor waits for the smaller of its own bound and the entry. While the row in the store or a write under way names a worker, no look with a hold and no start goes there. The store's clock is converted within the bounds that an answer's two times give.

The price: a worker that is reached again gets leases one write later, and none while the store is away (in the outage case its tasks lapse).

--- a/src/jobs.lib/head_log.cpp
+++ b/src/jobs.lib/head_log.cpp
@@ -37,6 +37,11 @@
 constexpr Millis refused_pause { 60 };
 /// A log counts its writes from a random number below this on.
 constexpr uint64_t first_number_bound = uint64_t(1) << 40;
+/// What silent workers may take of the head row, of which the platform's store takes 65,536
+/// bytes (row_bytes): the ids of 1,100 workers twice leave as much again.
+constexpr size_t most_silent_bytes = 24000;
+/// Where the row's array holds them.
+constexpr size_t silent_field = 4;
 /// Rows in one transaction beside the head row, its check and the leader row.
 constexpr size_t most_rows = max_transaction_entries - 3;
 
@@ -44,8 +49,8 @@
 
 std::string encode(const HeadValue& head)
 {
-    return nlohmann::json::array(
-               { head.epoch, head.number, head.incarnation, head.unrecorded_on })
+    return nlohmann::json::array({ head.epoch, head.number, head.incarnation,
+                                   head.unrecorded_on, head.silent.grouped() })
         .dump();
 }
 
@@ -63,12 +68,17 @@
         HeadValue head { json.at(0).get<int64_t>(),
                          json.at(1).get<int64_t>(),
                          json.at(2).get<std::string>(),
+                         {},
                          {} };
         // Earlier versions only said whether there may be such tasks.
         if (json.at(3).is_array())
             head.unrecorded_on = json.at(3).get<std::vector<std::string>>();
         else if (json.at(3).get<bool>())
             head.unrecorded_on = { any_worker };
+        // Earlier versions named no silent workers.
+        if (json.size() > silent_field)
+            head.silent = SilentWorkers::from_groups(
+                json.at(silent_field).get<std::vector<SilentWorkers::Group>>());
         return head;
     } catch (const nlohmann::json::exception&) {
         return std::nullopt;
@@ -93,6 +103,9 @@
     , m_spacing(least_spacing)
     , m_writer(loop, store, mechanisms)
 {
+    // What the claim's row says holds until a write of this log replaces it.
+    m_announced.head = m_head;
+    m_filled.head = m_head;
     // Writes of another log under the same claim, if there ever is one, have other numbers.
     m_head.number = static_cast<int64_t>(loop.random() % first_number_bound);
     schedule(renewal_interval);
@@ -109,11 +122,16 @@
     }
     if (done)
         entry->second.done.push_back(std::move(done));
-    if (!m_sending && !m_pending_write) {
-        const Millis since = m_loop.now() - m_last_start;
-        // An end and the intents of the pass that follows it share a transaction.
-        schedule(std::max(gathering_time, m_spacing - since));
-    }
+    // An end and the intents of the pass that follows it share a transaction.
+    write_soon();
+}
+
+void HeadLog::write_soon()
+{
+    if (m_lost || m_sending || m_pending_write)
+        return;
+    const Millis since = m_loop.now() - m_last_start;
+    schedule(std::max(gathering_time, m_spacing - since));
 }
 
 void HeadLog::hand_over(std::string leader_row, std::string incarnation,
@@ -156,6 +174,11 @@
         && m_filled.head.names(worker);
 }
 
+bool HeadLog::may_lease(const std::string& worker) const
+{
+    return !m_announced.head.silent.names(worker) && !m_filled.head.silent.names(worker);
+}
+
 void HeadLog::schedule(Millis delay)
 {
     const Millis at = m_loop.now() + delay;
@@ -235,6 +258,9 @@
         m_successor->written = true;
     }
     m_head.unrecorded_on = m_owner.unrecorded_workers(m_filled.precede);
+    SilentWorkers silent = m_owner.silent_workers();
+    silent.limit(most_silent_bytes);
+    m_head.silent = silent.rounded();
     m_filled.head = m_head;
     m_write.puts.front().value = encode(m_head);
 }
@@ -315,9 +341,12 @@
                 return;
         }
     }
-    if (handed_over)
+    if (handed_over) {
         m_successor->done();
-    else if (m_announced.precede)
+        return;
+    }
+    m_owner.head_written();
+    if (m_announced.precede)
         m_owner.orders_released();
 }
 
--- a/src/jobs.lib/head_log.h
+++ b/src/jobs.lib/head_log.h
@@ -9,6 +9,7 @@
 #pragma once
 
 #include "lifetime.h"
+#include "silent_workers.h"
 #include "store_writer.h"
 
 #include <pathport/event_loop.h>
@@ -38,11 +39,14 @@
     /// precede their records there, or an earlier leader's did and its tasks are not known
     /// yet.
     std::vector<std::string> unrecorded_on;
+    /// Workers at which the leader renews no lease.
+    SilentWorkers silent {};
 
     bool operator==(const HeadValue& other) const
     {
         return epoch == other.epoch && number == other.number
-            && incarnation == other.incarnation && unrecorded_on == other.unrecorded_on;
+            && incarnation == other.incarnation && unrecorded_on == other.unrecorded_on
+            && silent == other.silent;
     }
     /// Returns whether it was written by the leader before, on behalf of its successor.
     bool handed_over() const { return number < 0; }
@@ -69,6 +73,11 @@
     /// Returns the workers that may run tasks without a record until the next write: those
     /// that earlier leaders left, and, when `orders_precede`, all that may be given orders.
     virtual std::vector<std::string> unrecorded_workers(bool orders_precede) = 0;
+    /// Returns the workers at which no lease is renewed until a later write leaves them
+    /// out.
+    virtual SilentWorkers silent_workers() = 0;
+    /// A write is in the store; workers that it does not name may be leased to.
+    virtual void head_written() = 0;
     /// Orders may precede their records at the workers that the head row names now.
     virtual void orders_released() = 0;
     /// The head row has been changed by another leader; nothing more can be written.
@@ -112,6 +121,11 @@
     /// Returns whether an order to `worker` may be sent before it is recorded: the head row
     /// says so, and no write is under way that denies it.
     bool may_precede_record(const std::string& worker) const;
+    /// Returns whether a lease may be given to `worker`. A successor goes by the head row
+    /// that it finds, so neither that row nor a write under way may name it as silent.
+    bool may_lease(const std::string& worker) const;
+    /// Has the head row written as soon as the spacing of writes allows.
+    void write_soon();
     /// Returns whether everything handed in is in the store.
     bool idle() const { return m_queue.empty() && m_under_way.empty(); }
     /// Returns the number of rows that wait to be written.
--- a/src/jobs.lib/head_log_test.cpp
+++ b/src/jobs.lib/head_log_test.cpp
@@ -32,6 +32,8 @@
         return orders_precede ? std::vector<std::string> { "w1" }
                               : std::vector<std::string>();
     }
+    SilentWorkers silent_workers() override { return {}; }
+    void head_written() override { }
     void orders_released() override { }
     void log_lost() override { lost = true; }
     bool lost = false;
@@ -172,3 +174,94 @@
                    "outage of " << outage_ms << " ms");
     }
 }
+
+namespace {
+
+/// Names one worker as silent as long as a test wants it.
+class SilentOwner : public FixedOwner {
+public:
+    SilentWorkers silent_workers() override { return silent; }
+    void head_written() override { ++written; }
+    SilentWorkers silent;
+    int written = 0;
+};
+
+} // namespace
+
+// A successor goes by the head row that it finds: while that names a worker, or a write
+// that names it may still take effect, no lease is given there.
+BOOST_AUTO_TEST_CASE(no_lease_is_given_while_the_head_row_may_name_the_worker)
+{
+    for (uint64_t seed = 1; seed <= 40; ++seed) {
+        emulator::World world(seed);
+        emulator::Store store { world };
+        emulator::ProcessLoop loop { world };
+        emulator::StorePort port { store, loop, "n1" };
+        SilentOwner owner;
+        owner.silent.set("w1", 5000);
+        HeadValue head { 1, 0, "first", {}, owner.silent.rounded() };
+        HeadLog log {
+            loop, port, owner, head, store.write_now(claim_of(head)).version, world.now()
+        };
+        BOOST_TEST(!log.may_lease("w1"));
+        int unsafe = 0;
+        int allowed = 0;
+        for (int ms = 0; ms < 20000; ++ms) {
+            if (ms % 3000 == 0) {
+                store.trouble.slow = ms % 9000 == 0 ? 1 : 70;
+                store.trouble.lose = ms % 6000 == 0 ? 0.3 : 0;
+            }
+            if (ms % 700 == 0)
+                owner.silent.erase("w1");
+            if (ms % 1400 == 0)
+                owner.silent.set("w1", ms + 6000);
+            if (ms % 350 == 0)
+                log.write_soon();
+            world.run_for(Millis(1));
+            const auto present = decode_head(store.value(lead_row(head_key)));
+            allowed += log.may_lease("w1") ? 1 : 0;
+            unsafe += log.may_lease("w1") && present->silent.names("w1") ? 1 : 0;
+        }
+        BOOST_TEST(unsafe == 0, "seed " << seed << ": " << unsafe << " ms");
+        BOOST_TEST(allowed > 0);
+        BOOST_TEST(owner.written > 0);
+    }
+}
+
+// The platform's store takes 65,536 bytes a row (row_bytes).
+BOOST_AUTO_TEST_CASE(head_row_of_a_large_cell_fits_the_store)
+{
+    constexpr size_t row_bytes = 65536;
+    constexpr size_t base64_of_three = 4;
+    SilentOwner owner;
+    HeadValue head { 1, 0, "first", {}, {} };
+    for (int i = 0; i < 1100; ++i) {
+        const std::string id = "worker-" + std::to_string(1000000 + i);
+        owner.silent.set(id, int64_t(1700000000000) + i * 50);
+        head.unrecorded_on.push_back(id);
+    }
+    emulator::World world(1);
+    emulator::Store store { world };
+    emulator::ProcessLoop loop { world };
+    emulator::StorePort port { store, loop, "n1" };
+    HeadLog log { loop,       port, owner, head, store.write_now(claim_of(head)).version,
+                  world.now() };
+    world.run_for(Millis(1000));
+    const std::string row = store.value(lead_row(head_key));
+    const auto written = decode_head(row);
+    BOOST_REQUIRE(written);
+    BOOST_TEST(written->silent.size() > 500U);
+    BOOST_TEST(written->silent.names("worker-1001099"));
+    BOOST_TEST(!written->silent.names("worker-1000000"));
+    HeadValue whole = *written;
+    whole.unrecorded_on = head.unrecorded_on;
+    BOOST_TEST(encode(whole).size() / 3 * base64_of_three < row_bytes);
+}
+
+BOOST_AUTO_TEST_CASE(head_rows_of_earlier_versions_are_read)
+{
+    const auto head = decode_head(R"([7,12,"first",["w1"]])");
+    BOOST_REQUIRE(head);
+    BOOST_TEST(head->names("w1"));
+    BOOST_TEST(head->silent.empty());
+}
--- a/src/jobs.lib/job_node.cpp
+++ b/src/jobs.lib/job_node.cpp
@@ -147,7 +147,8 @@
                                           m_setup.gang_timeout, m_setup.drain },
                            m_setup.archive_batch,
                            m_setup.link_bytes,
-                           m_setup.mechanisms };
+                           m_setup.mechanisms,
+                           &m_store.clock() };
     std::vector<std::string> others;
     if (m_setup.mechanisms.uses(Mechanism::worker_relays))
         std::remove_copy(m_peers.begin(), m_peers.end(), std::back_inserter(others),
--- a/src/jobs.lib/leadership.cpp
+++ b/src/jobs.lib/leadership.cpp
@@ -413,8 +413,8 @@
         return;
     LeaderValue leader { m_leader.epoch + 1, m_identity };
     // What earlier leaders left is passed on until this one has found it out.
-    m_claimed_head
-        = HeadValue { leader.epoch, 0, m_identity.incarnation, m_head.unrecorded_on };
+    m_claimed_head = HeadValue { leader.epoch, 0, m_identity.incarnation,
+                                 m_head.unrecorded_on, m_head.silent };
     m_claim_started = m_loop.now();
     m_predecessor = m_leader.identity.address;
     StoreWrite write;
--- a/src/jobs.lib/leadership_test.cpp
+++ b/src/jobs.lib/leadership_test.cpp
@@ -78,6 +78,8 @@
         return "progress of " + job;
     }
     std::vector<std::string> unrecorded_workers(bool) override { return {}; }
+    SilentWorkers silent_workers() override { return {}; }
+    void head_written() override { }
     void orders_released() override { }
     void log_lost() override { }
 };
--- a/src/jobs.lib/scheduler.cpp
+++ b/src/jobs.lib/scheduler.cpp
@@ -35,6 +35,7 @@
         + Millis(m_parts.bounds.max_hold.count() * slow_clock_percent / 100) + margin;
     m_leases_over_ms
         = store_time_at(claim.known + leader_lease) + store_clock_error.count();
+    m_unreached = claim.head.silent;
     m_unresolved = { claim.head.unrecorded_on.begin(), claim.head.unrecorded_on.end() };
     m_log.set_link(m_parts.link_bytes);
     m_job_reader.set_link(m_parts.link_bytes);
--- a/src/jobs.lib/scheduler.h
+++ b/src/jobs.lib/scheduler.h
@@ -13,6 +13,8 @@
 #include "job_record.h"
 #include "lifetime.h"
 #include "placement.h"
+#include "silent_workers.h"
+#include "store_clock.h"
 #include "worker_load.h"
 #include "worker_session.h"
 
@@ -55,6 +57,7 @@
     size_t archive_batch = 1; ///< As in NodeSetup.
     int64_t link_bytes = 0; ///< The same.
     Mechanisms mechanisms;
+    const StoreClock* store_clock = nullptr; ///< That clock within bounds, if it is known.
 };
 
 /// The claim that began an epoch.
@@ -108,6 +111,8 @@
     bool may_order() const override;
     void answer_missing() override { m_answer_missed_at = m_parts.loop.now(); }
     bool answers_go_missing() const override;
+    bool may_lease(const WorkerSession& session) const override;
+    void lost(WorkerSession& session) override;
     void reported(WorkerSession& session, const LookReport& report,
                   ReportStage stage) override;
     void life_over(WorkerSession& session) override;
@@ -117,6 +122,8 @@
     // HeadLogOwner
     std::optional<std::string> progress_of(const std::string& job) override;
     std::vector<std::string> unrecorded_workers(bool orders_precede) override;
+    SilentWorkers silent_workers() override;
+    void head_written() override;
     void orders_released() override;
     void log_lost() override;
 
@@ -203,6 +210,12 @@
     void resolve_unrecorded(const std::string& worker);
     int64_t store_time_at(Millis time) const;
 
+    // Silent workers (scheduler_silent.cpp).
+    bool store_clock_known() const;
+    Millis unknown_until(const std::string& worker) const;
+    void note_answered(const WorkerSession& session);
+    void note_ended(const WorkerSession& session, Millis lapses_at);
+
     // Reports (scheduler_reports.cpp).
     void record_ends(Worker& worker, const LookReport& report,
                      const std::set<std::string>& changed);
@@ -349,8 +362,13 @@
     /// Workers on which earlier leaders may have started tasks without a record, and which
     /// have not reported to this one.
     std::set<std::string> m_unresolved;
-    Millis
-        m_unknown_until; ///< What an earlier leader started without us has ended by then.
+    /// What an earlier leader started without us has ended by then, wherever it was.
+    Millis m_unknown_until;
+    /// Of workers that have not answered this leader, or not again since their sessions
+    /// ended: when their leases are over, as earlier leaders or those sessions tell.
+    SilentWorkers m_unreached;
+    /// Workers that answer and wait for a head row that does not name them as silent.
+    std::set<std::string> m_lease_waits;
     /// Tasks that earlier leaders recorded on a worker, until it reports or none of them
     /// can run there any more.
     std::map<std::string, std::vector<TaskId>> m_in_doubt;
--- a/src/jobs.lib/scheduler_load.cpp
+++ b/src/jobs.lib/scheduler_load.cpp
@@ -209,7 +209,7 @@
         m_numbered.push_back(&worker);
         worker.session = std::make_unique<WorkerSession>(
             m_parts.loop, m_parts.workers, *this, info, m_claim.head.epoch, m_ended_fence,
-            m_parts.bounds, m_unknown_until, m_parts.mechanisms);
+            m_parts.bounds, unknown_until(info.id), m_parts.mechanisms);
         refresh_row(worker);
         if (m_phase != Phase::loading)
             worker.session->begin();
@@ -242,6 +242,8 @@
 {
     // The session may be in a call of its own.
     std::shared_ptr<WorkerSession> ended(std::move(worker.session));
+    if (ended->silent())
+        note_ended(*ended, ended->lapses_at());
     m_ended_fence = std::max(m_ended_fence, ended->fence());
     m_rooms.drop(worker.number);
     m_numbered[worker.number] = nullptr;
@@ -312,12 +314,16 @@
 // What an earlier leader intended for workers that are not listed has ended by now.
 void Scheduler::release_unknown_doubts()
 {
-    if (m_parts.loop.now() < m_unknown_until)
-        return;
-    while (!m_unresolved.empty())
-        resolve_unrecorded(std::string(*m_unresolved.begin()));
+    const Millis now = m_parts.loop.now();
+    const std::set<std::string> unresolved = m_unresolved;
+    for (const std::string& worker : unresolved) {
+        // Of a listed worker its session tells sooner.
+        const bool listed = m_workers.count(worker) > 0;
+        if (now >= (listed ? m_unknown_until : unknown_until(worker)))
+            resolve_unrecorded(worker);
+    }
     for (auto doubts = m_in_doubt.begin(); doubts != m_in_doubt.end();) {
-        if (m_workers.count(doubts->first) > 0) {
+        if (m_workers.count(doubts->first) > 0 || now < unknown_until(doubts->first)) {
             ++doubts;
             continue;
         }
--- a/src/jobs.lib/scheduler_reports.cpp
+++ b/src/jobs.lib/scheduler_reports.cpp
@@ -42,6 +42,7 @@
     if (worker == nullptr || m_phase == Phase::over)
         return;
     const bool first = stage != ReportStage::later;
+    note_answered(session);
     std::set<std::string> changed;
     for (const EndedTask& end : report.ended) {
         if (apply_end(*worker, end, first))
@@ -460,6 +461,8 @@
         return;
     release_all(*worker);
     resolve_unrecorded(session.id());
+    // The rows may name the life on, and the next leader can't ask it.
+    note_ended(session, m_parts.loop.now());
     end_session(*worker);
     settle();
 }
--- /dev/null
+++ b/src/jobs.lib/silent_workers.cpp
@@ -0,0 +1,75 @@
+// Copyright the pathport authors.
+// SPDX-License-Identifier: Apache-2.0
+
+#include "silent_workers.h"
+
+#include <algorithm>
+#include <iterator>
+
+namespace pathport::jobs {
+
+namespace {
+/// Times are rounded up to multiples of this, so that workers that were lost together share
+/// one. Their tasks wait that much longer at most.
+constexpr int64_t time_step_ms = 50;
+/// In the row: quotes and a comma around an id; a time of 14 digits, brackets and commas.
+constexpr size_t bytes_beside_id = 3;
+constexpr size_t bytes_of_group = 20;
+
+int64_t rounded_up(int64_t over_ms)
+{
+    return (over_ms + time_step_ms - 1) / time_step_ms * time_step_ms;
+}
+} // namespace
+
+std::optional<int64_t> SilentWorkers::over_ms(const std::string& worker) const
+{
+    const auto found = m_over.find(worker);
+    if (found == m_over.end())
+        return std::nullopt;
+    return found->second;
+}
+
+void SilentWorkers::forget_before(int64_t clock_ms)
+{
+    for (auto entry = m_over.begin(); entry != m_over.end();)
+        entry = entry->second < clock_ms ? m_over.erase(entry) : std::next(entry);
+}
+
+void SilentWorkers::limit(size_t bytes)
+{
+    std::vector<std::pair<int64_t, std::string>> latest_first;
+    for (const auto& [worker, over] : m_over)
+        latest_first.emplace_back(over, worker);
+    std::sort(latest_first.rbegin(), latest_first.rend());
+    size_t taken = 0;
+    int64_t group = 0;
+    for (const auto& [over, worker] : latest_first) {
+        if (rounded_up(over) != group)
+            taken += bytes_of_group;
+        group = rounded_up(over);
+        taken += worker.size() + bytes_beside_id;
+        if (taken > bytes)
+            m_over.erase(worker);
+    }
+}
+
+std::vector<SilentWorkers::Group> SilentWorkers::grouped() const
+{
+    std::map<int64_t, std::vector<std::string>> groups;
+    for (const auto& [worker, over] : m_over)
+        groups[rounded_up(over)].push_back(worker);
+    return { groups.begin(), groups.end() };
+}
+
+SilentWorkers SilentWorkers::from_groups(const std::vector<Group>& groups)
+{
+    SilentWorkers workers;
+    for (const auto& [over, ids] : groups) {
+        for (const std::string& id : ids)
+            workers.set(id, over);
+    }
+    return workers;
+}
+
+} // namespace pathport::jobs
--- a/src/jobs.lib/silent_workers_test.cpp
+++ b/src/jobs.lib/silent_workers_test.cpp
@@ -26,12 +26,13 @@
 
 namespace {
 
-/// Longer than any case: a task that ends would not tell whether it has been started again.
-constexpr int64_t endless_ms = 300000;
+/// Longer than any case, so that a task that runs late has been started again; a task whose
+/// progress does not move within 2.6 s would be stopped.
+constexpr int64_t endless_ms = 100000;
 /// The last lease, the time for its kill, and that to place what it frees.
 constexpr Millis one_bound { 8000 };
 
-/// A cell with as many endless tasks as half of its workers hold.
+/// A cell with endless tasks, which share its first worker.
 struct BusyCell {
     Cell cell;
     int tasks = 12;
@@ -99,10 +100,10 @@
     cell.world.run_for(Millis(slow > 1 ? 2000 : 0));
     const std::string leader = cell.leader();
     for (const char* const worker : { "w1", "w2", "w3" })
-        cell.workers.cut(worker, Millis(900) + below(1500), leader);
-    cell.world.run_for(Millis(800));
+        cell.workers.cut(worker, Millis(1500) + below(1200), leader);
+    cell.world.run_for(Millis(1400)); // It has been lost by then, and the row says so.
     cell.store.trouble.busy = outage > Millis(0);
-    cell.world.run_for(Millis(1700) + outage + below(700));
+    cell.world.run_for(Millis(1300) + outage + below(700));
     for (const char* const worker : { "w1", "w2", "w3" })
         cell.workers.cut(worker, Millis(60000));
     cell.kill(leader, Millis(20000));
--- a/src/jobs.lib/store_health.cpp
+++ b/src/jobs.lib/store_health.cpp
@@ -54,6 +54,8 @@
         [this, begun, call, waits, done = std::move(done)](const StoreResult& result) {
             if (!waits)
                 m_open.erase(m_open.find(begun));
+            if (!waits && result.clock_ms > 0)
+                m_clock.note(result.clock_ms, Millis(begun), m_loop.now());
             m_metrics.observe_seconds(
                 "pathport_store_call_seconds", double(m_loop.now().count() - begun) / 1000,
                 { { "call", call }, { "outcome", to_string(result.status) } });
--- a/src/jobs.lib/store_health.h
+++ b/src/jobs.lib/store_health.h
@@ -7,6 +7,7 @@
 #pragma once
 
 #include "lifetime.h"
+#include "store_clock.h"
 
 #include <pathport/event_loop.h>
 #include <pathport/jobs/job_store.h>
@@ -37,6 +38,8 @@
     void check(std::function<void()> served_now = {});
     /// Returns the store's clock as well as it is known; 0 before the first answer.
     int64_t clock_ms() const;
+    /// Returns the same within bounds.
+    const StoreClock& clock() const { return m_clock; }
 
 private:
     StoreReply noting(StoreReply done, const char* call, bool waits);
@@ -52,6 +55,7 @@
     bool m_probing = false;
     int64_t m_clock_ms = 0;
     Millis m_clock_at;
+    StoreClock m_clock;
     Lifetime m_lifetime;
 };
 
--- a/src/jobs.lib/take_over_fixture.h
+++ b/src/jobs.lib/take_over_fixture.h
@@ -66,6 +66,8 @@
     bool may_order() const override { return true; }
     void answer_missing() override { ++missing; }
     bool answers_go_missing() const override { return missing > 0; }
+    bool may_lease(const WorkerSession&) const override { return true; }
+    void lost(WorkerSession&) override { }
     int missing = 0; ///< Calls that were not answered.
     void reported(WorkerSession&, const LookReport&, ReportStage) override { }
     void life_over(WorkerSession&) override { ++over; }
--- a/src/jobs.lib/worker_session.cpp
+++ b/src/jobs.lib/worker_session.cpp
@@ -179,7 +179,9 @@
     order.seen_through = m_recorded;
     // A silent worker's lease is left to run out: a renewal that may arrive would put off
     // the time from which its tasks can be placed elsewhere.
-    order.hold_until = m_failed_looks > 0 ? 0 : hold_until();
+    // So it is while a successor would find that time in the head row.
+    const bool renews = m_failed_looks == 0 && m_listener.may_lease(*this);
+    order.hold_until = renews ? hold_until() : 0;
     order.wait = wait_of_look(may_wait);
     note_lease(order.hold_until);
     ++m_looks_open;
@@ -202,7 +204,7 @@
 // A look that is to be answered at once waits for nothing.
 Millis WorkerSession::wait_of_look(bool may_wait) const
 {
-    if (!may_wait || !usable() || m_recorded != m_listed)
+    if (!may_wait || !settled() || m_recorded != m_listed)
         return Millis(0);
     if (m_busy && m_mechanisms.uses(Mechanism::short_looks)
         && m_listener.answers_go_missing())
@@ -269,6 +271,7 @@
                     { "outcome", to_string(status) },
                     { "waited_ms", (now - asked).count() },
                     { "lapses_in_ms", (m_lapse_at - now).count() } });
+        m_listener.lost(*this);
     }
     const auto alive = m_lifetime.observe();
     check_lapse();
--- a/src/jobs.lib/worker_session.h
+++ b/src/jobs.lib/worker_session.h
@@ -70,6 +70,10 @@
     virtual void answer_missing() = 0;
     /// Returns whether workers have left calls unanswered lately.
     virtual bool answers_go_missing() const = 0;
+    /// Returns whether the worker's lease may be renewed now.
+    virtual bool may_lease(const WorkerSession& session) const = 0;
+    /// The worker has become silent.
+    virtual void lost(WorkerSession& session) = 0;
     /// A look brought a report under this leader's fence.
     virtual void reported(WorkerSession& session, const LookReport& report,
                           ReportStage stage)
@@ -112,10 +116,15 @@
 
     /// Returns whether the worker has accepted this leader's fence.
     bool fenced() const { return m_fenced; }
-    /// Returns whether it answers, what earlier leaders left there is known, and no order
-    /// to it is in doubt.
-    bool usable() const { return m_reported_all && !m_silent && m_doubtful.empty(); }
+    /// Returns whether it answers, what earlier leaders left there is known, no order to it
+    /// is in doubt, and it may be given leases.
+    bool usable() const { return settled() && m_listener.may_lease(*this); }
     bool silent() const { return m_silent; }
+    /// Returns when all that was leased there has surely ended, as far as this leader or
+    /// earlier ones have given leases until now.
+    Millis lapses_at() const { return m_lapse_at; }
+    /// Renews the lease at once, since that is allowed again.
+    void renew_lease() { look(false); }
     /// Returns the fence under which it orders at present.
     int64_t fence() const { return m_fence; }
     /// Returns whether an order for the task is unanswered or in doubt.
@@ -153,6 +162,7 @@
         EventLoop::TimerId timer = 0;
     };
 
+    bool settled() const { return m_reported_all && !m_silent && m_doubtful.empty(); }
     int64_t hold_until() const;
     void schedule_look(Millis delay);
     void look(bool may_wait);
