--- a/src/jobs.lib/head_log_test.cpp
+++ b/src/jobs.lib/head_log_test.cpp
@@ -237,7 +237,7 @@
     HeadValue head { 1, 0, "first", {}, {} };
     for (int i = 0; i < 1100; ++i) {
         const std::string id = "worker-" + std::to_string(1000000 + i);
-        owner.silent.set(id, int64_t(1700000000000) + i * 50);
+        owner.silent.set(id, int64_t(1700000000000) + int64_t(i) * 50);
         head.unrecorded_on.push_back(id);
     }
     emulator::World world(1);
