--- a/src/jobs.lib/scheduler_reports.cpp
+++ b/src/jobs.lib/scheduler_reports.cpp
@@ -42,6 +42,7 @@
     if (worker == nullptr || m_phase == Phase::over)
         return;
     const bool first = stage != ReportStage::later;
+    note_answered(session);
     std::set<std::string> changed;
     // All of them are gone before the first is applied: it may close the job, and what has
     // ended is not told to stop.
@@ -414,6 +415,8 @@
         return;
     release_all(*worker);
     resolve_unrecorded(session.id());
+    // The rows may name the life on, and the next leader can't ask it.
+    note_ended(session, m_parts.loop.now());
     end_session(*worker);
     settle();
 }
