--- a/testsuite/random_days.py
+++ b/testsuite/random_days.py
@@ -242,7 +242,7 @@
             if '{"time_ms"' not in line:
                 told.append(line)
                 continue
-            found.update(sign for sign in signs if f"event={sign}" in line)
+            found.update(sign for sign in signs if f'"event":"{sign}"' in line)
     return told, found
 
 
