--- a/testsuite/day_menu.py
+++ b/testsuite/day_menu.py
@@ -100,12 +100,18 @@
 # ... the other keeps leaders from knowing what runs.
 BLINDERS = [
     dict(kind="applied_late", x=(.2, .6), for_s=(3, 6), how=["all", "orders"]),
-    dict(kind="applied_late", x=(.2, .6), for_s=(3, 6), how=["all", "orders"]),
+    dict(kind="applied_late", x=(.2, .6), for_s=(3, 6), how=["all", "grants"]),
     dict(kind="platform_lost", x=(.2, .5), for_s=(3, 6), how=["", "late"]),
     dict(kind="srv_cut", share=(.15, .4), for_s=(2, 6), how=["reborn", "one_way", ""]),
     dict(kind="node_cut", share=(.15, .4), for_s=(2, 6), how="servers"),
     dict(kind="srv_grey", share=(.1, .3), x=(.4, 1), for_s=(3, 6), how=["mute", "hang", "reset"]),
 ]
+# Besides, at times, workers are away for about a lease: shorter, as long, or longer.
+ABSENCES = [
+    dict(kind="srv_cut", share=(.15, .4), for_s=(1, 6), how=["reborn", "one_way", "", "some lossy"]),
+    dict(kind="srv_crash", share=(.1, .3), for_s=(1, 6), how=["", "dark"]),
+    dict(kind="node_cut", share=(.15, .4), for_s=(1, 6), how=["servers", "servers reborn"]),
+]
 
 
 @dataclasses.dataclass(frozen=True)
--- a/testsuite/random_days.py
+++ b/testsuite/random_days.py
@@ -12,8 +12,8 @@
 pairs that overlap, the same one twice within a lease, and many in the last seconds of the traffic,
 where what they leave behind must still be put right after it. That is the shape "crowded". On a day of
 the shape "prompt" half of the jobs are cancelled soon after their acknowledgement from beginning to end;
-one or two pairs of troubles strike who gave the last orders while leaders can't see what runs, and the
-rest of the day is calm, so that a task left behind is seen.
+one or two pairs of troubles strike who gave the last orders while leaders can't see what runs, at times
+with workers away as well, and the rest of the day is calm, so that a task left behind is seen.
 
 Each day is a function of (site, seed, index) and of --shape, --menu, --always and --length alone; `--menu 1`
 draws the days of before the second menu. Of a day that breaks a rule, or whose logs show an event named by
@@ -35,7 +35,7 @@
 import threading
 import tomllib
 
-from day_menu import BLINDERS, MENUS, ORDER_GIVERS
+from day_menu import ABSENCES, BLINDERS, MENUS, ORDER_GIVERS
 
 CLOSINGS = [
     dict(kind="kill_all", down_s=(.3, 2)),
@@ -107,6 +107,8 @@
         blinder = draw(rng, rng.choice(BLINDERS), at)
         struck = at + rng.uniform(.2, .9) * blinder["for_s"]
         troubles += [blinder, draw(rng, rng.choice(ORDER_GIVERS), struck)]
+        if rng.random() < .5:
+            troubles.append(draw(rng, rng.choice(ABSENCES), at + rng.uniform(.2, .9) * blinder["for_s"]))
     for name in args.always:
         at = rng.uniform(4, max(5, length - CALM_S))
         troubles += [draw(rng, MENUS[args.menu].named(name), at + rng.uniform(0, 2)) for _ in range(2)]
