--- a/testsuite/day_menu.py
+++ b/testsuite/day_menu.py
@@ -93,7 +93,7 @@
 
 # Pairs of the shape "prompt". The one strikes who gave the last order, ...
 ORDER_GIVERS = [
-    dict(kind="roll_term", share=(.3, .8), x=[1.0, 2.0], gap_s=(.3, 1), how=["starter", "remove"]),
+    dict(kind="roll_term", share=(.3, .8), x=[2.0, 3.0], gap_s=(.2, .5), how=["starter", "remove"]),
     dict(kind="replace_core", x=(.5, 2), how=["", "leader"]),
     dict(kind="node_kill", on="core", count=1, for_s=(.5, 4), how=["leader power", "giver power"]),
 ]
