--- a/testsuite/run_soak_checks.py
+++ b/testsuite/run_soak_checks.py
@@ -9,7 +9,8 @@
 
 from soak.addresses import Plan
 from soak.advisor import Tickets
-from soak.ledger import CANCEL_S, Ledger
+from soak.calm import CONTACT_S
+from soak.ledger import CANCEL_S, KILL_GRACE_S, Ledger
 from soak.model import JobFacts
 from soak.standstill import Standstill
 from soak.store import HistoryLost, Store
@@ -173,6 +174,69 @@
     return {"cancelled jobs start nothing"}, bench.broken()
 
 
+def canceled_job_that_runs_on():
+    """A run may go on for `CANCEL_S` and `KILL_GRACE_S` of calm after the first acknowledgement;
+    then it is a breach, and is told once."""
+    bench = Bench([step(lasting=True)])
+    ledger, lives = bench.ledger, bench.workers.lives
+    bench.start(1)
+    bench.start(2, index=1)
+    ledger.acknowledge_cancel(JOB, 100)
+    ledger.acknowledge_cancel(JOB, 110)
+    allowed = 100 + CANCEL_S + KILL_GRACE_S
+    ledger.check_canceled_runs(lives, allowed - 0.1)
+    assert not bench.broken()
+    bench.finish(2, "stopped", index=1)
+    for _ in range(2):
+        ledger.check_canceled_runs(lives, allowed + 0.1)
+    assert len(ledger.breaches) == 1, ledger.breaches
+    return {"cancelled jobs run nothing"}, bench.broken()
+
+
+def canceled_job_that_a_worker_starts_late():
+    """A run begun long after the acknowledgement is two breaches: that it began, that it runs."""
+    bench = Bench([step(lasting=True)])
+    now = time.monotonic()
+    bench.ledger.acknowledge_cancel(JOB, now - CANCEL_S - KILL_GRACE_S - 1)
+    bench.start(1)
+    bench.ledger.check_canceled_runs(bench.workers.lives, now)
+    return {"cancelled jobs start nothing", "cancelled jobs run nothing"}, bench.broken()
+
+
+def canceled_job_runs_on_near_faults():
+    """Faults, one under way and one just over, put the bound off; configurations do not."""
+    bench = Bench([step(lasting=True)])
+    ledger, lives = bench.ledger, bench.workers.lives
+    bench.start(1)
+    ledger.acknowledge_cancel(JOB, 100)
+    ledger.calm.begins("silent_connections", 101)
+    ledger.check_canceled_runs(lives, 200)
+    ledger.calm.begins("node_kill", 150)
+    ledger.calm.ends("silent_connections", 201)
+    ledger.check_canceled_runs(lives, 300)
+    ledger.calm.ends("node_kill", 301)
+    ledger.calm.begins("configure", 303)
+    ledger.calm.ends("configure", 303)
+    allowed = 301 + CONTACT_S + CANCEL_S + KILL_GRACE_S
+    ledger.check_canceled_runs(lives, allowed - 0.1)
+    assert not bench.broken()
+    ledger.check_canceled_runs(lives, allowed + 0.1)
+    return {"cancelled jobs run nothing"}, bench.broken()
+
+
+def canceled_job_without_runs():
+    """What was stopped, died with its worker or belongs to another job is blameless."""
+    bench = Bench([step(lasting=True)])
+    bench.start(1)
+    bench.start(2, index=1)
+    bench.ledger.acknowledge_cancel(JOB, 100)
+    bench.ledger.acknowledge_cancel("fedcba9876543210", 100)
+    bench.finish(1, "stopped")
+    bench.workers.end_life(2)
+    bench.ledger.check_canceled_runs(bench.workers.lives, 200)
+    return set(), bench.broken()
+
+
 def unknown_job():
     bench = Bench([step()])
     bench.ledger.jobs.clear()
@@ -266,8 +330,9 @@
 RUNS = [blameless_course, two_runs_at_once, start_after_noted_done, start_before_a_done_is_noted,
         one_done_stands_for_a_gang, start_after_the_last_failure,
         start_before_the_last_failure_is_noted, over_the_room, out_of_order, other_payload,
-        foreign_checkpoint, refused_job, canceled_job, unknown_job, too_many_on_a_worker,
-        without_the_label, before_its_time, workers_keep_the_protocol, store_keeps_the_protocol,
+        foreign_checkpoint, refused_job, canceled_job, canceled_job_that_runs_on,
+        canceled_job_that_a_worker_starts_late, canceled_job_runs_on_near_faults, canceled_job_without_runs,
+        unknown_job, too_many_on_a_worker, without_the_label, before_its_time, workers_keep_the_protocol, store_keeps_the_protocol,
         addresses_are_translated, resting_jobs_are_measured]
 
 
--- a/testsuite/soak/injector.py
+++ b/testsuite/soak/injector.py
@@ -30,9 +30,10 @@
         await asyncio.sleep(max(0, self.begin + fault.at - time.monotonic()))
         self.counts[fault.kind] = self.counts.get(fault.kind, 0) + 1
         node = await self.node_of(fault.arguments.get("node"))
-        await self.platform.call("fault", text=f"{fault} (node {node})")
+        await self.platform.call("fault", kind=fault.kind, text=f"{fault} (node {node})")
         await getattr(self, fault.kind)(fault, node)
-        await self.platform.call("fault", text=f"over: {fault.kind} of {fault.at:.2f}")
+        await self.platform.call("fault_over", kind=fault.kind,
+                                 text=f"{fault.kind} of {fault.at:.2f}")
 
     async def node_of(self, name):
         """Returns the number of the daemon that a fault names."""
--- a/testsuite/soak/ledger.py
+++ b/testsuite/soak/ledger.py
@@ -5,9 +5,11 @@
 import time
 from dataclasses import dataclass, field
 
+from .calm import Calm
 from .model import Breach, TaskName
 
 CANCEL_S = 3.0
+KILL_GRACE_S = 0.4
 CLOCK_JITTER_MS = 250
 
 
@@ -30,7 +32,9 @@
         self.jobs = {}
         self.refused = {}  # job -> when its last hand-in was refused
         self.canceled = {}  # job -> when its cancellation was acknowledged
-        self.tasks = {}
+        self.tasks = {}  # job -> {task within it: its record}
+        self.calm = Calm()
+        self.ran_on = set()  # Runs of cancelled jobs that were reported: (life, task, run).
         self.breaches = []
         self.starts = 0
         self.checked = {}
@@ -53,7 +57,8 @@
     def record_of(self, name):
         step = self.step_of(name)
         index = 0 if step is not None and step.gang else name.index
-        return self.tasks.setdefault(f"{name.job}.{name.time}.{name.step}.{index}", TaskRecord())
+        tasks = self.tasks.setdefault(name.job, {})
+        return tasks.setdefault(f"{name.time}.{name.step}.{index}", TaskRecord())
 
     def attempts(self, name):
         return self.jobs[name.job].queue_of().attempts
@@ -96,6 +101,28 @@
                    f"{order.task} started {time.monotonic() - (canceled or 0):.1f} s after its "
                    "cancellation was acknowledged")
 
+    def acknowledge_cancel(self, job, at):
+        """A caller's cancel was acknowledged; what counts is the first time."""
+        self.canceled.setdefault(job, at)
+
+    def check_canceled_runs(self, lives, now):
+        """Checks that nothing of a cancelled job runs once it was calm for long enough after the
+        acknowledgement, whoever started it and however late."""
+        calm_since = self.calm.since()
+        for life in lives:
+            for run in life.running.values() if life.up else ():
+                canceled = self.canceled.get(run.name.job)
+                run_id = (life.id, run.task, run.number)
+                if canceled is None or run_id in self.ran_on:
+                    continue
+                over = now - max(canceled, calm_since) - CANCEL_S - KILL_GRACE_S
+                if over > 0:
+                    self.ran_on.add(run_id)
+                self.check("cancelled jobs run nothing", over <= 0,
+                           f"{run.task} run {run.number} runs on at {life.id}, "
+                           f"{now - canceled:.1f} s after its cancellation was acknowledged, "
+                           f"calm since {now - calm_since:.1f} s")
+
     def check_history(self, order, name, step, lives):
         record = self.record_of(name)
         failed = record.failed_noted
@@ -180,8 +207,7 @@
         """Whether some task, or gang, failed as often as its queue allows."""
         facts = self.jobs[job]
         attempts = facts.queue_of().attempts
-        return any(record.failed >= attempts for task, record in self.tasks.items()
-                   if task.startswith(job + "."))
+        return any(record.failed >= attempts for record in self.tasks.get(job, {}).values())
 
     def ready_tasks(self, job):
         """Returns (task name, step) of the tasks whose turn has come and that are not done."""
--- a/testsuite/soak/platform_main.py
+++ b/testsuite/soak/platform_main.py
@@ -103,6 +103,7 @@
         while True:
             if 0 not in self.service.trouble.refused:
                 self.list_workers()
+            self.ledger.check_canceled_runs(self.workers.lives, time.monotonic())
             self.standstill.look()
             sys.stdout.flush()
             await asyncio.sleep(LIST_S)
@@ -128,7 +129,7 @@
 
     def do_canceled(self, job, at):
         self.log("canceled", job=job)
-        self.ledger.canceled[job] = at
+        self.ledger.acknowledge_cancel(job, at)
 
     def do_accepted(self, job, node):
         self.log("accepted", job=job, node=node)
@@ -138,8 +139,13 @@
         self.log("calm")
         self.standstill.calm = True
 
-    def do_fault(self, text):
+    def do_fault(self, kind, text):
         self.log("fault", text=text)
+        self.ledger.calm.begins(kind)
+
+    def do_fault_over(self, kind, text):
+        self.log("fault", text=f"over: {text}")
+        self.ledger.calm.ends(kind)
 
     def do_trouble(self, **trouble):
         refused = {int(k): how for k, how in trouble.pop("refused", {}).items()}
