--- a/testsuite/run_soak.py
+++ b/testsuite/run_soak.py
@@ -11,7 +11,7 @@
 import time
 
 from soak.daemons import Daemon
-from soak.report import print_table
+from soak.report import print_silences, print_table
 from soak.schedule import Size
 from soak.seeds import one_of_each_cause
 from soak.soak import Soak
@@ -32,6 +32,11 @@
     parser.add_argument("--seconds", type=float, default=25, help="how long jobs and faults come")
     parser.add_argument("--rate", type=float, default=0, help="jobs a second")
     parser.add_argument("--faults", type=float, default=0.7, help="faults a second")
+    parser.add_argument("--silences", type=float, default=Size.silences_per_s,
+                        help="how often a second open connections go silent; with --faults 0 it is "
+                        "measured how soon work goes on")
+    parser.add_argument("--cancels", type=float, default=Size.cancels_per_s,
+                        help="jobs a second that are cancelled soon")
     parser.add_argument("--link-mbps", type=float, default=Daemon.link_mbps,
                         help="what the daemons are told of their links; with 0.05 calls go through relays")
     parser.add_argument("--standstill", type=float, default=40,
@@ -47,7 +52,7 @@
     workers = wanted.workers or USUAL_WORKERS
     size = Size(wanted.nodes or USUAL_NODES, workers, wanted.seconds,
                 wanted.rate or min(MOST_JOBS, workers * JOBS_PER_WORKER), wanted.faults,
-                wanted.standstill)
+                wanted.standstill, wanted.silences, wanted.cancels)
     return [(wanted.first + i, size) for i in range(wanted.seeds or 1)]
 
 
@@ -63,6 +68,7 @@
         print(f"soak_{seed}: {time.monotonic() - began:.0f} s, {result.accepted} jobs, "
               f"{result.starts} starts, all ended {result.calm_s:.1f} s after the faults, "
               f"longest standstill {result.standstill[0]:.1f} s {result.standstill[1]}", flush=True)
+        print_silences(result)
         for promise, text in result.broken:
             print(f"soak_{seed}: VIOLATION {promise}: {text}", flush=True)
     print_table(results)
--- a/testsuite/run_soak_checks.py
+++ b/testsuite/run_soak_checks.py
@@ -6,12 +6,19 @@
 import asyncio
 import sys
 import time
+import zlib
 
+from run_soak import CI_SIZE
 from soak.addresses import Plan
 from soak.advisor import Tickets
 from soak.calm import CONTACT_S
+from soak.http1 import reset
 from soak.ledger import CANCEL_S, KILL_GRACE_S, Ledger
 from soak.model import JobFacts
+from soak.proxy import LinkTrouble, Proxies
+from soak.schedule import Schedule
+from soak.seeds import HARD_HUNT, HUNT, WIDE_HUNT
+from soak.silences import WINDOW_S, Silences
 from soak.standstill import Standstill
 from soak.store import HistoryLost, Store
 from soak.wire import Order, Range, RowName, Step, Write
@@ -19,6 +26,7 @@
 
 JOB = "0123456789abcdef"
 PAYLOAD = "p"
+SILENT_S = 1.0  # So long is waited for bytes that are not to come.
 
 
 class Bench:
@@ -316,8 +324,8 @@
 def resting_jobs_are_measured():
     """A job whose turn has come and that runs nowhere stands still; one that runs does not."""
     bench = Bench([step()], workers=4)
-    standstill = Standstill(bench.ledger, bench.workers, lambda *_: True)
-    standstill.calm = True
+    standstill = Standstill(bench.ledger, bench.workers, lambda *_: True, Silences())
+    standstill.calm_since = time.monotonic()
     standstill.accepted.add(JOB)
     bench.start(1)
     standstill.look()
@@ -327,13 +335,119 @@
     return {JOB}, set(standstill.since)
 
 
+def silences_are_measured():
+    """From a silence to the next start, the longest gap, and how long a job stood still."""
+    silences = Silences()
+    silences.started(90)
+    silences.begins("a", 100)
+    silences.stands_still("t", 95, 102)
+    for at in (103, 108, 109, 100 + WINDOW_S + 1):
+        silences.started(at)
+    silences.begins("b", 200)
+    return {"['a', 3, 5, 2, 't']", "['b', 0, 0, 0, '']"}, set(map(str, silences.figures()))
+
+
+# Seed and size, and sums over the faults and jobs that were drawn before silences and soon
+# cancelled jobs were added.
+DRAWN_BEFORE = [(1, CI_SIZE, 3423905866, 3736021557), (4009, HUNT, 3839249100, 2109568058),
+                (3002, HUNT, 398656954, 3857121697), (9004, HARD_HUNT, 615398400, 3356999937),
+                (11003, WIDE_HUNT, 3500532481, 2428141320)]
+
+
+def kept_seeds_play_what_they_played():
+    """Silences and soon cancelled jobs change nothing of the other faults and jobs."""
+    expected, drawn = set(), set()
+    for seed, size, faults_sum, jobs_sum in DRAWN_BEFORE:
+        schedule = Schedule(seed, size)
+        faults = [fault for fault in schedule.faults if fault.kind != "silent_connections"]
+        jobs = [job for job in schedule.jobs if job.soon_cancel is None]
+        assert len(faults) < len(schedule.faults) and len(jobs) < len(schedule.jobs)
+        faults_text = "".join(f"{fault}\n" for fault in faults)
+        jobs_text = "".join(f"{job.at:.6f} {job.facts.encode()} {job.cancel_after:.6f} "
+                            f"{job.again_after:.6f} {job.ask_every:.6f}\n" for job in jobs)
+        expected.add((seed, faults_sum, jobs_sum))
+        drawn.add((seed, zlib.crc32(faults_text.encode()), zlib.crc32(jobs_text.encode())))
+    return expected, drawn
+
+
+class EchoStore:
+    """Sends each line back, and keeps its ends of all connections and which of them were ended."""
+
+    def __init__(self):
+        self.writers, self.ended = [], set()
+
+    async def serve(self, reader, writer):
+        number = len(self.writers)
+        self.writers.append(writer)
+        try:
+            while line := await reader.readline():
+                writer.write(line)
+        except (OSError, asyncio.CancelledError):
+            pass
+        self.ended.add(number)
+
+
+async def play_silence(plan):
+    """Opens connections of two daemons to the store and lets those of the first go silent."""
+    store = EchoStore()
+    hosts = [plan.service_ip(view) for view in (1, 2)]
+    server = await asyncio.start_server(store.serve, hosts, plan.store)
+    proxies = Proxies(plan)
+    await proxies.open("store")
+    lines = []
+    for view in (1, 1, 2):
+        lines.append(await asyncio.open_connection(plan.service_ip(view), plan.proxied_store))
+        assert await talk(lines[-1])
+    assert proxies.silence_open_connections(LinkTrouble("silence", 1, "store")) == 2
+    lines.append(await asyncio.open_connection(plan.service_ip(1), plan.proxied_store))
+    seen = {f"line {number} works" for number, line in enumerate(lines) if await talk(line)}
+    reset(store.writers[0].transport)
+    lines[1][1].write_eof()
+    proxies.add(LinkTrouble("reset", 1, "store"))
+    for number, (reader, _) in enumerate(lines):
+        reading = asyncio.ensure_future(reader.read(1))
+        await asyncio.wait([reading], timeout=SILENT_S)
+        if reading.done():
+            reading.exception()
+            seen.add(f"line {number} is ended for its daemon")
+    if 1 in store.ended:
+        seen.add("line 1 is ended for the store")
+    server.close()
+    for writer in [*store.writers, *[writer for _, writer in lines]]:
+        writer.close()
+    return seen
+
+
+async def talk(line):
+    """Whether a line that is sent comes back within a while."""
+    reader, writer = line
+    writer.write(b"hello\n")
+    answer = asyncio.ensure_future(reader.readline())
+    await asyncio.wait([answer], timeout=SILENT_S)
+    if answer.done():
+        return answer.exception() is None and answer.result() == b"hello\n"
+    answer.cancel()
+    await asyncio.wait([answer])
+    return False
+
+
+def open_connections_go_silent():
+    """Those of one daemon say nothing more and are not closed, new ones and others' work."""
+    plan = Plan.find()
+    seen = asyncio.run(play_silence(plan))
+    plan.holder.close()
+    return {"line 2 works", "line 3 works", "line 3 is ended for its daemon"}, seen
+
+
 RUNS = [blameless_course, two_runs_at_once, start_after_noted_done, start_before_a_done_is_noted,
         one_done_stands_for_a_gang, start_after_the_last_failure,
         start_before_the_last_failure_is_noted, over_the_room, out_of_order, other_payload,
         foreign_checkpoint, refused_job, canceled_job, canceled_job_that_runs_on,
-        canceled_job_that_a_worker_starts_late, canceled_job_runs_on_near_faults, canceled_job_without_runs,
-        unknown_job, too_many_on_a_worker, without_the_label, before_its_time, workers_keep_the_protocol, store_keeps_the_protocol,
-        addresses_are_translated, resting_jobs_are_measured]
+        canceled_job_that_a_worker_starts_late, canceled_job_runs_on_near_faults,
+        canceled_job_without_runs, unknown_job, too_many_on_a_worker, without_the_label,
+        before_its_time, workers_keep_the_protocol, store_keeps_the_protocol,
+        addresses_are_translated, resting_jobs_are_measured, silences_are_measured,
+        kept_seeds_play_what_they_played, open_connections_go_silent]
 
 
 def main():
--- a/testsuite/soak/callers.py
+++ b/testsuite/soak/callers.py
@@ -20,6 +20,7 @@
 RETRY_S = 0.4
 MOST_TRIES = 14
 MOST_REFUSALS = 5
+MOMENT_S = 8.0  # So long a caller waits for the start or end at which it wants to cancel.
 FINAL = ("completed", "failed", "canceled")
 UNANSWERED = 0  # The status of a call without an answer.
 NOT_SENT = -1  # The status of a call whose connection was refused.
@@ -158,6 +159,8 @@
             follow_ups.append(self.cancel(view, planned.cancel_after))
         await asyncio.gather(self.submit(view), *follow_ups)
         follow_ups = []
+        if planned.soon_cancel and view.accepted_at:
+            follow_ups.append(self.cancel_soon(view))
         if planned.again_after and view.accepted_at:
             follow_ups.append(self.submit_again(view))
         if planned.ask_every and view.accepted_at:
@@ -204,20 +207,32 @@
                 return
         await self.cancel_now(view)
 
-    async def cancel_now(self, view):
+    async def cancel_soon(self, view):
+        """Cancels at the planned moment, also more than once."""
+        planned = view.planned.soon_cancel
+        if planned.moment != "accepted":
+            await self.platform.call("moment", job=view.planned.facts.id, event=planned.moment,
+                                     bound_s=MOMENT_S)
+        await asyncio.sleep(planned.after)
+        await asyncio.gather(*[self.cancel_now(view, node) for node in planned.nodes])
+
+    async def cancel_now(self, view, node=0):
+        """Cancels until it is acknowledged, the first time at a certain daemon, if one is named."""
+        daemon = self.daemons[node - 1] if node else self.any_daemon()
         for _ in range(MOST_TRIES):
             view.cancel_sent = True
-            status, _ = await self.lines.call(self.any_daemon(), "DELETE", self.path(view))
+            status, _ = await self.lines.call(daemon, "DELETE", self.path(view))
             if 200 <= status < 300:
-                view.canceled_at = time.monotonic()
-                await self.platform.call("canceled", job=view.planned.facts.id,
-                                         at=view.canceled_at)
+                now = time.monotonic()
+                view.canceled_at = view.canceled_at or now
+                await self.platform.call("canceled", job=view.planned.facts.id, at=now)
                 return
             if status == 410:
                 self.check("accepted jobs are known",
                            time.monotonic() - view.accepted_at < VISIBLE_S or view.final,
                            f"DELETE {self.path(view)}: 410")
             await asyncio.sleep(RETRY_S)
+            daemon = self.any_daemon()
 
     async def ask_at_times(self, view):
         for _ in range(6):
--- a/testsuite/soak/injector.py
+++ b/testsuite/soak/injector.py
@@ -111,6 +111,12 @@
         await asyncio.sleep(fault.span)
         self.proxies.remove(trouble)
 
+    async def silent_connections(self, fault, node):
+        known = fault.arguments
+        trouble = LinkTrouble("silence", node, known["service"], known.get("number", 0))
+        count = self.proxies.silence_open_connections(trouble)
+        await self.platform.call("silence", text=f"{fault} (node {node}, {count} connections)")
+
     # The store.
 
     async def with_store(self, fault, **trouble):
--- a/testsuite/soak/platform_main.py
+++ b/testsuite/soak/platform_main.py
@@ -18,6 +18,8 @@
 from .http1 import Server
 from .ledger import Ledger
 from .model import QUEUES, SERVICE, JobFacts
+from .moments import START, Moments
+from .silences import Silences
 from .standstill import Standstill
 from .store import Store
 from .store_service import Rates, StoreService, Trouble
@@ -33,12 +35,15 @@
     def __init__(self, plan, worker_count, seed, rates):
         self.plan = plan
         self.ledger = Ledger(self.log)
+        self.moments = Moments()
+        self.silences = Silences()
         self.tickets = Tickets()
-        self.workers = Workers(self.ledger, self.log, self.tickets, seed, worker_count)
+        self.workers = Workers(self.ledger, self.log_run, self.tickets, seed, worker_count)
         self.store = Store()
         self.service = StoreService(self.store, rates, seed, plan.view_of, self.translate)
         self.advisor = Advisor(self.ledger, self.workers, self.tickets, plan.view_of)
-        self.standstill = Standstill(self.ledger, self.workers, self.advisor.allows)
+        self.standstill = Standstill(self.ledger, self.workers, self.advisor.allows,
+                                     self.silences)
         self.servers = {}
         self.listed = {}  # life's id -> the value of its row
         self.dead_since = {}
@@ -49,6 +54,13 @@
         print(json.dumps({"time_ms": int(time.time() * 1000), "process": "platform",
                           "event": event, **fields}))
 
+    def log_run(self, event, job, **fields):
+        """Logs that a run started or ended, and tells those who wait for it."""
+        self.log(event, job=job, **fields)
+        self.moments.happened(job, event)
+        if event == START:
+            self.silences.started()
+
     def translate(self, value, view):
         """Rows name daemons and workers as the daemon that reads them finds them."""
         value = self.plan.translate(value, view)
@@ -137,7 +149,7 @@
 
     def do_calm(self):
         self.log("calm")
-        self.standstill.calm = True
+        self.standstill.calm_since = time.monotonic()
 
     def do_fault(self, kind, text):
         self.log("fault", text=text)
@@ -147,6 +159,17 @@
         self.log("fault", text=f"over: {text}")
         self.ledger.calm.ends(kind)
 
+    def do_silence(self, text):
+        """Open connections have gone silent."""
+        self.log("silence", text=text)
+        self.silences.begins(text)
+
+    def do_silences(self):
+        return self.silences.figures()
+
+    async def do_moment(self, job, event, bound_s):
+        return await self.moments.wait_for(job, event, bound_s)
+
     def do_trouble(self, **trouble):
         refused = {int(k): how for k, how in trouble.pop("refused", {}).items()}
         self.service.trouble = Trouble(refused=refused, **trouble)
--- a/testsuite/soak/proxy.py
+++ b/testsuite/soak/proxy.py
@@ -4,7 +4,8 @@
 
 A link runs from a daemon (its view) to a service of one kind and number. A cut direction holds
 its bytes back until the cut ends; they are lost if an end closes meanwhile, unless the trouble
-delivers late."""
+delivers late. A connection that went silent holds back everything for good, in both directions:
+bytes, its end and a reset by either side."""
 
 import asyncio
 import re
@@ -54,6 +55,7 @@
         self.link, self.proxies = link, proxies
         self.reader, self.writer = reader, writer
         self.far_writer = None
+        self.silent = False
 
     def held(self, outward):
         cut = "cut_to" if outward else "cut_from"
@@ -79,15 +81,22 @@
         inward = asyncio.ensure_future(
             self.pump(far_reader, self.writer, False, self.link.view))
         _, pending = await asyncio.wait([outward, inward], return_when=asyncio.FIRST_COMPLETED)
+        await self.unless_silent()
         for task in pending:
             task.cancel()
         await asyncio.gather(outward, inward, return_exceptions=True)
         self.close()
 
+    async def unless_silent(self):
+        """Goes on at once, or never."""
+        if self.silent:
+            await asyncio.Event().wait()
+
     async def pump(self, reader, writer, outward, view):
         held = b""
         while True:
             data = held + await reader.read(READ_BYTES)
+            await self.unless_silent()
             ended = len(data) == len(held)
             held = b""
             if ended and self.held(outward) and not self.late():
@@ -102,6 +111,7 @@
                 await asyncio.sleep(POLL_S)
                 if reader.at_eof() and not self.late():
                     return
+            await self.unless_silent()
             if data:
                 writer.write(data)
                 await writer.drain()
@@ -143,6 +153,7 @@
         self.servers = {}  # (kind, number) -> the listener
         self.bytes = 0
         self.resets = 0
+        self.silenced = 0
 
     def place(self, kind, number):
         """Returns the port to listen on, and a function from a view to the real address."""
@@ -193,9 +204,19 @@
         self.troubles.append(trouble)
         if trouble.how == "reset":
             for connection in list(self.connections):
-                if trouble.matches(connection.link):
+                if trouble.matches(connection.link) and not connection.silent:
                     self.resets += 1
                     connection.reset()
 
+    def silence_open_connections(self, trouble):
+        """Lets all connections that are open on the links of a trouble go silent for good; returns
+        how many."""
+        struck = [connection for connection in self.connections
+                  if trouble.matches(connection.link) and not connection.silent]
+        for connection in struck:
+            connection.silent = True
+        self.silenced += len(struck)
+        return len(struck)
+
     def remove(self, trouble):
         self.troubles.remove(trouble)
--- a/testsuite/soak/report.py
+++ b/testsuite/soak/report.py
@@ -13,6 +13,13 @@
     return sums
 
 
+def print_silences(result):
+    """Prints how soon work went on after each silence of connections."""
+    for text, first, gap, standstill, task in result.silences:
+        print(f"soak_{result.seed}: {text}: next start after {first:.2f} s, longest gap of starts "
+              f"{gap:.2f} s, longest standstill {standstill:.1f} s {task}", flush=True)
+
+
 def print_table(results):
     """Prints what was done, what was checked and what broke."""
     requests = total(result.requests for result in results)
--- a/testsuite/soak/schedule.py
+++ b/testsuite/soak/schedule.py
@@ -5,12 +5,23 @@
 import random
 from dataclasses import dataclass, field
 
+from . import moments
 from .model import QUEUES, JobFacts
 from .wire import Step
 
 FIRST_FAULT_S = 3.0
 MOST_STEPS = 3
 LEADER, WRITER = "leader", "writer"
+RUNS_ON_MS = (8000, 25000)  # How long tasks run that are to be seen when they outlast their job.
+
+
+@dataclass
+class SoonCancel:
+    """A cancel `after` seconds from a moment on: the acceptance, or when a task starts or ends.
+    Copies of it go to other daemons, or the same one, at once; numbers of daemons, 0 for any."""
+    moment: str
+    after: float
+    nodes: list
 
 
 @dataclass
@@ -21,6 +32,7 @@
     cancel_after: float = 0
     again_after: float = 0
     ask_every: float = 0
+    soon_cancel: SoonCancel = None
 
 
 @dataclass
@@ -45,16 +57,23 @@
     jobs_per_s: float = 4
     faults_per_s: float = 0.7
     standstill_s: float = 40  # The longest that a job which could run may stand still.
+    silences_per_s: float = 0.1
+    cancels_per_s: float = 0.6  # Jobs that come beside the others and are cancelled soon.
 
 
 class Schedule:
-    """Jobs and faults of one seed."""
+    """Jobs and faults of one seed. What was added later has generators of its own, so that a seed
+    goes on to play the jobs and faults that it played before."""
 
     def __init__(self, seed, size):
         self.seed, self.size = seed, size
         self.random = random.Random(seed)
-        self.faults = self.draw_faults()
-        self.jobs = self.draw_jobs()
+        self.faults = self.by_time(self.draw_faults() + self.draw_silences())
+        self.jobs = self.by_time(self.draw_jobs() + self.draw_cancels())
+
+    @staticmethod
+    def by_time(entries):
+        return sorted(entries, key=lambda entry: entry.at)
 
     def text(self):
         return "".join(f"{fault}\n" for fault in self.faults)
@@ -114,8 +133,51 @@
                          [draw.randint(0, 2)])
         return PlannedJob(draw.uniform(0.5, self.size.load_s / 2), facts, ask_every=2)
 
+    def draw_cancels(self):
+        """Jobs that are cancelled within moments, with tasks that run long enough to be seen."""
+        draw = random.Random(f"cancels {self.seed}")
+        count = round(self.size.load_s * self.size.cancels_per_s)
+        return [self.draw_soon_canceled(draw) for _ in range(count)]
+
+    def draw_soon_canceled(self, draw):
+        planned = self.draw_job(draw, draw.uniform(0.5, self.size.load_s))
+        planned.cancel_after = planned.again_after = 0
+        facts = planned.facts
+        facts.repeats = facts.first_due_ms = facts.interval_ms = 0
+        for step in facts.steps:
+            if draw.random() < 0.6:
+                step.run_ms = draw.randint(*RUNS_ON_MS)
+        moment = draw.choice(("accepted", "accepted", moments.START, moments.END))
+        after = draw.uniform(0.005, 0.6) if moment == "accepted" else draw.choice((0, 0.02, 0.1))
+        first = draw.randint(1, self.size.daemons)
+        other = draw.randint(1, self.size.daemons)
+        nodes = draw.choice(([0], [0], [first, first], [first, other], [first, other, 0]))
+        planned.soon_cancel = SoonCancel(moment, after, nodes)
+        return planned
+
     # Faults.
 
+    def draw_silences(self):
+        """Open connections go silent: all, those of one daemon or those to one kind of service."""
+        draw = random.Random(f"silences {self.seed}")
+        faults = []
+        for _ in range(round(self.size.load_s * self.size.silences_per_s)):
+            service = draw.choice(("", "", "store", "peer", "worker", "worker"))
+            node = self.draw_node(draw)
+            if draw.random() < 0.5:
+                node = 0
+            elif service == "worker":
+                node = LEADER  # Others call workers only as its relays.
+            arguments = {"service": service, "node": node}
+            if service == "worker" and draw.random() < 0.3:
+                arguments["number"] = draw.randint(1, self.size.workers)
+            at = draw.uniform(FIRST_FAULT_S, self.size.load_s)
+            faults.append(Fault(at, "silent_connections", 0, arguments))
+            if draw.random() < 0.25:  # Those that were opened since go silent as well.
+                again = at + draw.uniform(0.2, 2.5)
+                faults.append(Fault(again, "silent_connections", 0, dict(arguments)))
+        return faults
+
     def draw_faults(self):
         draw = self.random
         count = int(self.size.load_s * self.size.faults_per_s)
--- a/testsuite/soak/soak.py
+++ b/testsuite/soak/soak.py
@@ -44,6 +44,7 @@
     store_calls: int = 0
     calm_s: float = 0
     standstill: tuple = (0, "")  # The longest in the calm time: seconds, task.
+    silences: list = field(default_factory=list)  # Silences.figures()
     folder: str = ""
 
 
@@ -194,6 +195,7 @@
             await self.take_status()
 
     async def take_status(self):
+        self.result.silences = await self.platform.call("silences")
         status = await self.platform.call("status")
         known = {text for _, text in self.result.broken}
         for promise, text, _ in status["breaches"]:
--- a/testsuite/soak/standstill.py
+++ b/testsuite/soak/standstill.py
@@ -1,7 +1,8 @@
 # Copyright the pathport authors.
 # SPDX-License-Identifier: Apache-2.0
-"""Measures, in the calm time at the end, how long jobs stand still: nothing of theirs runs, a
-task's turn has come, at least two workers have room for it, and under half of all room is used."""
+"""Measures how long jobs stand still: nothing of theirs runs, a task's turn has come, at least two
+workers have room for it, and under half of all room is used. Counts in the calm time at the end and
+after silences of connections."""
 
 import time
 from dataclasses import dataclass
@@ -17,16 +18,19 @@
 class Standstill:
     """Looks at all accepted jobs again and again."""
 
-    def __init__(self, ledger, workers, allows):
+    def __init__(self, ledger, workers, allows, silences):
         self.ledger, self.workers, self.allows = ledger, workers, allows
+        self.silences = silences
         self.accepted = set()
         self.over = set()
         self.since = {}  # job -> since when it stands still
         self.longest = Longest()
-        self.calm = False
+        self.calm_since = 0.0  # When the calm time at the end began; 0 before.
 
     def look(self):
-        if not self.calm:
+        now = time.monotonic()
+        if not self.calm_since and self.silences.present(now) is None:
+            self.since.clear()
             return
         lives = [life for life in self.workers.lives if life.up]
         working = {run.name.job for life in lives for run in life.running.values()}
@@ -41,7 +45,9 @@
             if not task:
                 self.since.pop(job, None)
                 continue
-            span = time.monotonic() - self.since.setdefault(job, time.monotonic())
+            since = self.since.setdefault(job, now)
+            self.silences.stands_still(task, since, now)
+            span = now - max(since, self.calm_since) if self.calm_since else 0
             if span > self.longest.span_s:
                 self.longest = Longest(span, task)
 
