--- a/testsuite/soak/proxy.py
+++ b/testsuite/soak/proxy.py
@@ -80,7 +80,10 @@
             self.pump(self.reader, self.far_writer, True, self.link.number))
         inward = asyncio.ensure_future(
             self.pump(far_reader, self.writer, False, self.link.view))
-        _, pending = await asyncio.wait([outward, inward], return_when=asyncio.FIRST_COMPLETED)
+        done, pending = await asyncio.wait([outward, inward],
+                                           return_when=asyncio.FIRST_COMPLETED)
+        for task in done:
+            task.exception()  # A reset ends the connection like its end.
         await self.unless_silent()
         for task in pending:
             task.cancel()
