--- a/testsuite/soak/addresses.py
+++ b/testsuite/soak/addresses.py
@@ -8,7 +8,7 @@
 import re
 import socket
 
-FIRST_BASE, LAST_BASE, BASE_STEP = 10000, 19000, 1000
+FIRST_BASE, LAST_BASE, BASE_STEP = 10000, 32000, 1000  # Below those of outgoing connections.
 CLAIM = 999  # The port that marks a range as taken.
 DAEMON_NET = 200
 FIRST_DAEMON = 100
--- a/testsuite/soak/proxy.py
+++ b/testsuite/soak/proxy.py
@@ -203,6 +203,13 @@
         if server is not None:
             server.close()
 
+    def close_all(self):
+        """Ends all listeners and connections, so that the next soak finds the ports free."""
+        for kind, number in list(self.servers):
+            self.close(kind, number)
+        for connection in list(self.connections):
+            connection.reset()
+
     def add(self, trouble):
         self.troubles.append(trouble)
         if trouble.how == "reset":
--- a/testsuite/soak/soak.py
+++ b/testsuite/soak/soak.py
@@ -86,6 +86,7 @@
             for task in self.background:
                 task.cancel()
             self.end_processes()
+            self.proxies.close_all()
             self.plan.holder.close()
             self.keep_schedule()
         if not self.result.broken:
