--- a/testsuite/soak/soak.py
+++ b/testsuite/soak/soak.py
@@ -109,7 +109,9 @@
         await self.proxies.open("advice")
         for slot in range(1, self.size.workers + 1):
             await self.proxies.open("worker", slot)
+        await self.platform.call("fault", kind="start", text="daemons start")
         await asyncio.gather(*[daemon.start() for daemon in self.daemons])
+        await self.platform.call("fault_over", kind="start", text="daemons start")
 
     def start_platform(self):
         large = self.size.daemons > 20
