--- a/testsuite/soak/report.py
+++ b/testsuite/soak/report.py
@@ -2,6 +2,8 @@
 # SPDX-License-Identifier: Apache-2.0
 """The table of a series of soaks."""
 
+import statistics
+
 STATUS_NAMES = {0: "no answer", -1: "not sent"}
 
 
@@ -20,6 +22,20 @@
               f"{gap:.2f} s, longest standstill {standstill:.1f} s {task}", flush=True)
 
 
+def print_silence_summary(results):
+    """Prints median and maximum of how soon work went on, over all silences that struck some
+    connection; see silences.py for what else counts in."""
+    struck = [entry for result in results for entry in result.silences
+              if ", 0 connections" not in entry[0]]
+    if not struck:
+        return
+    print(f"{len(struck)} silences that struck connections: " + ", ".join(
+        f"{name} {statistics.median(values):.2f} s (at most {max(values):.2f} s)"
+        for name, values in (("next start", [entry[1] for entry in struck]),
+                             ("longest gap of starts", [entry[2] for entry in struck]),
+                             ("longest standstill", [entry[3] for entry in struck]))))
+
+
 def print_table(results):
     """Prints what was done, what was checked and what broke."""
     requests = total(result.requests for result in results)
@@ -32,6 +48,7 @@
     faults = total(result.faults for result in results)
     print(f"{sum(faults.values())} faults: "
           + ", ".join(f"{count} {kind}" for kind, count in sorted(faults.items())))
+    print_silence_summary(results)
     checked = total(result.checked for result in results)
     broken = total({promise: 1} for result in results for promise, _ in result.broken)
     print(f"{'promise':45} {'checked':>9} {'broken':>7}")
