--- a/testsuite/soak/callers.py
+++ b/testsuite/soak/callers.py
@@ -289,10 +289,19 @@
                 self.check("accepted jobs end", view.final != "",
                            f"{self.path(view)} has not ended {bound_s:.0f} s after the faults")
 
+    async def cancel_again(self):
+        """Cancels the jobs whose cancels got no 2xx while there were faults."""
+        for view in self.open_jobs():
+            if view.cancel_sent and not view.canceled_at:
+                await self.cancel_in_calm(view)
+
     async def cancel_lasting(self):
         """Cancels the jobs that last, which are to have no task left soon after."""
         for view in self.views.values():
             if view.accepted_at and view.planned.facts.lasting:
-                await self.cancel_now(view)
-                self.check("cancels are acknowledged", view.canceled_at > 0,
-                           f"DELETE {self.path(view)} without success in a calm time")
+                await self.cancel_in_calm(view)
+
+    async def cancel_in_calm(self, view):
+        await self.cancel_now(view)
+        self.check("cancels are acknowledged", view.canceled_at > 0,
+                   f"DELETE {self.path(view)} without success in a calm time")
--- a/testsuite/soak/soak.py
+++ b/testsuite/soak/soak.py
@@ -158,6 +158,7 @@
         work.result()
 
     async def calm_end(self):
+        await self.callers.cancel_again()
         await self.callers.await_ends(CALM_BOUND_S)
         end = time.monotonic() + STOPPED_BOUND_S
         while idle := await self.lasting_tasks_away():
