--- a/testsuite/soak/soak.py
+++ b/testsuite/soak/soak.py
@@ -44,6 +44,7 @@
     store_calls: int = 0
     calm_s: float = 0
     standstill: tuple = (0, "")  # The longest in the calm time: seconds, task.
+    silences: list = field(default_factory=list)  # Silences.figures()
     folder: str = ""
 
 
@@ -85,6 +86,7 @@
             for task in self.background:
                 task.cancel()
             self.end_processes()
+            self.proxies.close_all()
             self.plan.holder.close()
             self.keep_schedule()
         if not self.result.broken:
@@ -107,7 +109,9 @@
         await self.proxies.open("advice")
         for slot in range(1, self.size.workers + 1):
             await self.proxies.open("worker", slot)
+        await self.platform.call("fault", kind="start", text="daemons start")
         await asyncio.gather(*[daemon.start() for daemon in self.daemons])
+        await self.platform.call("fault_over", kind="start", text="daemons start")
 
     def start_platform(self):
         large = self.size.daemons > 20
@@ -154,6 +158,7 @@
         work.result()
 
     async def calm_end(self):
+        await self.callers.cancel_again()
         await self.callers.await_ends(CALM_BOUND_S)
         end = time.monotonic() + STOPPED_BOUND_S
         while idle := await self.lasting_tasks_away():
@@ -194,6 +199,7 @@
             await self.take_status()
 
     async def take_status(self):
+        self.result.silences = await self.platform.call("silences")
         status = await self.platform.call("status")
         known = {text for _, text in self.result.broken}
         for promise, text, _ in status["breaches"]:
