Test: a gang's member that is found at another worker than the recorded one, red

In a slow store the leader tried the member at three workers under one run and died; the next one found it at the last of them, took it for a stray run, and started it elsewhere 9 ms later.

--- a/src/jobs.lib/books_and_reports_test.cpp
+++ b/src/jobs.lib/books_and_reports_test.cpp
@@ -362,3 +362,16 @@
     BOOST_TEST(site.starts_of({ "job2", 0, 0, 0 }) == 0);
     BOOST_TEST(site.starts_of({ "job3", 0, 0, 0 }) == 0);
 }
+
+// A gang's member was tried at one worker after the other under one run, and only the first
+// is in the record. The run that is found at another one is the task's.
+BOOST_AUTO_TEST_CASE(a_run_of_the_recorded_id_at_another_worker_is_adopted)
+{
+    Site site({ "w1", "w2" }, job_of("job1"), { { "w2", 7 } });
+    site.workers["w1"].running = site.workers["w2"].running;
+    site.workers["w2"].running.clear();
+    site.workers["w2"].silent = true;
+    site.serve(Millis(3000));
+    BOOST_TEST(stops_of(site, 7) == 0);
+    BOOST_TEST(site.starts_of(site.task) == 0);
+}
