--- a/src/jobs.lib/liveness_test.cpp
+++ b/src/jobs.lib/liveness_test.cpp
@@ -351,6 +351,8 @@
     const std::pair<uint64_t, int> kept[] = {
         { 600062, 2 }, // A task had failed on the only worker that the advisor allows, and
                        // refused ones were asked about for ever in place of a ticket there.
+        { 910056, 5 }, // A gang's member was found at another worker than the recorded one
+                       // under the same run, and was started a second time elsewhere.
     };
     for (const auto& [seed, style] : kept) {
         const auto wrong = Schedule(seed, make_style(style)).run();
--- a/src/jobs.lib/scheduler.h
+++ b/src/jobs.lib/scheduler.h
@@ -230,6 +230,7 @@
     bool take_back_intent(const TaskId& id, Task& task);
     static bool is_late_success(const Step& step, const EndedTask& end);
     void note_progress(Worker& worker, const RunningTask& running);
+    void note_progress(Task& task, const RunningTask& running);
     void release_missing(const Worker& worker);
     void release_doubts(const std::string& worker, const std::vector<TaskId>& tasks);
     void note_doubts(const JobRecord& job);
--- a/src/jobs.lib/scheduler_compare.cpp
+++ b/src/jobs.lib/scheduler_compare.cpp
@@ -30,12 +30,16 @@
     // A successor's, which this leader does not know of yet.
     if (running.run / runs_per_epoch > m_claim.head.epoch)
         return;
-    const JobRecord* job = find_job(running.task.job);
-    const bool wanted
-        = job != nullptr && !job->closed() && worker.load.holds(running.task, running.run);
-    if (wanted)
-        note_progress(worker, running);
-    else
+    JobRecord* job = find_job(running.task.job);
+    const bool open = job != nullptr && !job->closed();
+    Task* task = open ? job->task(running.task) : nullptr;
+    const bool placed_here = task != nullptr && task->run == running.run
+        && task->worker == worker.session->id();
+    if (placed_here)
+        note_progress(*task, running);
+    // What is held though its task is not placed here is a member of a gang that is done,
+    // or was told to stop: its end is on its way.
+    else if (!open || !worker.load.holds(running.task, running.run))
         stop_unwanted(worker, running);
 }
 
--- a/src/jobs.lib/scheduler_reports.cpp
+++ b/src/jobs.lib/scheduler_reports.cpp
@@ -111,8 +111,9 @@
 {
     JobRecord* job = find_job(running.task.job);
     Task* task = job == nullptr ? nullptr : job->task(running.task);
+    // A member of a gang is tried at one worker after the other under the same run.
     const bool expected = task != nullptr && task->phase == TaskPhase::in_doubt
-        && (task->worker == worker.session->id() || running.run > task->run);
+        && (task->worker == worker.session->id() || running.run >= task->run);
     // An order that preceded its record.
     const bool untold = task != nullptr && task->phase == TaskPhase::waiting;
     Step* step
@@ -152,16 +153,20 @@
 {
     JobRecord* job = find_job(running.task.job);
     Task* task = job == nullptr ? nullptr : job->task(running.task);
-    if (task == nullptr || task->worker != worker.session->id() || task->run != running.run)
-        return;
+    if (task != nullptr && task->worker == worker.session->id() && task->run == running.run)
+        note_progress(*task, running);
+}
+
+void Scheduler::note_progress(Task& task, const RunningTask& running)
+{
     if (!running.checkpoint.empty())
-        task->checkpoint = running.checkpoint;
+        task.checkpoint = running.checkpoint;
     const Millis now = m_parts.loop.now();
-    task->listed_at = now;
-    if (task->percent == running.percent)
+    task.listed_at = now;
+    if (task.percent == running.percent)
         return;
-    task->percent = running.percent;
-    task->percent_at = now;
+    task.percent = running.percent;
+    task.percent_at = now;
 }
 
 // Tasks that were intended for the worker and are not there: the order did not arrive, and
