--- a/src/jobs.lib/silent_workers_test.cpp
+++ b/src/jobs.lib/silent_workers_test.cpp
@@ -149,6 +149,30 @@
     }
 }
 
+// Planned stops: the last write of each leader names its successor, with all entries.
+BOOST_AUTO_TEST_CASE(leaders_that_hand_over_pass_on_what_they_know)
+{
+    for (uint64_t seed = 1; seed <= 10; ++seed) {
+        for (const auto& silence : { vanish, crash }) {
+            BusyCell busy(seed);
+            Cell& cell = busy.cell;
+            const Millis begun = cell.world.now();
+            for (const char* const worker : { "w1", "w2", "w3" })
+                silence(cell, worker);
+            const int64_t epoch = epoch_of(cell);
+            for (const int64_t stopped_at : { 1200, 3000, 5000 }) {
+                busy.run_until(begun + Millis(stopped_at));
+                cell.stop(cell.leader(), Millis(20000));
+            }
+            busy.run_until(begun + one_bound);
+            BOOST_TEST(epoch_of(cell) == epoch + 3);
+            BOOST_TEST(busy.running() == busy.tasks, "seed " << seed);
+            const auto wrong = cell.workers.breaches();
+            BOOST_TEST(wrong.empty(), "seed " << seed << joined(wrong));
+        }
+    }
+}
+
 // The first leader ends before it has lost the workers, so the second one counts from its
 // claim, once for all that follow it, also for workers that are not listed any more.
 BOOST_AUTO_TEST_CASE(bound_of_the_first_leader_that_misses_a_worker_holds_for_all)
