--- a/src/jobs.lib/worker_session.h
+++ b/src/jobs.lib/worker_session.h
@@ -70,6 +70,10 @@
     virtual void answer_missing() = 0;
     /// Returns whether workers have left calls unanswered lately.
     virtual bool answers_go_missing() const = 0;
+    /// Returns whether the worker's lease may be renewed now.
+    virtual bool may_lease(const WorkerSession& session) const = 0;
+    /// The worker has become silent.
+    virtual void lost(WorkerSession& session) = 0;
     /// A look brought a report under this leader's fence.
     virtual void reported(WorkerSession& session, const LookReport& report,
                           ReportStage stage)
@@ -112,13 +116,18 @@
 
     /// Returns whether the worker has accepted this leader's fence.
     bool fenced() const { return m_fenced; }
-    /// Returns whether it answers, what earlier leaders left there is known, and no order
-    /// to it is in doubt.
-    bool usable() const { return m_reported_all && !m_silent && m_doubtful.empty(); }
+    /// Returns whether it answers, what earlier leaders left there is known, no order to it
+    /// is in doubt, and it may be given leases.
+    bool usable() const { return settled() && m_listener.may_lease(*this); }
     bool silent() const { return m_silent; }
     /// Returns when the look was sent that last brought a report of all that runs there and
     /// has ended; zero when there is none.
     Millis known_as_of() const { return m_known_as_of; }
+    /// Returns when all that was leased there has surely ended, as far as this leader or
+    /// earlier ones have given leases until now.
+    Millis lapses_at() const { return m_lapse_at; }
+    /// Renews the lease at once, since that is allowed again.
+    void renew_lease() { look(false); }
     /// Returns the fence under which it orders at present.
     int64_t fence() const { return m_fence; }
     /// Returns whether an order for the task is unanswered or in doubt.
@@ -156,6 +165,7 @@
         EventLoop::TimerId timer = 0;
     };
 
+    bool settled() const { return m_reported_all && !m_silent && m_doubtful.empty(); }
     int64_t hold_until() const;
     void schedule_look(Millis delay);
     void look(bool may_wait);
@@ -167,7 +177,8 @@
     void note_lease(int64_t until);
     void note_answer(int64_t clock_ms, int64_t until);
     void report_arrived(const LookReport& report, int64_t fence, Millis asked);
-    void drop_ended_stops(const LookReport& report);
+    std::vector<StopRequest> drop_ended_stops(const LookReport& report,
+                                              const LookReport& fresh);
     void drop_gone_stops(const LookReport& report, Millis asked);
     ReportStage take_stage(bool whole);
     void resolve_doubts(const LookReport& report, int64_t fence);
@@ -188,7 +199,7 @@
     bool m_fenced = false;
     bool m_reported_all = false; ///< A report that lists all ends has come.
     bool m_silent = false;
-    bool m_declines = false; ///< It answered the last look, with a refusal.
+    int m_stops_open = 0; ///< Stops without an answer yet.
     bool m_over = false;
     bool m_left = false;
     bool m_lapse_told = false;
