--- a/src/include/pathport/async_http.h
+++ b/src/include/pathport/async_http.h
@@ -114,6 +114,10 @@
     Millis timeout { 1000 };
     /// Of `timeout`: the server may hold its answer back for so long.
     Millis hold;
+    /// While bytes of the answer keep coming, `timeout` is for each silence between them
+    /// (ClientLimits::longest_answer holds for the whole). Not for calls whose effect must
+    /// not come late.
+    bool extends_while_receiving = false;
 };
 
 /// What became of a call.
@@ -131,6 +135,9 @@
     /// A kept connection that nothing has used for so long is closed, since the server may
     /// be about to close it.
     Millis max_idle { 12000 };
+    /// An answer that extends its call's time has to be there so long after it was due: the
+    /// largest one that is read takes 7 s on a link of 10 Mbit/s.
+    Millis longest_answer { 10000 };
 };
 
 /// A client with kept connections to any number of servers. Once a call on a kept
@@ -151,6 +158,9 @@
     size_t open_connections() const;
     /// Returns what all calls so far took.
     const HttpTrafficByPath& traffic() const;
+    /// Returns whether an answer at `path` is under way: a call that extends its time is
+    /// open there, and bytes for it came a moment ago.
+    bool receiving(const std::string& path) const;
 
 private:
     class Impl;
--- a/src/include/pathport/jobs/job_store.h
+++ b/src/include/pathport/jobs/job_store.h
@@ -107,6 +107,9 @@
     virtual void watch(const std::string& table, int64_t version, Millis wait,
                        StoreReply done)
         = 0;
+    /// Returns whether the answer to an open watch() is under way: bytes of it came a
+    /// moment ago. A store that can't tell says no.
+    virtual bool receiving_feed() const { return false; }
 };
 
 /// What became of a read of the directory.
--- a/src/loop.lib/async_http_client.cpp
+++ b/src/loop.lib/async_http_client.cpp
@@ -81,6 +81,8 @@
 
     const HttpTrafficByPath& traffic() const { return m_traffic; }
 
+    bool receiving(const std::string& /*path*/) const { return false; }
+
     void send(ClientCall call, std::function<void(CallOutcome)> done)
     {
         auto exchange = std::make_shared<Exchange>();
@@ -430,6 +432,11 @@
     return m_impl->traffic();
 }
 
+bool AsyncHttpClient::receiving(const std::string& path) const
+{
+    return m_impl->receiving(path);
+}
+
 size_t AsyncHttpClient::open_connections() const
 {
     return m_impl->open_connections();
