Answers that keep coming are read to their end; no poll beside one whose answer comes

- AsyncHttpClient reads answers in pieces.
Of a call with extends_while_receiving its time is counted from the last byte, with ClientLimits::longest_answer (10 s after the answer was due) for the whole; others keep their hard time.
Traffic is counted by the piece; suspects and late marks are as they were.
- JobFeed opens no poll beside one whose answer is under way (JobStore::receiving_feed, passed on by StoreHealth, answered by AsyncHttpClient::receiving: an open call's bytes came within 500 ms).
One that stands still is overtaken as before.

slow_answers_test: its server dropped a connection once all its pieces were sent, so that two cases saw a close instead of a silence.

--- a/src/jobs.lib/job_feed.cpp
+++ b/src/jobs.lib/job_feed.cpp
@@ -45,12 +45,22 @@
 
 void JobFeed::timer_fired()
 {
-    if (m_polls_open < most_open_polls && !m_reader.reading())
+    if (may_poll())
         poll();
     else
         schedule(poll_interval);
 }
 
+// A poll beside one whose answer is coming brings the same rows, and slows it down: four of
+// them on a thin link take longer than what they bring took to happen, and the feed falls
+// further and further behind.
+bool JobFeed::may_poll() const
+{
+    if (m_reader.reading() || m_polls_open >= most_open_polls)
+        return false;
+    return m_polls_open == 0 || !m_store.receiving_feed();
+}
+
 void JobFeed::schedule(Millis delay)
 {
     m_loop.cancel(m_timer);
--- a/src/jobs.lib/job_feed.h
+++ b/src/jobs.lib/job_feed.h
@@ -19,7 +19,8 @@
 
 /// Asks for changes at regular times. When the store has forgotten the changes that were
 /// missed, all rows are read again, by one such reading at a time. A poll that gets no
-/// answer is soon followed by another: it may have been lost with an outage that is over.
+/// answer is soon followed by another, unless its answer is under way: it may have been
+/// lost with an outage that is over.
 class JobFeed {
 public:
     /// `seen` is told each row, some of them more than once.
@@ -38,6 +39,7 @@
 private:
     void schedule(Millis delay);
     void timer_fired();
+    bool may_poll() const;
     void poll();
     void polled(const StoreResult& result, Millis begun);
     void reread();
--- a/src/jobs.lib/store_health.h
+++ b/src/jobs.lib/store_health.h
@@ -26,6 +26,7 @@
     void read(const StoreRange& range, Millis timeout, StoreReply done) override;
     void watch(const std::string& table, int64_t version, Millis wait,
                StoreReply done) override;
+    bool receiving_feed() const override { return m_store.receiving_feed(); }
 
     /// Returns whether the last call that ended was served, not long ago.
     bool served() const;
--- a/src/loop.lib/async_http_client.cpp
+++ b/src/loop.lib/async_http_client.cpp
@@ -29,6 +29,13 @@
 /// The largest answer that is read.
 constexpr size_t max_answer_bytes = size_t(8) * 1024 * 1024;
 
+/// Read at a time of an answer that may be long, so that the largest one takes hundreds of
+/// reads instead of thousands.
+constexpr size_t piece_bytes = 16384;
+/// An answer of which bytes came so long ago is under way: a poll of the jobs' table is
+/// followed by the next one after as long.
+constexpr Millis receiving_time { 500 };
+
 /// An answer that has not begun so long after it was due is late: about thirty times what
 /// the users' store takes, and as long as a heartbeat waits.
 constexpr Millis late_time { 300 };
@@ -66,6 +73,7 @@
         std::unique_ptr<Connection> connection;
         Millis waits_until; ///< Of a call that waits for a connection.
         Millis sent; ///< When it was given to its connection.
+        Millis last_heard; ///< When bytes of its answer came; zero before the first.
         http::request<http::string_body> request;
         std::unique_ptr<http::response_parser<http::string_body>> parser;
 
@@ -81,7 +89,15 @@
 
     const HttpTrafficByPath& traffic() const { return m_traffic; }
 
-    bool receiving(const std::string& /*path*/) const { return false; }
+    bool receiving(const std::string& path) const
+    {
+        return std::any_of(m_extending.begin(), m_extending.end(),
+                           [&](const ExchangePtr& exchange) {
+                               return exchange->last_heard > Millis()
+                                   && m_loop.now() - exchange->last_heard < receiving_time
+                                   && path_of(exchange->call) == path;
+                           });
+    }
 
     void send(ClientCall call, std::function<void(CallOutcome)> done)
     {
@@ -158,6 +174,8 @@
         --server.busy;
         auto& reused = server.on_reused;
         reused.erase(std::remove(reused.begin(), reused.end(), exchange), reused.end());
+        m_extending.erase(std::remove(m_extending.begin(), m_extending.end(), exchange),
+                          m_extending.end());
         if (server.waiting.empty())
             return;
         const ExchangePtr next = server.waiting.front();
@@ -292,11 +310,13 @@
                           });
     }
 
-    HttpTraffic& traffic_of(const ClientCall& call)
+    static std::string path_of(const ClientCall& call)
     {
-        return m_traffic[call.target.substr(0, call.target.find('?'))];
+        return call.target.substr(0, call.target.find('?'));
     }
 
+    HttpTraffic& traffic_of(const ClientCall& call) { return m_traffic[path_of(call)]; }
+
     void written(const ExchangePtr& exchange, boost::system::error_code error)
     {
         if (error) {
@@ -307,16 +327,62 @@
         }
         exchange->parser = std::make_unique<http::response_parser<http::string_body>>();
         exchange->parser->body_limit(max_answer_bytes);
+        exchange->parser->eager(true); // The body as it comes.
+        if (exchange->call.extends_while_receiving) {
+            exchange->connection->buffer.reserve(piece_bytes);
+            m_extending.push_back(exchange);
+        }
+        read_piece(exchange);
+    }
+
+    void read_piece(const ExchangePtr& exchange)
+    {
         auto& connection = *exchange->connection;
-        http::async_read(connection.stream, connection.buffer, *exchange->parser,
-                         [self = shared_from_this(),
-                          exchange](boost::system::error_code failure, size_t bytes) {
-                             self->traffic_of(exchange->call).received
-                                 += static_cast<int64_t>(bytes);
-                             if (failure == beast::error::timeout && !exchange->heard())
-                                 self->suspect_kept(*exchange);
-                             self->read(exchange, failure);
-                         });
+        http::async_read_some(connection.stream, connection.buffer, *exchange->parser,
+                              [self = shared_from_this(),
+                               exchange](boost::system::error_code failure, size_t bytes) {
+                                  self->traffic_of(exchange->call).received
+                                      += static_cast<int64_t>(bytes);
+                                  self->piece_read(exchange, failure);
+                              });
+    }
+
+    void piece_read(const ExchangePtr& exchange, boost::system::error_code error)
+    {
+        if (!error && !exchange->parser->is_done()) {
+            read_on(exchange);
+            return;
+        }
+        if (error == beast::error::timeout && !exchange->heard())
+            suspect_kept(*exchange);
+        read(exchange, error);
+    }
+
+    // Answers that grow with what was missed take longer than their calls' time on a thin
+    // link: cut off though their bytes kept coming, they were asked for again, and grew.
+    void read_on(const ExchangePtr& exchange)
+    {
+        if (exchange->call.extends_while_receiving) {
+            exchange->last_heard = m_loop.now();
+            const Millis left = extended_time(*exchange);
+            if (left <= Millis(0)) {
+                finish(exchange, CallEnd::unknown);
+                return;
+            }
+            exchange->connection->stream.expires_after(
+                std::chrono::milliseconds(left.count()));
+        }
+        read_piece(exchange);
+    }
+
+    // Returns how long more bytes of an answer are waited for, never shorter than without
+    // an extension.
+    Millis extended_time(const Exchange& exchange) const
+    {
+        const Millis timeout = exchange.call.timeout;
+        const Millis latest
+            = std::max(exchange.sent + timeout, exchange.due() + m_limits.longest_answer);
+        return std::min(timeout, latest - exchange.last_heard);
     }
 
     void read(const ExchangePtr& exchange, boost::system::error_code error)
@@ -407,6 +473,7 @@
     ClientLimits m_limits;
     std::map<std::string, Server> m_servers; ///< By address.
     HttpTrafficByPath m_traffic;
+    std::vector<ExchangePtr> m_extending; ///< Calls whose answers extend their time.
     bool m_sweeping = false; ///< sweep() is due.
 };
 
--- a/src/loop.lib/slow_answers_test.cpp
+++ b/src/loop.lib/slow_answers_test.cpp
@@ -18,6 +18,7 @@
 
 #include <memory>
 #include <string>
+#include <vector>
 
 using namespace pathport;
 
@@ -72,6 +73,7 @@
                 if (error)
                     return;
                 const auto connection = std::make_shared<Connection>(std::move(socket));
+                m_connections.push_back(connection);
                 boost::asio::async_read_until(
                     connection->socket, connection->input, "\r\n\r\n",
                     [this, connection](boost::system::error_code failure, size_t) {
@@ -104,6 +106,7 @@
 
     IoLoop& m_loop;
     tcp::acceptor m_acceptor;
+    std::vector<ConnectionPtr> m_connections; ///< They stay open, also when all is sent.
     Millis m_last_sent;
 };
 
@@ -192,7 +195,9 @@
     const CallOutcome outcome = cell.send(call_to_feed());
     BOOST_TEST((outcome.end == CallEnd::unknown));
     BOOST_TEST((cell.server.last_sent() - begun > call_time)); // It was extended.
-    BOOST_TEST((cell.loop.now() - cell.server.last_sent() < long_past));
+    const Millis silence = cell.loop.now() - cell.server.last_sent();
+    BOOST_TEST((silence > call_time - piece_interval));
+    BOOST_TEST((silence < long_past));
 }
 
 BOOST_AUTO_TEST_CASE(answer_that_never_ends_is_cut_off)
