--- a/src/jobs.lib/job_feed_test.cpp
+++ b/src/jobs.lib/job_feed_test.cpp
@@ -308,7 +308,7 @@
     }
 }
 
-// Found on the bench (grown boards, p2-18): polls from the same version shared a link of
+// Seen in a cell of 350 workers: polls from the same version shared a link of
 // 10 Mbit/s, none was read to its end, and the leader heard of no cancellation for 20 s.
 BOOST_AUTO_TEST_CASE(feed_behind_a_thin_link_catches_up)
 {
