--- a/src/jobs.lib/unwanted_runs_test.cpp
+++ b/src/jobs.lib/unwanted_runs_test.cpp
@@ -6,13 +6,12 @@
 /// cancellation had been acknowledged seconds before. That the leader hears of it too late
 /// is the one way (client_answers_test, books_and_reports_test, job_feed_test); this is
 /// another, which only tests have shown.
-/// How it comes about: the leader stops a run because of what it holds of it in memory, once,
-/// when the job closes. If it has lost sight of the run by then, nobody stops it. It loses
-/// sight when it takes a silent worker's lease to be over, and when an earlier run of the
-/// same task has a stop outstanding at the same worker.
-/// Cause: after a worker's first report only the ends in it were compared with what the
-/// leader holds; what runs was read for progress alone.
-/// Proof: the cases here, each of which left the run alone.
+/// How it comes about: the leader stops a run because of what it holds of it in memory,
+/// once, when the job closes. If it has lost sight of the run by then, nobody stops it. It
+/// loses sight when it takes a silent worker's lease to be over, and when an earlier run of
+/// the same task has a stop outstanding at the same worker. Cause: after a worker's first
+/// report only the ends in it were compared with what the leader holds; what runs was read
+/// for progress alone. Proof: the cases here, each of which left the run alone.
 
 #define BOOST_TEST_MODULE unwanted_runs
 #include <boost/test/unit_test.hpp>
