--- a/testsuite/random_days.py
+++ b/testsuite/random_days.py
@@ -4,19 +4,28 @@
 """Plays long days of a site, full of troubles of every kind that `fleetbench kinds` lists.
 
     testsuite/random_days.py SITE.toml --bench PATH --why TEXT [--days 20] [--seed 1] [--jobs 4]
+        [--shape crowded|prompt] [--menu 1|2] [--always KIND[:HOW]] [--small] [--sign EVENT]
         [--keep DIR] [--replay DIR]
 
 Run from the project's root. Unlike `fleetbench hunt`, the days are about as long as the users' own (the
 site is copied with another `length_s`), and the troubles come in crowds: alone all over the day, in
 pairs that overlap, the same one twice within a lease, and many in the last seconds of the traffic,
-where what they leave behind must still be put right after it. Each day is a function of (site, seed,
-index) alone. Of a day that breaks a rule DIR keeps the TOML, the bench's output and the nodes' logs
-(--no-log: without these). Ends with a summary line. Exit code 1 if a rule was broken, 2 if a day
-didn't play.
+where what they leave behind must still be put right after it. That is the shape "crowded". On a day of
+the shape "prompt" half of the jobs are cancelled soon after their acknowledgement from beginning to end;
+one or two pairs of troubles strike who gave the last orders while leaders can't see what runs, and the
+rest of the day is calm, so that a task left behind is seen.
+
+Each day is a function of (site, seed, index) and of --shape, --menu, --always and --length alone; `--menu 1`
+draws the days of before the second menu. Of a day that breaks a rule, or whose logs show an event named by
+--sign, DIR keeps the TOML, the bench's output and the nodes' logs (--no-log: without these). Ends with a
+summary line. Exit code 1 if a rule was broken, 2 if a day didn't play.
 """
 import argparse
+import collections
+import collections.abc
 import concurrent.futures
 import contextlib
+import dataclasses
 import os
 import pathlib
 import random
@@ -26,61 +35,8 @@
 import threading
 import tomllib
 
-# kind -> variants; a value may be a list (one is drawn) or a (low, high) pair (drawn between).
-LOAD = [
-    dict(kind="burst", x=(1.4, 2.2), for_s=(2, 6)),
-    dict(kind="give_up", share=(.1, .4), for_s=(3, 6)),
-    dict(kind="poison", share=(.02, .12), for_s=(2, 6)),
-]
-WORKERS = [
-    dict(kind="srv_crash", share=(.08, .3), for_s=(2, 8), how=["", "dark", "gone", "domain", "joined", "rack"]),
-    dict(kind="srv_slow", share=(.1, .3), x=(2, 8), for_s=(3, 8)),
-    dict(kind="srv_grey", share=(.05, .3), x=(.3, 1), for_s=(2, 8), how="errors"),
-    dict(kind="srv_grey", share=(.05, .2), x=(.3, 1), for_s=(3, 8),
-         how=["shed", "busy", "hang", "reset", "mute", "slow"]),
-    dict(kind="srv_cut", share=(.1, .4), for_s=(.8, 6), how=["", "fronts", "some", "some lossy", "one_way", "reset"]),
-    dict(kind="node_cut", share=(.1, .4), for_s=(.8, 7), how="servers"),
-    dict(kind="scale_out", share=(.1, .3), gap_s=(.5, 2)),
-    dict(kind="scale_in", share=(.05, .15), how=["", "spot", "reclaim", "reclaim dry"], x=(1.5, 3), for_s=(4, 8)),
-]
-LEADERS = [
-    dict(kind="node_kill", on="core", count=[1, 2], for_s=(.5, 4),
-         how=["leader", "leader power", "leader race", "leader race drain", "meet drain", "reader", "giver",
-              "leader hard"]),
-    dict(kind="node_freeze", on="core", count=1, for_s=(.5, 5), how=["leader", "giver", "renewed", "reader"]),
-    dict(kind="core_cut", count=1, for_s=(.8, 7),
-         how=["leader", "leader one_way", "all", "near", "both", "lure", "relieve", "leader race", "split"]),
-    dict(kind="replace_core", x=(.5, 4), how=["", "planned", "leader"]),
-    dict(kind="roll_term", share=(.4, 1), x=[1.0, 2.0], gap_s=(.5, 2), how=["", "busy"]),
-    dict(kind="herd_kill", on="core", share=(.5, 1), for_s=(2, 8), how=["", "power", "off", "taken"]),
-    dict(kind="after_ack_kill", for_s=(1, 4), how=["", "kill", "timed", "taken"]),
-    dict(kind="platform_down", share=(.2, .6), for_s=(1, 9),
-         how=["nodes", "nodes many", "nodes silent", "nodes reset", "nodes busy", "nodes leader", "nodes leader many",
-              "nodes leader silent", "nodes leader reset", "nodes leader many revoke meet", "nodes many revoke meet"]),
-]
-STORE = [
-    dict(kind="platform_down", for_s=(1, 6),
-         how=["silent", "busy", "reset", "silent lapse", "busy lapse", "reset lapse"]),
-    dict(kind="platform_slow", x=(20, 100), for_s=(2, 6)),
-    dict(kind="platform_lost", x=(.1, .5), for_s=(2, 6), how=["", "late", "late"]),
-    dict(kind="platform_compact", x=(2, 6), for_s=(4, 12), how=["", "drain"]),
-    dict(kind="applied_late", x=(.03, .6), for_s=(2, 6), how=["", "orders", "grants", "all"]),
-]
-OTHER = [
-    dict(kind="node_kill", share=(.1, .4), for_s=(1, 4), how=["", "power"]),
-    dict(kind="node_slow", share=(.1, .4), x=(3, 8), for_s=(3, 6)),
-    dict(kind="node_cut", share=(.1, .4), for_s=(2, 7), how=["", "all"]),
-    dict(kind="add_nodes", share=(.3, 1)),
-    dict(kind="hup", share=(.3, 1), gap_s=(.3, 2)),
-    dict(kind="config_change", how=["route", "weights", "timeout", "tenant", "quota", "idle"]),
-    dict(kind="config_storm", for_s=(2, 5), gap_s=(.2, .6)),
-    dict(kind="big_config", count=[100, 350]),
-    dict(kind="clock_step", share=(.2, .6), x=(500, 4000), for_s=(2, 6), how=["back", "ahead"]),
-    dict(kind="reset_conns", share=(.2, .6), x=(.2, .6), for_s=(1, 4)),
-    dict(kind="cloud_down", for_s=(1, 5), how=["silent", "busy", "reset"]),
-    dict(kind="cloud_slow", x=(10, 60), for_s=(2, 5)),
-]
-CROWDS = [LOAD, WORKERS, WORKERS, LEADERS, LEADERS, STORE, STORE, OTHER]
+from day_menu import BLINDERS, MENUS, ORDER_GIVERS
+
 CLOSINGS = [
     dict(kind="kill_all", down_s=(.3, 2)),
     dict(kind="power_off_all", down_s=(.3, 2), how=["", "all", "taken", "timed"]),
@@ -89,6 +45,7 @@
 ]
 LEASE_S = 3.0
 READ_BACK_S = 3.0  # so long after the traffic's end the configuration is read back
+CALM_S = 22.0  # a late order comes up to 12 s after a trouble of 6 s; then what it leaves is to be seen
 END_S = 15.0  # troubles of the end come at most so long before the end of traffic
 
 
@@ -106,33 +63,54 @@
     return drawn
 
 
-def any_trouble(rng, at, crowds=None):
-    return draw(rng, rng.choice(rng.choice(crowds or CROWDS)), at)
+def any_trouble(rng, at, crowds):
+    return draw(rng, rng.choice(rng.choice(crowds)), at)
+
 
+def draw_crowded(rng, length, args):
+    """Returns the troubles of a crowded day; `args.density` is how many incidents it has a second."""
+    menu = MENUS[args.menu]
 
-def draw_troubles(rng, length, density):
-    """Returns the troubles of a day; `density` is how many incidents it has a second."""
     def when():
         if rng.random() < .4:
             return rng.uniform(max(1, length - END_S), length - .5)
         return rng.uniform(1, length - 2)
 
     troubles = []
-    for _ in range(max(2, round(length * density * rng.uniform(.5, 1.5)))):
+    for _ in range(max(2, round(length * args.density * rng.uniform(.5, 1.5)))):
         at, shape = when(), rng.random()
         if shape < .3:
-            troubles.append(any_trouble(rng, at))
+            troubles.append(any_trouble(rng, at, menu.crowds()))
         elif shape < .75:  # a crowd that overlaps: the leader or the store, and the workers or more
-            crowd = [any_trouble(rng, at, [LEADERS, LEADERS, STORE])]
-            crowd += [any_trouble(rng, at + rng.uniform(-2, 2)) for _ in range(rng.choice([1, 1, 2, 3]))]
+            crowd = [any_trouble(rng, at, [menu.leaders, menu.leaders, menu.store])]
+            crowd += [any_trouble(rng, at + rng.uniform(-2, 2), menu.crowds())
+                      for _ in range(rng.choice([1, 1, 2, 3]))]
             troubles += crowd
         else:  # the same twice within a lease
-            trouble = any_trouble(rng, at, [LEADERS, STORE, WORKERS])
+            trouble = any_trouble(rng, at, [menu.leaders, menu.store, menu.workers])
             troubles += [trouble, dict(trouble, at=round(at + rng.uniform(.2, LEASE_S), 2))]
+    for name in args.always:
+        troubles += [draw(rng, menu.named(name), when()) for _ in range(2)]
     for trouble in troubles:
         trouble["at"] = round(min(length - .3, max(.5, trouble["at"])), 2)
         end_outage_in_time(trouble, length)
-    return sorted(troubles, key=lambda t: t["at"])
+    return troubles
+
+
+def draw_prompt(rng, length, args):
+    """Returns the troubles of a day of prompt cancelling; the last of them begins CALM_S before its end."""
+    cancelling = dict(kind="give_up", how="prompt", share=.5, x=rng.choice([20, 80, 250, 700, 1500]), at=.5,
+                      for_s=round(length - 1, 2))
+    troubles = [cancelling]
+    for _ in range(rng.choice([1, 1, 2])):
+        at = rng.uniform(4, max(5, length - CALM_S))
+        blinder = draw(rng, rng.choice(BLINDERS), at)
+        struck = at + rng.uniform(.2, .9) * blinder["for_s"]
+        troubles += [blinder, draw(rng, rng.choice(ORDER_GIVERS), struck)]
+    for name in args.always:
+        at = rng.uniform(4, max(5, length - CALM_S))
+        troubles += [draw(rng, MENUS[args.menu].named(name), at + rng.uniform(0, 2)) for _ in range(2)]
+    return troubles
 
 
 def end_outage_in_time(trouble, length):
@@ -144,6 +122,21 @@
     trouble["for_s"] = round(max(.3, min(trouble["for_s"], latest - trouble["at"])), 2)
 
 
+@dataclasses.dataclass(frozen=True)
+class Shape:
+    """How a day's troubles are laid out."""
+
+    draw: collections.abc.Callable  # (rng, seconds of traffic, arguments) -> troubles
+    closings: list
+    length: float  # seconds of traffic unless told otherwise
+
+
+SHAPES = {
+    "crowded": Shape(draw_crowded, CLOSINGS, 100.0),
+    "prompt": Shape(draw_prompt, [None], 42.0),
+}
+
+
 def toml_value(value):
     if isinstance(value, bool):
         return "true" if value else "false"
@@ -156,16 +149,19 @@
     return repr(value)
 
 
-def make_day(site, seed, index, length, density):
-    rng = random.Random(f"{site['name']}/{seed}/{index}")
+def make_day(site, args, index):
+    """Returns the TOML text of a day."""
+    shape = SHAPES[args.shape]
+    rng = random.Random(f"{site['name']}/{args.seed}/{index}")
     base = rng.choice([d for d in site["day"] if d.get("traffic")])
     day = {k: v for k, v in base.items() if k not in ("plan", "faults", "name", "seed", "closing")}
     day["seed"] = rng.randrange(1, 10**9)
-    closing = rng.choice(CLOSINGS)
+    closing = rng.choice(shape.closings)
     if closing:
         day["closing"] = draw(rng, closing, None)
-    day["faults"] = draw_troubles(rng, length, density)
-    lines = ["[[day]]", f'name = "random-{seed}-{index}"'] + [f"{k} = {toml_value(v)}" for k, v in day.items()]
+    day["faults"] = sorted(shape.draw(rng, args.length, args), key=lambda t: t["at"])
+    lines = ["[[day]]", f'name = "random-{args.seed}-{index}"']
+    lines += [f"{key} = {toml_value(value)}" for key, value in day.items()]
     return "\n".join(lines) + "\n"
 
 
@@ -185,7 +181,8 @@
 
 
 def parse_arguments():
-    parser = argparse.ArgumentParser(description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter)
+    parser = argparse.ArgumentParser(description=__doc__,
+                                     formatter_class=argparse.RawDescriptionHelpFormatter)
     parser.add_argument("site")
     parser.add_argument("--bench", required=True, help="the users' bench")
     parser.add_argument("--why", required=True, help="the line for the journal")
@@ -193,13 +190,27 @@
     parser.add_argument("--first", type=int, default=0, help="index of the first day")
     parser.add_argument("--seed", default="1")
     parser.add_argument("--jobs", type=int, default=4)
-    parser.add_argument("--length", type=float, default=100.0, help="seconds of traffic")
+    parser.add_argument("--shape", choices=SHAPES, default="crowded")
+    parser.add_argument("--menu", type=int, choices=MENUS, default=2, help="1: the troubles of before")
+    parser.add_argument("--always", action="append", default=[], metavar="KIND[:HOW]",
+                        help="two of these in each day besides; may be given again")
+    parser.add_argument("--small", action="store_true", help="the site's small twin")
+    parser.add_argument("--sign", action="append", default=[], metavar="EVENT",
+                        help="days whose logs show this event are kept and counted; may be given again")
+    parser.add_argument("--length", type=float, help="seconds of traffic (100; prompt: 42)")
     parser.add_argument("--density", type=float, default=.12, help="incidents a second, on average")
     parser.add_argument("--keep", default="random-days")
     parser.add_argument("--no-log", action="store_true")
     parser.add_argument("--draw", action="store_true", help="only write the days")
     parser.add_argument("--replay", help="plays the days of this folder instead of drawing some")
-    return parser.parse_args()
+    args = parser.parse_args()
+    args.length = args.length or SHAPES[args.shape].length
+    for name in args.always:
+        if MENUS[args.menu].named(name) is None:
+            parser.error(f"no {name} in menu {args.menu}")
+    if args.sign and args.no_log:
+        parser.error("--sign reads the logs, so it can't go with --no-log")
+    return args
 
 
 def drawn_days(args, site, keep):
@@ -207,7 +218,7 @@
     days = []
     for index in range(args.first, args.first + args.days):
         path = keep / f"{pathlib.Path(args.site).stem}-random-{args.seed}-{index}.toml"
-        path.write_text(make_day(site, args.seed, index, args.length, args.density))
+        path.write_text(make_day(site, args, index))
         days.append((path, args.length))
     return days
 
@@ -223,26 +234,45 @@
     return days
 
 
+def read_log(log, signs):
+    """Returns what the bench itself says, and how often each of the events `signs` was logged."""
+    told, found = [], collections.Counter()
+    with open(log, errors="replace") as lines:
+        for line in lines:
+            if '{"time_ms"' not in line:
+                told.append(line)
+                continue
+            found.update(sign for sign in signs if f"event={sign}" in line)
+    return told, found
+
+
+def signs_text(signs):
+    return ", ".join(f"{sign} {count}" for sign, count in sorted(signs.items()))
+
+
 def play(args, keep, path, length):
     """Plays a day; returns (path, outcome, what the bench says)."""
     site = longer_site(pathlib.Path(args.site), length, keep)
     log = path.with_suffix(".log")
     command = [args.bench, "run", str(site), str(path), "--no-cpu", "--why", f"{args.why}; {path.stem}"]
+    command += ["--small"] * args.small + ["--log", "all"] * (not args.no_log)
     with open(log, "w") as output:
-        subprocess.run(command + ([] if args.no_log else ["--log", "all"]), stdout=output, stderr=output)
-    with open(log, errors="replace") as lines:
-        told = [line for line in lines if '{"time_ms"' not in line]
+        subprocess.run(command, stdout=output, stderr=output)
+    told, signs = read_log(log, args.sign)
     name = tomllib.loads(path.read_text())["day"][0]["name"]
     line = next((l for l in told if re.match(rf"{re.escape(name)}\s", l)), None)
-    if line is not None and "BROKEN" not in line and "fault" not in line.lower():
+    kept = line is not None and "BROKEN" not in line and "fault" not in line.lower()
+    if kept and not signs:
         log.unlink()
         path.unlink()
         return path, "kept", line
     path.with_suffix(".txt").write_text("".join(told))
     if line is None:
         return path, "not played", "".join(told)[-400:]
+    if kept:
+        return path, "sign", line + " | " + signs_text(signs)
     rules = [l for l in told if re.match(r"(LOST|TWICE|[A-Z]+) at ", l)][:6]
-    return path, "broken", line + " | " + " | ".join(rules)
+    return path, "broken", " | ".join([line] + rules + [signs_text(signs)])
 
 
 def main():
@@ -253,14 +283,15 @@
     days = kept_days(args.replay, keep) if args.replay else drawn_days(args, site, keep)
     if args.draw:
         return
-    counts = {"kept": 0, "broken": 0, "not played": 0}
+    counts = {"kept": 0, "sign": 0, "broken": 0, "not played": 0}
     with concurrent.futures.ThreadPoolExecutor(args.jobs) as pool:
         for path, outcome, detail in pool.map(lambda day: play(args, keep, *day), days):
             counts[outcome] += 1
             if outcome != "kept":
                 print(f"{outcome}: {path}: {' '.join(detail.split())[:1500]}", flush=True)
-    print(f"{len(days)} random days on {pathlib.Path(args.site).stem}, {counts['broken']} with a rule broken, "
-          f"{counts['not played']} not played")
+    others = f", {counts['sign']} others with a sign" if args.sign else ""
+    print(f"{len(days)} random days on {pathlib.Path(args.site).stem}, "
+          f"{counts['broken']} with a rule broken, {counts['not played']} not played{others}")
     sys.exit(1 if counts["broken"] else 2 if counts["not played"] else 0)
 
 
