Sight: how each node learned of its configuration

Cause: none of the hypotheses on the late configuration could be told apart from the logs: a line told version and source of what was applied, nothing of calls that failed or were waited for, of rows that can't be read, of the version that refused a caller, or of pauses of the process. Change: ConfigurationTracker holds what job_node.cpp did, decisions unchanged; new lines configuration_not_heard, configuration_heard, configuration_unreadable, configuration_fetch, configuration_not_fetched, queue_unknown, process_paused; age_ms with each; metrics pathport_config_calls_total, pathport_config_age_seconds.

--- a/src/include/pathport/jobs/job_node.h
+++ b/src/include/pathport/jobs/job_node.h
@@ -94,6 +94,8 @@
     bool leads() const;
     /// Returns the configuration in force, or nothing when there is none yet.
     std::shared_ptr<const Configuration> configuration() const;
+    /// Returns how long ago the store last told that no newer one is there.
+    Millis configuration_age() const;
 
     /// Hands in a job. `received` is when the call came, `limit` the time that its client
     /// waits, 0 when unknown.
--- a/src/include/pathport/jobs/job_store.h
+++ b/src/include/pathport/jobs/job_store.h
@@ -117,6 +117,7 @@
 struct DirectoryAnswer {
     StoreStatus status = StoreStatus::unknown;
     std::optional<Value> value; ///< Nothing when it has not changed, or isn't there yet.
+    std::string unreadable; ///< Why a value that is there can't be read; else empty.
     int64_t version = 0; ///< Go on watching from here.
 };
 
--- a/src/jobs.lib/job_node.cpp
+++ b/src/jobs.lib/job_node.cpp
@@ -14,14 +14,6 @@
 
 namespace {
 
-constexpr Millis configuration_timeout { 2000 };
-/// How long the store holds a watch back. A watch whose connection went silent is given up
-/// 1.5 s later, and this node learns of a change 0.4 s after that. With 20 s some node
-/// lacked a change 5 s after such a moment in each of eight cells, with 2 s none did
-/// (silent_paths_test; a change has 2 s, and nodes count as in touch after 3 s). It costs a
-/// node a read of the store in 2 s, of the 2,000 a second that the users' store allows.
-constexpr Millis configuration_wait { 2000 };
-constexpr Millis configuration_retry { 400 };
 constexpr Millis lead_tick_interval { 250 };
 /// A follower that was not heard of for so long gets no questions for advice, and makes no
 /// calls to workers.
@@ -50,12 +42,13 @@
     , m_leadership(parts.loop, m_store, parts.peers,
                    { setup.node, setup.peer_address, setup.incarnation, setup.strength },
                    *this)
+    , m_configuration(parts.loop, parts.directory, parts.peers, parts.metrics, setup.node)
 {
 }
 
 void JobNode::Impl::begin()
 {
-    read_configuration();
+    m_configuration.begin();
     m_leadership.begin();
 }
 
@@ -70,69 +63,6 @@
         tell_leader_of_leaving();
 }
 
-void JobNode::Impl::read_configuration()
-{
-    m_parts.directory.read_configuration(
-        configuration_timeout,
-        m_lifetime.wrap([this](const DirectoryAnswer<Configuration>& answer) {
-            configuration_read(answer);
-        }));
-}
-
-void JobNode::Impl::watch_configuration(int64_t version)
-{
-    m_parts.directory.watch_configuration(
-        version, configuration_wait,
-        m_lifetime.wrap([this](const DirectoryAnswer<Configuration>& answer) {
-            configuration_read(answer);
-        }));
-}
-
-void JobNode::Impl::configuration_read(const DirectoryAnswer<Configuration>& answer)
-{
-    if (answer.status != StoreStatus::ok) {
-        const Millis pause
-            = answer.status == StoreStatus::history_lost ? Millis(0) : configuration_retry;
-        m_parts.loop.after(pause, m_lifetime.wrap([this] { read_configuration(); }));
-        return;
-    }
-    if (answer.value)
-        apply(*answer.value, "store");
-    watch_configuration(answer.version);
-}
-
-void JobNode::Impl::apply(const Configuration& configuration, const char* source)
-{
-    const int64_t present = m_configuration ? m_configuration->version : 0;
-    if (configuration.version <= present)
-        return;
-    log_event(LogLevel::info, "configuration_applied",
-              { { "version", configuration.version },
-                { "before", present },
-                { "queues", static_cast<int64_t>(configuration.queues.size()) },
-                { "source", source } });
-    m_configuration = std::make_shared<Configuration>(configuration);
-}
-
-void JobNode::Impl::fetch_configuration(const std::string& address)
-{
-    if (m_fetching_configuration || address.empty())
-        return;
-    m_fetching_configuration = true;
-    PeerRequest request;
-    request.topic = PeerTopic::configuration;
-    request.node = m_setup.node;
-    m_parts.peers.send(address, request, configuration_timeout,
-                       m_lifetime.wrap([this](PeerEnd end, const PeerAnswer& answer) {
-                           m_fetching_configuration = false;
-                           if (end != PeerEnd::answered || answer.row.empty())
-                               return;
-                           const auto configuration = decode_configuration(answer.row);
-                           if (configuration)
-                               apply(*configuration, "peer");
-                       }));
-}
-
 void JobNode::Impl::elected(const Claim& claim, const std::string& predecessor)
 {
     log_event(LogLevel::info, "elected", { { "epoch", claim.head.epoch } });
@@ -238,7 +168,7 @@
 
 void JobNode::Impl::fill_heartbeat(PeerRequest& request)
 {
-    request.config_version = m_configuration ? m_configuration->version : 0;
+    request.config_version = m_configuration.version();
     request.link_bytes = m_setup.link_bytes;
     request.store_served = m_store.served();
     request.store_fails = m_store.failing();
@@ -264,9 +194,7 @@
     // When the leader is not served, this node finds out whether it is.
     if (!answer.served)
         m_store.check(m_lifetime.wrap([this] { m_leadership.heartbeat_now(); }));
-    const int64_t version = m_configuration ? m_configuration->version : 0;
-    if (answer.config_version > version)
-        fetch_configuration(m_leadership.leader_address());
+    m_configuration.peer_has(m_leadership.leader_address(), answer.config_version);
 }
 
 void JobNode::Impl::lead_tick()
@@ -371,8 +299,9 @@
     Metrics& metrics = m_parts.metrics;
     metrics.set("pathport_leads", m_scheduler ? 1 : 0);
     metrics.set("pathport_epoch", double(m_leadership.epoch()));
-    metrics.set("pathport_config_version",
-                m_configuration ? double(m_configuration->version) : 0);
+    metrics.set("pathport_config_version", double(m_configuration.version()));
+    metrics.set("pathport_config_age_seconds",
+                double(m_configuration.age().count()) / 1000);
     metrics.set("pathport_store_served", m_store.served() ? 1 : 0);
     metrics.set("pathport_log_lines_dropped", double(dropped_log_lines()));
     metrics.set("pathport_open_jobs", m_scheduler ? double(m_scheduler->open_jobs()) : 0);
@@ -414,6 +343,11 @@
     return m_impl->configuration();
 }
 
+Millis JobNode::configuration_age() const
+{
+    return m_impl->configuration_age();
+}
+
 void JobNode::submit(const Queue& queue, const std::string& id, const JobSpec& spec,
                      Millis received, Millis limit, ClientReply done)
 {
--- a/src/jobs.lib/job_node_clients.cpp
+++ b/src/jobs.lib/job_node_clients.cpp
@@ -90,7 +90,7 @@
     job.spec = spec;
     job.accepted_ms = m_store.clock_ms();
     const std::string row = encode(job);
-    const int64_t config_version = m_configuration ? m_configuration->version : 0;
+    const int64_t config_version = m_configuration.version();
     accept_row(id, row, give_up_time(received, limit),
                [this, id, row, received, config_version, name = queue.name,
                 done](WriteResult result) {
--- a/src/jobs.lib/job_node_impl.h
+++ b/src/jobs.lib/job_node_impl.h
@@ -8,6 +8,7 @@
 
 #include "acceptor.h"
 #include "advice_pool.h"
+#include "configuration_tracker.h"
 #include "leadership.h"
 #include "lifetime.h"
 #include "payload_cache.h"
@@ -39,9 +40,13 @@
     // Life (job_node.cpp).
     void begin();
     void leave();
-    bool ready() const { return m_configuration != nullptr && !m_leaving; }
+    bool ready() const { return configuration() != nullptr && !m_leaving; }
     bool leads() const { return m_scheduler != nullptr; }
-    std::shared_ptr<const Configuration> configuration() const { return m_configuration; }
+    std::shared_ptr<const Configuration> configuration() const
+    {
+        return m_configuration.current();
+    }
+    Millis configuration_age() const { return m_configuration.age(); }
     void update_gauges();
 
     // Clients' calls (job_node_clients.cpp).
@@ -79,11 +84,6 @@
         }
     };
 
-    void read_configuration();
-    void watch_configuration(int64_t version);
-    void configuration_read(const DirectoryAnswer<Configuration>& answer);
-    void apply(const Configuration& configuration, const char* source);
-    void fetch_configuration(const std::string& address);
     void deposed();
     PeerRequest own_message() const;
     PeerRequest own_heartbeat() const;
@@ -139,7 +139,7 @@
     WorkerListReader m_list_reader;
     Leadership m_leadership;
     std::unique_ptr<Scheduler> m_scheduler; ///< Set while this node leads.
-    std::shared_ptr<const Configuration> m_configuration;
+    ConfigurationTracker m_configuration;
     std::map<std::string, Follower> m_followers; ///< By address.
     /// Addresses of all nodes as far as the leader knows them, and a hash of the list.
     std::vector<std::string> m_peers;
@@ -150,7 +150,6 @@
     Millis m_left_at; ///< When the planned stop began.
     std::optional<LeaderValue> m_successor; ///< Named by the last write of this leader.
     bool m_handing_over = false; ///< The log was told to make another node the leader.
-    bool m_fetching_configuration = false;
     bool m_leader_served = false; ///< Whether the store served the leader then.
     CallLoad m_leaders_load; ///< What its calls to workers took then.
     int64_t m_leader_sent_ms = 0; ///< The leader's clock in its last answer.
--- a/src/jobs.lib/job_node_peers.cpp
+++ b/src/jobs.lib/job_node_peers.cpp
@@ -51,9 +51,9 @@
         }
         break;
     case PeerTopic::configuration:
-        if (m_configuration)
-            answer.row = encode(*m_configuration);
-        answer.served = m_configuration != nullptr;
+        if (m_configuration.current())
+            answer.row = encode(*m_configuration.current());
+        answer.served = m_configuration.current() != nullptr;
         break;
     case PeerTopic::advice:
         handle_advice(request, std::move(done));
@@ -101,9 +101,8 @@
     answer.leader = m_leadership.leader().identity.address;
     answer.leader_incarnation = m_leadership.leader().identity.incarnation;
     answer.sent_ms = now.count();
-    answer.config_version = m_configuration ? m_configuration->version : 0;
-    if (request.config_version > answer.config_version)
-        fetch_configuration(request.address);
+    answer.config_version = m_configuration.version();
+    m_configuration.peer_has(request.address, request.config_version);
     if (!m_scheduler) {
         if (request.resigned)
             m_leadership.leader_resigned(request.epoch);
--- a/src/pathport_jobd/main.cpp
+++ b/src/pathport_jobd/main.cpp
@@ -32,6 +32,9 @@
 constexpr int exit_no_start = 3;
 constexpr size_t max_peer_body = size_t(4) * 1024 * 1024;
 constexpr Millis limits_interval { 500 };
+/// A timer that fires so much later than it was set for tells that the process stood still
+/// or had too much to do: as long as a heartbeat waits for its answer.
+constexpr Millis told_pause { 300 };
 constexpr Millis drain_check { 50 };
 constexpr Millis traffic_interval { 5000 };
 /// Kinds of calls that moved less in that time are not told of, in bytes.
@@ -180,6 +183,7 @@
     // The configuration sets the limits of clients' requests.
     void follow_limits()
     {
+        tell_pause();
         const auto configuration = m_node.configuration();
         if (configuration) {
             ServerLimits limits;
@@ -187,9 +191,17 @@
             limits.max_body_bytes = static_cast<size_t>(configuration->max_body_bytes);
             m_clients.set_limits(limits);
         }
+        m_limits_due = m_loop.now() + limits_interval;
         m_loop.after(limits_interval, [this] { follow_limits(); });
     }
 
+    void tell_pause() const
+    {
+        const Millis late = m_loop.now() - m_limits_due;
+        if (m_limits_due > Millis() && late > told_pause)
+            log_event(LogLevel::warn, "process_paused", { { "late_ms", late.count() } });
+    }
+
     void on_signal(int number)
     {
         if (number == SIGHUP) {
@@ -235,6 +247,7 @@
     AsyncHttpServer m_peer_server;
     AsyncHttpServer m_metrics_server;
     HttpTrafficByPath m_told_traffic;
+    Millis m_limits_due; ///< When follow_limits() is to run next; zero before it has.
     bool m_stopping = false;
 };
 
