A late call for the configuration is joined by another one, and peers tell of versions

Change: the store holds a watch for 1 s at most; 0.3 s after it was due another call follows, on another connection, the late one still counts; every message between nodes tells the sender's version (VersionGossip), on which a node asks the store at once and after 0.3 s that peer; limits are set as a configuration is applied.

--- a/src/include/pathport/jobs/job_node.h
+++ b/src/include/pathport/jobs/job_node.h
@@ -96,6 +96,11 @@
     std::shared_ptr<const Configuration> configuration() const;
     /// Returns how long ago the store last told that no newer one is there.
     Millis configuration_age() const;
+    /// Returns whether that is so short ago that a caller may be told that a queue does not
+    /// exist. Otherwise nobody can say, and the caller should come back.
+    bool configuration_is_fresh() const;
+    /// From now on `listener` is told of each configuration that comes into force.
+    void on_configuration(std::function<void(const Configuration&)> listener);
 
     /// Hands in a job. `received` is when the call came, `limit` the time that its client
     /// waits, 0 when unknown.
@@ -109,7 +114,7 @@
     void count_pending(const Queue& queue, Millis received, Millis limit, CountReply done);
 
     /// Handles a peer's message.
-    void handle_peer(const PeerRequest& request, std::function<void(PeerAnswer)> done);
+    void handle_peer(const PeerRequest& request, PeerResponder done);
 
     /// Brings the gauges among the metrics up to date.
     void update_gauges();
--- a/src/include/pathport/jobs/peers.h
+++ b/src/include/pathport/jobs/peers.h
@@ -52,7 +52,7 @@
     int64_t version = 0; ///< At which that job came into the store; 0 when unknown.
     std::vector<std::string> workers;
     int64_t epoch = 0; ///< The highest that the sender knows.
-    int64_t config_version = 0; ///< The sender's.
+    int64_t config_version = 0; ///< The sender's; in every message (VersionGossip).
     bool leads = false; ///< The sender leads in `epoch`.
     /// The sender led in `epoch` and gives its place up; or it follows and stops, so that
     /// it must not be made the successor.
@@ -101,6 +101,8 @@
 };
 
 using PeerReply = std::function<void(PeerEnd, PeerAnswer)>;
+/// Answers a peer's message; called exactly once.
+using PeerResponder = std::function<void(PeerAnswer)>;
 
 /// Sends messages to peers.
 class PeerClient {
--- a/src/jobs.lib/configuration_tracker.cpp
+++ b/src/jobs.lib/configuration_tracker.cpp
@@ -12,14 +12,36 @@
 
 namespace {
 
-constexpr Millis call_timeout { 2000 };
-/// How long the store holds a watch back. A watch whose connection went silent is given up
-/// 1.5 s later, and this node learns of a change 0.4 s after that. With 20 s some node
-/// lacked a change 5 s after such a moment in each of eight cells, with 2 s none did
-/// (silent_paths_test; a change has 2 s, and nodes count as in touch after 3 s). It costs a
-/// node a read of the store in 2 s, of the 2,000 a second that the users' store allows.
-constexpr Millis watch_hold { 2000 };
-constexpr Millis retry_pause { 400 };
+constexpr Millis read_timeout { 2000 };
+/// How long the store holds a watch back at most: what a change and the rest of a silent
+/// watch's time may take together, 1 s for the hold and `late_time`, is less than half of
+/// the 3 s after which a node counts as in touch (configuration_test). It costs a node a
+/// read of the store in a second, of the 2,000 that the users' store allows.
+constexpr Millis longest_hold { 1000 };
+/// A hold that is only to show whether there is something newer.
+constexpr Millis shortest_hold { 50 };
+/// A call that has no answer so long after it was due is late: about thirty times what the
+/// users' store takes, and as long as a heartbeat waits. Connections go silent without a
+/// reset, and answers are lost; a watch that was waited for until it timed out kept 14 of
+/// 40 cells from a change for up to 0.9 s after it had to be in force.
+constexpr Millis late_time { 300 };
+/// Calls that may be open at once: while the store is silent each takes up to 2.5 s, and
+/// another one follows every 0.3 s, so that the first one after the silence comes at once.
+constexpr int most_open = 8;
+/// Pause after a call that the store refused.
+constexpr Millis refused_pause { 400 };
+/// Pause after a call that ended without an answer before it was late, as by a reset.
+constexpr Millis lost_pause { 100 };
+/// A node that has heard from the store within this time knows of all changes that have to
+/// be in force: those have 2 s. It is more than a hold and a usual answer take.
+constexpr Millis fresh_time { 1500 };
+/// When a peer tells of something newer, the node's own watch is about to: both hear of it
+/// within tens of milliseconds.
+constexpr Millis told_wait { 100 };
+/// A fetch from a peer that takes so long does not keep the next one from being sent.
+constexpr Millis late_fetch { 500 };
+constexpr Millis fetch_timeout { 2000 };
+constexpr int most_fetches = 4;
 
 const char* end_name(PeerEnd end)
 {
@@ -50,7 +72,12 @@
 
 void ConfigurationTracker::begin()
 {
-    read();
+    ask();
+}
+
+void ConfigurationTracker::on_applied(std::function<void(const Configuration&)> listener)
+{
+    m_listener = std::move(listener);
 }
 
 Millis ConfigurationTracker::age() const
@@ -58,24 +85,55 @@
     return m_loop.now() - m_heard;
 }
 
-void ConfigurationTracker::read()
+bool ConfigurationTracker::is_fresh() const
+{
+    return age() <= fresh_time;
+}
+
+void ConfigurationTracker::ask_after(Millis pause)
 {
-    const Call call { "read", m_loop.now(), Millis(0) };
-    m_directory.read_configuration(
-        call_timeout,
-        m_lifetime.wrap([this, call](const DirectoryAnswer<Configuration>& answer) {
-            answered(call, answer);
-        }));
+    m_loop.cancel(m_timer);
+    m_timer = m_loop.after(pause, m_lifetime.wrap([this] {
+        if (m_newest_open)
+            note_failure(m_newest, "late");
+        ask();
+    }));
 }
 
-void ConfigurationTracker::watch(int64_t version)
+// Sends a call, and the next one when this one is late.
+void ConfigurationTracker::ask()
 {
-    const Call call { "watch", m_loop.now(), watch_hold };
-    m_directory.watch_configuration(
-        version, watch_hold,
-        m_lifetime.wrap([this, call](const DirectoryAnswer<Configuration>& answer) {
-            answered(call, answer);
-        }));
+    if (m_open == most_open) {
+        ask_after(late_time);
+        return;
+    }
+    Call call;
+    call.name = m_watched_from == 0 ? "read" : "watch";
+    call.number = m_newest.number + 1;
+    call.sent = m_loop.now();
+    call.hold = m_watched_from == 0 ? Millis(0) : next_hold();
+    m_newest = call;
+    m_newest_open = true;
+    ++m_open;
+    ask_after(call.hold + late_time);
+    send(call);
+}
+
+// The answer comes before what this node knows is older than a hold.
+Millis ConfigurationTracker::next_hold() const
+{
+    return std::clamp(longest_hold - age(), shortest_hold, longest_hold);
+}
+
+void ConfigurationTracker::send(const Call& call)
+{
+    auto done = m_lifetime.wrap([this, call](const DirectoryAnswer<Configuration>& answer) {
+        answered(call, answer);
+    });
+    if (m_watched_from == 0)
+        m_directory.read_configuration(read_timeout, std::move(done));
+    else
+        m_directory.watch_configuration(m_watched_from, call.hold, std::move(done));
 }
 
 void ConfigurationTracker::answered(const Call& call,
@@ -83,23 +141,31 @@
 {
     m_metrics.count("pathport_config_calls_total",
                     { { "call", call.name }, { "outcome", to_string(answer.status) } });
-    if (answer.status != StoreStatus::ok) {
-        note_failure(call, answer.status);
-        const Millis pause
-            = answer.status == StoreStatus::history_lost ? Millis(0) : retry_pause;
-        m_loop.after(pause, m_lifetime.wrap([this] { read(); }));
-        return;
+    --m_open;
+    const bool newest = call.number == m_newest.number;
+    Millis pause;
+    if (answer.status == StoreStatus::ok) {
+        note_answer(call, answer);
+        m_watched_from = std::max(m_watched_from, answer.version);
+        if (answer.value)
+            apply(*answer.value, call.name);
+    } else if (answer.status == StoreStatus::history_lost) {
+        m_watched_from = 0;
+    } else {
+        pause = answer.status == StoreStatus::refused ? refused_pause : lost_pause;
+        if (newest)
+            note_failure(call, to_string(answer.status));
     }
-    note_heard(call, answer);
-    if (answer.value)
-        apply(*answer.value, call.name);
-    watch(answer.version);
+    if (!newest)
+        return; // The newest call, or its end, brings about the next one.
+    m_newest_open = false;
+    ask_after(pause);
 }
 
 // The store answers without a change only after the whole hold, so that nothing was newer
 // then; else that is known of the moment when it was asked.
-void ConfigurationTracker::note_heard(const Call& call,
-                                      const DirectoryAnswer<Configuration>& answer)
+void ConfigurationTracker::note_answer(const Call& call,
+                                       const DirectoryAnswer<Configuration>& answer)
 {
     if (!answer.unreadable.empty())
         log_event(LogLevel::warn, "configuration_unreadable",
@@ -117,14 +183,14 @@
     m_heard = std::max(m_heard, held ? call.sent + call.hold : call.sent);
 }
 
-void ConfigurationTracker::note_failure(const Call& call, StoreStatus status)
+void ConfigurationTracker::note_failure(const Call& call, const char* outcome)
 {
     ++m_failures;
-    if (m_failures > 1 || status == StoreStatus::history_lost)
+    if (m_failures > 1)
         return;
     log_event(LogLevel::warn, "configuration_not_heard",
               { { "call", call.name },
-                { "outcome", to_string(status) },
+                { "outcome", outcome },
                 { "after_ms", (m_loop.now() - call.sent).count() },
                 { "age_ms", age().count() },
                 { "in_force", version() } });
@@ -142,34 +208,61 @@
                 { "source", source },
                 { "age_ms", age().count() } });
     m_current = std::make_shared<Configuration>(configuration);
+    if (m_listener)
+        m_listener(*m_current);
 }
 
 void ConfigurationTracker::peer_has(const std::string& address, int64_t version)
 {
-    if (version > this->version())
-        fetch(address, version);
+    if (version <= this->version() || address.empty())
+        return;
+    m_told_by = address;
+    m_told_version = std::max(m_told_version, version);
+    if (m_looks_after_told)
+        return;
+    m_looks_after_told = true;
+    m_loop.after(told_wait, m_lifetime.wrap([this] { look_after_peers_word(); }));
 }
 
-void ConfigurationTracker::fetch(const std::string& address, int64_t version)
+// The store's link bears the answers to all nodes at once, a peer's may not: a
+// configuration of some hundred queues takes 100 kB. The peer is asked when the store
+// doesn't answer.
+void ConfigurationTracker::look_after_peers_word()
 {
-    if (m_fetching || address.empty())
+    if (m_told_version <= version()) {
+        m_looks_after_told = false;
         return;
-    m_fetching = true;
+    }
+    ask();
+    m_loop.after(late_time, m_lifetime.wrap([this] {
+        m_looks_after_told = false;
+        if (m_told_version > version())
+            fetch();
+    }));
+}
+
+void ConfigurationTracker::fetch()
+{
+    const Millis now = m_loop.now();
+    const bool waits = m_fetches > 0 && now - m_fetch_asked < late_fetch;
+    if (waits || m_fetches == most_fetches)
+        return;
+    ++m_fetches;
+    m_fetch_asked = now;
     log_event(LogLevel::info, "configuration_fetch",
-              { { "peer", address },
-                { "version", version },
-                { "in_force", this->version() },
+              { { "peer", m_told_by },
+                { "version", m_told_version },
+                { "in_force", version() },
                 { "age_ms", age().count() } });
     PeerRequest request;
     request.topic = PeerTopic::configuration;
     request.node = m_node;
-    const Millis asked = m_loop.now();
-    m_peers.send(
-        address, request, call_timeout,
-        m_lifetime.wrap([this, address, asked](PeerEnd end, const PeerAnswer& answer) {
-            m_fetching = false;
-            fetched(address, asked, end, answer);
-        }));
+    m_peers.send(m_told_by, request, fetch_timeout,
+                 m_lifetime.wrap([this, address = m_told_by,
+                                  now](PeerEnd end, const PeerAnswer& answer) {
+                     --m_fetches;
+                     fetched(address, now, end, answer);
+                 }));
 }
 
 void ConfigurationTracker::fetched(const std::string& address, Millis asked, PeerEnd end,
--- a/src/jobs.lib/configuration_tracker.h
+++ b/src/jobs.lib/configuration_tracker.h
@@ -14,13 +14,20 @@
 #include <pathport/jobs/peers.h>
 #include <pathport/metrics.h>
 
+#include <cstdint>
+#include <functional>
 #include <memory>
 #include <string>
 
 namespace pathport::jobs {
 
-/// Keeps the newest configuration that the store or a peer has told of. A life of a node
-/// never goes back to an older one.
+/// Keeps the newest configuration that the store or a peer has told of, and knows how old
+/// that knowledge is. A life of a node never goes back to an older configuration.
+///
+/// It watches the store by calls that are held back there for up to a second. A call that
+/// is late is not waited for: another one follows on another connection, and whichever is
+/// answered counts. A peer that tells of a newer version makes the node ask the store at
+/// once, and that peer when the store doesn't answer.
 class ConfigurationTracker {
 public:
     ConfigurationTracker(EventLoop& loop, Directory& directory, PeerClient& peers,
@@ -28,6 +35,8 @@
 
     /// Begins to read and to watch.
     void begin();
+    /// From now on `listener` is told of each configuration that is applied.
+    void on_applied(std::function<void(const Configuration&)> listener);
     /// A peer that takes messages at `address` has the configuration of this version.
     void peer_has(const std::string& address, int64_t version);
 
@@ -37,22 +46,29 @@
     int64_t version() const { return m_current ? m_current->version : 0; }
     /// Returns how long ago the store last told that nothing newer is there.
     Millis age() const;
+    /// Returns whether that is so short ago that a change which has to be in force by now
+    /// is known. Only then may a caller be told that a queue does not exist.
+    bool is_fresh() const;
 
 private:
     /// One call to the store.
     struct Call {
         const char* name = "";
+        int64_t number = 0; ///< Rises from call to call.
         Millis sent;
         Millis hold; ///< The store may hold its answer back for so long.
     };
 
-    void read();
-    void watch(int64_t version);
+    void ask();
+    void ask_after(Millis pause);
+    void send(const Call& call);
+    Millis next_hold() const;
     void answered(const Call& call, const DirectoryAnswer<Configuration>& answer);
-    void note_heard(const Call& call, const DirectoryAnswer<Configuration>& answer);
-    void note_failure(const Call& call, StoreStatus status);
+    void note_answer(const Call& call, const DirectoryAnswer<Configuration>& answer);
+    void note_failure(const Call& call, const char* outcome);
     void apply(const Configuration& configuration, const char* source);
-    void fetch(const std::string& address, int64_t version);
+    void look_after_peers_word();
+    void fetch();
     void fetched(const std::string& address, Millis asked, PeerEnd end,
                  const PeerAnswer& answer);
 
@@ -61,10 +77,20 @@
     PeerClient& m_peers;
     Metrics& m_metrics;
     std::string m_node;
+    std::function<void(const Configuration&)> m_listener;
     std::shared_ptr<const Configuration> m_current;
     Millis m_heard; ///< When the store had nothing newer than what it told.
-    int m_failures = 0; ///< Calls to the store that failed since one was answered.
-    bool m_fetching = false;
+    int64_t m_watched_from = 0; ///< Changes after this version are watched for; 0: read.
+    Call m_newest; ///< The call that was sent last.
+    bool m_newest_open = false;
+    int m_open = 0; ///< Calls without an answer.
+    int m_failures = 0; ///< Calls that failed or were late since one was answered.
+    EventLoop::TimerId m_timer = 0; ///< Sends the next call, also while one is open.
+    std::string m_told_by; ///< A peer that has a newer configuration than this node.
+    int64_t m_told_version = 0; ///< The version of that.
+    bool m_looks_after_told = false;
+    int m_fetches = 0; ///< Open ones.
+    Millis m_fetch_asked; ///< When the last one was sent.
     Lifetime m_lifetime;
 };
 
--- /dev/null
+++ b/src/jobs.lib/configuration_tracker_test.cpp
@@ -0,0 +1,302 @@
+// Copyright the pathport authors.
+// SPDX-License-Identifier: Apache-2.0
+
+/// \file
+/// How a node asks for the configuration, call by call.
+
+#define BOOST_TEST_MODULE configuration_tracker
+#include <boost/test/unit_test.hpp>
+
+#include "configuration_tracker.h"
+#include "version_gossip.h"
+
+#include <pathport/emulator/virtual_loop.h>
+#include <pathport/jobs/job_node.h>
+#include <pathport/log.h>
+
+#include <utility>
+#include <vector>
+
+using namespace pathport;
+using namespace pathport::jobs;
+
+namespace {
+
+using ConfigurationReply = std::function<void(DirectoryAnswer<Configuration>)>;
+
+/// One call that waits for its answer.
+struct OpenCall {
+    int64_t after = 0; ///< 0 for a read.
+    Millis hold;
+    ConfigurationReply done;
+};
+
+/// A directory that answers when the test does.
+class HandDirectory : public Directory {
+public:
+    std::vector<OpenCall> calls; ///< All so far; answered ones have no `done`.
+
+    void
+    read_workers(Millis,
+                 std::function<void(DirectoryAnswer<std::vector<WorkerInfo>>)>) override
+    {
+    }
+    void read_configuration(Millis, ConfigurationReply done) override
+    {
+        calls.push_back({ 0, Millis(0), std::move(done) });
+    }
+    void watch_configuration(int64_t version, Millis wait, ConfigurationReply done) override
+    {
+        calls.push_back({ version, wait, std::move(done) });
+    }
+
+    void answer(size_t call, const DirectoryAnswer<Configuration>& with)
+    {
+        const ConfigurationReply done = std::exchange(calls.at(call).done, nullptr);
+        BOOST_REQUIRE(done != nullptr);
+        done(with);
+    }
+};
+
+/// Keeps messages and their replies.
+class HandPeers : public PeerClient {
+public:
+    struct Message {
+        std::string address;
+        PeerRequest request;
+        PeerReply done;
+    };
+    std::vector<Message> sent;
+
+    void send(const std::string& address, const PeerRequest& request, Millis,
+              PeerReply done) override
+    {
+        sent.push_back({ address, request, std::move(done) });
+    }
+};
+
+Configuration configuration_of(int64_t version)
+{
+    Configuration configuration;
+    configuration.version = version;
+    return configuration;
+}
+
+/// The answer of a store whose newest version is `store_version`; version 0 for no change.
+DirectoryAnswer<Configuration> told(int64_t store_version, int64_t version = 0)
+{
+    DirectoryAnswer<Configuration> answer;
+    answer.status = StoreStatus::ok;
+    answer.version = store_version;
+    if (version != 0)
+        answer.value = configuration_of(version);
+    return answer;
+}
+
+DirectoryAnswer<Configuration> failed(StoreStatus status)
+{
+    DirectoryAnswer<Configuration> answer;
+    answer.status = status;
+    return answer;
+}
+
+/// A tracker that has read version 5, at the store's version 100, at once.
+struct Fixture {
+    emulator::World world { 3 };
+    emulator::ProcessLoop loop { world };
+    HandDirectory directory;
+    HandPeers peers;
+    Metrics metrics;
+    ConfigurationTracker tracker { loop, directory, peers, metrics, "n1" };
+
+    Fixture()
+    {
+        start_log("test", LogLevel::error);
+        tracker.begin();
+        directory.answer(0, told(100, 5));
+        run(1);
+        BOOST_REQUIRE(directory.calls.size() == 2U);
+    }
+
+    void run(int64_t ms) { world.run_for(Millis(ms)); }
+    const OpenCall& last() const { return directory.calls.back(); }
+    void answer_last(const DirectoryAnswer<Configuration>& with)
+    {
+        directory.answer(directory.calls.size() - 1, with);
+    }
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_CASE(watch_goes_on_from_what_was_read, Fixture)
+{
+    BOOST_TEST(tracker.version() == 5);
+    BOOST_TEST(last().after == 100);
+    run(last().hold.count());
+    answer_last(told(130));
+    run(1);
+    BOOST_TEST(last().after == 130);
+    answer_last(told(140, 6));
+    run(1);
+    BOOST_TEST(tracker.version() == 6);
+    BOOST_TEST(last().after == 140);
+    BOOST_TEST(directory.calls.size() == 4U);
+}
+
+BOOST_FIXTURE_TEST_CASE(late_watch_is_joined_by_another_call_that_hardly_waits, Fixture)
+{
+    run(1500);
+    BOOST_REQUIRE(directory.calls.size() == 3U);
+    BOOST_TEST(last().after == 100);
+    BOOST_TEST(last().hold.count() <= 50);
+    answer_last(told(120, 7));
+    BOOST_TEST(tracker.version() == 7);
+}
+
+BOOST_FIXTURE_TEST_CASE(late_answer_counts_and_asks_nothing_more, Fixture)
+{
+    run(1400);
+    BOOST_REQUIRE(directory.calls.size() == 3U);
+    directory.answer(1, told(120, 7));
+    BOOST_TEST(tracker.version() == 7);
+    run(1);
+    BOOST_TEST(directory.calls.size() == 3U);
+    answer_last(told(110, 6));
+    BOOST_TEST(tracker.version() == 7);
+    run(1);
+    BOOST_TEST(last().after == 120);
+}
+
+BOOST_FIXTURE_TEST_CASE(silent_store_is_asked_again_and_again_by_a_bounded_number, Fixture)
+{
+    run(20000);
+    BOOST_TEST(directory.calls.size() == 1U + 8U);
+    directory.answer(1, failed(StoreStatus::unknown));
+    run(301);
+    BOOST_TEST(directory.calls.size() == 1U + 9U);
+}
+
+BOOST_FIXTURE_TEST_CASE(refused_call_pauses_and_lost_history_is_read_at_once, Fixture)
+{
+    answer_last(failed(StoreStatus::refused));
+    run(390);
+    BOOST_TEST(directory.calls.size() == 2U);
+    run(20);
+    BOOST_REQUIRE(directory.calls.size() == 3U);
+    answer_last(failed(StoreStatus::history_lost));
+    run(1);
+    BOOST_REQUIRE(directory.calls.size() == 4U);
+    BOOST_TEST(last().after == 0);
+}
+
+BOOST_FIXTURE_TEST_CASE(configuration_that_cannot_be_read_leaves_the_one_in_force, Fixture)
+{
+    auto answer = told(120);
+    answer.unreadable = "no JSON";
+    answer_last(answer);
+    BOOST_TEST(tracker.version() == 5);
+    run(1);
+    answer_last(told(130, 6));
+    BOOST_TEST(tracker.version() == 6);
+}
+
+BOOST_FIXTURE_TEST_CASE(knowledge_ages_from_when_the_store_told_of_nothing_newer, Fixture)
+{
+    run(999);
+    answer_last(told(130));
+    BOOST_TEST(tracker.age().count() <= 1);
+    BOOST_TEST(tracker.is_fresh());
+    run(1501);
+    BOOST_TEST(!tracker.is_fresh());
+    // A change is told at once, so an answer with one says nothing of the time of its hold.
+    directory.answer(2, told(140, 6));
+    BOOST_TEST(tracker.age().count() >= 1500);
+}
+
+BOOST_FIXTURE_TEST_CASE(life_never_goes_back, Fixture)
+{
+    answer_last(told(140, 8));
+    run(1);
+    answer_last(told(150, 6));
+    BOOST_TEST(tracker.version() == 8);
+}
+
+BOOST_FIXTURE_TEST_CASE(peer_that_has_a_newer_one_makes_the_node_ask_the_store, Fixture)
+{
+    tracker.peer_has("n2", 9);
+    run(110);
+    BOOST_REQUIRE(directory.calls.size() == 3U);
+    answer_last(told(140, 9));
+    run(1000);
+    BOOST_TEST(peers.sent.empty());
+}
+
+BOOST_FIXTURE_TEST_CASE(peer_is_asked_when_the_store_does_not_answer, Fixture)
+{
+    tracker.peer_has("n2", 9);
+    run(410);
+    BOOST_REQUIRE(peers.sent.size() == 1U);
+    BOOST_TEST(peers.sent[0].address == "n2");
+    // On a connection that went silent; another peer's word is not held up by it.
+    run(500);
+    tracker.peer_has("n3", 9);
+    run(410);
+    BOOST_REQUIRE(peers.sent.size() == 2U);
+    BOOST_TEST(peers.sent[1].address == "n3");
+    PeerAnswer answer;
+    answer.row = encode(configuration_of(9));
+    peers.sent[1].done(PeerEnd::answered, answer);
+    BOOST_TEST(tracker.version() == 9);
+    answer.row = "no configuration";
+    peers.sent[0].done(PeerEnd::answered, answer);
+    BOOST_TEST(tracker.version() == 9);
+}
+
+BOOST_FIXTURE_TEST_CASE(older_or_same_version_of_a_peer_is_no_news, Fixture)
+{
+    tracker.peer_has("n2", 5);
+    tracker.peer_has("n3", 4);
+    tracker.peer_has("", 9);
+    run(900);
+    BOOST_TEST(directory.calls.size() == 2U);
+    BOOST_TEST(peers.sent.empty());
+}
+
+BOOST_FIXTURE_TEST_CASE(every_message_tells_the_version_in_both_directions, Fixture)
+{
+    VersionGossip gossip(peers, tracker, "n1-address");
+    PeerRequest request;
+    request.topic = PeerTopic::queue_pending;
+    bool answered = false;
+    gossip.send("n2", request, Millis(100),
+                [&](PeerEnd, const PeerAnswer&) { answered = true; });
+    BOOST_REQUIRE(peers.sent.size() == 1U);
+    BOOST_TEST(peers.sent[0].request.config_version == 5);
+    BOOST_TEST(peers.sent[0].request.address == "n1-address");
+    PeerAnswer answer;
+    answer.config_version = 6;
+    peers.sent[0].done(PeerEnd::answered, answer);
+    BOOST_TEST(answered);
+    run(110);
+    BOOST_TEST(directory.calls.size() == 3U);
+
+    int64_t told_version = 0;
+    const PeerResponder respond = gossip.receive(
+        request, [&](const PeerAnswer& sent) { told_version = sent.config_version; });
+    respond(PeerAnswer());
+    BOOST_TEST(told_version == 5);
+}
+
+BOOST_FIXTURE_TEST_CASE(listener_is_told_of_each_configuration_once, Fixture)
+{
+    std::vector<int64_t> versions;
+    tracker.on_applied(
+        [&](const Configuration& applied) { versions.push_back(applied.version); });
+    answer_last(told(140, 8));
+    run(1);
+    answer_last(told(150, 8));
+    run(1);
+    answer_last(told(160, 11));
+    BOOST_TEST(versions == (std::vector<int64_t> { 8, 11 }),
+               boost::test_tools::per_element());
+}
--- a/src/jobs.lib/job_node.cpp
+++ b/src/jobs.lib/job_node.cpp
@@ -29,20 +29,21 @@
     : m_parts(parts)
     , m_setup(setup)
     , m_store(parts.loop, parts.store, parts.metrics)
+    , m_configuration(parts.loop, parts.directory, parts.peers, parts.metrics, setup.node)
+    , m_gossip(parts.peers, m_configuration, setup.peer_address)
     , m_acceptor(parts.loop, m_store)
-    , m_advice(parts.loop, parts.advisor, parts.peers, setup.mechanisms)
+    , m_advice(parts.loop, parts.advisor, m_gossip, setup.mechanisms)
     , m_payloads(most_payload_bytes)
-    , m_relay(parts.loop, parts.workers, parts.peers, m_payloads, setup.node,
+    , m_relay(parts.loop, parts.workers, m_gossip, m_payloads, setup.node,
               setup.incarnation)
-    , m_relayed(parts.loop, parts.workers, parts.peers,
+    , m_relayed(parts.loop, parts.workers, m_gossip,
                 NodePower { setup.strength, setup.link_bytes }, own_message())
-    , m_relayed_directory(parts.loop, parts.directory, parts.peers, own_message(),
+    , m_relayed_directory(parts.loop, parts.directory, m_gossip, own_message(),
                           [this] { return m_relayed.first_relay(); })
     , m_list_reader(parts.loop, parts.directory)
-    , m_leadership(parts.loop, m_store, parts.peers,
+    , m_leadership(parts.loop, m_store, m_gossip,
                    { setup.node, setup.peer_address, setup.incarnation, setup.strength },
                    *this)
-    , m_configuration(parts.loop, parts.directory, parts.peers, parts.metrics, setup.node)
 {
 }
 
@@ -126,19 +127,18 @@
     if (m_peers.empty() || m_scheduler)
         return;
     const std::string peer = m_peers[m_parts.loop.random() % m_peers.size()];
-    m_parts.peers.send(
-        peer, own_heartbeat(), probe_timeout,
-        m_lifetime.wrap([this, peer](PeerEnd end, const PeerAnswer& answer) {
-            if (end != PeerEnd::answered)
-                return;
-            if (answer.leads)
-                m_leadership.leader_announced(
-                    { answer.epoch, { answer.node, peer, answer.incarnation } });
-            else
-                m_leadership.leader_announced(
-                    { answer.epoch,
-                      { answer.leader, answer.leader, answer.leader_incarnation } });
-        }));
+    m_gossip.send(peer, own_heartbeat(), probe_timeout,
+                  m_lifetime.wrap([this, peer](PeerEnd end, const PeerAnswer& answer) {
+                      if (end != PeerEnd::answered)
+                          return;
+                      if (answer.leads)
+                          m_leadership.leader_announced(
+                              { answer.epoch, { answer.node, peer, answer.incarnation } });
+                      else
+                          m_leadership.leader_announced({ answer.epoch,
+                                                          { answer.leader, answer.leader,
+                                                            answer.leader_incarnation } });
+                  }));
 }
 
 // Others may not reach the store to learn of it.
@@ -148,7 +148,7 @@
         return;
     PeerRequest notice = own_heartbeat();
     notice.leads = true;
-    m_parts.peers.send(address, notice, probe_timeout, [](PeerEnd, const PeerAnswer&) {});
+    m_gossip.send(address, notice, probe_timeout, [](PeerEnd, const PeerAnswer&) {});
 }
 
 void JobNode::Impl::deposed()
@@ -168,7 +168,6 @@
 
 void JobNode::Impl::fill_heartbeat(PeerRequest& request)
 {
-    request.config_version = m_configuration.version();
     request.link_bytes = m_setup.link_bytes;
     request.store_served = m_store.served();
     request.store_fails = m_store.failing();
@@ -194,7 +193,6 @@
     // When the leader is not served, this node finds out whether it is.
     if (!answer.served)
         m_store.check(m_lifetime.wrap([this] { m_leadership.heartbeat_now(); }));
-    m_configuration.peer_has(m_leadership.leader_address(), answer.config_version);
 }
 
 void JobNode::Impl::lead_tick()
@@ -275,15 +273,15 @@
     follower.probing = true;
     PeerRequest probe = own_heartbeat();
     probe.leads = true;
-    m_parts.peers.send(address, probe, probe_timeout,
-                       m_lifetime.wrap([this, address](PeerEnd end, const PeerAnswer&) {
-                           const auto found = m_followers.find(address);
-                           if (found == m_followers.end())
-                               return;
-                           found->second.probing = false;
-                           if (end == PeerEnd::refused)
-                               m_followers.erase(found);
-                       }));
+    m_gossip.send(address, probe, probe_timeout,
+                  m_lifetime.wrap([this, address](PeerEnd end, const PeerAnswer&) {
+                      const auto found = m_followers.find(address);
+                      if (found == m_followers.end())
+                          return;
+                      found->second.probing = false;
+                      if (end == PeerEnd::refused)
+                          m_followers.erase(found);
+                  }));
 }
 
 void JobNode::Impl::update_promises()
@@ -345,7 +343,17 @@
 
 Millis JobNode::configuration_age() const
 {
-    return m_impl->configuration_age();
+    return m_impl->tracker().age();
+}
+
+bool JobNode::configuration_is_fresh() const
+{
+    return m_impl->tracker().is_fresh();
+}
+
+void JobNode::on_configuration(std::function<void(const Configuration&)> listener)
+{
+    m_impl->on_configuration(std::move(listener));
 }
 
 void JobNode::submit(const Queue& queue, const std::string& id, const JobSpec& spec,
@@ -370,7 +378,7 @@
     m_impl->count_pending(queue, received, limit, std::move(done));
 }
 
-void JobNode::handle_peer(const PeerRequest& request, std::function<void(PeerAnswer)> done)
+void JobNode::handle_peer(const PeerRequest& request, PeerResponder done)
 {
     m_impl->handle_peer(request, std::move(done));
 }
--- a/src/jobs.lib/job_node_clients.cpp
+++ b/src/jobs.lib/job_node_clients.cpp
@@ -144,7 +144,7 @@
     notice.job = id;
     notice.row = written.row;
     notice.version = written.version;
-    m_parts.peers.send(leader, notice, ask_timeout, [](PeerEnd, const PeerAnswer&) {});
+    m_gossip.send(leader, notice, ask_timeout, [](PeerEnd, const PeerAnswer&) {});
 }
 
 // The store did not take it from this node; perhaps it takes it from the leader.
@@ -163,7 +163,7 @@
     request.node = m_setup.node;
     request.job = id;
     request.row = row;
-    m_parts.peers.send(
+    m_gossip.send(
         leader, request, forward_timeout,
         m_lifetime.wrap([this, id, own, done](PeerEnd end, const PeerAnswer& answer) {
             ClientStatus status = ClientStatus::in_doubt;
@@ -227,7 +227,7 @@
     notice.topic = PeerTopic::job_canceled;
     notice.node = m_setup.node;
     notice.job = id;
-    m_parts.peers.send(
+    m_gossip.send(
         leader, notice, ask_timeout,
         m_lifetime.wrap([this, id, leader, until](PeerEnd end, const PeerAnswer& answer) {
             if (end == PeerEnd::answered && answer.served)
@@ -273,7 +273,7 @@
     request.topic = PeerTopic::job_state;
     request.node = m_setup.node;
     request.job = id;
-    m_parts.peers.send(
+    m_gossip.send(
         leader, request, ask_timeout,
         m_lifetime.wrap([this, id, deadline, done](PeerEnd end, const PeerAnswer& answer) {
             const auto status = static_cast<ClientStatus>(answer.status);
@@ -391,12 +391,12 @@
     request.topic = PeerTopic::queue_pending;
     request.node = m_setup.node;
     request.queue = queue.name;
-    m_parts.peers.send(leader, request, ask_timeout,
-                       m_lifetime.wrap([done](PeerEnd end, const PeerAnswer& answer) {
-                           const bool good = end == PeerEnd::answered && answer.served;
-                           done(good ? ClientStatus::ok : ClientStatus::unavailable,
-                                answer.count);
-                       }));
+    m_gossip.send(leader, request, ask_timeout,
+                  m_lifetime.wrap([done](PeerEnd end, const PeerAnswer& answer) {
+                      const bool good = end == PeerEnd::answered && answer.served;
+                      done(good ? ClientStatus::ok : ClientStatus::unavailable,
+                           answer.count);
+                  }));
 }
 
 } // namespace pathport::jobs
--- a/src/jobs.lib/job_node_impl.h
+++ b/src/jobs.lib/job_node_impl.h
@@ -16,6 +16,7 @@
 #include "relayed_workers.h"
 #include "scheduler.h"
 #include "store_health.h"
+#include "version_gossip.h"
 #include "worker_relay.h"
 
 #include <pathport/jobs/job_node.h>
@@ -46,7 +47,11 @@
     {
         return m_configuration.current();
     }
-    Millis configuration_age() const { return m_configuration.age(); }
+    const ConfigurationTracker& tracker() const { return m_configuration; }
+    void on_configuration(std::function<void(const Configuration&)> listener)
+    {
+        m_configuration.on_applied(std::move(listener));
+    }
     void update_gauges();
 
     // Clients' calls (job_node_clients.cpp).
@@ -57,7 +62,8 @@
     void count_pending(const Queue& queue, Millis received, Millis limit, CountReply done);
 
     // Peers' messages (job_node_peers.cpp).
-    void handle_peer(const PeerRequest& request, std::function<void(PeerAnswer)> done);
+    void handle_peer(const PeerRequest& request, PeerResponder done);
+    void answer_peer(const PeerRequest& request, PeerResponder done);
 
     // LeadershipListener
     void elected(const Claim& claim, const std::string& predecessor) override;
@@ -120,16 +126,17 @@
 
     void handle_heartbeat(const PeerRequest& request, PeerAnswer& answer);
     void note_follower(const PeerRequest& request);
-    void handle_state(const PeerRequest& request, PeerAnswer answer,
-                      std::function<void(PeerAnswer)> done);
-    void handle_accept(const PeerRequest& request, std::function<void(PeerAnswer)> done);
-    void handle_advice(const PeerRequest& request, std::function<void(PeerAnswer)> done);
+    void handle_state(const PeerRequest& request, PeerAnswer answer, PeerResponder done);
+    void handle_accept(const PeerRequest& request, PeerResponder done);
+    void handle_advice(const PeerRequest& request, PeerResponder done);
     void handle_job_accepted(const PeerRequest& request, PeerAnswer& answer);
     void handle_job_payload(const PeerRequest& request, PeerAnswer& answer) const;
 
     NodeParts m_parts;
     NodeSetup m_setup;
     StoreHealth m_store;
+    ConfigurationTracker m_configuration;
+    VersionGossip m_gossip; ///< The way to the peers.
     Acceptor m_acceptor;
     AdvicePool m_advice;
     PayloadCache m_payloads; ///< Of jobs that this node accepted or relayed starts of.
@@ -139,7 +146,6 @@
     WorkerListReader m_list_reader;
     Leadership m_leadership;
     std::unique_ptr<Scheduler> m_scheduler; ///< Set while this node leads.
-    ConfigurationTracker m_configuration;
     std::map<std::string, Follower> m_followers; ///< By address.
     /// Addresses of all nodes as far as the leader knows them, and a hash of the list.
     std::vector<std::string> m_peers;
--- a/src/jobs.lib/job_node_peers.cpp
+++ b/src/jobs.lib/job_node_peers.cpp
@@ -20,8 +20,12 @@
 
 } // namespace
 
-void JobNode::Impl::handle_peer(const PeerRequest& request,
-                                std::function<void(PeerAnswer)> done)
+void JobNode::Impl::handle_peer(const PeerRequest& request, PeerResponder done)
+{
+    answer_peer(request, m_gossip.receive(request, std::move(done)));
+}
+
+void JobNode::Impl::answer_peer(const PeerRequest& request, PeerResponder done)
 {
     PeerAnswer answer;
     answer.node = m_setup.node;
@@ -101,8 +105,6 @@
     answer.leader = m_leadership.leader().identity.address;
     answer.leader_incarnation = m_leadership.leader().identity.incarnation;
     answer.sent_ms = now.count();
-    answer.config_version = m_configuration.version();
-    m_configuration.peer_has(request.address, request.config_version);
     if (!m_scheduler) {
         if (request.resigned)
             m_leadership.leader_resigned(request.epoch);
@@ -148,7 +150,7 @@
 // A leader that does not know the job asks the store, on behalf of a node that perhaps
 // can't.
 void JobNode::Impl::handle_state(const PeerRequest& request, PeerAnswer answer,
-                                 std::function<void(PeerAnswer)> done)
+                                 PeerResponder done)
 {
     if (!m_scheduler) {
         done(std::move(answer));
@@ -164,8 +166,7 @@
           });
 }
 
-void JobNode::Impl::handle_accept(const PeerRequest& request,
-                                  std::function<void(PeerAnswer)> done)
+void JobNode::Impl::handle_accept(const PeerRequest& request, PeerResponder done)
 {
     const Millis give_up = m_parts.loop.now() + forwarded_try;
     const auto reply = [this, request, done](WriteResult result) {
@@ -199,8 +200,7 @@
     accept_row(request.job, request.row, give_up, reply);
 }
 
-void JobNode::Impl::handle_advice(const PeerRequest& request,
-                                  std::function<void(PeerAnswer)> done)
+void JobNode::Impl::handle_advice(const PeerRequest& request, PeerResponder done)
 {
     m_parts.advisor.ask(
         request.job, request.workers, advice_timeout,
--- a/src/jobs.lib/job_node_succession.cpp
+++ b/src/jobs.lib/job_node_succession.cpp
@@ -29,7 +29,7 @@
         return;
     PeerRequest notice = own_heartbeat();
     notice.resigned = true;
-    m_parts.peers.send(leader, notice, probe_timeout, [](PeerEnd, const PeerAnswer&) {});
+    m_gossip.send(leader, notice, probe_timeout, [](PeerEnd, const PeerAnswer&) {});
 }
 
 void JobNode::Impl::consider_resigning()
@@ -103,8 +103,8 @@
     notice.resigned = true;
     m_scheduler->hand_over(encode(next), next.identity.incarnation,
                            [this, next, address, notice] {
-                               m_parts.peers.send(address, notice, probe_timeout,
-                                                  [](PeerEnd, const PeerAnswer&) {});
+                               m_gossip.send(address, notice, probe_timeout,
+                                             [](PeerEnd, const PeerAnswer&) {});
                                m_successor = next;
                            });
 }
--- a/src/jobs.lib/relayed_directory.cpp
+++ b/src/jobs.lib/relayed_directory.cpp
@@ -98,7 +98,7 @@
 }
 
 void WorkerListReader::handle(const PeerRequest& request, PeerAnswer answer,
-                              std::function<void(PeerAnswer)> done)
+                              PeerResponder done)
 {
     m_directory.read_workers(
         page_timeout,
@@ -110,7 +110,7 @@
 
 void WorkerListReader::list_read(const PeerRequest& request, PeerAnswer answer,
                                  const DirectoryAnswer<std::vector<WorkerInfo>>& read,
-                                 const std::function<void(PeerAnswer)>& done)
+                                 const PeerResponder& done)
 {
     answer.served = read.status == StoreStatus::ok && read.value.has_value();
     if (!answer.served) {
--- a/src/jobs.lib/relayed_directory.h
+++ b/src/jobs.lib/relayed_directory.h
@@ -66,13 +66,12 @@
     /// Reads the list for the leader of `request`, which names the number of the changes
     /// that it has. `done` gets the changes with their number; not served when the list
     /// could not be read.
-    void handle(const PeerRequest& request, PeerAnswer answer,
-                std::function<void(PeerAnswer)> done);
+    void handle(const PeerRequest& request, PeerAnswer answer, PeerResponder done);
 
 private:
     void list_read(const PeerRequest& request, PeerAnswer answer,
                    const DirectoryAnswer<std::vector<WorkerInfo>>& read,
-                   const std::function<void(PeerAnswer)>& done);
+                   const PeerResponder& done);
 
     Directory& m_directory;
     std::string m_leader; ///< The process that was told last.
--- /dev/null
+++ b/src/jobs.lib/version_gossip.cpp
@@ -0,0 +1,44 @@
+// Copyright the pathport authors.
+// SPDX-License-Identifier: Apache-2.0
+
+#include "version_gossip.h"
+
+#include <utility>
+
+namespace pathport::jobs {
+
+VersionGossip::VersionGossip(PeerClient& peers, ConfigurationTracker& configuration,
+                             std::string address)
+    : m_peers(peers)
+    , m_configuration(configuration)
+    , m_address(std::move(address))
+{
+}
+
+void VersionGossip::send(const std::string& address, const PeerRequest& request,
+                         Millis timeout, PeerReply done)
+{
+    PeerRequest message = request;
+    message.config_version = m_configuration.version();
+    if (message.address.empty())
+        message.address = m_address;
+    auto note = m_lifetime.wrap(
+        [this, address](int64_t version) { m_configuration.peer_has(address, version); });
+    m_peers.send(address, message, timeout,
+                 [note, done = std::move(done)](PeerEnd end, PeerAnswer answer) mutable {
+                     note(answer.config_version);
+                     done(end, std::move(answer));
+                 });
+}
+
+PeerResponder VersionGossip::receive(const PeerRequest& request, PeerResponder done) const
+{
+    m_configuration.peer_has(request.address, request.config_version);
+    return [this, alive = m_lifetime.observe(), done = std::move(done)](PeerAnswer answer) {
+        if (!alive.expired())
+            answer.config_version = m_configuration.version();
+        done(std::move(answer));
+    };
+}
+
+} // namespace pathport::jobs
--- a/src/jobs.lib/worker_relay.cpp
+++ b/src/jobs.lib/worker_relay.cpp
@@ -55,7 +55,7 @@
 }
 
 void WorkerRelay::refuse(const PeerRequest& request, const char* reason,
-                         const std::function<void(PeerAnswer)>& done) const
+                         const PeerResponder& done) const
 {
     log_event(LogLevel::warn, "relayed_calls_refused",
               { { "leader", request.node },
@@ -67,7 +67,7 @@
     done(std::move(answer));
 }
 
-void WorkerRelay::handle(const PeerRequest& request, std::function<void(PeerAnswer)> done)
+void WorkerRelay::handle(const PeerRequest& request, PeerResponder done)
 {
     const auto calls = request.calls.empty() ? std::vector<RelayedCall>()
                                              : decode_relayed_calls(request.calls);
--- a/src/jobs.lib/worker_relay.h
+++ b/src/jobs.lib/worker_relay.h
@@ -35,14 +35,14 @@
     /// answers there are by the time of the leader's next message, or after `relay_hold`.
     /// A batch that is malformed, or that comes from an earlier leader than one that was
     /// heard of, is refused whole.
-    void handle(const PeerRequest& request, std::function<void(PeerAnswer)> done);
+    void handle(const PeerRequest& request, PeerResponder done);
 
 private:
     /// A leader that sends calls.
     struct Leader {
         int64_t epoch = 0;
         std::vector<RelayedAnswer> answers; ///< Not sent yet.
-        std::function<void(PeerAnswer)> held; ///< Its last message, not answered yet.
+        PeerResponder held; ///< Its last message, not answered yet.
         EventLoop::TimerId hold_timer = 0;
         Millis reply_at; ///< When the next reply is due, if there are answers.
         Millis heard;
@@ -51,7 +51,7 @@
 
     PeerAnswer empty_answer() const;
     void refuse(const PeerRequest& request, const char* reason,
-                const std::function<void(PeerAnswer)>& done) const;
+                const PeerResponder& done) const;
     void forget_silent_leaders();
     void make_call(const std::string& leader, const RelayedCall& call);
     void start(const std::string& leader, RelayedCall call);
--- a/src/pathport_jobd/main.cpp
+++ b/src/pathport_jobd/main.cpp
@@ -31,7 +31,7 @@
 constexpr int exit_bad_settings = 2;
 constexpr int exit_no_start = 3;
 constexpr size_t max_peer_body = size_t(4) * 1024 * 1024;
-constexpr Millis limits_interval { 500 };
+constexpr Millis pause_interval { 500 };
 /// A timer that fires so much later than it was set for tells that the process stood still
 /// or had too much to do: as long as a heartbeat waits for its answer.
 constexpr Millis told_pause { 300 };
@@ -104,8 +104,11 @@
                       { { "address", m_settings.metrics.to_string() } });
         log_event(LogLevel::info, "started",
                   { { "clients", m_settings.clients.to_string() } });
+        m_node.on_configuration([this](const jobs::Configuration& configuration) {
+            set_limits(configuration);
+        });
         m_node.begin();
-        follow_limits();
+        watch_pauses();
         tell_traffic();
         m_loop.run();
         const ProcessUsage usage = process_usage();
@@ -181,25 +184,21 @@
     }
 
     // The configuration sets the limits of clients' requests.
-    void follow_limits()
+    void set_limits(const jobs::Configuration& configuration)
     {
-        tell_pause();
-        const auto configuration = m_node.configuration();
-        if (configuration) {
-            ServerLimits limits;
-            limits.max_header_bytes = static_cast<size_t>(configuration->max_header_bytes);
-            limits.max_body_bytes = static_cast<size_t>(configuration->max_body_bytes);
-            m_clients.set_limits(limits);
-        }
-        m_limits_due = m_loop.now() + limits_interval;
-        m_loop.after(limits_interval, [this] { follow_limits(); });
+        ServerLimits limits;
+        limits.max_header_bytes = static_cast<size_t>(configuration.max_header_bytes);
+        limits.max_body_bytes = static_cast<size_t>(configuration.max_body_bytes);
+        m_clients.set_limits(limits);
     }
 
-    void tell_pause() const
+    void watch_pauses()
     {
-        const Millis late = m_loop.now() - m_limits_due;
-        if (m_limits_due > Millis() && late > told_pause)
+        const Millis late = m_loop.now() - m_pauses_due;
+        if (m_pauses_due > Millis() && late > told_pause)
             log_event(LogLevel::warn, "process_paused", { { "late_ms", late.count() } });
+        m_pauses_due = m_loop.now() + pause_interval;
+        m_loop.after(pause_interval, [this] { watch_pauses(); });
     }
 
     void on_signal(int number)
@@ -247,7 +246,7 @@
     AsyncHttpServer m_peer_server;
     AsyncHttpServer m_metrics_server;
     HttpTrafficByPath m_told_traffic;
-    Millis m_limits_due; ///< When follow_limits() is to run next; zero before it has.
+    Millis m_pauses_due; ///< When watch_pauses() is to run next; zero before it has.
     bool m_stopping = false;
 };
 
