Random schedules change the configuration (style 6), promises

Change: style 6 of liveness_test changes the configuration up to several times a second among silences, kills, outages and lost answers; all styles watch by when each node in touch goes by a change, and that no life goes back.

--- a/src/jobs.lib/liveness_test.cpp
+++ b/src/jobs.lib/liveness_test.cpp
@@ -2,8 +2,9 @@
 // SPDX-License-Identifier: Apache-2.0
 
 /// \file
-/// Cells with further kinds of trouble, in which no job may stand that could run, and none
-/// that was cancelled may run on: the emulator watches all the time, not only at the end.
+/// Cells with further kinds of trouble, in which no job may stand that could run, none that
+/// was cancelled may run on, and no node may go by an old configuration: the emulator
+/// watches all the time, not only at the end.
 
 #define BOOST_TEST_MODULE liveness
 #include <boost/test/unit_test.hpp>
@@ -53,6 +54,7 @@
     double late = 0.25; ///< Calls carried out late while that trouble lasts.
     double canceled = 0; ///< Share of the jobs that are cancelled soon after they come.
     double silenced = 0; ///< Chance in a tenth of a second that open connections go silent.
+    double configured = 0; ///< The same that the operators change the configuration.
 };
 
 Style make_style(int number)
@@ -68,6 +70,8 @@
         return { 0.06, Millis(12000), 7, 14, 0.5, 0.5 };
     case 5: // The same, and open connections go silent now and then.
         return { 0.02, Millis(10500), 7, 14, 0.5, 0.5, 0.015 };
+    case 6: // The same, while the configuration changes, also several times a second.
+        return { 0.015, Millis(10500), 7, 14, 0.5, 0.3, 0.02, 0.08 };
     default:
         return {};
     }
@@ -95,6 +99,7 @@
     void cancel_soon(const std::string& id);
     void trouble();
     void silence_connections();
+    void configure();
     void node_trouble(int64_t kind, Millis span);
     void store_trouble(int64_t kind, Millis span);
     void worker_trouble(int64_t kind, Millis span);
@@ -199,6 +204,7 @@
 void Schedule::store_trouble(int64_t kind, Millis span)
 {
     emulator::Store& store = m_cell.store;
+    m_cell.out_of_touch(span);
     if (kind < 4 && chance(0.5))
         lapse_entries(span);
     switch (kind) {
@@ -216,8 +222,10 @@
         break;
     case 3:
         store.trouble.lose = 0.35;
+        store.trouble.lose_reads = m_style.configured > 0 ? 0.35 : 0;
         store.trouble.late = chance(0.5);
-        m_cell.world.after(span, [&store] { store.trouble.lose = 0; });
+        m_cell.world.after(span,
+                           [&store] { store.trouble.lose = store.trouble.lose_reads = 0; });
         break;
     case 4: {
         const std::string node = random_node();
@@ -302,11 +310,29 @@
     m_cell.silence_connections(int(below(most_kept + 1)));
 }
 
+// The operators add a queue that nobody uses, or drop the last one that was added.
+void Schedule::configure()
+{
+    jobs::Configuration changed = m_cell.store.configuration();
+    const std::string added = "added";
+    changed.version += 1 + below(3);
+    if (changed.queues.back().name.rfind(added, 0) == 0 && chance(0.5)) {
+        changed.queues.pop_back();
+    } else {
+        jobs::Queue queue = changed.queues.front();
+        queue.name = added + std::to_string(changed.version);
+        queue.path_prefix = "/" + queue.name + "/";
+        changed.queues.push_back(queue);
+    }
+    m_cell.configure(changed);
+}
+
 std::vector<std::string> Schedule::run()
 {
     constexpr int tenths = 300;
     m_cell.disturbed(Millis(3000));
     m_cell.watch_jobs();
+    m_cell.watch_configurations();
     m_cell.world.run_for(Millis(1500));
     const bool ends_with_kill = chance(0.5);
     for (int tenth = 0; tenth < tenths; ++tenth) {
@@ -318,6 +344,8 @@
             trouble();
         if (m_style.silenced > 0 && chance(m_style.silenced))
             silence_connections();
+        if (m_style.configured > 0 && chance(m_style.configured))
+            configure();
         m_cell.world.run_for(Millis(100));
     }
     if (ends_with_kill) {
@@ -343,6 +371,17 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(configuration_is_in_force_in_time_in_random_schedules)
+{
+    constexpr uint64_t first = 930000;
+    constexpr uint64_t schedules = 10;
+    constexpr int style = 6;
+    for (uint64_t seed = first; seed < first + schedules; ++seed) {
+        const auto wrong = Schedule(seed, make_style(style)).run();
+        BOOST_TEST(wrong.empty(), "seed " << seed << joined(wrong));
+    }
+}
+
 // Schedules that have failed once, with their style and the cause that was found.
 BOOST_AUTO_TEST_CASE(schedules_that_failed_once)
 {
