--- a/testsuite/soak/routes.py
+++ b/testsuite/soak/routes.py
@@ -11,7 +11,8 @@
 APPLY_S = 2.0  # A change is in force everywhere so long after the store has taken it.
 BACK_S = 0.25  # A life may go back for so long after it showed a change, eight times that when slowed.
 SLOWED = 8
-POLL_S = 0.1
+POLL_S = 0.1  # Between two calls on a route soon after a change of it, with up to FEW_DAEMONS.
+FEW_DAEMONS = 8
 REST_S = 0.5  # Between two calls on a route whose change is long in force.
 WATCH_S = 4.0  # So long after a change the calls come close together.
 STALL_S = 0.25  # A tick of the driver that comes so late tells that the machine stood still.
@@ -110,6 +111,7 @@
     def __init__(self, callers, platform, calm):
         self.callers, self.platform, self.calm = callers, platform, calm
         self.book = RouteBook(callers.check)
+        self.poll_s = POLL_S * max(1, len(callers.daemons) / FEW_DAEMONS)
         self.routes = []
         self.tasks = []
         self.ended = False
@@ -137,7 +139,7 @@
             fresh = time.monotonic() - last < WATCH_S
             if route.dropped and not fresh:
                 return
-            await asyncio.sleep(POLL_S if fresh else REST_S)
+            await asyncio.sleep(self.poll_s if fresh else max(REST_S, self.poll_s))
 
     async def call(self, route, daemon):
         life, sent = daemon.life, time.monotonic()
