--- a/src/jobs.lib/advice_door.cpp
+++ b/src/jobs.lib/advice_door.cpp
@@ -13,9 +13,9 @@
 /// A queue closes when a step would wait for so long. A job may stand for 3 s where there
 /// is room; what is accepted until all nodes know that the queue is closed takes up to half
 /// a second of that, and an estimate errs.
-constexpr Millis closing_wait { 1000 };
+constexpr Millis closing_wait { 1500 };
 /// It opens again below this, so that it does not open and close with each question.
-constexpr Millis opening_wait { 500 };
+constexpr Millis opening_wait { 750 };
 /// Callers come back after the time that the backlog takes, within these bounds: the wait
 /// is an estimate, and a client's own time is some seconds.
 constexpr Millis least_come_back { 1000 };
@@ -54,7 +54,9 @@
                 cost += taken_meanwhile(own, other);
         }
         const Millis by_cost(static_cast<int64_t>(std::ceil(cost / usable)));
-        const Millis wait = std::max(own.oldest, by_cost);
+        // The oldest step's question may be under way; its own time is no backlog.
+        const Millis question(static_cast<int64_t>(own.question_ms));
+        const Millis wait = std::max(own.oldest - question, by_cost);
         m_waits[own.queue] = wait;
         const bool was_closed
             = std::any_of(m_closed.begin(), m_closed.end(), [&](const ClosedQueue& entry) {
--- a/src/jobs.lib/advice_door_test.cpp
+++ b/src/jobs.lib/advice_door_test.cpp
@@ -50,6 +50,11 @@
     AdviceDoor door;
     door.update({ demand_of("slow", 1, 1, 10, 1200) }, 6);
     BOOST_TEST(is_closed(door, "slow"));
+    // But not for the time of its own question, which may be under way.
+    door.update({ demand_of("slower", 1, 1, 700, 1200) }, 6);
+    BOOST_TEST(!is_closed(door, "slower"));
+    door.update({ demand_of("slower", 1, 1, 700, 1800) }, 6);
+    BOOST_TEST(is_closed(door, "slower"));
 }
 
 BOOST_AUTO_TEST_CASE(closed_queue_opens_only_when_the_backlog_is_half_gone)
