--- a/src/jobs.lib/advice_door.cpp
+++ b/src/jobs.lib/advice_door.cpp
@@ -13,9 +13,12 @@
 /// A queue closes when a step would wait for so long. A job may stand for 3 s where there
 /// is room; what is accepted until all nodes know that the queue is closed takes up to half
 /// a second of that, and an estimate errs.
-constexpr Millis closing_wait { 1500 };
+constexpr Millis closing_wait { 2000 };
+/// It closes also when a step has waited for so long, whatever the estimate says. How long
+/// the oldest one has waited lags behind the backlog, so it says little of the next one.
+constexpr Millis longest_wait { 2000 };
 /// It opens again below this, so that it does not open and close with each question.
-constexpr Millis opening_wait { 750 };
+constexpr Millis opening_wait { 1500 };
 /// Callers come back after the time that the backlog takes, within these bounds: the wait
 /// is an estimate, and a client's own time is some seconds.
 constexpr Millis least_come_back { 1000 };
@@ -54,17 +57,17 @@
                 cost += taken_meanwhile(own, other);
         }
         const Millis by_cost(static_cast<int64_t>(std::ceil(cost / usable)));
+        m_waits[own.queue] = by_cost;
         // The oldest step's question may be under way; its own time is no backlog.
         const Millis question(static_cast<int64_t>(own.question_ms));
-        const Millis wait = std::max(own.oldest - question, by_cost);
-        m_waits[own.queue] = wait;
+        const bool overdue = own.oldest - question > longest_wait;
         const bool was_closed
             = std::any_of(m_closed.begin(), m_closed.end(), [&](const ClosedQueue& entry) {
                   return entry.queue == own.queue;
               });
-        if (own.steps > 0 && wait > (was_closed ? opening_wait : closing_wait))
+        if (overdue || by_cost > (was_closed ? opening_wait : closing_wait))
             closed.push_back(
-                { own.queue, std::clamp(wait, least_come_back, most_come_back) });
+                { own.queue, std::clamp(by_cost, least_come_back, most_come_back) });
     }
     m_closed = std::move(closed);
 }
