A peer's configuration alone is not fresh; findings

Cause: read in the code: a life that has only a peer's configuration, which may be an older one, denied unknown queues for its first 1.5 s. Change: fresh needs a word of the store in this life. Result: configuration_tracker_test has the case.

--- a/src/jobs.lib/configuration_tracker.cpp
+++ b/src/jobs.lib/configuration_tracker.cpp
@@ -87,7 +87,7 @@
 
 bool ConfigurationTracker::is_fresh() const
 {
-    return age() <= fresh_time;
+    return m_store_heard && age() <= fresh_time;
 }
 
 void ConfigurationTracker::ask_after(Millis pause)
@@ -179,6 +179,7 @@
                     { "age_ms", age().count() },
                     { "in_force", version() } });
     m_failures = 0;
+    m_store_heard = true;
     const bool held = !answer.value && m_loop.now() >= call.sent + call.hold;
     m_heard = std::max(m_heard, held ? call.sent + call.hold : call.sent);
 }
--- a/src/jobs.lib/configuration_tracker.h
+++ b/src/jobs.lib/configuration_tracker.h
@@ -80,6 +80,7 @@
     std::function<void(const Configuration&)> m_listener;
     std::shared_ptr<const Configuration> m_current;
     Millis m_heard; ///< When the store had nothing newer than what it told.
+    bool m_store_heard = false; ///< It has told of something in this life.
     int64_t m_watched_from = 0; ///< Changes after this version are watched for; 0: read.
     Call m_newest; ///< The call that was sent last.
     bool m_newest_open = false;
--- a/src/jobs.lib/configuration_tracker_test.cpp
+++ b/src/jobs.lib/configuration_tracker_test.cpp
@@ -213,6 +213,28 @@
     BOOST_TEST(tracker.age().count() >= 1500);
 }
 
+// It may have been an older one.
+BOOST_AUTO_TEST_CASE(configuration_of_a_peer_alone_is_not_fresh)
+{
+    emulator::World world(4);
+    emulator::ProcessLoop loop(world);
+    HandDirectory directory;
+    HandPeers peers;
+    Metrics metrics;
+    ConfigurationTracker tracker(loop, directory, peers, metrics, "n1");
+    tracker.begin();
+    tracker.peer_has("n2", 3);
+    world.run_for(Millis(410));
+    BOOST_REQUIRE(peers.sent.size() == 1U);
+    PeerAnswer answer;
+    answer.row = encode(configuration_of(3));
+    peers.sent[0].done(PeerEnd::answered, answer);
+    BOOST_TEST(tracker.version() == 3);
+    BOOST_TEST(!tracker.is_fresh());
+    directory.answer(0, told(100, 3));
+    BOOST_TEST(tracker.is_fresh());
+}
+
 BOOST_FIXTURE_TEST_CASE(life_never_goes_back, Fixture)
 {
     answer_last(told(140, 8));
