A job that is turned away is first looked for: what was taken is not said never to run

Cause: read in the code: a client whose first try was taken and whose answer was lost would be told by another node, at a closed queue, that its job never runs. Change: the leader, else the store, is asked (0.5 s at most) before a job is turned away; one that is there is answered as taken.

--- a/src/jobs.lib/job_node_clients.cpp
+++ b/src/jobs.lib/job_node_clients.cpp
@@ -30,6 +30,8 @@
 constexpr Millis query_retry { 100 };
 /// What the leader last told of closed queues counts for so long: a few heartbeats.
 constexpr Millis door_holds { 1500 };
+/// How long it is asked whether a job that is turned away was taken before.
+constexpr Millis turn_away_limit { 500 };
 
 const char* to_string(WriteOutcome outcome)
 {
@@ -96,27 +98,29 @@
 }
 
 // A job that the advice can't decide about in time would stand, and its client wait in
-// vain. One that this node has taken already is answered as before.
-bool JobNode::Impl::turns_away(const std::string& queue, const std::string& id)
+// vain. An earlier try, whose answer was lost, may have been taken: only what is not there
+// can be said never to run.
+void JobNode::Impl::turn_away(const std::string& queue, const std::string& id,
+                              Millis received, ClientReply done)
 {
-    const Millis come_back = come_back_after(queue);
-    if (come_back == Millis(0) || m_payloads.find(id) != nullptr)
-        return false;
-    log_event(LogLevel::info, "job_turned_away",
-              { { "job", id },
-                { "queue", queue },
-                { "come_back_ms", come_back.count() },
-                { "told_ms_ago",
-                  m_scheduler ? 0 : (m_parts.loop.now() - m_closed_told).count() } });
-    return true;
+    query(id, received, turn_away_limit,
+          [this, queue, id, received, done](ClientStatus status, JobState) {
+              const bool taken = status == ClientStatus::ok;
+              note_call("submit", taken ? "taken_before" : "turned_away", received);
+              log_event(LogLevel::info, "job_turned_away",
+                        { { "job", id },
+                          { "queue", queue },
+                          { "taken_before", taken ? "yes" : "no" },
+                          { "come_back_ms", come_back_after(queue).count() } });
+              done(taken ? ClientStatus::ok : ClientStatus::refused);
+          });
 }
 
 void JobNode::Impl::submit(const Queue& queue, const std::string& id, const JobSpec& spec,
                            Millis received, Millis limit, ClientReply done)
 {
-    if (turns_away(queue.name, id)) {
-        note_call("submit", "turned_away", received);
-        done(ClientStatus::refused);
+    if (come_back_after(queue.name) > Millis(0)) {
+        turn_away(queue.name, id, received, std::move(done));
         return;
     }
     AcceptedJob job;
--- a/src/jobs.lib/job_node_impl.h
+++ b/src/jobs.lib/job_node_impl.h
@@ -112,7 +112,8 @@
     void tell_leader_of_leaving();
     int strongest_follower() const;
 
-    bool turns_away(const std::string& queue, const std::string& id);
+    void turn_away(const std::string& queue, const std::string& id, Millis received,
+                   ClientReply done);
     void note_call(const char* call, const char* outcome, Millis received);
     void accept_row(const std::string& id, const std::string& row, Millis give_up,
                     WriteReply done);
