Gauge of the wait for advice goes back to zero when nothing waits

Cause: the gauge of a queue kept its last value once its backlog was gone. Change: it is set for each queue that has asked. Result: scarce_advice_test green.

--- a/src/jobs.lib/scheduler_door.cpp
+++ b/src/jobs.lib/scheduler_door.cpp
@@ -80,10 +80,10 @@
     const std::vector<AdviceDemand> demands
         = free_share() > short_share ? advice_demands() : std::vector<AdviceDemand>();
     m_door.update(demands, m_parts.advice.spare_callers());
-    for (const AdviceDemand& demand : demands)
+    for (const auto& [queue, question_ms] : m_question_ms)
         m_parts.metrics.set("pathport_advice_wait_seconds",
-                            double(m_door.wait_of(demand.queue).count()) / 1000,
-                            { { "queue", demand.queue } });
+                            double(m_door.wait_of(queue).count()) / 1000,
+                            { { "queue", queue } });
     tell_of_door(before, demands);
 }
 
