Sight: the log names the tasks that go down with a worker, and how long each had run

The log told how many tasks were released when a worker was lost, not which, nor whether they had run for long: what tells a task that crashes its workers from one that only ran beside it.

--- a/src/jobs.lib/job_record.h
+++ b/src/jobs.lib/job_record.h
@@ -44,6 +44,7 @@
     Millis failed_at; ///< When it did, under this leader.
     std::string ticket; ///< Of the intended start.
     Millis placed_at; ///< When the worker was chosen.
+    bool adopted = false; ///< An earlier leader started it, nobody here knows when.
     int percent = 0; ///< As last reported.
     Millis percent_at; ///< When `percent` last changed.
     Millis listed_at; ///< When its worker last listed it, or accepted it.
--- a/src/jobs.lib/scheduler.h
+++ b/src/jobs.lib/scheduler.h
@@ -239,6 +239,10 @@
     void inherit_doubts(const std::string& earlier, const std::string& id,
                         const std::vector<TaskId>& tasks);
 
+    // Lost workers and what ran there (scheduler_crashes.cpp).
+    void tell_of_lost(const Worker& worker, const char* reason);
+    static std::optional<Millis> lived(const Worker& worker, const Task& task);
+
     // Silent workers (scheduler_silent.cpp).
     bool store_clock_known() const;
     Millis unknown_until(const std::string& worker) const;
--- a/src/jobs.lib/scheduler_lives.cpp
+++ b/src/jobs.lib/scheduler_lives.cpp
@@ -162,6 +162,7 @@
     Worker* worker = find_worker(session.id());
     if (worker == nullptr)
         return;
+    tell_of_lost(*worker, session.reborn() ? "reborn" : "life_over");
     if (session.reborn()) {
         m_ended_lives.insert(session.id());
         keep_strays(session);
@@ -282,6 +283,7 @@
     Worker* worker = find_worker(session.id());
     if (worker == nullptr)
         return;
+    tell_of_lost(*worker, "lease_lapsed");
     release_all(*worker, "lease_lapsed", false);
     resolve_unrecorded(session.id());
     if (!worker->listed)
--- a/src/jobs.lib/scheduler_reports.cpp
+++ b/src/jobs.lib/scheduler_reports.cpp
@@ -138,6 +138,7 @@
     task->worker = worker.session->id();
     task->run = running.run;
     task->placed_at = now;
+    task->adopted = true;
     task->percent = running.percent;
     task->percent_at = now;
     task->listed_at = now;
--- a/src/jobs.lib/scheduler_start.cpp
+++ b/src/jobs.lib/scheduler_start.cpp
@@ -57,6 +57,7 @@
         task.worker = share->worker;
         task.run = run;
         task.placed_at = m_pass_begun;
+        task.adopted = false;
         const auto permission = step.advice.workers.find(worker.number);
         if (permission != step.advice.workers.end())
             task.ticket = permission->second.ticket;
