Tests that fail: tasks that crash their workers; rooms that shrink before an order is sent

The emulator plays it now: tasks that crash their workers at once or after a while, workers that are back soon or late, refusing or silent meanwhile, their entries lingering; gangs that break with it.

Played besides: rooms that shrink and grow (the list tells it a beat later), and machines that are suspended, whose timers count no time meanwhile.

--- a/src/emulator.lib/cell.cpp
+++ b/src/emulator.lib/cell.cpp
@@ -213,6 +213,15 @@
     out_of_touch(node, span);
 }
 
+void Cell::suspend(const std::string& node, Millis span)
+{
+    NodeProcess* process = running(node);
+    if (process == nullptr)
+        return;
+    process->loop.suspend_for(span);
+    out_of_touch(node, span);
+}
+
 void Cell::cut_peers(const std::string& node, Millis span)
 {
     m_cut_until[node] = world.now() + span;
@@ -400,7 +409,8 @@
         wrong.push_back("no state of the accepted job " + id);
         return;
     }
-    check_lasting(id, job, wrong);
+    if (!has_crashers(job))
+        check_lasting(id, job, wrong);
     bool done = true;
     for (size_t i = 0; i < job.facts.size(); ++i) {
         done = done
@@ -414,7 +424,7 @@
         wrong.push_back(id + " is shown as canceled and nobody asked for it");
     if (*state == jobs::JobState::failed && !job.hopeless && !is_spent(id, job))
         wrong.push_back(id + " is shown as failed without cause");
-    if (!is_final(*state) && !has_lasting(job))
+    if (!is_final(*state) && (!has_lasting(job) || has_crashers(job)))
         wrong.push_back(id + " has not ended: " + name);
 }
 
--- a/src/emulator.lib/cell_liveness.cpp
+++ b/src/emulator.lib/cell_liveness.cpp
@@ -68,7 +68,8 @@
 
 void Cell::look_at_job(const std::string& id, ClientJob& job)
 {
-    const bool owed = job.accepted && !job.cancel_asked && !is_spent(id, job);
+    const bool owed
+        = job.accepted && !job.cancel_asked && !is_spent(id, job) && !has_crashers(job);
     if (!owed || !workers.stands(id, int(job.facts.size()))) {
         job.stands_since = Millis(0);
         return;
@@ -82,6 +83,13 @@
     job.stands_since = world.now() + Millis(1000000); // Told once.
 }
 
+// A job that crashes workers may wait: it earns nothing.
+bool Cell::has_crashers(const ClientJob& job)
+{
+    return std::any_of(job.facts.begin(), job.facts.end(),
+                       [](const TaskFacts& facts) { return facts.crashers > 0; });
+}
+
 bool Cell::is_spent(const std::string& id, const ClientJob& job) const
 {
     for (size_t step = 0; step < job.facts.size(); ++step) {
--- a/src/emulator.lib/virtual_loop.cpp
+++ b/src/emulator.lib/virtual_loop.cpp
@@ -48,15 +48,41 @@
 {
     const TimerId id = ++m_last;
     m_timers.insert(id);
-    m_world.after(delay, [this, life = m_alive, id, work = std::move(work)] {
+    arm(id, delay, slept(), work);
+    return id;
+}
+
+// What is slept beyond `slept_before` until the timer is due is still to be waited for.
+void ProcessLoop::arm(TimerId id, Millis delay, Millis slept_before,
+                      const std::function<void()>& work)
+{
+    m_world.after(delay, [this, life = m_alive, id, work, slept_before] {
         if (!*life)
             return;
+        const Millis missed = slept() - slept_before;
+        if (missed > Millis(0)) {
+            const Millis left = std::max(Millis(0), m_suspended_until - m_world.now());
+            arm(id, left + missed, slept() + left, work);
+            return;
+        }
         deliver([this, id, work] {
             if (m_timers.erase(id) > 0)
                 work();
         });
     });
-    return id;
+}
+
+Millis ProcessLoop::slept() const
+{
+    return m_slept - std::max(Millis(0), m_suspended_until - m_world.now());
+}
+
+void ProcessLoop::suspend_for(Millis span)
+{
+    const Millis until = std::max(m_suspended_until, m_world.now() + span);
+    m_slept = m_slept + (until - std::max(m_suspended_until, m_world.now()));
+    m_suspended_until = until;
+    m_frozen_until = std::max(m_frozen_until, until);
 }
 
 void ProcessLoop::cancel(TimerId timer)
--- a/src/emulator.lib/worker_liveness.cpp
+++ b/src/emulator.lib/worker_liveness.cpp
@@ -45,8 +45,11 @@
     if (facts(task).gang)
         counted.index = 0;
     const auto found = m_history.find(counted.to_string());
-    return !facts(task).lasting && found != m_history.end()
-        && found->second.failed >= facts(task).max_failures;
+    if (found == m_history.end())
+        return false;
+    constexpr int crashes_for_giving_up = 2;
+    return found->second.crashed >= crashes_for_giving_up
+        || (!facts(task).lasting && found->second.failed >= facts(task).max_failures);
 }
 
 bool Workers::turn_has_come(const std::string& job, int step) const
@@ -70,7 +73,7 @@
             && life.faults.empty() && m_world.now() >= life.cut_until;
         if (!usable || (known.advised && !is_allowed(name, id)))
             continue;
-        const Resources free = life.info.capacity - used(life);
+        const Resources free = room_of(life) - used(life);
         int64_t fit = std::min(times(free.cpu_millis, known.need.cpu_millis),
                                times(free.memory_mb, known.need.memory_mb));
         if (known.max_per_worker > 0)
@@ -87,7 +90,7 @@
     for (const auto& [id, life] : m_lives) {
         if (!life.up || !life.listed)
             continue;
-        all += life.info.capacity.cpu_millis;
+        all += room_of(life).cpu_millis;
         taken += used(life).cpu_millis;
     }
     return 2 * taken < all;
--- a/src/emulator.lib/worker_lives.cpp
+++ b/src/emulator.lib/worker_lives.cpp
@@ -69,15 +69,16 @@
     if (life.up && now >= life.listed_from)
         return entry;
     const bool lingers = now < life.down_since + list_patience;
-    if (!lingers || (!life.up && !life.returns))
+    if (!lingers || (!life.up && !life.returns && !life.fallen))
         return std::nullopt;
     return life.up ? life.entry_before : entry;
 }
 
 // Calls that are under way when a process goes down get no answer.
-OrderStatus Workers::status_when_down(const Life& life)
+OrderStatus Workers::status_when_down(const Life& life) const
 {
-    return life.returns ? OrderStatus::unknown : OrderStatus::other_life;
+    const bool nobody_there = life.returns || (life.fallen && !address_taken(life));
+    return nobody_there ? OrderStatus::unknown : OrderStatus::other_life;
 }
 
 } // namespace pathport::emulator
--- a/src/emulator.lib/worker_port.cpp
+++ b/src/emulator.lib/worker_port.cpp
@@ -37,7 +37,7 @@
 std::optional<OrderStatus> WorkerPort::early_status(const Workers::Life& life,
                                                     bool is_start)
 {
-    if (!life.up && life.returns)
+    if (!life.up && (life.returns || (life.fallen && !m_workers.address_taken(life))))
         return life.down_silent ? OrderStatus::unknown : OrderStatus::refused;
     if (!life.up && m_workers.trouble.dead_are_silent && !m_workers.address_taken(life))
         return life.listed ? OrderStatus::unknown : OrderStatus::unreachable;
@@ -233,8 +233,9 @@
             return;
         }
         const auto* target = m_workers.find(look.name);
-        if (target != nullptr && (target->returns || target->born != look.born)) {
-            const bool hangs = target->returns && target->down_silent;
+        if (target != nullptr
+            && (target->returns || target->fallen || target->born != look.born)) {
+            const bool hangs = !target->up && target->down_silent;
             deliver(hangs ? std::max(Millis(1), look.gives_up - now) : Millis(1),
                     [done] { done(OrderStatus::unknown, std::nullopt); });
             return;
--- a/src/emulator.lib/workers.cpp
+++ b/src/emulator.lib/workers.cpp
@@ -240,7 +240,7 @@
     life->running[name] = run;
     if (known.gang)
         begin_gang(order.task, order.run);
-    if (!(used(*life)).fits_in(life->info.capacity))
+    if (!fits(*life))
         breach("over the room of " + id + " by " + name + ", which runs" + names_on(*life));
     return answer;
 }
@@ -261,6 +261,7 @@
         breach("started on " + life.info.id + " after it had announced its end: " + name);
     if (m_history[name].done_noted)
         breach("started again after it was done: " + name);
+    check_crashes(order.task);
     TaskHistory& failures = failures_of(order.task);
     int failed = failures.failed_noted;
     for (auto& [id, other] : m_lives) {
@@ -450,25 +451,31 @@
             continue; // It ended with another member of its gang.
         const Run run = still->second;
         end(life, name, kind);
-        if (!facts(run.task).gang)
-            continue;
-        // One end of a gang's member ends the others.
-        for (auto& [id, other] : m_lives) {
-            std::vector<std::string> members;
-            for (const auto& [member, another] : other.running) {
-                if (another.task.job == run.task.job && another.task.step == run.task.step
-                    && another.run == run.run)
-                    members.push_back(member);
-            }
-            for (const std::string& member : members)
-                end(other, member, kind == EndKind::done ? EndKind::done : EndKind::broken);
+        break_gang(run, kind == EndKind::done ? EndKind::done : EndKind::broken);
+    }
+}
+
+// One end of a gang's member ends the others.
+void Workers::break_gang(const Run& run, EndKind kind)
+{
+    if (!facts(run.task).gang)
+        return;
+    for (auto& [id, other] : m_lives) {
+        std::vector<std::string> members;
+        for (const auto& [member, another] : other.running) {
+            if (another.task.job == run.task.job && another.task.step == run.task.step
+                && another.run == run.run)
+                members.push_back(member);
         }
+        for (const std::string& member : members)
+            end(other, member, kind);
     }
 }
 
 void Workers::tick()
 {
     m_ticked = m_world.now();
+    crash_under_tasks();
     for (auto& [id, life] : m_lives) {
         if (life.up)
             step(life);
--- a/src/include/pathport/emulator/cell.h
+++ b/src/include/pathport/emulator/cell.h
@@ -66,6 +66,8 @@
     void kill(const std::string& node, Millis pause);
     /// Freezes a node's process.
     void freeze(const std::string& node, Millis span);
+    /// Suspends a node's machine: as a freeze, but its timers count no time meanwhile.
+    void suspend(const std::string& node, Millis span);
     /// Cuts a node from its peers.
     void cut_peers(const std::string& node, Millis span);
     /// The open connections of all nodes, to the store, the workers, the advisor and each
@@ -148,6 +150,7 @@
     void look_at_job(const std::string& id, ClientJob& job);
     void look_at_canceled(const std::string& id, ClientJob& job);
     bool is_spent(const std::string& id, const ClientJob& job) const;
+    static bool has_crashers(const ClientJob& job);
     void check_lasting(const std::string& id, const ClientJob& job,
                        std::vector<std::string>& wrong) const;
 
--- a/src/include/pathport/emulator/virtual_loop.h
+++ b/src/include/pathport/emulator/virtual_loop.h
@@ -55,6 +55,9 @@
     void deliver(std::function<void()> work);
     /// Nothing of the process runs until then.
     void freeze_until(Millis time) { m_frozen_until = time; }
+    /// Nothing of the process runs for `span`, and its timers count none of it; its clock
+    /// does, as that of a machine that is suspended.
+    void suspend_for(Millis span);
     /// Ends the process: nothing of it runs any more.
     void kill() { *m_alive = false; }
     bool alive() const { return *m_alive; }
@@ -64,7 +67,13 @@
     World& world() { return m_world; }
 
 private:
+    void arm(TimerId id, Millis delay, Millis slept_before,
+             const std::function<void()>& work);
+    Millis slept() const;
+
     World& m_world;
+    Millis m_slept; ///< Time that timers don't count, up to the end of the last suspension.
+    Millis m_suspended_until;
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
     Millis m_frozen_until;
     TimerId m_last = 0;
--- a/src/include/pathport/emulator/workers.h
+++ b/src/include/pathport/emulator/workers.h
@@ -38,6 +38,11 @@
     bool saves_progress = false; ///< A run goes on from the checkpoint that it brings.
     bool advised = false; ///< Its starts need a ticket.
     int64_t advice_ms = 0; ///< The advisor's time for a question; 0 for the usual one.
+    int crashers
+        = 0; ///< So many tasks, the first ones, crash each worker that starts them.
+    int64_t crash_ms = 10; ///< So long after the start.
+    Millis crash_pause { 3000 }; ///< So long after that another worker is at the address.
+    bool crash_silent = false; ///< Until then calls there get no answer; else refused.
 };
 
 /// How the workers misbehave at present.
@@ -64,6 +69,8 @@
 
 /// How long the list keeps a worker that is silent.
 constexpr Millis list_patience { 4500 };
+/// So often a worker says how much room it has.
+constexpr Millis beat_interval { 1500 };
 
 /// How a worker comes back under the name that it had, with nothing of before.
 struct Comeback {
@@ -106,6 +113,8 @@
     void afflict(const std::string& id, WorkerFault fault, Millis span, double share = 1);
     /// Takes a worker from the list without a word; it serves on for `span` and ends.
     void leave(const std::string& id, Millis span);
+    /// Changes the room of a worker; the list tells of it one beat later.
+    void resize(const std::string& id, Resources room);
 
     /// Tells what the tasks of a step do.
     void describe(const std::string& job, int step, const TaskFacts& facts);
@@ -129,8 +138,11 @@
     bool runs(const jobs::TaskId& task) const;
     /// Returns whether a run of any task of the job is there.
     bool runs_any(const std::string& job) const;
-    /// Returns whether runs of the task have failed as often as they may.
+    /// Returns whether the task may be given up: its runs have failed as often as they may,
+    /// or it has crashed two workers.
     bool spent(const jobs::TaskId& task) const;
+    /// Returns how many workers the tasks of a job have crashed.
+    int crashes_of(const std::string& job) const;
     /// Returns whether a task of the job could run but doesn't: the turn of one has come,
     /// none runs, there is room for it twice over and under half of all room is in use.
     bool stands(const std::string& job, int steps) const;
@@ -153,7 +165,12 @@
         std::string checkpoint;
     };
     struct Life {
-        jobs::WorkerInfo info; ///< Its id is the name, by which all lives are kept here.
+        /// As the list tells of it. Its id is the name, by which all lives are kept here.
+        jobs::WorkerInfo info;
+        std::optional<Resources> room; ///< If it differs from what the list tells.
+        Resources room_before; ///< That of before it shrank, which counts on for a while.
+        Millis room_before_until;
+        bool fallen = false; ///< It is down since a task has crashed it.
         bool up = true;
         bool listed = true;
         Millis born; ///< The world's time when it started.
@@ -186,6 +203,8 @@
         bool done = false;
         bool done_noted = false;
         bool started_when_spent = false; ///< After its last failure, noted or not.
+        int crashed = 0; ///< Workers that the task has crashed.
+        int started_after_crashes = 0; ///< Starts once it has crashed three.
     };
 
     Life* find(const std::string& id);
@@ -196,7 +215,7 @@
     std::optional<jobs::WorkerInfo> entry_of(const Life& life) const;
     static std::string life_id(const Life& life);
     static bool is_meant(const std::string& id, const Life& life);
-    static jobs::OrderStatus status_when_down(const Life& life);
+    jobs::OrderStatus status_when_down(const Life& life) const;
     bool reachable(const Life& life, const std::string& node) const;
     jobs::OrderAnswer start_now(const std::string& id, const jobs::StartOrder& order);
     jobs::OrderAnswer stop_now(const std::string& id, const jobs::RunOrder& order);
@@ -224,6 +243,14 @@
     bool ticket_good(const Life& life, const jobs::StartOrder& order) const;
     static std::string ticket_for(const Life& life, Millis until);
     void check_place(const Life& life, const jobs::StartOrder& order);
+    // Tasks that crash their workers, and rooms that change (worker_crashes.cpp).
+    bool crashes(const jobs::TaskId& task) const;
+    void crash_under_tasks();
+    void fall(Life& life, const jobs::TaskId& cause);
+    void break_gang(const Run& run, jobs::EndKind kind);
+    void check_crashes(const jobs::TaskId& task);
+    const Resources& room_of(const Life& life) const;
+    bool fits(const Life& life) const;
     // Liveness (worker_liveness.cpp).
     bool turn_has_come(const std::string& job, int step) const;
     int64_t rooms_for(const std::string& job, int step) const;
--- a/src/jobs.lib/liveness_test.cpp
+++ b/src/jobs.lib/liveness_test.cpp
@@ -58,8 +58,19 @@
     double restarted = 0; ///< The same that workers restart under the id that they had.
     int64_t link_bytes
         = 0; ///< What each node believes of its link; little has it use relays.
+    double crashing = 0; ///< Share of the jobs with tasks that crash their workers.
+    double resized = 0; ///< Chance in a tenth of a second that rooms shrink for a while.
+    double suspended = 0; ///< The same that the machine of a node is suspended.
 };
 
+Style with_terms(Style style, double crashing, double resized, double suspended)
+{
+    style.crashing = crashing;
+    style.resized = resized;
+    style.suspended = suspended;
+    return style;
+}
+
 Style make_style(int number)
 {
     switch (number) {
@@ -81,6 +92,20 @@
         return { 0.06, Millis(12000), 7, 14, 0.5, 0.1, 0.01, 0, 0.04 };
     case 9: // The same as 7 with all calls to workers through relays.
         return { 0.02, Millis(12000), 7, 14, 0.5, 0.1, 0.01, 0, 0.03, 1 };
+    case 10: // Some tasks crash each worker that starts them, in little other trouble.
+        return with_terms({ 0.012, Millis(10500), 7, 14, 0.5 }, 0.06, 0, 0);
+    case 11: // The same in much other trouble, with restarts.
+        return with_terms({ 0.05, Millis(12000), 7, 14, 0.5, 0.1, 0, 0, 0.01 }, 0.1, 0, 0);
+    case 12: // Rooms shrink and grow again, in little other trouble.
+        return with_terms({ 0.02, Millis(12000), 7, 14, 0.5 }, 0, 0.06, 0);
+    case 13: // Machines of nodes are suspended, in little other trouble.
+        return with_terms({ 0.02, Millis(12000), 7, 14, 0.5 }, 0, 0, 0.03);
+    case 14: // All of these, with restarts and silences.
+        return with_terms({ 0.03, Millis(14000), 7, 14, 0.5, 0.1, 0.01, 0, 0.01 }, 0.05,
+                          0.03, 0.015);
+    case 15: // The same through relays.
+        return with_terms({ 0.02, Millis(14000), 7, 14, 0.5, 0.1, 0.01, 0, 0.01, 1 }, 0.05,
+                          0.03, 0.015);
     default:
         return {};
     }
@@ -110,6 +135,9 @@
     void silence_connections();
     void configure();
     void restart_workers();
+    void make_crashing(std::vector<TaskFacts>& steps);
+    void resize_workers();
+    void suspend_node();
     void node_trouble(int64_t kind, Millis span);
     void store_trouble(int64_t kind, Millis span);
     void worker_trouble(int64_t kind, Millis span);
@@ -162,6 +190,8 @@
         steps[0].count = 2;
         steps[0].max_per_worker = 0;
     }
+    if (m_style.crashing > 0 && chance(m_style.crashing))
+        make_crashing(steps);
     submit(m_cell, (advised ? "a" : "q") + std::to_string(below(3)), id, steps);
     if (m_style.canceled > 0 && chance(m_style.canceled))
         cancel_soon(id);
@@ -360,6 +390,41 @@
     }
 }
 
+// One task of a step crashes its workers, or some do, at once or after a while.
+void Schedule::make_crashing(std::vector<TaskFacts>& steps)
+{
+    TaskFacts& facts = steps[size_t(below(int64_t(steps.size())))];
+    facts.crashers = chance(0.7) ? 1 : 1 + int(below(facts.count));
+    facts.crash_ms = chance(0.7) ? below(40) : below(1500);
+    facts.crash_pause = Millis(500 + below(chance(0.3) ? 9000 : 3500));
+    facts.crash_silent = chance(0.3);
+    facts.fails = 0;
+}
+
+// One worker or a third of them have less room for a while.
+void Schedule::resize_workers()
+{
+    emulator::Workers& workers = m_cell.workers;
+    const std::string one = random_worker();
+    const bool many = chance(0.3);
+    const Millis span(500 + below(8000));
+    for (const std::string& id : workers.ids()) {
+        if (id != one && !(many && chance(0.3)))
+            continue;
+        workers.resize(id, { 1000 + below(7000), 2000 + below(14000), 0 });
+        m_cell.world.after(span, [&workers, id] {
+            workers.resize(id, { 8000, 16000, 0 });
+        });
+    }
+}
+
+void Schedule::suspend_node()
+{
+    const Millis span(500 + below(8000));
+    m_cell.disturbed(span, m_style.settles_in);
+    m_cell.suspend(random_node(), span);
+}
+
 std::vector<std::string> Schedule::run()
 {
     constexpr int tenths = 300;
@@ -381,6 +446,10 @@
             configure();
         if (m_style.restarted > 0 && chance(m_style.restarted))
             restart_workers();
+        if (m_style.resized > 0 && chance(m_style.resized))
+            resize_workers();
+        if (m_style.suspended > 0 && chance(m_style.suspended))
+            suspend_node();
         m_cell.world.run_for(Millis(100));
     }
     if (ends_with_kill) {
@@ -430,6 +499,19 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(rooms_change_and_machines_are_suspended_in_random_schedules)
+{
+    constexpr uint64_t first = 955000;
+    constexpr uint64_t schedules = 6;
+    for (const int style : { 12, 13 }) {
+        for (uint64_t seed = first; seed < first + schedules; ++seed) {
+            const auto wrong = Schedule(seed, make_style(style)).run();
+            BOOST_TEST(wrong.empty(),
+                       "style " << style << ", seed " << seed << joined(wrong));
+        }
+    }
+}
+
 // Schedules that have failed once, with their style and the cause that was found.
 BOOST_AUTO_TEST_CASE(schedules_that_failed_once)
 {
