--- a/testsuite/run_soak.py
+++ b/testsuite/run_soak.py
@@ -41,6 +41,10 @@
                         help="changes of the configuration a second that add or drop a route")
     parser.add_argument("--restarts", type=float, default=0.15,
                         help="how often a second workers start again under their ids")
+    parser.add_argument("--crashers", type=float, default=0.15,
+                        help="jobs a second with tasks that crash their workers")
+    parser.add_argument("--resizes", type=float, default=0.15,
+                        help="how often a second workers have less room for a while")
     parser.add_argument("--link-mbps", type=float, default=Daemon.link_mbps,
                         help="what the daemons are told of their links; with 0.05 calls go through relays")
     parser.add_argument("--standstill", type=float, default=40,
@@ -57,7 +61,7 @@
     size = Size(wanted.nodes or USUAL_NODES, workers, wanted.seconds,
                 wanted.rate or min(MOST_JOBS, workers * JOBS_PER_WORKER), wanted.faults,
                 wanted.standstill, wanted.silences, wanted.cancels, wanted.routes,
-                wanted.restarts)
+                wanted.restarts, wanted.crashers, wanted.resizes)
     return [(wanted.first + i, size) for i in range(wanted.seeds or 1)]
 
 
--- a/testsuite/run_soak_checks.py
+++ b/testsuite/run_soak_checks.py
@@ -138,6 +138,31 @@
     return {"no start after the last failure"}, bench.broken()
 
 
+def crashing_task_started_for_ever():
+    bench = Bench([step(run_ms=9000)], workers=8)
+    bench.ledger.jobs[JOB].crashers = [1]
+    for run in range(1, 6):  # Three crashes, and two starts after them.
+        bench.start(run, run=run)
+        bench.workers.tick()
+        assert not bench.workers.slots[run].up
+        assert not bench.broken()
+    bench.start(6, run=6)
+    return {"tasks that crash their workers are given up"}, bench.broken()
+
+
+def over_a_room_that_has_shrunk():
+    bench = Bench([step(count=9, cpu=ROOM["small"][0] // 4)])
+    slot = next(s for s, life in bench.workers.slots.items() if life.kind == "small")
+    life = bench.workers.slots[slot]
+    life.resize(0.5)
+    for index in range(3):  # The larger room still counts.
+        bench.start(slot, index=index)
+    assert not bench.broken()
+    life.rooms_before.clear()
+    bench.start(slot, index=3)
+    return {"room of workers"}, bench.broken()
+
+
 def over_the_room():
     bench = Bench([step(count=9, cpu=ROOM["small"][0] // 4)])
     slot = next(s for s, life in bench.workers.slots.items() if life.kind == "small")
@@ -461,7 +486,8 @@
 
 RUNS = [blameless_course, two_runs_at_once, start_after_noted_done, start_before_a_done_is_noted,
         one_done_stands_for_a_gang, start_after_the_last_failure,
-        start_before_the_last_failure_is_noted, over_the_room, out_of_order, other_payload,
+        start_before_the_last_failure_is_noted, over_the_room, over_a_room_that_has_shrunk,
+        crashing_task_started_for_ever, out_of_order, other_payload,
         foreign_checkpoint, refused_job, canceled_job, canceled_job_that_runs_on,
         canceled_job_that_a_worker_starts_late, canceled_job_runs_on_near_faults,
         canceled_job_without_runs, unknown_job, too_many_on_a_worker, without_the_label,
--- a/testsuite/soak/injector.py
+++ b/testsuite/soak/injector.py
@@ -228,6 +228,13 @@
         await asyncio.sleep(fault.span)
         await self.platform.call("worker_trouble", slot=slot, **{name: False})
 
+    async def worker_resize(self, fault, _):
+        """The worker has less room for a while."""
+        slot = fault.arguments["slot"]
+        await self.platform.call("worker_resize", slot=slot, share=fault.arguments["share"])
+        await asyncio.sleep(fault.span)
+        await self.platform.call("worker_resize", slot=slot, share=1)
+
     async def worker_decline(self, fault, _):
         await self.trouble_at_worker(fault, "decline")
 
--- a/testsuite/soak/ledger.py
+++ b/testsuite/soak/ledger.py
@@ -11,6 +11,11 @@
 CANCEL_S = 3.0
 KILL_GRACE_S = 0.4
 CLOCK_JITTER_MS = 250
+# A task that has crashed so many workers is not started so often again.
+CRASHES_IN_ALL, STARTS_BEYOND = 3, 3
+CRASHES_TO_GIVE_UP = 2
+# A room that has shrunk counts so long and a beat later.
+ROOM_HEARD_S = 3.0 + 1.5
 
 
 @dataclass
@@ -33,6 +38,8 @@
         self.refused = {}  # job -> when its last hand-in was refused
         self.canceled = {}  # job -> when its cancellation was acknowledged
         self.tasks = {}  # job -> {task within it: its record}
+        self.crashes = {}  # task -> workers that it has crashed
+        self.starts_beyond = {}  # task -> its starts after that
         self.calm = Calm()
         self.ran_on = set()  # Runs of cancelled jobs that were reported: (life, task, run).
         self.breaches = []
@@ -74,6 +81,7 @@
         self.check_order_itself(order, name, step, life)
         self.check_calls(order, name)
         self.check_history(order, name, step, lives)
+        self.check_crashes(order.task)
         self.check_sequence(order, name, step)
 
     def check_order_itself(self, order, name, step, life):
@@ -146,6 +154,21 @@
         if failed >= self.attempts(name):
             record.started_when_spent = True
 
+    def crashed(self, task):
+        """A worker has crashed under a task, and by it."""
+        self.crashes[task] = self.crashes.get(task, 0) + 1
+
+    def check_crashes(self, task):
+        if self.crashes.get(task, 0) >= CRASHES_IN_ALL:
+            self.starts_beyond[task] = self.starts_beyond.get(task, 0) + 1
+        beyond = self.starts_beyond.get(task, 0)
+        self.check("tasks that crash their workers are given up", beyond < STARTS_BEYOND,
+                   f"{task} started {beyond} times after it had crashed {CRASHES_IN_ALL} workers")
+
+    def crashes_workers(self, job):
+        """Whether a task of the job crashes its workers: nobody misses such a job."""
+        return any(self.jobs[job].crashers)
+
     def check_sequence(self, order, name, step):
         for earlier in step.after:
             self.check("order of steps", self.step_done(name.job, name.time, earlier),
@@ -160,7 +183,10 @@
         cpu = mem = 0
         for run in life.running.values():
             cpu, mem = cpu + run.step.cpu, mem + run.step.mem
-        self.check("room of workers", cpu <= life.cpu and mem <= life.mem,
+        rooms = [(life.cpu, life.mem)]
+        rooms += [room for until, *room in life.rooms_before if time.monotonic() < until]
+        fits = any(cpu <= room_cpu and mem <= room_mem for room_cpu, room_mem in rooms)
+        self.check("room of workers", fits,
                    f"{life.id} holds {cpu} of {life.cpu} cpu, {mem} of {life.mem} MB: "
                    + " ".join(life.running))
 
@@ -207,6 +233,9 @@
         """Whether some task, or gang, failed as often as its queue allows."""
         facts = self.jobs[job]
         attempts = facts.queue_of().attempts
+        if any(count >= CRASHES_TO_GIVE_UP for task, count in self.crashes.items()
+               if task.split(".")[0] == job):
+            return True
         return any(record.failed >= attempts for record in self.tasks.get(job, {}).values())
 
     def ready_tasks(self, job):
--- a/testsuite/soak/model.py
+++ b/testsuite/soak/model.py
@@ -37,7 +37,9 @@
 
 @dataclass
 class JobFacts:
-    """A job and how its tasks behave: 'fails' runs of each step's tasks fail by their own fault."""
+    """A job and how its tasks behave: 'fails' runs of each step's tasks fail by their own fault; the
+    first 'crashers' tasks of a step crash each worker that starts them, after 'crash_after_s'; it is
+    back 'crash_pause_s' later."""
     id: str
     queue: str
     payload: str
@@ -46,6 +48,13 @@
     repeats: int = 0
     first_due_ms: int = 0
     interval_ms: int = 0
+    crashers: list = field(default_factory=list)
+    crash_after_s: float = 0
+    crash_pause_s: float = 0
+
+    def crashes(self, name):
+        """Returns whether a task, by its TaskName, crashes its workers."""
+        return name.step < len(self.crashers) and name.index < self.crashers[name.step]
 
     @property
     def times(self):
@@ -59,7 +68,12 @@
         return next(queue for queue in QUEUES if queue.name == self.queue)
 
     def encode(self):
-        return json.dumps(asdict(self))
+        """Leaves out what isn't set of crashes, so a job that crashes nothing reads as ever."""
+        entry = asdict(self)
+        for name in ("crashers", "crash_after_s", "crash_pause_s"):
+            if not entry[name]:
+                del entry[name]
+        return json.dumps(entry)
 
     @staticmethod
     def decode(text):
--- a/testsuite/soak/platform_main.py
+++ b/testsuite/soak/platform_main.py
@@ -39,12 +39,14 @@
         self.silences = Silences()
         self.tickets = Tickets()
         self.workers = Workers(self.ledger, self.log_run, self.tickets, seed, worker_count)
+        self.workers.on_crash = self.worker_crashed
         self.store = Store()
         self.service = StoreService(self.store, rates, seed, plan.view_of, self.translate)
         self.advisor = Advisor(self.ledger, self.workers, self.tickets, plan.view_of)
         self.standstill = Standstill(self.ledger, self.workers, self.advisor.allows,
                                      self.silences)
         self.servers = {}
+        self.returns = set()  # Of workers that tasks have crashed.
         self.listed = {}  # life's id -> the value of its row
         self.dead_since = {}
         self.version = 0
@@ -109,7 +111,7 @@
                 continue
             address = (f"{self.plan.worker_ip(life.slot, 0)}:"
                        f"{self.plan.proxied_worker(life.slot)}")
-            state = (life.born_ms, life.draining)
+            state = (life.born_ms, life.draining, life.share)
             if self.listed.get(life.id) != state:
                 self.listed[life.id] = state
                 self.put(wire.SERVERS_TABLE, life.id, self.workers.value(life, address))
@@ -187,6 +189,22 @@
         self.log("configured", version=self.version, add=list(add), drop=list(drop))
         return {"version": self.version, "at": time.monotonic()}
 
+    def worker_crashed(self, slot, pause_s):
+        """A task has crashed the worker at a slot; another one is there after a while."""
+        self.servers[slot].close()
+        life = self.workers.slots[slot]
+
+        async def come_back():
+            await asyncio.sleep(pause_s)
+            if self.workers.slots[slot] is life:
+                await self.do_worker_up(slot)
+        self.returns.add(asyncio.ensure_future(come_back()))
+
+    def do_worker_resize(self, slot, share):
+        life = self.workers.slots[slot]
+        if life.up:
+            life.resize(share)
+
     async def do_worker_down(self, slot):
         self.workers.end_life(slot)
         self.servers[slot].close()
--- a/testsuite/soak/schedule.py
+++ b/testsuite/soak/schedule.py
@@ -61,6 +61,8 @@
     cancels_per_s: float = 0.6  # Jobs that come beside the others and are cancelled soon.
     routes_per_s: float = 0.4  # Changes of the configuration that add or drop a route.
     restarts_per_s: float = 0  # Workers, single or several, that start again under their ids.
+    crashers_per_s: float = 0  # Jobs with tasks that crash their workers.
+    resizes_per_s: float = 0  # Workers, single or several, that have less room for a while.
 
 
 class Schedule:
@@ -72,8 +74,8 @@
         self.random = random.Random(seed)
         silences = self.draw_silences()
         self.faults = self.by_time(self.draw_faults() + silences + self.draw_routes(silences)
-                                   + self.draw_restarts())
-        self.jobs = self.by_time(self.draw_jobs() + self.draw_cancels())
+                                   + self.draw_restarts() + self.draw_resizes())
+        self.jobs = self.by_time(self.draw_jobs() + self.draw_cancels() + self.draw_crashers())
 
     @staticmethod
     def by_time(entries):
@@ -159,8 +161,40 @@
         planned.soon_cancel = SoonCancel(moment, after, nodes)
         return planned
 
+    def draw_crashers(self):
+        """Jobs of which one task, or some, crash each worker that starts them, sooner or later."""
+        draw = random.Random(f"crashers {self.seed}")
+        jobs = []
+        for _ in range(round(self.size.load_s * self.size.crashers_per_s)):
+            planned = self.draw_job(draw, draw.uniform(0.5, self.size.load_s))
+            planned.cancel_after = planned.again_after = 0
+            facts = planned.facts
+            facts.repeats = facts.first_due_ms = facts.interval_ms = 0
+            step = draw.randrange(len(facts.steps))
+            facts.fails[step] = 0
+            facts.steps[step].run_ms = max(facts.steps[step].run_ms, 2500)
+            facts.crashers = [0] * len(facts.steps)
+            facts.crashers[step] = draw.choice((1, 1, 1, facts.steps[step].count))
+            facts.crash_after_s = draw.choice((0, 0, draw.uniform(0, 0.2), draw.uniform(0.2, 2)))
+            facts.crash_pause_s = draw.choice((draw.uniform(0.3, 4), draw.uniform(4, 9)))
+            jobs.append(planned)
+        return jobs
+
     # Faults.
 
+    def draw_resizes(self):
+        """Workers, one or a third of them, have less room for a while."""
+        draw = random.Random(f"resizes {self.seed}")
+        faults = []
+        for _ in range(round(self.size.load_s * self.size.resizes_per_s)):
+            at, span = draw.uniform(1, self.size.load_s), draw.uniform(0.5, 8)
+            slots = range(1, self.size.workers + 1)
+            count = draw.choice((1, 1, max(1, self.size.workers // 3)))
+            faults += [Fault(at, "worker_resize", span,
+                             {"slot": slot, "share": round(draw.uniform(0.1, 0.9), 2)})
+                       for slot in draw.sample(slots, count)]
+        return faults
+
     def draw_silences(self):
         """Open connections go silent: all, those of one daemon or those to one kind of service."""
         draw = random.Random(f"silences {self.seed}")
--- a/testsuite/soak/standstill.py
+++ b/testsuite/soak/standstill.py
@@ -38,7 +38,7 @@
         room = sum(life.cpu for life in lives)
         for job in self.accepted - self.over:
             if job in self.ledger.canceled or self.ledger.job_may_fail(job) \
-                    or self.ledger.job_done(job):
+                    or self.ledger.job_done(job) or self.ledger.crashes_workers(job):
                 self.over.add(job)
                 continue
             task = "" if job in working or used * 2 >= room else self.waiting_task(job, lives)
--- a/testsuite/soak/workers.py
+++ b/testsuite/soak/workers.py
@@ -10,6 +10,7 @@
 
 from . import wire
 from .http1 import NoAnswer, ResetConnection
+from .ledger import ROOM_HEARD_S
 from .model import SERVICE, TaskName
 
 TICK_S = 0.02
@@ -35,6 +36,7 @@
     work_s: float
     fails: bool
     since: float  # When it began to work, or to wait for its gang.
+    started: float = field(default_factory=time.monotonic, kw_only=True)
     working: bool
     worked_before: float = 0
     stop_at: float = 0
@@ -78,6 +80,8 @@
     draining: bool = False
     leaves_at: float = 0
     waiting: list = field(default_factory=list)
+    share: float = 1  # Of its kind's room that it has at present.
+    rooms_before: list = field(default_factory=list)  # (counts until, cpu, mem) of larger ones
 
     @property
     def labels(self):
@@ -85,11 +89,16 @@
 
     @property
     def cpu(self):
-        return ROOM[self.kind][0]
+        return int(ROOM[self.kind][0] * self.share)
 
     @property
     def mem(self):
-        return ROOM[self.kind][1]
+        return int(ROOM[self.kind][1] * self.share)
+
+    def resize(self, share):
+        """The worker has only a share of its room from now on, or all of it again."""
+        self.rooms_before.append((time.monotonic() + ROOM_HEARD_S, self.cpu, self.mem))
+        self.share = share
 
     def clock_ms(self):
         return int(self.clock_offset + time.monotonic() * 1000 * self.clock_rate)
@@ -114,6 +123,7 @@
         self.trouble = {}
         self.last_leader = 0
         self.births = 0
+        self.on_crash = lambda slot, pause_s: None  # Hears of workers that tasks crash.
         self.refused_for_room = 0
         self.alone = 0
         for slot in range(1, count + 1):
@@ -145,6 +155,20 @@
         for run in runs.values():
             self.break_gang(run, "broken")
 
+    def crash_under_tasks(self, now):
+        """Tasks crash their workers, which are back after a while."""
+        for slot, life in self.slots.items():
+            for run in life.running.values() if life.up else ():
+                facts = self.ledger.jobs[run.name.job]
+                if not facts.crashes(run.name) or now - run.started < facts.crash_after_s:
+                    continue
+                self.log("crash", job=run.name.job, task=run.task, run=run.number,
+                         worker=life.id)
+                self.ledger.crashed(run.task)
+                self.end_life(slot)
+                self.on_crash(slot, facts.crash_pause_s)
+                break
+
     def value(self, life, address):
         remaining = max(0, int((life.leaves_at - time.monotonic()) * 1000))
         return wire.worker_value(SERVICE, address, life.rack, life.labels, life.cpu, life.mem,
@@ -330,6 +354,7 @@
 
     def tick(self):
         now = time.monotonic()
+        self.crash_under_tasks(now)
         for life in self.lives:
             if not life.up:
                 continue
@@ -353,5 +378,6 @@
         present = {task for life in self.lives if life.up for task in life.running}
         return [f"{facts.id}.0.{s}.{i}" for facts in self.ledger.jobs.values()
                 if facts.id not in self.ledger.canceled
+                and not self.ledger.crashes_workers(facts.id)
                 for s, step in enumerate(facts.steps) if step.lasting
                 for i in range(step.count) if f"{facts.id}.0.{s}.{i}" not in present]
