--- a/src/jobs.lib/scheduler.h
+++ b/src/jobs.lib/scheduler.h
@@ -180,7 +180,7 @@
         std::deque<std::shared_ptr<EndBatch>> batches;
         int surprises = 0; ///< Failures, refusals and standing tasks since a success.
         std::string last_failed_job;
-        std::set<std::string> proving; ///< Suspects there, not cleared yet.
+        std::set<std::string> on_trial; ///< Suspects there, not cleared yet.
         bool closed = false; ///< One of them is to be alone with what was there before.
         Millis last_start; ///< When it was last chosen for a task.
         std::string held_for; ///< A suspect that is to start there once that is quiet.
@@ -284,9 +284,9 @@
     void take_back_lapsed(const std::string& worker);
     void clear_if_outlived(const TaskId& id, Task& task);
     // Tasks suspected of it (scheduler_suspects.cpp).
-    void prove(Worker& worker, const TaskId& task);
+    void begin_trial(Worker& worker, const TaskId& task);
     bool is_on_trial(const Task& task, bool wary) const;
-    void refresh_proving(Worker& worker);
+    void refresh_trials(Worker& worker);
     std::vector<size_t> suspects_to_try(JobRecord& job, const Step& step);
     void place_suspects(JobRecord& job, Step& step, const std::vector<size_t>& suspects,
                         std::vector<WorkerRoom>& rooms);
--- a/src/jobs.lib/scheduler_crashes.cpp
+++ b/src/jobs.lib/scheduler_crashes.cpp
@@ -33,6 +33,7 @@
 constexpr Millis lapsed_remembered { 60000 };
 /// Workers that are lost within this time may have been lost for the same cause.
 constexpr Millis same_cause { 1500 };
+/// So many others make it likely.
 constexpr int others_of_same_cause = 2;
 /// So long the loss of a worker is remembered: its entry may linger in the list.
 constexpr Millis loss_remembered { 10000 };
@@ -94,6 +95,7 @@
     return before.suspicion() == Suspicion::likely && after.size() >= enough;
 }
 
+// Returns the worst that speaks against any of the tasks.
 Suspicion Scheduler::worst_suspicion(const std::vector<LostRun>& lost)
 {
     Suspicion worst = Suspicion::none;
@@ -106,6 +108,7 @@
     return worst;
 }
 
+// No task on trial explains the loss of the worker.
 void Scheduler::note_unexplained(const std::string& worker)
 {
     const Millis now = m_parts.loop.now();
@@ -144,6 +147,7 @@
     }));
 }
 
+// Remembers the loss of a worker with the tasks that were there.
 void Scheduler::hold_against(const std::vector<LostRun>& lost, const std::string& worker,
                              const char* reason, Loss loss)
 {
@@ -179,8 +183,8 @@
     }
 }
 
-// Returns whether the next leader should know what has changed by it. `worst` is what spoke
-// against any task that was lost with the worker.
+// Remembers it with one of them. `worst` is what spoke against any of them before. Returns
+// whether the next leader should know at once what has changed.
 bool Scheduler::hold_against(const LostRun& run, bool alone, Suspicion worst)
 {
     JobRecord* job = find_job(run.task.job);
@@ -207,6 +211,7 @@
     return true;
 }
 
+// The job has failed: the task is not started again.
 void Scheduler::give_up(JobRecord& job, const TaskId& id, const char* reason)
 {
     const CrashRecord& crashes = job.task(id)->crashes;
--- a/src/jobs.lib/scheduler_pass.cpp
+++ b/src/jobs.lib/scheduler_pass.cpp
@@ -280,7 +280,7 @@
     for (Worker* worker : m_numbered) {
         if (worker == nullptr)
             continue;
-        refresh_proving(*worker);
+        refresh_trials(*worker);
         refresh_row(*worker);
     }
 }
--- a/src/jobs.lib/scheduler_reports.cpp
+++ b/src/jobs.lib/scheduler_reports.cpp
@@ -142,7 +142,7 @@
     // A start that was taken for lost with another life has come about.
     task->crashes.take_back(running.run);
     if (task->crashes.suspicion() != Suspicion::none)
-        prove(worker, running.task);
+        begin_trial(worker, running.task);
     task->percent = running.percent;
     task->percent_at = now;
     task->listed_at = now;
--- a/src/jobs.lib/scheduler_start.cpp
+++ b/src/jobs.lib/scheduler_start.cpp
@@ -73,7 +73,7 @@
         worker.last_start = m_pass_begun;
         task.crashes.note_start();
         if (Step::suspicion(task, wary) != Suspicion::none)
-            prove(worker, id);
+            begin_trial(worker, id);
         occupy(worker, id, run, *step.spec, job.accepted().queue.priority);
     }
     record(job, [this, id = job.id(), repeat = step.repeat, index = step.index, run] {
--- a/src/jobs.lib/scheduler_suspects.cpp
+++ b/src/jobs.lib/scheduler_suspects.cpp
@@ -30,10 +30,11 @@
 
 } // namespace
 
-void Scheduler::prove(Worker& worker, const TaskId& task)
+// A suspect is about to start on the worker.
+void Scheduler::begin_trial(Worker& worker, const TaskId& task)
 {
-    worker.proving.insert(task.to_string());
-    refresh_proving(worker);
+    worker.on_trial.insert(task.to_string());
+    refresh_trials(worker);
 }
 
 // Returns whether a suspect has been started so lately that it may yet crash its worker.
@@ -44,23 +45,24 @@
 }
 
 // What is not there any more, or is cleared, holds up nothing else.
-void Scheduler::refresh_proving(Worker& worker)
+void Scheduler::refresh_trials(Worker& worker)
 {
-    if (worker.proving.empty())
+    if (worker.on_trial.empty())
         return;
     bool closes = false;
-    for (auto name = worker.proving.begin(); name != worker.proving.end();) {
+    for (auto name = worker.on_trial.begin(); name != worker.on_trial.end();) {
         const auto id = TaskId::parse(*name);
         JobRecord* job = find_job(id->job);
         const Task* task = job == nullptr ? nullptr : job->task(*id);
         const bool there = task != nullptr && task->worker == worker.session->id()
             && is_on_trial(*task, job->step(id->repeat, id->step)->wary());
         closes = closes || (there && task->crashes.suspicion() == Suspicion::likely);
-        name = there ? std::next(name) : worker.proving.erase(name);
+        name = there ? std::next(name) : worker.on_trial.erase(name);
     }
     worker.closed = closes && (worker.closed || may_close_another());
 }
 
+// Returns whether a further worker may be kept from other starts.
 bool Scheduler::may_close_another() const
 {
     const auto closed
@@ -121,11 +123,11 @@
     std::optional<Key> best;
     for (size_t i = 0; i < rooms.size(); ++i) {
         const Worker& worker = *find_worker(std::string(rooms[i].worker));
-        const bool shared = !worker.proving.empty() || !closes
+        const bool shared = !worker.on_trial.empty() || !closes
             || (likely && m_pass_begun - worker.last_start < fresh_run);
         if (shared && patient)
             continue;
-        const Key key { shared, !worker.proving.empty(), rooms[i].second_choice,
+        const Key key { shared, !worker.on_trial.empty(), rooms[i].second_choice,
                         worker.load.occupants().size(), i };
         if (!best || key < *best)
             best = key;
@@ -133,6 +135,7 @@
     return best ? std::get<4>(*best) : rooms.size();
 }
 
+// Returns the worker that is held for the task; none if there is none.
 Scheduler::Worker* Scheduler::held_for(const std::string& task)
 {
     for (auto& [id, worker] : m_workers) {
@@ -160,7 +163,7 @@
                 && known->second.holds(worker.last_start + fresh_run));
         const bool better = best == nullptr
             || worker.load.occupants().size() < best->load.occupants().size();
-        if (ticket_lasts && worker.proving.empty() && better)
+        if (ticket_lasts && worker.on_trial.empty() && better)
             best = &worker;
     }
     if (best == nullptr)
@@ -243,7 +246,7 @@
     std::vector<WorkerRoom> apart;
     int fit = 0;
     for (const WorkerRoom& room : rooms) {
-        if (!find_worker(std::string(room.worker))->proving.empty())
+        if (!find_worker(std::string(room.worker))->on_trial.empty())
             continue;
         apart.push_back(room);
         fit += tasks_that_fit(*step.spec, room);
