--- /dev/null
+++ b/src/jobs.lib/lost_workers_test.cpp
@@ -0,0 +1,33 @@
+// Copyright the pathport authors.
+// SPDX-License-Identifier: Apache-2.0
+
+/// \file
+/// Random schedules in which workers start again under their ids and their rooms change,
+/// while nodes are killed, frozen and suspended.
+
+#define BOOST_TEST_MODULE lost_workers
+#include <boost/test/unit_test.hpp>
+
+#include "cell_fixture.h"
+#include "random_schedule.h"
+
+using namespace pathport;
+using namespace pathport::cell_tests;
+
+BOOST_TEST_GLOBAL_FIXTURE(QuietLog);
+
+BOOST_AUTO_TEST_CASE(workers_restart_under_their_ids_in_random_schedules)
+{
+    constexpr uint64_t first = 940000;
+    constexpr uint64_t schedules = 8;
+    for (const int style : { 7, 8, 9 })
+        expect_schedules_clean(style, first, schedules);
+}
+
+BOOST_AUTO_TEST_CASE(rooms_change_and_machines_are_suspended_in_random_schedules)
+{
+    constexpr uint64_t first = 955000;
+    constexpr uint64_t schedules = 3;
+    for (const int style : { 12, 13 })
+        expect_schedules_clean(style, first, schedules);
+}
