A start that its worker survives does not count against a suspected task

What callers saw: a job shown as failed, though its task crashes nothing. It went down with four workers beside tasks that do (lives 2.4 s, 0.5 s, 74 ms, 2 ms); of the two tries that are left after three losses the first went down with a fifth worker beside a likely suspect, the second ended as failed, by itself, and both counted, so it was given up as not cleared. Cause: a try was counted by its start alone, also when its run then failed and its worker lived on. A task that crashes its workers does not end so, and failures are bounded by themselves (the queue's attempts). Such a try is withdrawn now. Ruled out: counting only losses of like lives, since nothing says that a task crashes its workers after a fixed time.

--- a/src/jobs.lib/crash_record.cpp
+++ b/src/jobs.lib/crash_record.cpp
@@ -71,7 +71,7 @@
     m_tries += m_runs.size() >= workers_lost_at_most ? 1 : 0;
 }
 
-void CrashRecord::start_came_to_nothing()
+void CrashRecord::withdraw_start()
 {
     m_tries = std::max(0, m_tries - 1);
 }
--- a/src/jobs.lib/crash_record.h
+++ b/src/jobs.lib/crash_record.h
@@ -67,7 +67,10 @@
     /// Notes a start, which counts once enough workers were lost.
     void note_start();
     /// Notes that a start came to nothing at its worker.
-    void start_came_to_nothing();
+    void start_came_to_nothing() { withdraw_start(); }
+    /// Notes that the run of a start failed by itself and its worker lived on: a task that
+    /// crashes its workers does not end so, and failures are bounded by themselves.
+    void start_was_harmless() { withdraw_start(); }
     /// Returns the starts that count.
     int tries() const { return m_tries; }
     /// Returns whether the task is not to be started any more: enough workers were lost
@@ -91,6 +94,7 @@
     }
 
 private:
+    void withdraw_start();
     Millis longest_life() const;
 
     std::vector<CrashedRun> m_runs;
--- a/src/jobs.lib/crash_record_test.cpp
+++ b/src/jobs.lib/crash_record_test.cpp
@@ -93,6 +93,22 @@
     BOOST_TEST(record.tries() == 0);
 }
 
+// Beside others that crash their workers a good task goes down with one after the other;
+// where it fails by itself, its worker lives on, and that start speaks for it.
+BOOST_AUTO_TEST_CASE(a_start_that_its_worker_survives_does_not_count)
+{
+    CrashRecord record;
+    for (int64_t run = 1; run <= 4; ++run)
+        record.add({ run, long_after / run });
+    record.note_start();
+    record.note_start();
+    BOOST_TEST(record.spent());
+    record.start_was_harmless();
+    BOOST_TEST(!record.spent());
+    record.note_start();
+    BOOST_TEST(record.spent());
+}
+
 BOOST_AUTO_TEST_CASE(lives_are_compared)
 {
     CrashRecord record;
--- a/src/jobs.lib/scheduler_reports.cpp
+++ b/src/jobs.lib/scheduler_reports.cpp
@@ -299,6 +299,8 @@
     task.failed_at = m_parts.loop.now();
     if (task.crashes.cleared_by_end_after(task.failed_at - task.ordered_at))
         task.crashes.clear();
+    else
+        task.crashes.start_was_harmless();
     release(task);
     step.failed_workers.insert(worker.session->id());
     // What fails on several workers fails by its own fault.
