--- /dev/null
+++ b/src/callers.lib/workspace.cpp
@@ -0,0 +1,95 @@
+// Copyright the pathport authors.
+// SPDX-License-Identifier: Apache-2.0
+
+#include <pathport/callers/workspace.h>
+
+#include <algorithm>
+
+namespace pathport::callers {
+
+namespace {
+
+int tasks_of_kind(int64_t need, int64_t free, int64_t bound, int most)
+{
+    if (bound <= 0 || need <= 0)
+        return most;
+    return static_cast<int>(std::clamp<int64_t>(free / need, 0, most));
+}
+
+} // namespace
+
+int tasks_within(const Resources& need, const Resources& free, const Resources& bound,
+                 int most)
+{
+    most = tasks_of_kind(need.cpu_millis, free.cpu_millis, bound.cpu_millis, most);
+    most = tasks_of_kind(need.memory_mb, free.memory_mb, bound.memory_mb, most);
+    return tasks_of_kind(need.accelerators, free.accelerators, bound.accelerators, most);
+}
+
+const char* to_string(WorkspaceFault fault)
+{
+    switch (fault) {
+    case WorkspaceFault::unreadable:
+        return "unreadable";
+    case WorkspaceFault::no_name:
+        return "no_name";
+    case WorkspaceFault::repeated_name:
+        return "repeated_name";
+    case WorkspaceFault::bad_weight:
+        return "bad_weight";
+    case WorkspaceFault::bad_bound:
+        return "bad_bound";
+    case WorkspaceFault::bad_key:
+        return "bad_key";
+    case WorkspaceFault::shared_key:
+        break;
+    }
+    return "shared_key";
+}
+
+std::optional<WorkspaceFault> Workspaces::add(const Workspace& workspace)
+{
+    if (workspace.name.empty())
+        return WorkspaceFault::no_name;
+    if (find(workspace.name) != nullptr)
+        return WorkspaceFault::repeated_name;
+    m_all.push_back(workspace);
+    return std::nullopt;
+}
+
+std::optional<WorkspaceFault> Workspaces::add_key(std::string_view key)
+{
+    if (key.empty() || key.size() > max_key_bytes)
+        return WorkspaceFault::bad_key;
+    return add_digest(m_hasher.digest(key));
+}
+
+std::optional<WorkspaceFault> Workspaces::add_digest(const KeyDigest& digest)
+{
+    const size_t holder = m_all.size() - 1;
+    const auto [entry, added] = m_holders.try_emplace(digest, holder);
+    if (!added && entry->second != holder)
+        return WorkspaceFault::shared_key;
+    return std::nullopt;
+}
+
+const Workspace* Workspaces::find(const std::string& name) const
+{
+    const auto found
+        = std::find_if(m_all.begin(), m_all.end(),
+                       [&](const Workspace& workspace) { return workspace.name == name; });
+    return found == m_all.end() ? nullptr : &*found;
+}
+
+const Workspace* Workspaces::holder(std::string_view key) const
+{
+    const auto found = m_holders.find(m_hasher.digest(key));
+    return found == m_holders.end() ? nullptr : &m_all[found->second];
+}
+
+std::vector<std::pair<KeyDigest, size_t>> Workspaces::digests() const
+{
+    return { m_holders.begin(), m_holders.end() };
+}
+
+} // namespace pathport::callers
--- a/src/emulator.lib/cell.cpp
+++ b/src/emulator.lib/cell.cpp
@@ -267,9 +267,13 @@
 }
 
 void Cell::submit_on(const std::string& queue, const std::string& id,
-                     const jobs::JobSpec& spec, const std::vector<TaskFacts>& facts)
+                     const jobs::JobSpec& spec, const std::vector<TaskFacts>& facts,
+                     const std::string& key)
 {
     describe(id, spec, facts, *store.configuration().by_name(queue));
+    m_jobs[id].key = key;
+    m_jobs[id].workspace = m_changes.back().holder(key);
+    workers.owned_by(id, m_jobs[id].workspace);
     try_submit(id, 0);
 }
 
@@ -310,7 +314,7 @@
     ClientJob& job = m_jobs[id];
     if (job.accepted)
         return;
-    if (tries == most_tries) {
+    if (tries >= most_tries) {
         if (!job.doubtful)
             workers.refused(id);
         return;
@@ -320,24 +324,21 @@
         world.after(resubmit_pause, [this, id, tries] { try_submit(id, tries + 1); });
         return;
     }
+    const auto caller = admit(name_of(*process), *process, job.queue, job.key);
+    if (!caller || caller->workspace() != job.workspace) {
+        // Denied, or the key has moved: whoever has it now would hand in another's job.
+        world.after(resubmit_pause, [this, id, tries] { try_submit(id, tries + 1); });
+        return;
+    }
     const auto answered = std::make_shared<bool>(false);
-    process->node->submit(job.queue, id, job.spec, world.now(), client_limit,
-                          [this, id, tries, answered](ClientStatus status) {
-                              if (*answered)
-                                  return;
-                              *answered = true;
-                              ClientJob& handed = m_jobs[id];
-                              if (status == ClientStatus::ok) {
-                                  handed.accepted = true;
-                                  handed.accepted_at = world.now();
-                              }
-                              if (status == ClientStatus::in_doubt)
-                                  handed.doubtful = true;
-                              if (status != ClientStatus::ok)
-                                  world.after(resubmit_pause, [this, id, tries] {
-                                      try_submit(id, tries + 1);
-                                  });
-                          });
+    process->node->submit(
+        job.queue, id, job.spec, world.now(), client_limit,
+        [this, id, tries, answered](ClientStatus status) {
+            if (!*answered)
+                submit_answered(id, tries, status);
+            *answered = true;
+        },
+        *caller);
     world.after(client_limit, [this, id, tries, answered] {
         if (*answered)
             return;
@@ -347,13 +348,31 @@
     });
 }
 
+void Cell::submit_answered(const std::string& id, int tries, ClientStatus status)
+{
+    ClientJob& job = m_jobs[id];
+    if (status == ClientStatus::ok) {
+        job.accepted = true;
+        job.accepted_at = world.now();
+        return;
+    }
+    if (status == ClientStatus::in_doubt)
+        job.doubtful = true;
+    if (status == ClientStatus::id_taken)
+        workers.breach("the id of " + id + " is said to be another's");
+    if (status == ClientStatus::over_bound)
+        tries = most_tries; // It won't become narrower.
+    world.after(resubmit_pause, [this, id, tries] { try_submit(id, tries + 1); });
+}
+
 void Cell::submit_again(const std::string& id)
 {
     const ClientJob& job = m_jobs[id];
     NodeProcess* process = any_running();
     if (process != nullptr)
-        process->node->submit(job.queue, id, job.spec, world.now(), client_limit,
-                              [](ClientStatus) {});
+        process->node->submit(
+            job.queue, id, job.spec, world.now(), client_limit, [](ClientStatus) {},
+            caller_of(job));
 }
 
 void Cell::cancel(const std::string& id)
@@ -362,13 +381,16 @@
     if (process == nullptr)
         return;
     m_jobs[id].cancel_asked = true;
-    process->node->cancel(id, world.now(), client_limit, [this, id](ClientStatus status) {
-        if (status != ClientStatus::ok)
-            return;
-        m_jobs[id].canceled = true;
-        m_jobs[id].canceled_at = world.now();
-        workers.canceled(id);
-    });
+    process->node->cancel(
+        id, world.now(), client_limit,
+        [this, id](ClientStatus status) {
+            if (status != ClientStatus::ok)
+                return;
+            m_jobs[id].canceled = true;
+            m_jobs[id].canceled_at = world.now();
+            workers.canceled(id);
+        },
+        caller_of(m_jobs[id]));
 }
 
 std::optional<jobs::JobState> Cell::ask_state(const std::string& id)
@@ -377,11 +399,13 @@
     if (process == nullptr)
         return std::nullopt;
     const auto answer = std::make_shared<std::optional<jobs::JobState>>();
-    process->node->query(id, world.now(), client_limit,
-                         [answer](ClientStatus status, jobs::JobState state) {
-                             if (status == ClientStatus::ok)
-                                 *answer = state;
-                         });
+    process->node->query(
+        id, world.now(), client_limit,
+        [answer](ClientStatus status, jobs::JobState state) {
+            if (status == ClientStatus::ok)
+                *answer = state;
+        },
+        caller_of(m_jobs[id]));
     world.run_for(client_limit);
     return *answer;
 }
--- a/src/emulator.lib/cell_configuration.cpp
+++ b/src/emulator.lib/cell_configuration.cpp
@@ -27,7 +27,9 @@
 void Cell::configure(const jobs::Configuration& configuration)
 {
     store.configure(configuration);
-    m_changes.push_back({ configuration.version, world.now() });
+    m_changes.push_back({ configuration.version, world.now(),
+                          m_changes.empty() ? std::vector<WorkspaceFacts>()
+                                            : m_changes.back().workspaces });
 }
 
 void Cell::out_of_touch(Millis span)
--- /dev/null
+++ b/src/emulator.lib/worker_bounds.cpp
@@ -0,0 +1,89 @@
+// Copyright the pathport authors.
+// SPDX-License-Identifier: Apache-2.0
+
+/// \file
+/// What workspaces have running over all workers, against the bounds that may be in force.
+
+#include <pathport/emulator/workers.h>
+
+namespace pathport::emulator {
+
+namespace {
+
+/// A start is too much when it takes what runs above the bound by more than a tenth and one
+/// task.
+constexpr int64_t overage_divisor = 10;
+
+bool exceeds(int64_t running, int64_t bound, int64_t need)
+{
+    return bound > 0 && need > 0 && running > bound + bound / overage_divisor + need;
+}
+
+bool is_half(int64_t running, int64_t bound)
+{
+    return bound > 0 && 2 * running >= bound;
+}
+
+std::string text_of(const Resources& sum)
+{
+    return std::to_string(sum.cpu_millis) + "/" + std::to_string(sum.memory_mb) + "/"
+        + std::to_string(sum.accelerators);
+}
+
+} // namespace
+
+void Workers::owned_by(const std::string& job, const std::string& workspace)
+{
+    m_owners[job] = workspace;
+}
+
+const std::string& Workers::workspace_of(const std::string& job) const
+{
+    static const std::string none;
+    const auto found = m_owners.find(job);
+    return found == m_owners.end() ? none : found->second;
+}
+
+Resources Workers::running_for(const std::string& workspace) const
+{
+    Resources sum;
+    for (const auto& [id, life] : m_lives) {
+        if (!life.up)
+            continue;
+        for (const auto& [name, run] : life.running) {
+            if (workspace_of(run.task.job) == workspace)
+                sum = sum + facts(run.task).need;
+        }
+    }
+    return sum;
+}
+
+void Workers::check_bound(const jobs::TaskId& started)
+{
+    const std::string& workspace = workspace_of(started.job);
+    if (workspace.empty() || !bound_of)
+        return;
+    const Resources bound = bound_of(workspace);
+    const Resources need = facts(started).need;
+    const Resources running = running_for(workspace);
+    const bool over = exceeds(running.cpu_millis, bound.cpu_millis, need.cpu_millis)
+        || exceeds(running.memory_mb, bound.memory_mb, need.memory_mb)
+        || exceeds(running.accelerators, bound.accelerators, need.accelerators);
+    if (over)
+        breach("over the bound " + text_of(bound) + " of " + workspace + " by "
+               + started.to_string() + ", which has " + text_of(running));
+}
+
+bool Workers::holds_half_its_bound(const std::string& job) const
+{
+    const std::string& workspace = workspace_of(job);
+    if (workspace.empty() || !bound_of)
+        return false;
+    const Resources bound = bound_of(workspace);
+    const Resources running = running_for(workspace);
+    return is_half(running.cpu_millis, bound.cpu_millis)
+        || is_half(running.memory_mb, bound.memory_mb)
+        || is_half(running.accelerators, bound.accelerators);
+}
+
+} // namespace pathport::emulator
--- a/src/emulator.lib/worker_liveness.cpp
+++ b/src/emulator.lib/worker_liveness.cpp
@@ -101,7 +101,7 @@
 
 bool Workers::stands(const std::string& job, int steps) const
 {
-    if (!half_free() || runs_any(job))
+    if (!half_free() || runs_any(job) || holds_half_its_bound(job))
         return false;
     for (int step = 0; step < steps; ++step) {
         const TaskFacts& known = facts({ job, 0, step, 0 });
--- a/src/emulator.lib/workers.cpp
+++ b/src/emulator.lib/workers.cpp
@@ -242,6 +242,7 @@
         begin_gang(order.task, order.run);
     if (!fits(*life))
         breach("over the room of " + id + " by " + name + ", which runs" + names_on(*life));
+    check_bound(order.task);
     return answer;
 }
 
--- a/src/include/pathport/async_http.h
+++ b/src/include/pathport/async_http.h
@@ -30,6 +30,8 @@
     std::string target; ///< Path and query as sent.
     std::string host; ///< The Host header.
     std::string body;
+    /// Of the headers that the server was told to keep, those that the request has.
+    HeaderList headers;
     Millis received; ///< When its last byte was read.
     Millis time_limit; ///< From the header `X-Deadline-Ms`; 0 when it is absent.
 };
@@ -79,6 +81,8 @@
 
     /// Starts listening; returns false when the address can't be used.
     bool start();
+    /// From now on requests hold all headers of this name.
+    void keep_header(const std::string& name);
     /// From now on each connection is closed after its next answer.
     void close_after_answers();
     /// Closes the listener; open connections end after their present answer.
--- a/src/include/pathport/emulator/cell.h
+++ b/src/include/pathport/emulator/cell.h
@@ -28,6 +28,8 @@
     jobs::Queue queue;
     jobs::JobSpec spec;
     std::vector<TaskFacts> facts;
+    std::string key; ///< That its client brings.
+    std::string workspace; ///< That the key was of when it was handed in first.
     bool accepted = false; ///< It was told so.
     bool doubtful = false; ///< An attempt got no clear answer.
     bool cancel_asked = false;
@@ -38,10 +40,20 @@
     Millis stands_since; ///< Since when it could run and doesn't; zero when it does.
 };
 
+/// A workspace as the operators have it.
+struct WorkspaceFacts {
+    callers::Workspace workspace;
+    std::vector<std::string> keys;
+};
+
 /// A configuration that the operators have written.
 struct ConfigurationChange {
     int64_t version = 0;
     Millis at;
+    std::vector<WorkspaceFacts> workspaces {};
+
+    /// Returns the workspace that has the key, or "".
+    std::string holder(const std::string& key) const;
 };
 
 /// The cell.
@@ -75,6 +87,12 @@
     void silence_connections(int kept);
     /// The operators write a configuration.
     void configure(const jobs::Configuration& configuration);
+    /// The operators write one with these workspaces. From then on each call brings a key.
+    void configure_workspaces(const std::vector<WorkspaceFacts>& workspaces);
+    const std::vector<WorkspaceFacts>& workspaces() const
+    {
+        return m_changes.back().workspaces;
+    }
     /// Returns the version of the configuration that a node goes by, or 0.
     int64_t configuration_version(const std::string& node);
     /// The store is in trouble for `span` from now on; no node counts as in touch meanwhile
@@ -96,9 +114,13 @@
     /// Hands in a job at a node that runs, and again elsewhere after an unclear answer.
     void submit(const std::string& id, const jobs::JobSpec& spec,
                 const std::vector<TaskFacts>& facts, bool advised);
-    /// Hands in a job on the queue of that name.
+    /// Hands in a job on the queue of that name, with a key if it isn't empty.
     void submit_on(const std::string& queue, const std::string& id,
-                   const jobs::JobSpec& spec, const std::vector<TaskFacts>& facts);
+                   const jobs::JobSpec& spec, const std::vector<TaskFacts>& facts,
+                   const std::string& key = "");
+    /// Asks any node, with another workspace's key, for the state of a job, and has it
+    /// cancelled; notes a breach if that tells or changes anything.
+    void pry(const std::string& id, const std::string& key);
     /// Hands in a job at this node only and waits for the answer, in virtual time; nothing
     /// when the node does not run or does not answer.
     std::optional<jobs::ClientStatus> submit_at(const std::string& node,
@@ -137,6 +159,15 @@
     void describe(const std::string& id, const jobs::JobSpec& spec,
                   const std::vector<TaskFacts>& facts, const jobs::Queue& queue);
     void try_submit(const std::string& id, int tries);
+    void submit_answered(const std::string& id, int tries, jobs::ClientStatus status);
+    // Callers (cell_callers.cpp).
+    std::optional<callers::Caller> admit(const std::string& node, NodeProcess& process,
+                                         const jobs::Queue& queue, const std::string& key);
+    void check_admission(const std::string& node, NodeProcess& process,
+                         const std::string& key, const callers::CallerCheck& check);
+    std::string name_of(const NodeProcess& process) const;
+    callers::Caller caller_of(const ClientJob& job) const;
+    Resources highest_bound(const std::string& workspace) const;
     void check_state(const std::string& id, const ClientJob& job,
                      std::vector<std::string>& wrong);
     // The configuration (cell_configuration.cpp).
--- a/src/include/pathport/emulator/workers.h
+++ b/src/include/pathport/emulator/workers.h
@@ -102,6 +102,14 @@
     /// The advisor lets so many in ten workers run a step.
     uint64_t allowed_tenths = 7;
 
+    /// Returns the highest bound of a workspace that may be in force; all kinds 0 for none.
+    std::function<Resources(const std::string&)> bound_of;
+
+    /// Tells whose a job is.
+    void owned_by(const std::string& job, const std::string& workspace);
+    /// Notes a breach that was seen elsewhere.
+    void breach(const std::string& text);
+
     /// Adds a worker and returns its id.
     std::string add(const std::string& service, Resources capacity);
     /// Ends a life; another one with a new id comes at its address after `pause`.
@@ -237,7 +245,11 @@
     void step(Life& life);
     void tick();
     void end(Life& life, const std::string& task, jobs::EndKind kind);
-    void breach(const std::string& text);
+    // Bounds of workspaces (worker_bounds.cpp).
+    Resources running_for(const std::string& workspace) const;
+    const std::string& workspace_of(const std::string& job) const;
+    void check_bound(const jobs::TaskId& started);
+    bool holds_half_its_bound(const std::string& job) const;
     const TaskFacts& facts(const jobs::TaskId& task) const;
     Resources used(const Life& life) const;
     // Faults and checkpoints (worker_faults.cpp).
@@ -272,6 +284,7 @@
     std::map<std::string, TaskHistory> m_history;
     std::map<std::string, Millis> m_canceled;
     std::set<std::string> m_refused;
+    std::map<std::string, std::string> m_owners; ///< Workspaces by job.
     std::vector<std::string> m_breaches;
     int m_last_id = 0;
     int64_t m_questions = 0;
--- a/src/include/pathport/jobs/job_model.h
+++ b/src/include/pathport/jobs/job_model.h
@@ -6,6 +6,7 @@
 
 #pragma once
 
+#include <pathport/callers/workspace.h>
 #include <pathport/clock.h>
 #include <pathport/failure.h>
 #include <pathport/model.h>
@@ -89,6 +90,7 @@
     double stretch = 1; ///< Allowed multiple of the job's longest chain of work.
     int64_t slo_ms = 0; ///< Allowed time beyond it.
     int64_t timeout_ms = 3000; ///< Longest time that a client's call may take.
+    bool is_public = false; ///< Callers need no key, where keys are asked for at all.
     std::optional<AdviceRule> advice;
 
     bool operator==(const Queue& other) const;
@@ -99,6 +101,8 @@
     int64_t version = 0;
     std::vector<Queue> queues;
     std::vector<std::string> services;
+    /// Who may call; nothing in a cell that does not tell its callers apart.
+    std::optional<callers::Workspaces> workspaces;
     int64_t max_header_bytes = 16384;
     int64_t max_body_bytes = 1048576;
 
@@ -114,6 +118,7 @@
 struct AcceptedJob {
     std::string id;
     Queue queue; ///< As it was when the job was accepted.
+    std::string workspace; ///< Whose it is; "" for nobody's.
     JobSpec spec;
     int64_t accepted_ms = 0; ///< Time of the store's clock.
 
@@ -191,6 +196,8 @@
 
 /// Encodes an accepted job for its row.
 std::string encode(const AcceptedJob& job);
+/// Returns the workspace of the job that a row holds, "" when it has none or is malformed.
+std::string workspace_of_job_row(const std::string& text);
 /// Decodes an accepted job; returns nothing and sets `reason` when it is malformed.
 std::optional<AcceptedJob> decode_accepted_job(const std::string& id,
                                                const std::string& text, Failure& reason);
--- a/src/include/pathport/jobs/job_node.h
+++ b/src/include/pathport/jobs/job_node.h
@@ -7,6 +7,7 @@
 
 #pragma once
 
+#include <pathport/callers/caller.h>
 #include <pathport/event_loop.h>
 #include <pathport/jobs/job_model.h>
 #include <pathport/jobs/job_store.h>
@@ -66,6 +67,8 @@
     in_doubt, ///< It may have been done; ask again.
     not_found, ///< There is no such job.
     unavailable, ///< Nobody can say at present; come back later.
+    id_taken, ///< A job of another workspace has this id; not done and never will be.
+    over_bound, ///< It needs more at once than its workspace may have; it never runs.
 };
 
 /// Answers a hand-in or a cancellation.
@@ -105,14 +108,21 @@
     /// From now on `listener` is told of each configuration that comes into force.
     void on_configuration(std::function<void(const Configuration&)> listener);
 
-    /// Hands in a job. `received` is when the call came, `limit` the time that its client
-    /// waits, 0 when unknown.
+    /// Finds out who makes a call on a queue of the configuration.
+    callers::CallerCheck check_caller(const Configuration& configuration,
+                                      const Queue& queue, const callers::PresentedKey& key);
+
+    /// Hands in a job for `caller`, whose workspace's it becomes. `received` is when the
+    /// call came, `limit` the time that its client waits, 0 when unknown.
     void submit(const Queue& queue, const std::string& id, const JobSpec& spec,
-                Millis received, Millis limit, ClientReply done);
-    /// Cancels a job.
-    void cancel(const std::string& id, Millis received, Millis limit, ClientReply done);
-    /// Asks for the state of a job.
-    void query(const std::string& id, Millis received, Millis limit, StateReply done);
+                Millis received, Millis limit, ClientReply done,
+                const callers::Caller& caller = {});
+    /// Cancels a job. For a caller that may not see it there is none.
+    void cancel(const std::string& id, Millis received, Millis limit, ClientReply done,
+                const callers::Caller& caller = {});
+    /// Asks for the state of a job. For a caller that may not see it there is none.
+    void query(const std::string& id, Millis received, Millis limit, StateReply done,
+               const callers::Caller& caller = {});
     /// Asks how many jobs of a queue have not begun.
     void count_pending(const Queue& queue, Millis received, Millis limit, CountReply done);
 
--- a/src/jobs.lib/acceptor.cpp
+++ b/src/jobs.lib/acceptor.cpp
@@ -3,6 +3,7 @@
 
 #include "acceptor.h"
 
+#include "job_record.h"
 #include "store_keys.h"
 
 #include <algorithm>
@@ -38,40 +39,49 @@
 {
 }
 
-void Acceptor::accept(const std::string& id, const std::string& row, Millis give_up,
-                      WriteReply done)
+void Acceptor::accept(const std::string& id, const std::string& row,
+                      const std::string& workspace, Millis give_up, WriteReply done)
 {
     auto entry = std::make_shared<Entry>();
     entry->id = id;
     entry->row = job_row(id);
     entry->is_job = true;
     entry->value = row;
+    entry->workspace = workspace;
     entry->give_up = give_up;
     entry->done.push_back(std::move(done));
     add(job_part(id), std::move(entry));
 }
 
 // A job that is closed needs no cancellation.
-void Acceptor::cancel(const std::string& id, Millis give_up, WriteReply done)
+void Acceptor::cancel(const std::string& id, const callers::Caller& caller, Millis give_up,
+                      WriteReply done)
 {
-    look_up(job_row(id), give_up, [this, id, give_up, done](Presence job) {
-        if (job == Presence::untold) {
-            done({ WriteOutcome::refused });
-            return;
-        }
-        if (job == Presence::open) {
-            record_cancel(id, give_up, done);
-            return;
-        }
-        look_up(closed_row(id), give_up, [done](Presence closed) {
-            WriteResult result { WriteOutcome::written };
-            if (closed == Presence::missing)
-                result.outcome = WriteOutcome::missing;
-            if (closed == Presence::untold)
-                result.outcome = WriteOutcome::refused;
-            done(result);
-        });
-    });
+    const auto from_open
+        = [this, id, caller, give_up, done](Presence job, const std::string& owner) {
+              if (job == Presence::untold) {
+                  done({ WriteOutcome::refused });
+                  return;
+              }
+              if (job == Presence::open && !caller.may_see(owner)) {
+                  done({ WriteOutcome::missing });
+                  return;
+              }
+              if (job == Presence::open) {
+                  record_cancel(id, give_up, done);
+                  return;
+              }
+              look_up(closed_row(id), give_up,
+                      [caller, done](Presence closed, const std::string& of) {
+                          WriteResult result { WriteOutcome::written };
+                          if (closed == Presence::missing || !caller.may_see(of))
+                              result.outcome = WriteOutcome::missing;
+                          if (closed == Presence::untold)
+                              result.outcome = WriteOutcome::refused;
+                          done(result);
+                      });
+          };
+    look_up(job_row(id), give_up, from_open);
 }
 
 void Acceptor::record_cancel(const std::string& id, Millis give_up, WriteReply done)
@@ -86,8 +96,7 @@
 }
 
 // Says whether the row is there, trying until `give_up`.
-void Acceptor::look_up(const RowKey& row, Millis give_up,
-                       std::function<void(Presence)> done)
+void Acceptor::look_up(const RowKey& row, Millis give_up, LookUpReply done)
 {
     StoreRange range;
     range.table = row.table;
@@ -99,13 +108,19 @@
                  m_lifetime.wrap([this, row, give_up, done](const StoreResult& result) {
                      if (result.status == StoreStatus::ok) {
                          const bool closed = row.table == closed_table;
-                         done(result.rows.empty() ? Presence::missing
-                                  : closed        ? Presence::closed
-                                                  : Presence::open);
+                         if (result.rows.empty()) {
+                             done(Presence::missing, "");
+                             return;
+                         }
+                         const std::string& value = result.rows.front().value;
+                         if (closed)
+                             done(Presence::closed, workspace_of_final_progress(value));
+                         else
+                             done(Presence::open, workspace_of_job_row(value));
                          return;
                      }
                      if (m_loop.now() >= give_up || m_store.failing()) {
-                         done(Presence::untold);
+                         done(Presence::untold, "");
                          return;
                      }
                      m_loop.after(refused_pause,
@@ -175,7 +190,7 @@
         for (const EntryPtr& entry : sent)
             finish(entry,
                    { WriteOutcome::written, result.version, WriteEvidence::answer,
-                     entry->value });
+                     entry->value, entry->workspace });
     } else {
         if (result.status == StoreStatus::refused)
             pause = refused_pause;
@@ -228,9 +243,13 @@
             continue;
         if (row.id == entry.row)
             return WriteResult { WriteOutcome::written, row.version, WriteEvidence::row,
-                                 row.value };
+                                 row.value, workspace_of_job_row(row.value) };
         if (entry.is_job && row.id == closed_row(entry.id))
-            return WriteResult { WriteOutcome::written, 0, WriteEvidence::row };
+            return WriteResult { WriteOutcome::written,
+                                 0,
+                                 WriteEvidence::row,
+                                 {},
+                                 workspace_of_final_progress(row.value) };
     }
     return std::nullopt;
 }
--- a/src/jobs.lib/acceptor.h
+++ b/src/jobs.lib/acceptor.h
@@ -11,6 +11,7 @@
 #include "store_health.h"
 #include "store_writer.h"
 
+#include <pathport/callers/caller.h>
 #include <pathport/event_loop.h>
 #include <pathport/jobs/job_store.h>
 
@@ -47,6 +48,7 @@
     int64_t version = 0;
     WriteEvidence evidence = WriteEvidence::none;
     std::string row {};
+    std::string workspace {}; ///< Whose job is in the store under the id.
 };
 
 /// Returns the lower-case name of `evidence`.
@@ -59,12 +61,14 @@
 public:
     Acceptor(EventLoop& loop, StoreHealth& store);
 
-    /// Writes the row of a job if it isn't there, trying until `give_up`. While the store
-    /// is away it is refused at once, so that its client can go elsewhere.
-    void accept(const std::string& id, const std::string& row, Millis give_up,
+    /// Writes the row of a job of `workspace` if it isn't there, trying until `give_up`.
+    /// While the store is away it is refused at once, so that its client can go elsewhere.
+    void accept(const std::string& id, const std::string& row, const std::string& workspace,
+                Millis give_up, WriteReply done);
+    /// Writes a cancellation if the job is there and `caller` may see it, trying until
+    /// `give_up`.
+    void cancel(const std::string& id, const callers::Caller& caller, Millis give_up,
                 WriteReply done);
-    /// Writes a cancellation if the job is there, trying until `give_up`.
-    void cancel(const std::string& id, Millis give_up, WriteReply done);
 
 private:
     struct Entry {
@@ -72,6 +76,7 @@
         RowKey row;
         bool is_job = false; ///< Not a cancellation.
         std::string value;
+        std::string workspace;
         Millis give_up;
         bool in_doubt = false; ///< It was sent without an answer.
         std::vector<WriteReply> done;
@@ -94,7 +99,8 @@
 
     /// What the store says of a job.
     enum class Presence { open, closed, missing, untold };
-    void look_up(const RowKey& row, Millis give_up, std::function<void(Presence)> done);
+    using LookUpReply = std::function<void(Presence, const std::string& workspace)>;
+    void look_up(const RowKey& row, Millis give_up, LookUpReply done);
     void record_cancel(const std::string& id, Millis give_up, WriteReply done);
 
     EventLoop& m_loop;
--- a/src/jobs.lib/acceptor_test.cpp
+++ b/src/jobs.lib/acceptor_test.cpp
@@ -86,12 +86,12 @@
 
     void accept(const std::string& id)
     {
-        acceptor.accept(id, "row of " + id, world.now() + long_try,
+        acceptor.accept(id, "row of " + id, "", world.now() + long_try,
                         [this, id](WriteResult result) { outcomes[id] = result.outcome; });
     }
     void cancel(const std::string& id)
     {
-        acceptor.cancel(id, world.now() + long_try, [this, id](WriteResult result) {
+        acceptor.cancel(id, {}, world.now() + long_try, [this, id](WriteResult result) {
             outcomes[id + cancel_suffix] = result.outcome;
         });
     }
@@ -207,7 +207,7 @@
         store.trouble.lose = 0.6;
         store.trouble.late = true;
         for (const std::string& id : ids) {
-            acceptor.accept(id, "row of " + id, world.now() + long_try,
+            acceptor.accept(id, "row of " + id, "", world.now() + long_try,
                             [&store, &wrong, id](WriteResult result) {
                                 if (result.outcome == WriteOutcome::written
                                     && store.value(job_row(id)).empty())
@@ -301,7 +301,7 @@
             if (world.chance(0.2)) {
                 // A hand-in that is still under way may come after the cancellation looked.
                 const bool was_there = stored(job_row(id)) > 0;
-                node.cancel(id, world.now() + Millis(1200),
+                node.cancel(id, {}, world.now() + Millis(1200),
                             [&, id, was_there](WriteResult result) {
                                 if (result.outcome == WriteOutcome::written)
                                     BOOST_TEST((stored(cancel_row(id)) > 0
@@ -315,7 +315,7 @@
                 archive.removes.push_back(job_row(id));
                 store.write_now(archive);
             } else {
-                node.accept(id, "row" + std::to_string(i), world.now() + Millis(1200),
+                node.accept(id, "row" + std::to_string(i), "", world.now() + Millis(1200),
                             [&, id](WriteResult result) {
                                 results[id].push_back(result);
                                 if (result.outcome != WriteOutcome::written)
--- a/src/jobs.lib/cell_fixture.h
+++ b/src/jobs.lib/cell_fixture.h
@@ -87,7 +87,7 @@
 
 /// Hands in a job on the queue of that name.
 inline void submit(Cell& cell, const std::string& queue, const std::string& id,
-                   std::vector<TaskFacts> steps)
+                   std::vector<TaskFacts> steps, const std::string& key = "")
 {
     const jobs::Queue& found = *cell.store.configuration().by_name(queue);
     for (TaskFacts& facts : steps) {
@@ -95,7 +95,7 @@
         facts.advised = found.advice.has_value();
         facts.max_failures = found.max_failures;
     }
-    cell.submit_on(queue, id, spec_of(steps), steps);
+    cell.submit_on(queue, id, spec_of(steps), steps, key);
 }
 
 /// Returns a step of tasks in the sizes of the users' small ones.
--- a/src/jobs.lib/config_codec.cpp
+++ b/src/jobs.lib/config_codec.cpp
@@ -12,6 +12,51 @@
 
 using Json = nlohmann::json;
 
+namespace {
+
+/// The seed of the keys' digests, the workspaces, and each digest with the place of its
+/// workspace.
+Json encode_workspaces(const callers::Workspaces& workspaces)
+{
+    Json list = Json::array();
+    for (const callers::Workspace& workspace : workspaces.all()) {
+        const Resources& bound = workspace.bound;
+        list.push_back({ workspace.name, workspace.weight, workspace.priority,
+                         bound.cpu_millis, bound.memory_mb, bound.accelerators });
+    }
+    Json keys = Json::array();
+    for (const auto& [digest, place] : workspaces.digests())
+        keys.push_back({ digest.to_string(), place });
+    return { { "seed", workspaces.hasher().seed() },
+             { "list", std::move(list) },
+             { "keys", std::move(keys) } };
+}
+
+callers::Workspaces decode_workspaces(const Json& json)
+{
+    callers::Workspaces workspaces(callers::KeyHasher(json.at("seed").get<uint64_t>()));
+    const Json& list = json.at("list");
+    const Json& keys = json.at("keys");
+    for (size_t place = 0; place < list.size(); ++place) {
+        const Json& entry = list.at(place);
+        callers::Workspace workspace;
+        workspace.name = entry.at(0).get<std::string>();
+        workspace.weight = entry.at(1).get<double>();
+        workspace.priority = entry.at(2).get<int>();
+        workspace.bound = { entry.at(3).get<int64_t>(), entry.at(4).get<int64_t>(),
+                            entry.at(5).get<int64_t>() };
+        workspaces.add(workspace);
+        for (const Json& key : keys) {
+            const auto digest = callers::KeyDigest::parse(key.at(0).get<std::string>());
+            if (digest && key.at(1).get<size_t>() == place)
+                workspaces.add_digest(*digest);
+        }
+    }
+    return workspaces;
+}
+
+} // namespace
+
 std::string encode(const Configuration& configuration)
 {
     Json json;
@@ -23,13 +68,15 @@
     for (const Queue& queue : configuration.queues) {
         Json entry = Json::array({ queue.name, queue.host, queue.path_prefix, queue.service,
                                    queue.priority, queue.max_failures, queue.stretch,
-                                   queue.slo_ms, queue.timeout_ms });
+                                   queue.slo_ms, queue.timeout_ms, queue.is_public });
         if (queue.advice)
             entry.push_back({ queue.advice->decision_ms, queue.advice->per_worker_ms,
                               queue.advice->valid_ms });
         queues.push_back(std::move(entry));
     }
     json["queues"] = std::move(queues);
+    if (configuration.workspaces)
+        json["workspaces"] = encode_workspaces(*configuration.workspaces);
     return json.dump(-1, ' ', false, Json::error_handler_t::replace);
 }
 
@@ -53,14 +100,17 @@
             queue.stretch = entry.at(6).get<double>();
             queue.slo_ms = entry.at(7).get<int64_t>();
             queue.timeout_ms = entry.at(8).get<int64_t>();
-            if (entry.size() > 9) {
-                const Json& advice = entry.at(9);
+            queue.is_public = entry.at(9).get<bool>();
+            if (entry.size() > 10) {
+                const Json& advice = entry.at(10);
                 queue.advice
                     = AdviceRule { advice.at(0).get<double>(), advice.at(1).get<double>(),
                                    advice.at(2).get<int64_t>() };
             }
             configuration.queues.push_back(std::move(queue));
         }
+        if (json.contains("workspaces"))
+            configuration.workspaces = decode_workspaces(json.at("workspaces"));
         return configuration;
     } catch (const Json::exception&) {
         return std::nullopt;
--- a/src/jobs.lib/job_codec.cpp
+++ b/src/jobs.lib/job_codec.cpp
@@ -14,6 +14,8 @@
 
 using Json = nlohmann::json;
 
+const char* const workspace_key = "workspace";
+
 template <typename Value>
 void put(Json& json, const char* key, const Value& value, const Value& unless)
 {
@@ -107,6 +109,7 @@
     Json json;
     json["queue"] = to_json(job.queue);
     json["accepted_ms"] = job.accepted_ms;
+    put(json, workspace_key, job.workspace, std::string());
     json["payload"] = job.spec.payload;
     Json steps = Json::array();
     for (const StepSpec& step : job.spec.steps)
@@ -117,6 +120,15 @@
     return json.dump(-1, ' ', false, Json::error_handler_t::replace);
 }
 
+std::string workspace_of_job_row(const std::string& text)
+{
+    try {
+        return Json::parse(text).value(workspace_key, std::string());
+    } catch (const Json::exception&) {
+        return {};
+    }
+}
+
 std::optional<AcceptedJob> decode_accepted_job(const std::string& id,
                                                const std::string& text, Failure& reason)
 {
@@ -126,6 +138,7 @@
         job.id = id;
         job.queue = queue_from(json.at("queue"));
         job.accepted_ms = json.at("accepted_ms").get<int64_t>();
+        job.workspace = json.value(workspace_key, std::string());
         job.spec.payload = json.at("payload").get<std::string>();
         for (const Json& step : json.at("steps"))
             job.spec.steps.push_back(step_from(step));
--- a/src/jobs.lib/job_model.cpp
+++ b/src/jobs.lib/job_model.cpp
@@ -33,16 +33,16 @@
 bool Queue::operator==(const Queue& other) const
 {
     return std::tie(name, host, path_prefix, service, priority, max_failures, stretch,
-                    slo_ms, timeout_ms, advice)
+                    slo_ms, timeout_ms, is_public, advice)
         == std::tie(other.name, other.host, other.path_prefix, other.service,
                     other.priority, other.max_failures, other.stretch, other.slo_ms,
-                    other.timeout_ms, other.advice);
+                    other.timeout_ms, other.is_public, other.advice);
 }
 
 bool AcceptedJob::operator==(const AcceptedJob& other) const
 {
-    return std::tie(id, queue, spec, accepted_ms)
-        == std::tie(other.id, other.queue, other.spec, other.accepted_ms);
+    return std::tie(id, queue, workspace, spec, accepted_ms)
+        == std::tie(other.id, other.queue, other.workspace, other.spec, other.accepted_ms);
 }
 
 namespace {
--- a/src/jobs.lib/job_node.cpp
+++ b/src/jobs.lib/job_node.cpp
@@ -88,7 +88,8 @@
                            [this](const std::string& service) {
                                const auto known = configuration();
                                return !known || known->names_service(service);
-                           } };
+                           },
+                           [this] { return configuration(); } };
     std::vector<std::string> others;
     if (m_setup.mechanisms.uses(Mechanism::worker_relays))
         std::remove_copy(m_peers.begin(), m_peers.end(), std::back_inserter(others),
@@ -367,20 +368,30 @@
     m_impl->on_configuration(std::move(listener));
 }
 
+callers::CallerCheck JobNode::check_caller(const Configuration& configuration,
+                                           const Queue& queue,
+                                           const callers::PresentedKey& key)
+{
+    return m_impl->check_caller(configuration, queue, key);
+}
+
 void JobNode::submit(const Queue& queue, const std::string& id, const JobSpec& spec,
-                     Millis received, Millis limit, ClientReply done)
+                     Millis received, Millis limit, ClientReply done,
+                     const callers::Caller& caller)
 {
-    m_impl->submit(queue, id, spec, received, limit, std::move(done));
+    m_impl->submit(queue, id, spec, received, limit, caller, std::move(done));
 }
 
-void JobNode::cancel(const std::string& id, Millis received, Millis limit, ClientReply done)
+void JobNode::cancel(const std::string& id, Millis received, Millis limit, ClientReply done,
+                     const callers::Caller& caller)
 {
-    m_impl->cancel(id, received, limit, std::move(done));
+    m_impl->cancel(id, received, limit, caller, std::move(done));
 }
 
-void JobNode::query(const std::string& id, Millis received, Millis limit, StateReply done)
+void JobNode::query(const std::string& id, Millis received, Millis limit, StateReply done,
+                    const callers::Caller& caller)
 {
-    m_impl->query(id, received, limit, std::move(done));
+    m_impl->query(id, received, limit, caller, std::move(done));
 }
 
 void JobNode::count_pending(const Queue& queue, Millis received, Millis limit,
--- a/src/jobs.lib/job_node_clients.cpp
+++ b/src/jobs.lib/job_node_clients.cpp
@@ -101,62 +101,126 @@
 // vain. An earlier try, whose answer was lost, may have been taken: only what is not there
 // can be said never to run.
 void JobNode::Impl::turn_away(const std::string& queue, const std::string& id,
-                              Millis received, ClientReply done)
+                              Millis received, const callers::Caller& caller,
+                              ClientStatus answer, ClientReply done)
 {
-    query(id, received, turn_away_limit,
-          [this, queue, id, received, done](ClientStatus status, JobState) {
+    query(id, received, turn_away_limit, caller,
+          [this, queue, id, received, workspace = caller.workspace(), answer,
+           done](ClientStatus status, JobState) {
               const bool taken = status == ClientStatus::ok;
+              // While nobody can say whether it was taken before, it may be tried again.
+              const bool untold = status == ClientStatus::unavailable;
+              const ClientStatus refusal = untold ? ClientStatus::refused : answer;
               note_call("submit", taken ? "taken_before" : "turned_away", received);
-              log_event(LogLevel::info, "job_turned_away",
-                        { { "job", id },
-                          { "queue", queue },
-                          { "taken_before", taken ? "yes" : "no" },
-                          { "come_back_ms", come_back_after(queue).count() } });
-              done(taken ? ClientStatus::ok : ClientStatus::refused);
+              log_event(
+                  LogLevel::info, "job_turned_away",
+                  { { "job", id },
+                    { "queue", queue },
+                    { "workspace", workspace },
+                    { "reason", answer == ClientStatus::over_bound ? "bound" : "advice" },
+                    { "taken_before", taken ? "yes" : "no" },
+                    { "come_back_ms", come_back_after(queue).count() } });
+              done(taken ? ClientStatus::ok : refusal);
           });
 }
 
+callers::CallerCheck JobNode::Impl::check_caller(const Configuration& configuration,
+                                                 const Queue& queue,
+                                                 const callers::PresentedKey& key)
+{
+    const bool fresh = m_configuration.is_fresh();
+    callers::CallerCheck check
+        = callers::check_caller(configuration.workspaces, queue.is_public, key, fresh);
+    if (check.verdict == callers::CallerVerdict::admitted)
+        return check;
+    const bool denied = check.verdict == callers::CallerVerdict::denied;
+    log_event(LogLevel::warn, denied ? "caller_denied" : "caller_undecided",
+              { { "queue", queue.name },
+                { "key", key.text() ? "unknown" : "none" },
+                { "config", configuration.version },
+                { "age_ms", m_configuration.age().count() } });
+    m_parts.metrics.count("pathport_callers_turned_away_total",
+                          { { "verdict", denied ? "denied" : "undecided" } });
+    return check;
+}
+
+// Returns whether a task, or a gang, needs more at once than its workspace may have, so
+// that it could never start.
+bool JobNode::Impl::exceeds_bound(const JobSpec& spec, const std::string& workspace) const
+{
+    const auto present = configuration();
+    const callers::Workspace* known
+        = present && present->workspaces ? present->workspaces->find(workspace) : nullptr;
+    if (known == nullptr)
+        return false;
+    return std::any_of(spec.steps.begin(), spec.steps.end(), [&](const StepSpec& step) {
+        const int at_once = step.gang ? step.count : 1;
+        return callers::tasks_within(step.need, known->bound, known->bound, at_once)
+            < at_once;
+    });
+}
+
 void JobNode::Impl::submit(const Queue& queue, const std::string& id, const JobSpec& spec,
-                           Millis received, Millis limit, ClientReply done)
+                           Millis received, Millis limit, const callers::Caller& caller,
+                           ClientReply done)
 {
+    if (exceeds_bound(spec, caller.workspace())) {
+        const ClientStatus answer
+            = m_configuration.is_fresh() ? ClientStatus::over_bound : ClientStatus::refused;
+        turn_away(queue.name, id, received, caller, answer, std::move(done));
+        return;
+    }
     if (come_back_after(queue.name) > Millis(0)) {
-        turn_away(queue.name, id, received, std::move(done));
+        turn_away(queue.name, id, received, caller, ClientStatus::refused, std::move(done));
         return;
     }
     AcceptedJob job;
     job.id = id;
     job.queue = queue;
+    job.workspace = caller.workspace();
     job.spec = spec;
     job.accepted_ms = m_store.clock_ms();
     const std::string row = encode(job);
     const int64_t config_version = m_configuration.version();
-    accept_row(id, row, give_up_time(received, limit),
-               [this, id, row, received, config_version, name = queue.name,
-                done](WriteResult result) {
-                   const WriteOutcome outcome = result.outcome;
-                   note_call("submit", to_string(outcome), received);
-                   log_event(LogLevel::info, "job_submitted",
-                             { { "job", id },
-                               { "queue", name },
-                               { "config", config_version },
-                               { "store", m_store.failing() ? "away" : "serves" },
-                               { "outcome", to_string(outcome) },
-                               { "evidence", to_string(result.evidence) },
-                               { "version", result.version },
-                               { "after_ms", (m_parts.loop.now() - received).count() } });
-                   if (outcome == WriteOutcome::written) {
-                       done(ClientStatus::ok);
-                       accepted(id, result);
-                       return;
-                   }
-                   forward_write(PeerTopic::accept_job, id, row, outcome, done);
-               });
+    const auto written = [this, id, row, received, config_version, name = queue.name,
+                          workspace = job.workspace, done](const WriteResult& result) {
+        const WriteOutcome outcome = result.outcome;
+        note_call("submit", to_string(outcome), received);
+        log_event(LogLevel::info, "job_submitted",
+                  { { "job", id },
+                    { "queue", name },
+                    { "workspace", workspace },
+                    { "config", config_version },
+                    { "store", m_store.failing() ? "away" : "serves" },
+                    { "outcome", to_string(outcome) },
+                    { "evidence", to_string(result.evidence) },
+                    { "version", result.version },
+                    { "after_ms", (m_parts.loop.now() - received).count() } });
+        if (outcome == WriteOutcome::written) {
+            done(accepted_status(id, result, workspace));
+            accepted(id, result);
+            return;
+        }
+        PeerRequest request;
+        request.topic = PeerTopic::accept_job;
+        request.job = id;
+        request.row = row;
+        forward_write(std::move(request), outcome, done);
+    };
+    m_acceptor.accept(id, row, job.workspace, give_up_time(received, limit), written);
 }
 
-void JobNode::Impl::accept_row(const std::string& id, const std::string& row,
-                               Millis give_up, WriteReply done)
+// An id names one job in the whole cell, since workers know tasks by it: what another
+// workspace has handed in under it never becomes this caller's.
+ClientStatus JobNode::Impl::accepted_status(const std::string& id,
+                                            const WriteResult& written,
+                                            const std::string& workspace)
 {
-    m_acceptor.accept(id, row, give_up, std::move(done));
+    if (written.workspace == workspace)
+        return ClientStatus::ok;
+    log_event(LogLevel::warn, "job_id_taken",
+              { { "job", id }, { "workspace", workspace } });
+    return ClientStatus::id_taken;
 }
 
 // The leader learns of it at once by a message, or soon from the store: of the row that is
@@ -187,9 +251,7 @@
 }
 
 // The store did not take it from this node; perhaps it takes it from the leader.
-void JobNode::Impl::forward_write(PeerTopic topic, const std::string& id,
-                                  const std::string& row, WriteOutcome own,
-                                  ClientReply done)
+void JobNode::Impl::forward_write(PeerRequest request, WriteOutcome own, ClientReply done)
 {
     const std::string leader = leader_to_ask();
     if (leader.empty() || own == WriteOutcome::missing || !m_leadership.leader_seen()
@@ -197,31 +259,28 @@
         done(to_client(own));
         return;
     }
-    PeerRequest request;
-    request.topic = topic;
     request.node = m_setup.node;
-    request.job = id;
-    request.row = row;
-    m_gossip.send(
-        leader, request, forward_timeout,
-        m_lifetime.wrap([this, id, own, done](PeerEnd end, const PeerAnswer& answer) {
-            ClientStatus status = ClientStatus::in_doubt;
-            if (end == PeerEnd::refused)
-                status = to_client(own);
-            if (end == PeerEnd::answered && answer.served)
-                status = static_cast<ClientStatus>(answer.status);
-            // What this node has sent itself may still be done.
-            if (status == ClientStatus::refused && own == WriteOutcome::in_doubt)
-                status = ClientStatus::in_doubt;
-            log_event(LogLevel::info, "write_forwarded",
-                      { { "job", id }, { "status", static_cast<int>(status) } });
-            done(status);
-        }));
+    m_gossip.send(leader, request, forward_timeout,
+                  m_lifetime.wrap([this, id = request.job, own,
+                                   done](PeerEnd end, const PeerAnswer& answer) {
+                      ClientStatus status = ClientStatus::in_doubt;
+                      if (end == PeerEnd::refused)
+                          status = to_client(own);
+                      if (end == PeerEnd::answered && answer.served)
+                          status = static_cast<ClientStatus>(answer.status);
+                      // What this node has sent itself may still be done.
+                      if (status == ClientStatus::refused && own == WriteOutcome::in_doubt)
+                          status = ClientStatus::in_doubt;
+                      log_event(LogLevel::info, "write_forwarded",
+                                { { "job", id }, { "status", static_cast<int>(status) } });
+                      done(status);
+                  }));
 }
 
-void JobNode::Impl::record_cancel(const std::string& id, Millis give_up, WriteReply done)
+void JobNode::Impl::record_cancel(const std::string& id, const callers::Caller& caller,
+                                  Millis give_up, WriteReply done)
 {
-    m_acceptor.cancel(id, give_up, [this, id, done](WriteResult result) {
+    m_acceptor.cancel(id, caller, give_up, [this, id, done](const WriteResult& result) {
         if (result.outcome == WriteOutcome::written && m_scheduler)
             m_scheduler->job_canceled(id, "own");
         done(result);
@@ -229,23 +288,28 @@
 }
 
 void JobNode::Impl::cancel(const std::string& id, Millis received, Millis limit,
-                           ClientReply done)
+                           const callers::Caller& caller, ClientReply done)
 {
-    record_cancel(
-        id, give_up_time(received, limit), [this, id, received, done](WriteResult result) {
-            const WriteOutcome outcome = result.outcome;
-            note_call("cancel", to_string(outcome), received);
-            log_event(LogLevel::info, "cancel_recorded",
-                      { { "job", id },
-                        { "outcome", to_string(outcome) },
-                        { "after_ms", (m_parts.loop.now() - received).count() } });
-            if (outcome != WriteOutcome::written) {
-                forward_write(PeerTopic::cancel_job, id, "", outcome, done);
-                return;
-            }
-            done(ClientStatus::ok);
-            tell_of_cancel(id, m_parts.loop.now() + tell_cancel_for);
-        });
+    record_cancel(id, caller, give_up_time(received, limit),
+                  [this, id, caller, received, done](const WriteResult& result) {
+                      const WriteOutcome outcome = result.outcome;
+                      note_call("cancel", to_string(outcome), received);
+                      log_event(
+                          LogLevel::info, "cancel_recorded",
+                          { { "job", id },
+                            { "outcome", to_string(outcome) },
+                            { "after_ms", (m_parts.loop.now() - received).count() } });
+                      if (outcome != WriteOutcome::written) {
+                          PeerRequest request;
+                          request.topic = PeerTopic::cancel_job;
+                          request.job = id;
+                          request.caller = caller;
+                          forward_write(std::move(request), outcome, done);
+                          return;
+                      }
+                      done(ClientStatus::ok);
+                      tell_of_cancel(id, m_parts.loop.now() + tell_cancel_for);
+                  });
 }
 
 // The leader hears of it at once by a message, which is repeated until a leader has taken
@@ -290,42 +354,48 @@
                        m_lifetime.wrap([this, id, until] { tell_of_cancel(id, until); }));
 }
 
+// A job that the caller may not see is answered like one that isn't there: an answer of its
+// own would tell that the id is somebody's.
 void JobNode::Impl::query(const std::string& id, Millis received, Millis limit,
-                          StateReply done)
+                          const callers::Caller& caller, StateReply done)
 {
     const Millis deadline = received
         + (limit > Millis(0) ? std::max(Millis(100), limit - answer_margin) : longest_try);
     if (m_scheduler) {
         const auto state = m_scheduler->state_of(id);
-        if (state)
+        if (!state)
+            query_store(id, deadline, caller, done);
+        else if (caller.may_see(m_scheduler->workspace_of(id)))
             done(ClientStatus::ok, *state);
         else
-            query_store(id, deadline, done);
+            done(ClientStatus::not_found, JobState::pending);
         return;
     }
     const std::string leader = leader_to_ask();
     if (leader.empty() || !m_leadership.leader_seen()) {
-        query_store(id, deadline, done);
+        query_store(id, deadline, caller, done);
         return;
     }
     PeerRequest request;
     request.topic = PeerTopic::job_state;
     request.node = m_setup.node;
     request.job = id;
-    m_gossip.send(
-        leader, request, ask_timeout,
-        m_lifetime.wrap([this, id, deadline, done](PeerEnd end, const PeerAnswer& answer) {
-            const auto status = static_cast<ClientStatus>(answer.status);
-            const bool told = end == PeerEnd::answered && answer.served
-                && status != ClientStatus::unavailable;
-            if (told)
-                done(status, answer.state.value_or(JobState::pending));
-            else
-                query_store(id, deadline, done);
-        }));
+    request.caller = caller;
+    m_gossip.send(leader, request, ask_timeout,
+                  m_lifetime.wrap([this, id, deadline, caller,
+                                   done](PeerEnd end, const PeerAnswer& answer) {
+                      const auto status = static_cast<ClientStatus>(answer.status);
+                      const bool told = end == PeerEnd::answered && answer.served
+                          && status != ClientStatus::unavailable;
+                      if (told)
+                          done(status, answer.state.value_or(JobState::pending));
+                      else
+                          query_store(id, deadline, caller, done);
+                  }));
 }
 
-void JobNode::Impl::query_store(const std::string& id, Millis deadline, StateReply done)
+void JobNode::Impl::query_store(const std::string& id, Millis deadline,
+                                const callers::Caller& caller, StateReply done)
 {
     StoreRange range;
     range.table = jobs_table;
@@ -335,34 +405,45 @@
     range.limit = 2;
     m_store.read(
         range, read_timeout,
-        m_lifetime.wrap([this, id, deadline, done](const StoreResult& result) {
-            if (result.status != StoreStatus::ok) {
-                if (m_store.failing() || m_parts.loop.now() + query_retry >= deadline) {
-                    done(ClientStatus::unavailable, JobState::pending);
-                    return;
-                }
-                m_parts.loop.after(query_retry, m_lifetime.wrap([this, id, deadline, done] {
-                    query_store(id, deadline, done);
-                }));
+        m_lifetime.wrap([this, id, deadline, caller, done](const StoreResult& result) {
+            if (result.status == StoreStatus::ok) {
+                read_state(id, caller, result.rows, done);
                 return;
             }
-            bool present = false;
-            bool canceled = false;
-            for (const StoredRow& row : result.rows) {
-                present = present || row.id.key == id;
-                canceled = canceled || row.id.key == id + cancel_suffix;
+            if (m_store.failing() || m_parts.loop.now() + query_retry >= deadline) {
+                done(ClientStatus::unavailable, JobState::pending);
+                return;
             }
-            if (present)
-                query_progress(id, canceled, done);
-            else
-                query_closed(id, std::nullopt, done);
+            m_parts.loop.after(query_retry,
+                               m_lifetime.wrap([this, id, deadline, caller, done] {
+                                   query_store(id, deadline, caller, done);
+                               }));
         }));
 }
 
+// `rows` are the job's and that of its cancellation, as far as they are there.
+void JobNode::Impl::read_state(const std::string& id, const callers::Caller& caller,
+                               const std::vector<StoredRow>& rows, StateReply done)
+{
+    const StoredRow* job = nullptr;
+    bool canceled = false;
+    for (const StoredRow& row : rows) {
+        if (row.id.key == id)
+            job = &row;
+        canceled = canceled || row.id.key == id + cancel_suffix;
+    }
+    if (job == nullptr)
+        query_closed(id, std::nullopt, caller, std::move(done));
+    else if (caller.may_see(workspace_of_job_row(job->value)))
+        query_progress(id, canceled, caller, std::move(done));
+    else
+        done(ClientStatus::not_found, JobState::pending);
+}
+
 // A job row goes only together with the coming of the row that is read here. A job that
 // isn't closed is in `open_state`; nothing there means that its row is missing.
 void JobNode::Impl::query_closed(const std::string& id, std::optional<JobState> open_state,
-                                 StateReply done)
+                                 const callers::Caller& caller, StateReply done)
 {
     StoreRange range;
     range.table = closed_table;
@@ -371,7 +452,7 @@
     range.to = id + "!";
     range.limit = 1;
     m_store.read(range, read_timeout,
-                 m_lifetime.wrap([open_state, done](const StoreResult& result) {
+                 m_lifetime.wrap([open_state, caller, done](const StoreResult& result) {
                      if (result.status != StoreStatus::ok) {
                          done(ClientStatus::unavailable, JobState::pending);
                          return;
@@ -381,7 +462,12 @@
                               open_state.value_or(JobState::pending));
                          return;
                      }
-                     const auto state = final_state_of_progress(result.rows.front().value);
+                     const std::string& row = result.rows.front().value;
+                     if (!caller.may_see(workspace_of_final_progress(row))) {
+                         done(ClientStatus::not_found, JobState::pending);
+                         return;
+                     }
+                     const auto state = final_state_of_progress(row);
                      done(state ? ClientStatus::ok : ClientStatus::unavailable,
                           state.value_or(JobState::pending));
                  }));
@@ -389,7 +475,8 @@
 
 // Without progress a job has not begun, or it was archived since its row was read: its
 // progress goes only after the row of the closed job has come.
-void JobNode::Impl::query_progress(const std::string& id, bool canceled, StateReply done)
+void JobNode::Impl::query_progress(const std::string& id, bool canceled,
+                                   const callers::Caller& caller, StateReply done)
 {
     StoreRange range;
     range.table = progress_table;
@@ -399,13 +486,14 @@
     range.limit = 1;
     m_store.read(
         range, read_timeout,
-        m_lifetime.wrap([this, id, canceled, done](const StoreResult& result) {
+        m_lifetime.wrap([this, id, canceled, caller, done](const StoreResult& result) {
             if (result.status != StoreStatus::ok) {
                 done(ClientStatus::unavailable, JobState::pending);
                 return;
             }
             if (result.rows.empty()) {
-                query_closed(id, canceled ? JobState::canceled : JobState::pending, done);
+                query_closed(id, canceled ? JobState::canceled : JobState::pending, caller,
+                             done);
                 return;
             }
             const auto final_state = final_state_of_progress(result.rows.front().value);
--- a/src/jobs.lib/job_node_impl.h
+++ b/src/jobs.lib/job_node_impl.h
@@ -55,10 +55,15 @@
     void update_gauges();
 
     // Clients' calls (job_node_clients.cpp).
+    callers::CallerCheck check_caller(const Configuration& configuration,
+                                      const Queue& queue, const callers::PresentedKey& key);
     void submit(const Queue& queue, const std::string& id, const JobSpec& spec,
-                Millis received, Millis limit, ClientReply done);
-    void cancel(const std::string& id, Millis received, Millis limit, ClientReply done);
-    void query(const std::string& id, Millis received, Millis limit, StateReply done);
+                Millis received, Millis limit, const callers::Caller& caller,
+                ClientReply done);
+    void cancel(const std::string& id, Millis received, Millis limit,
+                const callers::Caller& caller, ClientReply done);
+    void query(const std::string& id, Millis received, Millis limit,
+               const callers::Caller& caller, StateReply done);
     void count_pending(const Queue& queue, Millis received, Millis limit, CountReply done);
 
     /// Returns when a caller whose job the queue does not take should come back; zero when
@@ -113,20 +118,25 @@
     int strongest_follower() const;
 
     void turn_away(const std::string& queue, const std::string& id, Millis received,
-                   ClientReply done);
+                   const callers::Caller& caller, ClientStatus answer, ClientReply done);
+    bool exceeds_bound(const JobSpec& spec, const std::string& workspace) const;
     void note_call(const char* call, const char* outcome, Millis received);
-    void accept_row(const std::string& id, const std::string& row, Millis give_up,
-                    WriteReply done);
+    static ClientStatus accepted_status(const std::string& id, const WriteResult& written,
+                                        const std::string& workspace);
     void accepted(const std::string& id, const WriteResult& written);
     void tell_of_cancel(const std::string& id, Millis until);
     void tell_of_cancel_again(const std::string& id, Millis until);
-    void record_cancel(const std::string& id, Millis give_up, WriteReply done);
-    void forward_write(PeerTopic topic, const std::string& id, const std::string& row,
-                       WriteOutcome own, ClientReply done);
-    void query_store(const std::string& id, Millis deadline, StateReply done);
+    void record_cancel(const std::string& id, const callers::Caller& caller, Millis give_up,
+                       WriteReply done);
+    void forward_write(PeerRequest request, WriteOutcome own, ClientReply done);
+    void query_store(const std::string& id, Millis deadline, const callers::Caller& caller,
+                     StateReply done);
+    void read_state(const std::string& id, const callers::Caller& caller,
+                    const std::vector<StoredRow>& rows, StateReply done);
     void query_closed(const std::string& id, std::optional<JobState> open_state,
-                      StateReply done);
-    void query_progress(const std::string& id, bool canceled, StateReply done);
+                      const callers::Caller& caller, StateReply done);
+    void query_progress(const std::string& id, bool canceled, const callers::Caller& caller,
+                        StateReply done);
     std::string leader_to_ask() const;
     Millis give_up_time(Millis received, Millis limit) const;
 
--- a/src/jobs.lib/job_node_peers.cpp
+++ b/src/jobs.lib/job_node_peers.cpp
@@ -157,7 +157,7 @@
         done(std::move(answer));
         return;
     }
-    query(request.job, m_parts.loop.now(), state_time,
+    query(request.job, m_parts.loop.now(), state_time, request.caller,
           [answer = std::move(answer), done](ClientStatus status, JobState state) mutable {
               answer.served = true;
               answer.status = static_cast<int>(status);
@@ -170,7 +170,12 @@
 void JobNode::Impl::handle_accept(const PeerRequest& request, PeerResponder done)
 {
     const Millis give_up = m_parts.loop.now() + forwarded_try;
-    const auto reply = [this, request, done](WriteResult result) {
+    Failure reason;
+    const auto job = request.topic == PeerTopic::accept_job
+        ? decode_accepted_job(request.job, request.row, reason)
+        : std::nullopt;
+    const std::string workspace = job ? job->workspace : std::string();
+    const auto reply = [this, request, workspace, done](const WriteResult& result) {
         const WriteOutcome outcome = result.outcome;
         PeerAnswer answer;
         answer.node = m_setup.node;
@@ -179,7 +184,9 @@
         answer.served = true;
         ClientStatus status = ClientStatus::in_doubt;
         if (outcome == WriteOutcome::written)
-            status = ClientStatus::ok;
+            status = request.topic == PeerTopic::accept_job
+                ? accepted_status(request.job, result, workspace)
+                : ClientStatus::ok;
         if (outcome == WriteOutcome::refused)
             status = ClientStatus::refused;
         if (outcome == WriteOutcome::missing)
@@ -190,15 +197,14 @@
             accepted(request.job, result);
     };
     if (request.topic == PeerTopic::cancel_job) {
-        record_cancel(request.job, give_up, reply);
+        record_cancel(request.job, request.caller, give_up, reply);
         return;
     }
-    Failure reason;
-    if (!decode_accepted_job(request.job, request.row, reason)) {
+    if (!job) {
         reply({ WriteOutcome::refused });
         return;
     }
-    accept_row(request.job, request.row, give_up, reply);
+    m_acceptor.accept(request.job, request.row, workspace, give_up, reply);
 }
 
 void JobNode::Impl::handle_advice(const PeerRequest& request, PeerResponder done)
--- a/src/jobs.lib/job_record.cpp
+++ b/src/jobs.lib/job_record.cpp
@@ -23,6 +23,7 @@
 constexpr size_t most_turned_away = 32;
 
 const char* const state_key = "state";
+const char* const workspace_key = "workspace";
 const char* const next_key = "next";
 const char* const finished_key = "finished";
 const char* const begun_key = "begun";
@@ -354,7 +355,7 @@
     Json json = Json::object();
     const JobState present = state();
     if (is_final(present))
-        return encode_final_progress(present);
+        return encode_final_progress(present, m_accepted.workspace);
     json[next_key] = m_next_repeat;
     json[finished_key] = m_finished_repeats;
     json[begun_key] = begun;
@@ -393,13 +394,24 @@
     }
 }
 
-std::string encode_final_progress(JobState state)
+std::string encode_final_progress(JobState state, const std::string& workspace)
 {
     Json json = Json::object();
     json[state_key] = static_cast<int>(state);
+    if (!workspace.empty())
+        json[workspace_key] = workspace;
     return json.dump();
 }
 
+std::string workspace_of_final_progress(const std::string& text)
+{
+    try {
+        return Json::parse(text).value(workspace_key, std::string());
+    } catch (const std::exception&) {
+        return {};
+    }
+}
+
 std::optional<JobState> final_state_of_progress(const std::string& text)
 {
     try {
--- a/src/jobs.lib/job_record.h
+++ b/src/jobs.lib/job_record.h
@@ -10,6 +10,7 @@
 #include "crash_record.h"
 #include "room_table.h"
 
+#include <pathport/callers/usage_ledger.h>
 #include <pathport/jobs/job_model.h>
 
 #include <boost/container/flat_map.hpp>
@@ -93,6 +94,7 @@
     std::vector<int64_t> gang_failed_runs; ///< Runs of the gang of which a member failed.
     std::set<std::string> failed_workers; ///< Where tasks of it failed, under this leader.
     bool has_crashes = false; ///< Something is, or was, held against one of its tasks.
+    bool at_bound = false; ///< It could not be placed whole for its workspace's bound.
     bool has_survivor = false; ///< A run of one of its tasks is known to have lived on.
     int64_t gang_run = 0; ///< The run that is placed at present.
     StepAdvice advice;
@@ -143,6 +145,7 @@
     const std::string& id() const { return m_accepted.id; }
     Millis seen() const { return m_seen; }
 
+    callers::WorkspaceNumber workspace = callers::UsageLedger::none; ///< Whose it is.
     bool canceled = false; ///< A cancellation is recorded.
     bool gave_up = false; ///< A task has failed too often.
     bool loaded = false; ///< An earlier leader may have known it.
@@ -196,10 +199,12 @@
     int m_finished_repeats = 0;
 };
 
-/// Encodes the progress row of a job in its final state.
-std::string encode_final_progress(JobState state);
+/// Encodes the progress row of a job of `workspace` in its final state.
+std::string encode_final_progress(JobState state, const std::string& workspace = {});
 /// Returns the final state in a progress row without building the job; nothing when it has
 /// none.
 std::optional<JobState> final_state_of_progress(const std::string& text);
+/// Returns the workspace in a progress row with a final state; "" when it has none.
+std::string workspace_of_final_progress(const std::string& text);
 
 } // namespace pathport::jobs
--- a/src/jobs.lib/peer_codec.cpp
+++ b/src/jobs.lib/peer_codec.cpp
@@ -67,6 +67,8 @@
     put(json, "job", request.job);
     put(json, "queue", request.queue);
     put(json, "row", request.row);
+    if (request.caller.told_apart())
+        json["caller"] = request.caller.workspace();
     put(json, "version", request.version);
     put(json, "workers", request.workers);
     put(json, "epoch", request.epoch);
@@ -99,6 +101,8 @@
         request.job = json.value("job", std::string());
         request.queue = json.value("queue", std::string());
         request.row = json.value("row", std::string());
+        if (json.contains("caller"))
+            request.caller = callers::Caller::of(json.at("caller").get<std::string>());
         request.version = json.value("version", int64_t(0));
         request.workers = json.value("workers", std::vector<std::string>());
         request.epoch = json.value("epoch", int64_t(0));
--- a/src/jobs.lib/random_schedule.cpp
+++ b/src/jobs.lib/random_schedule.cpp
@@ -39,6 +39,8 @@
     bool storms = false;
     double resized = 0; ///< Chance in a tenth of a second that rooms shrink for a while.
     double suspended = 0; ///< The same that the machine of a node is suspended.
+    /// The same that keys or bounds of workspaces change; there are workspaces if above 0.
+    double rekeyed = 0;
 };
 
 Style with_terms(Style style, double crashing, double resized, double suspended)
@@ -49,6 +51,12 @@
     return style;
 }
 
+Style with_callers(Style style, double rekeyed)
+{
+    style.rekeyed = rekeyed;
+    return style;
+}
+
 Style in_storms(Style style)
 {
     style.storms = true;
@@ -91,11 +99,38 @@
     case 15: // The same through relays.
         return in_storms(with_terms(
             { 0.02, Millis(14000), 7, 14, 0.5, 0.1, 0.01, 0, 0.01, 1 }, 0.05, 0.03, 0.015));
+    case 16: // Callers with keys that come and go, and bounds that change; little trouble.
+        return with_callers({ 0.012, Millis(10500), 7, 14, 0.5, 0.2 }, 0.04);
+    case 17: // The same in more trouble, with silences, restarts and routes that change.
+        return with_callers({ 0.05, Millis(14000), 7, 14, 0.5, 0.2, 0.01, 0.02, 0.01 },
+                            0.05);
+    case 18: // The same through relays, with tasks that crash and rooms that shrink.
+        return in_storms(with_callers(
+            with_terms({ 0.03, Millis(14000), 7, 14, 0.5, 0.1, 0.01, 0, 0.01, 1 }, 0.03,
+                       0.02, 0.01),
+            0.05));
     default:
         return {};
     }
 }
 
+/// Workspaces of unlike size; some have no bound.
+std::vector<emulator::WorkspaceFacts> first_workspaces()
+{
+    constexpr int count = 6;
+    std::vector<emulator::WorkspaceFacts> all;
+    for (int i = 0; i < count; ++i) {
+        emulator::WorkspaceFacts facts;
+        facts.workspace.name = "team" + std::to_string(i);
+        facts.workspace.weight = i == 0 ? 6 : 1;
+        if (i % 3 != 0)
+            facts.workspace.bound = { 4000 + 3000 * i, i % 2 == 0 ? 20000 : 0, 0 };
+        facts.keys = { facts.workspace.name + "-key0", facts.workspace.name + "-key1" };
+        all.push_back(facts);
+    }
+    return all;
+}
+
 /// A cell under a random schedule.
 class Schedule {
 public:
@@ -126,6 +161,10 @@
     void make_crashing(std::vector<TaskFacts>& steps);
     void resize_workers();
     void suspend_node();
+    void rekey();
+    std::string random_key();
+    void pry();
+    void lift_bounds();
     void node_trouble(int64_t kind, Millis span);
     void store_trouble(int64_t kind, Millis span);
     void worker_trouble(int64_t kind, Millis span);
@@ -135,6 +174,8 @@
     Style m_style;
     Cell m_cell;
     int m_jobs = 0;
+    int m_keys = 0; ///< That were added.
+    std::vector<std::string> m_gone_keys;
 };
 
 std::string Schedule::random_node()
@@ -180,7 +221,8 @@
     }
     if (m_style.crashing > 0 && chance(m_style.crashing))
         make_crashing(steps);
-    submit(m_cell, (advised ? "a" : "q") + std::to_string(below(3)), id, steps);
+    submit(m_cell, (advised ? "a" : "q") + std::to_string(below(3)), id, steps,
+           random_key());
     if (m_style.canceled > 0 && chance(m_style.canceled))
         cancel_soon(id);
 }
@@ -413,9 +455,64 @@
     m_cell.suspend(random_node(), span);
 }
 
+// A key, half of the time one of the largest workspace; now and then one that is gone or
+// was never there.
+std::string Schedule::random_key()
+{
+    if (m_style.rekeyed == 0)
+        return {};
+    if (chance(0.03))
+        return m_gone_keys.empty()
+            ? "nobodys-key"
+            : m_gone_keys[size_t(below(int64_t(m_gone_keys.size())))];
+    const auto& all = m_cell.workspaces();
+    const auto& facts = all[chance(0.5) ? 0 : size_t(below(int64_t(all.size())))];
+    if (facts.keys.empty())
+        return "nobodys-key";
+    return facts.keys[size_t(below(int64_t(facts.keys.size())))];
+}
+
+// A workspace loses or gets keys, or its bound changes.
+void Schedule::rekey()
+{
+    std::vector<emulator::WorkspaceFacts> all = m_cell.workspaces();
+    emulator::WorkspaceFacts& facts = all[size_t(below(int64_t(all.size())))];
+    const int64_t kind = below(5);
+    if (kind == 0 && !facts.keys.empty()) {
+        m_gone_keys.push_back(facts.keys.back());
+        facts.keys.pop_back();
+    } else if (kind == 1) {
+        m_gone_keys.insert(m_gone_keys.end(), facts.keys.begin(), facts.keys.end());
+        facts.keys.clear();
+    } else if (kind == 2) {
+        facts.keys.push_back("key" + std::to_string(m_keys++));
+    } else {
+        facts.workspace.bound = { chance(0.2) ? 0 : 2000 + below(30000),
+                                  chance(0.5) ? 0 : 4000 + below(40000), 0 };
+    }
+    m_cell.configure_workspaces(all);
+}
+
+void Schedule::pry()
+{
+    const std::string id = "job" + std::to_string(below(m_jobs));
+    m_cell.pry(id, random_key());
+}
+
+// What waits at a bound that has fallen ends once it has risen again.
+void Schedule::lift_bounds()
+{
+    std::vector<emulator::WorkspaceFacts> all = m_cell.workspaces();
+    for (emulator::WorkspaceFacts& facts : all)
+        facts.workspace.bound = {};
+    m_cell.configure_workspaces(all);
+}
+
 std::vector<std::string> Schedule::run()
 {
     constexpr int tenths = 300;
+    if (m_style.rekeyed > 0)
+        m_cell.configure_workspaces(first_workspaces());
     m_cell.disturbed(Millis(3000));
     m_cell.watch_jobs();
     m_cell.watch_configurations();
@@ -438,8 +535,14 @@
             resize_workers();
         if (m_style.suspended > 0 && chance(m_style.suspended))
             suspend_node();
+        if (m_style.rekeyed > 0 && chance(m_style.rekeyed))
+            rekey();
+        if (m_style.rekeyed > 0 && m_jobs > 0 && chance(0.1))
+            pry();
         m_cell.world.run_for(Millis(100));
     }
+    if (m_style.rekeyed > 0)
+        lift_bounds();
     if (ends_with_kill) {
         kill_all();
         m_cell.disturbed(Millis(3000));
--- a/src/jobs.lib/scheduler.cpp
+++ b/src/jobs.lib/scheduler.cpp
@@ -103,7 +103,9 @@
         return record->encode_progress();
     // The job closed after this write was asked for.
     const auto closed = m_closed.find(job);
-    return closed == m_closed.end() ? std::string() : encode_final_progress(closed->second);
+    return closed == m_closed.end()
+        ? std::string()
+        : encode_final_progress(closed->second.state, closed->second.workspace);
 }
 
 std::vector<std::string> Scheduler::unrecorded_workers(bool orders_precede)
@@ -138,13 +140,22 @@
 {
     const auto closed = m_closed.find(id);
     if (closed != m_closed.end())
-        return closed->second;
+        return closed->second.state;
     const auto open = m_jobs.find(id);
     if (open == m_jobs.end() || !may_order())
         return std::nullopt;
     return open->second->shown_state();
 }
 
+std::string Scheduler::workspace_of(const std::string& id) const
+{
+    const auto closed = m_closed.find(id);
+    if (closed != m_closed.end())
+        return closed->second.workspace;
+    const auto open = m_jobs.find(id);
+    return open == m_jobs.end() ? std::string() : open->second->accepted().workspace;
+}
+
 std::optional<int64_t> Scheduler::pending_in(const std::string& queue) const
 {
     if (m_phase == Phase::loading || !may_order())
@@ -157,21 +168,33 @@
     return count;
 }
 
+// `job` is that of the task, nothing if it isn't open.
 void Scheduler::occupy(Worker& worker, const TaskId& task, int64_t run,
-                       const StepSpec& spec, int priority)
+                       const StepSpec& spec, const JobRecord* job)
 {
-    Resources need = spec.need;
+    if (worker.load.holds(task))
+        return;
+    Occupant occupant;
+    occupant.run = run;
+    occupant.need = spec.need;
     if (spec.fills)
-        need.cpu_millis = 0;
-    worker.load.add(task, Occupant { run, need, priority });
+        occupant.need.cpu_millis = 0;
+    occupant.priority = job == nullptr ? 0 : job->accepted().queue.priority;
+    occupant.workspace = job == nullptr ? workspace_number_of(task) : job->workspace;
+    occupant.charged = spec.need;
+    worker.load.add(task, occupant);
+    m_usage.charge(occupant.workspace, occupant.charged);
     worker.session->set_busy(true);
     refresh_row(worker);
 }
 
 void Scheduler::vacate(Worker& worker, const TaskId& task, int64_t run)
 {
-    if (!worker.load.remove(task, run))
+    const Occupant* found = worker.load.find(task, run);
+    if (found == nullptr)
         return;
+    m_usage.discharge(found->workspace, found->charged);
+    worker.load.remove(task, run);
     worker.session->set_busy(!worker.load.empty());
     refresh_row(worker);
     schedule_pass();
--- a/src/jobs.lib/scheduler.h
+++ b/src/jobs.lib/scheduler.h
@@ -61,6 +61,8 @@
     const StoreClock* store_clock = nullptr; ///< That clock within bounds, if it is known.
     /// Returns whether the operators know this service; if missing, all are known.
     std::function<bool(const std::string&)> knows_service;
+    /// Returns the configuration in force, or nothing; if missing, nobody has a bound.
+    std::function<std::shared_ptr<const Configuration>()> configuration;
 };
 
 /// Runs of one epoch; an epoch's run ids lie above those of all earlier ones.
@@ -103,6 +105,8 @@
     /// Returns the state of a job, or nothing when it isn't known here. Once the lease is
     /// over a successor may have shown a later one, so only a final state is told then.
     std::optional<JobState> state_of(const std::string& id) const;
+    /// Returns the workspace of a job that is known here; "" for none.
+    std::string workspace_of(const std::string& id) const;
     /// Returns how many jobs of a queue have not begun, or nothing while the jobs are not
     /// loaded or once the lease is over.
     std::optional<int64_t> pending_in(const std::string& queue) const;
@@ -150,6 +154,11 @@
         std::function<void()> done; ///< The worker may forget them.
         Millis told;
     };
+    /// A job that is closed, as its row has it.
+    struct ClosedJob {
+        JobState state = JobState::completed;
+        std::string workspace;
+    };
     /// A run that was on a worker when that was lost.
     struct LostRun {
         TaskId task;
@@ -413,6 +422,15 @@
     void start_ended(const TaskId& id, const std::string& worker, int64_t run,
                      StartResult result, OrderStatus status);
 
+    // Bounds of workspaces (scheduler_bounds.cpp).
+    callers::WorkspaceNumber workspace_number_of(const TaskId& task);
+    void take_bounds();
+    void count_usage();
+    void count_doubts();
+    void keep_doubtful_charges(const JobRecord& job);
+    int tasks_within_bound(const JobRecord& job, Step& step, int needed);
+    void discharge_all(const Worker& worker);
+
     // Upkeep (scheduler_tick.cpp).
     void tick();
     void report_load();
@@ -426,7 +444,7 @@
     Worker* find_worker(const std::string& id);
     const Worker* find_worker(const std::string& id) const;
     void occupy(Worker& worker, const TaskId& task, int64_t run, const StepSpec& spec,
-                int priority);
+                const JobRecord* job);
     void vacate(Worker& worker, const TaskId& task, int64_t run);
     void release(Task& task);
     void depose();
@@ -481,7 +499,7 @@
 
     std::map<std::string, std::unique_ptr<JobRecord>>
         m_jobs; ///< Those that are not closed.
-    std::map<std::string, JobState> m_closed; ///< Final states, recorded.
+    std::map<std::string, ClosedJob> m_closed; ///< Final states, recorded.
     std::map<std::string, std::vector<KeptEnds>> m_kept_ends; ///< By job, not known yet.
     std::set<std::string> m_early_cancels; ///< Of jobs that are not known yet.
     std::set<std::string> m_stray_jobs; ///< Not known when runs of theirs were found.
@@ -502,6 +520,11 @@
     std::map<std::string, double>
         m_question_ms; ///< By queue, the advisor's time for a question, smoothed.
     AdviceDoor m_door;
+    callers::UsageLedger m_usage; ///< What each workspace has running.
+    std::shared_ptr<const Configuration> m_bounds_from; ///< Whose bounds the ledger has.
+    /// Of jobs that are closed, tasks that may yet run on workers that are silent: what is
+    /// charged for each, by name.
+    std::map<std::string, Occupant> m_closed_doubts;
     std::map<std::string, double> m_guess_error; ///< By queue, smoothed logarithm.
     std::optional<Millis>
         m_answer_missed_at; ///< When a worker last left a call unanswered.
--- /dev/null
+++ b/src/jobs.lib/scheduler_bounds.cpp
@@ -0,0 +1,165 @@
+// Copyright the pathport authors.
+// SPDX-License-Identifier: Apache-2.0
+
+/// \file
+/// What workspaces have running, and how many tasks their bounds leave. A task counts from
+/// the choice of its worker until its end is listed there or can't come any more; what may
+/// run without a record counts against every bound.
+
+#include "scheduler.h"
+
+#include <pathport/log.h>
+
+#include <algorithm>
+#include <cmath>
+
+namespace pathport::jobs {
+
+namespace {
+
+/// Workspaces that one line of the log tells of.
+constexpr size_t most_told = 40;
+
+void tell_bounds(int64_t version, const std::vector<callers::Workspace>& all)
+{
+    std::string text;
+    for (size_t i = 0; i < all.size() && i < most_told; ++i) {
+        const callers::Workspace& workspace = all[i];
+        text += workspace.name + " " + std::to_string(std::lround(workspace.weight)) + " "
+            + std::to_string(workspace.bound.cpu_millis) + "/"
+            + std::to_string(workspace.bound.memory_mb) + "/"
+            + std::to_string(workspace.bound.accelerators) + " ";
+    }
+    log_event(LogLevel::info, "bounds_taken",
+              { { "config", version },
+                { "workspaces", static_cast<int64_t>(all.size()) },
+                { "weights_and_bounds", text } });
+}
+
+} // namespace
+
+// Returns the workspace of a task whose job is not open here.
+callers::WorkspaceNumber Scheduler::workspace_number_of(const TaskId& task)
+{
+    const auto closed = m_closed.find(task.job);
+    return closed == m_closed.end() ? callers::UsageLedger::unknown
+                                    : m_usage.number_of(closed->second.workspace);
+}
+
+// Takes the bounds of the newest configuration: where it lowers one, the earlier one may
+// be in force elsewhere, and nothing is started in reliance on it.
+void Scheduler::take_bounds()
+{
+    const auto configuration = m_parts.configuration ? m_parts.configuration() : nullptr;
+    if (configuration == m_bounds_from)
+        return;
+    m_bounds_from = configuration;
+    if (configuration && configuration->workspaces) {
+        m_usage.configure(*configuration->workspaces);
+        tell_bounds(configuration->version, configuration->workspaces->all());
+        return;
+    }
+    m_usage.configure(callers::Workspaces(callers::KeyHasher(0)));
+}
+
+// Brings the ledger up to date for a pass.
+void Scheduler::count_usage()
+{
+    take_bounds();
+    m_usage.begin_round();
+    m_usage.clear_doubts();
+    if (!m_in_doubt.empty() || !m_unresolved.empty())
+        count_doubts();
+    else
+        m_closed_doubts.clear();
+}
+
+// Tasks that earlier leaders recorded on workers which have not reported count as running.
+// So does all room of workers where earlier leaders may have started tasks without a
+// record.
+void Scheduler::count_doubts()
+{
+    std::map<std::string, Occupant> closed;
+    for (const auto& [worker, tasks] : m_in_doubt) {
+        for (const TaskId& id : tasks) {
+            JobRecord* job = find_job(id.job);
+            const Task* task = job == nullptr ? nullptr : job->task(id);
+            if (task != nullptr && task->phase == TaskPhase::in_doubt
+                && task->worker == worker) {
+                const Step& step = *job->step(id.repeat, id.step);
+                m_usage.add_doubt(job->workspace, step.spec->need);
+            }
+            const auto found = m_closed_doubts.find(id.to_string());
+            if (job == nullptr && found != m_closed_doubts.end())
+                closed.insert(*found);
+        }
+    }
+    m_closed_doubts = std::move(closed);
+    for (const auto& [name, occupant] : m_closed_doubts)
+        m_usage.add_doubt(occupant.workspace, occupant.charged);
+    Resources all;
+    Resources largest;
+    for (const auto& [id, worker] : m_workers) {
+        const Resources& capacity = worker.session->info().capacity;
+        all = all + capacity;
+        if (largest.cpu_millis < capacity.cpu_millis)
+            largest = capacity;
+    }
+    for (const std::string& id : m_unresolved) {
+        const Worker* worker = find_worker(id);
+        const Resources room = id == any_worker ? all
+            : worker == nullptr                 ? largest
+                                                : worker->session->info().capacity;
+        m_usage.add_doubt(callers::UsageLedger::unknown, room);
+    }
+}
+
+// The job is about to be forgotten; its tasks in doubt run on until their workers tell, or
+// their leases are over.
+void Scheduler::keep_doubtful_charges(const JobRecord& job)
+{
+    if (m_in_doubt.empty())
+        return;
+    for (const auto& [number, repeat] : job.repeats()) {
+        for (const Step& step : repeat.steps) {
+            for (size_t i = 0; i < step.tasks.size(); ++i) {
+                if (step.tasks[i].phase != TaskPhase::in_doubt)
+                    continue;
+                const TaskId id { job.id(), number, step.index, static_cast<int>(i) };
+                Occupant occupant;
+                occupant.workspace = job.workspace;
+                occupant.charged = step.spec->need;
+                m_closed_doubts[id.to_string()] = occupant;
+            }
+        }
+    }
+}
+
+void Scheduler::discharge_all(const Worker& worker)
+{
+    for (const auto& [name, occupant] : worker.load.occupants())
+        m_usage.discharge(occupant.workspace, occupant.charged);
+}
+
+// Returns how many of the tasks of the step that wait may be placed now. What a step lacks
+// is set aside from those of its workspace that come after it, or a wide gang would wait
+// for as long as narrower steps come. Not while the workspace has less than half of its
+// bound: then the others can't be what holds it up for long, and they must not stand.
+int Scheduler::tasks_within_bound(const JobRecord& job, Step& step, int needed)
+{
+    const Resources& need = step.spec->need;
+    const int allowed = m_usage.tasks_allowed(job.workspace, need, needed);
+    step.at_bound = allowed < needed;
+    if (allowed == needed)
+        return needed;
+    const Resources& bound = m_usage.bound_of(job.workspace);
+    const Resources doubled = m_usage.running(job.workspace) * 2;
+    const bool half_used
+        = callers::tasks_within({ 1, 1, 1 }, bound - doubled, bound, 1) == 0;
+    const int lacking = step.spec->gang ? needed : needed - allowed;
+    if (half_used)
+        m_usage.set_aside(job.workspace, need * lacking);
+    return step.spec->gang ? 0 : allowed;
+}
+
+} // namespace pathport::jobs
--- a/src/jobs.lib/scheduler_compare.cpp
+++ b/src/jobs.lib/scheduler_compare.cpp
@@ -18,8 +18,7 @@
         = job == nullptr ? nullptr : job->step(running.task.repeat, running.task.step);
     StepSpec unknown;
     unknown.need = worker.session->info().capacity;
-    occupy(worker, running.task, running.run, step == nullptr ? unknown : *step->spec,
-           job == nullptr ? 0 : job->accepted().queue.priority);
+    occupy(worker, running.task, running.run, step == nullptr ? unknown : *step->spec, job);
 }
 
 // What runs is compared with what should in every report, not only in the first: a run that
--- a/src/jobs.lib/scheduler_jobs.cpp
+++ b/src/jobs.lib/scheduler_jobs.cpp
@@ -35,6 +35,7 @@
     JobRecord& added = *job;
     if (m_early_cancels.erase(added.id()) > 0)
         added.canceled = true;
+    added.workspace = m_usage.number_of(added.accepted().workspace);
     m_jobs[added.id()] = std::move(job);
     begin_due_repeats(added);
     close_if_final(added);
@@ -157,7 +158,8 @@
     m_parts.metrics.observe_seconds(
         "pathport_job_seconds", double((m_parts.loop.now() - job->seen()).count()) / 1000,
         { { "state", to_string(job->state()) } });
-    m_closed[id] = job->state();
+    m_closed[id] = { job->state(), job->accepted().workspace };
+    keep_doubtful_charges(*job);
     m_jobs.erase(id);
     m_to_archive[job_part(id)].push_back(id);
 }
@@ -179,9 +181,11 @@
         std::vector<std::string> taken;
         while (!ids.empty() && taken.size() < most_archived) {
             const std::string& id = ids.back();
-            write.puts.push_back({ closed_row(id), encode_final_progress(m_closed[id]) });
+            const ClosedJob& closed = m_closed[id];
+            write.puts.push_back(
+                { closed_row(id), encode_final_progress(closed.state, closed.workspace) });
             write.removes.push_back(job_row(id));
-            if (m_closed[id] == JobState::canceled)
+            if (closed.state == JobState::canceled)
                 write.removes.push_back(cancel_row(id));
             taken.push_back(id);
             ids.pop_back();
--- a/src/jobs.lib/scheduler_lives.cpp
+++ b/src/jobs.lib/scheduler_lives.cpp
@@ -134,6 +134,7 @@
 void Scheduler::release_all(Worker& worker, const char* reason, bool keep_doubts)
 {
     int64_t released = 0;
+    discharge_all(worker);
     worker.load.clear();
     worker.session->set_busy(false);
     refresh_row(worker);
--- a/src/jobs.lib/scheduler_load.cpp
+++ b/src/jobs.lib/scheduler_load.cpp
@@ -108,7 +108,7 @@
             ? std::nullopt
             : final_state_of_progress(*found->second);
         if (final_state) {
-            m_closed[id] = *final_state;
+            m_closed[id] = { *final_state, workspace_of_job_row(row.value) };
             m_to_archive[job_part(id)].push_back(id);
             progress.erase(found);
             continue;
@@ -140,7 +140,7 @@
                       { { "job", id }, { "epoch", m_claim.head.epoch } });
             continue;
         }
-        m_closed[id] = *final_state;
+        m_closed[id] = { *final_state, workspace_of_final_progress(*value) };
         archived({ id });
     }
     m_loaded_jobs.clear();
--- a/src/jobs.lib/scheduler_pass.cpp
+++ b/src/jobs.lib/scheduler_pass.cpp
@@ -77,6 +77,7 @@
     const Millis begun = m_parts.loop.now();
     m_pass_begun = begun;
     refresh_rows();
+    count_usage();
     const std::vector<Candidate> waiting = candidates();
     renew_reservations(waiting);
     bool cut_short = false;
@@ -377,12 +378,16 @@
     if (job.closed() || (step.has_crashes && give_up_spent(job, step)))
         return;
     const bool apart = step.has_crashes && !step.spec->gang;
-    const std::vector<size_t> suspects
+    std::vector<size_t> suspects
         = apart ? suspects_to_try(job, step) : std::vector<size_t>();
-    const int others = apart ? step.unsuspected() : step.count(TaskPhase::waiting);
-    const int needed = others + static_cast<int>(suspects.size());
+    const int waiting = apart ? step.unsuspected() : step.count(TaskPhase::waiting);
+    const int wanted = waiting + static_cast<int>(suspects.size());
+    const int needed = tasks_within_bound(job, step, wanted);
     if (needed == 0)
         return;
+    const int others = std::min(waiting, needed);
+    if (needed - others < static_cast<int>(suspects.size()))
+        suspects.resize(static_cast<size_t>(needed - others));
     std::vector<WorkerRoom> rooms = rooms_for(job, step, needed);
     if (step.has_crashes && step.spec->gang && gang_waits_apart(step, needed, rooms))
         return;
@@ -445,6 +450,8 @@
           { "allowed", allowed },
           { "fit", fit },
           { "suspected", step.count(TaskPhase::waiting) - step.unsuspected() },
+          { "workspace", job.accepted().workspace },
+          { "at_bound", step.at_bound ? "yes" : "no" },
           { "asking", step.advice.asking ? "yes" : "no" },
           { "idle_ms", step.idle_since == Millis(0) ? 0 : (now - step.idle_since).count() },
           { "held_back", holds_back(job) ? "yes" : "no" } });
--- a/src/jobs.lib/scheduler_start.cpp
+++ b/src/jobs.lib/scheduler_start.cpp
@@ -74,7 +74,7 @@
         task.crashes.note_start();
         if (Step::suspicion(task, wary) != Suspicion::none)
             begin_trial(worker, id);
-        occupy(worker, id, run, *step.spec, job.accepted().queue.priority);
+        occupy(worker, id, run, *step.spec, &job);
     }
     record(job, [this, id = job.id(), repeat = step.repeat, index = step.index, run] {
         send_intended(id, repeat, index, run, true);
--- a/src/jobs.lib/worker_load.cpp
+++ b/src/jobs.lib/worker_load.cpp
@@ -61,10 +61,16 @@
     return m_occupants.count(task.to_string()) > 0;
 }
 
-bool WorkerLoad::holds(const TaskId& task, int64_t run) const
+const Occupant* WorkerLoad::find(const TaskId& task, int64_t run) const
 {
     const auto found = m_occupants.find(task.to_string());
-    return found != m_occupants.end() && found->second.run == run;
+    const bool there = found != m_occupants.end() && found->second.run == run;
+    return there ? &found->second : nullptr;
+}
+
+bool WorkerLoad::holds(const TaskId& task, int64_t run) const
+{
+    return find(task, run) != nullptr;
 }
 
 Resources WorkerLoad::used_below(int priority) const
--- a/src/jobs.lib/worker_load.h
+++ b/src/jobs.lib/worker_load.h
@@ -7,6 +7,7 @@
 
 #pragma once
 
+#include <pathport/callers/usage_ledger.h>
 #include <pathport/jobs/job_model.h>
 
 #include <cstdint>
@@ -22,6 +23,9 @@
     int64_t run = 0;
     Resources need;
     int priority = 0; ///< Of its queue.
+    /// Whose it is, and what counts for that: also what is not counted as room.
+    callers::WorkspaceNumber workspace = callers::UsageLedger::none;
+    Resources charged {};
 };
 
 /// The tasks that hold room on a worker, from the choice of the worker to the listed end.
@@ -35,6 +39,8 @@
 
     bool empty() const { return m_occupants.empty(); }
     bool holds(const TaskId& task) const;
+    /// Returns what this run of the task holds there, or nothing.
+    const Occupant* find(const TaskId& task, int64_t run) const;
     /// Returns whether this run of the task holds room there.
     bool holds(const TaskId& task, int64_t run) const;
     /// Returns the sum of what all tasks take.
--- a/src/loop.lib/async_http_server.cpp
+++ b/src/loop.lib/async_http_server.cpp
@@ -56,6 +56,7 @@
     Address address;
     ServerHandler handler;
     ServerLimits limits;
+    std::vector<std::string> kept_headers;
     tcp::acceptor acceptor;
     std::unordered_set<Session*> sessions;
     bool draining = false;
@@ -128,6 +129,8 @@
         const auto host = message[http::field::host];
         request.host.assign(host.data(), host.size());
         request.time_limit = time_limit_of(message);
+        for (const std::string& name : m_server->kept_headers)
+            keep(name, message, request.headers);
         request.body = std::move(message.body());
         request.received = m_server->loop.now();
         m_stream.expires_never();
@@ -137,6 +140,16 @@
                           });
     }
 
+    static void keep(const std::string& name,
+                     const http::request<http::string_body>& message, HeaderList& kept)
+    {
+        const auto [first, last] = message.equal_range(name);
+        for (auto field = first; field != last; ++field) {
+            const auto value = field->value();
+            kept.emplace_back(name, std::string(value.data(), value.size()));
+        }
+    }
+
     void refuse(int status)
     {
         m_keep_alive = false;
@@ -256,6 +269,11 @@
     return m_impl->start();
 }
 
+void AsyncHttpServer::keep_header(const std::string& name)
+{
+    m_impl->kept_headers.push_back(name);
+}
+
 void AsyncHttpServer::close_after_answers()
 {
     m_impl->draining = true;
--- a/src/pathport_jobd/main.cpp
+++ b/src/pathport_jobd/main.cpp
@@ -95,6 +95,7 @@
     int run()
     {
         m_loop.on_signals([this](int number) { on_signal(number); });
+        m_clients.keep_header(platform::key_header);
         if (!m_peer_server.start() || !m_clients.start() || !m_readiness.start()) {
             std::cerr << "pathport_jobd: an address can't be used" << std::endl;
             return exit_no_start;
