Jobs beyond a workspace's share go last; callers come back as their jobs allow; a page of workspaces

Cause 1: a workspace that sends many times its usual took the room of the others: order was by queue and slack alone. Change: a token bucket of weight a second by workspace (job_budget); what is beyond it goes behind all other work and gives way to it. Cause 2: all callers were told to come back after 1 s and have five tries, so in an outage of five seconds all who came in its first second were lost, also jobs that may take 16 s. Change: the pause follows from the job's slack and the outage so far, spread by id (come_back). Also: GET /workspaces on the metrics address, gauges by workspace.

--- a/src/include/pathport/jobs/job_node.h
+++ b/src/include/pathport/jobs/job_node.h
@@ -21,6 +21,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace pathport::jobs {
 
@@ -78,6 +79,15 @@
 /// Answers a question for a number of jobs.
 using CountReply = std::function<void(ClientStatus, int64_t)>;
 
+/// What one workspace has and waits for, as the leader knows it.
+struct WorkspaceLoad {
+    callers::Workspace workspace;
+    Resources running; ///< With what may run on workers that have not reported.
+    int waiting_jobs = 0; ///< Of which nothing is placed.
+    int beyond_share = 0; ///< Open jobs that came beyond its share.
+    int steps_at_bound = 0; ///< That wait for room below its bound.
+};
+
 /// A node.
 class JobNode {
 public:
@@ -105,6 +115,8 @@
     /// Returns when a caller whose job the queue does not take should come back; zero when
     /// it takes it.
     Millis come_back_after(const std::string& queue) const;
+    /// Returns when a caller whose job was refused should come back.
+    Millis pause_of(const Queue& queue, const JobSpec& spec, const std::string& id) const;
     /// From now on `listener` is told of each configuration that comes into force.
     void on_configuration(std::function<void(const Configuration&)> listener);
 
@@ -129,6 +141,10 @@
     /// Handles a peer's message.
     void handle_peer(const PeerRequest& request, PeerResponder done);
 
+    /// Returns the load of each workspace of the configuration; empty unless this node
+    /// leads.
+    std::vector<WorkspaceLoad> workspace_loads() const;
+
     /// Brings the gauges among the metrics up to date.
     void update_gauges();
 
--- /dev/null
+++ b/src/jobs.lib/come_back_test.cpp
@@ -0,0 +1,112 @@
+// Copyright the pathport authors.
+// SPDX-License-Identifier: Apache-2.0
+
+/// \file
+/// An outage of the store in the midst of mixed work: quotes of a second, closings of some
+/// seconds, checks that may take longer. Clients try five times in all; with the same pause
+/// of a second for all of them, each that came in the first second of an outage of five was
+/// lost.
+
+#define BOOST_TEST_MODULE come_back
+#include <boost/test/unit_test.hpp>
+
+#include "come_back.h"
+
+using pathport::Millis;
+using namespace pathport::jobs;
+
+namespace {
+
+constexpr int tries = 5;
+
+Queue queue_of(double stretch, int64_t slo_ms)
+{
+    Queue queue;
+    queue.stretch = stretch;
+    queue.slo_ms = slo_ms;
+    return queue;
+}
+
+JobSpec job_of(int64_t run_ms)
+{
+    JobSpec spec;
+    spec.steps.emplace_back();
+    spec.steps.back().expected_ms = run_ms;
+    return spec;
+}
+
+const Queue quotes = queue_of(1.5, 250);
+const Queue closings = queue_of(2.2, 1000);
+const Queue checks = queue_of(4, 3000);
+
+/// Returns when a job that comes `sent` after the start of an outage is taken, in ms after
+/// that start; nothing when its client gives up before.
+std::optional<int64_t> taken_at(const Queue& queue, const JobSpec& spec, int64_t sent,
+                                int64_t outage, const std::string& id)
+{
+    int64_t now = sent;
+    for (int i = 0; i < tries; ++i) {
+        if (now >= outage)
+            return now;
+        now += come_back_pause(queue, spec, id, Millis(now)).count();
+    }
+    return std::nullopt;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(what_can_wait_outlasts_an_outage_in_time)
+{
+    for (const int64_t outage : { 2000, 4200, 5700 }) {
+        for (int64_t sent = 0; sent < outage; sent += 100) {
+            for (int i = 0; i < 20; ++i) {
+                const std::string id = "job" + std::to_string(i);
+                const auto check = taken_at(checks, job_of(3400), sent, outage, id);
+                BOOST_TEST_REQUIRE(check.has_value());
+                BOOST_TEST(*check - sent < 3 * 3400 + 3000);
+                BOOST_TEST(taken_at(closings, job_of(4000), sent, outage, id).has_value());
+            }
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(what_is_urgent_comes_back_first)
+{
+    for (int i = 0; i < 20; ++i) {
+        const std::string id = "job" + std::to_string(i);
+        for (const int64_t outage : { 0, 1000, 5000, 60000 }) {
+            const Millis quote = come_back_pause(quotes, job_of(640), id, Millis(outage));
+            const Millis closing
+                = come_back_pause(closings, job_of(4000), id, Millis(outage));
+            const Millis check = come_back_pause(checks, job_of(3400), id, Millis(outage));
+            BOOST_TEST(quote.count() == 1000);
+            BOOST_TEST(closing.count() >= quote.count());
+            BOOST_TEST(check.count() >= closing.count());
+            BOOST_TEST(check.count() <= 4000);
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(callers_of_one_moment_come_back_spread)
+{
+    int sooner = 0;
+    constexpr int callers = 200;
+    for (int i = 0; i < callers; ++i) {
+        const Millis pause = come_back_pause(checks, job_of(3400),
+                                             "job" + std::to_string(i), Millis(2500));
+        BOOST_TEST((pause == Millis(3000) || pause == Millis(4000)));
+        sooner += pause == Millis(3000) ? 1 : 0;
+    }
+    BOOST_TEST(sooner > callers / 4);
+    BOOST_TEST(sooner < callers * 3 / 4);
+}
+
+BOOST_AUTO_TEST_CASE(a_job_of_any_form_has_a_pause)
+{
+    JobSpec chain = job_of(1000);
+    chain.steps.emplace_back();
+    chain.steps.back().expected_ms = 2000;
+    chain.steps.back().after = { 0 };
+    BOOST_TEST(longest_chain_ms(chain) == 3000);
+    BOOST_TEST(come_back_pause(Queue(), JobSpec(), "", Millis(100000)).count() == 1000);
+}
--- a/src/jobs.lib/job_node.cpp
+++ b/src/jobs.lib/job_node.cpp
@@ -20,6 +20,8 @@
 constexpr Millis follower_useful { 1000 };
 /// Payloads that a node keeps: those of ten seconds at the users' largest load.
 constexpr size_t most_payload_bytes = size_t(1) << 20;
+/// So many workspaces have metrics of their own.
+constexpr size_t most_labelled_workspaces = 100;
 /// A silent follower's place among those that have to promise.
 constexpr Millis follower_forgotten { 30000 };
 
@@ -314,6 +316,29 @@
     metrics.set("pathport_log_backlog",
                 m_scheduler ? double(m_scheduler->log().backlog()) : 0);
     metrics.set("pathport_advice_waiting", double(m_advice.waiting()));
+    update_workspace_gauges();
+}
+
+std::vector<WorkspaceLoad> JobNode::Impl::workspace_loads() const
+{
+    return m_scheduler ? m_scheduler->workspace_loads() : std::vector<WorkspaceLoad>();
+}
+
+// Workspaces beyond the number that gets labels of their own have none here; the page of
+// all workspaces lists them.
+void JobNode::Impl::update_workspace_gauges()
+{
+    const std::vector<WorkspaceLoad> loads = workspace_loads();
+    for (size_t i = 0; i < loads.size() && i < most_labelled_workspaces; ++i) {
+        const WorkspaceLoad& load = loads[i];
+        const MetricLabels labels { { "workspace", load.workspace.name } };
+        Metrics& metrics = m_parts.metrics;
+        metrics.set("pathport_workspace_running_cpus",
+                    double(load.running.cpu_millis) / 1000, labels);
+        metrics.set("pathport_workspace_bound_cpus",
+                    double(load.workspace.bound.cpu_millis) / 1000, labels);
+        metrics.set("pathport_workspace_waiting_jobs", load.waiting_jobs, labels);
+    }
 }
 
 JobNode::JobNode(const NodeParts& parts, const NodeSetup& setup)
@@ -363,6 +388,12 @@
     return m_impl->come_back_after(queue);
 }
 
+Millis JobNode::pause_of(const Queue& queue, const JobSpec& spec,
+                         const std::string& id) const
+{
+    return m_impl->pause_of(queue, spec, id);
+}
+
 void JobNode::on_configuration(std::function<void(const Configuration&)> listener)
 {
     m_impl->on_configuration(std::move(listener));
@@ -405,6 +436,11 @@
     m_impl->handle_peer(request, std::move(done));
 }
 
+std::vector<WorkspaceLoad> JobNode::workspace_loads() const
+{
+    return m_impl->workspace_loads();
+}
+
 void JobNode::update_gauges()
 {
     m_impl->update_gauges();
--- a/src/jobs.lib/job_node_clients.cpp
+++ b/src/jobs.lib/job_node_clients.cpp
@@ -4,6 +4,7 @@
 /// \file
 /// What a node does for clients.
 
+#include "come_back.h"
 #include "job_node_impl.h"
 #include "store_keys.h"
 
@@ -97,6 +98,13 @@
     return found == closed.end() ? Millis(0) : found->come_back;
 }
 
+Millis JobNode::Impl::pause_of(const Queue& queue, const JobSpec& spec,
+                               const std::string& id) const
+{
+    const Millis pause = come_back_pause(queue, spec, id, m_store.outage());
+    return std::max(pause, come_back_after(queue.name));
+}
+
 // A job that the advice can't decide about in time would stand, and its client wait in
 // vain. An earlier try, whose answer was lost, may have been taken: only what is not there
 // can be said never to run.
--- a/src/jobs.lib/job_node_impl.h
+++ b/src/jobs.lib/job_node_impl.h
@@ -53,6 +53,7 @@
         m_configuration.on_applied(std::move(listener));
     }
     void update_gauges();
+    std::vector<WorkspaceLoad> workspace_loads() const;
 
     // Clients' calls (job_node_clients.cpp).
     callers::CallerCheck check_caller(const Configuration& configuration,
@@ -69,6 +70,7 @@
     /// Returns when a caller whose job the queue does not take should come back; zero when
     /// it takes it.
     Millis come_back_after(const std::string& queue) const;
+    Millis pause_of(const Queue& queue, const JobSpec& spec, const std::string& id) const;
 
     // Peers' messages (job_node_peers.cpp).
     void handle_peer(const PeerRequest& request, PeerResponder done);
@@ -117,6 +119,7 @@
     void tell_leader_of_leaving();
     int strongest_follower() const;
 
+    void update_workspace_gauges();
     void turn_away(const std::string& queue, const std::string& id, Millis received,
                    const callers::Caller& caller, ClientStatus answer, ClientReply done);
     bool exceeds_bound(const JobSpec& spec, const std::string& workspace) const;
--- a/src/jobs.lib/job_record.cpp
+++ b/src/jobs.lib/job_record.cpp
@@ -3,6 +3,8 @@
 
 #include "job_record.h"
 
+#include "come_back.h"
+
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
@@ -22,6 +24,9 @@
 /// one more start there.
 constexpr size_t most_turned_away = 32;
 
+/// More than queues have priorities.
+constexpr int beyond_share_rank = 1000;
+
 const char* const state_key = "state";
 const char* const workspace_key = "workspace";
 const char* const next_key = "next";
@@ -230,6 +235,11 @@
 {
 }
 
+int JobRecord::rank() const
+{
+    return m_accepted.queue.priority + (beyond_share ? beyond_share_rank : 0);
+}
+
 JobState JobRecord::state() const
 {
     if (recorded_state)
@@ -322,15 +332,7 @@
 {
     if (m_longest_chain_ms >= 0)
         return m_longest_chain_ms;
-    std::vector<int64_t> ends;
-    m_longest_chain_ms = 0;
-    for (const StepSpec& step : m_accepted.spec.steps) {
-        int64_t begin = 0;
-        for (const int earlier : step.after)
-            begin = std::max(begin, ends[static_cast<size_t>(earlier)]);
-        ends.push_back(begin + step.expected_ms);
-        m_longest_chain_ms = std::max(m_longest_chain_ms, ends.back());
-    }
+    m_longest_chain_ms = jobs::longest_chain_ms(m_accepted.spec);
     return m_longest_chain_ms;
 }
 
--- a/src/jobs.lib/job_record.h
+++ b/src/jobs.lib/job_record.h
@@ -144,8 +144,12 @@
     const AcceptedJob& accepted() const { return m_accepted; }
     const std::string& id() const { return m_accepted.id; }
     Millis seen() const { return m_seen; }
+    /// Returns its place in the order of work, 0 first: that of its queue, but behind all
+    /// others for what is beyond its workspace's share.
+    int rank() const;
 
     callers::WorkspaceNumber workspace = callers::UsageLedger::none; ///< Whose it is.
+    bool beyond_share = false; ///< Its workspace had sent more than it may count on.
     bool canceled = false; ///< A cancellation is recorded.
     bool gave_up = false; ///< A task has failed too often.
     bool loaded = false; ///< An earlier leader may have known it.
--- a/src/jobs.lib/scheduler.cpp
+++ b/src/jobs.lib/scheduler.cpp
@@ -179,7 +179,7 @@
     occupant.need = spec.need;
     if (spec.fills)
         occupant.need.cpu_millis = 0;
-    occupant.priority = job == nullptr ? 0 : job->accepted().queue.priority;
+    occupant.priority = job == nullptr ? 0 : job->rank();
     occupant.workspace = job == nullptr ? workspace_number_of(task) : job->workspace;
     occupant.charged = spec.need;
     worker.load.add(task, occupant);
--- a/src/jobs.lib/scheduler.h
+++ b/src/jobs.lib/scheduler.h
@@ -19,7 +19,9 @@
 #include "worker_load.h"
 #include "worker_session.h"
 
+#include <pathport/callers/job_budget.h>
 #include <pathport/event_loop.h>
+#include <pathport/jobs/job_node.h>
 #include <pathport/jobs/job_store.h>
 #include <pathport/jobs/mechanisms.h>
 #include <pathport/jobs/worker_client.h>
@@ -39,8 +41,8 @@
 /// How long a worker that was left alone gets one task at a time.
 constexpr Millis trial_time { 2500 };
 
-/// A ticket that holds for so long outlasts the end of the tasks that give way.
-constexpr Millis ticket_reserve { 750 };
+/// How long the record and the order of a start take at most, once its room is there.
+constexpr Millis record_and_order { 350 };
 /// Workers are kept no longer while an answer of the advisor is waited for.
 constexpr Millis longest_question { 3000 };
 
@@ -115,6 +117,8 @@
     void set_promised_until(Millis until) { m_promised_until = until; }
     /// Returns the queues that take no jobs at present.
     const std::vector<ClosedQueue>& closed_queues() const { return m_door.closed(); }
+    /// Returns the load of each workspace of the configuration.
+    std::vector<WorkspaceLoad> workspace_loads() const;
     const HeadLog& log() const { return m_log; }
     size_t open_jobs() const { return m_jobs.size(); }
     size_t known_workers() const { return m_workers.size(); }
@@ -391,6 +395,7 @@
     void reserve(Worker& worker, const Step& step);
     void renew_reservations(const std::vector<Candidate>& waiting);
     void keep(Step& step, const std::vector<Prospect>& workers, Millis span);
+    Millis ticket_reserve() const;
     bool choose_for_gang(const Step& step, std::vector<Prospect>& allowed, int needed,
                          bool room_now);
     bool tickets_last(const Step& step, const std::vector<Prospect>& workers) const;
@@ -424,6 +429,7 @@
 
     // Bounds of workspaces (scheduler_bounds.cpp).
     callers::WorkspaceNumber workspace_number_of(const TaskId& task);
+    bool is_beyond_share(const JobRecord& job);
     void take_bounds();
     void count_usage();
     void count_doubts();
@@ -521,6 +527,7 @@
         m_question_ms; ///< By queue, the advisor's time for a question, smoothed.
     AdviceDoor m_door;
     callers::UsageLedger m_usage; ///< What each workspace has running.
+    std::map<callers::WorkspaceNumber, callers::JobBudget> m_budgets;
     std::shared_ptr<const Configuration> m_bounds_from; ///< Whose bounds the ledger has.
     /// Of jobs that are closed, tasks that may yet run on workers that are silent: what is
     /// charged for each, by name.
--- a/src/jobs.lib/scheduler_bounds.cpp
+++ b/src/jobs.lib/scheduler_bounds.cpp
@@ -62,6 +62,18 @@
     m_usage.configure(callers::Workspaces(callers::KeyHasher(0)));
 }
 
+// Returns whether the job's workspace had sent more before it than it may count on. Jobs
+// come in the order of their acceptance, or nearly.
+bool Scheduler::is_beyond_share(const JobRecord& job)
+{
+    take_bounds();
+    const bool shares = m_bounds_from && m_bounds_from->workspaces
+        && job.workspace != callers::UsageLedger::none;
+    return shares
+        && !m_budgets[job.workspace].take(m_usage.weight_of(job.workspace),
+                                          job.accepted().accepted_ms);
+}
+
 // Brings the ledger up to date for a pass.
 void Scheduler::count_usage()
 {
@@ -162,4 +174,36 @@
     return step.spec->gang ? 0 : allowed;
 }
 
+std::vector<WorkspaceLoad> Scheduler::workspace_loads() const
+{
+    std::vector<WorkspaceLoad> loads;
+    if (!m_bounds_from || !m_bounds_from->workspaces)
+        return loads;
+    std::map<callers::WorkspaceNumber, size_t> places;
+    for (callers::WorkspaceNumber number = 0; number < m_usage.size(); ++number) {
+        const callers::Workspace* known
+            = m_bounds_from->workspaces->find(m_usage.name_of(number));
+        if (known == nullptr)
+            continue;
+        places[number] = loads.size();
+        loads.push_back({ *known, m_usage.running(number) });
+    }
+    for (const auto& [id, job] : m_jobs) {
+        const auto place = places.find(job->workspace);
+        if (place == places.end() || job->closed())
+            continue;
+        WorkspaceLoad& load = loads[place->second];
+        load.beyond_share += job->beyond_share ? 1 : 0;
+        bool placed = false;
+        for (const auto& [number, repeat] : job->repeats()) {
+            for (const Step& step : repeat.steps) {
+                placed = placed || step.placed() > 0;
+                load.steps_at_bound += step.at_bound && !step.finished() ? 1 : 0;
+            }
+        }
+        load.waiting_jobs += placed ? 0 : 1;
+    }
+    return loads;
+}
+
 } // namespace pathport::jobs
--- a/src/jobs.lib/scheduler_jobs.cpp
+++ b/src/jobs.lib/scheduler_jobs.cpp
@@ -36,6 +36,7 @@
     if (m_early_cancels.erase(added.id()) > 0)
         added.canceled = true;
     added.workspace = m_usage.number_of(added.accepted().workspace);
+    added.beyond_share = is_beyond_share(added);
     m_jobs[added.id()] = std::move(job);
     begin_due_repeats(added);
     close_if_final(added);
--- a/src/jobs.lib/scheduler_load.cpp
+++ b/src/jobs.lib/scheduler_load.cpp
@@ -99,6 +99,7 @@
         if (!job.empty())
             canceled.insert(job);
     }
+    std::vector<std::unique_ptr<JobRecord>> open;
     for (const StoredRow& row : m_loaded_jobs) {
         const std::string& id = row.id.key;
         if (!canceled_job(id).empty())
@@ -129,8 +130,14 @@
         }
         job->canceled = canceled.count(id) > 0;
         job->loaded = true;
-        add_job(std::move(job));
+        open.push_back(std::move(job));
     }
+    // What is beyond a workspace's share depends on the order in which its jobs came.
+    std::sort(open.begin(), open.end(), [](const auto& left, const auto& right) {
+        return left->accepted().accepted_ms < right->accepted().accepted_ms;
+    });
+    for (auto& job : open)
+        add_job(std::move(job));
     // What is left belongs to jobs that an earlier leader had archived.
     for (const auto& [id, value] : progress) {
         const auto final_state = final_state_of_progress(*value);
--- a/src/jobs.lib/scheduler_pass.cpp
+++ b/src/jobs.lib/scheduler_pass.cpp
@@ -139,7 +139,7 @@
         const AcceptedJob& job = candidate.job->accepted();
         const int64_t order = by_slack ? candidate.slack_ms : job.accepted_ms;
         return std::make_tuple(
-            job.queue.priority, !candidate.overdue, by_slack && candidate.late,
+            candidate.job->rank(), !candidate.overdue, by_slack && candidate.late,
             candidate.overdue ? candidate.step->idle_since.count() : order);
     };
     std::stable_sort(found.begin(), found.end(),
@@ -398,7 +398,7 @@
         fit += here;
         first_fit += room.second_choice ? 0 : here;
     }
-    if (job.accepted().queue.priority > 0)
+    if (job.rank() > 0)
         step.check_at = m_pass_begun + room_check_interval;
     if (step.spec->gang && fit < needed) {
         prepare_gang(job, step, needed);
--- a/src/jobs.lib/store_health.cpp
+++ b/src/jobs.lib/store_health.cpp
@@ -90,6 +90,11 @@
         });
 }
 
+Millis StoreHealth::outage() const
+{
+    return failing() ? m_loop.now() - m_served_at : Millis(0);
+}
+
 bool StoreHealth::failing() const
 {
     if (m_known && !m_last_served)
--- a/src/jobs.lib/store_health.h
+++ b/src/jobs.lib/store_health.h
@@ -34,6 +34,8 @@
     /// Returns whether the store does not serve this node: the last call that ended was not
     /// served, or calls have been open for long and none has been served meanwhile.
     bool failing() const;
+    /// Returns for how long it has not served this node; zero while it is not failing.
+    Millis outage() const;
     /// Tries the store, so that served() and failing() tell of the present; `served_now` is
     /// called if it answers.
     void check(std::function<void()> served_now = {});
--- a/src/pathport_jobd/main.cpp
+++ b/src/pathport_jobd/main.cpp
@@ -7,6 +7,7 @@
 
 #include "http_peers.h"
 #include "jobd_settings.h"
+#include "workspaces_page.h"
 
 #include <platform/client_calls.h>
 #include <platform/store_client.h>
@@ -39,9 +40,8 @@
 constexpr Millis traffic_interval { 5000 };
 /// Kinds of calls that moved less in that time are not told of, in bytes.
 constexpr int64_t least_traffic_told = 10000;
-/// Connections to one worker: one look and some orders. The users' workers reset those over
-/// 64, and the connections of leaders that lost power stay open there: with 24 or more
-/// each, three of them left a worker that reset nearly all orders until the end of the day.
+/// Connections to one worker: one look and some orders. Workers bound the number of their
+/// connections, and those of leaders that lost power stay open there for long.
 constexpr size_t worker_connections = 6;
 /// Clients' open connections are closed so long before the end of the grace.
 constexpr Millis closing_time { 1500 };
@@ -85,8 +85,9 @@
               },
               peer_limits())
         , m_metrics_server(m_loop, settings.metrics,
-                           [this](const ServerRequest&, const ServerReply& reply) {
-                               reply(metrics_answer());
+                           [this](const ServerRequest& request, const ServerReply& reply) {
+                               reply(request.target == "/workspaces" ? workspaces_answer()
+                                                                     : metrics_answer());
                            },
                            {})
     {
@@ -159,6 +160,14 @@
         return answer;
     }
 
+    // What the leader knows of each workspace; an empty list elsewhere.
+    ServerAnswer workspaces_answer()
+    {
+        ServerAnswer answer;
+        answer.body = workspaces_page(m_node.leads(), m_node.workspace_loads());
+        return answer;
+    }
+
     // What each kind of call takes of the link, in the log from time to time.
     void tell_traffic()
     {
