Late steps that wait for advice close no queue

What callers saw: in a cell asked for far more than it has, whole queues were refused for seconds, though new jobs would have been decided about at once. Cause: the door closes a queue when its oldest step has waited 2 s for advice; late steps stand behind all that can be in time, so one of them was always that old. Change: they are not counted at the door. Tests: advice_door_test; scarce_advice_test passes.

--- a/src/jobs.lib/advice_door.cpp
+++ b/src/jobs.lib/advice_door.cpp
@@ -46,6 +46,14 @@
 
 } // namespace
 
+void AdviceDemand::add_step(Millis waited, bool late)
+{
+    if (late)
+        return;
+    ++steps;
+    oldest = std::max(oldest, waited);
+}
+
 void AdviceDoor::update(const std::vector<AdviceDemand>& demands, double callers)
 {
     const double usable = std::max(least_callers, callers);
--- a/src/jobs.lib/advice_door.h
+++ b/src/jobs.lib/advice_door.h
@@ -23,6 +23,10 @@
     int steps = 0; ///< Of which nothing is placed and no question was answered.
     Millis oldest; ///< How long the first of them has waited.
     double question_ms = 0; ///< What the advisor takes for a usual question.
+
+    /// Adds a step that has waited for so long. A late one goes behind all that can be in
+    /// time, so it tells nothing of how long a new one would wait.
+    void add_step(Millis waited, bool late);
 };
 
 /// Closes a queue when what it has accepted would wait too long, and opens it again when
--- a/src/jobs.lib/advice_door_test.cpp
+++ b/src/jobs.lib/advice_door_test.cpp
@@ -57,6 +57,24 @@
     BOOST_TEST(is_closed(door, "slower"));
 }
 
+// In a cell that is asked for far more than it has, late steps stand behind all that can be
+// in time and are not asked about for seconds, while new ones are at once.
+BOOST_AUTO_TEST_CASE(late_steps_that_stand_do_not_close_the_queue)
+{
+    for (const bool late : { true, false }) {
+        AdviceDemand demand;
+        demand.queue = "checks";
+        demand.priority = 2;
+        demand.question_ms = 230;
+        for (int i = 0; i < 42; ++i)
+            demand.add_step(Millis(7500), late);
+        demand.add_step(Millis(100), false);
+        AdviceDoor door;
+        door.update({ demand }, 45);
+        BOOST_TEST(is_closed(door, "checks") == !late);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(closed_queue_opens_only_when_the_backlog_is_half_gone)
 {
     AdviceDoor door;
--- a/src/jobs.lib/scheduler_door.cpp
+++ b/src/jobs.lib/scheduler_door.cpp
@@ -40,10 +40,12 @@
 {
     const Millis now = m_parts.loop.now();
     std::map<std::string, AdviceDemand> demands;
+    const int64_t now_ms = m_parts.store_clock_ms();
     for (auto& [id, job] : m_jobs) {
         if (job->closed() || holds_back(*job))
             continue;
         const Queue& queue = job->accepted().queue;
+        const bool late = slack_ms(*job, now_ms) < 0;
         for (auto& [number, repeat] : job->repeats()) {
             for (const Step& step : repeat.steps) {
                 if (!awaits_advice(*job, step))
@@ -51,9 +53,8 @@
                 AdviceDemand& demand = demands[queue.name];
                 demand.queue = queue.name;
                 demand.priority = queue.priority;
-                ++demand.steps;
-                if (step.idle_since > Millis(0))
-                    demand.oldest = std::max(demand.oldest, now - step.idle_since);
+                const bool idle = step.idle_since > Millis(0);
+                demand.add_step(idle ? now - step.idle_since : Millis(0), late);
                 const auto asked = m_question_ms.find(queue.name);
                 demand.question_ms = asked != m_question_ms.end()
                     ? asked->second
