come_back_test: callers are spread over both sides of half a second

The case took an outage of 2.5 s, for which the pause of a check is 3.3 s: 70% come back sooner, so 156 of 200 were no fault of the spread (bound: a quarter to three quarters). At 3.5 s half of them do; the bounds are the same.

--- a/src/jobs.lib/come_back_test.cpp
+++ b/src/jobs.lib/come_back_test.cpp
@@ -93,7 +93,7 @@
     constexpr int callers = 200;
     for (int i = 0; i < callers; ++i) {
         const Millis pause = come_back_pause(checks, job_of(3400),
-                                             "job" + std::to_string(i), Millis(2500));
+                                             "job" + std::to_string(i), Millis(3500));
         BOOST_TEST((pause == Millis(3000) || pause == Millis(4000)));
         sooner += pause == Millis(3000) ? 1 : 0;
     }
