The soak tries keys that have gone at each daemon

Cause: the check that a key which has gone is denied was made once in a soak, so it could hardly fail. Change: after each replacement the old key is tried at every daemon every 0.4 s for 6 s. With daemons changed on a scratch copy to go by the first configuration's keys and to show jobs to anybody: 13 keys that had gone admitted, 2 new ones denied, 5 jobs told to others; with no bound: 20 of 91 starts over it. All checks on callers of the soak have been seen red with that, but that of keys of nobody.

--- a/testsuite/soak/callers.py
+++ b/testsuite/soak/callers.py
@@ -10,7 +10,7 @@
 
 from . import wire
 from .http1 import Client, ConnectionLost
-from .model import HOST
+from .model import HOST, QUEUES
 from .workspaces import APART, OVER_BOUND, UNAUTHORIZED, KeyBook
 
 CALL_LIMIT_S = 4.0
@@ -21,6 +21,7 @@
 RETRY_S = 0.4
 MOST_TRIES = 14
 MOST_REFUSALS = 5
+GONE_WATCH_S, GONE_POLL_S = 6.0, 0.4  # So long and so often a gone key is tried.
 MOMENT_S = 8.0  # So long a caller waits for the start or end at which it wants to cancel.
 FINAL = ("completed", "failed", "canceled")
 UNANSWERED = 0  # The status of a call without an answer.
@@ -274,6 +275,15 @@
         elif status == 200 and method == "DELETE":
             view.cancel_sent = True  # Its own key, which had just gone.
 
+    async def call_with_gone(self, key):
+        """Calls each daemon again and again with a key that has just gone."""
+        async def call_one(daemon):
+            end = time.monotonic() + GONE_WATCH_S
+            while time.monotonic() < end:
+                await self.lines.call(daemon, "GET", QUEUES[0].prefix, key=key)
+                await asyncio.sleep(GONE_POLL_S)
+        await asyncio.gather(*[call_one(daemon) for daemon in self.daemons])
+
     async def ask(self, view):
         """Asks for a job's state at any daemon; returns it, empty if there was no answer."""
         daemon = self.any_daemon()
--- a/testsuite/soak/injector.py
+++ b/testsuite/soak/injector.py
@@ -170,6 +170,7 @@
         oldest = keys.rotate(fault.arguments["workspace"], new_key)
         done = await self.write_workspaces()
         keys.rotated(oldest, new_key, done["at"])
+        await self.routes.callers.call_with_gone(oldest)
 
     async def rebound(self, fault, _):
         """The bound of a workspace rises or falls."""
