Logs tell how late a process runs, which answers came late, and what passes leave out

The log could not tell an overloaded leader from lost answers: process_load has the processor time and how late the loop ran, relayed_answers the answers that came after their calls had been given up, load the passes that were cut short, the steps they left out and the calls without an answer. No decision changes. Before: one line process_paused above 300 ms; it stays.

--- a/src/jobs.lib/relayed_workers.cpp
+++ b/src/jobs.lib/relayed_workers.cpp
@@ -32,6 +32,8 @@
 constexpr Millis sweep_interval { 50 };
 /// The load is weighed so often; half of it is of the last interval.
 constexpr Millis weigh_interval { 500 };
+/// What became of calls is told so often while answers are late or missing.
+constexpr Millis answers_interval { 2000 };
 /// Bytes of a call beside its payload, in the direction that has more of them, with the
 /// headers of HTTP (the log's link_traffic at 175 starts and 350 looks a second).
 constexpr double order_bytes = 400;
@@ -417,8 +419,11 @@
 void RelayedWorkers::take_answer(const RelayedAnswer& answer)
 {
     auto pending = take_pending(answer.number);
-    if (!pending)
-        return; // It was given up on.
+    if (!pending) { // It was given up.
+        ++m_answers.late;
+        return;
+    }
+    ++m_answers.in_time;
     if (answer.payload_missing)
         make_directly(pending->call, std::move(pending->done));
     else
@@ -498,6 +503,8 @@
             && std::find(silent.begin(), silent.end(), pending.relay) == silent.end())
             silent.push_back(pending.relay);
     }
+    m_answers.missing += static_cast<int64_t>(overdue.size());
+    tell_answers();
     const auto alive = m_epoch_lifetime.observe();
     for (const std::string& relay : silent) {
         relay_lost(relay, {}, "no_answers");
@@ -513,4 +520,20 @@
     }
 }
 
+// Answers that came late tell that this node or a relay is slow; ones that are missing and
+// never come were lost.
+void RelayedWorkers::tell_answers()
+{
+    if (m_loop.now() - m_answers_told < answers_interval)
+        return;
+    m_answers_told = m_loop.now();
+    if (m_answers.late + m_answers.missing > 0)
+        log_event(LogLevel::info, "relayed_answers",
+                  { { "epoch", m_message.epoch },
+                    { "in_time", m_answers.in_time },
+                    { "late", m_answers.late },
+                    { "missing", m_answers.missing } });
+    m_answers = AnswerCounts();
+}
+
 } // namespace pathport::jobs
--- a/src/jobs.lib/relayed_workers.h
+++ b/src/jobs.lib/relayed_workers.h
@@ -85,6 +85,13 @@
         Millis avoid_until;
     };
 
+    /// What became of calls, for the log.
+    struct AnswerCounts {
+        int64_t in_time = 0;
+        int64_t late = 0; ///< Came after their calls were given up.
+        int64_t missing = 0; ///< Calls that were given up.
+    };
+
     /// A message to a relay.
     struct Message {
         int64_t number = 0;
@@ -109,6 +116,7 @@
                     const char* reason);
     void take_answer(const RelayedAnswer& answer);
     std::optional<Pending> take_pending(int64_t number);
+    void tell_answers();
     bool others_heard(const Pending& pending) const;
     void sweep();
 
@@ -130,6 +138,8 @@
     CallLoad m_load; ///< Smoothed.
     CallLoad m_counted; ///< Since the load was weighed.
     Millis m_weighed;
+    AnswerCounts m_answers; ///< Since they were told of.
+    Millis m_answers_told;
     Lifetime m_lifetime;
     Lifetime m_epoch_lifetime; ///< Of what was sent in the present epoch.
 };
--- a/src/jobs.lib/scheduler.cpp
+++ b/src/jobs.lib/scheduler.cpp
@@ -56,6 +56,12 @@
     return now < m_log.lease_until() || now < m_promised_until;
 }
 
+void Scheduler::answer_missing()
+{
+    m_answer_missed_at = m_parts.loop.now();
+    ++m_load_counts.answers_missing;
+}
+
 bool Scheduler::answers_go_missing() const
 {
     // Some thousand calls are made in this time, so even rare losses keep it up.
--- a/src/jobs.lib/scheduler.h
+++ b/src/jobs.lib/scheduler.h
@@ -94,7 +94,7 @@
 
     // SessionListener
     bool may_order() const override;
-    void answer_missing() override { m_answer_missed_at = m_parts.loop.now(); }
+    void answer_missing() override;
     bool answers_go_missing() const override;
     bool may_lease(const WorkerSession& session) const override;
     void lost(WorkerSession& session) override;
@@ -120,6 +120,14 @@
         int64_t last_number = 0;
         int open = 0; ///< Jobs whose rows are not written yet.
     };
+    /// What is told of in each line on load.
+    struct LoadCounts {
+        int64_t passes = 0;
+        Millis pass_time; ///< Spent in them.
+        int64_t cut_passes = 0; ///< That ended before all steps were looked at.
+        int64_t steps_left = 0; ///< That those did not look at, together.
+        int64_t answers_missing = 0; ///< Calls to workers that got none in their time.
+    };
     /// Ends that a worker told of a job that isn't known yet.
     struct KeptEnds {
         std::string worker;
@@ -507,8 +515,7 @@
     Millis m_load_reported;
     bool m_pass_due = false;
     bool m_check_due = false; ///< A pass will follow for steps that wait for room.
-    int64_t m_passes = 0; ///< Since load was last reported.
-    Millis m_pass_time; ///< Spent in them.
+    LoadCounts m_load_counts; ///< Since load was last reported.
     Millis m_last_pass_time; ///< Spent in the last one.
     Millis m_pass_begun; ///< The present or last pass; the time that its choices go by.
     int m_gangs_prepared = 0; ///< In the present pass.
--- a/src/jobs.lib/scheduler_pass.cpp
+++ b/src/jobs.lib/scheduler_pass.cpp
@@ -82,19 +82,22 @@
     renew_reservations(waiting);
     bool cut_short = false;
     bool put_off = false;
-    for (size_t i = 0; i < waiting.size() && !cut_short; ++i) {
-        if (begun < waiting[i].step->check_at) {
+    size_t seen = 0;
+    for (; seen < waiting.size() && !cut_short; ++seen) {
+        if (begun < waiting[seen].step->check_at) {
             put_off = true;
             continue;
         }
-        place(waiting[i]);
+        place(waiting[seen]);
         // Reading the clock costs more than many a candidate.
-        if (i % clock_reading_interval == 0)
+        if (seen % clock_reading_interval == 0)
             cut_short = m_parts.loop.now() - begun > longest_pass;
     }
-    ++m_passes;
     m_last_pass_time = m_parts.loop.now() - begun;
-    m_pass_time = m_pass_time + m_last_pass_time;
+    ++m_load_counts.passes;
+    m_load_counts.pass_time = m_load_counts.pass_time + m_last_pass_time;
+    m_load_counts.cut_passes += cut_short ? 1 : 0;
+    m_load_counts.steps_left += static_cast<int64_t>(waiting.size() - seen);
     if (cut_short)
         schedule_pass();
     if (put_off)
--- a/src/jobs.lib/scheduler_tick.cpp
+++ b/src/jobs.lib/scheduler_tick.cpp
@@ -87,8 +87,11 @@
                 { "cpu_total", total },
                 { "cpu_taken", taken },
                 { "open_jobs", static_cast<int64_t>(m_jobs.size()) },
-                { "passes", m_passes },
-                { "pass_ms", m_pass_time.count() },
+                { "passes", m_load_counts.passes },
+                { "pass_ms", m_load_counts.pass_time.count() },
+                { "cut_passes", m_load_counts.cut_passes },
+                { "steps_left", m_load_counts.steps_left },
+                { "answers_missing", m_load_counts.answers_missing },
                 { "waiting_tasks", waiting },
                 { "waiting_gangs", waiting_gangs },
                 { "advice_fast", advice.fast },
@@ -96,8 +99,7 @@
                 { "advice_slow", advice.slow },
                 { "advice_callers", advice.callers },
                 { "log_backlog", static_cast<int64_t>(m_log.backlog()) } });
-    m_passes = 0;
-    m_pass_time = Millis(0);
+    m_load_counts = LoadCounts();
 }
 
 // Members that wait for one that could not be placed are stopped and placed anew together.
--- a/src/pathport_jobd/main.cpp
+++ b/src/pathport_jobd/main.cpp
@@ -7,6 +7,7 @@
 
 #include "http_peers.h"
 #include "jobd_settings.h"
+#include "process_watch.h"
 #include "workspaces_page.h"
 
 #include <platform/client_calls.h>
@@ -32,10 +33,6 @@
 constexpr int exit_bad_settings = 2;
 constexpr int exit_no_start = 3;
 constexpr size_t max_peer_body = size_t(4) * 1024 * 1024;
-constexpr Millis pause_interval { 500 };
-/// A timer that fires so much later than it was set for tells that the process stood still
-/// or had too much to do: as long as a heartbeat waits for its answer.
-constexpr Millis told_pause { 300 };
 constexpr Millis drain_check { 50 };
 constexpr Millis traffic_interval { 5000 };
 /// Kinds of calls that moved less in that time are not told of, in bytes.
@@ -110,7 +107,7 @@
             set_limits(configuration);
         });
         m_node.begin();
-        watch_pauses();
+        m_watch.begin();
         tell_traffic();
         m_loop.run();
         const ProcessUsage usage = process_usage();
@@ -202,15 +199,6 @@
         m_clients.set_limits(limits);
     }
 
-    void watch_pauses()
-    {
-        const Millis late = m_loop.now() - m_pauses_due;
-        if (m_pauses_due > Millis() && late > told_pause)
-            log_event(LogLevel::warn, "process_paused", { { "late_ms", late.count() } });
-        m_pauses_due = m_loop.now() + pause_interval;
-        m_loop.after(pause_interval, [this] { watch_pauses(); });
-    }
-
     void on_signal(int number)
     {
         if (number == SIGHUP) {
@@ -256,7 +244,7 @@
     AsyncHttpServer m_peer_server;
     AsyncHttpServer m_metrics_server;
     HttpTrafficByPath m_told_traffic;
-    Millis m_pauses_due; ///< When watch_pauses() is to run next; zero before it has.
+    ProcessWatch m_watch { m_loop, m_metrics };
     bool m_stopping = false;
 };
 
