--- a/src/emulator.lib/cell.cpp
+++ b/src/emulator.lib/cell.cpp
@@ -158,6 +158,14 @@
     const int strength = m_strengths.try_emplace(node, usual_strength).first->second;
     slot = std::make_unique<NodeProcess>(
         *this, node, std::to_string(world.below(1000000000)), strength, m_link_bytes);
+    slot->loop.set_processor_cost(m_processor_cost);
+}
+
+void Cell::set_processor_cost(const ProcessorCost& cost)
+{
+    m_processor_cost = cost;
+    for (const auto& [name, process] : m_nodes)
+        process->loop.set_processor_cost(cost);
 }
 
 NodeProcess* Cell::running(const std::string& node)
@@ -195,6 +203,12 @@
     return {};
 }
 
+size_t Cell::reachable_workers() const
+{
+    const auto found = m_nodes.find(leader());
+    return found == m_nodes.end() ? 0 : found->second->node->reachable_workers();
+}
+
 void Cell::kill(const std::string& node, Millis pause)
 {
     NodeProcess* process = running(node);
--- a/src/emulator.lib/virtual_loop.cpp
+++ b/src/emulator.lib/virtual_loop.cpp
@@ -44,11 +44,18 @@
 {
 }
 
+Millis ProcessLoop::now() const
+{
+    if (m_running)
+        m_spent = m_spent + m_cost.clock_reading;
+    return m_world.now() + m_spent;
+}
+
 EventLoop::TimerId ProcessLoop::after(Millis delay, std::function<void()> work)
 {
     const TimerId id = ++m_last;
     m_timers.insert(id);
-    arm(id, delay, slept(), work);
+    arm(id, std::max(Millis(0), delay) + m_spent, slept(), work);
     return id;
 }
 
@@ -94,14 +101,58 @@
 {
     if (!*m_alive)
         return;
-    if (!frozen()) {
+    if (!frozen() && m_cost.is_free() && m_ready.empty()) {
         work();
         return;
     }
+    if (!frozen()) {
+        m_ready.push_back(std::move(work));
+        run_ready();
+        return;
+    }
     m_world.after(m_frozen_until - m_world.now(), [this, life = m_alive, work] {
         if (*life)
             deliver(work);
     });
 }
 
+// Runs the first of what is ready, and the next one once the processor is free again.
+void ProcessLoop::run_ready()
+{
+    if (m_at_work || m_ready.empty())
+        return;
+    if (frozen()) {
+        m_at_work = true;
+        m_world.after(m_frozen_until - m_world.now(), [this, life = m_alive] {
+            if (!*life)
+                return;
+            m_at_work = false;
+            run_ready();
+        });
+        return;
+    }
+    const std::function<void()> work = std::move(m_ready.front());
+    m_ready.pop_front();
+    m_at_work = true;
+    const auto life = m_alive;
+    run(work);
+    if (!*life)
+        return;
+    const Millis taken = m_cost.event + m_spent;
+    m_spent = Millis(0);
+    m_world.after(taken, [this, life] {
+        if (!*life)
+            return;
+        m_at_work = false;
+        run_ready();
+    });
+}
+
+void ProcessLoop::run(const std::function<void()>& work)
+{
+    m_running = true;
+    work();
+    m_running = false;
+}
+
 } // namespace pathport::emulator
--- a/src/include/pathport/emulator/cell.h
+++ b/src/include/pathport/emulator/cell.h
@@ -74,12 +74,16 @@
     std::vector<std::string> node_names() const;
     /// Returns the name of the node that leads, or "".
     std::string leader() const;
+    /// Returns how many workers the leader takes for reachable; 0 while nobody leads.
+    size_t reachable_workers() const;
     /// Kills a node's process; another one starts after `pause`.
     void kill(const std::string& node, Millis pause);
     /// Freezes a node's process.
     void freeze(const std::string& node, Millis span);
     /// Suspends a node's machine: as a freeze, but its timers count no time meanwhile.
     void suspend(const std::string& node, Millis span);
+    /// From now on the work of each node's process takes so long, also of those that start.
+    void set_processor_cost(const ProcessorCost& cost);
     /// Cuts a node from its peers.
     void cut_peers(const std::string& node, Millis span);
     /// The open connections of all nodes, to the store, the workers, the advisor and each
@@ -187,6 +191,7 @@
 
     std::map<std::string, int> m_strengths; ///< By node.
     int64_t m_link_bytes = 0;
+    ProcessorCost m_processor_cost;
     std::map<std::string, std::unique_ptr<NodeProcess>> m_nodes;
     std::vector<std::unique_ptr<NodeProcess>> m_dead; ///< Kept, since events may name them.
     std::map<std::string, Millis> m_cut_until;
--- a/src/include/pathport/jobs/job_node.h
+++ b/src/include/pathport/jobs/job_node.h
@@ -144,6 +144,8 @@
     /// Returns the load of each workspace of the configuration; empty unless this node
     /// leads.
     std::vector<WorkspaceLoad> workspace_loads() const;
+    /// Returns how many workers have answered this node lately; 0 when it does not lead.
+    size_t reachable_workers() const;
 
     /// Brings the gauges among the metrics up to date.
     void update_gauges();
--- a/src/jobs.lib/job_node.cpp
+++ b/src/jobs.lib/job_node.cpp
@@ -313,6 +313,7 @@
     metrics.set("pathport_log_lines_dropped", double(dropped_log_lines()));
     metrics.set("pathport_open_jobs", m_scheduler ? double(m_scheduler->open_jobs()) : 0);
     metrics.set("pathport_workers", m_scheduler ? double(m_scheduler->known_workers()) : 0);
+    metrics.set("pathport_workers_reachable", double(reachable_workers()));
     metrics.set("pathport_log_backlog",
                 m_scheduler ? double(m_scheduler->log().backlog()) : 0);
     metrics.set("pathport_advice_waiting", double(m_advice.waiting()));
@@ -441,6 +442,11 @@
     return m_impl->workspace_loads();
 }
 
+size_t JobNode::reachable_workers() const
+{
+    return m_impl->reachable_workers();
+}
+
 void JobNode::update_gauges()
 {
     m_impl->update_gauges();
--- a/src/jobs.lib/job_node_impl.h
+++ b/src/jobs.lib/job_node_impl.h
@@ -61,6 +61,10 @@
     }
     void update_gauges();
     std::vector<WorkspaceLoad> workspace_loads() const;
+    size_t reachable_workers() const
+    {
+        return m_scheduler ? m_scheduler->reachable_workers() : 0;
+    }
 
     // Clients' calls (job_node_clients.cpp).
     callers::CallerCheck check_caller(const Configuration& configuration,
--- a/src/jobs.lib/scheduler.cpp
+++ b/src/jobs.lib/scheduler.cpp
@@ -5,6 +5,8 @@
 
 #include <pathport/log.h>
 
+#include <algorithm>
+
 namespace pathport::jobs {
 
 namespace {
@@ -130,6 +132,13 @@
     return found == m_jobs.end() ? nullptr : found->second.get();
 }
 
+size_t Scheduler::reachable_workers() const
+{
+    return static_cast<size_t>(
+        std::count_if(m_workers.begin(), m_workers.end(),
+                      [](const auto& entry) { return entry.second.session->usable(); }));
+}
+
 Scheduler::Worker* Scheduler::find_worker(const std::string& id)
 {
     const auto found = m_workers.find(id);
--- a/src/jobs.lib/scheduler.h
+++ b/src/jobs.lib/scheduler.h
@@ -91,6 +91,8 @@
     const HeadLog& log() const { return m_log; }
     size_t open_jobs() const { return m_jobs.size(); }
     size_t known_workers() const { return m_workers.size(); }
+    /// Returns how many workers there are that have answered lately.
+    size_t reachable_workers() const;
 
     // SessionListener
     bool may_order() const override;
