Steps behind the cut of a pass are looked at in turn

Cause: a pass ends after 12 ms, and each began with the most urgent steps again. On the slower copy of the site every pass was cut short from 11 s on, with 80 to 280 steps left each time (load: 41 cut passes of 41, 10,541 steps left in 2 s): what lay behind hundreds of steps without room was never looked at. The change: a pass goes by urgency for its first half, then by how long ago a step was looked at. So each step is reached within a bounded number of passes, and the most urgent ones in each. A pass that is not cut short looks at the same steps as before. overloaded_leader_test: a step with room behind 300 without, not started in 3 s before, is started.

--- a/src/jobs.lib/job_record.h
+++ b/src/jobs.lib/job_record.h
@@ -101,6 +101,7 @@
     /// Workers kept free for a gang while it waits for tickets or for tasks that end.
     std::vector<WorkerNumber> kept_workers;
     Millis kept_until;
+    Millis looked_at; ///< When a pass last looked for room for it.
     Millis check_at; ///< No look for room before it, unless advice comes.
     Millis wait_explained; ///< When the log last told why it waits.
     Millis idle_since; ///< Since when nothing of it is placed though it might; else zero.
--- a/src/jobs.lib/relayed_workers.cpp
+++ b/src/jobs.lib/relayed_workers.cpp
@@ -180,7 +180,8 @@
     const Millis now = m_loop.now();
     const Millis own_end = now + call.timeout;
     leave_out_payload(call);
-    give(relay->address, { std::move(call), std::move(done), relay->address, now, own_end });
+    give(relay->address,
+         { std::move(call), std::move(done), relay->address, now, own_end });
 }
 
 void RelayedWorkers::make_directly(const RelayedCall& call, Done done)
--- a/src/jobs.lib/relayed_workers.h
+++ b/src/jobs.lib/relayed_workers.h
@@ -9,9 +9,9 @@
 
 #pragma once
 
+#include "answer_lag.h"
 #include "lifetime.h"
 #include "payload_cache.h"
-#include "answer_lag.h"
 #include "relay_choice.h"
 
 #include <pathport/event_loop.h>
@@ -142,7 +142,8 @@
     CallLoad m_counted; ///< Since the load was weighed.
     Millis m_weighed;
     AnswerLag m_lag;
-    /// Calls that were given up and may be answered yet, by number: when their time was over.
+    /// Calls that were given up and may be answered yet, by number: when their time was
+    /// over.
     std::map<int64_t, Millis> m_given_up;
     AnswerCounts m_answers; ///< Since they were told of.
     Millis m_answers_told;
--- a/src/jobs.lib/scheduler.h
+++ b/src/jobs.lib/scheduler.h
@@ -354,6 +354,7 @@
     static int64_t slack_ms(JobRecord& job, int64_t now_ms);
     static int64_t allowed_ms(JobRecord& job);
     void place(const Candidate& candidate);
+    size_t place_until(const std::vector<Candidate>& waiting, size_t first, Millis end);
     void check_again_soon();
     bool gang_may_be_placed(const Step& step) const;
     std::vector<WorkerNumber> second_choices(const Step& step) const;
--- a/src/jobs.lib/scheduler_pass.cpp
+++ b/src/jobs.lib/scheduler_pass.cpp
@@ -23,8 +23,12 @@
 /// The pause that follows from that is no longer: urgent steps wait for it.
 constexpr Millis longest_pass_pause { 25 };
 /// A pass ends after this time even if candidates are left, so that leases and orders are
-/// not held up by a long queue; the next pass begins with the most urgent ones again.
+/// not held up by a long queue.
 constexpr Millis longest_pass { 12 };
+/// For so long a pass goes by urgency. What it has not reached by then follows by how long
+/// ago it was looked at: steps that wait in vain would keep those behind them from room
+/// that only these can use.
+constexpr Millis urgent_part { 6 };
 /// Nothing is started on knowledge of cancellations that is older.
 constexpr Millis stale_jobs { 2200 };
 /// A less urgent step for which there was no room is looked at again after this time: with
@@ -78,21 +82,22 @@
     m_pass_begun = begun;
     refresh_rows();
     count_usage();
-    const std::vector<Candidate> waiting = candidates();
+    std::vector<Candidate> waiting = candidates();
     renew_reservations(waiting);
-    bool cut_short = false;
-    bool put_off = false;
-    size_t seen = 0;
-    for (; seen < waiting.size() && !cut_short; ++seen) {
-        if (begun < waiting[seen].step->check_at) {
-            put_off = true;
-            continue;
-        }
-        place(waiting[seen]);
-        // Reading the clock costs more than many a candidate.
-        if (seen % clock_reading_interval == 0)
-            cut_short = m_parts.loop.now() - begun > longest_pass;
-    }
+    // Less urgent steps that were looked at just now are in one of the passes to come.
+    const auto due
+        = std::stable_partition(waiting.begin(), waiting.end(), [begun](const auto& entry) {
+              return begun >= entry.step->check_at;
+          });
+    const bool put_off = due != waiting.end();
+    waiting.erase(due, waiting.end());
+    const size_t urgent = place_until(waiting, 0, begun + urgent_part);
+    std::stable_sort(waiting.begin() + static_cast<std::ptrdiff_t>(urgent), waiting.end(),
+                     [](const Candidate& left, const Candidate& right) {
+                         return left.step->looked_at < right.step->looked_at;
+                     });
+    const size_t seen = place_until(waiting, urgent, begun + longest_pass);
+    const bool cut_short = seen < waiting.size();
     m_last_pass_time = m_parts.loop.now() - begun;
     ++m_load_counts.passes;
     m_load_counts.pass_time = m_load_counts.pass_time + m_last_pass_time;
@@ -104,6 +109,23 @@
         check_again_soon();
 }
 
+// Places candidates from `first` on until the time is over. Returns the first one that it
+// did not look at.
+size_t Scheduler::place_until(const std::vector<Candidate>& waiting, size_t first,
+                              Millis end)
+{
+    size_t next = first;
+    while (next < waiting.size()) {
+        waiting[next].step->looked_at = m_pass_begun;
+        place(waiting[next]);
+        ++next;
+        // Reading the clock costs more than many a candidate.
+        if ((next - first) % clock_reading_interval == 0 && m_parts.loop.now() > end)
+            break;
+    }
+    return next;
+}
+
 // Steps that were not looked at in this pass are in one to come, also if nothing happens.
 void Scheduler::check_again_soon()
 {
