Explanations of waiting steps in the log share a bounded number of turns

Cause: each step that waited was explained in the log every 2 s, with a walk over all workers. No decision changes.

--- a/src/jobs.lib/scheduler.h
+++ b/src/jobs.lib/scheduler.h
@@ -9,6 +9,7 @@
 
 #include "advice_door.h"
 #include "advice_pool.h"
+#include "explanation_turns.h"
 #include "head_log.h"
 #include "job_feed.h"
 #include "job_record.h"
@@ -521,6 +522,8 @@
     LoadCounts m_load_counts; ///< Since load was last reported.
     Millis m_last_pass_time; ///< Spent in the last one.
     Millis m_pass_begun; ///< The present or last pass; the time that its choices go by.
+    size_t m_steps_waiting = 0; ///< In the last pass.
+    ExplanationTurns m_explanations;
     int m_gangs_prepared = 0; ///< In the present pass.
     Lifetime m_lifetime;
 };
--- a/src/jobs.lib/scheduler_pass.cpp
+++ b/src/jobs.lib/scheduler_pass.cpp
@@ -43,8 +43,6 @@
 constexpr Millis overdue_time { 1000 };
 /// Room is ample while more than this share of it is free.
 constexpr double ample_share = 0.5;
-/// A step that has waited for so long is explained in the log, again and again.
-constexpr Millis wait_explained_after { 2000 };
 
 } // namespace
 
@@ -83,6 +81,7 @@
     refresh_rows();
     count_usage();
     std::vector<Candidate> waiting = candidates();
+    m_steps_waiting = waiting.size();
     renew_reservations(waiting);
     // Less urgent steps that were looked at just now are in one of the passes to come.
     const auto due
@@ -446,9 +445,9 @@
 void Scheduler::explain_wait(const JobRecord& job, Step& step)
 {
     const Millis now = m_parts.loop.now();
-    const bool due = now - job.seen() > wait_explained_after
-        && now - step.wait_explained > wait_explained_after;
-    if (!due || step.count(TaskPhase::waiting) == 0 || !job.may_run(step))
+    if (now - job.seen() <= least_explanation_interval
+        || step.count(TaskPhase::waiting) == 0 || !job.may_run(step)
+        || !m_explanations.take(now, step.wait_explained))
         return;
     step.wait_explained = now;
     int eligible = 0;
--- a/src/jobs.lib/scheduler_tick.cpp
+++ b/src/jobs.lib/scheduler_tick.cpp
@@ -12,7 +12,7 @@
 
 namespace {
 
-constexpr Millis tick_interval { 200 };
+constexpr Millis tick_interval = explanation_round;
 constexpr Millis load_interval { 2000 };
 /// A gang of which a member is missing is stopped so long before its members give up: a
 /// tick, the order and its repetition.
@@ -30,6 +30,7 @@
     if (m_phase == Phase::acting && may_order()) {
         release_unknown_doubts();
         forget_kept_ends();
+        m_explanations.begin_round(m_steps_waiting);
         for (auto& [id, job] : m_jobs) {
             if (job->closed())
                 continue;
