A suspected task's last starts are not cut short for more urgent work

Looked for elsewhere: a start counts once three workers were lost, whatever ends it; one that the leader itself stops for a more urgent step counted as well, and two of those spend the task. Its worker is kept from other work for 5 s only, while it may take longer to outlive the runs it lost. The change: a run whose start counts does not give way.

--- a/src/jobs.lib/scheduler_preempt.cpp
+++ b/src/jobs.lib/scheduler_preempt.cpp
@@ -35,8 +35,10 @@
         if (task == nullptr || task->run != occupant.run || occupant.priority <= priority)
             continue;
         const StepSpec& spec = *job->step(id->repeat, id->step)->spec;
+        // A start that counts against a suspect is its chance to be cleared.
+        const bool on_last_tries = task->crashes.tries() > 0;
         const bool stoppable = task->phase == TaskPhase::running && spec.saves_progress
-            && !spec.gang && !spec.lasting;
+            && !spec.gang && !spec.lasting && !on_last_tries;
         const bool stopping = task->phase == TaskPhase::stopping;
         if (stoppable || stopping)
             victims.push_back({ *id, task, occupant.need, stopping });
--- a/src/jobs.lib/site_fixture.h
+++ b/src/jobs.lib/site_fixture.h
@@ -10,6 +10,7 @@
 #include "take_over_fixture.h"
 
 #include <algorithm>
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
@@ -109,7 +110,8 @@
     return job;
 }
 
-/// A scheduler that takes over one job; `placed` says where its tasks run.
+/// A scheduler that takes over one job; `placed` says where its tasks run, and `prepare`
+/// changes the record of it that an earlier leader left.
 struct Site {
     emulator::World world { 3 };
     emulator::Store store { world };
@@ -127,7 +129,8 @@
     const TaskId task { "job1", 0, 0, 0 };
 
     Site(const std::vector<std::string>& ids, const AcceptedJob& job,
-         const std::vector<std::pair<std::string, int64_t>>& placed)
+         const std::vector<std::pair<std::string, int64_t>>& placed,
+         const std::function<void(JobRecord&)>& prepare = {})
     {
         list(ids);
         JobRecord record(job, world.now());
@@ -140,9 +143,11 @@
             there.run = placed[i].second;
             workers[placed[i].first].running.push_back(running_task(id, placed[i].second));
         }
+        if (prepare)
+            prepare(record);
         StoreWrite write;
         write.puts.push_back({ job_row(job.id), encode(job) });
-        if (!placed.empty())
+        if (!placed.empty() || prepare)
             write.puts.push_back({ progress_row(job.id), record.encode_progress() });
         write.puts.push_back({ lead_row(head_key), encode(HeadValue { 1, 0, "x", {} }) });
         const Claim claim { HeadValue { 1, 0, "x", {} }, store.write_now(write).version,
