A sixth of a pass is for steps that were not looked at, not half of it

A sixth keeps what it was for: overloaded_leader_test passes, a step behind 300 is started within 3 s.

--- a/src/jobs.lib/scheduler_pass.cpp
+++ b/src/jobs.lib/scheduler_pass.cpp
@@ -27,8 +27,8 @@
 constexpr Millis longest_pass { 12 };
 /// For so long a pass goes by urgency. What it has not reached by then follows by how long
 /// ago it was looked at: steps that wait in vain would keep those behind them from room
-/// that only these can use.
-constexpr Millis urgent_part { 6 };
+/// that only these can use. The rest of a pass is short, since gangs need many looks.
+constexpr Millis urgent_part { 10 };
 /// Nothing is started on knowledge of cancellations that is older.
 constexpr Millis stale_jobs { 2200 };
 /// A less urgent step for which there was no room is looked at again after this time: with
