--- a/src/jobs.lib/scheduler.h
+++ b/src/jobs.lib/scheduler.h
@@ -395,7 +395,7 @@
     static int least_to_ask(const JobRecord& job, const Step& step);
     bool advice_crowded(const JobRecord& job) const;
     void ask(const JobRecord& job, Step& step, std::vector<WorkerNumber> workers);
-    void explain_wait(const JobRecord& job, Step& step);
+    void explain_wait(const JobRecord& job, Step& step, Millis now);
     void advice_came(const std::string& job, int repeat, int step,
                      const std::vector<WorkerNumber>& asked, Millis asked_at,
                      const AdviceReply& reply);
@@ -422,8 +422,8 @@
     void tick();
     void report_load();
     void observe_phase(const char* phase);
-    void check_gang(JobRecord& job, Step& step);
-    void check_standing(JobRecord& job, Step& step);
+    void check_gang(JobRecord& job, Step& step, Millis now);
+    void check_standing(JobRecord& job, Step& step, Millis now);
     void leave_draining(JobRecord& job, Step& step);
     void check_listed(JobRecord& job, Step& step);
 
--- a/src/jobs.lib/scheduler_pass.cpp
+++ b/src/jobs.lib/scheduler_pass.cpp
@@ -442,9 +442,8 @@
 }
 
 // Tells in the log why a step has not started, for whoever asks about its job.
-void Scheduler::explain_wait(const JobRecord& job, Step& step)
+void Scheduler::explain_wait(const JobRecord& job, Step& step, Millis now)
 {
-    const Millis now = m_parts.loop.now();
     if (now - job.seen() <= least_explanation_interval
         || step.count(TaskPhase::waiting) == 0 || !job.may_run(step)
         || !m_explanations.take(now, step.wait_explained))
--- a/src/jobs.lib/scheduler_tick.cpp
+++ b/src/jobs.lib/scheduler_tick.cpp
@@ -31,17 +31,19 @@
         release_unknown_doubts();
         forget_kept_ends();
         m_explanations.begin_round(m_steps_waiting);
+        // Read once: a reading for each step would cost more than most of the checks.
+        const Millis now = m_parts.loop.now();
         for (auto& [id, job] : m_jobs) {
             if (job->closed())
                 continue;
             begin_due_repeats(*job);
             for (auto& [number, repeat] : job->repeats()) {
                 for (Step& step : repeat.steps) {
-                    check_gang(*job, step);
-                    check_standing(*job, step);
+                    check_gang(*job, step, now);
+                    check_standing(*job, step, now);
                     leave_draining(*job, step);
                     check_listed(*job, step);
-                    explain_wait(*job, step);
+                    explain_wait(*job, step, now);
                 }
             }
         }
@@ -104,11 +106,10 @@
 }
 
 // Members that wait for one that could not be placed are stopped and placed anew together.
-void Scheduler::check_gang(JobRecord& job, Step& step)
+void Scheduler::check_gang(JobRecord& job, Step& step, Millis now)
 {
     if (!step.spec->gang || step.count(TaskPhase::waiting) == 0)
         return;
-    const Millis now = m_parts.loop.now();
     const Millis patience = m_parts.bounds.gang_timeout - gang_margin;
     for (size_t i = 0; i < step.tasks.size(); ++i) {
         Task& task = step.tasks[i];
@@ -123,11 +124,10 @@
     }
 }
 
-void Scheduler::check_standing(JobRecord& job, Step& step)
+void Scheduler::check_standing(JobRecord& job, Step& step, Millis now)
 {
     if (step.spec->lasting)
         return;
-    const Millis now = m_parts.loop.now();
     for (size_t i = 0; i < step.tasks.size(); ++i) {
         Task& task = step.tasks[i];
         // A gang's member that has done its work waits for the others.
