blamed_tasks_test, red: workers that restart by themselves tell against a good task

Seeds 941009 and 941015 of style 9: three workers restart by themselves within 1.5 s of a task's start there, and the task is given up (task_given_up, crashes_its_workers, workers_lost=3).

--- /dev/null
+++ b/src/jobs.lib/blamed_tasks_test.cpp
@@ -0,0 +1,24 @@
+// Copyright the pathport authors.
+// SPDX-License-Identifier: Apache-2.0
+
+/// \file
+/// Random schedules in which workers restart by themselves soon after a task has started
+/// there, three times. The task crashes nothing, and must not be given up for it.
+
+#define BOOST_TEST_MODULE blamed_tasks
+#include <boost/test/unit_test.hpp>
+
+#include "cell_fixture.h"
+#include "random_schedule.h"
+
+using namespace pathport;
+using namespace pathport::cell_tests;
+
+BOOST_TEST_GLOBAL_FIXTURE(QuietLog);
+
+BOOST_AUTO_TEST_CASE(workers_that_restart_by_themselves_tell_against_no_task)
+{
+    constexpr int style = 9;
+    for (const uint64_t seed : { 941009, 941015 })
+        expect_schedules_clean(style, seed, 1);
+}
