A stopping node waits for a chance to hand over, not for one good moment

Callers saw: single requests ended may_have_run at planned stops, under load or when two nodes stop. Cause: leave() ended its wait as soon as the last heartbeat to the table had failed or no other node was live at that moment, though both pass within a second when others restart or the machine is busy. Change: it gives up once nothing could be handed over for 2.5 s, longer than the restart of the others and than it takes to judge a node dead. A node that stops last in its cell now takes 2.5 s longer.

--- a/src/node.lib/node.cpp
+++ b/src/node.lib/node.cpp
@@ -19,6 +19,9 @@
 constexpr Millis answer_grace { 30 };
 constexpr Millis retry_when_cut_off { 500 };
 constexpr Millis ask_limit { 1200 };
+/// How long a stopping node waits for the table to answer and for another node to appear.
+/// Longer than a restart of the other nodes, and than it takes to judge one dead.
+constexpr Millis hand_over_patience { 2500 };
 
 NodeRecord make_self(const NodeSettings& s, const std::string& incarnation)
 {
@@ -100,9 +103,14 @@
     m_leaving = true;
     wake_heartbeat();
     // Without the table or without other nodes nothing can be handed over; others take it
-    // when they can.
-    wait_for([this] {
-        return m_left || !m_cell.table_reachable() || m_cell.live_nodes().empty();
+    // when they can. One failed heartbeat, or the restart of all others, is no reason to
+    // leave ids in doubt.
+    Millis possible_at = m_clock.now();
+    wait_for([this, &possible_at] {
+        const Millis now = m_clock.now();
+        if (m_cell.table_reachable() && !m_cell.live_nodes().empty())
+            possible_at = now;
+        return m_left || now - possible_at >= hand_over_patience;
     });
     // From here on this node can only pass requests on; the balancer finds others.
     m_refusing = true;
