The ids of an admission range are handed over until the next owner has them

Callers saw: single requests ended may_have_run at planned stops, most when nodes restart in turn. Cause: the message with a range's ids was sent once. After a failed attempt to connect a peer is not tried again for 200 ms, so a node that had just restarted owned the range and not its ids. It waited for them for 500 ms and then answered by its barrier. The giver did not wait for the message either. Evidence: trial node_stopped_amid_a_hand_over: hand_over_lost for each range within the millisecond in which it was given; the requests in doubt begin one second later, at the new owner. Ruled out: a lost connection during the call; hand_over_lost came at once.

--- a/src/node.lib/heartbeat.cpp
+++ b/src/node.lib/heartbeat.cpp
@@ -292,8 +292,7 @@
                 const auto memory = memories.find(step.record.shard);
                 const auto address = m_cell.address_of(step.record.owner);
                 if (memory != memories.end() && address)
-                    m_hub->hand_over(*address, step.record.shard, step.record.epoch,
-                                     memory->second);
+                    hand_over(*address, step.record, memory->second);
             }
             // What was given has to be read by its new owner.
             wake({});
@@ -310,6 +309,15 @@
     }
 }
 
+// Tells the next owner of an admission range which ids were admitted here.
+void Node::hand_over(const std::string& address, const ShardRecord& given,
+                     const RangeMemory& memory)
+{
+    ++m_open_hand_overs;
+    m_hub->hand_over(address, given.shard, given.epoch, memory,
+                     [this](bool) { --m_open_hand_overs; });
+}
+
 void Node::take_step(const OwnershipStep& step, const TableResult& result)
 {
     const std::string& shard = step.record.shard;
--- a/src/node.lib/node.cpp
+++ b/src/node.lib/node.cpp
@@ -114,7 +114,7 @@
     });
     // From here on this node can only pass requests on; the balancer finds others.
     m_refusing = true;
-    wait_for([this] { return m_open_requests == 0; });
+    wait_for([this] { return m_open_requests == 0 && m_open_hand_overs == 0; });
     log_event(LogLevel::info, "node_left",
               { { "shards_left", uint64_t(m_keeper.shards().size()) },
                 { "requests_left", m_open_requests.load() } });
--- a/src/node.lib/node.h
+++ b/src/node.lib/node.h
@@ -94,6 +94,8 @@
     TableTxn steps_txn(const std::vector<OwnershipStep>& steps) const;
     void make_steps(std::vector<OwnershipStep> steps);
     void take_step(const OwnershipStep& step, const TableResult& result);
+    void hand_over(const std::string& address, const ShardRecord& given,
+                   const RangeMemory& memory);
     void retire_dead();
     void beat_peers();
     void peer_loop();
@@ -176,6 +178,8 @@
     std::mutex m_load_mutex;
     OwnLoad m_own_load;
     std::atomic<int64_t> m_open_requests { 0 };
+    /// Admission ranges given away whose next owner does not know their ids yet.
+    std::atomic<int64_t> m_open_hand_overs { 0 };
     std::atomic<bool> m_leaving { false };
     std::atomic<bool> m_refusing { false };
     std::atomic<bool> m_left { false };
--- a/src/rpc.lib/peer_hub.cpp
+++ b/src/rpc.lib/peer_hub.cpp
@@ -25,6 +25,10 @@
 // costing a connection attempt for each request.
 constexpr auto reconnect_pause = 200 * kj::MILLISECONDS;
 constexpr auto connect_timeout = 500 * kj::MILLISECONDS;
+// The memory of an admission range is sent again after a failure, as long as its next owner
+// waits for it.
+constexpr auto hand_over_retry_pause = 50 * kj::MILLISECONDS;
+constexpr auto hand_over_limit = 1500 * kj::MILLISECONDS;
 // A stop goes on in rounds until some of them have brought no forward and left none open.
 constexpr auto stop_round = 10 * kj::MILLISECONDS;
 constexpr int quiet_stop_rounds = 3;
@@ -49,6 +53,13 @@
     wire::Peer::Client m_peer;
 };
 
+/// What the last owner of an admission range tells the next one.
+struct HandOver {
+    std::string shard;
+    int64_t epoch = 0;
+    RangeMemory memory;
+};
+
 using LinkPromise = kj::Promise<std::shared_ptr<PeerLink>>;
 using LinkFork = kj::ForkedPromise<std::shared_ptr<PeerLink>>;
 
@@ -135,28 +146,22 @@
     }
 
     void hand_over(const std::string& address, const std::string& shard, int64_t epoch,
-                   const RangeMemory& memory)
+                   const RangeMemory& memory, const std::function<void(bool)>& done)
     {
-        call<bool>(
-            address,
-            [address, shard, epoch](bool taken) {
-                if (!taken)
-                    log_event(
-                        LogLevel::warn, "hand_over_lost",
-                        { { "shard", shard }, { "epoch", epoch }, { "to", address } });
-            },
-            [shard, epoch, memory](wire::Peer::Client& peer) {
-                auto call = peer.handOverRequest();
-                call.setShard(shard);
-                call.setEpoch(epoch);
-                call.setBarrierMs(memory.barrier.count());
-                auto list = call.initIds(static_cast<unsigned>(memory.ids.size()));
-                for (unsigned i = 0; i < memory.ids.size(); ++i) {
-                    list[i].setId(memory.ids[i].id);
-                    list[i].setTimeMs(memory.ids[i].time.count());
-                }
-                return call.send().then([](auto&&) { return true; });
-            });
+        const auto message
+            = std::make_shared<const HandOver>(HandOver { shard, epoch, memory });
+        m_mailbox.post([this, address, message, done] {
+            const kj::TimePoint until = m_io->provider->getTimer().now() + hand_over_limit;
+            m_tasks->add(hand_over_until(until, address, message)
+                             .then([address, message, done](bool taken) {
+                                 if (!taken)
+                                     log_event(LogLevel::warn, "hand_over_lost",
+                                               { { "shard", message->shard },
+                                                 { "epoch", message->epoch },
+                                                 { "to", address } });
+                                 done(taken);
+                             }));
+        });
     }
 
     void ask(const std::string& address, const std::string& kind, const std::string& name,
@@ -308,6 +313,48 @@
         return answer;
     }
 
+    // Sends the message once. Returns whether the peer has taken it.
+    kj::Promise<bool> hand_over_once(const std::string& address,
+                                     const std::shared_ptr<const HandOver>& message)
+    {
+        auto taken
+            = link_to(address).then([message](const std::shared_ptr<PeerLink>& link) {
+                  auto call = link->peer().handOverRequest();
+                  call.setShard(message->shard);
+                  call.setEpoch(message->epoch);
+                  call.setBarrierMs(message->memory.barrier.count());
+                  const auto& ids = message->memory.ids;
+                  auto list = call.initIds(static_cast<unsigned>(ids.size()));
+                  for (unsigned i = 0; i < ids.size(); ++i) {
+                      list[i].setId(ids[i].id);
+                      list[i].setTimeMs(ids[i].time.count());
+                  }
+                  return call.send()
+                      .then([](auto&&) { return true; })
+                      .attach(std::shared_ptr<PeerLink>(link));
+              });
+        return m_io->provider->getTimer()
+            .timeoutAfter(m_timeout, kj::mv(taken))
+            .catch_([](const kj::Exception&) { return false; });
+    }
+
+    // Sends the message until the peer has taken it. A peer that has just started may not be
+    // reachable yet: a failed attempt to connect to it holds back others for a while.
+    kj::Promise<bool> hand_over_until(kj::TimePoint until, const std::string& address,
+                                      const std::shared_ptr<const HandOver>& message)
+    {
+        return hand_over_once(address, message)
+            .then([this, until, address, message](bool taken) -> kj::Promise<bool> {
+                kj::Timer& timer = m_io->provider->getTimer();
+                if (taken || timer.now() >= until)
+                    return taken;
+                return timer.afterDelay(hand_over_retry_pause)
+                    .then([this, until, address, message] {
+                        return hand_over_until(until, address, message);
+                    });
+            });
+    }
+
     // Makes one call on the hub's thread; `done` gets a default value when it fails.
     template <typename Result, typename Send>
     void call(const std::string& address, std::function<void(Result)> done, Send send)
@@ -391,9 +438,9 @@
 }
 
 void PeerHub::hand_over(const std::string& address, const std::string& shard, int64_t epoch,
-                        const RangeMemory& memory)
+                        const RangeMemory& memory, std::function<void(bool)> done)
 {
-    m_impl->hand_over(address, shard, epoch, memory);
+    m_impl->hand_over(address, shard, epoch, memory, done);
 }
 
 void PeerHub::ask(const std::string& address, const std::string& kind,
--- a/src/rpc.lib/rpc_test.cpp
+++ b/src/rpc.lib/rpc_test.cpp
@@ -131,8 +131,11 @@
     client.wake(address(1).to_string(), { "d.k" });
     BOOST_TEST(two.woken.get_future().get().front() == "d.k");
 
+    std::promise<bool> taken;
     client.hand_over(address(1).to_string(), "admit.03", 7,
-                     { Millis(5), { { "id", Millis(9) } } });
+                     { Millis(5), { { "id", Millis(9) } } },
+                     [&](bool done) { taken.set_value(done); });
+    BOOST_TEST(taken.get_future().get());
     const auto handed = two.handed.get_future().get();
     BOOST_TEST((handed.front() == AdmittedId { "admit.037", Millis(5) }));
     BOOST_TEST((handed.back() == AdmittedId { "id", Millis(9) }));
@@ -143,6 +146,27 @@
     BOOST_TEST(asked.get_future().get().value_or("") == "why t.1");
 }
 
+// A node that restarts is given a range before others have connected to it again: the failed
+// attempt of before holds back new ones, and the only message with the range's ids was lost.
+BOOST_AUTO_TEST_CASE(memory_of_a_range_reaches_a_peer_that_has_just_started)
+{
+    Peer one;
+    Peer two;
+    PeerHub client(address(12), Millis(5000), one);
+    Failure reason;
+    BOOST_REQUIRE(client.start(reason));
+    const ForwardAnswer refused = forward(client, address(13), request("id"));
+    BOOST_TEST((refused.outcome == RequestOutcome::not_run));
+    PeerHub server(address(13), Millis(5000), two);
+    BOOST_REQUIRE(server.start(reason));
+    std::promise<bool> taken;
+    client.hand_over(address(13).to_string(), "admit.03", 7,
+                     { Millis(5), { { "id", Millis(9) } } },
+                     [&](bool done) { taken.set_value(done); });
+    BOOST_REQUIRE(taken.get_future().get());
+    BOOST_TEST((two.handed.get_future().get().back() == AdmittedId { "id", Millis(9) }));
+}
+
 // Trap 7: answers that come out of order each reach their own request.
 BOOST_AUTO_TEST_CASE(late_answers_reach_their_own_requests)
 {
--- a/testsuite/run_node_faults.py
+++ b/testsuite/run_node_faults.py
@@ -102,6 +102,18 @@
         return report_planned_stops("nodes_replaced_without_pause", summary, violations)
 
 
+def node_stopped_amid_a_hand_over():
+    """A second node is stopped while the first one hands over, some of it to that second node,
+    which then gives it on to one that has just started and may not be reachable yet."""
+    with Cell(base=24000) as cell:
+        load = Load(cell, requests=3600, rate=150, doubles=0)
+        for i, between in enumerate((0.05, 0.1, 0.2, 0.3, 0.5, 0.05, 0.1, 0.2, 0.3, 0.5)):
+            replace(cell, [cell.names[i % 3], cell.names[(i + 1) % 3]], between)
+        served_all_again(cell)
+        summary, violations = load.finish()
+        return report_planned_stops("node_stopped_amid_a_hand_over", summary, violations)
+
+
 def long_request_at_a_planned_stop():
     """Trap 11: the node that holds the only connection to a long request is stopped."""
     with Cell(base=24000) as cell:
@@ -120,7 +132,7 @@
 
 if __name__ == "__main__":
     runs = [killed_node, frozen_node, node_cut_from_table, replaced_nodes,
-            nodes_replaced_without_pause,
+            nodes_replaced_without_pause, node_stopped_amid_a_hand_over,
             long_request_at_a_planned_stop]
     wanted = sys.argv[1:]
     results = [run() for run in runs if not wanted or run.__name__ in wanted]
