Losses of one run on two workers both count against its task

Callers saw: a task that crashes its workers takes down more of them than it may. Cause: a member of a gang is tried on another worker under the same run id, and the crash record knew a loss by the run id alone, so the second crash of a run was not counted. Change: a loss is known by run and worker name, in the row as a fourth field; rows without it are read as before. A run found alive takes back only its own loss.

--- a/src/jobs.lib/crash_record.cpp
+++ b/src/jobs.lib/crash_record.cpp
@@ -43,17 +43,19 @@
 bool CrashRecord::add(const CrashedRun& lost)
 {
     const bool known = std::any_of(m_runs.begin(), m_runs.end(), [&](const auto& entry) {
-        return entry.run == lost.run;
+        return entry.is_same_loss(lost);
     });
     if (!known)
         m_runs.push_back(lost);
     return !known;
 }
 
-bool CrashRecord::retract(int64_t run)
+bool CrashRecord::retract(int64_t run, const std::string& worker)
 {
-    const auto found = std::find_if(m_runs.begin(), m_runs.end(),
-                                    [&](const auto& entry) { return entry.run == run; });
+    const CrashedRun survivor { run, 0, false, worker };
+    const auto found = std::find_if(m_runs.begin(), m_runs.end(), [&](const auto& entry) {
+        return entry.is_same_loss(survivor);
+    });
     if (found == m_runs.end())
         return false;
     m_runs.erase(found);
--- a/src/jobs.lib/crash_record.h
+++ b/src/jobs.lib/crash_record.h
@@ -12,6 +12,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <string>
 #include <vector>
 
 namespace pathport::jobs {
@@ -23,11 +24,20 @@
     /// A suspect ran on the same worker, so this loss is weaker evidence against other
     /// tasks.
     bool beside_suspect = false;
+    /// Name of the worker that was lost. A member of a gang may be tried on several workers
+    /// under one run id. Empty in rows of earlier versions.
+    std::string worker {};
 
     bool operator==(const CrashedRun& other) const
     {
         return run == other.run && runtime_ms == other.runtime_ms
-            && beside_suspect == other.beside_suspect;
+            && beside_suspect == other.beside_suspect && worker == other.worker;
+    }
+    /// Returns whether both are the same loss, whatever is known of it.
+    bool is_same_loss(const CrashedRun& other) const
+    {
+        return run == other.run
+            && (worker == other.worker || worker.empty() || other.worker.empty());
     }
 };
 
@@ -59,11 +69,11 @@
     size_t size() const { return m_runs.size(); }
     const std::vector<CrashedRun>& runs() const { return m_runs; }
 
-    /// Adds a run; returns false if it is already recorded.
+    /// Adds a run; returns false if its loss on that worker is already recorded.
     bool add(const CrashedRun& lost);
     /// Removes a run whose worker turned out not to be lost. Returns whether it was
     /// recorded.
-    bool retract(int64_t run);
+    bool retract(int64_t run, const std::string& worker = {});
     void clear();
 
     /// Records a start, which counts once enough workers were lost.
--- a/src/jobs.lib/crash_record_test.cpp
+++ b/src/jobs.lib/crash_record_test.cpp
@@ -129,3 +129,17 @@
     record.add({ 3, at_once });
     BOOST_TEST((record.clearing_runtime() > Millis(much_later)));
 }
+
+// A member of a gang is tried on another worker under the same run id after its first
+// worker was lost. Both losses count, and one that turns out wrong takes back only itself.
+BOOST_AUTO_TEST_CASE(losses_of_one_run_on_two_workers_both_count)
+{
+    CrashRecord record;
+    BOOST_TEST(record.add({ 7, at_once, false, "w1" }));
+    BOOST_TEST(record.add({ 7, at_once, false, "w2" }));
+    BOOST_TEST(!record.add({ 7, much_later, false, "w2" }));
+    BOOST_TEST(record.size() == 2U);
+    BOOST_TEST(record.retract(7, "w2"));
+    BOOST_TEST(!record.retract(7, "w2"));
+    BOOST_TEST(record.size() == 1U);
+}
--- a/src/jobs.lib/job_record.cpp
+++ b/src/jobs.lib/job_record.cpp
@@ -61,7 +61,7 @@
 }
 
 /// Encodes, by task, the runs during which workers were lost, each as [run, run time,
-/// beside another suspect], and how often the task was tried since.
+/// beside another suspect, worker], and how often the task was tried since.
 Json encode_crashes(const Step& step)
 {
     Json crashes = Json::array();
@@ -71,7 +71,8 @@
             continue;
         Json runs = Json::array();
         for (const CrashedRun& lost : task.crashes.runs())
-            runs.push_back({ lost.run, lost.runtime_ms, lost.beside_suspect ? 1 : 0 });
+            runs.push_back(
+                { lost.run, lost.runtime_ms, lost.beside_suspect ? 1 : 0, lost.worker });
         crashes.push_back({ i, std::move(runs), task.crashes.tries() });
     }
     return crashes;
@@ -81,9 +82,13 @@
 {
     for (const Json& entry : json) {
         std::vector<CrashedRun> runs;
+        constexpr size_t worker_index = 3;
         for (const Json& run : entry.at(1))
             runs.push_back({ run.at(0).get<int64_t>(), run.at(1).get<int64_t>(),
-                             run.at(2).get<int>() != 0 });
+                             run.at(2).get<int>() != 0,
+                             run.size() > worker_index
+                                 ? run.at(worker_index).get<std::string>()
+                                 : std::string() });
         step.tasks.at(entry.at(0).get<size_t>()).crashes
             = CrashRecord(std::move(runs), entry.at(2).get<int>());
         step.has_crashes = true;
--- a/src/jobs.lib/scheduler.h
+++ b/src/jobs.lib/scheduler.h
@@ -275,7 +275,8 @@
     static std::optional<Millis> known_runtime(const Task& task);
     void attribute_loss(const std::vector<LostRun>& lost, const std::string& worker,
                         const char* reason, Loss loss);
-    bool attribute_loss(const LostRun& run, bool sole_suspect, Suspicion worst);
+    bool attribute_loss(const LostRun& run, const std::string& worker, bool sole_suspect,
+                        Suspicion worst);
     bool is_sole_suspect(const LostRun& run, const std::vector<LostRun>& lost);
     static bool is_confirmed(const CrashRecord& before, const CrashRecord& after);
     Suspicion worst_suspicion(const std::vector<LostRun>& lost);
--- a/src/jobs.lib/scheduler_crashes.cpp
+++ b/src/jobs.lib/scheduler_crashes.cpp
@@ -178,7 +178,7 @@
                         { "lived_ms", run.known_runtime ? run.known_runtime->count() : -1 },
                         { "alone", sole_suspect[i] ? "yes" : "no" },
                         { "suspect_there", to_string(worst) } });
-        if (attribute_loss(run, sole_suspect[i], worst))
+        if (attribute_loss(run, worker, sole_suspect[i], worst))
             changed.insert(run.task.job);
     }
     for (const std::string& id : changed) {
@@ -191,7 +191,8 @@
 // Records the loss against one task. `worst` is the highest suspicion against any of the
 // tasks before. Returns whether the record changed, so that it must be saved for the next
 // leader.
-bool Scheduler::attribute_loss(const LostRun& run, bool sole_suspect, Suspicion worst)
+bool Scheduler::attribute_loss(const LostRun& run, const std::string& worker,
+                               bool sole_suspect, Suspicion worst)
 {
     JobRecord* job = find_job(run.task.job);
     Task* task = job == nullptr ? nullptr : job->task(run.task);
@@ -201,7 +202,8 @@
     const Millis runtime = run.known_runtime.value_or(unknown_runtime);
     const bool beside_suspect
         = before.suspicion() == Suspicion::none && worst != Suspicion::none;
-    if (!task->crashes.add({ run.run, runtime.count(), beside_suspect }))
+    if (!task->crashes.add({ run.run, runtime.count(), beside_suspect,
+                             WorkerIncarnation::parse(worker).name }))
         return false;
     job->step(run.task.repeat, run.task.step)->has_crashes = true;
     if (sole_suspect && is_confirmed(before, task->crashes))
@@ -282,7 +284,8 @@
     for (const LostRun& run : found->second.runs) {
         JobRecord* job = found->second.attributed ? find_job(run.task.job) : nullptr;
         Task* task = job == nullptr ? nullptr : job->task(run.task);
-        if (task != nullptr && task->crashes.retract(run.run))
+        if (task != nullptr
+            && task->crashes.retract(run.run, WorkerIncarnation::parse(worker).name))
             log_event(LogLevel::info, "task_loss_taken_back",
                       { { "job", run.task.job },
                         { "task", run.task.to_string() },
--- a/src/jobs.lib/scheduler_reports.cpp
+++ b/src/jobs.lib/scheduler_reports.cpp
@@ -141,7 +141,7 @@
     task->ordered_at = now;
     task->adopted = true;
     // A start thought lost with another incarnation has taken place.
-    task->crashes.retract(running.run);
+    task->crashes.retract(running.run, WorkerIncarnation::parse(worker.session->id()).name);
     if (task->crashes.suspicion() != Suspicion::none)
         track_suspect(worker, running.task);
     task->percent = running.percent;
