A lost worker that is still listed leaves a trace in the rows of its tasks

Callers saw: a task that crashes its workers takes down more of them than it may. Cause: when the lease of a listed worker lapses, it may be lost or only partitioned, and its runs were kept in memory until the list told. The tasks were started again meanwhile; a leader replaced then took the loss with it. Change: such a loss is recorded at once as weak evidence, replaced by the full one when the worker is known to be lost, and taken back when it answers.

--- a/src/jobs.lib/crash_record.cpp
+++ b/src/jobs.lib/crash_record.cpp
@@ -87,8 +87,7 @@
 {
     int weight = 0;
     for (const CrashedRun& lost : m_runs) {
-        const bool likely_cause
-            = Millis(lost.runtime_ms) < startup_window && !lost.beside_suspect;
+        const bool likely_cause = Millis(lost.runtime_ms) < startup_window && !lost.is_weak;
         weight += likely_cause ? startup_weight : later_weight;
     }
     if (weight >= likely_from)
--- a/src/jobs.lib/crash_record.h
+++ b/src/jobs.lib/crash_record.h
@@ -21,9 +21,9 @@
 struct CrashedRun {
     int64_t run = 0;
     int64_t runtime_ms = 0; ///< The run is known to have existed for this long.
-    /// A suspect ran on the same worker, so this loss is weaker evidence against other
-    /// tasks.
-    bool beside_suspect = false;
+    /// Weaker evidence: a suspect ran on the same worker, or the worker may only have been
+    /// partitioned.
+    bool is_weak = false;
     /// Name of the worker that was lost. A member of a gang may be tried on several workers
     /// under one run id. Empty in rows of earlier versions.
     std::string worker {};
@@ -31,7 +31,7 @@
     bool operator==(const CrashedRun& other) const
     {
         return run == other.run && runtime_ms == other.runtime_ms
-            && beside_suspect == other.beside_suspect && worker == other.worker;
+            && is_weak == other.is_weak && worker == other.worker;
     }
     /// Returns whether both are the same loss, whatever is known of it.
     bool is_same_loss(const CrashedRun& other) const
--- a/src/jobs.lib/job_record.cpp
+++ b/src/jobs.lib/job_record.cpp
@@ -61,7 +61,7 @@
 }
 
 /// Encodes, by task, the runs during which workers were lost, each as [run, run time,
-/// beside another suspect, worker], and how often the task was tried since.
+/// weak evidence, worker], and how often the task was tried since.
 Json encode_crashes(const Step& step)
 {
     Json crashes = Json::array();
@@ -72,7 +72,7 @@
         Json runs = Json::array();
         for (const CrashedRun& lost : task.crashes.runs())
             runs.push_back(
-                { lost.run, lost.runtime_ms, lost.beside_suspect ? 1 : 0, lost.worker });
+                { lost.run, lost.runtime_ms, lost.is_weak ? 1 : 0, lost.worker });
         crashes.push_back({ i, std::move(runs), task.crashes.tries() });
     }
     return crashes;
--- a/src/jobs.lib/scheduler.h
+++ b/src/jobs.lib/scheduler.h
@@ -288,6 +288,9 @@
     void note_lapsed_runs(const std::string& worker, std::vector<LostRun> lost, bool listed,
                           Loss loss);
     void attribute_lapsed_runs(const std::string& worker);
+    void record_provisional_losses(const std::string& worker);
+    std::vector<LostRun> retract_losses(const std::string& worker,
+                                        const std::vector<LostRun>& runs);
     void retract_lapsed_loss(const std::string& worker);
     void clear_if_survived(const TaskId& id, Task& task);
     // Tasks suspected of crashing workers (scheduler_suspects.cpp).
--- a/src/jobs.lib/scheduler_crashes.cpp
+++ b/src/jobs.lib/scheduler_crashes.cpp
@@ -200,10 +200,9 @@
         return false;
     const CrashRecord before = task->crashes;
     const Millis runtime = run.known_runtime.value_or(unknown_runtime);
-    const bool beside_suspect
-        = before.suspicion() == Suspicion::none && worst != Suspicion::none;
-    if (!task->crashes.add({ run.run, runtime.count(), beside_suspect,
-                             WorkerIncarnation::parse(worker).name }))
+    const bool is_weak = before.suspicion() == Suspicion::none && worst != Suspicion::none;
+    if (!task->crashes.add(
+            { run.run, runtime.count(), is_weak, WorkerIncarnation::parse(worker).name }))
         return false;
     job->step(run.task.repeat, run.task.step)->has_crashes = true;
     if (sole_suspect && is_confirmed(before, task->crashes))
@@ -261,10 +260,49 @@
     if (lost.empty())
         return;
     m_lapsed_runs[worker] = { std::move(lost), loss, false, now };
-    if (!listed)
+    if (listed)
+        record_provisional_losses(worker);
+    else
         attribute_lapsed_runs(worker);
 }
 
+// Until it is known whether a listed worker was lost or partitioned, its runs are recorded
+// as weak evidence: this leader may be replaced before that, and the tasks are started
+// again.
+void Scheduler::record_provisional_losses(const std::string& worker)
+{
+    std::set<std::string> changed;
+    for (const LostRun& run : m_lapsed_runs[worker].runs) {
+        JobRecord* job = find_job(run.task.job);
+        Task* task = job == nullptr ? nullptr : job->task(run.task);
+        if (task == nullptr || job->closed() || task->phase == TaskPhase::done)
+            continue;
+        const Millis runtime = run.known_runtime.value_or(unknown_runtime);
+        task->crashes.add(
+            { run.run, runtime.count(), true, WorkerIncarnation::parse(worker).name });
+        job->step(run.task.repeat, run.task.step)->has_crashes = true;
+        changed.insert(run.task.job);
+    }
+    for (const std::string& id : changed)
+        record(*find_job(id));
+}
+
+// Removes the losses recorded for a worker whose lease lapsed. Returns the runs whose
+// losses were recorded.
+std::vector<Scheduler::LostRun> Scheduler::retract_losses(const std::string& worker,
+                                                          const std::vector<LostRun>& runs)
+{
+    std::vector<LostRun> retracted;
+    const std::string name = WorkerIncarnation::parse(worker).name;
+    for (const LostRun& run : runs) {
+        JobRecord* job = find_job(run.task.job);
+        Task* task = job == nullptr ? nullptr : job->task(run.task);
+        if (task != nullptr && task->crashes.retract(run.run, name))
+            retracted.push_back(run);
+    }
+    return retracted;
+}
+
 // A worker with a lapsed lease is lost.
 void Scheduler::attribute_lapsed_runs(const std::string& worker)
 {
@@ -272,6 +310,8 @@
     if (found == m_lapsed_runs.end() || found->second.attributed)
         return;
     found->second.attributed = true;
+    // What was recorded provisionally counts in full now.
+    retract_losses(worker, found->second.runs);
     attribute_loss(found->second.runs, worker, "lapsed", found->second.loss);
 }
 
@@ -281,16 +321,11 @@
     const auto found = m_lapsed_runs.find(worker);
     if (found == m_lapsed_runs.end())
         return;
-    for (const LostRun& run : found->second.runs) {
-        JobRecord* job = found->second.attributed ? find_job(run.task.job) : nullptr;
-        Task* task = job == nullptr ? nullptr : job->task(run.task);
-        if (task != nullptr
-            && task->crashes.retract(run.run, WorkerIncarnation::parse(worker).name))
-            log_event(LogLevel::info, "task_loss_taken_back",
-                      { { "job", run.task.job },
-                        { "task", run.task.to_string() },
-                        { "worker", worker } });
-    }
+    for (const LostRun& run : retract_losses(worker, found->second.runs))
+        log_event(LogLevel::info, "task_loss_taken_back",
+                  { { "job", run.task.job },
+                    { "task", run.task.to_string() },
+                    { "worker", worker } });
     m_lapsed_runs.erase(found);
 }
 
