A young run lost with a draining worker counts against its task

Callers saw: a task that crashes its workers takes down more of them than it may. Cause: a worker that has announced its end was taken to leave as announced, whenever it went, so a crash before that counted against nothing. Change: runs younger than the startup window, or of unknown age, count also there. Nothing is started on a draining worker, so an older run tells nothing.

--- a/src/jobs.lib/scheduler.h
+++ b/src/jobs.lib/scheduler.h
@@ -272,6 +272,7 @@
 
     // Lost workers and the runs lost with them (scheduler_crashes.cpp).
     std::vector<LostRun> runs_on(const Worker& worker);
+    std::vector<LostRun> attributable_runs(const Worker& worker);
     static std::optional<Millis> known_runtime(const Task& task);
     void attribute_loss(const std::vector<LostRun>& lost, const std::string& worker,
                         const char* reason, Loss loss);
--- a/src/jobs.lib/scheduler_crashes.cpp
+++ b/src/jobs.lib/scheduler_crashes.cpp
@@ -77,6 +77,21 @@
     return found;
 }
 
+// Returns the runs on the worker that may have crashed it. A worker that had announced its
+// end left as announced, unless a run had just started: none is started there shortly
+// before an announced end.
+std::vector<Scheduler::LostRun> Scheduler::attributable_runs(const Worker& worker)
+{
+    std::vector<LostRun> runs = runs_on(worker);
+    if (worker.session->info().draining) {
+        const auto is_older = [](const LostRun& run) {
+            return run.known_runtime.value_or(Millis(0)) >= startup_window;
+        };
+        runs.erase(std::remove_if(runs.begin(), runs.end(), is_older), runs.end());
+    }
+    return runs;
+}
+
 // Returns whether no run of another job that was lost with it could be the cause as well.
 bool Scheduler::is_sole_suspect(const LostRun& run, const std::vector<LostRun>& lost)
 {
--- a/src/jobs.lib/scheduler_worker_lifecycle.cpp
+++ b/src/jobs.lib/scheduler_worker_lifecycle.cpp
@@ -169,7 +169,7 @@
     Worker* worker = find_worker(session.id());
     if (worker == nullptr)
         return;
-    const std::vector<LostRun> lost = runs_on(*worker);
+    const std::vector<LostRun> lost = attributable_runs(*worker);
     const char* const reason = session.replaced() ? "reborn" : "life_over";
     if (session.replaced()) {
         m_ended_incarnations.insert(session.id());
@@ -181,8 +181,7 @@
     }
     release_tasks(*worker, reason, session.replaced());
     attribute_lapsed_runs(session.id());
-    // A worker that had announced its end did not crash.
-    if (!session.info().draining)
+    if (!session.info().draining || !lost.empty())
         attribute_loss(lost, session.id(), reason, Loss::crash);
     end_session(*worker);
     activate_when_ready();
@@ -302,11 +301,10 @@
     Worker* worker = find_worker(session.id());
     if (worker == nullptr)
         return;
-    std::vector<LostRun> lost = runs_on(*worker);
+    std::vector<LostRun> lost = attributable_runs(*worker);
     release_tasks(*worker, "lease_lapsed", false);
-    if (!session.info().draining)
-        note_lapsed_runs(session.id(), std::move(lost), worker->listed,
-                         session.refuses_connections() ? Loss::crash : Loss::silence);
+    note_lapsed_runs(session.id(), std::move(lost), worker->listed,
+                     session.refuses_connections() ? Loss::crash : Loss::silence);
     resolve_unrecorded(session.id());
     if (!worker->listed)
         end_session(*worker);
