A suspect's start counts unless its run outlasts those that were lost

Callers saw: a task that crashes its workers takes down more of them than it may. Cause: a start whose run failed by itself did not count, also when a worker that fails all its tasks ended it before it could crash that worker. Such a worker is empty, so suspects were placed there. Change: the start is taken back only if the run lasted as long as the lost ones, and suspects prefer workers without recent faults.

--- a/src/jobs.lib/scheduler_reports.cpp
+++ b/src/jobs.lib/scheduler_reports.cpp
@@ -300,9 +300,10 @@
 {
     task.failed_on = worker.session->id();
     task.failed_at = m_context.loop.now();
-    if (task.crashes.cleared_by_end_after(task.failed_at - task.ordered_at))
+    const Millis runtime = task.failed_at - task.ordered_at;
+    if (task.crashes.cleared_by_end_after(runtime))
         task.crashes.clear();
-    else
+    else if (task.crashes.outlasted_by(runtime))
         task.crashes.note_harmless_failure();
     release(task);
     step.failed_workers.insert(worker.session->id());
--- a/src/jobs.lib/scheduler_suspects.cpp
+++ b/src/jobs.lib/scheduler_suspects.cpp
@@ -125,7 +125,7 @@
     const Millis max_wait = likely ? likely_suspect_wait : suspect_wait;
     const bool may_wait = m_pass_begun - task.requeued_at < max_wait;
     const bool isolates = !likely || may_isolate_another();
-    using Key = std::tuple<bool, bool, bool, size_t, size_t>;
+    using Key = std::tuple<bool, bool, bool, bool, size_t, size_t>;
     std::optional<Key> best;
     for (size_t i = 0; i < options.size(); ++i) {
         const Worker& worker = *find_worker(std::string(options[i].worker));
@@ -133,12 +133,18 @@
             || (likely && m_pass_begun - worker.last_start < startup_window);
         if (shared && may_wait)
             continue;
-        const Key key { shared, !worker.active_suspects.empty(), options[i].second_choice,
-                        worker.load.allocations().size(), i };
+        // A failure of the worker's own would use up a start and tell nothing.
+        const bool faulty = worker.consecutive_faults > 0;
+        const Key key { shared,
+                        !worker.active_suspects.empty(),
+                        faulty,
+                        options[i].second_choice,
+                        worker.load.allocations().size(),
+                        i };
         if (!best || key < *best)
             best = key;
     }
-    return best ? std::get<4>(*best) : options.size();
+    return best ? std::get<5>(*best) : options.size();
 }
 
 // Returns the worker that is reserved for the task, or null.
