A crash under a start that was never recorded counts as possible

Callers saw: a task that crashes its workers takes down more of them than it may. Cause: while the store is slow, orders precede their record. A leader that is replaced then takes the start with it, and the crash of its worker counts against no task. Ways weighed: no order before its record (a slow store would hold back all starts); copies of early starts at the peers (lost when all nodes are killed); to assume the loss where it is possible (taken). Change: if a worker named in the head row as running unrecorded tasks is lost before it reports, each waiting step that may have been started has one possible loss more, kept in its row. For a task with a known loss it counts towards the three after which starts are limited.

--- a/src/jobs.lib/crash_record.cpp
+++ b/src/jobs.lib/crash_record.cpp
@@ -19,6 +19,9 @@
 /// cleared, since it would take down one worker after another.
 constexpr size_t max_workers_lost = 3;
 constexpr int max_tries = 2;
+/// Limit on the losses assumed without a record. A task that lost nothing has to be lost at
+/// least this many times less than `max_workers_lost` before its starts count.
+constexpr int max_unrecorded_losses = 1;
 /// Maximum delay of the report about a run, added to the longest run time before a loss.
 constexpr Millis clearing_margin { 600 };
 /// Known run times that were really equal differ by at most this much, since reports come
@@ -66,11 +69,25 @@
 {
     m_runs.clear();
     m_tries = 0;
+    m_unrecorded_losses = 0;
+}
+
+void CrashRecord::expect_unrecorded_losses(int count)
+{
+    if (m_runs.empty())
+        m_unrecorded_losses = std::min(count, max_unrecorded_losses);
+}
+
+// At least one loss has to be known: most tasks have lost nothing unrecorded.
+bool CrashRecord::has_lost_enough() const
+{
+    return !m_runs.empty()
+        && m_runs.size() + static_cast<size_t>(m_unrecorded_losses) >= max_workers_lost;
 }
 
 void CrashRecord::note_start()
 {
-    m_tries += m_runs.size() >= max_workers_lost ? 1 : 0;
+    m_tries += has_lost_enough() ? 1 : 0;
 }
 
 void CrashRecord::withdraw_start()
@@ -80,7 +97,7 @@
 
 bool CrashRecord::tries_exhausted() const
 {
-    return m_runs.size() >= max_workers_lost && m_tries >= max_tries;
+    return has_lost_enough() && m_tries >= max_tries;
 }
 
 Suspicion CrashRecord::suspicion() const
--- a/src/jobs.lib/crash_record.h
+++ b/src/jobs.lib/crash_record.h
@@ -59,9 +59,11 @@
 class CrashRecord {
 public:
     CrashRecord() = default;
-    explicit CrashRecord(std::vector<CrashedRun> runs, int tries = 0)
+    explicit CrashRecord(std::vector<CrashedRun> runs, int tries = 0,
+                         int unrecorded_losses = 0)
         : m_runs(std::move(runs))
         , m_tries(tries)
+        , m_unrecorded_losses(unrecorded_losses)
     {
     }
 
@@ -71,6 +73,12 @@
 
     /// Adds a run; returns false if its loss on that worker is already recorded.
     bool add(const CrashedRun& lost);
+    /// Returns how many more workers may have been lost with the task under leaders that
+    /// were replaced before they recorded its start.
+    int unrecorded_losses() const { return m_unrecorded_losses; }
+    /// Sets that number if nothing is recorded yet. From the first recorded loss on, no
+    /// start precedes its record.
+    void expect_unrecorded_losses(int count);
     /// Removes a run whose worker turned out not to be lost. Returns whether it was
     /// recorded.
     bool retract(int64_t run, const std::string& worker = {});
@@ -107,15 +115,18 @@
 
     bool operator==(const CrashRecord& other) const
     {
-        return m_runs == other.m_runs && m_tries == other.m_tries;
+        return m_runs == other.m_runs && m_tries == other.m_tries
+            && m_unrecorded_losses == other.m_unrecorded_losses;
     }
 
 private:
+    bool has_lost_enough() const;
     void withdraw_start();
     Millis longest_runtime() const;
 
     std::vector<CrashedRun> m_runs;
     int m_tries = 0;
+    int m_unrecorded_losses = 0;
 };
 
 } // namespace pathport::jobs
--- a/src/jobs.lib/crash_record_test.cpp
+++ b/src/jobs.lib/crash_record_test.cpp
@@ -153,3 +153,22 @@
     BOOST_TEST(!record.outlasted_by(Millis(200)));
     BOOST_TEST(record.outlasted_by(Millis(900)));
 }
+
+// A leader that was replaced while the store was slow had started the task without a
+// record, and its worker is gone: that loss counts once another one is known, and only
+// then.
+BOOST_AUTO_TEST_CASE(loss_without_a_record_counts_beside_known_ones)
+{
+    CrashRecord record;
+    record.expect_unrecorded_losses(5);
+    record.note_start();
+    record.add({ 1, at_once });
+    record.note_start();
+    BOOST_TEST(record.tries() == 0);
+    record.add({ 2, at_once });
+    // Starts of a task with a recorded loss are recorded first.
+    record.expect_unrecorded_losses(0);
+    record.note_start();
+    record.note_start();
+    BOOST_TEST(record.tries_exhausted());
+}
--- a/src/jobs.lib/job_record.cpp
+++ b/src/jobs.lib/job_record.cpp
@@ -61,7 +61,8 @@
 }
 
 /// Encodes, by task, the runs during which workers were lost, each as [run, run time,
-/// weak evidence, worker], and how often the task was tried since.
+/// weak evidence, worker], how often the task was tried since, and how many more losses may
+/// not be recorded.
 Json encode_crashes(const Step& step)
 {
     Json crashes = Json::array();
@@ -73,7 +74,8 @@
         for (const CrashedRun& lost : task.crashes.runs())
             runs.push_back(
                 { lost.run, lost.runtime_ms, lost.is_weak ? 1 : 0, lost.worker });
-        crashes.push_back({ i, std::move(runs), task.crashes.tries() });
+        crashes.push_back(
+            { i, std::move(runs), task.crashes.tries(), task.crashes.unrecorded_losses() });
     }
     return crashes;
 }
@@ -83,14 +85,16 @@
     for (const Json& entry : json) {
         std::vector<CrashedRun> runs;
         constexpr size_t worker_index = 3;
+        constexpr size_t unrecorded_index = 3;
         for (const Json& run : entry.at(1))
             runs.push_back({ run.at(0).get<int64_t>(), run.at(1).get<int64_t>(),
                              run.at(2).get<int>() != 0,
                              run.size() > worker_index
                                  ? run.at(worker_index).get<std::string>()
                                  : std::string() });
-        step.tasks.at(entry.at(0).get<size_t>()).crashes
-            = CrashRecord(std::move(runs), entry.at(2).get<int>());
+        step.tasks.at(entry.at(0).get<size_t>()).crashes = CrashRecord(
+            std::move(runs), entry.at(2).get<int>(),
+            entry.size() > unrecorded_index ? entry.at(unrecorded_index).get<int>() : 0);
         step.has_crashes = true;
     }
 }
@@ -123,8 +127,10 @@
     json.push_back(std::move(checkpoints));
     json.push_back(step.gang_failed_runs);
     // Omitted for the many steps that have none, to keep the row small.
-    if (step.has_crashes)
+    if (step.has_crashes || step.unrecorded_losses > 0)
         json.push_back(encode_crashes(step));
+    if (step.unrecorded_losses > 0)
+        json.push_back(step.unrecorded_losses);
     return json;
 }
 
@@ -161,6 +167,9 @@
     constexpr size_t crashes_index = 7;
     if (json.size() > crashes_index)
         apply_crashes(json.at(crashes_index), step);
+    constexpr size_t unrecorded_losses_index = 8;
+    if (json.size() > unrecorded_losses_index)
+        step.unrecorded_losses = json.at(unrecorded_losses_index).get<int>();
 }
 
 } // namespace
@@ -192,6 +201,13 @@
                     step_suspect ? Suspicion::suspected : Suspicion::none);
 }
 
+bool Step::may_start_unrecorded() const
+{
+    return std::any_of(tasks.begin(), tasks.end(), [](const Task& task) {
+        return task.phase == TaskPhase::waiting && task.crashes.empty();
+    });
+}
+
 int Step::unsuspected_waiting() const
 {
     return static_cast<int>(waiting_tasks(false).size());
--- a/src/jobs.lib/job_record.h
+++ b/src/jobs.lib/job_record.h
@@ -99,6 +99,9 @@
     std::set<std::string> failed_workers;
     /// A loss of a worker is or was attributed to one of its tasks.
     bool has_crashes = false;
+    /// Number of earlier leaders that may have started one of its tasks without a record
+    /// and lost the worker.
+    int unrecorded_losses = 0;
     bool at_bound = false; ///< Its workspace's bound prevented a complete placement.
     bool has_survivor = false; ///< A run of one of its tasks is known to have survived.
     int64_t gang_run = 0; ///< The gang's run that is placed at present.
@@ -125,6 +128,8 @@
     bool is_suspect() const;
     /// Returns the suspicion against a task; `step_suspect` is the result of is_suspect().
     static Suspicion suspicion(const Task& task, bool step_suspect);
+    /// Returns whether the leader may start one of its tasks before that is recorded.
+    bool may_start_unrecorded() const;
     /// Returns the number of waiting tasks that are not suspected of crashing workers.
     int unsuspected_waiting() const;
     /// Returns the indices of the waiting tasks, optionally with the suspected ones.
--- a/src/jobs.lib/progress_row_test.cpp
+++ b/src/jobs.lib/progress_row_test.cpp
@@ -65,6 +65,7 @@
     if (below(random, 3) == 0)
         task.checkpoint = "00000bb87a21d94b";
     if (below(random, 5) == 0) {
+        task.crashes.expect_unrecorded_losses(below(random, 2));
         task.crashes.add({ epoch_runs + 5, below(random, 9000) });
         task.crashes.add({ epoch_runs + 7, 0, below(random, 2) == 0, "w7" });
         step.has_crashes = true;
@@ -88,6 +89,7 @@
             change_task(random, step, task);
         }
     }
+    step.unrecorded_losses = below(random, 3);
     if (step.spec->gang && below(random, 2) == 0)
         step.gang_failed_runs = { 7340077, 7340090 };
 }
@@ -130,6 +132,8 @@
     BOOST_REQUIRE(loaded.tasks.size() == step.tasks.size());
     for (size_t i = 0; i < step.tasks.size(); ++i)
         check_task(step.tasks[i], loaded.tasks[i]);
+    if (!step.finished())
+        BOOST_TEST(loaded.unrecorded_losses == step.unrecorded_losses);
     if (!step.finished())
         BOOST_TEST(loaded.gang_failed_runs == step.gang_failed_runs,
                    boost::test_tools::per_element());
--- a/src/jobs.lib/scheduler.h
+++ b/src/jobs.lib/scheduler.h
@@ -288,6 +288,7 @@
     void give_up(JobRecord& job, const TaskId& id, const char* reason);
     void note_lapsed_runs(const std::string& worker, std::vector<LostRun> lost, bool listed,
                           Loss loss);
+    void note_unrecorded_loss(const std::string& worker);
     void attribute_lapsed_runs(const std::string& worker);
     void record_provisional_losses(const std::string& worker);
     std::vector<LostRun> retract_losses(const std::string& worker,
@@ -485,6 +486,8 @@
     /// Workers that have not reported to this leader and on which earlier leaders may have
     /// started tasks without recording them.
     std::set<std::string> m_unresolved;
+    /// One of these was lost, which has been taken into account.
+    bool m_unrecorded_loss_noted = false;
     /// By then every run that an earlier leader started without this one knowing of it has
     /// ended.
     Millis m_earlier_leases_until;
--- a/src/jobs.lib/scheduler_crashes.cpp
+++ b/src/jobs.lib/scheduler_crashes.cpp
@@ -213,13 +213,15 @@
     Task* task = job == nullptr ? nullptr : job->task(run.task);
     if (task == nullptr || job->closed() || task->phase == TaskPhase::done)
         return false;
+    Step& step = *job->step(run.task.repeat, run.task.step);
+    task->crashes.expect_unrecorded_losses(step.unrecorded_losses);
     const CrashRecord before = task->crashes;
     const Millis runtime = run.known_runtime.value_or(unknown_runtime);
     const bool is_weak = before.suspicion() == Suspicion::none && worst != Suspicion::none;
     if (!task->crashes.add(
             { run.run, runtime.count(), is_weak, WorkerIncarnation::parse(worker).name }))
         return false;
-    job->step(run.task.repeat, run.task.step)->has_crashes = true;
+    step.has_crashes = true;
     if (sole_suspect && is_confirmed(before, task->crashes))
         schedule_verdict(run.task, *task);
     const Suspicion suspicion = task->crashes.suspicion();
@@ -262,6 +264,33 @@
     return false;
 }
 
+// Called when a worker on which an earlier leader may have started tasks without a record
+// is lost before it has reported to this leader. Nothing tells which tasks it started, so
+// the loss is taken into account for all that it may have started. At most one start of a
+// task can be lost with a leader this way: a second one waits for the record of the first
+// loss.
+void Scheduler::note_unrecorded_loss(const std::string& worker)
+{
+    if (m_unresolved.count(worker) == 0 || m_unrecorded_loss_noted)
+        return;
+    m_unrecorded_loss_noted = true;
+    int64_t steps = 0;
+    for (auto& [id, job] : m_jobs) {
+        if (!job->loaded || job->closed())
+            continue;
+        for (auto& [number, repeat] : job->repeats()) {
+            for (Step& step : repeat.steps) {
+                if (!step.may_start_unrecorded() || !job->dependencies_met(step))
+                    continue;
+                ++step.unrecorded_losses;
+                ++steps;
+            }
+        }
+    }
+    log_event(LogLevel::info, "unrecorded_loss_possible",
+              { { "worker", worker }, { "steps", steps } });
+}
+
 // Handles the end of a worker's lease. A worker that is still listed, or is listed again,
 // was partitioned; one that is no longer listed counts as lost.
 void Scheduler::note_lapsed_runs(const std::string& worker, std::vector<LostRun> lost,
@@ -292,10 +321,12 @@
         Task* task = job == nullptr ? nullptr : job->task(run.task);
         if (task == nullptr || job->closed() || task->phase == TaskPhase::done)
             continue;
+        Step& step = *job->step(run.task.repeat, run.task.step);
         const Millis runtime = run.known_runtime.value_or(unknown_runtime);
+        task->crashes.expect_unrecorded_losses(step.unrecorded_losses);
         task->crashes.add(
             { run.run, runtime.count(), true, WorkerIncarnation::parse(worker).name });
-        job->step(run.task.repeat, run.task.step)->has_crashes = true;
+        step.has_crashes = true;
         changed.insert(run.task.job);
     }
     for (const std::string& id : changed)
--- a/src/jobs.lib/scheduler_load.cpp
+++ b/src/jobs.lib/scheduler_load.cpp
@@ -279,8 +279,10 @@
     for (const std::string& worker : unresolved) {
         // The session of a listed worker knows sooner.
         const bool listed = m_workers.count(worker) > 0;
-        if (now >= (listed ? m_earlier_leases_until : earlier_leases_until(worker)))
-            resolve_unrecorded(worker);
+        if (now < (listed ? m_earlier_leases_until : earlier_leases_until(worker)))
+            continue;
+        note_unrecorded_loss(worker);
+        resolve_unrecorded(worker);
     }
     for (auto in_doubt_tasks = m_in_doubt.begin(); in_doubt_tasks != m_in_doubt.end();) {
         if (m_workers.count(in_doubt_tasks->first) > 0
--- a/src/jobs.lib/scheduler_worker_lifecycle.cpp
+++ b/src/jobs.lib/scheduler_worker_lifecycle.cpp
@@ -169,6 +169,7 @@
     Worker* worker = find_worker(session.id());
     if (worker == nullptr)
         return;
+    note_unrecorded_loss(session.id());
     const std::vector<LostRun> lost = attributable_runs(*worker);
     const char* const reason = session.replaced() ? "reborn" : "life_over";
     if (session.replaced()) {
@@ -263,6 +264,7 @@
             ++earlier;
             continue;
         }
+        note_unrecorded_loss(*earlier);
         earlier = m_unresolved.erase(earlier);
         m_unresolved.insert(id);
     }
@@ -301,6 +303,7 @@
     Worker* worker = find_worker(session.id());
     if (worker == nullptr)
         return;
+    note_unrecorded_loss(session.id());
     std::vector<LostRun> lost = attributable_runs(*worker);
     release_tasks(*worker, "lease_lapsed", false);
     note_lapsed_runs(session.id(), std::move(lost), worker->listed,
