Orders that waited for their record wait for the cancellations as well

Callers saw: tasks of a job start after its cancellation was acknowledged. Cause: a pass places nothing while the known cancellations are over 2.2 s old, but an intent that was placed before may wait longer for its record, and its orders were sent on that record alone. The record of an intent is its first answer; five orders leave at 33.229 s, the cancellation is read at 33.234 s (job_canceled, source store). Change: start_task checks the age of the feed as the pass does, plus the longest start latency. Result: stale_feed_test red before, green after.

--- a/src/jobs.lib/scheduler.h
+++ b/src/jobs.lib/scheduler.h
@@ -46,6 +46,8 @@
 /// Upper bound on the time between choosing a worker with free capacity and the start
 /// order's arrival: the store write and the order.
 constexpr Millis max_start_latency { 350 };
+/// Nothing is placed while the known cancellations are older than this.
+constexpr Millis max_feed_age { 2200 };
 /// Workers stay reserved for at most this long while an advisor query is outstanding.
 constexpr Millis max_advice_wait { 3000 };
 
@@ -428,6 +430,7 @@
                        const std::vector<Assignment>& assignments);
     void send_orders(const std::string& job, int repeat, int step, int64_t run,
                      bool recorded);
+    bool cancellations_known() const;
     void start_task(JobRecord& job, Step& step, int index);
     void note_begun(JobRecord& job);
     void start_completed(const TaskId& id, const std::string& worker, int64_t run,
--- a/src/jobs.lib/scheduler_pass.cpp
+++ b/src/jobs.lib/scheduler_pass.cpp
@@ -31,8 +31,6 @@
 /// from capacity that only these can use. The rest of a pass is short, since gangs need
 /// many attempts.
 constexpr Millis urgent_pass_time { 10 };
-/// Nothing is started while the known cancellations are older than this.
-constexpr Millis max_feed_age { 2200 };
 /// A lower-priority step that found no capacity is retried after this time: with hundreds
 /// of such steps, a retry at the end of every task would take a whole processor.
 constexpr Millis capacity_retry_interval { 20 };
--- a/src/jobs.lib/scheduler_start.cpp
+++ b/src/jobs.lib/scheduler_start.cpp
@@ -126,6 +126,13 @@
     }
 }
 
+// Returns whether all cancellations up to a short time ago are known. While the store is
+// away they are not, and the record of an intent may be the first answer when it returns.
+bool Scheduler::cancellations_known() const
+{
+    return m_context.loop.now() - m_feed.known_at() <= max_feed_age + max_start_latency;
+}
+
 void Scheduler::start_task(JobRecord& job, Step& step, int index)
 {
     Task& task = step.tasks[static_cast<size_t>(index)];
@@ -142,7 +149,7 @@
     const bool has_capacity = worker != nullptr
         && worker->load.used().fits_in(worker->session->info().capacity);
     if (!has_capacity || job.closed() || !orders_allowed() || !list_is_fresh()
-        || !ticket_valid || !is_eligible(*worker, job, step)) {
+        || !cancellations_known() || !ticket_valid || !is_eligible(*worker, job, step)) {
         if (worker != nullptr)
             vacate(*worker, id, task.run);
         task.crashes.note_failed_start();
