Only failures of the task itself take back a suspect's start

Callers saw: a task that crashes its workers takes down more of them than it may; in its first form this check gave up good tasks that fail by themselves. Change: the start is taken back if the task has failed on two workers and the last one is sound, that is, has ended a task well since its last fault. Only a run of this leader's own can clear by its length. The case of crash_record_test that the first form added goes with the method that it tested.

--- a/src/jobs.lib/crash_record.h
+++ b/src/jobs.lib/crash_record.h
@@ -88,14 +88,10 @@
     void note_start();
     /// Records that a start failed at its worker, so that it does not count.
     void note_failed_start() { withdraw_start(); }
-    /// Records that a run failed on its own and its worker survived, so that its start does
-    /// not count: a task that crashes its workers does not end this way, and failures have
-    /// a limit of their own.
+    /// Records that a run failed on its own on a sound worker, which survived, so that its
+    /// start does not count: a task that crashes its workers does not end this way, and
+    /// failures have a limit of their own.
     void note_harmless_failure() { withdraw_start(); }
-    /// Returns whether a run that failed on its own after this run time lasted as long as
-    /// those lost with their workers. If not, it may have failed before it could crash the
-    /// worker.
-    bool outlasted_by(Millis runtime) const { return runtime >= longest_runtime(); }
     /// Returns the number of starts that count.
     int tries() const { return m_tries; }
     /// Returns whether the task must not be started any more: enough workers were lost with
--- a/src/jobs.lib/crash_record_test.cpp
+++ b/src/jobs.lib/crash_record_test.cpp
@@ -144,16 +144,6 @@
     BOOST_TEST(record.size() == 1U);
 }
 
-// A worker that fails all its tasks at once ends a run before that could crash it.
-BOOST_AUTO_TEST_CASE(run_that_fails_before_it_could_crash_its_worker_tells_nothing)
-{
-    CrashRecord record;
-    record.add({ 1, 900 });
-    record.add({ 2, 700 });
-    BOOST_TEST(!record.outlasted_by(Millis(200)));
-    BOOST_TEST(record.outlasted_by(Millis(900)));
-}
-
 // A leader that was replaced while the store was slow had started the task without a
 // record, and its worker is gone: that loss counts once another one is known, and only
 // then.
--- a/src/jobs.lib/scheduler.h
+++ b/src/jobs.lib/scheduler.h
@@ -178,6 +178,7 @@
         std::deque<std::shared_ptr<EndBatch>> batches;
         /// Failures, refusals and stalled tasks since the last success.
         int consecutive_faults = 0;
+        bool has_succeeded = false; ///< A task has ended well there, under this leader.
         std::string last_failed_job;
         /// Suspects running there that are not cleared yet.
         std::set<std::string> active_suspects;
--- a/src/jobs.lib/scheduler_reports.cpp
+++ b/src/jobs.lib/scheduler_reports.cpp
@@ -264,6 +264,7 @@
         task->checkpoint = end.checkpoint;
     if (end.kind == EndKind::done) {
         worker.consecutive_faults = 0;
+        worker.has_succeeded = true;
         learn_speed(worker, *job, step, *task);
         apply_done(*job, step, *task);
     } else if (end.kind == EndKind::failed) {
@@ -300,13 +301,16 @@
 {
     task.failed_on = worker.session->id();
     task.failed_at = m_context.loop.now();
-    const Millis runtime = task.failed_at - task.ordered_at;
-    if (task.crashes.cleared_by_end_after(runtime))
-        task.crashes.clear();
-    else if (task.crashes.outlasted_by(runtime))
-        task.crashes.note_harmless_failure();
     release(task);
     step.failed_workers.insert(worker.session->id());
+    // The length of a run that an earlier leader ordered is not known.
+    const bool ordered_here = end.run / runs_per_epoch == m_claim.head.epoch;
+    // A worker that fails all its tasks may end a run before that could crash it.
+    const bool sound = worker.has_succeeded && worker.consecutive_faults == 0;
+    if (ordered_here && task.crashes.cleared_by_end_after(task.failed_at - task.ordered_at))
+        task.crashes.clear();
+    else if (sound && step.failed_workers.size() >= failed_workers_for_step_fault)
+        task.crashes.note_harmless_failure();
     // A step that fails on several workers is itself the cause.
     if (step.failed_workers.size() < failed_workers_for_step_fault)
         note_fault(worker, job.id());
