A task is given up at once only where workers are rarely lost

Callers saw: a good task is given up and its job shown as failed, where workers restart by themselves. Cause: three workers lost with a task about equally long after its starts were taken for proof. A long-running task also gathers losses over time, and a longer run refuted none of them as long as one loss after a still longer run was recorded. Ways weighed: five losses in place of three for all (breaks the bound on starts); to ignore restarts in place (a crash may look like one); to count other losses (taken). Change: the verdict needs under three unexplained losses of others within 30 s and a leader that has watched for 10 s; else the bound on starts decides. A run refutes each loss of a shorter one, and a long-running task that has survived is not blamed for losses sooner after its start.

--- a/src/jobs.lib/crash_record.cpp
+++ b/src/jobs.lib/crash_record.cpp
@@ -28,6 +28,12 @@
 /// twice a second.
 constexpr int64_t similar_within_ms = 600;
 
+// Returns the run time that shows that this loss was not caused by the task.
+Millis refuting_runtime(const CrashedRun& lost)
+{
+    return std::max(startup_window, Millis(lost.runtime_ms)) + clearing_margin;
+}
+
 } // namespace
 
 const char* to_string(Suspicion suspicion)
@@ -45,6 +51,8 @@
 
 bool CrashRecord::add(const CrashedRun& lost)
 {
+    if (refuting_runtime(lost) < m_survived)
+        return false;
     const bool known = std::any_of(m_runs.begin(), m_runs.end(), [&](const auto& entry) {
         return entry.is_same_loss(lost);
     });
@@ -72,6 +80,28 @@
     m_unrecorded_losses = 0;
 }
 
+void CrashRecord::refute(Millis runtime)
+{
+    const auto is_refuted
+        = [&](const CrashedRun& lost) { return runtime > refuting_runtime(lost); };
+    m_runs.erase(std::remove_if(m_runs.begin(), m_runs.end(), is_refuted), m_runs.end());
+    if (m_runs.empty())
+        clear();
+    else if (!has_lost_enough())
+        m_tries = 0;
+}
+
+void CrashRecord::note_survival(Millis runtime)
+{
+    m_survived = std::max(m_survived, runtime);
+}
+
+bool CrashRecord::lost_worker(const std::string& name) const
+{
+    return std::any_of(m_runs.begin(), m_runs.end(),
+                       [&](const CrashedRun& lost) { return lost.worker == name; });
+}
+
 void CrashRecord::expect_unrecorded_losses(int count)
 {
     if (m_runs.empty())
--- a/src/jobs.lib/crash_record.h
+++ b/src/jobs.lib/crash_record.h
@@ -60,10 +60,11 @@
 public:
     CrashRecord() = default;
     explicit CrashRecord(std::vector<CrashedRun> runs, int tries = 0,
-                         int unrecorded_losses = 0)
+                         int unrecorded_losses = 0, Millis survived = Millis(0))
         : m_runs(std::move(runs))
         , m_tries(tries)
         , m_unrecorded_losses(unrecorded_losses)
+        , m_survived(survived)
     {
     }
 
@@ -83,6 +84,14 @@
     /// recorded.
     bool retract(int64_t run, const std::string& worker = {});
     void clear();
+    /// Removes the losses that a run of this length refutes: a task that crashes its
+    /// workers after some run time does not outlive it.
+    void refute(Millis runtime);
+    /// Records that a run has lasted for so long. Losses that it refutes are not added any
+    /// more: a long-running task is on some worker all the time and sees many lost.
+    void note_survival(Millis runtime);
+    /// Returns the longest run recorded by note_survival().
+    Millis survived() const { return m_survived; }
 
     /// Records a start, which counts once enough workers were lost.
     void note_start();
@@ -105,14 +114,18 @@
     /// Returns the run time after which a further run shows that the task does not crash
     /// its workers: longer than that of any lost run.
     Millis clearing_runtime() const;
+    /// Returns whether a worker of this name was lost with it.
+    bool lost_worker(const std::string& name) const;
     /// Returns whether a run that its worker reported as ended on its own after this run
-    /// time clears the task: it cannot crash the worker any more.
+    /// time clears the task: it lasted longer than those that were lost. A shorter one may
+    /// have failed before it could crash the worker, so its start counts.
     bool cleared_by_end_after(Millis runtime) const;
 
     bool operator==(const CrashRecord& other) const
     {
         return m_runs == other.m_runs && m_tries == other.m_tries
-            && m_unrecorded_losses == other.m_unrecorded_losses;
+            && m_unrecorded_losses == other.m_unrecorded_losses
+            && m_survived == other.m_survived;
     }
 
 private:
@@ -123,6 +136,7 @@
     std::vector<CrashedRun> m_runs;
     int m_tries = 0;
     int m_unrecorded_losses = 0;
+    Millis m_survived;
 };
 
 } // namespace pathport::jobs
--- a/src/jobs.lib/crash_record_test.cpp
+++ b/src/jobs.lib/crash_record_test.cpp
@@ -162,3 +162,34 @@
     record.note_start();
     BOOST_TEST(record.tries_exhausted());
 }
+
+// A run that outlives a loss shows that the task did not cause it, whatever else is
+// recorded.
+BOOST_AUTO_TEST_CASE(longer_run_refutes_losses_of_shorter_ones)
+{
+    CrashRecord record;
+    record.add({ 1, much_later });
+    record.add({ 2, at_once });
+    record.add({ 3, 700 });
+    record.note_start();
+    record.refute(startup_window);
+    BOOST_TEST(record.size() == 3U);
+    record.refute(Millis(3000));
+    BOOST_TEST(record.size() == 1U);
+    BOOST_TEST(record.tries() == 0);
+    record.refute(Millis(much_later + 1000));
+    BOOST_TEST(record.empty());
+}
+
+// A long-running task that has lasted on one worker loses others soon after its starts
+// there: the losses have other causes.
+BOOST_AUTO_TEST_CASE(survival_of_a_long_running_task_refutes_later_losses)
+{
+    CrashRecord record;
+    record.note_survival(Millis(5000));
+    BOOST_TEST(!record.add({ 1, at_once }));
+    BOOST_TEST(!record.add({ 2, 2000 }));
+    BOOST_TEST(record.add({ 3, 5000 }));
+    record.clear();
+    BOOST_TEST(!record.add({ 4, at_once }));
+}
--- a/src/jobs.lib/progress_row_test.cpp
+++ b/src/jobs.lib/progress_row_test.cpp
@@ -66,6 +66,7 @@
         task.checkpoint = "00000bb87a21d94b";
     if (below(random, 5) == 0) {
         task.crashes.expect_unrecorded_losses(below(random, 2));
+        task.crashes.note_survival(Millis(below(random, 2000)));
         task.crashes.add({ epoch_runs + 5, below(random, 9000) });
         task.crashes.add({ epoch_runs + 7, 0, below(random, 2) == 0, "w7" });
         step.has_crashes = true;
--- a/src/jobs.lib/scheduler.h
+++ b/src/jobs.lib/scheduler.h
@@ -161,6 +161,11 @@
         crash, ///< Replaced by another incarnation, or nothing listens at its address.
         silence, ///< No answers; it may be partitioned.
     };
+    /// The loss of a worker where no likely suspect ran.
+    struct UnattributedLoss {
+        Millis at;
+        bool explained = false; ///< A run that was lost with it became a likely suspect.
+    };
     /// Runs on a worker whose lease lapsed.
     struct LapsedRuns {
         std::vector<LostRun> runs;
@@ -285,8 +290,10 @@
     static bool is_confirmed(const CrashRecord& before, const CrashRecord& after);
     Suspicion worst_suspicion(const std::vector<LostRun>& lost);
     bool has_correlated_losses(Millis at) const;
+    bool losses_are_rare_without(const Step& step) const;
     void schedule_verdict(const TaskId& id, Task& task);
     void note_unattributed_loss(const std::string& worker);
+    void note_explained_losses(const CrashRecord& crashes);
     bool give_up_exhausted(JobRecord& job, Step& step);
     void give_up(JobRecord& job, const TaskId& id, const char* reason);
     void note_lapsed_runs(const std::string& worker, std::vector<LostRun> lost, bool listed,
@@ -509,8 +516,8 @@
     /// Incarnations replaced by another one of the same name, for as long as the worker
     /// list contains them.
     std::set<std::string> m_ended_incarnations;
-    /// Workers lost recently while no suspect ran there, and when.
-    std::map<std::string, Millis> m_unattributed_losses;
+    /// Workers lost recently while no likely suspect ran there.
+    std::map<std::string, UnattributedLoss> m_unattributed_losses;
     /// Runs of workers whose lease lapsed recently, by worker incarnation.
     std::map<std::string, LapsedRuns> m_lapsed_runs;
     /// Store time from which no earlier leader can start anything any more.
--- a/src/jobs.lib/scheduler_crashes.cpp
+++ b/src/jobs.lib/scheduler_crashes.cpp
@@ -36,9 +36,14 @@
 constexpr Millis shared_cause_window { 1500 };
 /// A shared cause is likely with this many other losses.
 constexpr int min_correlated_losses = 2;
-/// How long the loss of a worker is remembered, since its entry may linger in the worker
-/// list.
-constexpr Millis loss_retention { 10000 };
+/// How long the loss of a worker is remembered: its entry may linger in the worker list,
+/// and many losses without a suspect show that workers are lost for other reasons.
+constexpr Millis loss_retention { 30000 };
+/// With this many unexplained losses within that time, those of one task may be
+/// coincidence.
+constexpr int max_unexplained_losses = 3;
+/// A new leader knows too little of other losses to tell coincidence for this long.
+constexpr Millis min_observation { 10000 };
 
 } // namespace
 
@@ -132,9 +137,18 @@
     const Millis now = m_context.loop.now();
     auto& losses = m_unattributed_losses;
     for (auto entry = losses.begin(); entry != losses.end();)
-        entry
-            = now - entry->second > loss_retention ? losses.erase(entry) : std::next(entry);
-    losses.try_emplace(worker, now);
+        entry = now - entry->second.at > loss_retention ? losses.erase(entry)
+                                                        : std::next(entry);
+    losses.try_emplace(worker, UnattributedLoss { now, false });
+}
+
+// A likely suspect accounts for the workers that were lost with it, so these do not show
+// that workers are lost for other reasons.
+void Scheduler::note_explained_losses(const CrashRecord& crashes)
+{
+    for (auto& [worker, loss] : m_unattributed_losses)
+        loss.explained
+            = loss.explained || crashes.lost_worker(WorkerIncarnation::parse(worker).name);
 }
 
 // Returns whether several other workers were lost at about the same time without a suspect
@@ -143,12 +157,31 @@
 {
     const auto others = std::count_if(m_unattributed_losses.begin(),
                                       m_unattributed_losses.end(), [&](const auto& entry) {
-                                          return at - entry.second < shared_cause_window
-                                              && entry.second - at < shared_cause_window;
+                                          return at - entry.second.at < shared_cause_window
+                                              && entry.second.at - at < shared_cause_window;
                                       });
     return others >= min_correlated_losses;
 }
 
+// Returns whether so few workers were lost lately beside those lost with suspects of the
+// step that the latter are unlikely to be coincidence.
+bool Scheduler::losses_are_rare_without(const Step& step) const
+{
+    const Millis now = m_context.loop.now();
+    const auto lost_with_step = [&](const std::string& worker) {
+        return std::any_of(step.tasks.begin(), step.tasks.end(), [&](const Task& task) {
+            return task.crashes.suspicion() != Suspicion::none
+                && task.crashes.lost_worker(worker);
+        });
+    };
+    const auto unexplained = std::count_if(
+        m_unattributed_losses.begin(), m_unattributed_losses.end(), [&](const auto& entry) {
+            return now - entry.second.at < loss_retention && !entry.second.explained
+                && !lost_with_step(WorkerIncarnation::parse(entry.first).name);
+        });
+    return now - m_claim.claimed >= min_observation && unexplained < max_unexplained_losses;
+}
+
 // Delays the verdict until it is known whether other workers are lost at the same time: the
 // loss of a rack or of all workers is no evidence against a task.
 void Scheduler::schedule_verdict(const TaskId& id, Task& task)
@@ -160,7 +193,8 @@
         const Task* suspect = job == nullptr ? nullptr : job->task(id);
         if (suspect == nullptr || job->closed() || suspect->phase != TaskPhase::waiting)
             return;
-        if (!has_correlated_losses(lost_at))
+        const Step& step = *job->step(id.repeat, id.step);
+        if (!has_correlated_losses(lost_at) && losses_are_rare_without(step))
             give_up(*job, id, "crashes_its_workers");
         schedule_pass();
     }));
@@ -227,6 +261,8 @@
     const Suspicion suspicion = task->crashes.suspicion();
     if (suspicion == before.suspicion())
         return true;
+    if (suspicion == Suspicion::likely)
+        note_explained_losses(task->crashes);
     log_event(LogLevel::warn, "task_suspected",
               { { "job", run.task.job },
                 { "task", run.task.to_string() },
@@ -381,20 +417,22 @@
     const Millis runtime = m_context.loop.now() - task.ordered_at;
     Step& step = *find_job(id.job)->step(id.repeat, id.step);
     step.has_survivor = step.has_survivor || runtime > startup_window;
+    if (step.spec->long_running)
+        task.crashes.note_survival(runtime);
     if (task.crashes.empty())
         return;
-    Millis clearing = task.crashes.clearing_runtime();
-    if (step.spec->long_running)
-        clearing = std::min(clearing, max_clearing_runtime);
-    if (runtime <= clearing)
+    const auto losses = static_cast<int64_t>(task.crashes.size());
+    task.crashes.refute(runtime);
+    if (step.spec->long_running && runtime > max_clearing_runtime)
+        task.crashes.clear();
+    if (!task.crashes.empty())
         return;
     log_event(LogLevel::info, "task_cleared",
               { { "job", id.job },
                 { "task", id.to_string() },
                 { "worker", task.worker },
-                { "workers_lost", static_cast<int64_t>(task.crashes.size()) },
+                { "workers_lost", losses },
                 { "lived_ms", runtime.count() } });
-    task.crashes.clear();
 }
 
 } // namespace pathport::jobs
