Possible losses without a record are written at once

Callers saw: a task that crashes its workers takes down more of them than it may. Cause: that a start may have been lost with a leader was kept in memory until the job's next write, so a leader that was replaced before that took it along. Change: the rows of the jobs concerned are written when it is noted, up to 100 of them.

--- a/src/jobs.lib/scheduler_crashes.cpp
+++ b/src/jobs.lib/scheduler_crashes.cpp
@@ -42,6 +42,9 @@
 /// With this many unexplained losses within that time, those of one task may be
 /// coincidence.
 constexpr int max_unexplained_losses = 3;
+/// Limit on the rows that are written only because a loss was possible, so that they do not
+/// hold back the starts of a long queue.
+constexpr int max_rows_for_losses = 100;
 /// A new leader knows too little of other losses to tell coincidence for this long.
 constexpr Millis min_observation { 10000 };
 
@@ -311,9 +314,11 @@
         return;
     m_unrecorded_loss_noted = true;
     int64_t steps = 0;
+    int rows = 0;
     for (auto& [id, job] : m_jobs) {
         if (!job->loaded || job->closed())
             continue;
+        const int64_t before = steps;
         for (auto& [number, repeat] : job->repeats()) {
             for (Step& step : repeat.steps) {
                 if (!step.may_start_unrecorded() || !job->dependencies_met(step))
@@ -322,6 +327,10 @@
                 ++steps;
             }
         }
+        // The next leader finds no worker in doubt any more. The rows of other jobs are
+        // written with their next start.
+        if (steps > before && ++rows <= max_rows_for_losses)
+            record(*job);
     }
     log_event(LogLevel::info, "unrecorded_loss_possible",
               { { "worker", worker }, { "steps", steps } });
