Any reported end clears a suspect that has outlasted its lost runs

Callers saw: a good task is given up after it was lost with workers that restarted by themselves. Cause: only a failure cleared a task by its length, not the end of a gang's member or a stop; and a lost run of unknown length, of an earlier leader, counted as one of 1.5 s, longer than all the others. Change: each end that a worker reports can clear, and unknown lengths are left out if others are known.

--- a/src/jobs.lib/crash_record.cpp
+++ b/src/jobs.lib/crash_record.cpp
@@ -4,6 +4,7 @@
 #include "crash_record.h"
 
 #include <algorithm>
+#include <optional>
 
 namespace pathport::jobs {
 
@@ -159,6 +160,19 @@
     return longest;
 }
 
+// Runs of unknown length tell nothing about when the task might crash its worker, unless
+// there are no others.
+Millis CrashRecord::longest_known_runtime() const
+{
+    std::optional<Millis> longest;
+    for (const CrashedRun& lost : m_runs) {
+        const Millis runtime(lost.runtime_ms);
+        if (runtime != unknown_runtime)
+            longest = std::max(longest.value_or(Millis(0)), runtime);
+    }
+    return longest.value_or(unknown_runtime);
+}
+
 Millis CrashRecord::clearing_runtime() const
 {
     return std::max(startup_window, longest_runtime()) + clearing_margin;
@@ -166,7 +180,7 @@
 
 bool CrashRecord::cleared_by_end_after(Millis runtime) const
 {
-    return runtime > longest_runtime() + clearing_margin;
+    return runtime > longest_known_runtime() + clearing_margin;
 }
 
 } // namespace pathport::jobs
--- a/src/jobs.lib/crash_record.h
+++ b/src/jobs.lib/crash_record.h
@@ -20,7 +20,9 @@
 /// A run of a task that was lost with its worker.
 struct CrashedRun {
     int64_t run = 0;
-    int64_t runtime_ms = 0; ///< The run is known to have existed for this long.
+    /// The run is known to have existed for this long; `unknown_runtime` if that is not
+    /// known.
+    int64_t runtime_ms = 0;
     /// Weaker evidence: a suspect ran on the same worker, or the worker may only have been
     /// partitioned.
     bool is_weak = false;
@@ -132,6 +134,7 @@
     bool has_lost_enough() const;
     void withdraw_start();
     Millis longest_runtime() const;
+    Millis longest_known_runtime() const;
 
     std::vector<CrashedRun> m_runs;
     int m_tries = 0;
--- a/src/jobs.lib/crash_record_test.cpp
+++ b/src/jobs.lib/crash_record_test.cpp
@@ -193,3 +193,15 @@
     record.clear();
     BOOST_TEST(!record.add({ 4, at_once }));
 }
+
+// After a change of leader it is not known how long a lost run had existed. The others tell
+// when the task might crash its worker.
+BOOST_AUTO_TEST_CASE(run_of_unknown_length_does_not_keep_a_task_suspected)
+{
+    CrashRecord record;
+    record.add({ 1, unknown_runtime.count() });
+    BOOST_TEST(!record.cleared_by_end_after(Millis(1800)));
+    record.add({ 2, 900 });
+    BOOST_TEST(!record.cleared_by_end_after(Millis(1400)));
+    BOOST_TEST(record.cleared_by_end_after(Millis(1800)));
+}
--- a/src/jobs.lib/scheduler_reports.cpp
+++ b/src/jobs.lib/scheduler_reports.cpp
@@ -258,6 +258,11 @@
     }
     Step& step = *found;
     note_begun(*job);
+    // The length of a run that an earlier leader ordered is not known.
+    const bool ordered_here = end.run / runs_per_epoch == m_claim.head.epoch;
+    const Millis runtime = m_context.loop.now() - task->ordered_at;
+    if (ordered_here && task->crashes.cleared_by_end_after(runtime))
+        task->crashes.clear();
     task->ended_run = end.run;
     task->run = std::max(task->run, end.run);
     if (!end.checkpoint.empty())
@@ -303,13 +308,9 @@
     task.failed_at = m_context.loop.now();
     release(task);
     step.failed_workers.insert(worker.session->id());
-    // The length of a run that an earlier leader ordered is not known.
-    const bool ordered_here = end.run / runs_per_epoch == m_claim.head.epoch;
     // A worker that fails all its tasks may end a run before that could crash it.
     const bool sound = worker.has_succeeded && worker.consecutive_faults == 0;
-    if (ordered_here && task.crashes.cleared_by_end_after(task.failed_at - task.ordered_at))
-        task.crashes.clear();
-    else if (sound && step.failed_workers.size() >= failed_workers_for_step_fault)
+    if (sound && step.failed_workers.size() >= failed_workers_for_step_fault)
         task.crashes.note_harmless_failure();
     // A step that fails on several workers is itself the cause.
     if (step.failed_workers.size() < failed_workers_for_step_fault)
