The end of a gang's member counts where the next leader finds it

Callers saw: nothing lost, but a gang that had done its work ran a second time. Cause: a member of a gang may be tried on several workers under one run id. If its last worker was not recorded, the next leader expected the run at the recorded one and ignored its end elsewhere, while a run that still goes on elsewhere was adopted under the same condition. Change: an end under the recorded run counts as one under a later run does. Result: moved_members_test red on, green after.

--- a/src/jobs.lib/scheduler_reports.cpp
+++ b/src/jobs.lib/scheduler_reports.cpp
@@ -209,7 +209,8 @@
         return false;
     if (task.phase == TaskPhase::waiting)
         return true;
-    return task.phase == TaskPhase::in_doubt && end.run > task.run;
+    // A member of a gang may be tried on several workers under the same run id.
+    return task.phase == TaskPhase::in_doubt && end.run >= task.run;
 }
 
 // Returns whether a run that was considered lapsed has completed after all, so that its
