A recorded start that never took place is not held against a suspect

Callers saw: a good task is given up after fewer starts than it has left. Cause: a start counts from the record of its intent. If the leader was replaced before it sent the order, the next one found the run at no worker, placed the task anew and let the start count. Change: when a worker's first complete report shows that the run is not there and its loss is not recorded, the start is taken back, as one that its worker refused.

--- a/src/jobs.lib/crash_record.cpp
+++ b/src/jobs.lib/crash_record.cpp
@@ -54,12 +54,10 @@
 {
     if (refuting_runtime(lost) < m_survived)
         return false;
-    const bool known = std::any_of(m_runs.begin(), m_runs.end(), [&](const auto& entry) {
-        return entry.is_same_loss(lost);
-    });
-    if (!known)
-        m_runs.push_back(lost);
-    return !known;
+    if (has_loss(lost.run, lost.worker))
+        return false;
+    m_runs.push_back(lost);
+    return true;
 }
 
 bool CrashRecord::retract(int64_t run, const std::string& worker)
@@ -97,6 +95,13 @@
     m_survived = std::max(m_survived, runtime);
 }
 
+bool CrashRecord::has_loss(int64_t run, const std::string& worker) const
+{
+    const CrashedRun sought { run, 0, false, worker };
+    return std::any_of(m_runs.begin(), m_runs.end(),
+                       [&](const CrashedRun& lost) { return lost.is_same_loss(sought); });
+}
+
 bool CrashRecord::lost_worker(const std::string& name) const
 {
     return std::any_of(m_runs.begin(), m_runs.end(),
--- a/src/jobs.lib/crash_record.h
+++ b/src/jobs.lib/crash_record.h
@@ -116,6 +116,8 @@
     /// Returns the run time after which a further run shows that the task does not crash
     /// its workers: longer than that of any lost run.
     Millis clearing_runtime() const;
+    /// Returns whether the loss of this run on the worker of this name is recorded.
+    bool has_loss(int64_t run, const std::string& worker) const;
     /// Returns whether a worker of this name was lost with it.
     bool lost_worker(const std::string& name) const;
     /// Returns whether a run that its worker reported as ended on its own after this run
--- a/src/jobs.lib/scheduler_reports.cpp
+++ b/src/jobs.lib/scheduler_reports.cpp
@@ -186,6 +186,15 @@
     const auto in_doubt_tasks = m_in_doubt.find(id);
     if (in_doubt_tasks == m_in_doubt.end())
         return;
+    const std::string name = WorkerIncarnation::parse(id).name;
+    for (const TaskId& missing : in_doubt_tasks->second) {
+        JobRecord* job = find_job(missing.job);
+        Task* task = job == nullptr ? nullptr : job->task(missing);
+        const bool never_started = task != nullptr && task->phase == TaskPhase::in_doubt
+            && task->worker == id && !task->crashes.has_loss(task->run, name);
+        if (never_started)
+            task->crashes.note_failed_start();
+    }
     release_in_doubt(id, in_doubt_tasks->second);
     m_in_doubt.erase(in_doubt_tasks);
 }
