A suspect is cleared by the time that its run is known to have lasted

Callers saw: a task that crashes its workers takes down more of them than it may; a good task was given up. Cause: the length of an ended run was taken up to its report, which comes late through relays, so a run that had failed after 0.2 s cleared a task that crashes its workers after 1 s. And a task with two losses explained those, so a verdict followed among many restarts. Change: only the time up to the last report that listed the run as running counts, and only a task with three losses explains them.

--- a/src/jobs.lib/scheduler.h
+++ b/src/jobs.lib/scheduler.h
@@ -164,7 +164,7 @@
     /// The loss of a worker where no likely suspect ran.
     struct UnattributedLoss {
         Millis at;
-        bool explained = false; ///< A run that was lost with it became a likely suspect.
+        bool explained = false; ///< It is one of several losses of the same task.
     };
     /// Runs on a worker whose lease lapsed.
     struct LapsedRuns {
--- a/src/jobs.lib/scheduler_crashes.cpp
+++ b/src/jobs.lib/scheduler_crashes.cpp
@@ -259,13 +259,13 @@
             { run.run, runtime.count(), is_weak, WorkerIncarnation::parse(worker).name }))
         return false;
     step.has_crashes = true;
+    if (task->crashes.size() >= min_similar_losses)
+        note_explained_losses(task->crashes);
     if (sole_suspect && is_confirmed(before, task->crashes))
         schedule_verdict(run.task, *task);
     const Suspicion suspicion = task->crashes.suspicion();
     if (suspicion == before.suspicion())
         return true;
-    if (suspicion == Suspicion::likely)
-        note_explained_losses(task->crashes);
     log_event(LogLevel::warn, "task_suspected",
               { { "job", run.task.job },
                 { "task", run.task.to_string() },
--- a/src/jobs.lib/scheduler_reports.cpp
+++ b/src/jobs.lib/scheduler_reports.cpp
@@ -268,10 +268,11 @@
     }
     Step& step = *found;
     note_begun(*job);
-    // The length of a run that an earlier leader ordered is not known.
+    // Reports may come late, so only the time up to the last one that listed the run as
+    // running counts. Nothing is known of a run that an earlier leader ordered.
     const bool ordered_here = end.run / runs_per_epoch == m_claim.head.epoch;
-    const Millis runtime = m_context.loop.now() - task->ordered_at;
-    if (ordered_here && task->crashes.cleared_by_end_after(runtime))
+    const auto runtime = placed_here ? known_runtime(*task) : std::nullopt;
+    if (ordered_here && runtime && task->crashes.cleared_by_end_after(*runtime))
         task->crashes.clear();
     task->ended_run = end.run;
     task->run = std::max(task->run, end.run);
