--- a/src/jobs.lib/blamed_tasks_test.cpp
+++ b/src/jobs.lib/blamed_tasks_test.cpp
@@ -26,8 +26,10 @@
 BOOST_AUTO_TEST_CASE(good_tasks_are_not_given_up_among_restarts)
 {
     const std::pair<int, uint64_t> schedules[] = {
-        { 7, 1207019 }, { 7, 1207073 }, { 8, 1208029 }, { 8, 1208048 }, { 9, 1209022 },
-        { 9, 1209027 }, { 9, 1209047 }, { 9, 1209112 }, { 9, 1209162 }, { 9, 1209194 }
+        { 7, 1207019 },  { 7, 1207073 }, { 8, 1208029 }, { 8, 1208048 }, { 9, 1209022 },
+        { 9, 1209027 },  { 9, 1209047 }, { 9, 1209112 }, { 9, 1209162 }, { 9, 1209194 },
+        { 8, 1308086 },  { 8, 1308135 }, { 9, 1309004 }, { 9, 1309194 }, { 7, 1407036 },
+        { 10, 1410032 }, { 9, 1409094 }, { 8, 1508035 }, { 9, 1509029 }, { 10, 1510084 }
     };
     for (const auto& [style, seed] : schedules)
         expect_no_violations(style, seed, 1);
--- a/src/jobs.lib/lost_again_test.cpp
+++ b/src/jobs.lib/lost_again_test.cpp
@@ -19,9 +19,9 @@
 
 BOOST_AUTO_TEST_CASE(good_task_that_is_lost_again_and_again_is_not_given_up)
 {
-    const std::pair<int, uint64_t> schedules[] = {
-        { 8, 1308032 }, { 9, 1309194 }, { 9, 1409094 }, { 9, 1509029 }, { 7, 1507001 }
-    };
+    const std::pair<int, uint64_t> schedules[]
+        = { { 8, 1308032 }, { 9, 1409026 }, { 9, 1409032 }, { 7, 1507001 },
+            { 8, 1508058 }, { 8, 1508094 }, { 9, 1509085 } };
     for (const auto& [style, seed] : schedules)
         expect_no_violations(style, seed, 1);
 }
--- a/src/jobs.lib/unrecorded_crashes_test.cpp
+++ b/src/jobs.lib/unrecorded_crashes_test.cpp
@@ -28,7 +28,8 @@
 {
     const std::pair<int, uint64_t> schedules[]
         = { { 11, 847126 },  { 10, 1210141 }, { 11, 1211046 }, { 11, 1211110 },
-            { 11, 1211120 }, { 11, 1211154 }, { 18, 1218080 }, { 18, 1218174 } };
+            { 11, 1211120 }, { 11, 1211154 }, { 18, 1218080 }, { 18, 1218174 },
+            { 11, 1311030 }, { 11, 1311172 }, { 15, 1315149 }, { 15, 1515074 } };
     for (const auto& [style, seed] : schedules)
         expect_no_violations(style, seed, 1);
 }
