--- a/src/include/pathport/admission.h
+++ b/src/include/pathport/admission.h
@@ -55,8 +55,8 @@
     Millis margin { 500 };
     /// How long ids are remembered, by their time. An older id is never admitted.
     Millis memory { 120000 };
-    /// How long the memory of a range that was given here is waited for, at least as long as
-    /// its last owner repeats it.
+    /// How long the memory of a range that was given here is waited for, at least as long
+    /// as its last owner repeats it.
     Millis memory_wait { 1500 };
 };
 
--- a/src/include/pathport/peer.h
+++ b/src/include/pathport/peer.h
@@ -194,8 +194,8 @@
     /// Sends a wake-up; a lost one is made good by the peer's next heartbeat to the table.
     void wake(const std::string& address, const std::vector<std::string>& shards);
     /// Hands the memory of an admission range to its next owner, who owns it under `epoch`.
-    /// Repeats it for a while if it fails; `done` gets whether that owner has it. If not, that
-    /// owner goes by its barrier.
+    /// Repeats it for a while if it fails; `done` gets whether that owner has it. If not,
+    /// that owner goes by its barrier.
     void hand_over(const std::string& address, const std::string& shard, int64_t epoch,
                    const RangeMemory& memory, std::function<void(bool)> done);
     /// Asks an operator's question; `done` gets the answer, or nothing.
--- a/src/rpc.lib/peer_hub.cpp
+++ b/src/rpc.lib/peer_hub.cpp
@@ -338,8 +338,8 @@
             .catch_([](const kj::Exception&) { return false; });
     }
 
-    // Sends the message until the peer has taken it. A peer that has just started may not be
-    // reachable yet: a failed attempt to connect to it holds back others for a while.
+    // Sends the message until the peer has taken it. A peer that has just started may not
+    // be reachable yet: a failed attempt to connect to it holds back others for a while.
     kj::Promise<bool> hand_over_until(kj::TimePoint until, const std::string& address,
                                       const std::shared_ptr<const HandOver>& message)
     {
--- a/src/rpc.lib/rpc_test.cpp
+++ b/src/rpc.lib/rpc_test.cpp
@@ -146,8 +146,9 @@
     BOOST_TEST(asked.get_future().get().value_or("") == "why t.1");
 }
 
-// A node that restarts is given a range before others have connected to it again: the failed
-// attempt of before holds back new ones, and the only message with the range's ids was lost.
+// A node that restarts is given a range before others have connected to it again: the
+// failed attempt of before holds back new ones, and the only message with the range's ids
+// was lost.
 BOOST_AUTO_TEST_CASE(memory_of_a_range_reaches_a_peer_that_has_just_started)
 {
     Peer one;
