--- a/src/jobs.lib/crash_record.cpp
+++ b/src/jobs.lib/crash_record.cpp
@@ -20,8 +20,7 @@
 /// cleared, since it would take down one worker after another.
 constexpr size_t max_workers_lost = 3;
 constexpr int max_tries = 2;
-/// Limit on the losses assumed without a record. A task that lost nothing has to be lost at
-/// least this many times less than `max_workers_lost` before its starts count.
+/// Limit on the losses that are assumed without a record.
 constexpr int max_unrecorded_losses = 1;
 /// Maximum delay of the report about a run, added to the longest run time before a loss.
 constexpr Millis clearing_margin { 600 };
@@ -52,9 +51,7 @@
 
 bool CrashRecord::add(const CrashedRun& lost)
 {
-    if (refuting_runtime(lost) < m_survived)
-        return false;
-    if (has_loss(lost.run, lost.worker))
+    if (refuting_runtime(lost) < m_survived || has_loss(lost.run, lost.worker))
         return false;
     m_runs.push_back(lost);
     return true;
--- a/src/jobs.lib/crash_record.h
+++ b/src/jobs.lib/crash_record.h
@@ -74,7 +74,8 @@
     size_t size() const { return m_runs.size(); }
     const std::vector<CrashedRun>& runs() const { return m_runs; }
 
-    /// Adds a run; returns false if its loss on that worker is already recorded.
+    /// Adds a run; returns false if its loss on that worker is already recorded, or refuted
+    /// by note_survival().
     bool add(const CrashedRun& lost);
     /// Returns how many more workers may have been lost with the task under leaders that
     /// were replaced before they recorded its start.
--- a/src/jobs.lib/scheduler_crashes.cpp
+++ b/src/jobs.lib/scheduler_crashes.cpp
@@ -145,8 +145,8 @@
     losses.try_emplace(worker, UnattributedLoss { now, false });
 }
 
-// A likely suspect accounts for the workers that were lost with it, so these do not show
-// that workers are lost for other reasons.
+// A task with several losses accounts for the workers that were lost with it, so these do
+// not show that workers are lost for other reasons.
 void Scheduler::note_explained_losses(const CrashRecord& crashes)
 {
     for (auto& [worker, loss] : m_unattributed_losses)
