Drained failure domains: nothing new starts where the operators drain

Cause: the operators' request to drain a failure domain was not read at all.

Change: the requests are rows of the table whose watch brings the configuration, so they are read with it, by the same two paths (store, peers). DrainedDomains is the state; the scheduler treats the workers of a drained domain as closed, looks again before an order leaves, and starts nothing on operators' rows that are nearly as old as a drain may take (domain_drain_ms).

Soak check start_in_a_drained_domain bites.

--- a/src/emulator.lib/cell.cpp
+++ b/src/emulator.lib/cell.cpp
@@ -62,6 +62,7 @@
     setup.cpu_millicores = cpu_millicores;
     setup.link_bytes_per_s = link_bytes_per_s;
     setup.archive_batch = 1;
+    setup.domain_drain_time = cell.m_domain_drain_time;
     World& world = cell.world;
     node = std::make_unique<jobs::JobNode>(
         jobs::NodeContext { loop, store, store, workers, workers, peers, metrics,
@@ -129,12 +130,14 @@
 }
 
 Cell::Cell(uint64_t seed, int nodes, int worker_count,
-           std::map<std::string, int> node_cpu_millicores, int64_t link_bytes_per_s)
+           std::map<std::string, int> node_cpu_millicores, int64_t link_bytes_per_s,
+           Millis domain_drain_time)
     : world(seed)
     , store(world)
     , workers(world)
     , m_node_cpu_millicores(std::move(node_cpu_millicores))
     , m_link_bytes_per_s(link_bytes_per_s)
+    , m_domain_drain_time(domain_drain_time)
 {
     store.list_workers = [this] { return workers.list(); };
     configure(make_configuration());
--- a/src/emulator.lib/cell_configuration.cpp
+++ b/src/emulator.lib/cell_configuration.cpp
@@ -33,6 +33,15 @@
                                      : m_configurations.back().workspaces });
 }
 
+void Cell::drain_domain(const std::string& domain, bool drained)
+{
+    store.drain(domain, drained);
+    if (drained)
+        workers.note_drained(domain, world.now() + m_domain_drain_time);
+    else
+        workers.note_admitted(domain);
+}
+
 void Cell::note_contact_loss(Millis span)
 {
     m_store_disturbance_end = std::max(m_store_disturbance_end, world.now() + span);
--- a/src/emulator.lib/store.cpp
+++ b/src/emulator.lib/store.cpp
@@ -39,6 +39,23 @@
 {
     m_configuration = configuration;
     m_configuration_version = ++m_version;
+    m_operator_version = m_version;
+}
+
+void Store::drain(const std::string& domain, bool drained)
+{
+    m_drains[domain] = { domain, drained, ++m_version };
+    m_operator_version = m_version;
+}
+
+std::vector<jobs::DrainChange> Store::drains_after(int64_t version) const
+{
+    std::vector<jobs::DrainChange> changes;
+    for (const auto& [domain, change] : m_drains) {
+        if (version == 0 ? change.drained : change.version > version)
+            changes.push_back(change);
+    }
+    return changes;
 }
 
 StoreResult Store::write_now(const jobs::StoreWrite& write)
@@ -274,14 +291,15 @@
 }
 
 void StorePort::read_configuration(
-    Millis timeout, std::function<void(jobs::DirectoryAnswer<jobs::Configuration>)> done)
+    Millis timeout, std::function<void(jobs::OperatorAnswer)> done)
 {
     query(
         timeout, [] { return with_status(StoreStatus::ok); },
         [this, done](const StoreResult& result) {
-            jobs::DirectoryAnswer<jobs::Configuration> answer;
+            jobs::OperatorAnswer answer;
             answer.status = result.status;
             answer.version = m_store.version();
+            answer.drains = m_store.drains_after(0);
             if (result.status == StoreStatus::ok && m_store.configuration_version() > 0)
                 answer.value = m_store.configuration();
             done(answer);
@@ -290,7 +308,7 @@
 
 void StorePort::watch_configuration(
     int64_t version, Millis wait,
-    std::function<void(jobs::DirectoryAnswer<jobs::Configuration>)> done)
+    std::function<void(jobs::OperatorAnswer)> done)
 {
     const Millis now = m_loop.now();
     const Watch watch { version, wait, now + wait + watch_margin, connections.generation(),
@@ -315,7 +333,7 @@
         return;
     }
     const bool due
-        = watch.remaining <= Millis(0) || m_store.configuration_version() > watch.version;
+        = watch.remaining <= Millis(0) || m_store.operator_version() > watch.version;
     if (due || reach() == Reach::refused) {
         answer_watch(watch);
         return;
@@ -328,8 +346,9 @@
 void StorePort::answer_watch(const Watch& watch)
 {
     const Millis latency = m_store.latency();
-    jobs::DirectoryAnswer<jobs::Configuration> answer;
+    jobs::OperatorAnswer answer;
     answer.version = m_store.version();
+    answer.drains = m_store.drains_after(watch.version);
     if (reach() == Reach::no_reply || m_loop.now() + latency > watch.deadline) {
         expire_watch(watch);
         return;
--- a/src/emulator.lib/workers.cpp
+++ b/src/emulator.lib/workers.cpp
@@ -19,6 +19,8 @@
 /// Run time of tasks on a worker that fails all of them.
 constexpr Millis failure_time { 200 };
 constexpr Millis forever { 1000000000 };
+/// Workers are added to these failure domains in turn.
+constexpr int domain_count = 3;
 /// A start later than this after an acknowledged cancellation is a violation.
 constexpr Millis cancel_limit { 3000 };
 
@@ -39,6 +41,7 @@
     incarnation.info.service = service;
     incarnation.info.address = "10.0.0." + std::to_string(m_last_id) + ":80";
     incarnation.info.capacity = capacity;
+    incarnation.info.zone = "zone" + std::to_string(m_last_id % domain_count);
     incarnation.info.labels = { "a", "r1-" + std::to_string(m_last_id % 3) };
     m_incarnations.emplace(id, std::move(incarnation));
     return id;
@@ -88,6 +91,11 @@
     schedule_end(*incarnation, span);
 }
 
+void Workers::note_drained(const std::string& domain, Millis last_start)
+{
+    m_drained_domains.emplace(domain, last_start);
+}
+
 // Ends this incarnation, unless it has been replaced by then.
 void Workers::schedule_end(const Incarnation& incarnation, Millis span)
 {
@@ -266,6 +274,11 @@
     if (announced_end && m_world.now() - incarnation.draining_since > drain_deadline)
         note_violation("started on " + incarnation.info.id
                        + " after it announced its shutdown: " + name);
+    const auto drained = m_drained_domains.find(incarnation.info.zone);
+    if (drained != m_drained_domains.end() && !m_executing_delayed
+        && m_world.now() > drained->second)
+        note_violation("started in the drained domain " + incarnation.info.zone + ": "
+                       + name);
     if (m_history[name].done_noted)
         note_violation("started again after it was done: " + name);
     check_crashes(order.task);
--- a/src/include/pathport/emulator/cell.h
+++ b/src/include/pathport/emulator/cell.h
@@ -61,9 +61,11 @@
 public:
     /// `node_cpu_millicores` gives the processor share of individual nodes; the others have
     /// 1000. `link_bytes_per_s` is the link speed that each node is configured with; 0
-    /// means unlimited.
+    /// means unlimited. `domain_drain_time` is the time within which a failure domain gets
+    /// no more tasks after it was drained; 0 if domains are never drained.
     Cell(uint64_t seed, int nodes, int workers,
-         std::map<std::string, int> node_cpu_millicores = {}, int64_t link_bytes_per_s = 0);
+         std::map<std::string, int> node_cpu_millicores = {}, int64_t link_bytes_per_s = 0,
+         Millis domain_drain_time = Millis(0));
     ~Cell();
 
     World world;
@@ -100,6 +102,8 @@
     {
         return m_configurations.back().workspaces;
     }
+    /// Drains a failure domain or withdraws the request, as the operators do.
+    void drain_domain(const std::string& domain, bool drained);
     /// Returns the configuration version in force on a node, or 0.
     int64_t configuration_version(const std::string& node);
     /// Records that the store is disturbed for `span` from now on. Until some time after
@@ -161,6 +165,7 @@
     const std::map<std::string, ClientJob>& jobs() const { return m_jobs; }
 
 private:
+    friend class NodeProcess;
     friend class PeerPort;
 
     void start(const std::string& node);
@@ -197,6 +202,7 @@
 
     std::map<std::string, int> m_node_cpu_millicores; ///< By node.
     int64_t m_link_bytes_per_s = 0;
+    Millis m_domain_drain_time;
     ProcessorCost m_processor_cost;
     std::map<std::string, std::unique_ptr<NodeProcess>> m_nodes;
     /// Kept, since pending events refer to them.
--- a/src/include/pathport/emulator/store.h
+++ b/src/include/pathport/emulator/store.h
@@ -42,6 +42,8 @@
 
     /// Sets the operators' configuration.
     void configure(const jobs::Configuration& configuration);
+    /// Drains a failure domain, or withdraws the request.
+    void drain(const std::string& domain, bool drained);
     /// Drops the history of changes, so that watches from earlier versions fail.
     void compact() { m_history_from = m_version; }
 
@@ -50,6 +52,10 @@
     jobs::StoreResult watch_now(const std::string& table, int64_t version) const;
     const jobs::Configuration& configuration() const { return m_configuration; }
     int64_t configuration_version() const { return m_configuration_version; }
+    /// Returns the version of the last change of the configuration or of a drain.
+    int64_t operator_version() const { return m_operator_version; }
+    /// Returns the changes of drains after `version`; all drained domains if it is 0.
+    std::vector<jobs::DrainChange> drains_after(int64_t version) const;
     /// Returns the value of a row, or "" when it is missing.
     std::string value(const jobs::RowKey& row) const;
     /// Returns a random latency for the next reply.
@@ -81,6 +87,8 @@
     int64_t m_history_from = 0;
     jobs::Configuration m_configuration;
     int64_t m_configuration_version = 0;
+    std::map<std::string, jobs::DrainChange> m_drains; ///< The last change by domain.
+    int64_t m_operator_version = 0; ///< Of the last change of the operators' rows.
 };
 
 /// Connects one node process to the store.
@@ -100,10 +108,10 @@
                      done) override;
     void read_configuration(
         Millis timeout,
-        std::function<void(jobs::DirectoryAnswer<jobs::Configuration>)> done) override;
+        std::function<void(jobs::OperatorAnswer)> done) override;
     void watch_configuration(
         int64_t version, Millis wait,
-        std::function<void(jobs::DirectoryAnswer<jobs::Configuration>)> done) override;
+        std::function<void(jobs::OperatorAnswer)> done) override;
 
     /// The process's connections to the store.
     PooledConnections connections;
@@ -117,7 +125,7 @@
         Millis remaining; ///< Time for which the store may still delay the reply.
         Millis deadline; ///< The caller's deadline.
         int64_t connections = 0; ///< Generation of the connections at the start.
-        std::function<void(jobs::DirectoryAnswer<jobs::Configuration>)> done;
+        std::function<void(jobs::OperatorAnswer)> done;
     };
 
     Reach reach() const;
--- a/src/include/pathport/emulator/workers.h
+++ b/src/include/pathport/emulator/workers.h
@@ -129,6 +129,10 @@
                       double share = 1);
     /// Removes a worker from the list without an announcement; it ends after `span`.
     void stop_unannounced(const std::string& id, Millis span);
+    /// Records that no task may be started in a failure domain after `last_start`.
+    void note_drained(const std::string& domain, Millis last_start);
+    /// Records that tasks may be started in the failure domain again.
+    void note_admitted(const std::string& domain) { m_drained_domains.erase(domain); }
     /// Changes the capacity of a worker; the list shows it one heartbeat later.
     void resize(const std::string& id, Resources new_capacity);
 
@@ -295,6 +299,8 @@
     std::map<std::string, Millis> m_canceled;
     std::set<std::string> m_refused;
     std::map<std::string, std::string> m_owners; ///< Workspace by job.
+    /// Time of the last permitted start in drained failure domains.
+    std::map<std::string, Millis> m_drained_domains;
     std::vector<std::string> m_violations;
     int m_last_id = 0;
     int64_t m_advice_requests = 0;
--- a/src/include/pathport/jobs/job_node.h
+++ b/src/include/pathport/jobs/job_node.h
@@ -48,6 +48,9 @@
     Millis gang_timeout { 3000 };
     /// A worker that announces its shutdown gets no new tasks once less than this is left.
     Millis drain_margin { 2000 };
+    /// Time from a request to drain a failure domain until no task is started there any
+    /// more; 0 for no limit.
+    Millis domain_drain_time;
     /// Processor time available to the node, in thousandths of a core. A node leads only
     /// while no node with more is able to.
     int cpu_millicores = 1000;
--- a/src/include/pathport/jobs/job_store.h
+++ b/src/include/pathport/jobs/job_store.h
@@ -8,6 +8,7 @@
 #pragma once
 
 #include <pathport/clock.h>
+#include <pathport/jobs/drained_domains.h>
 #include <pathport/jobs/job_model.h>
 
 #include <cstdint>
@@ -124,6 +125,13 @@
     int64_t version = 0; ///< Version from which to continue watching.
 };
 
+/// Result of a read or watch of the operators' rows: the configuration, and the requests to
+/// drain failure domains.
+struct OperatorAnswer : DirectoryAnswer<Configuration> {
+    /// After a read, all requests in force; after a watch, what has changed.
+    std::vector<DrainChange> drains;
+};
+
 /// The platform's worker list and the operators' configuration.
 class Directory {
 public:
@@ -134,15 +142,13 @@
     read_workers(Millis timeout,
                  std::function<void(DirectoryAnswer<std::vector<WorkerInfo>>)> done)
         = 0;
-    /// Reads the configuration.
-    virtual void
-    read_configuration(Millis timeout,
-                       std::function<void(DirectoryAnswer<Configuration>)> done)
+    /// Reads the operators' rows.
+    virtual void read_configuration(Millis timeout,
+                                    std::function<void(OperatorAnswer)> done)
         = 0;
-    /// Waits up to `wait` for a change of the configuration after `version`.
-    virtual void
-    watch_configuration(int64_t version, Millis wait,
-                        std::function<void(DirectoryAnswer<Configuration>)> done)
+    /// Waits up to `wait` for a change of the operators' rows after `version`.
+    virtual void watch_configuration(int64_t version, Millis wait,
+                                     std::function<void(OperatorAnswer)> done)
         = 0;
 };
 
--- a/src/include/pathport/jobs/peers.h
+++ b/src/include/pathport/jobs/peers.h
@@ -8,6 +8,7 @@
 
 #include <pathport/callers/caller.h>
 #include <pathport/clock.h>
+#include <pathport/jobs/drained_domains.h>
 #include <pathport/jobs/job_model.h>
 #include <pathport/jobs/worker_client.h>
 
@@ -68,6 +69,9 @@
     int64_t epoch = 0; ///< Highest epoch that the sender knows.
     /// Version of the sender's configuration; in every message (VersionGossip).
     int64_t config_version = 0;
+    /// Version of the last change of drained failure domains that the sender knows of; in
+    /// every message (VersionGossip).
+    int64_t drains_changed_at = 0;
     bool leads = false; ///< The sender leads in `epoch`.
     /// The sender led in `epoch` and resigns; or it is a follower that shuts down and must
     /// not be made the successor.
@@ -96,6 +100,8 @@
     int64_t epoch = 0;
     int64_t sent_ms = 0; ///< The leader's clock.
     int64_t config_version = 0;
+    int64_t drains_changed_at = 0; ///< As in the request.
+    DrainedDomains drains; ///< With a configuration.
     /// Highest `cpu_millicores` of a leader's live followers.
     int max_follower_millicores = 0;
     int64_t call_rate = 0; ///< A leader's recent calls to workers, per second.
--- a/src/jobs.lib/configuration_tracker.cpp
+++ b/src/jobs.lib/configuration_tracker.cpp
@@ -64,6 +64,7 @@
     , m_peers(peers)
     , m_metrics(metrics)
     , m_node(std::move(node))
+    , m_drains(std::make_shared<DrainedDomains>())
     , m_confirmed_at(loop.now())
 {
 }
@@ -78,6 +79,11 @@
     m_listener = std::move(listener);
 }
 
+void ConfigurationTracker::on_drains_changed(std::function<void()> listener)
+{
+    m_drains_listener = std::move(listener);
+}
+
 Millis ConfigurationTracker::age() const
 {
     return m_loop.now() - m_confirmed_at;
@@ -106,7 +112,8 @@
         return;
     }
     Call call;
-    call.name = m_watch_version == 0 ? "read" : "watch";
+    call.is_read = m_watch_version == 0;
+    call.name = call.is_read ? "read" : "watch";
     call.number = m_last_call.number + 1;
     call.sent = m_loop.now();
     call.poll_time = m_watch_version == 0 ? Millis(0) : next_poll_time();
@@ -126,7 +133,7 @@
 
 void ConfigurationTracker::send(const Call& call)
 {
-    auto done = m_lifetime.wrap([this, call](const DirectoryAnswer<Configuration>& answer) {
+    auto done = m_lifetime.wrap([this, call](const OperatorAnswer& answer) {
         on_answer(call, answer);
     });
     if (m_watch_version == 0)
@@ -136,7 +143,7 @@
 }
 
 void ConfigurationTracker::on_answer(const Call& call,
-                                     const DirectoryAnswer<Configuration>& answer)
+                                     const OperatorAnswer& answer)
 {
     m_metrics.count("pathport_config_calls_total",
                     { { "call", call.name }, { "outcome", to_string(answer.status) } });
@@ -148,6 +155,9 @@
         m_watch_version = std::max(m_watch_version, answer.version);
         if (answer.value)
             apply(*answer.value, call.name);
+        apply_drains(call.is_read ? m_drains->after_read(answer.drains, answer.version)
+                                  : m_drains->after_changes(answer.drains, answer.version),
+                     call.name);
     } else if (answer.status == StoreStatus::history_lost) {
         m_watch_version = 0;
     } else {
@@ -166,7 +176,7 @@
 // there was no newer version at its end. Any other answer confirms it for the time of the
 // call only.
 void ConfigurationTracker::record_answer(const Call& call,
-                                         const DirectoryAnswer<Configuration>& answer)
+                                         const OperatorAnswer& answer)
 {
     if (!answer.unreadable.empty())
         log_event(LogLevel::warn, "configuration_unreadable",
@@ -215,12 +225,34 @@
         m_listener(*m_current);
 }
 
-void ConfigurationTracker::note_peer_version(const std::string& address, int64_t version)
+void ConfigurationTracker::apply_drains(DrainedDomains drains, const char* source)
+{
+    const bool changed = drains.domains() != m_drains->domains();
+    m_drains = std::make_shared<DrainedDomains>(std::move(drains));
+    if (!changed)
+        return;
+    std::string names;
+    for (const std::string& domain : m_drains->domains())
+        names += (names.empty() ? "" : ",") + domain;
+    log_event(LogLevel::info, "drained_domains",
+              { { "domains", names },
+                { "store_version", m_drains->version() },
+                { "source", source },
+                { "age_ms", age().count() } });
+    if (m_drains_listener)
+        m_drains_listener();
+}
+
+void ConfigurationTracker::note_peer_version(const std::string& address, int64_t version,
+                                             int64_t drains_changed_at)
 {
-    if (version <= this->version() || address.empty())
+    const bool newer
+        = version > this->version() || drains_changed_at > m_drains->version();
+    if (!newer || address.empty())
         return;
     m_newer_peer = address;
     m_newest_peer_version = std::max(m_newest_peer_version, version);
+    m_newest_peer_drains = std::max(m_newest_peer_drains, drains_changed_at);
     if (m_peer_check_pending)
         return;
     m_peer_check_pending = true;
@@ -230,16 +262,21 @@
 // Calls the store first, and fetches from the peer only when the store doesn't answer: a
 // configuration with some hundred queues takes 100 kB, and a peer's link may not carry
 // answers to all nodes at once as the store's does.
+bool ConfigurationTracker::peer_is_newer() const
+{
+    return m_newest_peer_version > version() || m_newest_peer_drains > m_drains->version();
+}
+
 void ConfigurationTracker::check_peer_version()
 {
-    if (m_newest_peer_version <= version()) {
+    if (!peer_is_newer()) {
         m_peer_check_pending = false;
         return;
     }
     send_next_call();
     m_loop.after(late_after, m_lifetime.wrap([this] {
         m_peer_check_pending = false;
-        if (m_newest_peer_version > version())
+        if (peer_is_newer())
             fetch_from_peer();
     }));
 }
@@ -274,6 +311,8 @@
 {
     m_metrics.count("pathport_config_calls_total",
                     { { "call", "peer" }, { "outcome", to_text(end) } });
+    if (end == PeerEnd::answered)
+        apply_drains(m_drains->merged_with(answer.drains), "peer");
     const auto configuration = end == PeerEnd::answered && !answer.row.empty()
         ? decode_configuration(answer.row)
         : std::nullopt;
--- a/src/jobs.lib/configuration_tracker_test.cpp
+++ b/src/jobs.lib/configuration_tracker_test.cpp
@@ -22,7 +22,7 @@
 
 namespace {
 
-using ConfigurationReply = std::function<void(DirectoryAnswer<Configuration>)>;
+using ConfigurationReply = std::function<void(OperatorAnswer)>;
 
 /// A call to the directory, answered or not.
 struct OpenCall {
@@ -50,7 +50,7 @@
         calls.push_back({ version, wait, std::move(done) });
     }
 
-    void answer(size_t call, const DirectoryAnswer<Configuration>& with)
+    void answer(size_t call, const OperatorAnswer& with)
     {
         const ConfigurationReply done = std::exchange(calls.at(call).done, nullptr);
         BOOST_REQUIRE(done != nullptr);
@@ -83,9 +83,9 @@
 }
 
 /// Returns the answer of a store at `store_version`; version 0 stands for no change.
-DirectoryAnswer<Configuration> store_answer(int64_t store_version, int64_t version = 0)
+OperatorAnswer store_answer(int64_t store_version, int64_t version = 0)
 {
-    DirectoryAnswer<Configuration> answer;
+    OperatorAnswer answer;
     answer.status = StoreStatus::ok;
     answer.version = store_version;
     if (version != 0)
@@ -93,9 +93,9 @@
     return answer;
 }
 
-DirectoryAnswer<Configuration> failed(StoreStatus status)
+OperatorAnswer failed(StoreStatus status)
 {
-    DirectoryAnswer<Configuration> answer;
+    OperatorAnswer answer;
     answer.status = status;
     return answer;
 }
@@ -120,7 +120,7 @@
 
     void run(int64_t ms) { world.run_for(Millis(ms)); }
     const OpenCall& last() const { return directory.calls.back(); }
-    void answer_last(const DirectoryAnswer<Configuration>& with)
+    void answer_last(const OperatorAnswer& with)
     {
         directory.answer(directory.calls.size() - 1, with);
     }
@@ -324,3 +324,41 @@
     BOOST_TEST(versions == (std::vector<int64_t> { 8, 11 }),
                boost::test_tools::per_element());
 }
+
+BOOST_FIXTURE_TEST_CASE(drains_come_with_reads_and_watches, Fixture)
+{
+    int changes = 0;
+    tracker.on_drains_changed([&] { ++changes; });
+    OperatorAnswer answer = store_answer(120);
+    answer.drains = { { "a", true, 110 } };
+    answer_last(answer);
+    BOOST_TEST(tracker.drains()->contains("a"));
+    BOOST_TEST(changes == 1);
+    run(1);
+    answer_last(store_answer(130));
+    BOOST_TEST(changes == 1);
+    run(1);
+    answer = store_answer(150);
+    answer.drains = { { "a", false, 140 } };
+    answer_last(answer);
+    BOOST_TEST(tracker.drains()->empty());
+    BOOST_TEST(changes == 2);
+}
+
+// While the store is silent, a drain known to a peer is fetched from it.
+BOOST_FIXTURE_TEST_CASE(drain_is_fetched_from_a_peer, Fixture)
+{
+    tracker.note_peer_version("10.0.0.2:1", 5, 110);
+    run(500);
+    BOOST_REQUIRE(!peers.sent.empty());
+    PeerAnswer answer;
+    answer.served = true;
+    answer.drains = DrainedDomains({ "a" }, 115, 110);
+    peers.sent.back().done(PeerEnd::answered, answer);
+    BOOST_TEST(tracker.drains()->contains("a"));
+    const size_t sent = peers.sent.size();
+    // The change is known now.
+    tracker.note_peer_version("10.0.0.2:1", 5, 110);
+    run(1500);
+    BOOST_TEST(peers.sent.size() == sent);
+}
--- a/src/jobs.lib/job_node.cpp
+++ b/src/jobs.lib/job_node.cpp
@@ -21,6 +21,9 @@
 /// Size of a node's payload cache, in bytes: enough for ten seconds of the largest expected
 /// load.
 constexpr size_t max_payload_cache_bytes = size_t(1) << 20;
+/// Maximum time between a look at the drained domains and the arrival of an order: a relay
+/// may be short of processor time.
+constexpr Millis max_order_time { 1000 };
 /// Number of workspaces that have labelled metrics.
 constexpr size_t max_labelled_workspaces = 100;
 /// A silent follower's promise is required for this long; then the follower is dropped.
@@ -55,6 +58,10 @@
 
 void JobNode::Impl::begin()
 {
+    m_configuration.on_drains_changed([this] {
+        if (m_scheduler)
+            m_scheduler->drains_changed();
+    });
     m_configuration.begin();
     m_leadership.begin();
 }
@@ -96,7 +103,8 @@
                                    const auto known = configuration();
                                    return !known || known->names_service(service);
                                },
-                               [this] { return configuration(); } };
+                               [this] { return configuration(); },
+                               [this] { return recent_drains(); } };
     std::vector<std::string> others;
     if (m_setup.mechanisms.uses(Mechanism::worker_relays))
         std::remove_copy(m_peers.begin(), m_peers.end(), std::back_inserter(others),
@@ -113,6 +121,16 @@
     }
 }
 
+// A task is started some time after its worker was chosen, so drains must not be older than
+// their time limit less that time.
+std::shared_ptr<const DrainedDomains> JobNode::Impl::recent_drains() const
+{
+    const Millis limit = m_setup.domain_drain_time;
+    const bool recent = limit == Millis(0)
+        || (drains()->version() > 0 && m_configuration.age() < limit - max_order_time);
+    return recent ? drains() : nullptr;
+}
+
 // Returns a heartbeat message with this node's identity and the epoch that it knows.
 PeerRequest JobNode::Impl::own_heartbeat() const
 {
--- a/src/jobs.lib/job_node_impl.h
+++ b/src/jobs.lib/job_node_impl.h
@@ -55,6 +55,7 @@
         return m_configuration.current();
     }
     const ConfigurationTracker& tracker() const { return m_configuration; }
+    std::shared_ptr<const DrainedDomains> drains() const { return m_configuration.drains(); }
     void on_configuration(std::function<void(const Configuration&)> listener)
     {
         m_configuration.on_applied(std::move(listener));
@@ -115,6 +116,7 @@
     };
 
     void deposed();
+    std::shared_ptr<const DrainedDomains> recent_drains() const;
     PeerRequest own_message() const;
     PeerRequest own_heartbeat() const;
     void announce(const std::string& address);
--- a/src/jobs.lib/job_node_peers.cpp
+++ b/src/jobs.lib/job_node_peers.cpp
@@ -57,6 +57,7 @@
     case PeerTopic::configuration:
         if (m_configuration.current())
             answer.row = encode(*m_configuration.current());
+        answer.drains = *m_configuration.drains();
         answer.served = m_configuration.current() != nullptr;
         break;
     case PeerTopic::advice:
--- a/src/jobs.lib/peer_codec.cpp
+++ b/src/jobs.lib/peer_codec.cpp
@@ -73,6 +73,7 @@
     put(json, "workers", request.workers);
     put(json, "epoch", request.epoch);
     put(json, "config", request.config_version);
+    put(json, "drains_at", request.drains_changed_at);
     put(json, "leads", request.leads);
     put(json, "resigned", request.resigned);
     put(json, "store_fails", request.store_fails);
@@ -107,6 +108,7 @@
         request.workers = json.value("workers", std::vector<std::string>());
         request.epoch = json.value("epoch", int64_t(0));
         request.config_version = json.value("config", int64_t(0));
+        request.drains_changed_at = json.value("drains_at", int64_t(0));
         request.leads = json.value("leads", false);
         request.resigned = json.value("resigned", false);
         request.store_fails = json.value("store_fails", false);
@@ -136,6 +138,10 @@
     put(json, "epoch", answer.epoch);
     put(json, "sent", answer.sent_ms);
     put(json, "config", answer.config_version);
+    put(json, "drains_at", answer.drains_changed_at);
+    if (answer.drains.version() > 0)
+        json["drains"] = { answer.drains.domains(), answer.drains.version(),
+                           answer.drains.changed_at() };
     put(json, "strongest", answer.max_follower_millicores);
     put(json, "call_rate", answer.call_rate);
     put(json, "call_bytes", answer.call_bytes_per_s);
@@ -169,6 +175,12 @@
         answer.epoch = json.value("epoch", int64_t(0));
         answer.sent_ms = json.value("sent", int64_t(0));
         answer.config_version = json.value("config", int64_t(0));
+        answer.drains_changed_at = json.value("drains_at", int64_t(0));
+        if (json.contains("drains")) {
+            const Json& drains = json.at("drains");
+            answer.drains = { drains.at(0).get<std::set<std::string>>(),
+                              drains.at(1).get<int64_t>(), drains.at(2).get<int64_t>() };
+        }
         answer.max_follower_millicores = json.value("strongest", 0);
         answer.call_rate = json.value("call_rate", int64_t(0));
         answer.call_bytes_per_s = json.value("call_bytes", int64_t(0));
--- a/src/jobs.lib/random_schedule.cpp
+++ b/src/jobs.lib/random_schedule.cpp
@@ -9,6 +9,7 @@
 
 #include <algorithm>
 #include <cstdlib>
+#include <set>
 
 namespace pathport::cell_tests {
 
@@ -41,6 +42,8 @@
     double suspend_chance = 0; ///< Chance that a node's box is suspended.
     /// Chance that keys or bounds of workspaces change; there are no workspaces if 0.
     double rekey_chance = 0;
+    /// Chance that a failure domain is drained or is no longer; never drained if 0.
+    double drain_chance = 0;
 };
 
 Style with_worker_faults(Style style, double crashing_share, double resize_chance,
@@ -58,6 +61,12 @@
     return style;
 }
 
+Style with_drains(Style style, double drain_chance)
+{
+    style.drain_chance = drain_chance;
+    return style;
+}
+
 Style with_many_losses(Style style)
 {
     style.many_losses = true;
@@ -110,11 +119,19 @@
             with_worker_faults({ 0.03, Millis(14000), 7, 14, 0.5, 0.1, 0.01, 0, 0.01, 1 },
                                0.03, 0.02, 0.01),
             0.05));
+    case 19: // Failure domains are drained, with few other faults.
+        return with_drains({ 0.012, Millis(10500), 7, 14, 0.5, 0.1 }, 0.03);
+    case 20: // The same through relays, with more faults, black-holes and restarts.
+        return with_drains({ 0.05, Millis(14000), 7, 14, 0.5, 0.1, 0.01, 0.02, 0.01, 1 },
+                           0.05);
     default:
         return {};
     }
 }
 
+/// Time within which a drained failure domain gets no more tasks.
+constexpr Millis domain_drain_time { 3000 };
+
 /// Returns workspaces of different weights and bounds; some are unbounded.
 std::vector<emulator::WorkspaceSetup> first_workspaces()
 {
@@ -137,7 +154,8 @@
 public:
     Schedule(uint64_t seed, const Style& style)
         : m_style(style)
-        , m_cell(seed, 4, style.workers, {}, style.link_bytes_per_s)
+        , m_cell(seed, 4, style.workers, {}, style.link_bytes_per_s,
+                 style.drain_chance > 0 ? domain_drain_time : Millis(0))
     {
         add_queues(m_cell);
         m_cell.workers.allowed_tenths = style.allowed_tenths;
@@ -169,6 +187,8 @@
     std::string random_key();
     void access_foreign_job();
     void lift_bounds();
+    void change_drain();
+    void withdraw_drains();
     void inject_node_fault(int64_t kind, Millis span);
     void inject_store_fault(int64_t kind, Millis span);
     void inject_worker_fault(int64_t kind, Millis span);
@@ -180,6 +200,7 @@
     int m_jobs = 0;
     int m_keys = 0; ///< Number of keys added so far.
     std::vector<std::string> m_removed_keys;
+    std::set<std::string> m_drained_domains;
 };
 
 std::string Schedule::random_node()
@@ -516,6 +537,27 @@
     m_cell.configure_workspaces(all);
 }
 
+// Drains a failure domain, one without workers included, or withdraws the request.
+void Schedule::change_drain()
+{
+    m_cell.note_disturbance(Millis(0), m_style.settles_in);
+    const std::string domain = "zone" + std::to_string(draw(4));
+    const bool drained = m_drained_domains.count(domain) > 0;
+    if (drained)
+        m_drained_domains.erase(domain);
+    else
+        m_drained_domains.insert(domain);
+    m_cell.drain_domain(domain, !drained);
+}
+
+// Jobs that wait for the workers of a drained domain can finish then.
+void Schedule::withdraw_drains()
+{
+    for (const std::string& domain : m_drained_domains)
+        m_cell.drain_domain(domain, false);
+    m_drained_domains.clear();
+}
+
 std::vector<std::string> Schedule::run()
 {
     constexpr int tenths = 300;
@@ -547,10 +589,13 @@
             change_workspace();
         if (m_style.rekey_chance > 0 && m_jobs > 0 && chance(0.1))
             access_foreign_job();
+        if (m_style.drain_chance > 0 && chance(m_style.drain_chance))
+            change_drain();
         m_cell.world.run_for(Millis(100));
     }
     if (m_style.rekey_chance > 0)
         lift_bounds();
+    withdraw_drains();
     if (ends_with_kill) {
         kill_all();
         m_cell.note_disturbance(Millis(3000));
--- a/src/jobs.lib/relayed_directory.cpp
+++ b/src/jobs.lib/relayed_directory.cpp
@@ -80,13 +80,13 @@
 }
 
 void RelayedDirectory::read_configuration(
-    Millis timeout, std::function<void(DirectoryAnswer<Configuration>)> done)
+    Millis timeout, std::function<void(OperatorAnswer)> done)
 {
     m_direct.read_configuration(timeout, std::move(done));
 }
 
 void RelayedDirectory::watch_configuration(
-    int64_t version, Millis wait, std::function<void(DirectoryAnswer<Configuration>)> done)
+    int64_t version, Millis wait, std::function<void(OperatorAnswer)> done)
 {
     m_direct.watch_configuration(version, wait, std::move(done));
 }
--- a/src/jobs.lib/relayed_directory.h
+++ b/src/jobs.lib/relayed_directory.h
@@ -34,11 +34,10 @@
         Millis timeout,
         std::function<void(DirectoryAnswer<std::vector<WorkerInfo>>)> done) override;
     void
-    read_configuration(Millis timeout,
-                       std::function<void(DirectoryAnswer<Configuration>)> done) override;
+    read_configuration(Millis timeout, std::function<void(OperatorAnswer)> done) override;
     void
     watch_configuration(int64_t version, Millis wait,
-                        std::function<void(DirectoryAnswer<Configuration>)> done) override;
+                        std::function<void(OperatorAnswer)> done) override;
 
 private:
     void changes_received(
--- a/src/jobs.lib/scheduler.cpp
+++ b/src/jobs.lib/scheduler.cpp
@@ -37,6 +37,7 @@
     m_silent_workers = claim.head.silent;
     m_unresolved = { claim.head.unrecorded_task_workers.begin(),
                      claim.head.unrecorded_task_workers.end() };
+    refresh_drains();
     m_log.set_link_rate(m_context.link_bytes);
     m_job_reader.set_link_rate(m_context.link_bytes);
     m_progress_reader.set_link_rate(m_context.link_bytes);
--- a/src/jobs.lib/scheduler.h
+++ b/src/jobs.lib/scheduler.h
@@ -89,6 +89,8 @@
     /// Extends the time in which orders may be given, based on the other nodes' promises
     /// not to take over.
     void set_promised_until(Millis until) { m_promised_until = until; }
+    /// Called when the operators' drained failure domains have changed.
+    void drains_changed();
     /// Returns the queues that accept no jobs at present.
     const std::vector<ClosedQueue>& closed_queues() const { return m_admission.closed(); }
     /// Returns the load of each workspace in the configuration.
@@ -394,6 +396,9 @@
                                                    int needed);
     PlacementOption option_on(const Worker& worker, const Step& step,
                               const std::string& step_name) const;
+    bool accepts_tasks(const Worker& worker) const;
+    bool is_domain_drained(const std::string& domain) const;
+    void refresh_drains();
     bool is_eligible(const Worker& worker, const JobRecord& job, const Step& step) const;
     WorkerCandidates worker_candidates(const JobRecord& job, const Step& step, int needed);
     static void sort_top(std::vector<WorkerCandidate>& candidates);
@@ -542,6 +547,9 @@
     std::vector<Worker*> m_workers_by_number;
     std::vector<std::string> m_services; ///< By service number as used in the table.
     Millis m_capacity_refreshed_at; ///< When all rows were last refreshed.
+    /// The drained failure domains, as of the current pass or order; null while they are
+    /// not known recently enough.
+    std::shared_ptr<const DrainedDomains> m_drains;
     /// Higher than the fences of all ended sessions. A single number, since a list of the
     /// workers that may return would not be bounded. It increases by one with each session
     /// that ends and while an order waits for its answer.
--- a/src/jobs.lib/scheduler_context.h
+++ b/src/jobs.lib/scheduler_context.h
@@ -44,6 +44,9 @@
     std::function<bool(const std::string&)> knows_service;
     /// Returns the configuration in force, or nothing; if unset, no workspace has a bound.
     std::function<std::shared_ptr<const Configuration>()> configuration;
+    /// Returns the drained failure domains, or null while they are not known recently
+    /// enough to start anything; if unset, none is drained.
+    std::function<std::shared_ptr<const DrainedDomains>()> drains;
 };
 
 /// Number of run ids per epoch; the run ids of an epoch are higher than those of all
--- a/src/jobs.lib/scheduler_pass.cpp
+++ b/src/jobs.lib/scheduler_pass.cpp
@@ -240,12 +240,37 @@
     });
 }
 
+bool Scheduler::accepts_tasks(const Worker& worker) const
+{
+    const WorkerInfo& info = worker.session->info();
+    return worker.listed && worker.session->usable() && !info.draining
+        && !is_domain_drained(info.zone);
+}
+
+void Scheduler::drains_changed()
+{
+    refresh_drains();
+    m_capacity_refreshed_at = Millis(0);
+    schedule_pass();
+}
+
+void Scheduler::refresh_drains()
+{
+    static const auto none_drained = std::make_shared<const DrainedDomains>();
+    m_drains = m_context.drains ? m_context.drains() : none_drained;
+}
+
+// While it is not known recently enough which domains are drained, all count as drained.
+bool Scheduler::is_domain_drained(const std::string& domain) const
+{
+    return !m_drains || m_drains->contains(domain);
+}
+
 bool Scheduler::is_eligible(const Worker& worker, const JobRecord& job,
                             const Step& step) const
 {
     const WorkerInfo& info = worker.session->info();
-    return worker.listed && worker.session->usable() && !info.draining
-        && info.service == job.accepted().queue.service
+    return accepts_tasks(worker) && info.service == job.accepted().queue.service
         && (step.spec->label.empty() || info.has_label(step.spec->label));
 }
 
@@ -291,7 +316,7 @@
     row.free = info.capacity - worker.load.used();
     row.service = service_number(info.service);
     row.max_new_tasks = new_task_limit(worker);
-    row.open = worker.listed && worker.session->usable() && !info.draining;
+    row.open = accepts_tasks(worker);
     row.slow = is_slow(worker);
     m_capacity_table.set(worker.number, row);
 }
@@ -301,6 +326,7 @@
 // based on an outdated row is corrected before its order is sent.
 void Scheduler::refresh_rows()
 {
+    refresh_drains();
     if (m_pass_begun - m_capacity_refreshed_at < capacity_retry_interval)
         return;
     m_capacity_refreshed_at = m_pass_begun;
--- a/src/jobs.lib/scheduler_start.cpp
+++ b/src/jobs.lib/scheduler_start.cpp
@@ -145,6 +145,7 @@
         ticket_valid
             = permission != step.advice.workers.end() && permission->second.holds(now);
     }
+    refresh_drains();
     // The free capacity may have shrunk since the worker was chosen.
     const bool has_capacity = worker != nullptr
         && worker->load.used().fits_in(worker->session->info().capacity);
--- a/src/jobs.lib/version_gossip.cpp
+++ b/src/jobs.lib/version_gossip.cpp
@@ -20,24 +20,28 @@
 {
     PeerRequest message = request;
     message.config_version = m_configuration.version();
+    message.drains_changed_at = m_configuration.drains()->changed_at();
     if (message.address.empty())
         message.address = m_address;
-    auto note = m_lifetime.wrap([this, address](int64_t version) {
-        m_configuration.note_peer_version(address, version);
+    auto note = m_lifetime.wrap([this, address](int64_t version, int64_t drains_changed_at) {
+        m_configuration.note_peer_version(address, version, drains_changed_at);
     });
     m_peers.send(address, message, timeout,
                  [note, done = std::move(done)](PeerEnd end, PeerAnswer answer) mutable {
-                     note(answer.config_version);
+                     note(answer.config_version, answer.drains_changed_at);
                      done(end, std::move(answer));
                  });
 }
 
 PeerResponder VersionGossip::receive(const PeerRequest& request, PeerResponder done) const
 {
-    m_configuration.note_peer_version(request.address, request.config_version);
+    m_configuration.note_peer_version(request.address, request.config_version,
+                                      request.drains_changed_at);
     return [this, alive = m_lifetime.observe(), done = std::move(done)](PeerAnswer answer) {
-        if (!alive.expired())
+        if (!alive.expired()) {
             answer.config_version = m_configuration.version();
+            answer.drains_changed_at = m_configuration.drains()->changed_at();
+        }
         done(std::move(answer));
     };
 }
--- a/src/jobs.lib/version_gossip.h
+++ b/src/jobs.lib/version_gossip.h
@@ -2,7 +2,8 @@
 // SPDX-License-Identifier: Apache-2.0
 
 /// \file
-/// Adds the sender's configuration version to every message between nodes.
+/// Adds the sender's configuration version to every message between nodes, and that of the
+/// last change of drained failure domains.
 
 #pragma once
 
--- a/src/pathport_jobd/jobd_settings.cpp
+++ b/src/pathport_jobd/jobd_settings.cpp
@@ -71,7 +71,8 @@
              integer_setting("workers", "max_hold_ms", 1000, 3600000, "6000"),
              integer_setting("workers", "kill_grace_ms", 1, 600000, "400"),
              integer_setting("workers", "gang_timeout_ms", 1500, 600000, "3000"),
-             integer_setting("workers", "drain_ms", 1000, 600000, "2000") };
+             integer_setting("workers", "drain_ms", 1000, 600000, "2000"),
+             integer_setting("workers", "domain_drain_ms", 0, 600000, "0") };
 }
 
 Address address_of(const Settings& settings, const char* section, const char* key)
@@ -112,6 +113,7 @@
     settings.gang_timeout = file->millis("workers", "gang_timeout_ms");
     settings.kill_grace = file->millis("workers", "kill_grace_ms");
     settings.drain = file->millis("workers", "drain_ms");
+    settings.domain_drain = file->millis("workers", "domain_drain_ms");
     return settings;
 }
 
--- a/src/pathport_jobd/jobd_settings.h
+++ b/src/pathport_jobd/jobd_settings.h
@@ -28,6 +28,9 @@
     Millis kill_grace; ///< Time that a worker takes to stop a task.
     Millis gang_timeout; ///< Time that a gang's member waits for the others.
     Millis drain; ///< A worker with less remaining time gets no new tasks.
+    /// A failure domain gets no new tasks this long after the operators drain it; 0: no
+    /// limit.
+    Millis domain_drain;
     Millis stop_grace; ///< Time limit of a planned shutdown.
     jobs::Mechanisms mechanisms; ///< Some may be switched off for experiments.
     int64_t link_bytes_per_s = 0; ///< Capacity of the box's network link.
--- a/src/pathport_jobd/main.cpp
+++ b/src/pathport_jobd/main.cpp
@@ -128,6 +128,7 @@
         setup.incarnation = random_token();
         setup.gang_timeout = settings.gang_timeout;
         setup.drain_margin = settings.drain;
+        setup.domain_drain_time = settings.domain_drain;
         setup.mechanisms = settings.mechanisms;
         setup.max_hand_over_delay = Millis(settings.stop_grace.count() / 2);
         setup.max_lease = settings.max_hold;
--- a/testsuite/run_soak.py
+++ b/testsuite/run_soak.py
@@ -20,6 +20,8 @@
 CI_SIZE = Size(load_s=20, jobs_per_s=4, faults_per_s=1)
 CALLERS_SEED = 2
 CALLERS_SIZE = Size(load_s=20, jobs_per_s=5, faults_per_s=0.6, rekeys_per_s=0.8)
+DRAINS_SEED = 3
+DRAINS_SIZE = Size(load_s=20, jobs_per_s=4, faults_per_s=0.6, drains_per_s=0.3)
 USUAL_NODES, USUAL_WORKERS = 4, 8
 JOBS_PER_WORKER, MOST_JOBS = 0.4, 20  # A second.
 MOST_CAUSES = 5  # So many seeds that failed once fit into CI's time.
@@ -49,6 +51,8 @@
                         help="how often a second workers have less room for a while")
     parser.add_argument("--rekeys", type=float, default=0.3,
                         help="changes of keys and bounds a second; 0: callers have no keys")
+    parser.add_argument("--drains", type=float, default=0.1,
+                        help="how often a second failure domains are drained for a while")
     parser.add_argument("--link-mbps", type=float, default=Daemon.link_mbps,
                         help="what the daemons are told of their links; with 0.05 calls go through relays")
     parser.add_argument("--standstill", type=float, default=40,
@@ -59,13 +63,14 @@
 def plays(wanted):
     """Returns the (seed, size) to play."""
     if not (wanted.seeds or wanted.nodes or wanted.workers):
-        return [(CI_SEED, CI_SIZE), (CALLERS_SEED, CALLERS_SIZE)] + [(failed.seed, failed.size)
+        return [(CI_SEED, CI_SIZE), (CALLERS_SEED, CALLERS_SIZE),
+                (DRAINS_SEED, DRAINS_SIZE)] + [(failed.seed, failed.size)
                                        for failed in one_of_each_cause()[-MOST_CAUSES:]]
     workers = wanted.workers or USUAL_WORKERS
     size = Size(wanted.nodes or USUAL_NODES, workers, wanted.seconds,
                 wanted.rate or min(MOST_JOBS, workers * JOBS_PER_WORKER), wanted.faults,
                 wanted.standstill, wanted.silences, wanted.cancels, wanted.routes,
-                wanted.restarts, wanted.crashers, wanted.resizes, wanted.rekeys)
+                wanted.restarts, wanted.crashers, wanted.resizes, wanted.rekeys, wanted.drains)
     return [(wanted.first + i, size) for i in range(wanted.seeds or 1)]
 
 
--- a/testsuite/run_soak_checks.py
+++ b/testsuite/run_soak_checks.py
@@ -13,7 +13,7 @@
 from soak.advisor import Tickets
 from soak.calm import CONTACT_S
 from soak.http1 import reset
-from soak.ledger import CANCEL_S, KILL_GRACE_S, Ledger
+from soak.ledger import CANCEL_S, DOMAIN_DRAIN_S, KILL_GRACE_S, Ledger
 from soak.model import JobFacts
 from soak.proxy import LinkTrouble, Proxies
 from soak.schedule import Schedule
@@ -484,6 +484,20 @@
     return {"line 2 works", "line 3 works", "line 3 is ended for its daemon"}, seen
 
 
+def start_in_a_drained_domain():
+    """Within the time that daemons have, and after a withdrawal, a start is allowed."""
+    bench = Bench([Step(3, 500, 200, 1000)])
+    domain, now = bench.workers.slots[1].rack, time.monotonic()
+    bench.ledger.drain_domain(domain, True, now - DOMAIN_DRAIN_S + 2)
+    bench.start(1, index=0)
+    bench.ledger.drain_domain(domain, False, now)
+    bench.ledger.drain_domain(domain, True, now - DOMAIN_DRAIN_S - 1)
+    bench.start(2, index=1)
+    before = bench.broken()
+    bench.start(1, index=2)
+    return {"drained domains get no tasks"}, bench.broken() - before
+
+
 RUNS = [blameless_course, two_runs_at_once, start_after_noted_done, start_before_a_done_is_noted,
         one_done_stands_for_a_gang, start_after_the_last_failure,
         start_before_the_last_failure_is_noted, over_the_room, over_a_room_that_has_shrunk,
@@ -491,6 +505,7 @@
         foreign_checkpoint, refused_job, canceled_job, canceled_job_that_runs_on,
         canceled_job_that_a_worker_starts_late, canceled_job_runs_on_near_faults,
         canceled_job_without_runs, unknown_job, too_many_on_a_worker, without_the_label,
+        start_in_a_drained_domain,
         before_its_time, workers_keep_the_protocol, a_worker_starts_again_under_its_id, store_keeps_the_protocol,
         addresses_are_translated, resting_jobs_are_measured, silences_are_measured,
         kept_seeds_play_what_they_played, open_connections_go_silent]
--- a/testsuite/soak/calm.py
+++ b/testsuite/soak/calm.py
@@ -6,7 +6,8 @@
 
 CONTACT_S = 3.0
 # Changes that the bounds on cancelled jobs allow for: they are no trouble.
-HARMLESS = ("configure", "route_change", "worker_leave", "rekey", "rebound")
+HARMLESS = ("configure", "route_change", "worker_leave", "rekey", "rebound",
+            "domain_drain")
 # What troubles neither a daemon, nor its links to others, nor the store.
 ELSEWHERE = HARMLESS + ("node_hup", "worker_crash", "worker_decline", "worker_fail_all",
                         "worker_hang", "worker_lost")
--- a/testsuite/soak/daemons.py
+++ b/testsuite/soak/daemons.py
@@ -8,6 +8,7 @@
 import time
 
 from . import processes
+from .ledger import DOMAIN_DRAIN_S
 
 SETTINGS = """[node]
 name = node-{number}
@@ -27,6 +28,7 @@
 [workers]
 max_hold_ms = 6000
 kill_grace_ms = 400
+domain_drain_ms = {drain}
 """
 STOP_GRACE_S = 5.0
 STOP_SLACK_S = 5.0
@@ -71,7 +73,7 @@
         with open(self.settings_path(), "w", encoding="utf-8") as file:
             file.write(SETTINGS.format(
                 number=self.number, ip=self.ip, plan=self.plan,
-                share=STRENGTHS[self.number % len(STRENGTHS)], link=self.link_mbps,
+                drain=round(DOMAIN_DRAIN_S * 1000), share=STRENGTHS[self.number % len(STRENGTHS)], link=self.link_mbps,
                 service_ip=self.plan.service_ip(self.number)))
         self.process = processes.start([self.program, "--settings", self.settings_path()],
                                        os.path.join(self.folder, f"node-{self.number}.log"))
--- a/testsuite/soak/injector.py
+++ b/testsuite/soak/injector.py
@@ -179,6 +179,14 @@
                 workspace.cpu_bound = fault.arguments["cpu"]
         await self.write_workspaces()
 
+    async def domain_drain(self, fault, _):
+        """The operators drain failure domains for a while."""
+        for domain in fault.arguments["domains"]:
+            await self.platform.call("drain_domain", domain=domain, drained=True)
+        await asyncio.sleep(fault.span)
+        for domain in fault.arguments["domains"]:
+            await self.platform.call("drain_domain", domain=domain, drained=False)
+
     async def write_workspaces(self):
         entries = [entry.entry() for entry in self.routes.callers.keys.workspaces]
         return await self.platform.call("workspaces", entries=entries)
--- a/testsuite/soak/ledger.py
+++ b/testsuite/soak/ledger.py
@@ -12,6 +12,8 @@
 CANCEL_S = 3.0
 KILL_GRACE_S = 0.4
 CLOCK_JITTER_MS = 250
+# A drained failure domain gets no tasks after this time; the daemons are told the same.
+DOMAIN_DRAIN_S = 5.0
 # A task that has crashed so many workers is not started so often again.
 CRASHES_IN_ALL, STARTS_BEYOND = 3, 3
 CRASHES_TO_GIVE_UP = 2
@@ -44,6 +46,7 @@
         self.starts_beyond = {}  # task -> its starts after that
         self.calm = Calm()
         self.bounds = Bounds()
+        self.drained = {}  # failure domain -> since when the operators have drained it
         self.ran_on = set()  # Runs of cancelled jobs that were reported: (life, task, run).
         self.breaches = []
         self.starts = 0
@@ -87,6 +90,22 @@
         self.check_crashes(order.task)
         self.check_sequence(order, name, step)
         self.check_bound(order, name, lives)
+        self.check_domain(order, life, time.monotonic())
+
+    def drain_domain(self, domain, drained, now):
+        if drained:
+            self.drained.setdefault(domain, now)
+        else:
+            self.drained.pop(domain, None)
+
+    def check_domain(self, order, life, now):
+        """Nothing starts in a drained domain after the later of two moments: `DOMAIN_DRAIN_S`
+        after the request, and when it is calm."""
+        drained = self.drained.get(life.rack)
+        over = 0 if drained is None else now - max(drained + DOMAIN_DRAIN_S, self.calm.since())
+        self.check("drained domains get no tasks", over <= 0,
+                   f"{order.task} starts in {life.rack}, {now - (drained or now):.1f} s after it "
+                   "was drained")
 
     def check_bound(self, order, name, lives):
         """What runs for a workspace before a start is within its bound and a tenth."""
--- a/testsuite/soak/model.py
+++ b/testsuite/soak/model.py
@@ -9,6 +9,7 @@
 
 HOST = "soak.example"
 SERVICE = "pool"
+RACKS = 3  # Failure domains; workers belong to them in turn.
 
 
 @dataclass(frozen=True)
--- a/testsuite/soak/platform_main.py
+++ b/testsuite/soak/platform_main.py
@@ -191,6 +191,12 @@
         self.log("configured", version=self.version, add=list(add), drop=list(drop))
         return {"version": self.version, "at": time.monotonic()}
 
+    def do_drain_domain(self, domain, drained):
+        """The operators drain a failure domain, or withdraw that."""
+        self.put(wire.OPERATOR_TABLE, wire.DRAIN_KEY_PREFIX + domain, b"{}" if drained else b"")
+        self.ledger.drain_domain(domain, drained, time.monotonic())
+        self.log("drain_domain", domain=domain, drained=drained)
+
     def do_workspaces(self, entries):
         """The operators write other workspaces; returns when the store had taken it."""
         self.workspaces = entries
--- a/testsuite/soak/schedule.py
+++ b/testsuite/soak/schedule.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass, field
 
 from . import moments
-from .model import QUEUES, JobFacts
+from .model import QUEUES, RACKS, JobFacts
 from .wire import Step
 from .workspaces import first_workspaces
 
@@ -66,6 +66,7 @@
     crashers_per_s: float = 0  # Jobs with tasks that crash their workers.
     resizes_per_s: float = 0  # Workers, single or several, that have less room for a while.
     rekeys_per_s: float = 0  # Changes of keys and bounds; above 0 callers belong to workspaces.
+    drains_per_s: float = 0  # Failure domains that the operators drain for a while.
 
 
 class Schedule:
@@ -78,7 +79,7 @@
         silences = self.draw_silences()
         self.faults = self.by_time(self.draw_faults() + silences + self.draw_routes(silences)
                                    + self.draw_restarts() + self.draw_resizes()
-                                   + self.draw_rekeys())
+                                   + self.draw_rekeys() + self.draw_drains())
         self.jobs = self.by_time(self.draw_jobs() + self.draw_cancels() + self.draw_crashers())
         self.give_to_workspaces()
 
@@ -253,6 +254,15 @@
                              {"workspace": workspace.name, "cpu": 0}) for workspace in WORKSPACES]
         return faults
 
+    def draw_drains(self):
+        """Failure domains are drained: one, several, all, or one that has no workers."""
+        draw = random.Random(f"drains {self.seed}")
+        domains = [f"r{number}" for number in range(RACKS)]
+        choices = [domains[:1], domains[1:2], domains[:2], domains, ["r-without-workers"]]
+        return [Fault(draw.uniform(1, self.size.load_s), "domain_drain", draw.uniform(3, 10),
+                      {"domains": draw.choice(choices)})
+                for _ in range(round(self.size.load_s * self.size.drains_per_s))]
+
     def give_to_workspaces(self):
         """Half of the jobs are those of the first workspace."""
         if not self.size.rekeys_per_s:
--- a/testsuite/soak/wire.py
+++ b/testsuite/soak/wire.py
@@ -13,6 +13,7 @@
 DEADLINE_HEADER = "X-Deadline-Ms"
 KEY_HEADER = "X-Api-Key"
 SERVERS_TABLE, OPERATOR_TABLE, CONFIG_KEY = "servers", "op", "config"
+DRAIN_KEY_PREFIX = "evacuate/"
 ADDRESS_FIELD = b'"address":"'  # How the address of a worker begins in its row.
 ROWS_WRITE, ROWS_READ = "/v1/rows-tx", "/v1/rows-get"
 ROWS_WATCH, ROWS_PARTS = "/v1/rows-feed", "/v1/rows-parts"
--- a/testsuite/soak/workers.py
+++ b/testsuite/soak/workers.py
@@ -11,7 +11,7 @@
 from . import wire
 from .http1 import NoAnswer, ResetConnection
 from .ledger import ROOM_HEARD_S
-from .model import SERVICE, TaskName
+from .model import RACKS, SERVICE, TaskName
 
 TICK_S = 0.02
 MAX_HOLD_MS = 6000
@@ -22,7 +22,7 @@
 RESTORE_S = 0.25
 FAR_FACTOR = 1.5
 SLOWEST_CLOCK = 0.98
-RACKS, KINDS = 3, ("small", "large")
+KINDS = ("small", "large")
 ROOM = {"small": (8000, 16000), "large": (16000, 32000)}
 
 
