Head row: a bound at any number of workers, and refusals for good

Cause: while a write leaves rows waiting, the head row named every worker: 147 kB at 6,000 workers, where the store takes 65,536. The store's 400 was taken for an outage, so the same write was sent every 70 ms, by each leader in turn, and nothing started any more.

Change, two faults: (1) the lists of the head row share max_head_list_bytes; inherited workers first, then silent ones, then those that may get orders early, as many as fit, the ones with orders waiting first. (2) StoreStatus::rejected: a write that breaks a limit is divided until the faulty row is alone, which is set aside and told once; the acceptor does the same. The stores of emulator and soak have the platform's limits, so that tests see them.

--- a/src/emulator.lib/store.cpp
+++ b/src/emulator.lib/store.cpp
@@ -21,6 +21,34 @@
 /// Page size of the worker list.
 constexpr size_t page_rows = 500;
 
+// Limits of the platform's store.
+constexpr size_t max_key_bytes = 200;
+constexpr size_t max_value_bytes = 65536;
+constexpr size_t max_entries = 100;
+constexpr size_t max_bytes = 1000000; ///< Of a transaction, and of a page of rows.
+constexpr int max_page_rows = 500;
+
+bool within_limits(const jobs::StoreWrite& write)
+{
+    size_t bytes = 0;
+    bool fits = write.checks.size() + write.puts.size() + write.removes.size()
+        <= max_entries;
+    const auto add_key = [&](const jobs::RowKey& row) {
+        fits = fits && row.table.size() <= max_key_bytes
+            && row.partition.size() <= max_key_bytes && row.key.size() <= max_key_bytes;
+    };
+    for (const jobs::RowCheck& check : write.checks)
+        add_key(check.id);
+    for (const jobs::RowKey& row : write.removes)
+        add_key(row);
+    for (const jobs::RowPut& put : write.puts) {
+        add_key(put.id);
+        fits = fits && put.value.size() <= max_value_bytes;
+        bytes += put.value.size();
+    }
+    return fits && bytes <= max_bytes;
+}
+
 StoreResult with_status(StoreStatus status)
 {
     StoreResult result;
@@ -62,6 +90,10 @@
 {
     StoreResult result;
     result.clock_ms = m_world.now().count();
+    if (!within_limits(write)) {
+        result.status = StoreStatus::rejected;
+        return result;
+    }
     bool holds = true;
     for (const jobs::RowCheck& check : write.checks) {
         const auto found = m_rows.find(key(check.id));
@@ -95,13 +127,17 @@
     StoreResult result = with_status(StoreStatus::ok);
     result.version = m_version;
     result.clock_ms = m_world.now().count();
+    size_t bytes = 0;
     auto row = m_rows.lower_bound({ range.table, range.partition, range.from });
     for (; row != m_rows.end(); ++row) {
         const auto& [table, part, name] = row->first;
         if (table != range.table || part != range.partition
             || (!range.to.empty() && name >= range.to))
             break;
-        if (result.rows.size() == size_t(range.limit)) {
+        bytes += row->second.value.size();
+        const bool is_full
+            = result.rows.size() == size_t(std::min(range.limit, max_page_rows));
+        if (is_full || (!result.rows.empty() && bytes > max_bytes)) {
             result.more = true;
             break;
         }
--- a/src/include/pathport/jobs/job_store.h
+++ b/src/include/pathport/jobs/job_store.h
@@ -75,6 +75,9 @@
     conflict, ///< A check failed; `rows` holds the current checked rows.
     refused, ///< Not executed: the store is busy or unreachable.
     unknown, ///< No reply: it may have been executed, or may be executed later.
+    /// Not executed, and never will be as it is: it breaks a limit of the store. The same call
+    /// must not be sent again.
+    rejected,
     history_lost, ///< The requested changes are no longer kept; read the whole table.
 };
 
@@ -97,6 +100,8 @@
 constexpr size_t max_transaction_entries = 100;
 /// Maximum total size of the values in one transaction, in bytes.
 constexpr size_t max_transaction_bytes = 600000;
+/// Maximum size of a row's value in bytes, so that its base64 form does not exceed 65,536.
+constexpr size_t max_row_bytes = 49152;
 
 /// The store.
 class JobStore {
--- a/src/jobs.lib/acceptor.cpp
+++ b/src/jobs.lib/acceptor.cpp
@@ -6,6 +6,8 @@
 #include "job_record.h"
 #include "store_keys.h"
 
+#include <pathport/log.h>
+
 #include <algorithm>
 
 namespace pathport::jobs {
@@ -159,7 +161,11 @@
     expire_entries(partition);
     StoreWrite write;
     size_t bytes = 0;
-    while (!partition.waiting.empty() && partition.in_flight.size() < max_jobs_per_write
+    // After a rejected write its rows are written one by one, which shows the faulty one.
+    const size_t max_jobs = partition.single_writes > 0 ? 1 : max_jobs_per_write;
+    if (partition.single_writes > 0)
+        --partition.single_writes;
+    while (!partition.waiting.empty() && partition.in_flight.size() < max_jobs
            && bytes < max_transaction_bytes) {
         const EntryPtr entry = partition.waiting.front();
         partition.waiting.pop_front();
@@ -194,6 +200,9 @@
     } else {
         if (result.status == StoreStatus::refused)
             pause = refused_retry_delay;
+        const bool rejected = result.status == StoreStatus::rejected;
+        if (rejected)
+            partition.single_writes = sent.size() > 1 ? sent.size() : 0;
         for (auto entry = sent.rbegin(); entry != sent.rend(); ++entry) {
             // Rows returned with the result are stored already; the others are sent again.
             const auto finished = outcome_from_rows(**entry, result);
@@ -201,6 +210,13 @@
                 finish(*entry, *finished);
                 continue;
             }
+            if (rejected && sent.size() == 1) {
+                log_event(LogLevel::error, "row_rejected",
+                          { { "row", (*entry)->row.key },
+                            { "bytes", static_cast<int64_t>((*entry)->value.size()) } });
+                finish(*entry, { WriteOutcome::refused });
+                continue;
+            }
             if (result.status == StoreStatus::unknown)
                 (*entry)->in_doubt = true;
             if (result.status == StoreStatus::refused && m_store.failing())
--- a/src/jobs.lib/acceptor.h
+++ b/src/jobs.lib/acceptor.h
@@ -87,6 +87,7 @@
         std::deque<EntryPtr> waiting;
         std::vector<EntryPtr> in_flight;
         bool busy = false;
+        size_t single_writes = 0; ///< Number of next writes that hold one entry only.
         std::unique_ptr<StoreWriter> writer;
     };
 
--- a/src/jobs.lib/head_log.cpp
+++ b/src/jobs.lib/head_log.cpp
@@ -10,6 +10,7 @@
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
+#include <iterator>
 
 namespace pathport::jobs {
 
@@ -37,16 +38,31 @@
 constexpr Millis refused_retry_delay { 60 };
 /// A log numbers its writes from a random start below this.
 constexpr uint64_t start_number_bound = uint64_t(1) << 40;
-/// Maximum size of the list of silent workers in the head row. The platform's store limits
-/// a row to 65,536 bytes (row_bytes), of which as much again stays free with the ids of
-/// 1,100 workers listed twice.
+/// Maximum size of the list of silent workers in the head row. Workers that are left out
+/// are handled as if every lease were the longest possible.
 constexpr size_t max_silent_bytes = 24000;
+/// Below this size, the lists of workers are not shortened further when the store rejects
+/// the head row.
+constexpr size_t min_list_bytes = 1000;
 /// Index of the silent workers in the row's JSON array.
 constexpr size_t silent_index = 4;
 /// Maximum number of rows in one transaction besides the head row, its check and the leader
 /// row.
 constexpr size_t max_rows = max_transaction_entries - 3;
 
+size_t list_bytes(const std::vector<std::string>& workers)
+{
+    size_t bytes = 0;
+    for (const std::string& worker : workers)
+        bytes += bytes_in_head(worker);
+    return bytes;
+}
+
+size_t list_bytes(const SilentWorkers& silent)
+{
+    return nlohmann::json(silent.grouped()).dump().size();
+}
+
 } // namespace
 
 std::string encode(const HeadValue& head)
@@ -100,6 +116,7 @@
     , m_mechanisms(mechanisms)
     , m_head(std::move(head))
     , m_version(version)
+    , m_row_limit(mechanisms.uses(Mechanism::write_batching) ? max_rows : 1)
     , m_lease_until(claimed + leader_lease)
     , m_last_write_start(claimed)
     , m_spacing(min_spacing)
@@ -228,15 +245,17 @@
     m_write.checks.push_back({ lead_row(head_key), m_version });
     m_write.puts.push_back({ lead_row(head_key), {} });
     size_t bytes = 0;
-    const size_t row_limit = m_mechanisms.uses(Mechanism::write_batching) ? max_rows : 1;
-    while (!m_queue.empty() && m_in_flight.size() < row_limit
+    while (!m_queue.empty() && m_in_flight.size() < m_row_limit
            && bytes < max_transaction_bytes) {
         const std::string job = m_queue.front();
         m_queue.pop_front();
         const auto entry = m_waiting.find(job);
-        m_in_flight.push_back(std::move(entry->second));
+        Entry taken = std::move(entry->second);
         m_waiting.erase(entry);
         std::optional<std::string> value = m_owner.progress_of(job);
+        if (is_rejected(job, value))
+            continue;
+        m_in_flight.push_back(std::move(taken));
         if (!value) {
             m_write.removes.push_back(progress_row(job));
             continue;
@@ -251,6 +270,7 @@
 
 void HeadLog::prepare_head()
 {
+    m_head_before = m_head;
     const bool names_successor = m_successor && m_queue.empty();
     // When the store is fast again and this write contains all pending rows, later orders
     // are sent only after they are recorded.
@@ -266,11 +286,17 @@
         m_write.puts.push_back({ lead_row(leader_key), m_successor->leader_row });
         m_successor->written = true;
     }
-    m_head.unrecorded_task_workers
-        = m_owner.unrecorded_workers(m_prepared.early_orders_allowed);
+    // Both lists grow with the cell, and a row does not. Inherited workers have to stay;
+    // silent ones go before those that may get orders early.
+    const size_t inherited = list_bytes(m_owner.unrecorded_workers(false, 0));
     SilentWorkers silent = m_owner.silent_workers();
-    silent.truncate_to(max_silent_bytes);
+    silent.truncate_to(
+        std::min(max_silent_bytes, m_max_list_bytes - std::min(m_max_list_bytes, inherited)));
     m_head.silent = silent.rounded();
+    const size_t silent_bytes = list_bytes(m_head.silent);
+    m_head.unrecorded_task_workers = m_owner.unrecorded_workers(
+        m_prepared.early_orders_allowed,
+        m_max_list_bytes - std::min(m_max_list_bytes, silent_bytes));
     m_prepared.head = m_head;
     m_write.puts.front().value = encode(m_head);
 }
@@ -309,6 +335,9 @@
         else
             handle_fenced();
         return;
+    case StoreStatus::rejected:
+        rejected();
+        return;
     case StoreStatus::refused:
     case StoreStatus::history_lost:
         m_served = false;
@@ -327,8 +356,68 @@
     }
 }
 
+// The store will never take this write, and sending it again would hold back all others.
+// Its rows are divided until the faulty one is alone, and that one is set aside.
+void HeadLog::rejected()
+{
+    log_event(LogLevel::error, "log_write_rejected",
+              { { "epoch", m_head.epoch },
+                { "rows", static_cast<int64_t>(m_in_flight.size()) },
+                { "head_bytes", static_cast<int64_t>(m_write.puts.front().value.size()) } });
+    m_pending_write = false;
+    m_head = m_head_before;
+    m_prepared = m_committed;
+    if (m_successor)
+        m_successor->written = false;
+    if (m_in_flight.size() > 1) {
+        m_row_limit = m_in_flight.size() / 2;
+        requeue_in_flight();
+        schedule(Millis(1));
+        return;
+    }
+    if (m_in_flight.empty()) {
+        m_max_list_bytes = std::max(m_max_list_bytes / 2, min_list_bytes);
+        schedule(refused_retry_delay);
+        return;
+    }
+    const std::string job = m_in_flight.front().job;
+    size_t bytes = 0;
+    for (const RowPut& put : m_write.puts)
+        bytes = put.id == progress_row(job) ? put.value.size() : bytes;
+    m_rejected[job] = bytes;
+    m_in_flight.clear();
+    log_event(LogLevel::error, "row_rejected",
+              { { "job", job }, { "bytes", static_cast<int64_t>(bytes) } });
+    schedule(Millis(1));
+}
+
+void HeadLog::requeue_in_flight()
+{
+    for (auto entry = m_in_flight.rbegin(); entry != m_in_flight.rend(); ++entry) {
+        const auto [waiting, added] = m_waiting.try_emplace(entry->job);
+        if (added) {
+            waiting->second = std::move(*entry);
+            m_queue.push_front(waiting->first);
+            continue;
+        }
+        auto& done = waiting->second.done;
+        done.insert(done.begin(), std::make_move_iterator(entry->done.begin()),
+                    std::make_move_iterator(entry->done.end()));
+    }
+    m_in_flight.clear();
+}
+
+bool HeadLog::is_rejected(const std::string& job,
+                          const std::optional<std::string>& value) const
+{
+    const auto found = m_rejected.find(job);
+    return found != m_rejected.end() && value && value->size() >= found->second;
+}
+
 void HeadLog::committed(int64_t version, Millis sent_at)
 {
+    if (m_mechanisms.uses(Mechanism::write_batching))
+        m_row_limit = std::min(m_row_limit * 2, max_rows);
     m_served = true;
     m_version = version;
     m_lease_until = sent_at + leader_lease;
--- a/src/jobs.lib/head_log.h
+++ b/src/jobs.lib/head_log.h
@@ -58,6 +58,16 @@
 /// In HeadValue::unrecorded_task_workers: any worker may run such tasks.
 inline const char* const any_worker = "*";
 
+/// Maximum size of the lists of workers in the head row, in bytes: a row less what else the
+/// head row holds.
+constexpr size_t max_head_list_bytes = max_row_bytes - 512;
+/// Returns the bytes that the worker takes in HeadValue::unrecorded_task_workers.
+inline size_t bytes_in_head(const std::string& worker)
+{
+    constexpr size_t quotes_and_comma = 3;
+    return worker.size() + quotes_and_comma;
+}
+
 std::string encode(const HeadValue& head);
 /// Returns the content to assume if the head row can't be decoded.
 HeadValue unreadable_head();
@@ -72,8 +82,11 @@
     /// row.
     virtual std::optional<std::string> progress_of(const std::string& job) = 0;
     /// Returns the workers that may run tasks without a record until the next write: those
-    /// inherited from earlier leaders and, if `early_orders`, all that may get orders.
-    virtual std::vector<std::string> unrecorded_workers(bool early_orders) = 0;
+    /// inherited from earlier leaders and, if `early_orders`, those that may get orders. Of
+    /// the latter it returns as many as fit into `max_bytes` together with the former
+    /// (bytes_in_head()).
+    virtual std::vector<std::string> unrecorded_workers(bool early_orders, size_t max_bytes)
+        = 0;
     /// Returns the workers whose lease is not renewed until a later write omits them.
     virtual SilentWorkers silent_workers() = 0;
     /// Called after a write took effect; workers that it does not list may get leases.
@@ -130,6 +143,8 @@
     void write_soon();
     /// Returns whether all rows are stored.
     bool idle() const { return m_queue.empty() && m_in_flight.empty(); }
+    /// Returns the number of jobs whose rows the store has rejected for good.
+    size_t rejected_rows() const { return m_rejected.size(); }
     /// Returns the number of rows that are not stored yet.
     size_t backlog() const { return m_queue.size() + m_in_flight.size(); }
 
@@ -146,6 +161,9 @@
     void adapt_spacing(Millis preparation, size_t bytes);
     void send();
     void answered(const StoreResult& result, Millis sent_at);
+    void rejected();
+    void requeue_in_flight();
+    bool is_rejected(const std::string& job, const std::optional<std::string>& value) const;
     void committed(int64_t version, Millis sent_at);
     const StoredRow* own_head(const StoreResult& result) const;
     void handle_fenced();
@@ -154,7 +172,12 @@
     HeadLogOwner& m_owner;
     Mechanisms m_mechanisms;
     HeadValue m_head;
+    HeadValue m_head_before; ///< Before the write that is pending was prepared.
     int64_t m_version;
+    size_t m_row_limit; ///< Maximum number of rows in the next write.
+    size_t m_max_list_bytes = max_head_list_bytes;
+    /// By job: size of a value that the store has rejected, in bytes.
+    std::map<std::string, size_t> m_rejected;
     Millis m_lease_until;
     Millis m_last_write_start;
     Millis m_spacing; ///< Between the starts of two writes.
--- a/src/jobs.lib/head_log_test.cpp
+++ b/src/jobs.lib/head_log_test.cpp
@@ -13,6 +13,7 @@
 #include <pathport/emulator/store.h>
 
 #include <algorithm>
+#include <memory>
 #include <set>
 
 using namespace pathport;
@@ -27,7 +28,7 @@
     {
         return "row of " + job;
     }
-    std::vector<std::string> unrecorded_workers(bool early_orders) override
+    std::vector<std::string> unrecorded_workers(bool early_orders, size_t) override
     {
         return early_orders ? std::vector<std::string> { "w1" }
                             : std::vector<std::string>();
@@ -258,6 +259,111 @@
     BOOST_TEST(encode(whole).size() / 3 * base64_of_three < row_bytes);
 }
 
+namespace {
+
+/// A cell of `count` workers with ids of 24 bytes, all of which could get orders early.
+class LargeCellOwner : public FixedOwner {
+public:
+    explicit LargeCellOwner(int count)
+    {
+        for (int i = 0; i < count; ++i)
+            m_ids.push_back("worker-0123456789-" + std::to_string(100000 + i));
+    }
+
+    std::vector<std::string> unrecorded_workers(bool early_orders,
+                                                size_t max_bytes) override
+    {
+        std::vector<std::string> listed;
+        size_t bytes = 0;
+        for (const std::string& id : m_ids) {
+            bytes += bytes_in_head(id);
+            if (early_orders && bytes <= max_bytes)
+                listed.push_back(id);
+        }
+        return listed;
+    }
+    SilentWorkers silent_workers() override
+    {
+        SilentWorkers silent;
+        for (size_t i = 0; i < m_ids.size() / 7; ++i)
+            silent.set(m_ids[i], 1000000 + int64_t(i));
+        return silent;
+    }
+
+private:
+    std::vector<std::string> m_ids;
+};
+
+/// A log with this owner.
+struct OwnedLog {
+    explicit OwnedLog(HeadLogOwner& owner)
+        : log(loop, port, owner, head, store.write_now(claim_of(head)).version, world.now())
+    {
+    }
+
+    /// Records `count` jobs and returns how many are stored within `span`.
+    int record(int count, Millis span)
+    {
+        const auto stored = std::make_shared<int>(0);
+        for (int i = 0; i < count; ++i)
+            log.record("job" + std::to_string(i), [stored] { ++*stored; });
+        world.run_for(span);
+        return *stored;
+    }
+
+    emulator::World world { 11 };
+    emulator::Store store { world };
+    emulator::ProcessLoop loop { world };
+    emulator::StorePort port { store, loop, "n1" };
+    HeadValue head { 1, 0, "first", {}, {} };
+    HeadLog log;
+};
+
+} // namespace
+
+// Guards against a leader that stops writing in a large cell: with rows waiting, the head
+// row named each worker that might get orders early, grew beyond what the store takes, and
+// the same write was sent again for ever. The row must have the same bound at any size.
+BOOST_AUTO_TEST_CASE(head_row_is_bounded_at_any_number_of_workers)
+{
+    for (const int workers : { 600, 6120, 12240 }) {
+        LargeCellOwner owner(workers);
+        OwnedLog owned(owner);
+        constexpr int jobs = 400; // More than one write holds.
+        BOOST_TEST(owned.record(jobs, Millis(1500)) == jobs, workers << " workers");
+        BOOST_TEST(owned.store.value(lead_row(head_key)).size() <= max_row_bytes);
+        BOOST_TEST(owned.log.served());
+    }
+}
+
+namespace {
+
+/// One job's row is larger than the store takes.
+class OversizedRowOwner : public FixedOwner {
+public:
+    std::optional<std::string> progress_of(const std::string& job) override
+    {
+        constexpr size_t oversized = 70000;
+        return job == "job7" ? std::string(oversized, 'x') : "row of " + job;
+    }
+};
+
+} // namespace
+
+// Guards against a row that the store will never take and that holds back all others: a
+// rejection was handled as if the store were away.
+BOOST_AUTO_TEST_CASE(rejected_row_holds_back_no_other)
+{
+    OversizedRowOwner owner;
+    OwnedLog owned(owner);
+    constexpr int jobs = 60;
+    BOOST_TEST(owned.record(jobs, Millis(1500)) == jobs - 1);
+    BOOST_TEST(owned.log.rejected_rows() == 1U);
+    BOOST_TEST(owned.log.served());
+    BOOST_TEST(!owner.lost);
+    BOOST_TEST((owned.world.now() < owned.log.lease_until()));
+}
+
 BOOST_AUTO_TEST_CASE(head_rows_of_earlier_versions_are_decoded)
 {
     const auto head = decode_head(R"([7,12,"first",["w1"]])");
--- a/src/jobs.lib/leadership_test.cpp
+++ b/src/jobs.lib/leadership_test.cpp
@@ -78,7 +78,7 @@
     {
         return "progress of " + job;
     }
-    std::vector<std::string> unrecorded_workers(bool) override { return {}; }
+    std::vector<std::string> unrecorded_workers(bool, size_t) override { return {}; }
     SilentWorkers silent_workers() override { return {}; }
     void head_written() override { }
     void early_orders_enabled() override { }
--- a/src/jobs.lib/scheduler.cpp
+++ b/src/jobs.lib/scheduler.cpp
@@ -118,16 +118,45 @@
         : encode_final_progress(closed->second.state, closed->second.workspace);
 }
 
-std::vector<std::string> Scheduler::unrecorded_workers(bool orders_precede)
+std::vector<std::string> Scheduler::unrecorded_workers(bool early_orders, size_t max_bytes)
 {
     std::set<std::string> workers = m_unresolved;
-    if (orders_precede) {
+    size_t bytes = 0;
+    for (const std::string& worker : workers)
+        bytes += bytes_in_head(worker);
+    const auto add = [&](const std::string& id) {
+        if (bytes + bytes_in_head(id) > max_bytes || !workers.insert(id).second)
+            return;
+        bytes += bytes_in_head(id);
+    };
+    if (early_orders) {
+        for (const std::string& id : workers_awaiting_record())
+            add(id);
         for (const auto& [id, worker] : m_workers)
-            workers.insert(id);
+            add(id);
     }
     return { workers.begin(), workers.end() };
 }
 
+// Returns the workers that have been chosen for tasks whose record is still being written.
+std::set<std::string> Scheduler::workers_awaiting_record() const
+{
+    std::set<std::string> workers;
+    for (const auto& [id, job] : m_jobs) {
+        for (const auto& [number, repeat] : job->repeats()) {
+            for (const Step& step : repeat.steps) {
+                if (step.count(TaskPhase::intended) == 0)
+                    continue;
+                for (const Task& task : step.tasks) {
+                    if (task.phase == TaskPhase::intended)
+                        workers.insert(task.worker);
+                }
+            }
+        }
+    }
+    return workers;
+}
+
 JobRecord* Scheduler::find_job(const std::string& id)
 {
     const auto found = m_jobs.find(id);
--- a/src/jobs.lib/scheduler.h
+++ b/src/jobs.lib/scheduler.h
@@ -115,7 +115,8 @@
     void fenced_off(WorkerSession& session) override;
     // HeadLogOwner
     std::optional<std::string> progress_of(const std::string& job) override;
-    std::vector<std::string> unrecorded_workers(bool orders_precede) override;
+    std::vector<std::string> unrecorded_workers(bool early_orders,
+                                                size_t max_bytes) override;
     SilentWorkers silent_workers() override;
     void head_written() override;
     void early_orders_enabled() override;
@@ -377,6 +378,7 @@
     void archived(const std::vector<std::string>& ids);
     void job_recorded(const std::string& id);
     void record(JobRecord& job, std::function<void()> done = {});
+    std::set<std::string> workers_awaiting_record() const;
     JobRecord* find_job(const std::string& id);
 
     // Placement (scheduler_pass.cpp, scheduler_advice.cpp, scheduler_gangs.cpp,
--- a/src/jobs.lib/store_health.cpp
+++ b/src/jobs.lib/store_health.cpp
@@ -30,6 +30,8 @@
         return "conflict";
     case StoreStatus::refused:
         return "refused";
+    case StoreStatus::rejected:
+        return "rejected";
     case StoreStatus::unknown:
         return "unknown";
     case StoreStatus::history_lost:
@@ -61,6 +63,7 @@
             { { "call", call }, { "outcome", to_string(result.status) } });
         const bool served = result.status == StoreStatus::ok
             || result.status == StoreStatus::conflict
+            || result.status == StoreStatus::rejected
             || result.status == StoreStatus::history_lost;
         // A lost reply means nothing as long as other calls are answered, and a refusal
         // may be due to a rate limit if other calls were served just before.
--- a/testsuite/run_soak_checks.py
+++ b/testsuite/run_soak_checks.py
@@ -21,7 +21,7 @@
 from soak.self_checks import run_checks
 from soak.silences import WINDOW_S, Silences
 from soak.standstill import Standstill
-from soak.store import HistoryLost, Store
+from soak.store import HistoryLost, Store, within_limits
 from soak.wire import Order, Range, RowName, Step, Write
 from soak.workers import ROOM, Workers
 
@@ -498,6 +498,17 @@
     return {"drained domains get no tasks"}, bench.broken() - before
 
 
+def store_takes_no_more_than_its_limits():
+    name = RowName("t", "p", "k")
+    writes = {"row": Write([], [(name, b"x" * 65537)], []),
+              "entries": Write([(name, 0)] * 101, [], []),
+              "key": Write([], [], [RowName("t", "p", "k" * 201)]),
+              "bytes": Write([], [(name, b"x" * 65536)] * 16, []),
+              "none": Write([(name, 0)] * 50, [(name, b"x" * 65536)] * 15, [])}
+    refused = {what for what, write in writes.items() if not within_limits(write)}
+    return {"row", "entries", "key", "bytes"}, refused
+
+
 RUNS = [blameless_course, two_runs_at_once, start_after_noted_done, start_before_a_done_is_noted,
         one_done_stands_for_a_gang, start_after_the_last_failure,
         start_before_the_last_failure_is_noted, over_the_room, over_a_room_that_has_shrunk,
@@ -506,7 +517,7 @@
         canceled_job_that_a_worker_starts_late, canceled_job_runs_on_near_faults,
         canceled_job_without_runs, unknown_job, too_many_on_a_worker, without_the_label,
         start_in_a_drained_domain,
-        before_its_time, workers_keep_the_protocol, a_worker_starts_again_under_its_id, store_keeps_the_protocol,
+        before_its_time, workers_keep_the_protocol, a_worker_starts_again_under_its_id, store_keeps_the_protocol, store_takes_no_more_than_its_limits,
         addresses_are_translated, resting_jobs_are_measured, silences_are_measured,
         kept_seeds_play_what_they_played, open_connections_go_silent]
 
--- a/testsuite/soak/store.py
+++ b/testsuite/soak/store.py
@@ -10,12 +10,27 @@
 
 MOST_ROWS = 500
 MOST_BYTES = 1 << 20
+# Of a transaction.
+MOST_ENTRIES = 100
+MOST_WRITE_BYTES = 1000000
+MOST_ROW_BYTES = 65536
+MOST_KEY_BYTES = 200
 
 
 class HistoryLost(Exception):
     """The asked history is forgotten."""
 
 
+def within_limits(write):
+    """Whether the store takes a transaction of this size at all."""
+    names = [name for name, _ in write.conditions + write.puts] + write.removes
+    sizes = [len(value) for _, value in write.puts]
+    texts = [text for name in names for text in (name.table, name.part, name.key)]
+    return (len(names) <= MOST_ENTRIES and max(sizes, default=0) <= MOST_ROW_BYTES
+            and sum(sizes) <= MOST_WRITE_BYTES
+            and all(len(text.encode()) <= MOST_KEY_BYTES for text in texts))
+
+
 class Store:
     """All tables. One counter of versions, which rises with each transaction."""
 
--- a/testsuite/soak/store_service.py
+++ b/testsuite/soak/store_service.py
@@ -9,7 +9,7 @@
 
 from . import wire
 from .http1 import NoAnswer, ResetConnection
-from .store import HistoryLost
+from .store import HistoryLost, within_limits
 
 TX_S = 0.005
 PART_BACKLOG_S = 1.0
@@ -108,7 +108,7 @@
     async def transact(self, write, view):
         names = [name for name, _ in write.conditions + write.puts] + write.removes
         part = min((name.part for name in names), default="")
-        if len({name.part for name in names}) > 1 or len(names) > 100:
+        if len({name.part for name in names}) > 1 or not within_limits(write):
             return wire.error_answer(400)
         span = TX_S * self.trouble.slow
         begin = max(time.monotonic(), self.part_free_at.get(part, 0))
