Peer list: followers get what has changed, not the whole list

Change: PeerList remembers its last changes by the hash of the list before, and answers a node with the difference from the list that it has. A new leader goes on from its predecessor's list and keeps nodes that it has not heard yet for 5 s.

Result: peer_list_test: bytes a follower for a node that leaves and comes back are the same at 30, 600 and 1,200 nodes.

--- a/src/include/pathport/jobs/peers.h
+++ b/src/include/pathport/jobs/peers.h
@@ -79,7 +79,7 @@
     int cpu_millicores = 0; ///< The sender's, as in NodeSetup.
     int64_t link_bytes_per_s = 0; ///< The sender's, as in NodeSetup.
     std::string calls; ///< Calls to workers, encoded.
-    int64_t peers_hash = 0; ///< Hash of the sender's list of followers.
+    int64_t peers_hash = 0; ///< Hash of the sender's list of nodes.
     bool store_served = false; ///< Whether the store served the sender recently.
     bool store_fails = false; ///< Whether the store is unavailable to the sender.
     bool promises = false; ///< The sender won't claim leadership for `promise_time`.
@@ -87,6 +87,22 @@
     int64_t echo_ms = 0;
 };
 
+/// What turns a node's list into the leader's.
+struct PeerListUpdate {
+    int64_t hash = 0; ///< Of the leader's list.
+    /// `added` is the whole list.
+    bool full = false;
+    std::vector<std::string> added;
+    std::vector<std::string> removed;
+
+    bool empty() const { return added.empty() && removed.empty(); }
+    bool operator==(const PeerListUpdate& other) const
+    {
+        return hash == other.hash && full == other.full && added == other.added
+            && removed == other.removed;
+    }
+};
+
 /// The answer to a peer message.
 struct PeerAnswer {
     bool served = false; ///< Whether the peer could handle the request.
@@ -106,8 +122,7 @@
     int max_follower_millicores = 0;
     int64_t call_rate = 0; ///< A leader's recent calls to workers, per second.
     int64_t call_bytes_per_s = 0; ///< Network traffic of those calls.
-    int64_t peers_hash = 0; ///< Hash of the leader's list of followers.
-    std::vector<std::string> peers; ///< That list, if the sender's differs.
+    PeerListUpdate peers; ///< Makes the sender's list of nodes the leader's.
     int status = 0; ///< ClientStatus of a submission, cancellation or state query.
     int64_t count = 0; ///< Pending jobs.
     std::optional<JobState> state;
--- a/src/jobs.lib/job_node.cpp
+++ b/src/jobs.lib/job_node.cpp
@@ -26,6 +26,8 @@
 constexpr Millis max_order_time { 1000 };
 /// Number of workspaces that have labelled metrics.
 constexpr size_t max_labelled_workspaces = 100;
+/// A new leader keeps nodes that have not sent a heartbeat in its list for this long.
+constexpr Millis unheard_peer_time { 5000 };
 /// A silent follower's promise is required for this long; then the follower is dropped.
 constexpr Millis follower_drop_time { 30000 };
 
@@ -82,6 +84,8 @@
     log_event(LogLevel::info, "elected", { { "epoch", claim.head.epoch } });
     m_followers.clear();
     m_probed.clear();
+    m_unheard_peers = { m_peers.addresses().begin(), m_peers.addresses().end() };
+    m_unheard_peers.erase(m_setup.peer_address);
     m_handing_over = false;
     m_last_lead_tick = m_context.loop.now();
     m_elected_at = m_last_lead_tick;
@@ -108,16 +112,17 @@
                                [this] { return recent_drains(); } };
     std::vector<std::string> others;
     if (m_setup.mechanisms.uses(Mechanism::worker_relays))
-        std::remove_copy(m_peers.begin(), m_peers.end(), std::back_inserter(others),
-                         m_setup.peer_address);
+        std::remove_copy(m_peers.addresses().begin(), m_peers.addresses().end(),
+                         std::back_inserter(others), m_setup.peer_address);
     m_relayed.begin_epoch(claim.head.epoch, m_leader_call_load, others);
     m_scheduler = std::make_unique<Scheduler>(context, claim,
                                               m_lifetime.wrap([this] { deposed(); }));
     m_scheduler->begin();
     lead_tick();
     announce(predecessor);
-    for (const std::string& peer : m_peers) {
-        if (peer != predecessor && peer != m_setup.peer_address)
+    const std::set<std::string> others_known = m_unheard_peers;
+    for (const std::string& peer : others_known) {
+        if (peer != predecessor)
             announce(peer);
     }
 }
@@ -155,9 +160,10 @@
 // Asks a random other node, since nodes with access to the store know the leader.
 void JobNode::Impl::leader_unknown()
 {
-    if (m_peers.empty() || m_scheduler)
+    const std::vector<std::string>& peers = m_peers.addresses();
+    if (peers.empty() || m_scheduler)
         return;
-    const std::string peer = m_peers[m_context.loop.random() % m_peers.size()];
+    const std::string peer = peers[m_context.loop.random() % peers.size()];
     m_gossip.send(peer, own_heartbeat(), probe_timeout,
                   m_lifetime.wrap([this, peer](PeerEnd end, const PeerAnswer& answer) {
                       if (end != PeerEnd::answered)
@@ -179,7 +185,11 @@
         return;
     PeerRequest notice = own_heartbeat();
     notice.leads = true;
-    m_gossip.send(address, notice, probe_timeout, [](PeerEnd, const PeerAnswer&) {});
+    m_gossip.send(address, notice, probe_timeout,
+                  m_lifetime.wrap([this, address](PeerEnd end, const PeerAnswer&) {
+                      if (end == PeerEnd::refused)
+                          m_unheard_peers.erase(address);
+                  }));
 }
 
 void JobNode::Impl::deposed()
@@ -202,7 +212,7 @@
     request.link_bytes_per_s = m_setup.link_bytes_per_s;
     request.store_served = m_store.served();
     request.store_fails = m_store.failing();
-    request.peers_hash = m_peers_hash;
+    request.peers_hash = m_peers.hash();
     // The node promises not to claim only while the store is unavailable to it.
     if (!m_store.failing() || m_leader_sent_ms == 0)
         return;
@@ -218,10 +228,11 @@
     m_leader_call_load = { double(answer.call_rate), double(answer.call_bytes_per_s) };
     m_closed_queues = answer.closed;
     m_closed_queues_updated = m_context.loop.now();
-    if (answer.peers_hash != m_peers_hash && !answer.peers.empty()) {
-        m_peers_hash = answer.peers_hash;
-        m_peers = answer.peers;
-        m_leadership.set_group_size(m_peers.size());
+    if (answer.peers.hash != m_peers.hash()) {
+        if (!m_peers.apply(answer.peers))
+            log_event(LogLevel::warn, "peer_list_outdated",
+                      { { "leader", answer.node }, { "epoch", answer.epoch } });
+        m_leadership.set_group_size(m_peers.addresses().size());
     }
     // If the store is unavailable to the leader, check whether it is available to this
     // node.
@@ -265,16 +276,17 @@
 }
 
 // Followers get the list of all nodes, so that the next leader can announce itself to all.
+// A new leader begins with its predecessor's, since each difference goes to every follower.
 void JobNode::Impl::update_peer_list()
 {
-    std::string joined;
-    m_peers.clear();
+    if (m_context.loop.now() - m_elected_at > unheard_peer_time)
+        m_unheard_peers.clear();
+    std::vector<std::string> addresses(m_unheard_peers.begin(), m_unheard_peers.end());
     m_followers.for_each([&](const std::string& address, const Follower&) {
-        m_peers.push_back(address);
-        joined += address + " ";
+        addresses.push_back(address);
     });
-    m_peers.push_back(m_setup.peer_address);
-    m_peers_hash = static_cast<int64_t>(stable_hash(joined + m_setup.peer_address) >> 1);
+    addresses.push_back(m_setup.peer_address);
+    m_peers.set(std::move(addresses));
 }
 
 // A node in orderly shutdown is no longer a follower, so its share of the calls moves to
--- a/src/jobs.lib/job_node_impl.h
+++ b/src/jobs.lib/job_node_impl.h
@@ -13,6 +13,7 @@
 #include "leadership.h"
 #include "lifetime.h"
 #include "payload_cache.h"
+#include "peer_list.h"
 #include "relayed_directory.h"
 #include "relayed_workers.h"
 #include "scheduler.h"
@@ -168,9 +169,9 @@
     std::unique_ptr<Scheduler> m_scheduler; ///< Set while this node leads.
     Followers m_followers;
     std::set<std::string> m_probed; ///< Followers with an open probe.
-    /// Addresses of all nodes known to the leader, and a hash of the list.
-    std::vector<std::string> m_peers;
-    int64_t m_peers_hash = 0;
+    PeerList m_peers; ///< All nodes known to the leader.
+    /// Nodes known to the previous leader that have sent no heartbeat to this one yet.
+    std::set<std::string> m_unheard_peers;
     Millis m_last_lead_tick; ///< When lead_tick() last ran.
     Millis m_elected_at; ///< When this node became the leader.
     bool m_shutting_down = false;
--- a/src/jobs.lib/job_node_peers.cpp
+++ b/src/jobs.lib/job_node_peers.cpp
@@ -120,6 +120,7 @@
     if (request.resigned) {
         // It is shutting down, so it neither claims nor leads.
         m_followers.erase(request.address);
+        m_unheard_peers.erase(request.address);
         refresh_relays();
     } else if (!request.leads) {
         note_follower(request);
@@ -129,9 +130,7 @@
     answer.call_bytes_per_s = static_cast<int64_t>(m_relayed.load().bytes);
     answer.resigned = m_scheduler->resigned();
     answer.closed = m_scheduler->closed_queues();
-    answer.peers_hash = m_peers_hash;
-    if (request.peers_hash != m_peers_hash)
-        answer.peers = m_peers;
+    answer.peers = m_peers.update_for(request.peers_hash);
 }
 
 void JobNode::Impl::note_follower(const PeerRequest& request)
--- a/src/jobs.lib/peer_codec.cpp
+++ b/src/jobs.lib/peer_codec.cpp
@@ -145,8 +145,9 @@
     put(json, "strongest", answer.max_follower_millicores);
     put(json, "call_rate", answer.call_rate);
     put(json, "call_bytes", answer.call_bytes_per_s);
-    put(json, "peers_hash", answer.peers_hash);
-    put(json, "peers", answer.peers);
+    put(json, "peers_hash", answer.peers.hash);
+    put(json, answer.peers.full ? "peers" : "peers_added", answer.peers.added);
+    put(json, "peers_removed", answer.peers.removed);
     put(json, "status", answer.status);
     put(json, "count", answer.count);
     if (answer.state)
@@ -184,8 +185,11 @@
         answer.max_follower_millicores = json.value("strongest", 0);
         answer.call_rate = json.value("call_rate", int64_t(0));
         answer.call_bytes_per_s = json.value("call_bytes", int64_t(0));
-        answer.peers_hash = json.value("peers_hash", int64_t(0));
-        answer.peers = json.value("peers", std::vector<std::string>());
+        answer.peers.hash = json.value("peers_hash", int64_t(0));
+        answer.peers.full = json.contains("peers");
+        answer.peers.added = json.value(answer.peers.full ? "peers" : "peers_added",
+                                        std::vector<std::string>());
+        answer.peers.removed = json.value("peers_removed", std::vector<std::string>());
         answer.status = json.value("status", 0);
         answer.count = json.value("count", int64_t(0));
         const int state = json.value("state", -1);
