--- a/src/emulator.lib/store.cpp
+++ b/src/emulator.lib/store.cpp
@@ -31,8 +31,8 @@
 bool within_limits(const jobs::StoreWrite& write)
 {
     size_t bytes = 0;
-    bool fits = write.checks.size() + write.puts.size() + write.removes.size()
-        <= max_entries;
+    bool fits
+        = write.checks.size() + write.puts.size() + write.removes.size() <= max_entries;
     const auto add_key = [&](const jobs::RowKey& row) {
         fits = fits && row.table.size() <= max_key_bytes
             && row.partition.size() <= max_key_bytes && row.key.size() <= max_key_bytes;
@@ -167,10 +167,8 @@
     }
     for (const auto& [name, removed_at] : m_removed) {
         if (std::get<0>(name) == table && removed_at > version)
-            result.rows.push_back({ { table, std::get<1>(name), std::get<2>(name) },
-                                    {},
-                                    removed_at,
-                                    true });
+            result.rows.push_back(
+                { { table, std::get<1>(name), std::get<2>(name) }, {}, removed_at, true });
     }
     return result;
 }
@@ -337,8 +335,8 @@
         });
 }
 
-void StorePort::read_configuration(
-    Millis timeout, std::function<void(jobs::OperatorAnswer)> done)
+void StorePort::read_configuration(Millis timeout,
+                                   std::function<void(jobs::OperatorAnswer)> done)
 {
     query(
         timeout, [] { return with_status(StoreStatus::ok); },
@@ -353,9 +351,8 @@
         });
 }
 
-void StorePort::watch_configuration(
-    int64_t version, Millis wait,
-    std::function<void(jobs::OperatorAnswer)> done)
+void StorePort::watch_configuration(int64_t version, Millis wait,
+                                    std::function<void(jobs::OperatorAnswer)> done)
 {
     const Millis now = m_loop.now();
     const Watch watch { version, wait, now + wait + watch_margin, connections.generation(),
--- a/src/emulator.lib/worker_faults.cpp
+++ b/src/emulator.lib/worker_faults.cpp
@@ -16,6 +16,7 @@
 /// Interval at which workers are updated, as in workers.cpp.
 constexpr Millis step_interval { 10 };
 constexpr Millis checkpoint_interval { 500 };
+constexpr Millis forever { 1000000000 };
 
 std::string step_name(const jobs::TaskId& task)
 {
@@ -37,6 +38,15 @@
     return own_time > 0 ? Millis(own_time) : default_advice_latency;
 }
 
+void Workers::partition_for_good(const std::string& id)
+{
+    partition(id, forever);
+    m_world.after(list_retention, [this, id, started_at = find(id)->started_at] {
+        if (find(id)->started_at == started_at)
+            find(id)->listed = false;
+    });
+}
+
 void Workers::inject_fault(const std::string& id, WorkerFault fault, Millis span,
                            double share)
 {
--- a/src/emulator.lib/workers.cpp
+++ b/src/emulator.lib/workers.cpp
@@ -18,7 +18,6 @@
 constexpr Millis gang_timeout { 3000 };
 /// Run time of tasks on a worker that fails all of them.
 constexpr Millis failure_time { 200 };
-constexpr Millis forever { 1000000000 };
 /// Workers are added to these failure domains in turn.
 constexpr int domain_count = 3;
 /// A start later than this after an acknowledged cancellation is a violation.
@@ -71,15 +70,6 @@
         incarnation->node_partitions[node] = m_world.now() + span;
 }
 
-void Workers::partition_for_good(const std::string& id)
-{
-    partition(id, forever);
-    m_world.after(list_retention, [this, id, started_at = find(id)->started_at] {
-        if (find(id)->started_at == started_at)
-            find(id)->listed = false;
-    });
-}
-
 void Workers::drain(const std::string& id, Millis span)
 {
     Incarnation* incarnation = find(id);
@@ -91,11 +81,6 @@
     schedule_end(*incarnation, span);
 }
 
-void Workers::note_drained(const std::string& domain, Millis last_start)
-{
-    m_drained_domains.emplace(domain, last_start);
-}
-
 // Ends this incarnation, unless it has been replaced by then.
 void Workers::schedule_end(const Incarnation& incarnation, Millis span)
 {
@@ -274,11 +259,7 @@
     if (announced_end && m_world.now() - incarnation.draining_since > drain_deadline)
         note_violation("started on " + incarnation.info.id
                        + " after it announced its shutdown: " + name);
-    const auto drained = m_drained_domains.find(incarnation.info.zone);
-    if (drained != m_drained_domains.end() && !m_executing_delayed
-        && m_world.now() > drained->second)
-        note_violation("started in the drained domain " + incarnation.info.zone + ": "
-                       + name);
+    check_domain(incarnation, name);
     if (m_history[name].done_noted)
         note_violation("started again after it was done: " + name);
     check_crashes(order.task);
--- a/src/include/pathport/emulator/store.h
+++ b/src/include/pathport/emulator/store.h
@@ -107,12 +107,10 @@
     read_workers(Millis timeout,
                  std::function<void(jobs::DirectoryAnswer<std::vector<jobs::WorkerInfo>>)>
                      done) override;
-    void read_configuration(
-        Millis timeout,
-        std::function<void(jobs::OperatorAnswer)> done) override;
-    void watch_configuration(
-        int64_t version, Millis wait,
-        std::function<void(jobs::OperatorAnswer)> done) override;
+    void read_configuration(Millis timeout,
+                            std::function<void(jobs::OperatorAnswer)> done) override;
+    void watch_configuration(int64_t version, Millis wait,
+                             std::function<void(jobs::OperatorAnswer)> done) override;
 
     /// The process's connections to the store.
     PooledConnections connections;
--- a/src/include/pathport/emulator/workers.h
+++ b/src/include/pathport/emulator/workers.h
@@ -249,6 +249,7 @@
     static std::string running_names(const Incarnation& incarnation);
     void extend_lease(Incarnation& incarnation, int64_t until);
     void check_start(const Incarnation& incarnation, const jobs::StartOrder& order);
+    void check_domain(const Incarnation& incarnation, const std::string& task);
     void begin_gang(const jobs::TaskId& task, int64_t run);
     void note_acked_ends(Incarnation& incarnation);
     TaskHistory& failure_history(const jobs::TaskId& task);
--- a/src/include/pathport/jobs/job_store.h
+++ b/src/include/pathport/jobs/job_store.h
@@ -75,8 +75,8 @@
     conflict, ///< A check failed; `rows` holds the current checked rows.
     refused, ///< Not executed: the store is busy or unreachable.
     unknown, ///< No reply: it may have been executed, or may be executed later.
-    /// Not executed, and never will be as it is: it breaks a limit of the store. The same call
-    /// must not be sent again.
+    /// Not executed, and never will be as it is: it breaks a limit of the store. The same
+    /// call must not be sent again.
     rejected,
     history_lost, ///< The requested changes are no longer kept; read the whole table.
 };
--- a/src/jobs.lib/configuration_tracker.cpp
+++ b/src/jobs.lib/configuration_tracker.cpp
@@ -133,17 +133,15 @@
 
 void ConfigurationTracker::send(const Call& call)
 {
-    auto done = m_lifetime.wrap([this, call](const OperatorAnswer& answer) {
-        on_answer(call, answer);
-    });
+    auto done = m_lifetime.wrap(
+        [this, call](const OperatorAnswer& answer) { on_answer(call, answer); });
     if (m_watch_version == 0)
         m_directory.read_configuration(read_timeout, std::move(done));
     else
         m_directory.watch_configuration(m_watch_version, call.poll_time, std::move(done));
 }
 
-void ConfigurationTracker::on_answer(const Call& call,
-                                     const OperatorAnswer& answer)
+void ConfigurationTracker::on_answer(const Call& call, const OperatorAnswer& answer)
 {
     m_metrics.count("pathport_config_calls_total",
                     { { "call", call.name }, { "outcome", to_string(answer.status) } });
@@ -175,8 +173,7 @@
 // The store answers without a change only after the full long poll, which confirms that
 // there was no newer version at its end. Any other answer confirms it for the time of the
 // call only.
-void ConfigurationTracker::record_answer(const Call& call,
-                                         const OperatorAnswer& answer)
+void ConfigurationTracker::record_answer(const Call& call, const OperatorAnswer& answer)
 {
     if (!answer.unreadable.empty())
         log_event(LogLevel::warn, "configuration_unreadable",
@@ -246,8 +243,7 @@
 void ConfigurationTracker::note_peer_version(const std::string& address, int64_t version,
                                              int64_t drains_changed_at)
 {
-    const bool newer
-        = version > this->version() || drains_changed_at > m_drains->version();
+    const bool newer = version > this->version() || drains_changed_at > m_drains->version();
     if (!newer || address.empty())
         return;
     m_newer_peer = address;
--- a/src/jobs.lib/domain_drain_test.cpp
+++ b/src/jobs.lib/domain_drain_test.cpp
@@ -79,8 +79,7 @@
         LoadedCell loaded(seed);
         scenario(loaded);
         const auto problems = loaded.finish();
-        BOOST_TEST(problems.empty(),
-                   what << ", seed " << seed << join_lines(problems));
+        BOOST_TEST(problems.empty(), what << ", seed " << seed << join_lines(problems));
     }
 }
 
--- a/src/jobs.lib/drained_domains_test.cpp
+++ b/src/jobs.lib/drained_domains_test.cpp
@@ -3,9 +3,9 @@
 
 /// \file
 /// The state of drained failure domains, as read, watched and received from peers. A change
-/// must not be lost or undone by answers that overlap, come late or in another order: a node
-/// that misses a withdrawal keeps a domain empty for good, one that misses a request starts
-/// tasks there.
+/// must not be lost or undone by answers that overlap, come late or in another order: a
+/// node that misses a withdrawal keeps a domain empty for good, one that misses a request
+/// starts tasks there.
 
 #define BOOST_TEST_MODULE drained_domains
 #include <boost/test/unit_test.hpp>
@@ -53,9 +53,8 @@
     const auto start = DrainedDomains().after_read({}, 100);
     const auto in_order = start.after_changes({ request_a }, 115)
                               .after_changes({ request_a, request_b, withdrawal_a }, 135);
-    const auto reversed
-        = start.after_changes({ request_a, request_b, withdrawal_a }, 135)
-              .after_changes({ request_a }, 115);
+    const auto reversed = start.after_changes({ request_a, request_b, withdrawal_a }, 135)
+                              .after_changes({ request_a }, 115);
     BOOST_TEST((in_order == reversed));
     BOOST_TEST(!reversed.contains("a"));
     BOOST_TEST(reversed.contains("b"));
--- a/src/jobs.lib/followers.h
+++ b/src/jobs.lib/followers.h
@@ -2,8 +2,8 @@
 // SPDX-License-Identifier: Apache-2.0
 
 /// \file
-/// The nodes that follow a leader. In a cell of hundreds of nodes the leader gets a thousand
-/// heartbeats a second, so what it does for each must not walk all followers.
+/// The nodes that follow a leader. In a cell of hundreds of nodes the leader gets a
+/// thousand heartbeats a second, so what it does for each must not walk all followers.
 
 #pragma once
 
@@ -44,13 +44,13 @@
     const Follower* find(const std::string& address) const;
     size_t size() const { return m_entries.size(); }
     /// Calls `visit` for each follower, in the order of addresses.
-    void for_each(
-        const std::function<void(const std::string&, const Follower&)>& visit) const;
+    void
+    for_each(const std::function<void(const std::string&, const Follower&)>& visit) const;
 
     /// Returns the earliest end of all followers' promises, or nothing without followers.
     std::optional<Millis> earliest_promise() const;
-    /// Returns the highest `cpu_millicores` of the followers that the store serves: of those
-    /// that refresh() found to be live, and those heard since.
+    /// Returns the highest `cpu_millicores` of the followers that the store serves: of
+    /// those that refresh() found to be live, and those heard since.
     int max_millicores() const { return m_max_millicores; }
 
     /// Drops the followers last heard before `drop_before`; those last heard before
--- a/src/jobs.lib/followers_test.cpp
+++ b/src/jobs.lib/followers_test.cpp
@@ -5,8 +5,8 @@
 /// A leader's followers.
 ///
 /// Guards against a leader whose processor time grows with the square of the number of
-/// nodes: each node's heartbeats are a constant number a second, and each of them walked all
-/// followers, for their promises, for the most powerful one and for a successor.
+/// nodes: each node's heartbeats are a constant number a second, and each of them walked
+/// all followers, for their promises, for the most powerful one and for a successor.
 
 #define BOOST_TEST_MODULE followers
 #include <boost/test/unit_test.hpp>
--- a/src/jobs.lib/head_log.cpp
+++ b/src/jobs.lib/head_log.cpp
@@ -290,8 +290,8 @@
     // silent ones go before those that may get orders early.
     const size_t inherited = list_bytes(m_owner.unrecorded_workers(false, 0));
     SilentWorkers silent = m_owner.silent_workers();
-    silent.truncate_to(
-        std::min(max_silent_bytes, m_max_list_bytes - std::min(m_max_list_bytes, inherited)));
+    silent.truncate_to(std::min(max_silent_bytes,
+                                m_max_list_bytes - std::min(m_max_list_bytes, inherited)));
     m_head.silent = silent.rounded();
     const size_t silent_bytes = list_bytes(m_head.silent);
     m_head.unrecorded_task_workers = m_owner.unrecorded_workers(
@@ -360,10 +360,11 @@
 // Its rows are divided until the faulty one is alone, and that one is set aside.
 void HeadLog::rejected()
 {
-    log_event(LogLevel::error, "log_write_rejected",
-              { { "epoch", m_head.epoch },
-                { "rows", static_cast<int64_t>(m_in_flight.size()) },
-                { "head_bytes", static_cast<int64_t>(m_write.puts.front().value.size()) } });
+    log_event(
+        LogLevel::error, "log_write_rejected",
+        { { "epoch", m_head.epoch },
+          { "rows", static_cast<int64_t>(m_in_flight.size()) },
+          { "head_bytes", static_cast<int64_t>(m_write.puts.front().value.size()) } });
     m_pending_write = false;
     m_head = m_head_before;
     m_prepared = m_committed;
--- a/src/jobs.lib/job_node.cpp
+++ b/src/jobs.lib/job_node.cpp
@@ -282,9 +282,8 @@
     if (m_context.loop.now() - m_elected_at > unheard_peer_time)
         m_unheard_peers.clear();
     std::vector<std::string> addresses(m_unheard_peers.begin(), m_unheard_peers.end());
-    m_followers.for_each([&](const std::string& address, const Follower&) {
-        addresses.push_back(address);
-    });
+    m_followers.for_each(
+        [&](const std::string& address, const Follower&) { addresses.push_back(address); });
     addresses.push_back(m_setup.peer_address);
     m_peers.set(std::move(addresses));
 }
--- a/src/jobs.lib/job_node_impl.h
+++ b/src/jobs.lib/job_node_impl.h
@@ -59,7 +59,10 @@
         return m_configuration.current();
     }
     const ConfigurationTracker& tracker() const { return m_configuration; }
-    std::shared_ptr<const DrainedDomains> drains() const { return m_configuration.drains(); }
+    std::shared_ptr<const DrainedDomains> drains() const
+    {
+        return m_configuration.drains();
+    }
     void on_configuration(std::function<void(const Configuration&)> listener)
     {
         m_configuration.on_applied(std::move(listener));
--- a/src/jobs.lib/peer_list.cpp
+++ b/src/jobs.lib/peer_list.cpp
@@ -45,8 +45,8 @@
     addresses.erase(std::unique(addresses.begin(), addresses.end()), addresses.end());
     if (addresses == m_addresses)
         return;
-    m_changes.push_back({ m_hash, difference(addresses, m_addresses),
-                          difference(m_addresses, addresses) });
+    m_changes.push_back(
+        { m_hash, difference(addresses, m_addresses), difference(m_addresses, addresses) });
     if (m_changes.size() > max_changes)
         m_changes.pop_front();
     m_addresses = std::move(addresses);
@@ -86,8 +86,8 @@
 
 bool PeerList::apply(const PeerListUpdate& update)
 {
-    Addresses addresses = update.full ? update.added
-                                      : difference(m_addresses, update.removed);
+    Addresses addresses
+        = update.full ? update.added : difference(m_addresses, update.removed);
     if (!update.full)
         addresses.insert(addresses.end(), update.added.begin(), update.added.end());
     set(std::move(addresses));
--- a/src/jobs.lib/peer_list.h
+++ b/src/jobs.lib/peer_list.h
@@ -17,8 +17,8 @@
 namespace pathport::jobs {
 
 /// A list of nodes' addresses, identified by a hash of its content. A node tells the hash
-/// of its list with each heartbeat, and the leader answers with what differs: the whole list
-/// for each change would be as many bytes as the square of the number of nodes.
+/// of its list with each heartbeat, and the leader answers with what differs: the whole
+/// list for each change would be as many bytes as the square of the number of nodes.
 class PeerList {
 public:
     /// Returns the addresses in ascending order.
--- a/src/jobs.lib/relayed_directory.cpp
+++ b/src/jobs.lib/relayed_directory.cpp
@@ -79,14 +79,14 @@
     done(std::move(list_answer));
 }
 
-void RelayedDirectory::read_configuration(
-    Millis timeout, std::function<void(OperatorAnswer)> done)
+void RelayedDirectory::read_configuration(Millis timeout,
+                                          std::function<void(OperatorAnswer)> done)
 {
     m_direct.read_configuration(timeout, std::move(done));
 }
 
-void RelayedDirectory::watch_configuration(
-    int64_t version, Millis wait, std::function<void(OperatorAnswer)> done)
+void RelayedDirectory::watch_configuration(int64_t version, Millis wait,
+                                           std::function<void(OperatorAnswer)> done)
 {
     m_direct.watch_configuration(version, wait, std::move(done));
 }
--- a/src/jobs.lib/relayed_directory.h
+++ b/src/jobs.lib/relayed_directory.h
@@ -33,11 +33,10 @@
     void read_workers(
         Millis timeout,
         std::function<void(DirectoryAnswer<std::vector<WorkerInfo>>)> done) override;
-    void
-    read_configuration(Millis timeout, std::function<void(OperatorAnswer)> done) override;
-    void
-    watch_configuration(int64_t version, Millis wait,
-                        std::function<void(OperatorAnswer)> done) override;
+    void read_configuration(Millis timeout,
+                            std::function<void(OperatorAnswer)> done) override;
+    void watch_configuration(int64_t version, Millis wait,
+                             std::function<void(OperatorAnswer)> done) override;
 
 private:
     void changes_received(
--- a/src/jobs.lib/scheduler.h
+++ b/src/jobs.lib/scheduler.h
@@ -19,6 +19,7 @@
 #include "store_clock.h"
 #include "wait_log_limiter.h"
 #include "worker_load.h"
+#include "worker_losses.h"
 #include "worker_session.h"
 
 #include <pathport/callers/job_budget.h>
@@ -151,31 +152,6 @@
         JobState state = JobState::completed;
         std::string workspace;
     };
-    /// A run that was on a worker when the worker was lost.
-    struct LostRun {
-        TaskId task;
-        int64_t run = 0;
-        /// The run is known to have existed for this long; empty if an earlier leader
-        /// started it.
-        std::optional<Millis> known_runtime;
-    };
-    /// How a worker was lost.
-    enum class Loss {
-        crash, ///< Replaced by another incarnation, or nothing listens at its address.
-        silence, ///< No answers; it may be partitioned.
-    };
-    /// The loss of a worker where no likely suspect ran.
-    struct UnattributedLoss {
-        Millis at;
-        bool explained = false; ///< It is one of several losses of the same task.
-    };
-    /// Runs on a worker whose lease lapsed.
-    struct LapsedRuns {
-        std::vector<LostRun> runs;
-        Loss loss = Loss::silence;
-        bool attributed = false; ///< The loss has been recorded against their tasks.
-        Millis at;
-    };
     /// A worker and the tasks placed on it.
     struct Worker {
         std::unique_ptr<WorkerSession> session;
@@ -331,6 +307,11 @@
     void note_session_end(const WorkerSession& session, Millis expires_at);
     void note_unlisted();
 
+    // Workers that get no new tasks (scheduler_drains.cpp).
+    bool accepts_tasks(const Worker& worker) const;
+    bool is_domain_drained(const std::string& domain) const;
+    void refresh_drains();
+
     // Reports (scheduler_reports.cpp, scheduler_reconcile.cpp).
     void record_ends(Worker& worker, const PollReport& report,
                      const std::set<std::string>& changed);
@@ -398,9 +379,6 @@
                                                    int needed);
     PlacementOption option_on(const Worker& worker, const Step& step,
                               const std::string& step_name) const;
-    bool accepts_tasks(const Worker& worker) const;
-    bool is_domain_drained(const std::string& domain) const;
-    void refresh_drains();
     bool is_eligible(const Worker& worker, const JobRecord& job, const Step& step) const;
     WorkerCandidates worker_candidates(const JobRecord& job, const Step& step, int needed);
     static void sort_top(std::vector<WorkerCandidate>& candidates);
--- a/src/jobs.lib/scheduler_crashes.cpp
+++ b/src/jobs.lib/scheduler_crashes.cpp
@@ -61,7 +61,7 @@
 
 // Returns the runs that may be on the worker: all those whose start orders may have
 // arrived.
-std::vector<Scheduler::LostRun> Scheduler::runs_on(const Worker& worker)
+std::vector<LostRun> Scheduler::runs_on(const Worker& worker)
 {
     const std::string& id = worker.session->id();
     std::vector<TaskId> tasks;
@@ -88,7 +88,7 @@
 // Returns the runs on the worker that may have crashed it. A worker that had announced its
 // end left as announced, unless a run had just started: none is started there shortly
 // before an announced end.
-std::vector<Scheduler::LostRun> Scheduler::attributable_runs(const Worker& worker)
+std::vector<LostRun> Scheduler::attributable_runs(const Worker& worker)
 {
     std::vector<LostRun> runs = runs_on(worker);
     if (worker.session->info().draining) {
@@ -380,8 +380,8 @@
 
 // Removes the losses recorded for a worker whose lease lapsed. Returns the runs whose
 // losses were recorded.
-std::vector<Scheduler::LostRun> Scheduler::retract_losses(const std::string& worker,
-                                                          const std::vector<LostRun>& runs)
+std::vector<LostRun> Scheduler::retract_losses(const std::string& worker,
+                                               const std::vector<LostRun>& runs)
 {
     std::vector<LostRun> retracted;
     const std::string name = WorkerIncarnation::parse(worker).name;
--- a/src/jobs.lib/version_gossip.cpp
+++ b/src/jobs.lib/version_gossip.cpp
@@ -23,9 +23,10 @@
     message.drains_changed_at = m_configuration.drains()->changed_at();
     if (message.address.empty())
         message.address = m_address;
-    auto note = m_lifetime.wrap([this, address](int64_t version, int64_t drains_changed_at) {
-        m_configuration.note_peer_version(address, version, drains_changed_at);
-    });
+    auto note
+        = m_lifetime.wrap([this, address](int64_t version, int64_t drains_changed_at) {
+              m_configuration.note_peer_version(address, version, drains_changed_at);
+          });
     m_peers.send(address, message, timeout,
                  [note, done = std::move(done)](PeerEnd end, PeerAnswer answer) mutable {
                      note(answer.config_version, answer.drains_changed_at);
--- a/src/jobs.lib/worker_list_feed_test.cpp
+++ b/src/jobs.lib/worker_list_feed_test.cpp
@@ -63,9 +63,8 @@
     std::optional<std::vector<WorkerInfo>> read()
     {
         std::optional<std::vector<WorkerInfo>> list;
-        feed.read(Millis(500), [&](const WorkerListFeed::Answer& answer) {
-            list = answer.value;
-        });
+        feed.read(Millis(500),
+                  [&](const WorkerListFeed::Answer& answer) { list = answer.value; });
         world.run_for(Millis(3000));
         return list;
     }
