--- a/src/emulator.lib/store.cpp
+++ b/src/emulator.lib/store.cpp
@@ -113,14 +113,10 @@
     }
     result.rows.clear();
     ++m_version;
-    for (const jobs::RowPut& put : write.puts) {
+    for (const jobs::RowPut& put : write.puts)
         m_rows[key(put.id)] = Row { put.value, m_version };
-        m_removed.erase(key(put.id));
-    }
-    for (const jobs::RowKey& row : write.removes) {
-        if (m_rows.erase(key(row)) > 0)
-            m_removed[key(row)] = m_version;
-    }
+    for (const jobs::RowKey& row : write.removes)
+        m_rows.erase(key(row));
     result.status = StoreStatus::ok;
     result.version = m_version;
     return result;
@@ -165,11 +161,6 @@
                                     row.version,
                                     false });
     }
-    for (const auto& [name, removed_at] : m_removed) {
-        if (std::get<0>(name) == table && removed_at > version)
-            result.rows.push_back(
-                { { table, std::get<1>(name), std::get<2>(name) }, {}, removed_at, true });
-    }
     return result;
 }
 
--- a/src/include/pathport/emulator/store.h
+++ b/src/include/pathport/emulator/store.h
@@ -82,7 +82,6 @@
 
     World& m_world;
     std::map<Key, Row> m_rows;
-    std::map<Key, int64_t> m_removed; ///< Versions of removals of rows that are missing.
     int64_t m_version = 0;
     int64_t m_reads = 0;
     int64_t m_history_from = 0;
