--- a/src/jobs.lib/acceptor_test.cpp
+++ b/src/jobs.lib/acceptor_test.cpp
@@ -347,3 +347,26 @@
     BOOST_TEST_MESSAGE("written " << written << " refused " << refused << " in doubt "
                                   << in_doubt);
 }
+
+// Guards against a row that the store will never take and that keeps other jobs of its
+// partition from being accepted.
+BOOST_AUTO_TEST_CASE(rejected_row_is_refused_and_holds_back_no_other)
+{
+    constexpr size_t oversized = 70000;
+    const auto ids = ids_of_one_partition(6);
+    HeldAcceptor cell;
+    cell.port.holds = false;
+    for (size_t i = 0; i < ids.size(); ++i) {
+        const std::string row = i == 2 ? std::string(oversized, 'x') : "row of " + ids[i];
+        cell.acceptor.accept(ids[i], row, "", cell.world.now() + write_time,
+                             [&cell, id = ids[i]](WriteResult result) {
+                                 cell.outcomes[id] = result.outcome;
+                             });
+    }
+    cell.world.run_for(Millis(1000));
+    for (size_t i = 0; i < ids.size(); ++i) {
+        const auto expected = i == 2 ? WriteOutcome::refused : WriteOutcome::written;
+        BOOST_TEST((cell.outcomes.count(ids[i]) > 0 && cell.outcomes[ids[i]] == expected),
+                   "job " << i);
+    }
+}
