Sight: the log tells what a waiting gang lacks

Callers saw that of the largest tenth of a queue of gangs too few were served. The log told for a step that waits how much room its allowed workers have, not whether their tickets hold, whether the room is kept for another step, nor at which of its stages the gang stands.

step_waits has fit_reserved_by_others, tickets, fit_with_tickets, reserved_workers, slack_ms and gang_lacks; the metric pathport_gangs_waiting counts the gangs that wait by what they lack. No decision is changed.

--- a/src/jobs.lib/job_record.h
+++ b/src/jobs.lib/job_record.h
@@ -9,6 +9,7 @@
 
 #include "capacity_table.h"
 #include "crash_record.h"
+#include "gang_wait.h"
 
 #include <pathport/callers/usage_ledger.h>
 #include <pathport/jobs/job_model.h>
@@ -109,6 +110,7 @@
     /// Workers reserved for a gang while it waits for tickets or for tasks to end.
     std::vector<WorkerNumber> reserved_workers;
     Millis reserved_until;
+    GangWait gang_wait = GangWait::none; ///< What it lacked when last tried, if a gang.
     Millis placement_tried_at; ///< When a scheduling pass last tried to place it.
     Millis next_placement_at; ///< Not tried again before this time unless advice arrives.
     Millis wait_logged_at; ///< When the reason for its wait was last logged.
--- a/src/jobs.lib/scheduler.h
+++ b/src/jobs.lib/scheduler.h
@@ -398,7 +398,7 @@
                          int needed, bool capacity_free);
     bool tickets_outlast_preemption(const Step& step,
                                     const std::vector<WorkerCandidate>& workers) const;
-    void prepare_gang(const JobRecord& job, Step& step, int needed);
+    GangWait prepare_gang(const JobRecord& job, Step& step, int needed);
     bool preempt_for(const JobRecord& job, const Step& step,
                      const std::vector<WorkerCandidate>& reserved_workers, int needed);
     bool may_preempt(const JobRecord& job) const;
--- a/src/jobs.lib/scheduler_gangs.cpp
+++ b/src/jobs.lib/scheduler_gangs.cpp
@@ -70,15 +70,17 @@
 
 // Prepares a gang that lacks capacity, tickets or verdicts. Verdicts are requested at once.
 // Once the allowed workers suffice they are reserved against later steps; tickets are
-// requested only when the capacity is free.
-void Scheduler::prepare_gang(const JobRecord& job, Step& step, int needed)
+// requested only when the capacity is free. Returns what the gang lacks.
+GangWait Scheduler::prepare_gang(const JobRecord& job, Step& step, int needed)
 {
     const bool advised = job.accepted().queue.advice.has_value();
-    if (step.advice.asking || m_pass_begun < step.advice.retry_at)
-        return;
+    if (step.advice.asking)
+        return GangWait::answer;
+    if (m_pass_begun < step.advice.retry_at)
+        return GangWait::retry_delay;
     const bool first_query = advised && step.advice.workers.empty();
     if (!first_query && ++m_gangs_prepared > max_gangs_prepared)
-        return;
+        return GangWait::turn;
     WorkerCandidates found = worker_candidates(job, step, needed);
     const bool capacity_free = found.fit >= needed;
     const bool waited_long = m_pass_begun - step.advice.verdicts_at > verdict_wait;
@@ -86,31 +88,32 @@
         = !found.unasked.empty() && (found.potential_fit < needed || waited_long);
     if (!capacity_free && advised && (first_query || lacks_verdicts)) {
         ask_about(job, step, needed, found, found.unasked);
-        return;
+        return GangWait::verdicts;
     }
     // The capacity would suffice with workers whose refusal may have been lifted.
     const bool refused_suffice = found.fit + found.refused_fit >= needed;
     if (advised && found.potential_fit < needed && refused_suffice) {
         ask_about(job, step, needed, found, found.refused);
-        return;
+        return GangWait::verdicts;
     }
     // If all allowed workers are not enough, reserving them would benefit no step.
     if (found.potential_fit < needed) {
         step.advice.retry_at = m_pass_begun + no_capacity_delay;
-        return;
+        return GangWait::allowed_capacity;
     }
     const bool chosen = choose_for_gang(step, found.allowed, needed, capacity_free);
     if (!capacity_free && !(chosen && preempt_for(job, step, found.allowed, needed))) {
         extend_reservation(step, found.allowed, reservation_until_retry);
-        return;
+        return chosen ? GangWait::running_tasks : GangWait::reservation;
     }
     if (!advised || tickets_outlast_preemption(step, found.allowed)) {
         extend_reservation(step, found.allowed, min_ticket_lifetime());
-        return;
+        return GangWait::preemption;
     }
     ask(job, step, worker_numbers(found.allowed));
     if (step.advice.asking)
         extend_reservation(step, found.allowed, max_advice_wait);
+    return GangWait::tickets;
 }
 
 // Reserves workers for the gang, those with the most capacity first, and removes all others
--- a/src/jobs.lib/scheduler_pass.cpp
+++ b/src/jobs.lib/scheduler_pass.cpp
@@ -430,7 +430,7 @@
     if (job.rank() > 0)
         step.next_placement_at = m_pass_begun + capacity_retry_interval;
     if (step.spec->gang && fit < needed) {
-        prepare_gang(job, step, needed);
+        step.gang_wait = prepare_gang(job, step, needed);
         return;
     }
     if (preferred_fit < needed && !step.spec->gang && job.accepted().queue.advice)
@@ -443,6 +443,7 @@
     if (assignments.empty())
         return;
     step.next_placement_at = Millis(0);
+    step.gang_wait = GangWait::none;
     record_intent(job, step, step.waiting_tasks(!separates_suspects), assignments);
 }
 
@@ -456,6 +457,9 @@
     int eligible = 0;
     int allowed = 0;
     int fit = 0;
+    int tickets = 0;
+    int fit_with_tickets = 0;
+    int fit_reserved_by_others = 0;
     for (const auto& [id, worker] : m_workers) {
         if (!is_eligible(worker, job, step))
             continue;
@@ -464,7 +468,13 @@
         if (known == step.advice.workers.end() || !known->second.allowed)
             continue;
         ++allowed;
-        fit += tasks_that_fit(*step.spec, option_on(worker, step, step.name(job.id())));
+        const int here
+            = tasks_that_fit(*step.spec, option_on(worker, step, step.name(job.id())));
+        const bool available = m_capacity_table.row(worker.number).available_to(step);
+        fit += here;
+        fit_reserved_by_others += available ? 0 : here;
+        tickets += known->second.holds(now) ? 1 : 0;
+        fit_with_tickets += available && known->second.holds(now) ? here : 0;
     }
     log_event(
         LogLevel::info, "step_waits",
@@ -476,6 +486,12 @@
           { "asked", static_cast<int64_t>(step.advice.workers.size()) },
           { "allowed", allowed },
           { "fit", fit },
+          { "fit_reserved_by_others", fit_reserved_by_others },
+          { "tickets", tickets },
+          { "fit_with_tickets", fit_with_tickets },
+          { "reserved_workers", static_cast<int64_t>(step.reserved_workers.size()) },
+          { "gang_lacks", std::string(to_string(step.gang_wait)) },
+          { "slack_ms", slack_ms(*m_jobs.at(job.id()), m_context.store_clock_ms()) },
           { "suspected", step.count(TaskPhase::waiting) - step.unsuspected_waiting() },
           { "workspace", job.accepted().workspace },
           { "at_bound", step.at_bound ? "yes" : "no" },
--- a/src/jobs.lib/scheduler_tick.cpp
+++ b/src/jobs.lib/scheduler_tick.cpp
@@ -72,7 +72,7 @@
         taken += worker.load.used().cpu_millis;
     }
     int64_t waiting = 0;
-    int64_t waiting_gangs = 0;
+    std::map<GangWait, int64_t> waiting_gangs;
     for (auto& [id, job] : m_jobs) {
         for (auto& [number, repeat] : job->repeats()) {
             for (Step& step : repeat.steps) {
@@ -80,10 +80,17 @@
                 if (count == 0 || job->closed() || !job->dependencies_met(step))
                     continue;
                 waiting += count;
-                waiting_gangs += step.spec->gang ? 1 : 0;
+                if (step.spec->gang)
+                    ++waiting_gangs[step.gang_wait];
             }
         }
     }
+    int64_t all_waiting_gangs = 0;
+    for (const GangWait lack : all_gang_waits) {
+        all_waiting_gangs += waiting_gangs[lack];
+        m_context.metrics.set("pathport_gangs_waiting", double(waiting_gangs[lack]),
+                              { { "lacks", std::string(to_string(lack)) } });
+    }
     const AdviceBacklog advice = m_context.advice.backlog();
     log_event(LogLevel::info, "load",
               { { "epoch", m_claim.head.epoch },
@@ -97,7 +104,7 @@
                 { "steps_left", m_load_counts.steps_left },
                 { "answers_missing", m_load_counts.answers_missing },
                 { "waiting_tasks", waiting },
-                { "waiting_gangs", waiting_gangs },
+                { "waiting_gangs", all_waiting_gangs },
                 { "advice_fast", advice.fast },
                 { "advice_medium", advice.medium },
                 { "advice_slow", advice.slow },
