Gangs: tickets and verdicts for more workers than one query may name

Callers saw that of the largest tenth of a queue of gangs too few were served. A query names 100 workers at most and a ticket lasts 2 s. A gang of 165 tasks in a full cell needs some 200 workers: it asked for tickets for the first 100 it had chosen, each time the same ones, and about verdicts on 1,100 workers in ten rounds of a second each, while its slack of some 6 s ran out.

The workers that a gang has to ask about are divided into equal queries that go out at once through different callers; a renewal names only chosen workers whose tickets will not be valid when the answer arrives. A gang that 100 workers suffice for, were the less urgent tasks there to end, asks as before.

wide_gangs_test fails without it: a gang of 120 tasks, and one of 240, whose tickets expire while the cell is full never starts afterwards. The emulator's advisor records a violation when more than 100 workers are named.

Ruled out: asking for all gangs about as many workers as would suffice on average.

--- a/src/emulator.lib/worker_port.cpp
+++ b/src/emulator.lib/worker_port.cpp
@@ -15,6 +15,8 @@
 
 /// Interval at which a waiting poll checks for ended runs.
 constexpr Millis poll_interval { 10 };
+/// Workers that one query to the advisor may name.
+constexpr size_t max_workers_in_advice = 100;
 
 } // namespace
 
@@ -287,6 +289,9 @@
         deliver(timeout, [done] { done(std::nullopt); });
         return;
     }
+    if (workers.size() > max_workers_in_advice)
+        m_workers.note_violation("advice: " + std::to_string(workers.size())
+                                 + " workers named for " + step);
     std::vector<jobs::WorkerTicket> tickets;
     ++m_workers.m_advice_requests;
     const Millis now = m_loop.world().now();
--- a/src/jobs.lib/job_record.h
+++ b/src/jobs.lib/job_record.h
@@ -81,11 +81,14 @@
     /// Workers that are missing have not been queried. Each scheduling pass reads the
     /// entries of all waiting steps, so they are stored contiguously.
     boost::container::flat_map<WorkerNumber, Permission> workers;
-    bool asking = false;
+    int queries_in_progress = 0; ///< Sent at once, each about a part of the workers.
+    bool has_news = false; ///< One of them has returned a new verdict.
     Millis verdicts_at; ///< When the last new verdicts were received.
     Millis tickets_until; ///< All tickets have expired by this time.
     Millis retry_at; ///< No query before this time.
     int unhelpful_answers = 0; ///< Consecutive answers that did not lead to a placement.
+
+    bool asking() const { return queries_in_progress > 0; }
 };
 
 /// One step of one repeat of a job.
--- a/src/jobs.lib/scheduler.h
+++ b/src/jobs.lib/scheduler.h
@@ -396,6 +396,9 @@
     Millis min_ticket_lifetime() const;
     bool choose_for_gang(const Step& step, std::vector<WorkerCandidate>& allowed,
                          int needed, bool capacity_free);
+    static std::vector<WorkerNumber>
+    without_ticket_until(const Step& step, const std::vector<WorkerCandidate>& workers,
+                         Millis until);
     bool tickets_outlast_preemption(const Step& step,
                                     const std::vector<WorkerCandidate>& workers) const;
     GangWait prepare_gang(const JobRecord& job, Step& step, int needed);
@@ -406,8 +409,7 @@
                                  int needed);
     std::vector<Victim> victims_on(const Worker& worker, int priority);
     void ask_about(const JobRecord& job, Step& step, int needed,
-                   const WorkerCandidates& found,
-                   const std::vector<WorkerCandidate>& unknown);
+                   const WorkerCandidates& found, std::vector<WorkerCandidate> unknown);
     void note_query_cost(const AdviceQuery& query);
     bool apply_advice(StepAdvice& advice, const std::vector<WorkerNumber>& asked,
                       const std::vector<WorkerTicket>& tickets, Millis now, Millis expires);
@@ -415,6 +417,9 @@
     static int min_workers_to_ask(const JobRecord& job, const Step& step);
     bool advice_queue_full(const JobRecord& job) const;
     void ask(const JobRecord& job, Step& step, std::vector<WorkerNumber> workers);
+    static Millis longest_answer_time(const JobRecord& job);
+    void send_query(const JobRecord& job, Step& step, std::vector<WorkerNumber> workers);
+    static void set_retry_delay(StepAdvice& advice, Millis now);
     void log_wait_reason(const JobRecord& job, Step& step, Millis now);
     void advice_received(const std::string& job, int repeat, int step,
                          const std::vector<WorkerNumber>& asked, Millis asked_at,
--- a/src/jobs.lib/scheduler_advice.cpp
+++ b/src/jobs.lib/scheduler_advice.cpp
@@ -48,7 +48,7 @@
 constexpr int min_asked = 10;
 constexpr int min_asked_for_gang = 30;
 constexpr double worker_share_of_decision = 0.5;
-constexpr int max_asked = 100;
+constexpr size_t max_asked = 100;
 /// Factor on the capacity needed on average, since the advisor's choice varies.
 constexpr double capacity_factor = 1.5;
 constexpr double initial_allowed_share = 0.5;
@@ -73,11 +73,9 @@
 Scheduler::worker_numbers(const std::vector<WorkerCandidate>& candidates)
 {
     std::vector<WorkerNumber> workers;
-    for (const WorkerCandidate& candidate : candidates) {
-        if (workers.size() >= size_t(max_asked))
-            break;
+    workers.reserve(candidates.size());
+    for (const WorkerCandidate& candidate : candidates)
         workers.push_back(candidate.worker->number);
-    }
     return workers;
 }
 
@@ -85,8 +83,7 @@
 // names at most a hundred, so the rest stay unsorted.
 void Scheduler::sort_top(std::vector<WorkerCandidate>& candidates)
 {
-    const auto best
-        = static_cast<std::ptrdiff_t>(std::min(candidates.size(), size_t(max_asked)));
+    const auto best = static_cast<std::ptrdiff_t>(std::min(candidates.size(), max_asked));
     std::partial_sort(candidates.begin(), candidates.begin() + best, candidates.end(),
                       is_better_candidate);
 }
@@ -171,6 +168,14 @@
     return found;
 }
 
+// Returns how long the advisor takes for a query about as many workers as one may name.
+Millis Scheduler::longest_answer_time(const JobRecord& job)
+{
+    const AdviceRule& rule = *job.accepted().queue.advice;
+    return Millis(
+        static_cast<int64_t>(rule.decision_ms + rule.per_worker_ms * double(max_asked)));
+}
+
 int Scheduler::min_workers_to_ask(const JobRecord& job, const Step& step)
 {
     const Queue& queue = job.accepted().queue;
@@ -180,30 +185,41 @@
         return min_asked;
     const double named = worker_share_of_decision * queue.advice->decision_ms
         / queue.advice->per_worker_ms;
-    return std::clamp(static_cast<int>(named), min_asked, max_asked);
+    return std::clamp(static_cast<int>(named), min_asked, int(max_asked));
 }
 
 // Asks about workers whose verdict is unknown or may have changed, so many that those
 // allowed should suffice. Capacity that becomes free when lower-priority tasks end counts
-// half.
+// half. More than one query names are asked about only for a gang that the others would not
+// suffice for even then.
 void Scheduler::ask_about(const JobRecord& job, Step& step, int needed,
                           const WorkerCandidates& found,
-                          const std::vector<WorkerCandidate>& unknown)
+                          std::vector<WorkerCandidate> unknown)
 {
+    if (advice_queue_full(job))
+        return;
+    if (step.spec->gang)
+        std::sort(unknown.begin(), unknown.end(), is_better_candidate);
     const double share
         = m_allowed_share.try_emplace(job.accepted().queue.name, initial_allowed_share)
               .first->second;
     double expected = 0.5 * (found.fit + found.potential_fit);
-    const int least = min_workers_to_ask(job, step);
-    std::vector<WorkerCandidate> chosen;
+    double expected_potential = found.potential_fit;
+    const auto least = static_cast<size_t>(min_workers_to_ask(job, step));
+    size_t chosen = 0;
+    bool one_query_suffices = true;
     for (const WorkerCandidate& candidate : unknown) {
-        const bool enough = expected >= capacity_factor * needed;
-        if (enough && chosen.size() >= size_t(least))
+        const bool enough = expected >= capacity_factor * needed && chosen >= least;
+        if (chosen == max_asked)
+            one_query_suffices = !step.spec->gang || expected_potential >= needed;
+        if (enough || (chosen >= max_asked && one_query_suffices))
             break;
         expected += share * 0.5 * (candidate.fit + candidate.potential_fit);
-        chosen.push_back(candidate);
+        expected_potential += share * candidate.potential_fit;
+        ++chosen;
     }
-    ask(job, step, worker_numbers(chosen));
+    unknown.resize(chosen);
+    ask(job, step, worker_numbers(unknown));
 }
 
 // For tasks that need not start together: asks again about allowed workers if they have
@@ -211,7 +227,8 @@
 // refused ones.
 void Scheduler::ask_for_independent(const JobRecord& job, Step& step, int needed)
 {
-    if (step.advice.asking || m_pass_begun < step.advice.retry_at || advice_queue_full(job))
+    if (step.advice.asking() || m_pass_begun < step.advice.retry_at
+        || advice_queue_full(job))
         return;
     WorkerCandidates found = worker_candidates(job, step, needed);
     const bool first_query = step.advice.workers.empty();
@@ -254,6 +271,9 @@
     smoothed += cost_learning_rate * (cost - smoothed);
 }
 
+// Asks about these workers. For a gang, more than one query may name are divided into equal
+// parts and all queries are sent at once: a gang needs valid tickets for all its workers at
+// the same time, and they would expire one after another.
 void Scheduler::ask(const JobRecord& job, Step& step, std::vector<WorkerNumber> workers)
 {
     const Millis now = m_pass_begun;
@@ -263,6 +283,20 @@
     }
     if (now < step.advice.retry_at || advice_queue_full(job))
         return;
+    if (!step.spec->gang && workers.size() > max_asked)
+        workers.resize(max_asked);
+    const size_t parts = (workers.size() + max_asked - 1) / max_asked;
+    step.advice.has_news = false;
+    for (size_t part = 0; part < parts; ++part) {
+        const auto begin = static_cast<std::ptrdiff_t>(workers.size() * part / parts);
+        const auto end = static_cast<std::ptrdiff_t>(workers.size() * (part + 1) / parts);
+        send_query(job, step, { workers.begin() + begin, workers.begin() + end });
+    }
+}
+
+void Scheduler::send_query(const JobRecord& job, Step& step,
+                           std::vector<WorkerNumber> workers)
+{
     AdviceQuery query;
     query.queue = job.accepted().queue.name;
     query.step = step.name(job.id());
@@ -271,13 +305,13 @@
     query.rule = *job.accepted().queue.advice;
     query.priority = job.accepted().queue.priority;
     query.waiting_since = step.idle_since;
-    step.advice.asking = true;
+    ++step.advice.queries_in_progress;
     note_query_cost(query);
-    auto on_reply
-        = m_lifetime.wrap([this, id = job.id(), repeat = step.repeat, index = step.index,
-                           asked = std::move(workers), now](const AdviceReply& reply) {
-              advice_received(id, repeat, index, asked, now, reply);
-          });
+    auto on_reply = m_lifetime.wrap([this, id = job.id(), repeat = step.repeat,
+                                     index = step.index, asked = std::move(workers),
+                                     asked_at = m_pass_begun](const AdviceReply& reply) {
+        advice_received(id, repeat, index, asked, asked_at, reply);
+    });
     m_context.advice.ask(std::move(query), std::move(on_reply));
 }
 
@@ -315,6 +349,18 @@
     return has_news;
 }
 
+// Tickets with which nothing could be placed are not requested again at once.
+void Scheduler::set_retry_delay(StepAdvice& advice, Millis now)
+{
+    if (advice.has_news) {
+        advice.retry_at = Millis(0);
+        advice.unhelpful_answers = 0;
+        return;
+    }
+    advice.retry_at = now + Millis(no_news_delay.count() << advice.unhelpful_answers);
+    advice.unhelpful_answers = std::min(advice.unhelpful_answers + 1, max_delay_doublings);
+}
+
 void Scheduler::advice_received(const std::string& id, int repeat, int index,
                                 const std::vector<WorkerNumber>& asked, Millis asked_at,
                                 const AdviceReply& reply)
@@ -324,9 +370,11 @@
     if (step == nullptr)
         return;
     const Millis now = m_context.loop.now();
-    step->advice.asking = false;
-    step->reserved_until = std::min(
-        step->reserved_until, now + m_context.bounds.kill_grace + reservation_after_answer);
+    const bool last = --step->advice.queries_in_progress == 0;
+    if (last)
+        step->reserved_until
+            = std::min(step->reserved_until,
+                       now + m_context.bounds.kill_grace + reservation_after_answer);
     if (!reply.tickets) {
         step->advice.retry_at = now + no_answer_delay;
         return;
@@ -335,12 +383,9 @@
     const bool has_news = apply_advice(step->advice, asked, *reply.tickets, now,
                                        now + valid - ticket_margin);
     step->next_placement_at = Millis(0);
-    // Tickets with which nothing could be placed are not requested again at once.
-    step->advice.retry_at = has_news
-        ? Millis(0)
-        : now + Millis(no_news_delay.count() << step->advice.unhelpful_answers);
-    step->advice.unhelpful_answers
-        = has_news ? 0 : std::min(step->advice.unhelpful_answers + 1, max_delay_doublings);
+    step->advice.has_news = step->advice.has_news || has_news;
+    if (last)
+        set_retry_delay(step->advice, now);
     double& share = m_allowed_share[job->accepted().queue.name];
     const double seen = double(reply.tickets->size()) / double(asked.size());
     if (has_news)
--- a/src/jobs.lib/scheduler_gangs.cpp
+++ b/src/jobs.lib/scheduler_gangs.cpp
@@ -27,7 +27,8 @@
 /// tried again (every 20 ms, plus a long pass in between). Passes are more frequent, and
 /// the lower-priority steps of each would take the capacity that has become free.
 constexpr Millis reservation_until_retry { 60 };
-
+/// Workers that stay reserved for a step from one pass to the next.
+constexpr size_t max_kept_workers = 100;
 } // namespace
 
 void Scheduler::reserve(Worker& worker, const Step& step)
@@ -65,6 +66,8 @@
                                    Millis span)
 {
     step.reserved_workers = worker_numbers(workers);
+    if (step.reserved_workers.size() > max_kept_workers)
+        step.reserved_workers.resize(max_kept_workers);
     step.reserved_until = m_pass_begun + span;
 }
 
@@ -74,7 +77,7 @@
 GangWait Scheduler::prepare_gang(const JobRecord& job, Step& step, int needed)
 {
     const bool advised = job.accepted().queue.advice.has_value();
-    if (step.advice.asking)
+    if (step.advice.asking())
         return GangWait::answer;
     if (m_pass_begun < step.advice.retry_at)
         return GangWait::retry_delay;
@@ -110,8 +113,11 @@
         extend_reservation(step, found.allowed, min_ticket_lifetime());
         return GangWait::preemption;
     }
-    ask(job, step, worker_numbers(found.allowed));
-    if (step.advice.asking)
+    // The other tickets have to be valid when the answer arrives.
+    const Millis answered_at = m_pass_begun + longest_answer_time(job);
+    ask(job, step,
+        without_ticket_until(step, found.allowed, answered_at + min_ticket_lifetime()));
+    if (step.advice.asking())
         extend_reservation(step, found.allowed, max_advice_wait);
     return GangWait::tickets;
 }
@@ -139,12 +145,22 @@
 bool Scheduler::tickets_outlast_preemption(
     const Step& step, const std::vector<WorkerCandidate>& workers) const
 {
-    const Millis until = m_pass_begun + min_ticket_lifetime();
-    return std::all_of(
-        workers.begin(), workers.end(), [&](const WorkerCandidate& candidate) {
-            const auto known = step.advice.workers.find(candidate.worker->number);
-            return known != step.advice.workers.end() && known->second.holds(until);
-        });
+    return without_ticket_until(step, workers, m_pass_begun + min_ticket_lifetime())
+        .empty();
+}
+
+// Returns the workers for which there is no ticket that is valid until then.
+std::vector<WorkerNumber>
+Scheduler::without_ticket_until(const Step& step,
+                                const std::vector<WorkerCandidate>& workers, Millis until)
+{
+    std::vector<WorkerNumber> without;
+    for (const WorkerCandidate& candidate : workers) {
+        const auto known = step.advice.workers.find(candidate.worker->number);
+        if (known == step.advice.workers.end() || !known->second.holds(until))
+            without.push_back(candidate.worker->number);
+    }
+    return without;
 }
 
 } // namespace pathport::jobs
--- a/src/jobs.lib/scheduler_pass.cpp
+++ b/src/jobs.lib/scheduler_pass.cpp
@@ -495,7 +495,7 @@
           { "suspected", step.count(TaskPhase::waiting) - step.unsuspected_waiting() },
           { "workspace", job.accepted().workspace },
           { "at_bound", step.at_bound ? "yes" : "no" },
-          { "asking", step.advice.asking ? "yes" : "no" },
+          { "asking", step.advice.asking() ? "yes" : "no" },
           { "idle_ms", step.idle_since == Millis(0) ? 0 : (now - step.idle_since).count() },
           { "held_back", awaits_unrecorded_runs(job) ? "yes" : "no" } });
 }
--- a/src/jobs.lib/scheduler_preempt.cpp
+++ b/src/jobs.lib/scheduler_preempt.cpp
@@ -91,7 +91,7 @@
     }
     ask(job, step, worker_numbers(allowed));
     extend_reservation(step, allowed,
-                       step.advice.asking ? max_advice_wait : min_ticket_lifetime());
+                       step.advice.asking() ? max_advice_wait : min_ticket_lifetime());
     return true;
 }
 
