Gangs: all reserved workers stay reserved while the gang waits

Callers saw that of the largest tenth of a queue of gangs too few were served. The workers reserved for a gang were kept from one scheduling pass to the next in a list made for queries to the advisor, which ends after 100. Of the 200 that a wide gang had chosen the rest went to quotes, batches and smaller gangs while it waited for its tickets, so it began anew each time.

All of them are kept. wide_gangs_test fails without it: in a full cell of 520 workers a gang of 125 tasks is not done within its deadline.

--- a/src/jobs.lib/scheduler_gangs.cpp
+++ b/src/jobs.lib/scheduler_gangs.cpp
@@ -27,8 +27,6 @@
 /// tried again (every 20 ms, plus a long pass in between). Passes are more frequent, and
 /// the lower-priority steps of each would take the capacity that has become free.
 constexpr Millis reservation_until_retry { 60 };
-/// Workers that stay reserved for a step from one pass to the next.
-constexpr size_t max_kept_workers = 100;
 } // namespace
 
 void Scheduler::reserve(Worker& worker, const Step& step)
@@ -66,8 +64,6 @@
                                    Millis span)
 {
     step.reserved_workers = worker_numbers(workers);
-    if (step.reserved_workers.size() > max_kept_workers)
-        step.reserved_workers.resize(max_kept_workers);
     step.reserved_until = m_pass_begun + span;
 }
 
--- a/src/jobs.lib/wide_gangs_test.cpp
+++ b/src/jobs.lib/wide_gangs_test.cpp
@@ -132,3 +132,15 @@
         BOOST_TEST(gangs.cell.workers.violations().empty());
     }
 }
+
+// Of the workers reserved for a gang only the first 100 stayed reserved while it waited for
+// tickets. Batches and quotes took the rest, so a wider gang never had all of them.
+BOOST_AUTO_TEST_CASE(gang_keeps_all_reserved_workers_while_it_waits_for_tickets)
+{
+    constexpr int width = 125;
+    GangCell gangs(12, 520);
+    gangs.run_with_load(Millis(4000));
+    gangs.submit_gang("advised", "gang", width);
+    gangs.run_with_load(gang_deadline);
+    BOOST_TEST(gangs.done("gang", width));
+}
