Gangs: own reserved workers do not count against the limit again

Callers saw that of the largest tenth of a queue of gangs too few were served. At most a quarter of the workers are reserved for gangs that wait for tasks to end. A gang's own reserved workers were counted as if they were others': once the limit was reached, every gang lost its workers in each other pass, and quotes and batches took them.

A worker that is reserved for the gang already may be chosen again at the limit. wide_gangs_test fails without it: two gangs of 18 tasks in a cell of 120 workers, where 30 may be reserved, are not done within their deadline.

--- a/src/jobs.lib/scheduler_gangs.cpp
+++ b/src/jobs.lib/scheduler_gangs.cpp
@@ -119,20 +119,26 @@
 }
 
 // Reserves workers for the gang, those with the most capacity first, and removes all others
-// from `allowed`. Returns whether they suffice.
+// from `allowed`. Returns whether they suffice. Workers that are already reserved for the
+// gang do not count against the limit a second time.
 bool Scheduler::choose_for_gang(const Step& step, std::vector<WorkerCandidate>& allowed,
                                 int needed, bool capacity_free)
 {
     const size_t max_reserved = std::max<size_t>(1, m_workers.size() / reserved_fraction);
-    size_t used = 0;
+    std::vector<WorkerCandidate> chosen;
     int capacity_reserved = 0;
-    while (used < allowed.size() && capacity_reserved < needed
-           && (capacity_free || m_capacity_table.reserved_count() < max_reserved)) {
-        capacity_reserved
-            += capacity_free ? allowed[used].fit : allowed[used].potential_fit;
-        reserve(*allowed[used++].worker, step);
+    for (const WorkerCandidate& candidate : allowed) {
+        if (capacity_reserved >= needed)
+            break;
+        const WorkerNumber number = candidate.worker->number;
+        const bool is_own = m_capacity_table.row(number).reserved_for == &step;
+        if (!capacity_free && !is_own && m_capacity_table.reserved_count() >= max_reserved)
+            continue;
+        capacity_reserved += capacity_free ? candidate.fit : candidate.potential_fit;
+        reserve(*candidate.worker, step);
+        chosen.push_back(candidate);
     }
-    allowed.resize(used);
+    allowed = std::move(chosen);
     return capacity_reserved >= needed;
 }
 
--- a/src/jobs.lib/wide_gangs_test.cpp
+++ b/src/jobs.lib/wide_gangs_test.cpp
@@ -144,3 +144,18 @@
     gangs.run_with_load(gang_deadline);
     BOOST_TEST(gangs.done("gang", width));
 }
+
+// Two gangs that together need more workers than may be reserved. Each counted its own
+// reserved workers against the limit, so both lost them in every other pass.
+BOOST_AUTO_TEST_CASE(gangs_at_the_reservation_limit_keep_their_workers)
+{
+    constexpr int width = 18;
+    GangCell gangs(3, 120);
+    gangs.run_with_load(Millis(4000));
+    gangs.submit_gang("gangs", "first", width);
+    gangs.submit_gang("gangs", "second", width);
+    gangs.run_with_load(gang_deadline);
+    BOOST_TEST(gangs.done("first", width));
+    gangs.run_with_load(gang_deadline);
+    BOOST_TEST(gangs.done("second", width));
+}
