A suspect starts only on a worker that answers

What callers saw: as before, a good task is given up; of its two last starts one or both never took place.

Cause: a leader notices that a worker is gone after half a second to two seconds. An order sent meanwhile gets no answer. Whether it was carried out can't be told once the worker has restarted, so it counted as a start and as one more loss.

Change: the order of a task with recorded losses waits until its worker has answered a poll that was sent at most 300 ms before the order was due, for at most 1 s; otherwise the start is taken back, since it was not sent.

Measured: suspect_is_not_started_on_a_worker_that_does_not_answer fails without it (1 start for 0).

--- a/src/jobs.lib/scheduler.h
+++ b/src/jobs.lib/scheduler.h
@@ -430,6 +430,8 @@
                        const std::vector<Assignment>& assignments);
     void send_orders(const std::string& job, int repeat, int step, int64_t run,
                      bool recorded);
+    void start_suspect(const TaskId& id, int64_t run, Millis due_at);
+    void withdraw_intent(const TaskId& id, Task& task);
     bool cancellations_known() const;
     void start_task(JobRecord& job, Step& step, int index);
     void note_begun(JobRecord& job);
--- a/src/jobs.lib/scheduler_start.cpp
+++ b/src/jobs.lib/scheduler_start.cpp
@@ -15,6 +15,13 @@
 
 /// A worker is watched after the start of a suspect for at most this long.
 constexpr Millis max_suspect_watch { 5000 };
+/// A suspect is started only on a worker that has answered a poll sent at most this long
+/// before its start was due.
+constexpr Millis max_answer_age { 300 };
+/// How long that answer is waited for: longer than a poll waits for its answer.
+constexpr Millis max_answer_wait { 1000 };
+/// Interval at which it is checked whether the worker has answered.
+constexpr Millis answer_check_interval { 10 };
 
 // Returns whether the cause of a failed start is the worker or the connection to it. Fences
 // and tickets are the leader's responsibility.
@@ -124,11 +131,49 @@
             continue;
         const bool may_precede
             = may_precede_its_record(task) && m_log.may_order_early(task.worker);
-        if (recorded || may_precede)
-            start_task(*job, *step, static_cast<int>(i));
+        const int task_index = static_cast<int>(i);
+        if (recorded && !task.crashes.empty())
+            start_suspect({ id, repeat, index, task_index }, run, m_context.loop.now());
+        else if (recorded || may_precede)
+            start_task(*job, *step, task_index);
     }
 }
 
+// Starts a task with recorded losses, due at `due_at`, once its worker answers. A worker
+// that is gone already would use up one of the few starts left to the task, and its loss
+// would count against the task.
+void Scheduler::start_suspect(const TaskId& id, int64_t run, Millis due_at)
+{
+    JobRecord* job = find_job(id.job);
+    Task* task = job == nullptr ? nullptr : job->task(id);
+    if (task == nullptr || task->phase != TaskPhase::intended || task->run != run)
+        return;
+    Worker* worker = find_worker(task->worker);
+    if (worker == nullptr
+        || worker->session->last_full_report() >= due_at - max_answer_age) {
+        start_task(*job, *job->step(id.repeat, id.step), id.index);
+        return;
+    }
+    if (m_context.loop.now() >= due_at + max_answer_wait) {
+        withdraw_intent(id, *task);
+        return;
+    }
+    worker->session->watch_until(due_at + max_answer_wait);
+    m_context.loop.after(answer_check_interval, m_lifetime.wrap([this, id, run, due_at] {
+        start_suspect(id, run, due_at);
+    }));
+}
+
+// Returns a task to the waiting state whose start order was not sent.
+void Scheduler::withdraw_intent(const TaskId& id, Task& task)
+{
+    if (Worker* worker = find_worker(task.worker))
+        vacate(*worker, id, task.run);
+    task.crashes.note_failed_start();
+    release(task);
+    schedule_pass();
+}
+
 // Returns whether all cancellations up to a short time ago are known. While the store is
 // away they are not, and the record of an intent may be the first answer when it returns.
 bool Scheduler::cancellations_known() const
@@ -154,11 +199,7 @@
         && worker->load.used().fits_in(worker->session->info().capacity);
     if (!has_capacity || job.closed() || !orders_allowed() || !list_is_fresh()
         || !cancellations_known() || !ticket_valid || !is_eligible(*worker, job, step)) {
-        if (worker != nullptr)
-            vacate(*worker, id, task.run);
-        task.crashes.note_failed_start();
-        release(task);
-        schedule_pass();
+        withdraw_intent(id, task);
         return;
     }
     std::string checkpoint = task.checkpoint;
--- a/src/jobs.lib/suspect_starts_test.cpp
+++ b/src/jobs.lib/suspect_starts_test.cpp
@@ -3,8 +3,8 @@
 
 /// \file
 /// A task with which three workers were lost has two starts left. Guards against giving up
-/// a task that crashes nothing, among workers that restart by themselves, because its runs
-/// fail on their own.
+/// a task that crashes nothing, among workers that restart by themselves: because its runs
+/// fail on their own, or because its order goes to a worker that is gone already.
 
 #define BOOST_TEST_MODULE suspect_starts
 #include <boost/test/unit_test.hpp>
@@ -110,3 +110,32 @@
     }
     BOOST_TEST(site.manual_workers.polls.size() >= before + tenths - 2);
 }
+
+// The worker goes down before the order, which the leader has not noticed yet.
+BOOST_AUTO_TEST_CASE(suspect_is_not_started_on_a_worker_that_does_not_answer)
+{
+    AcceptedJob job = job_of("job1");
+    job.spec.steps.push_back(job.spec.steps.front());
+    job.spec.steps.back().after = { 0 };
+    MultiWorkerTakeOver site({ "w1" }, job, {},
+                             [](JobRecord& record) { record_losses(*record.step(0, 1)); });
+    const TaskId suspect { "job1", 0, 1, 0 };
+    site.answer_polls(Millis(500));
+    BOOST_REQUIRE(site.manual_workers.starts.size() == 1U);
+    site.manual_workers.starts.back().done(OrderAnswer { OrderStatus::accepted, 0 });
+    const int64_t run = site.manual_workers.starts.back().order.run;
+    ManualWorkerState& worker = site.worker_states["w1"];
+    worker.running = { running_task(site.task, run) };
+    site.answer_polls(Millis(500));
+    // The poll that waits for the end of the first step was sent 500 ms before it.
+    site.world.run_for(Millis(500));
+    worker.running.clear();
+    worker.ended = { ended_task(1, site.task, run, EndKind::done) };
+    site.answer(site.manual_workers.polls.size() - 1);
+    worker.unresponsive = true;
+    site.answer_polls(Millis(1500));
+    BOOST_TEST(site.count_starts(suspect) == 0U);
+    worker.unresponsive = false;
+    site.answer_polls(Millis(3000));
+    BOOST_TEST(site.count_starts(suspect) == 1U);
+}
--- a/src/jobs.lib/worker_session.cpp
+++ b/src/jobs.lib/worker_session.cpp
@@ -141,6 +141,8 @@
 void WorkerSession::watch_until(Millis until)
 {
     m_watch_until = std::max(m_watch_until, until);
+    if (m_watch_timer == 0 && m_failed_polls == 0)
+        poll(false);
     schedule_watch();
 }
 
