The next leader learns that a run has cleared a task

What callers saw: a task that a run had cleared under one leader is given up by the next.

Cause: a long enough run removed the losses from the leader's memory only; they left the row with the job's next record, at the run's end at the earliest. A leader that was replaced before that took its knowledge along, and the next one can't tell how long the run has existed.

Change: the job is recorded when a run has refuted losses.

--- a/src/jobs.lib/scheduler_crashes.cpp
+++ b/src/jobs.lib/scheduler_crashes.cpp
@@ -449,6 +449,9 @@
     task.crashes.refute(runtime);
     if (step.spec->long_running && runtime > max_clearing_runtime)
         task.crashes.clear();
+    // The next leader knows nothing of this run's length.
+    if (static_cast<int64_t>(task.crashes.size()) < losses)
+        record(job);
     if (!task.crashes.empty())
         return;
     log_event(LogLevel::info, "task_cleared",
--- a/src/jobs.lib/suspect_starts_test.cpp
+++ b/src/jobs.lib/suspect_starts_test.cpp
@@ -4,7 +4,8 @@
 /// \file
 /// A task with which three workers were lost has two starts left. Guards against giving up
 /// a task that crashes nothing, among workers that restart by themselves: because its runs
-/// fail on their own, or because its order goes to a worker that is gone already.
+/// fail on their own, because its order goes to a worker that is gone already, or because
+/// the next leader does not learn that a run has cleared it.
 
 #define BOOST_TEST_MODULE suspect_starts
 #include <boost/test/unit_test.hpp>
@@ -61,8 +62,17 @@
             number, task, manual_workers.starts.back().order.run, EndKind::failed));
         state().running.clear();
     }
+    /// Returns the recorded progress, as the next leader reads it.
+    CrashRecord recorded_crashes();
 };
 
+CrashRecord SuspectSite::recorded_crashes()
+{
+    JobRecord record(job_of("job1"), world.now());
+    BOOST_REQUIRE(record.apply_progress(store.value(progress_row("job1"))));
+    return record.task(task)->crashes;
+}
+
 } // namespace
 
 BOOST_TEST_GLOBAL_FIXTURE(LogFixture);
@@ -139,3 +149,13 @@
     site.answer_polls(Millis(3000));
     BOOST_TEST(site.count_starts(suspect) == 1U);
 }
+
+// The leader is replaced before anything else of the job is recorded.
+BOOST_AUTO_TEST_CASE(next_leader_knows_that_a_run_has_cleared_the_task)
+{
+    SuspectSite site;
+    site.answer_polls(Millis(1000));
+    BOOST_TEST(site.recorded_crashes().size() == 3U);
+    site.answer_polls(Millis(2000));
+    BOOST_TEST(site.recorded_crashes().empty());
+}
