Shortage: order by prospect, victims by cost, claims of advice

Change: shortage.lib decides on the order (in time, at risk, late, worthless; the margin that a job needs at its first start is learned by queue) and on what is stopped; workers are chosen by what can be stopped there; queries leave out capacity that other queries are about; steps that could not ask go first while capacity is short; the advisor's time that leads to starts is counted. Ruled out: precedence for queries with ample capacity as well (scarce_advice_test failed: 1 or 2 jobs stood with one of six nodes left).

--- a/src/include/pathport/jobs/mechanisms.h
+++ b/src/include/pathport/jobs/mechanisms.h
@@ -41,8 +41,15 @@
     strongest_leads, ///< The node with the most processor time leads.
     archive, ///< Closed jobs are moved out of the table that a new leader reads.
     worker_relays, ///< Other nodes relay a busy leader's calls to workers.
+    late_order, ///< Among late jobs the least late goes first; otherwise the latest.
+    headroom, ///< Less urgent work leaves capacity free for more urgent work.
+    /// Preemption chooses workers by what can be stopped there, and stops what costs least.
+    cheapest_victims,
+    /// Jobs that capacity is certain not to suffice for in time are refused.
+    capacity_admission,
+    advice_claims, ///< Queries name only free capacity that no other query is about.
 };
-constexpr size_t mechanism_count = 17;
+constexpr size_t mechanism_count = 22;
 
 /// Returns the name of a mechanism, as used in settings.
 const char* to_string(Mechanism mechanism);
--- a/src/jobs.lib/job_record.h
+++ b/src/jobs.lib/job_record.h
@@ -90,6 +90,11 @@
     Millis tickets_until; ///< All tickets have expired by this time.
     Millis retry_at; ///< No query before this time.
     int unhelpful_answers = 0; ///< Consecutive answers that did not lead to a placement.
+    /// Workers named in the queries in progress.
+    std::vector<WorkerNumber> named;
+    /// The last attempt to ask found enough queries of the queue waiting.
+    bool held_back = false;
+    double unused_ms = 0; ///< Advisor time of the answers since the last placement.
 
     bool asking() const { return queries_in_progress > 0; }
 };
@@ -177,6 +182,8 @@
     /// It was loaded from the store, so an earlier leader may have known it.
     bool loaded = false;
     bool begun = false; ///< A task was started at least once.
+    /// When this leader first started one of its tasks; nothing if an earlier one did.
+    std::optional<Millis> begun_at;
     std::optional<JobState> recorded_state; ///< Final state in its row.
 
     /// Returns the current state, recorded or not.
--- a/src/jobs.lib/mechanisms.cpp
+++ b/src/jobs.lib/mechanisms.cpp
@@ -8,11 +8,12 @@
 namespace {
 
 constexpr const char* mechanism_names[mechanism_count] = {
-    "advice_spread", "advice_shares", "second_choices",  "avoided_workers",
-    "slow_workers",  "slack_order",   "preemption",      "reservations",
-    "early_orders",  "early_reads",   "write_batching",  "learned_timeouts",
-    "short_looks",   "hand_over",     "strongest_leads", "archive",
-    "worker_relays",
+    "advice_spread",      "advice_shares", "second_choices",  "avoided_workers",
+    "slow_workers",       "slack_order",   "preemption",      "reservations",
+    "early_orders",       "early_reads",   "write_batching",  "learned_timeouts",
+    "short_looks",        "hand_over",     "strongest_leads", "archive",
+    "worker_relays",      "late_order",    "headroom",        "cheapest_victims",
+    "capacity_admission", "advice_claims",
 };
 constexpr std::string_view no_names = "none";
 
--- a/src/jobs.lib/scheduler.cpp
+++ b/src/jobs.lib/scheduler.cpp
@@ -226,6 +226,7 @@
     if (spec.best_effort_cpu)
         allocation.need.cpu_millis = 0;
     allocation.priority = job == nullptr ? 0 : job->rank();
+    allocation.stoppable = job != nullptr && is_stoppable(spec);
     allocation.workspace = job == nullptr ? workspace_number_of(task) : job->workspace;
     allocation.charged = spec.need;
     worker.load.add(task, allocation);
--- a/src/jobs.lib/scheduler.h
+++ b/src/jobs.lib/scheduler.h
@@ -7,6 +7,8 @@
 
 #pragma once
 
+#include "advice_account.h"
+#include "advice_claims.h"
 #include "advice_pool.h"
 #include "head_log.h"
 #include "job_feed.h"
@@ -29,6 +31,9 @@
 #include <pathport/jobs/mechanisms.h>
 #include <pathport/jobs/worker_client.h>
 #include <pathport/metrics.h>
+#include <pathport/shortage/prospect.h>
+#include <pathport/shortage/start_margin.h>
+#include <pathport/shortage/victim.h>
 
 #include <deque>
 #include <functional>
@@ -183,6 +188,8 @@
         Worker* worker = nullptr;
         int fit = 0; ///< Tasks of the step that fit in its free capacity.
         int potential_fit = 0; ///< The same if all lower-priority tasks there had ended.
+        /// The same if those of them had ended that may be stopped.
+        int stoppable_fit = 0;
         bool second_choice = false; ///< As in PlacementOption.
         bool slow = false; ///< Slower than others, and the step is urgent.
     };
@@ -197,6 +204,7 @@
         int preferred_fit = 0;
         int fit = 0; ///< Sums over the allowed workers.
         int potential_fit = 0;
+        int stoppable_fit = 0;
     };
     /// A run that can be preempted without losing its progress.
     struct Victim {
@@ -204,18 +212,28 @@
         Task* task = nullptr;
         Resources need;
         bool stopping = false; ///< It has already been told to stop.
+        shortage::VictimCost cost;
     };
     static bool is_better_candidate(const WorkerCandidate& left,
                                     const WorkerCandidate& right);
+    static bool is_more_stoppable(const WorkerCandidate& left,
+                                  const WorkerCandidate& right);
+    static bool is_stoppable(const StepSpec& spec);
     static std::vector<WorkerNumber>
     worker_numbers(const std::vector<WorkerCandidate>& candidates);
 
     /// A step that has tasks to place.
     struct PendingStep {
-        JobRecord* job = nullptr;
-        Step* step = nullptr;
-        int64_t slack_ms = 0;
-        bool late = false; ///< It can no longer meet its deadline.
+        PendingStep(JobRecord* its_job, Step* its_step)
+            : job(its_job)
+            , step(its_step)
+        {
+        }
+
+        JobRecord* job;
+        Step* step;
+        shortage::Deadline deadline;
+        shortage::Prospect prospect = shortage::Prospect::in_time;
         /// It needs advice, has had nothing placed for a long time, and capacity is
         /// available.
         bool overdue = false;
@@ -237,6 +255,7 @@
                                const std::vector<AdviceDemand>& demands) const;
     bool is_overdue(const PendingStep& pending, bool capacity_is_ample);
     double free_share() const;
+    bool capacity_is_ample() const;
     void activate_when_ready();
     void job_row_seen(const StoredRow& row);
     void release_expired_in_doubt();
@@ -371,6 +390,9 @@
     std::vector<PendingStep> pending_steps();
     static int64_t slack_ms(JobRecord& job, int64_t now_ms);
     static int64_t allowed_ms(JobRecord& job);
+    bool is_late(const JobRecord& job) const;
+    shortage::Deadline deadline_of(JobRecord& job, int64_t now_ms) const;
+    void note_completion(JobRecord& job);
     void place(const PendingStep& pending);
     size_t place_until(const std::vector<PendingStep>& waiting, size_t first, Millis end);
     void schedule_recheck();
@@ -397,7 +419,7 @@
                             Millis span);
     Millis min_ticket_lifetime() const;
     bool choose_for_gang(const Step& step, std::vector<WorkerCandidate>& allowed,
-                         int needed, bool capacity_free);
+                         int needed, int WorkerCandidate::*obtainable, bool capacity_free);
     static std::vector<WorkerNumber>
     without_ticket_until(const Step& step, const std::vector<WorkerCandidate>& workers,
                          Millis until);
@@ -410,6 +432,9 @@
     bool preempt_for_independent(const JobRecord& job, Step& step, WorkerCandidates& found,
                                  int needed);
     std::vector<Victim> victims_on(const Worker& worker, int priority);
+    bool ends_soon(const Task& task) const;
+    bool can_stop_enough(const JobRecord& job, const WorkerCandidates& found,
+                         int needed) const;
     void ask_about(const JobRecord& job, Step& step, int needed,
                    const WorkerCandidates& found, std::vector<WorkerCandidate> unknown);
     void note_query_cost(const AdviceQuery& query);
@@ -417,7 +442,19 @@
                       const std::vector<WorkerTicket>& tickets, Millis now, Millis expires);
     void ask_for_independent(const JobRecord& job, Step& step, int needed);
     static int min_workers_to_ask(const JobRecord& job, const Step& step);
-    bool advice_queue_full(const JobRecord& job) const;
+    int free_query_places(const Queue& queue) const;
+    bool hold_back_if_full(const JobRecord& job, Step& step) const;
+    // Claims of queries on free capacity (scheduler_claims.cpp).
+    void collect_claims(const std::vector<PendingStep>& waiting);
+    void claim_for(const JobRecord& job, const Step& step);
+    void advance_held_back(std::vector<PendingStep>& waiting);
+    Resources capacity_to_ask_about(WorkerNumber worker, int rank,
+                                    const Resources& free) const;
+    static double query_cost_ms(const JobRecord& job, size_t workers);
+    void note_advisor_answer(const JobRecord& job, Step& step, size_t workers,
+                             bool answered);
+    void note_advisor_use(const JobRecord& job, Step& step);
+    AdvisorTime advisor_time_since_report();
     void ask(const JobRecord& job, Step& step, std::vector<WorkerNumber> workers);
     static Millis longest_answer_time(const JobRecord& job);
     void send_query(const JobRecord& job, Step& step, std::vector<WorkerNumber> workers);
@@ -547,6 +584,11 @@
     std::map<std::string, double> m_allowed_share;
     /// Smoothed advisor time for one query, by queue.
     std::map<std::string, double> m_query_ms;
+    /// By queue; a new leader learns them anew.
+    std::map<std::string, shortage::StartMargin> m_start_margins;
+    AdviceClaims m_claims; ///< In the current pass.
+    AdviceAccount m_advisor_time;
+    AdvisorTime m_advisor_time_logged; ///< Total when the load was last logged.
     QueueAdmission m_admission;
     callers::UsageLedger m_usage; ///< Running tasks of each workspace.
     std::map<callers::WorkspaceNumber, callers::JobBudget> m_budgets;
--- a/src/jobs.lib/scheduler_advice.cpp
+++ b/src/jobs.lib/scheduler_advice.cpp
@@ -12,6 +12,7 @@
 #include <pathport/log.h>
 
 #include <algorithm>
+#include <limits>
 
 namespace pathport::jobs {
 
@@ -105,6 +106,7 @@
         found.preferred_fit += candidate.second_choice ? 0 : candidate.fit;
         found.fit += candidate.fit;
         found.potential_fit += candidate.potential_fit;
+        found.stoppable_fit += candidate.stoppable_fit;
         found.allowed.push_back(candidate);
     } else if (now >= known->ask_again_at) {
         found.refused_fit += candidate.fit;
@@ -143,9 +145,13 @@
             int most = std::min(needed, row.max_new_tasks);
             if (spec.max_per_worker > 0)
                 most = std::min(most, spec.max_per_worker - worker.load.count_of_step(key));
-            candidate.fit = tasks_that_fit_into(spec, row.free, needed, most);
+            const Resources free
+                = advised ? capacity_to_ask_about(number, priority, row.free) : row.free;
+            candidate.fit = tasks_that_fit_into(spec, free, needed, most);
             const Resources after_ends = row.free + worker.load.used_below(priority);
             candidate.potential_fit = tasks_that_fit_into(spec, after_ends, needed, most);
+            const Resources after_stops = row.free + worker.load.stoppable_below(priority);
+            candidate.stoppable_fit = tasks_that_fit_into(spec, after_stops, needed, most);
         }
         const Permission* permission = &without_advice;
         if (advised) {
@@ -196,7 +202,7 @@
                           const WorkerCandidates& found,
                           std::vector<WorkerCandidate> unknown)
 {
-    if (advice_queue_full(job))
+    if (hold_back_if_full(job, step))
         return;
     if (step.spec->gang)
         std::sort(unknown.begin(), unknown.end(), is_better_candidate);
@@ -227,11 +233,18 @@
 // refused ones.
 void Scheduler::ask_for_independent(const JobRecord& job, Step& step, int needed)
 {
-    if (step.advice.asking() || m_pass_begun < step.advice.retry_at
-        || advice_queue_full(job))
+    if (step.advice.asking() || m_pass_begun < step.advice.retry_at) {
+        step.advice.held_back = false;
+        return;
+    }
+    if (hold_back_if_full(job, step))
         return;
     WorkerCandidates found = worker_candidates(job, step, needed);
-    const bool first_query = step.advice.workers.empty();
+    bool first_query = step.advice.workers.empty();
+    // While other queries are about all free capacity, a step that can't be in time leaves
+    // the advisor to those that can.
+    if (first_query && !m_claims.empty() && !any_fit(found.unasked) && is_late(job))
+        first_query = false;
     if (found.preferred_fit < needed && (first_query || any_fit(found.unasked))) {
         ask_about(job, step, needed, found, found.unasked);
         return;
@@ -256,11 +269,25 @@
 }
 
 // Queries of the most urgent queue are quick and always sent.
-bool Scheduler::advice_queue_full(const JobRecord& job) const
+int Scheduler::free_query_places(const Queue& queue) const
 {
-    const Queue& queue = job.accepted().queue;
-    return queue.priority > 0
-        && m_context.advice.waiting_of(queue.name) >= max_waiting_per_queue;
+    if (queue.priority == 0)
+        return std::numeric_limits<int>::max();
+    const size_t waiting = m_context.advice.waiting_of(queue.name);
+    return static_cast<int>(max_waiting_per_queue)
+        - static_cast<int>(std::min(waiting, max_waiting_per_queue));
+}
+
+// Returns whether the step may not ask now, since enough queries of its queue wait.
+bool Scheduler::hold_back_if_full(const JobRecord& job, Step& step) const
+{
+    step.advice.held_back = free_query_places(job.accepted().queue) == 0;
+    return step.advice.held_back;
+}
+
+bool Scheduler::is_late(const JobRecord& job) const
+{
+    return slack_ms(*m_jobs.at(job.id()), m_context.store_clock_ms()) < 0;
 }
 
 void Scheduler::note_query_cost(const AdviceQuery& query)
@@ -281,17 +308,19 @@
         step.advice.retry_at = now + no_candidate_delay;
         return;
     }
-    if (now < step.advice.retry_at || advice_queue_full(job))
+    if (now < step.advice.retry_at || hold_back_if_full(job, step))
         return;
     if (!step.spec->gang && workers.size() > max_asked)
         workers.resize(max_asked);
     const size_t parts = (workers.size() + max_asked - 1) / max_asked;
     step.advice.has_news = false;
+    step.advice.named.clear();
     for (size_t part = 0; part < parts; ++part) {
         const auto begin = static_cast<std::ptrdiff_t>(workers.size() * part / parts);
         const auto end = static_cast<std::ptrdiff_t>(workers.size() * (part + 1) / parts);
         send_query(job, step, { workers.begin() + begin, workers.begin() + end });
     }
+    claim_for(job, step);
 }
 
 void Scheduler::send_query(const JobRecord& job, Step& step,
@@ -306,6 +335,7 @@
     query.priority = job.accepted().queue.priority;
     query.waiting_since = step.idle_since;
     ++step.advice.queries_in_progress;
+    step.advice.named.insert(step.advice.named.end(), workers.begin(), workers.end());
     note_query_cost(query);
     auto on_reply = m_lifetime.wrap([this, id = job.id(), repeat = step.repeat,
                                      index = step.index, asked = std::move(workers),
@@ -371,6 +401,9 @@
         return;
     const Millis now = m_context.loop.now();
     const bool last = --step->advice.queries_in_progress == 0;
+    note_advisor_answer(*job, *step, asked.size(), reply.tickets.has_value());
+    if (last)
+        step->advice.named.clear();
     if (last)
         step->reserved_until
             = std::min(step->reserved_until,
--- a/src/jobs.lib/scheduler_gangs.cpp
+++ b/src/jobs.lib/scheduler_gangs.cpp
@@ -83,8 +83,9 @@
     WorkerCandidates found = worker_candidates(job, step, needed);
     const bool capacity_free = found.fit >= needed;
     const bool waited_long = m_pass_begun - step.advice.verdicts_at > verdict_wait;
-    const bool lacks_verdicts
-        = !found.unasked.empty() && (found.potential_fit < needed || waited_long);
+    const bool by_stops = !capacity_free && can_stop_enough(job, found, needed);
+    const bool lacks_verdicts = !found.unasked.empty()
+        && (found.potential_fit < needed || (waited_long && !by_stops));
     if (!capacity_free && advised && (first_query || lacks_verdicts)) {
         ask_about(job, step, needed, found, found.unasked);
         return GangWait::verdicts;
@@ -100,7 +101,13 @@
         step.advice.retry_at = m_pass_begun + no_capacity_delay;
         return GangWait::allowed_capacity;
     }
-    const bool chosen = choose_for_gang(step, found.allowed, needed, capacity_free);
+    if (by_stops)
+        std::sort(found.allowed.begin(), found.allowed.end(), is_more_stoppable);
+    const auto obtainable = capacity_free ? &WorkerCandidate::fit
+        : by_stops                        ? &WorkerCandidate::stoppable_fit
+                                          : &WorkerCandidate::potential_fit;
+    const bool chosen
+        = choose_for_gang(step, found.allowed, needed, obtainable, capacity_free);
     if (!capacity_free && !(chosen && preempt_for(job, step, found.allowed, needed))) {
         extend_reservation(step, found.allowed, reservation_until_retry);
         return chosen ? GangWait::running_tasks : GangWait::reservation;
@@ -118,11 +125,12 @@
     return GangWait::tickets;
 }
 
-// Reserves workers for the gang, those with the most capacity first, and removes all others
-// from `allowed`. Returns whether they suffice. Workers that are already reserved for the
-// gang do not count against the limit a second time.
+// Reserves workers for the gang in their order, and removes all others from `allowed`.
+// Returns whether what is `obtainable` on them suffices. Workers that are already reserved
+// for the gang do not count against the limit a second time.
 bool Scheduler::choose_for_gang(const Step& step, std::vector<WorkerCandidate>& allowed,
-                                int needed, bool capacity_free)
+                                int needed, int WorkerCandidate::*obtainable,
+                                bool capacity_free)
 {
     const size_t max_reserved = std::max<size_t>(1, m_workers.size() / reserved_fraction);
     std::vector<WorkerCandidate> chosen;
@@ -134,7 +142,7 @@
         const bool is_own = m_capacity_table.row(number).reserved_for == &step;
         if (!capacity_free && !is_own && m_capacity_table.reserved_count() >= max_reserved)
             continue;
-        capacity_reserved += capacity_free ? candidate.fit : candidate.potential_fit;
+        capacity_reserved += candidate.*obtainable;
         reserve(*candidate.worker, step);
         chosen.push_back(candidate);
     }
--- a/src/jobs.lib/scheduler_jobs.cpp
+++ b/src/jobs.lib/scheduler_jobs.cpp
@@ -112,10 +112,24 @@
     close_if_final(job);
 }
 
+// Learns how long a completed job took from its first start beyond its critical path.
+void Scheduler::note_completion(JobRecord& job)
+{
+    const bool tells_margin = job.begun_at && job.state() == JobState::completed
+        && !job.accepted().spec.has_schedule();
+    if (tells_margin) {
+        const Millis chain(job.longest_chain_ms());
+        m_start_margins[job.accepted().queue.name].note_completion(m_context.loop.now()
+                                                                   - *job.begun_at - chain);
+    }
+    job.begun_at.reset();
+}
+
 void Scheduler::close_if_final(JobRecord& job)
 {
     if (!job.closed() || job.recorded_state)
         return;
+    note_completion(job);
     stop_placed(job);
     const std::string id = job.id();
     record(job, [this, id] { job_recorded(id); });
--- a/src/jobs.lib/scheduler_pass.cpp
+++ b/src/jobs.lib/scheduler_pass.cpp
@@ -84,6 +84,8 @@
     std::vector<PendingStep> waiting = pending_steps();
     m_steps_waiting = waiting.size();
     renew_reservations(waiting);
+    collect_claims(waiting);
+    advance_held_back(waiting);
     // Lower-priority steps tried a moment ago are left to a later pass.
     const auto due
         = std::stable_partition(waiting.begin(), waiting.end(), [begun](const auto& entry) {
@@ -149,23 +151,28 @@
             for (Step& step : repeat.steps) {
                 if (step.count(TaskPhase::waiting) > 0 && job->dependencies_met(step)
                     && (!step.spec->gang || gang_may_be_placed(step)))
-                    found.push_back({ job.get(), &step });
+                    found.emplace_back(job.get(), &step);
             }
         }
     }
     const int64_t now_ms = m_context.store_clock_ms();
-    const bool ample = free_share() > ample_share;
+    const bool ample = capacity_is_ample();
     for (PendingStep& pending : found) {
-        pending.slack_ms = slack_ms(*pending.job, now_ms);
-        pending.late = pending.slack_ms < 0;
+        pending.deadline = deadline_of(*pending.job, now_ms);
+        pending.prospect = shortage::prospect_of(pending.deadline);
         pending.overdue = is_overdue(pending, ample);
     }
     const bool by_slack = uses(Mechanism::slack_order);
-    const auto key = [by_slack](const PendingStep& pending) {
-        const AcceptedJob& job = pending.job->accepted();
-        const int64_t order = by_slack ? pending.slack_ms : job.accepted_ms;
-        return std::make_tuple(pending.job->rank(), !pending.overdue,
-                               by_slack && pending.late,
+    const bool least_late_first = by_slack && uses(Mechanism::late_order);
+    const auto key = [by_slack, least_late_first](const PendingStep& pending) {
+        const shortage::Deadline& deadline = pending.deadline;
+        int group = by_slack && deadline.slack_ms < 0 ? 1 : 0;
+        int64_t order = by_slack ? deadline.slack_ms : deadline.accepted_ms;
+        if (least_late_first && !pending.overdue) {
+            group = static_cast<int>(pending.prospect);
+            order = shortage::order_within(deadline);
+        }
+        return std::make_tuple(pending.job->rank(), !pending.overdue, group,
                                pending.overdue ? pending.step->idle_since.count() : order);
     };
     std::stable_sort(found.begin(), found.end(),
@@ -207,6 +214,11 @@
     return all == 0 ? 0 : double(free) / double(all);
 }
 
+bool Scheduler::capacity_is_ample() const
+{
+    return free_share() > ample_share;
+}
+
 // Returns how long the job can still wait and meet its deadline, by the submitter's
 // estimate of its work; negative if it will be late in any case.
 int64_t Scheduler::slack_ms(JobRecord& job, int64_t now_ms)
@@ -215,6 +227,18 @@
     return due - now_ms - job.remaining_chain_ms();
 }
 
+shortage::Deadline Scheduler::deadline_of(JobRecord& job, int64_t now_ms) const
+{
+    shortage::Deadline deadline;
+    deadline.slack_ms = slack_ms(job, now_ms);
+    deadline.allowed_ms = allowed_ms(job);
+    deadline.accepted_ms = job.accepted().accepted_ms;
+    const auto learned = m_start_margins.find(job.accepted().queue.name);
+    if (!job.begun && learned != m_start_margins.end())
+        deadline.margin_ms = learned->second.margin().count();
+    return deadline;
+}
+
 // Returns the total time the job may take, by the submitter's estimate of its work.
 int64_t Scheduler::allowed_ms(JobRecord& job)
 {
--- a/src/jobs.lib/scheduler_preempt.cpp
+++ b/src/jobs.lib/scheduler_preempt.cpp
@@ -18,14 +18,52 @@
 /// A step with more slack than this preempts nothing. The limit is high, since in a nearly
 /// full cell gangs rarely get capacity otherwise, and preempted tasks keep their progress.
 constexpr int64_t max_preempting_slack_ms = 10000;
-/// A job has value for its caller until this multiple of its allowed time (the users' rule
-/// for late jobs); after that it preempts nothing.
-constexpr int64_t late_multiple = 3;
 
 } // namespace
 
+// A stop costs such a task no work, since it resumes from its checkpoint.
+bool Scheduler::is_stoppable(const StepSpec& spec)
+{
+    return spec.saves_progress && !spec.gang && !spec.long_running;
+}
+
+// Returns whether the task will have ended by itself by the time a stop takes effect. One
+// that should have ended before does not count, since its progress misled.
+bool Scheduler::ends_soon(const Task& task) const
+{
+    const auto left
+        = shortage::remaining_run_time(task.percent_at - task.placed_at, task.percent);
+    if (!left || task.phase != TaskPhase::running || task.adopted)
+        return false;
+    const Millis ends_in = task.percent_at + *left - m_context.loop.now();
+    const Millis stop_time = m_context.bounds.kill_grace;
+    return ends_in <= stop_time && Millis(0) - stop_time <= ends_in;
+}
+
+// The workers with the most capacity that stops can free come first, and among these the
+// ones where the fewest tasks have to be stopped.
+bool Scheduler::is_more_stoppable(const WorkerCandidate& left, const WorkerCandidate& right)
+{
+    const auto key = [](const WorkerCandidate& candidate) {
+        return std::make_tuple(candidate.stoppable_fit == 0, candidate.second_choice,
+                               candidate.slow, -candidate.stoppable_fit, -candidate.fit,
+                               candidate.worker->number);
+    };
+    return key(left) < key(right);
+}
+
+// Returns whether the step may preempt, and stopping tasks on its allowed workers frees
+// enough capacity for `needed` tasks.
+bool Scheduler::can_stop_enough(const JobRecord& job, const WorkerCandidates& found,
+                                int needed) const
+{
+    return uses(Mechanism::cheapest_victims) && found.stoppable_fit >= needed
+        && may_preempt(job);
+}
+
 std::vector<Scheduler::Victim> Scheduler::victims_on(const Worker& worker, int priority)
 {
+    const int64_t now_ms = m_context.store_clock_ms();
     std::vector<Victim> victims;
     for (const auto& [name, allocation] : worker.load.allocations()) {
         const auto id = TaskId::parse(name);
@@ -37,16 +75,24 @@
         const StepSpec& spec = *job->step(id->repeat, id->step)->spec;
         // A counted start of a suspect is its chance to be cleared, so it is not preempted.
         const bool on_counted_start = task->crashes.tries() > 0;
-        const bool stoppable = task->phase == TaskPhase::running && spec.saves_progress
-            && !spec.gang && !spec.long_running && !on_counted_start;
-        const bool stopping = task->phase == TaskPhase::stopping;
-        if (stoppable || stopping)
-            victims.push_back({ *id, task, allocation.need, stopping });
+        const bool stoppable
+            = task->phase == TaskPhase::running && is_stoppable(spec) && !on_counted_start;
+        const bool by_cost = uses(Mechanism::cheapest_victims);
+        const bool ends_anyway
+            = task->phase == TaskPhase::stopping || (by_cost && ends_soon(*task));
+        if (!stoppable && !ends_anyway)
+            continue;
+        shortage::VictimCost cost;
+        cost.ending = ends_anyway;
+        if (by_cost) {
+            cost.priority = allocation.priority;
+            cost.deadline = deadline_of(*job, now_ms);
+        }
+        victims.push_back({ *id, task, allocation.need, ends_anyway, cost });
     }
-    // Tasks that are already stopping are counted before any other is stopped.
     std::stable_sort(victims.begin(), victims.end(),
                      [](const Victim& left, const Victim& right) {
-                         return left.stopping && !right.stopping;
+                         return shortage::costs_less(left.cost, right.cost);
                      });
     return victims;
 }
@@ -57,7 +103,8 @@
     const int64_t now_ms = m_context.store_clock_ms();
     JobRecord& record = *m_jobs.at(job.id());
     const int64_t allowed = allowed_ms(record);
-    const bool past_value = now_ms - job.accepted().accepted_ms > late_multiple * allowed;
+    const bool past_value
+        = now_ms - job.accepted().accepted_ms > shortage::late_multiple * allowed;
     return uses(Mechanism::preemption) && !past_value
         && slack_ms(record, now_ms) <= max_preempting_slack_ms;
 }
@@ -68,18 +115,25 @@
 bool Scheduler::preempt_for_independent(const JobRecord& job, Step& step,
                                         WorkerCandidates& found, int needed)
 {
-    if (found.fit > 0 || found.potential_fit == 0 || !may_preempt(job))
+    const bool by_cost = uses(Mechanism::cheapest_victims);
+    const int obtainable = by_cost ? found.stoppable_fit : found.potential_fit;
+    if (found.fit > 0 || obtainable == 0 || !may_preempt(job))
         return false;
+    const auto obtainable_on = [by_cost](const WorkerCandidate& candidate) {
+        return by_cost ? candidate.stoppable_fit : candidate.potential_fit;
+    };
     auto& allowed = found.allowed;
     const auto without_capacity = std::remove_if(
         allowed.begin(), allowed.end(),
-        [](const WorkerCandidate& candidate) { return candidate.potential_fit == 0; });
+        [&](const WorkerCandidate& candidate) { return obtainable_on(candidate) == 0; });
     allowed.erase(without_capacity, allowed.end());
-    const int wanted = std::min(needed, found.potential_fit);
+    if (by_cost)
+        std::sort(allowed.begin(), allowed.end(), is_more_stoppable);
+    const int wanted = std::min(needed, obtainable);
     size_t used = 0;
     int fit = 0;
     while (used < allowed.size() && fit < wanted)
-        fit += allowed[used++].potential_fit;
+        fit += obtainable_on(allowed[used++]);
     allowed.resize(used);
     if (!preempt_for(job, step, allowed, wanted))
         return false;
--- a/src/jobs.lib/scheduler_start.cpp
+++ b/src/jobs.lib/scheduler_start.cpp
@@ -51,6 +51,7 @@
                               const std::vector<Assignment>& assignments)
 {
     step.idle_since = Millis(0);
+    note_advisor_use(job, step);
     const bool refill = step.spec->gang && step.placed() > 0;
     step.advice.retry_at = Millis(0);
     step.advice.unhelpful_answers = 0;
@@ -235,6 +236,7 @@
     if (job.begun)
         return;
     job.begun = true;
+    job.begun_at = m_context.loop.now();
     const Millis waited = m_context.loop.now() - job.seen();
     m_context.metrics.observe_seconds(
         "pathport_first_start_wait_seconds", double(waited.count()) / 1000,
--- a/src/jobs.lib/scheduler_tick.cpp
+++ b/src/jobs.lib/scheduler_tick.cpp
@@ -92,6 +92,7 @@
                               { { "lacks", std::string(to_string(lack)) } });
     }
     const AdviceBacklog advice = m_context.advice.backlog();
+    const AdvisorTime advisor = advisor_time_since_report();
     log_event(LogLevel::info, "load",
               { { "epoch", m_claim.head.epoch },
                 { "workers", static_cast<int64_t>(m_workers.size()) },
@@ -109,6 +110,8 @@
                 { "advice_medium", advice.medium },
                 { "advice_slow", advice.slow },
                 { "advice_callers", advice.callers },
+                { "advisor_ms", static_cast<int64_t>(advisor.answered_ms) },
+                { "advisor_used_ms", static_cast<int64_t>(advisor.used_ms) },
                 { "log_backlog", static_cast<int64_t>(m_log.backlog()) } });
     m_load_counts = LoadCounts();
 }
--- a/src/jobs.lib/worker_load.cpp
+++ b/src/jobs.lib/worker_load.cpp
@@ -22,18 +22,20 @@
         return;
     ++m_step_counts[step_name(task)];
     m_used = m_used + allocation.need;
-    Resources& same_priority = used_by(allocation.priority);
-    same_priority = same_priority + allocation.need;
+    Use& same_priority = used_by(allocation.priority);
+    same_priority.all = same_priority.all + allocation.need;
+    if (allocation.stoppable)
+        same_priority.stoppable = same_priority.stoppable + allocation.need;
 }
 
-Resources& WorkerLoad::used_by(int priority)
+WorkerLoad::Use& WorkerLoad::used_by(int priority)
 {
     const auto place = std::lower_bound(
         m_used_by_priority.begin(), m_used_by_priority.end(), priority,
-        [](const auto& entry, int wanted) { return entry.first < wanted; });
-    if (place != m_used_by_priority.end() && place->first == priority)
-        return place->second;
-    return m_used_by_priority.emplace(place, priority, Resources())->second;
+        [](const Use& entry, int wanted) { return entry.priority < wanted; });
+    if (place != m_used_by_priority.end() && place->priority == priority)
+        return *place;
+    return *m_used_by_priority.insert(place, Use { priority, {}, {} });
 }
 
 bool WorkerLoad::remove(const TaskId& task, int64_t run)
@@ -42,8 +44,10 @@
     if (found == m_allocations.end() || found->second.run != run)
         return false;
     m_used = m_used - found->second.need;
-    Resources& same_priority = used_by(found->second.priority);
-    same_priority = same_priority - found->second.need;
+    Use& same_priority = used_by(found->second.priority);
+    same_priority.all = same_priority.all - found->second.need;
+    if (found->second.stoppable)
+        same_priority.stoppable = same_priority.stoppable - found->second.need;
     m_allocations.erase(found);
     const auto count = m_step_counts.find(step_name(task));
     if (--count->second == 0)
@@ -76,9 +80,19 @@
 Resources WorkerLoad::used_below(int priority) const
 {
     Resources sum;
-    for (const auto& [other, used] : m_used_by_priority) {
-        if (other > priority)
-            sum = sum + used;
+    for (const Use& use : m_used_by_priority) {
+        if (use.priority > priority)
+            sum = sum + use.all;
+    }
+    return sum;
+}
+
+Resources WorkerLoad::stoppable_below(int priority) const
+{
+    Resources sum;
+    for (const Use& use : m_used_by_priority) {
+        if (use.priority > priority)
+            sum = sum + use.stoppable;
     }
     return sum;
 }
--- a/src/jobs.lib/worker_load.h
+++ b/src/jobs.lib/worker_load.h
@@ -13,7 +13,6 @@
 #include <cstdint>
 #include <map>
 #include <string>
-#include <utility>
 #include <vector>
 
 namespace pathport::jobs {
@@ -23,6 +22,8 @@
     int64_t run = 0;
     Resources need;
     int priority = 0; ///< Of its queue.
+    /// It saves its progress and runs for itself, so it may be stopped for urgent work.
+    bool stoppable = false;
     /// The workspace that is charged, and the resources charged to it, which include those
     /// that take no capacity of the worker.
     callers::WorkspaceNumber workspace = callers::UsageLedger::none;
@@ -49,18 +50,27 @@
     const Resources& used() const { return m_used; }
     /// Returns what the tasks of queues that are less urgent than `priority` take.
     Resources used_below(int priority) const;
+    /// Returns the part of it that tasks take which may be stopped.
+    Resources stoppable_below(int priority) const;
     /// Returns how many tasks of the step named "<job>.<repeat>.<step>" are there.
     int count_of_step(const std::string& step) const;
     /// Returns the tasks, by name.
     const std::map<std::string, Allocation>& allocations() const { return m_allocations; }
 
 private:
-    Resources& used_by(int priority);
+    /// What the tasks of one priority take.
+    struct Use {
+        int priority = 0;
+        Resources all;
+        Resources stoppable;
+    };
+
+    Use& used_by(int priority);
 
     std::map<std::string, Allocation> m_allocations;
     std::map<std::string, int> m_step_counts;
     /// In ascending order of priority; a cell has few of them.
-    std::vector<std::pair<int, Resources>> m_used_by_priority;
+    std::vector<Use> m_used_by_priority;
     Resources m_used;
 };
 
--- a/src/jobs.lib/worker_load_test.cpp
+++ b/src/jobs.lib/worker_load_test.cpp
@@ -47,3 +47,18 @@
     BOOST_TEST((load.used_below(0) == Resources()));
     BOOST_TEST(load.count_of_step("aa.0.1") == 0);
 }
+
+// A gang whose workers are chosen by all less urgent tasks waits for those that can't be
+// stopped.
+BOOST_AUTO_TEST_CASE(what_stops_can_free_is_counted_apart)
+{
+    WorkerLoad load;
+    load.add(first, { 7, { 100, 10, 0 }, 2, true });
+    load.add(second, { 7, { 200, 20, 1 }, 2 });
+    load.add(other, { 3, { 50, 5, 0 }, 1, true });
+    BOOST_TEST((load.stoppable_below(0) == Resources { 150, 15, 0 }));
+    BOOST_TEST((load.stoppable_below(1) == Resources { 100, 10, 0 }));
+    BOOST_TEST((load.used_below(1) == Resources { 300, 30, 1 }));
+    BOOST_TEST(load.remove(first, 7));
+    BOOST_TEST((load.stoppable_below(1) == Resources()));
+}
