--- a/scripts/ablation.py
+++ b/scripts/ablation.py
@@ -25,14 +25,22 @@
 
 ALL_ON = "none"
 TEMPLATE = "deploy/node.ini.template"
+SOURCE = "src/jobs.lib/mechanisms.cpp"
 SECTION = re.compile(r"\n\[experiments\]\noff = .*\n")
 
 
 def mechanism_names(checkout):
     """Returns the names of all mechanisms, from the source that declares them."""
-    text = (checkout / "src/jobs.lib/mechanisms.cpp").read_text()
-    table = re.search(r"names_of_mechanisms\[mechanism_count\] = \{(.*?)\};", text, re.S)
-    return re.findall(r'"(\w+)"', table.group(1))
+    source = checkout / SOURCE
+    try:
+        text = source.read_text()
+    except OSError as error:
+        sys.exit(f"{source}: {error.strerror}")
+    table = re.search(r"\bmechanism_names\[mechanism_count\] = \{(.*?)\};", text, re.S)
+    names = re.findall(r'"(\w+)"', table.group(1)) if table else []
+    if not names:
+        sys.exit(f"{source}: no names found in a table 'mechanism_names[mechanism_count]'")
+    return names
 
 
 def switch_off(checkout, name):
--- a/scripts/where_lost.py
+++ b/scripts/where_lost.py
@@ -18,8 +18,15 @@
   ran        what its longest runs took beyond nine tenths of its queue's runs: slow workers, and ends
              that were heard of late
   closed     from its last end to its final state in the store
+  unknown    it completed, but the log lacks ends of its tasks: the time after the last known end of a
+             step up to the next step or to the final state, which may belong to a run as well
   never      it was accepted and did not end; `never placed`: nothing of it was started
 
+The log is bounded, so lines may be missing. A job that may be in time or late depending on a missing end
+counts as `unknown`, too. The number of missing ends of completed jobs is printed for each queue: runs that
+were started and have no end, unless their worker was lost; and apart from these, tasks of which the log
+has no line at all although it has lines of later tasks of the same step (1 for a job without such lines).
+
 A line that can't be read is named with its file and number. Exit code 1 if a file can't be read.
 """
 import argparse
@@ -28,7 +35,7 @@
 import re
 import sys
 
-STAGES = ("accepted", "started", "placed", "repeated", "ran", "closed")
+STAGES = ("accepted", "started", "placed", "repeated", "ran", "closed", "unknown")
 USUAL_SHARE = .9  # of the runs of a queue: what they take at most counts as work
 OBJECT = re.compile(r'\{"time_ms"')
 
@@ -38,13 +45,37 @@
 
     def __init__(self):
         self.starts = []
+        self.last_run = None
+        self.run_starts = {}  # By run; a gang's task may be started several times under one run.
+        self.accepted = set()  # Runs whose start was answered.
+        self.ended = {}  # When each run ended.
+        self.lost = {}  # When each run was lost with its worker; such a run has no end.
         self.done = None
-        self.work = 0.0
-
-    def note_end(self, when, how):
-        if how == "done" and self.starts:
+        self.work = None
+
+    def note_start(self, when, run, accepted):
+        self.starts.append(when)
+        self.last_run = run
+        self.run_starts[run] = when
+        if accepted:
+            self.accepted.add(run)
+
+    def note_end(self, when, run, how):
+        self.ended[run] = when
+        if how == "done":
             self.done = when
-            self.work = when - self.starts[-1]
+            self.work = when - self.run_starts[run] if run in self.run_starts else None
+
+    def seen(self):
+        """Returns the time of its first line."""
+        return min([*self.starts, *self.ended.values(), *self.lost.values()])
+
+    def missing_ends(self):
+        """Returns how many of its runs lack an end, if its job completed."""
+        runs = self.accepted - self.ended.keys() - self.lost.keys()
+        if self.done is None:
+            runs = runs | {self.last_run}
+        return len(runs)
 
 
 class Job:
@@ -62,51 +93,80 @@
         self.tasks = collections.defaultdict(Task)
 
     def steps(self):
-        """Returns the tasks of each (repeat, step), in the order of their first starts."""
-        steps = collections.defaultdict(list)
+        """Returns the tasks of each (repeat, step) by number, in the order of their first lines."""
+        steps = collections.defaultdict(dict)
         for name, task in self.tasks.items():
-            if task.starts:
-                steps[tuple(name.split(".")[1:3])].append(task)
-        return sorted(steps.values(), key=lambda tasks: min(t.starts[0] for t in tasks))
+            repeat, step, number = name.split(".")[1:4]
+            steps[(repeat, step)][int(number)] = task
+        return sorted(steps.values(), key=lambda tasks: min(t.seen() for t in tasks.values()))
 
     def runs(self):
         """Returns what its runs that ended `done` took."""
-        return [task.work for task in self.tasks.values() if task.done is not None]
+        return [task.work for task in self.tasks.values() if task.work is not None]
+
+    def completed(self):
+        return self.closed is not None and self.state == "completed"
+
+    def missing_ends(self):
+        """Returns how many runs of a completed job lack an end."""
+        return sum(task.missing_ends() for task in self.tasks.values()) if self.completed() else 0
+
+    def unseen_tasks(self):
+        """Returns how many tasks of a completed job have no line, as far as later ones of their step show."""
+        if not self.completed():
+            return 0
+        return sum(max(tasks) + 1 - len(tasks) for tasks in self.steps()) if self.tasks else 1
+
+    def lacks_done(self, tasks):
+        """Returns whether the job completed but not all tasks of a step are known to be done."""
+        return self.completed() and (max(tasks) + 1 > len(tasks) or any(t.done is None for t in tasks.values()))
 
     def stages(self, usual):
         """Returns the seconds that each stage took beyond the work itself, and that work; a run is taken
         to work for `usual` seconds at most."""
         spent = dict.fromkeys(STAGES, 0.0)
         spent["accepted"] = self.accepted - self.received
-        ready, work = self.accepted, 0.0
+        ready, work, gap = self.accepted, 0.0, "unknown" if self.completed() and not self.tasks else "started"
         for tasks in self.steps():
-            first = min(t.starts[0] for t in tasks)
-            spent["started"] += max(0.0, first - ready)
-            ends = [t.done for t in tasks if t.done is not None]
-            if not ends:
-                break
-            last = max((t for t in tasks if t.done is not None), key=lambda t: t.done)
-            spent["placed"] += max(0.0, last.starts[0] - first)
-            spent["repeated"] += last.starts[-1] - last.starts[0]
-            longest = max(t.work for t in tasks)
+            first = min(t.seen() for t in tasks.values())
+            starts_known = any(t.starts for t in tasks.values())
+            spent[gap if starts_known else "unknown"] += max(0.0, first - ready)
+            lacks_done = self.lacks_done(tasks)
+            gap = "unknown" if lacks_done else "started"
+            done = [t for t in tasks.values() if t.done is not None]
+            if not done and not lacks_done:
+                return self.add_closing(spent, ready, "closed"), work
+            last = max((t for t in done if t.starts), key=lambda t: t.done, default=None)
+            if last is not None:
+                spent["placed"] += max(0.0, last.starts[0] - first)
+                spent["repeated"] += last.starts[-1] - last.starts[0]
+            longest = max((t.work for t in done if t.work is not None), default=0.0)
             work += min(longest, usual)
             spent["ran"] += max(0.0, longest - usual)
-            ready = max(ready, max(ends))
+            ready = max([ready, first, *(t.done for t in done)])
+        return self.add_closing(spent, ready, "unknown" if gap == "unknown" else "closed"), work
+
+    def add_closing(self, spent, ready, stage):
+        """Adds the time from `ready` to the final state to `stage`; returns `spent`."""
         if self.closed is not None:
-            spent["closed"] = max(0.0, self.closed - ready)
-        return spent, work
+            spent[stage] += max(0.0, self.closed - ready)
+        return spent
 
     def verdict(self, usual):
         """Returns the reason why it was late, "in time", or None for one that is not owed."""
         if self.accepted is None or self.state == "canceled":
             return None
         if self.closed is None:
-            return "never" if any(t.starts for t in self.tasks.values()) else "never placed"
+            return "never" if self.tasks else "never placed"
         if self.stretch is None:
             return None
         spent, work = self.stages(usual)
-        if self.closed - self.received <= self.stretch * work + self.slo:
+        took = self.closed - self.received
+        if took <= self.stretch * work + self.slo:
             return "in time"
+        # All of the unknown time may have been work, which would allow for more time.
+        if took <= self.stretch * (work + spent["unknown"]) + self.slo:
+            return "unknown"
         return max(spent, key=spent.get)
 
 
@@ -133,9 +193,11 @@
             job.stretch = event["stretch_percent"] / 100
         job.slo = event.get("slo_ms", 0) / 1000
     elif kind == "task_start" and event["outcome"] in ("accepted", "unknown"):
-        job.tasks[event["task"]].starts.append(time)
+        job.tasks[event["task"]].note_start(time, event["run"], event["outcome"] == "accepted")
     elif kind == "task_ended":
-        job.tasks[event["task"]].note_end(time, event["how"])
+        job.tasks[event["task"]].note_end(time, event["run"], event["how"])
+    elif kind == "task_lost_with_worker":
+        job.tasks[event["task"]].lost[event["run"]] = time
     elif kind == "job_closed":
         job.closed = time
         job.state = event["state"]
@@ -183,6 +245,20 @@
     print()
 
 
+def print_missing_ends(jobs):
+    """Prints how many ends of completed jobs the logs lack, by queue; nothing if none."""
+    by_queue = collections.defaultdict(list)
+    for job in jobs:
+        if job.completed():
+            by_queue[job.queue or "unknown"].append((job.missing_ends(), job.unseen_tasks()))
+    for queue, counts in sorted(by_queue.items()):
+        runs, unseen = (sum(column) for column in zip(*counts))
+        if runs or unseen:
+            lacking = sum(1 for entry in counts if any(entry))
+            print(f"ends missing of {queue}: {runs}, and {unseen} tasks without a line; "
+                  f"in {lacking} of {len(counts)} completed jobs")
+
+
 def print_report(path):
     """Prints what the bench says of the same day."""
     try:
@@ -219,6 +295,7 @@
         print_report(args.report)
     print_table("queue", sorted(by_queue.items()))
     print_table("handed in at second", [(f"{key * args.window:g}", by_time[key]) for key in sorted(by_time)])
+    print_missing_ends(jobs.values())
     for (verdict, queue), jobs in sorted(examples.items(), key=lambda entry: -len(entry[1])):
         spent = [job.stages(usual[queue])[0] for job in jobs if job.closed is not None and queue in usual]
         means = " ".join(f"{stage} {sum(s[stage] for s in spent) / len(spent):.2f}" for stage in STAGES) if spent else ""
--- a/src/jobs.lib/scheduler.h
+++ b/src/jobs.lib/scheduler.h
@@ -459,7 +459,7 @@
     static Millis longest_answer_time(const JobRecord& job);
     void send_query(const JobRecord& job, Step& step, std::vector<WorkerNumber> workers);
     static void set_retry_delay(StepAdvice& advice, Millis now);
-    void log_wait_reason(const JobRecord& job, Step& step, Millis now);
+    void log_wait_reason(JobRecord& job, Step& step, Millis now);
     void advice_received(const std::string& job, int repeat, int step,
                          const std::vector<WorkerNumber>& asked, Millis asked_at,
                          const AdviceReply& reply);
