--- a/src/jobs.lib/advice_pool.cpp
+++ b/src/jobs.lib/advice_pool.cpp
@@ -31,14 +31,9 @@
 /// that a short burst of queries is soon forgotten.
 constexpr double share_half_life_ms = 2000;
 
-double cost_of(const AdviceQuery& query)
-{
-    return query.rule.decision_ms + query.rule.per_worker_ms * double(query.workers.size());
-}
-
 Millis timeout_of(const AdviceQuery& query)
 {
-    return Millis(static_cast<int64_t>(3 * cost_of(query))) + call_margin;
+    return Millis(static_cast<int64_t>(3 * query.advisor_ms())) + call_margin;
 }
 
 } // namespace
@@ -109,9 +104,9 @@
 void AdvicePool::charge(const AdviceQuery& query)
 {
     if (query.priority == 0)
-        m_urgent_usage
-            = AdvisorUsage { decayed_cost(m_urgent_usage) + cost_of(query), m_loop.now() };
-    const double cost = decayed_cost(query.queue) + query.priority * cost_of(query);
+        m_urgent_usage = AdvisorUsage { decayed_cost(m_urgent_usage) + query.advisor_ms(),
+                                        m_loop.now() };
+    const double cost = decayed_cost(query.queue) + query.priority * query.advisor_ms();
     m_queue_usage[query.queue] = AdvisorUsage { cost, m_loop.now() };
 }
 
@@ -251,7 +246,7 @@
 void AdvicePool::send(Caller& caller, PendingQuery entry)
 {
     ++caller.in_flight;
-    caller.cost_ms += cost_of(entry.query);
+    caller.cost_ms += entry.query.advisor_ms();
     const std::string address = caller.address;
     const Millis timeout = timeout_of(entry.query);
     if (address.empty()) {
@@ -286,7 +281,7 @@
         caller.in_flight = std::max(0, caller.in_flight - 1);
         caller.cost_ms = caller.in_flight == 0
             ? 0
-            : std::max(0.0, caller.cost_ms - cost_of(entry.query));
+            : std::max(0.0, caller.cost_ms - entry.query.advisor_ms());
         if (!reply.tickets)
             caller.avoid_until = m_loop.now() + failed_caller_pause;
     }
--- a/src/jobs.lib/advice_pool.h
+++ b/src/jobs.lib/advice_pool.h
@@ -31,6 +31,12 @@
     AdviceRule rule;
     int priority = 0; ///< Of the queue; 0 goes first.
     Millis waiting_since; ///< Since when the step waits; zero while other tasks of it run.
+
+    /// Returns how long the advisor takes for it.
+    double advisor_ms() const
+    {
+        return rule.decision_ms + rule.per_worker_ms * double(workers.size());
+    }
 };
 
 /// The answer to a query.
--- a/src/jobs.lib/scheduler.cpp
+++ b/src/jobs.lib/scheduler.cpp
@@ -163,6 +163,12 @@
     return found == m_jobs.end() ? nullptr : found->second.get();
 }
 
+Step* Scheduler::find_step(const std::string& id, int repeat, int index)
+{
+    JobRecord* job = find_job(id);
+    return job == nullptr ? nullptr : job->step(repeat, index);
+}
+
 size_t Scheduler::reachable_workers() const
 {
     return static_cast<size_t>(
--- a/src/jobs.lib/scheduler.h
+++ b/src/jobs.lib/scheduler.h
@@ -382,6 +382,7 @@
     void record(JobRecord& job, std::function<void()> done = {});
     std::set<std::string> workers_awaiting_record() const;
     JobRecord* find_job(const std::string& id);
+    Step* find_step(const std::string& job, int repeat, int index);
 
     // Placement (scheduler_pass.cpp, scheduler_advice.cpp, scheduler_gangs.cpp,
     // scheduler_preempt.cpp, scheduler_start.cpp).
@@ -450,9 +451,8 @@
     void advance_held_back(std::vector<PendingStep>& waiting);
     Resources capacity_to_ask_about(WorkerNumber worker, int rank,
                                     const Resources& free) const;
-    static double query_cost_ms(const JobRecord& job, size_t workers);
-    void note_advisor_answer(const JobRecord& job, Step& step, size_t workers,
-                             bool answered);
+    void note_advisor_answer(const std::string& queue, double cost_ms, bool answered,
+                             Step* step);
     void note_advisor_use(const JobRecord& job, Step& step);
     AdvisorTime advisor_time_since_report();
     void ask(const JobRecord& job, Step& step, std::vector<WorkerNumber> workers);
--- a/src/jobs.lib/scheduler_advice.cpp
+++ b/src/jobs.lib/scheduler_advice.cpp
@@ -292,8 +292,7 @@
 
 void Scheduler::note_query_cost(const AdviceQuery& query)
 {
-    const double cost
-        = query.rule.decision_ms + query.rule.per_worker_ms * double(query.workers.size());
+    const double cost = query.advisor_ms();
     double& smoothed = m_query_ms.try_emplace(query.queue, cost).first->second;
     smoothed += cost_learning_rate * (cost - smoothed);
 }
@@ -337,11 +336,14 @@
     ++step.advice.queries_in_progress;
     step.advice.named.insert(step.advice.named.end(), workers.begin(), workers.end());
     note_query_cost(query);
-    auto on_reply = m_lifetime.wrap([this, id = job.id(), repeat = step.repeat,
-                                     index = step.index, asked = std::move(workers),
-                                     asked_at = m_pass_begun](const AdviceReply& reply) {
-        advice_received(id, repeat, index, asked, asked_at, reply);
-    });
+    auto on_reply = m_lifetime.wrap(
+        [this, id = job.id(), repeat = step.repeat, index = step.index,
+         asked = std::move(workers), asked_at = m_pass_begun, queue = query.queue,
+         cost_ms = query.advisor_ms()](const AdviceReply& reply) {
+            note_advisor_answer(queue, cost_ms, reply.tickets.has_value(),
+                                find_step(id, repeat, index));
+            advice_received(id, repeat, index, asked, asked_at, reply);
+        });
     m_context.advice.ask(std::move(query), std::move(on_reply));
 }
 
@@ -396,18 +398,17 @@
                                 const AdviceReply& reply)
 {
     JobRecord* job = find_job(id);
-    Step* step = job == nullptr ? nullptr : job->step(repeat, index);
+    Step* step = find_step(id, repeat, index);
     if (step == nullptr)
         return;
     const Millis now = m_context.loop.now();
     const bool last = --step->advice.queries_in_progress == 0;
-    note_advisor_answer(*job, *step, asked.size(), reply.tickets.has_value());
-    if (last)
+    if (last) {
         step->advice.named.clear();
-    if (last)
         step->reserved_until
             = std::min(step->reserved_until,
                        now + m_context.bounds.kill_grace + reservation_after_answer);
+    }
     if (!reply.tickets) {
         step->advice.retry_at = now + no_answer_delay;
         return;
--- a/src/jobs.lib/scheduler_claims.cpp
+++ b/src/jobs.lib/scheduler_claims.cpp
@@ -94,18 +94,13 @@
     }
 }
 
-double Scheduler::query_cost_ms(const JobRecord& job, size_t workers)
+// `step` is null if the job has been closed meanwhile.
+void Scheduler::note_advisor_answer(const std::string& queue, double cost_ms, bool answered,
+                                    Step* step)
 {
-    const AdviceRule& rule = *job.accepted().queue.advice;
-    return rule.decision_ms + rule.per_worker_ms * double(workers);
-}
-
-void Scheduler::note_advisor_answer(const JobRecord& job, Step& step, size_t workers,
-                                    bool answered)
-{
-    const std::string& queue = job.accepted().queue.name;
-    const double cost_ms = query_cost_ms(job, workers);
-    m_advisor_time.note_answer(queue, cost_ms, answered, step.advice.unused_ms);
+    double unused_ms = 0;
+    m_advisor_time.note_answer(queue, cost_ms, answered,
+                               step == nullptr ? unused_ms : step->advice.unused_ms);
     m_context.metrics.count(
         "pathport_advisor_seconds_total",
         { { "queue", queue }, { "outcome", answered ? "answered" : "unanswered" } },
