Admission by capacity, off unless a setting asks for it

Cause: a job that capacity is known not to suffice for in time was accepted and ended late or never. Change: the leader forecasts the wait of each queue (RoomForecast), publishes it as "limited" beside the closed queues, and nodes refuse a job that would end after twice its allowed time, with the time to return; the job is not stored, which is checked. The list holds for 1.5 s. Log fields, a counter and a gauge; [admission] by_capacity, off by default, since the forecast counts all waiting work of a priority alike: a long job with much slack counts against a short one that would go before it.

--- a/src/emulator.lib/cell.cpp
+++ b/src/emulator.lib/cell.cpp
@@ -63,6 +63,7 @@
     setup.link_bytes_per_s = link_bytes_per_s;
     setup.archive_batch = 1;
     setup.domain_drain_time = cell.m_domain_drain_time;
+    setup.mechanisms = cell.m_mechanisms;
     World& world = cell.world;
     node = std::make_unique<jobs::JobNode>(
         jobs::NodeContext { loop, store, store, workers, workers, peers, metrics,
@@ -131,13 +132,14 @@
 
 Cell::Cell(uint64_t seed, int nodes, int worker_count,
            std::map<std::string, int> node_cpu_millicores, int64_t link_bytes_per_s,
-           Millis domain_drain_time)
+           Millis domain_drain_time, const jobs::Mechanisms& mechanisms)
     : world(seed)
     , store(world)
     , workers(world)
     , m_node_cpu_millicores(std::move(node_cpu_millicores))
     , m_link_bytes_per_s(link_bytes_per_s)
     , m_domain_drain_time(domain_drain_time)
+    , m_mechanisms(mechanisms)
 {
     store.list_workers = [this] { return workers.list(); };
     configure(make_configuration());
@@ -356,7 +358,9 @@
     const auto answered = std::make_shared<bool>(false);
     process->node->submit(
         job.queue, id, job.spec, world.now(), client_limit,
-        [this, id, tries, answered](ClientStatus status) {
+        [this, id, tries, answered, process](ClientStatus status) {
+            if (status == ClientStatus::refused)
+                note_refusal(*process, id);
             if (!*answered)
                 on_submit_reply(id, tries, status);
             *answered = true;
--- a/src/emulator.lib/cell_callers.cpp
+++ b/src/emulator.lib/cell_callers.cpp
@@ -29,6 +29,14 @@
 
 } // namespace
 
+// The delay is determined when the reply is sent, as by the server that sets Retry-After.
+void Cell::note_refusal(const NodeProcess& process, const std::string& id)
+{
+    ClientJob& job = m_jobs[id];
+    ++job.refusals;
+    job.retry_after = process.node->retry_after_refusal(job.queue, job.spec, id);
+}
+
 std::string ConfigurationChange::key_owner(const std::string& key) const
 {
     for (const WorkspaceSetup& setup : workspaces) {
--- a/src/include/pathport/emulator/cell.h
+++ b/src/include/pathport/emulator/cell.h
@@ -32,6 +32,8 @@
     std::string workspace; ///< Owner of the key at the first submission.
     bool accepted = false; ///< Acceptance was acknowledged.
     bool outcome_unknown = false; ///< A submission got no definite reply.
+    int refusals = 0; ///< Submissions that were refused.
+    Millis retry_after; ///< Delay that the last refusal asked for.
     bool cancel_requested = false;
     bool canceled = false; ///< Cancellation was acknowledged.
     bool expected_to_fail = false; ///< Its tasks fail too often for the queue.
@@ -62,10 +64,11 @@
     /// `node_cpu_millicores` gives the processor share of individual nodes; the others have
     /// 1000. `link_bytes_per_s` is the link speed that each node is configured with; 0
     /// means unlimited. `domain_drain_time` is the time within which a failure domain gets
-    /// no more tasks after it was drained; 0 if domains are never drained.
+    /// no more tasks after it was drained; 0 if domains are never drained. `mechanisms`
+    /// are those that the nodes use.
     Cell(uint64_t seed, int nodes, int workers,
          std::map<std::string, int> node_cpu_millicores = {}, int64_t link_bytes_per_s = 0,
-         Millis domain_drain_time = Millis(0));
+         Millis domain_drain_time = Millis(0), const jobs::Mechanisms& mechanisms = {});
     ~Cell();
 
     World world;
@@ -174,6 +177,7 @@
     void add_job(const std::string& id, const jobs::JobSpec& spec,
                  const std::vector<StepModel>& step_models, const jobs::Queue& queue);
     void try_submit(const std::string& id, int tries);
+    void note_refusal(const NodeProcess& process, const std::string& id);
     void on_submit_reply(const std::string& id, int tries, jobs::ClientStatus status);
     // Callers and their workspaces (cell_callers.cpp).
     std::optional<callers::Caller> admit(const std::string& node, NodeProcess& process,
@@ -203,6 +207,7 @@
     std::map<std::string, int> m_node_cpu_millicores; ///< By node.
     int64_t m_link_bytes_per_s = 0;
     Millis m_domain_drain_time;
+    jobs::Mechanisms m_mechanisms;
     ProcessorCost m_processor_cost;
     std::map<std::string, std::unique_ptr<NodeProcess>> m_nodes;
     /// Kept, since pending events refer to them.
--- a/src/include/pathport/jobs/mechanisms.h
+++ b/src/include/pathport/jobs/mechanisms.h
@@ -67,6 +67,8 @@
     /// name and the known ones.
     static std::optional<Mechanisms> without(std::string_view names, Failure& reason);
 
+    /// Returns these mechanisms without `mechanism`.
+    Mechanisms without(Mechanism mechanism) const;
     bool uses(Mechanism mechanism) const { return !m_off[static_cast<size_t>(mechanism)]; }
     bool operator==(const Mechanisms& other) const { return m_off == other.m_off; }
 
--- a/src/include/pathport/jobs/peers.h
+++ b/src/include/pathport/jobs/peers.h
@@ -35,6 +35,17 @@
     }
 };
 
+/// A queue whose jobs wait long for capacity. Those that would end too late are refused.
+struct LimitedQueue {
+    std::string queue;
+    Millis wait; ///< Forecast for a job that arrives now.
+
+    bool operator==(const LimitedQueue& other) const
+    {
+        return queue == other.queue && wait == other.wait;
+    }
+};
+
 /// Topic of a peer message.
 enum class PeerTopic {
     heartbeat, ///< A follower asks the leader whether it still leads.
@@ -130,6 +141,7 @@
     std::string calls; ///< Workers' answers, encoded.
     std::vector<WorkerTicket> tickets;
     std::vector<ClosedQueue> closed; ///< Closed queues, in a leader's answer.
+    std::vector<LimitedQueue> limited; ///< Limited queues, in a leader's answer.
 };
 
 /// Outcome of a message to a peer.
--- a/src/jobs.lib/client_answers_test.cpp
+++ b/src/jobs.lib/client_answers_test.cpp
@@ -335,3 +335,60 @@
     follower.world.run_for(Millis(2000));
     BOOST_TEST((submit("full", "job3") == ClientStatus::ok));
 }
+
+// The leader announces in its heartbeat replies how long jobs of a queue wait for capacity.
+// Guards against refusals of jobs that are stored, that would not be very late, or that an
+// outdated announcement is about.
+BOOST_AUTO_TEST_CASE(job_that_waits_too_long_for_capacity_is_turned_away_at_once)
+{
+    Follower follower;
+    bool leader_answers = true;
+    follower.peers.on_send = [&](const PeerRequest& request, const PeerReply& done) {
+        if (request.topic != PeerTopic::heartbeat || !leader_answers) {
+            follower.world.after(Millis(300), [done] { done(PeerEnd::silent, {}); });
+            return;
+        }
+        PeerAnswer answer;
+        answer.leads = true;
+        answer.epoch = 1;
+        answer.incarnation = "x";
+        answer.limited = { { "busy", Millis(6500) } };
+        follower.world.after(Millis(2),
+                             [done, answer] { done(PeerEnd::answered, answer); });
+    };
+    follower.begin(follower.directory, {});
+    Queue queue;
+    queue.stretch = 2;
+    queue.slo_ms = 500;
+    jobs::JobSpec spec;
+    spec.payload = "p";
+    spec.steps.push_back(StepSpec());
+    const auto submit
+        = [&](const std::string& name, const std::string& id, int64_t expected_ms) {
+              queue.name = name;
+              spec.steps[0].expected_ms = expected_ms;
+              std::optional<ClientStatus> status;
+              follower.node->submit(queue, id, spec, follower.world.now(), Millis(2000),
+                                    [&status](ClientStatus answer) { status = answer; });
+              follower.world.run_for(Millis(1000));
+              return status;
+          };
+    // Its slack is 1.5 s and its allowed time 2.5 s.
+    BOOST_TEST((submit("busy", "job1", 1000) == ClientStatus::refused));
+    BOOST_TEST(follower.node->retry_after_refusal(queue, spec, "job1").count() == 3000);
+    BOOST_TEST(
+        follower.metrics.counter_value("pathport_jobs_turned_away_total",
+                                       { { "queue", "busy" }, { "reason", "capacity" } })
+        == 1);
+    BOOST_TEST(follower.store.count(jobs_table) == 0U);
+    BOOST_TEST((submit("other", "job2", 1000) == ClientStatus::ok));
+    // A job that was accepted before is not reported as refused.
+    BOOST_TEST((submit("busy", "job2", 1000) == ClientStatus::ok));
+    // A job that has more time, or tells no run time.
+    BOOST_TEST((submit("busy", "job3", 2000) == ClientStatus::ok));
+    BOOST_TEST((submit("busy", "job4", 0) == ClientStatus::ok));
+    // The announcement expires when the leader stops replying.
+    leader_answers = false;
+    follower.world.run_for(Millis(2000));
+    BOOST_TEST((submit("busy", "job5", 1000) == ClientStatus::ok));
+}
--- a/src/jobs.lib/job_node.cpp
+++ b/src/jobs.lib/job_node.cpp
@@ -227,7 +227,8 @@
     m_leader_served = answer.served;
     m_leader_call_load = { double(answer.call_rate), double(answer.call_bytes_per_s) };
     m_closed_queues = answer.closed;
-    m_closed_queues_updated = m_context.loop.now();
+    m_limited_queues = answer.limited;
+    m_queue_lists_updated = m_context.loop.now();
     if (answer.peers.hash != m_peers.hash()) {
         if (!m_peers.apply(answer.peers))
             log_event(LogLevel::warn, "peer_list_outdated",
--- a/src/jobs.lib/job_node_clients.cpp
+++ b/src/jobs.lib/job_node_clients.cpp
@@ -22,7 +22,7 @@
 constexpr Millis notify_cancel_interval { 200 };
 constexpr Millis notify_cancel_time { 15000 };
 /// Validity of the leader's last list of closed queues: a few heartbeats.
-constexpr Millis closed_queue_validity { 1500 };
+constexpr Millis closed_queue_validity { shortage::max_forecast_age };
 /// Time limit for checking whether a rejected job was accepted earlier.
 constexpr Millis resubmission_check_time { 500 };
 
@@ -83,7 +83,7 @@
 Millis JobNode::Impl::closed_queue_retry_after(const std::string& queue) const
 {
     const bool known_recently
-        = m_context.loop.now() - m_closed_queues_updated < closed_queue_validity;
+        = m_context.loop.now() - m_queue_lists_updated < closed_queue_validity;
     if (!m_scheduler && !known_recently)
         return Millis(0);
     const auto& closed = m_scheduler ? m_scheduler->closed_queues() : m_closed_queues;
@@ -96,8 +96,57 @@
 Millis JobNode::Impl::retry_after_refusal(const Queue& queue, const JobSpec& spec,
                                           const std::string& id) const
 {
+    const Millis closed = closed_queue_retry_after(queue.name);
+    const auto capacity = lacks_capacity(queue, spec);
+    if (capacity && !m_store.failing())
+        return std::max(closed, capacity->retry_after);
     const Millis delay = retry_delay(queue, spec, id, m_store.outage());
-    return std::max(delay, closed_queue_retry_after(queue.name));
+    return std::max({ delay, closed, capacity ? capacity->retry_after : Millis(0) });
+}
+
+// Returns the leader's forecast for the queue; zero if the queue is not limited.
+shortage::KnownWait JobNode::Impl::known_wait(const std::string& queue) const
+{
+    shortage::KnownWait known;
+    known.age = m_scheduler ? m_scheduler->limited_queues_age()
+                            : m_context.loop.now() - m_queue_lists_updated;
+    for (const LimitedQueue& entry :
+         m_scheduler ? m_scheduler->limited_queues() : m_limited_queues) {
+        if (entry.queue == queue)
+            known.wait = entry.wait;
+    }
+    return known;
+}
+
+std::optional<JobNode::Impl::CapacityRefusal>
+JobNode::Impl::lacks_capacity(const Queue& queue, const JobSpec& spec) const
+{
+    const shortage::KnownWait known = known_wait(queue.name);
+    if (known.wait == Millis(0))
+        return std::nullopt;
+    const auto allowance = allowance_of(queue, spec);
+    const auto delay = allowance ? capacity_refusal(known, *allowance) : std::nullopt;
+    if (!delay)
+        return std::nullopt;
+    return CapacityRefusal { known, *allowance, *delay };
+}
+
+std::optional<JobNode::Impl::Rejection>
+JobNode::Impl::rejection_of(const Queue& queue, const JobSpec& spec,
+                            const std::string& workspace) const
+{
+    const Millis closed = closed_queue_retry_after(queue.name);
+    if (exceeds_bound(spec, workspace)) {
+        const ClientStatus answer
+            = m_configuration.is_fresh() ? ClientStatus::over_bound : ClientStatus::refused;
+        return Rejection { "bound", answer, closed };
+    }
+    if (closed > Millis(0))
+        return Rejection { "advice", ClientStatus::refused, closed };
+    if (auto capacity = lacks_capacity(queue, spec))
+        return Rejection { "capacity", ClientStatus::refused, capacity->retry_after,
+                           capacity };
+    return std::nullopt;
 }
 
 // A job that the advisor can't decide about in time would stall while its client waits in
@@ -105,29 +154,45 @@
 // is not stored may be reported as never going to run.
 void JobNode::Impl::reject_submission(const std::string& queue, const std::string& id,
                                       Millis received, const callers::Caller& caller,
-                                      ClientStatus answer, ClientReply done)
+                                      const Rejection& rejection, ClientReply done)
 {
     query(id, received, resubmission_check_time, caller,
-          [this, queue, id, received, workspace = caller.workspace(), answer,
+          [this, queue, id, received, workspace = caller.workspace(), rejection,
            done](ClientStatus status, JobState) {
               const bool accepted_before = status == ClientStatus::ok;
               // While it is unknown whether it was accepted before, the client may retry.
               const bool undetermined = status == ClientStatus::unavailable;
-              const ClientStatus refusal = undetermined ? ClientStatus::refused : answer;
+              const ClientStatus refusal
+                  = undetermined ? ClientStatus::refused : rejection.answer;
               record_call_metrics(
                   "submit", accepted_before ? "taken_before" : "turned_away", received);
-              log_event(
-                  LogLevel::info, "job_turned_away",
-                  { { "job", id },
-                    { "queue", queue },
-                    { "workspace", workspace },
-                    { "reason", answer == ClientStatus::over_bound ? "bound" : "advice" },
-                    { "taken_before", accepted_before ? "yes" : "no" },
-                    { "come_back_ms", closed_queue_retry_after(queue).count() } });
+              note_rejection(queue, id, workspace, rejection, accepted_before);
               done(accepted_before ? ClientStatus::ok : refusal);
           });
 }
 
+void JobNode::Impl::note_rejection(const std::string& queue, const std::string& id,
+                                   const std::string& workspace, const Rejection& rejection,
+                                   bool accepted_before)
+{
+    if (!accepted_before)
+        m_context.metrics.count("pathport_jobs_turned_away_total",
+                                { { "queue", queue }, { "reason", rejection.reason } });
+    std::vector<LogField> fields { { "job", id },
+                                   { "queue", queue },
+                                   { "workspace", workspace },
+                                   { "reason", rejection.reason },
+                                   { "taken_before", accepted_before ? "yes" : "no" },
+                                   { "come_back_ms", rejection.retry_after.count() } };
+    if (rejection.capacity) {
+        const auto& [known, allowance, delay] = *rejection.capacity;
+        fields.push_back({ "wait_ms", known.wait.count() });
+        fields.push_back({ "age_ms", known.age.count() });
+        fields.push_back({ "slack_ms", static_cast<int64_t>(allowance.slack_ms) });
+    }
+    log_event(LogLevel::info, "job_turned_away", fields);
+}
+
 callers::CallerCheck JobNode::Impl::check_caller(const Configuration& configuration,
                                                  const Queue& queue,
                                                  const callers::PresentedKey& key)
@@ -168,15 +233,8 @@
                            Millis received, Millis limit, const callers::Caller& caller,
                            ClientReply done)
 {
-    if (exceeds_bound(spec, caller.workspace())) {
-        const ClientStatus answer
-            = m_configuration.is_fresh() ? ClientStatus::over_bound : ClientStatus::refused;
-        reject_submission(queue.name, id, received, caller, answer, std::move(done));
-        return;
-    }
-    if (closed_queue_retry_after(queue.name) > Millis(0)) {
-        reject_submission(queue.name, id, received, caller, ClientStatus::refused,
-                          std::move(done));
+    if (const auto rejection = rejection_of(queue, spec, caller.workspace())) {
+        reject_submission(queue.name, id, received, caller, *rejection, std::move(done));
         return;
     }
     AcceptedJob job;
--- a/src/jobs.lib/job_node_impl.h
+++ b/src/jobs.lib/job_node_impl.h
@@ -22,6 +22,7 @@
 #include "worker_relay.h"
 
 #include <pathport/jobs/job_node.h>
+#include <pathport/shortage/room_forecast.h>
 
 #include <set>
 
@@ -123,9 +124,31 @@
     void notify_leader_of_shutdown();
 
     void update_workspace_gauges();
+    /// A refusal of a job for lack of capacity, with the inputs that decided it.
+    struct CapacityRefusal {
+        shortage::KnownWait known;
+        shortage::JobAllowance allowance;
+        Millis retry_after;
+    };
+    /// Why a submission is rejected.
+    struct Rejection {
+        const char* reason = "";
+        ClientStatus answer = ClientStatus::refused;
+        Millis retry_after;
+        std::optional<CapacityRefusal> capacity {};
+    };
+
+    std::optional<Rejection> rejection_of(const Queue& queue, const JobSpec& spec,
+                                          const std::string& workspace) const;
     void reject_submission(const std::string& queue, const std::string& id, Millis received,
-                           const callers::Caller& caller, ClientStatus answer,
+                           const callers::Caller& caller, const Rejection& rejection,
                            ClientReply done);
+    void note_rejection(const std::string& queue, const std::string& id,
+                        const std::string& workspace, const Rejection& rejection,
+                        bool accepted_before);
+    std::optional<CapacityRefusal> lacks_capacity(const Queue& queue,
+                                                  const JobSpec& spec) const;
+    shortage::KnownWait known_wait(const std::string& queue) const;
     bool exceeds_bound(const JobSpec& spec, const std::string& workspace) const;
     void record_call_metrics(const char* call, const char* outcome, Millis received);
     static ClientStatus accepted_status(const std::string& id, const WriteResult& written,
@@ -185,7 +208,8 @@
     bool m_leader_served = false;
     CallLoad m_leader_call_load; ///< Load of its calls to workers, as of its last answer.
     std::vector<ClosedQueue> m_closed_queues; ///< As of the leader's last answer.
-    Millis m_closed_queues_updated; ///< When that answer was received.
+    std::vector<LimitedQueue> m_limited_queues; ///< As of the same answer.
+    Millis m_queue_lists_updated; ///< When that answer was received.
     int64_t m_leader_sent_ms = 0; ///< The leader's clock in its last answer.
     Lifetime m_lifetime;
 };
--- a/src/jobs.lib/job_node_peers.cpp
+++ b/src/jobs.lib/job_node_peers.cpp
@@ -130,6 +130,7 @@
     answer.call_bytes_per_s = static_cast<int64_t>(m_relayed.load().bytes);
     answer.resigned = m_scheduler->resigned();
     answer.closed = m_scheduler->closed_queues();
+    answer.limited = m_scheduler->limited_queues();
     answer.peers = m_peers.update_for(request.peers_hash);
 }
 
--- a/src/jobs.lib/mechanisms.cpp
+++ b/src/jobs.lib/mechanisms.cpp
@@ -32,6 +32,13 @@
     return all;
 }
 
+Mechanisms Mechanisms::without(Mechanism mechanism) const
+{
+    Mechanisms result = *this;
+    result.m_off.set(static_cast<size_t>(mechanism));
+    return result;
+}
+
 std::optional<Mechanisms> Mechanisms::without(std::string_view names, Failure& reason)
 {
     Mechanisms result;
--- a/src/jobs.lib/mechanisms_test.cpp
+++ b/src/jobs.lib/mechanisms_test.cpp
@@ -30,6 +30,14 @@
     }
 }
 
+// Settings of the daemon exclude a mechanism without naming it to experiments.
+BOOST_AUTO_TEST_CASE(one_can_be_excluded)
+{
+    const Mechanisms some = Mechanisms().without(Mechanism::capacity_admission);
+    for (const Mechanism mechanism : all_mechanisms())
+        BOOST_TEST(some.uses(mechanism) == (mechanism != Mechanism::capacity_admission));
+}
+
 BOOST_AUTO_TEST_CASE(each_has_a_name_of_its_own)
 {
     std::set<std::string> names;
--- a/src/jobs.lib/peer_codec.cpp
+++ b/src/jobs.lib/peer_codec.cpp
@@ -24,6 +24,24 @@
         json[key] = value;
 }
 
+// Returns the limited queues of a leader's answer. A row that is malformed is left out: it
+// limits nothing, and the rest of the answer keeps its effect.
+std::vector<LimitedQueue> limited_queues_of(const Json& answer)
+{
+    std::vector<LimitedQueue> limited;
+    const auto rows = answer.find("limited");
+    if (rows == answer.end() || !rows->is_array())
+        return limited;
+    for (const Json& row : *rows) {
+        const bool is_valid = row.is_array() && row.size() >= 2 && row[0].is_string()
+            && row[1].is_number_integer();
+        const int64_t wait_ms = is_valid ? row[1].get<int64_t>() : 0;
+        if (wait_ms > 0)
+            limited.push_back({ row[0].get<std::string>(), Millis(wait_ms) });
+    }
+    return limited;
+}
+
 } // namespace
 
 const char* to_string(PeerTopic topic)
@@ -158,6 +176,8 @@
         json["tickets"].push_back({ ticket.worker, ticket.ticket });
     for (const ClosedQueue& entry : answer.closed)
         json["closed"].push_back({ entry.queue, entry.retry_after.count() });
+    for (const LimitedQueue& entry : answer.limited)
+        json["limited"].push_back({ entry.queue, entry.wait.count() });
     return json.dump(-1, ' ', false, Json::error_handler_t::replace);
 }
 
@@ -207,6 +227,7 @@
                 answer.closed.push_back(
                     { entry.at(0).get<std::string>(), Millis(entry.at(1).get<int64_t>()) });
         }
+        answer.limited = limited_queues_of(json);
         return answer;
     } catch (const Json::exception&) {
         return std::nullopt;
--- a/src/jobs.lib/retry_delay.cpp
+++ b/src/jobs.lib/retry_delay.cpp
@@ -37,6 +37,20 @@
     return longest;
 }
 
+std::optional<shortage::JobAllowance> allowance_of(const Queue& queue, const JobSpec& spec)
+{
+    const bool is_estimated
+        = std::all_of(spec.steps.begin(), spec.steps.end(), [](const StepSpec& step) {
+              return !step.long_running && step.expected_ms > 0
+                  && step.expected_ms <= shortage::max_expected_run_ms;
+          });
+    if (!is_estimated || spec.steps.empty() || spec.has_schedule())
+        return std::nullopt;
+    const auto chain = double(longest_chain_ms(spec));
+    const double allowed = queue.stretch * chain + double(queue.slo_ms);
+    return shortage::JobAllowance { allowed - chain, allowed };
+}
+
 Millis retry_delay(const Queue& queue, const JobSpec& spec, const std::string& id,
                    Millis outage)
 {
--- a/src/jobs.lib/retry_delay.h
+++ b/src/jobs.lib/retry_delay.h
@@ -7,7 +7,9 @@
 #pragma once
 
 #include <pathport/jobs/job_model.h>
+#include <pathport/shortage/room_forecast.h>
 
+#include <optional>
 #include <string>
 
 namespace pathport::jobs {
@@ -24,4 +26,9 @@
 /// Returns the longest chain of expected run times over the steps of a job.
 int64_t longest_chain_ms(const JobSpec& spec);
 
+/// Returns the time that a job may take from its submission on, by its queue and its
+/// estimates. Returns nothing if they don't tell when it will be late: a run time is
+/// missing or implausible, it has long-running tasks, or it runs by a schedule.
+std::optional<shortage::JobAllowance> allowance_of(const Queue& queue, const JobSpec& spec);
+
 } // namespace pathport::jobs
--- a/src/jobs.lib/scheduler.h
+++ b/src/jobs.lib/scheduler.h
@@ -32,6 +32,7 @@
 #include <pathport/jobs/worker_client.h>
 #include <pathport/metrics.h>
 #include <pathport/shortage/prospect.h>
+#include <pathport/shortage/room_forecast.h>
 #include <pathport/shortage/start_margin.h>
 #include <pathport/shortage/victim.h>
 
@@ -99,6 +100,11 @@
     void drains_changed();
     /// Returns the queues that accept no jobs at present.
     const std::vector<ClosedQueue>& closed_queues() const { return m_admission.closed(); }
+    /// Returns the queues whose jobs wait long for capacity; none if that was determined
+    /// too long ago.
+    std::vector<LimitedQueue> limited_queues() const;
+    /// Returns the time since that was determined.
+    Millis limited_queues_age() const { return m_context.loop.now() - m_limited_at; }
     /// Returns the load of each workspace in the configuration.
     std::vector<WorkspaceLoad> workspace_loads() const;
     const HeadLog& log() const { return m_log; }
@@ -249,6 +255,12 @@
     bool is_used(const std::string& service) const;
     // Admission of jobs to queues (scheduler_admission.cpp).
     void update_admission();
+    void update_room_forecast();
+    void discard_room_forecast();
+    void note_processors();
+    void note_waiting_work();
+    void publish_limited_queues();
+    double estimate_factor(const std::string& queue) const;
     std::vector<AdviceDemand> advice_demands();
     bool awaits_advice(const JobRecord& job, const Step& step) const;
     void log_admission_changes(const std::vector<ClosedQueue>& before,
@@ -590,6 +602,9 @@
     AdviceAccount m_advisor_time;
     AdvisorTime m_advisor_time_logged; ///< Total when the load was last logged.
     QueueAdmission m_admission;
+    shortage::RoomForecast m_room_forecast;
+    std::vector<LimitedQueue> m_limited; ///< By that forecast.
+    Millis m_limited_at; ///< When that was determined.
     callers::UsageLedger m_usage; ///< Running tasks of each workspace.
     std::map<callers::WorkspaceNumber, callers::JobBudget> m_budgets;
     /// The configuration whose bounds the ledger uses.
--- a/src/jobs.lib/scheduler_tick.cpp
+++ b/src/jobs.lib/scheduler_tick.cpp
@@ -49,9 +49,12 @@
             }
         }
         update_admission();
+        update_room_forecast();
         report_load();
         archive_closed();
         schedule_pass();
+    } else {
+        discard_room_forecast();
     }
     m_context.loop.after(tick_interval, m_lifetime.wrap([this] { tick(); }));
 }
--- a/src/pathport_jobd/jobd_settings.cpp
+++ b/src/pathport_jobd/jobd_settings.cpp
@@ -55,8 +55,13 @@
     level.type = SettingType::choice;
     level.choices = { "debug", "info", "warn", "error" };
     level.default_value = "info";
+    SettingSpec by_capacity = text("admission", "by_capacity");
+    by_capacity.type = SettingType::choice;
+    by_capacity.choices = { "on", "off" };
+    by_capacity.default_value = "off";
     return { text("node", "name"),
              level,
+             by_capacity,
              off,
              integer_setting("node", "stop_grace_ms", 500, 600000, "5000"),
              decimal("machine", "processor_share", "1"),
@@ -94,7 +99,9 @@
         return std::nullopt;
     }
     JobdSettings settings;
-    settings.mechanisms = *mechanisms;
+    settings.mechanisms = file->text("admission", "by_capacity") == "on"
+        ? *mechanisms
+        : mechanisms->without(jobs::Mechanism::capacity_admission);
     settings.node = file->text("node", "name");
     settings.log_level = file->text("node", "log_level");
     settings.stop_grace = file->millis("node", "stop_grace_ms");
