--- a/src/include/pathport/shortage/victim.h
+++ b/src/include/pathport/shortage/victim.h
@@ -27,8 +27,8 @@
 /// best afford the delay.
 bool costs_less(const VictimCost& left, const VictimCost& right);
 
-/// Returns how much longer a task will run, judged by its progress; nothing if it has
-/// reported none.
-std::optional<Millis> remaining_run_time(Millis elapsed, int percent);
+/// Returns how much longer a task will run that is `percent` done, if it made `gained`
+/// percent of that in `elapsed`; nothing if it made none.
+std::optional<Millis> remaining_run_time(Millis elapsed, int gained, int percent);
 
 } // namespace pathport::shortage
--- a/src/jobs.lib/advice_account_test.cpp
+++ b/src/jobs.lib/advice_account_test.cpp
@@ -42,5 +42,6 @@
     account.note_answer("splits", 200, true, second_ms);
     account.note_placement("splits", second_ms);
     BOOST_TEST((account.total() == AdvisorTime { 1100, 200, 0 }));
-    BOOST_TEST((account.total() - AdvisorTime { 900, 0, 0 } == AdvisorTime { 200, 200, 0 }));
+    BOOST_TEST(
+        (account.total() - AdvisorTime { 900, 0, 0 } == AdvisorTime { 200, 200, 0 }));
 }
--- a/src/jobs.lib/job_record.h
+++ b/src/jobs.lib/job_record.h
@@ -57,6 +57,10 @@
     bool adopted = false; ///< An earlier leader started it, at an unknown time.
     int percent = 0; ///< Progress as last reported.
     Millis percent_at; ///< When `percent` last changed.
+    /// The first progress that this run reported, and when; a run that resumes from a
+    /// checkpoint begins with that of earlier runs. Zero before.
+    int first_percent = 0;
+    Millis first_percent_at;
     Millis listed_at; ///< When its worker last listed or accepted it.
     /// When this leader first knew that it was running; zero before.
     Millis confirmed_at;
--- a/src/jobs.lib/multi_worker_fixture.h
+++ b/src/jobs.lib/multi_worker_fixture.h
@@ -111,7 +111,8 @@
 }
 
 /// A scheduler that takes over one job. `placed` lists the worker and run of its tasks, and
-/// `prepare` changes the progress that the earlier leader recorded.
+/// `prepare` changes the progress that the earlier leader recorded. `mechanisms` are those
+/// that the scheduler uses.
 struct MultiWorkerTakeOver {
     emulator::World world { 3 };
     emulator::Store store { world };
@@ -130,7 +131,8 @@
 
     MultiWorkerTakeOver(const std::vector<std::string>& ids, const AcceptedJob& job,
                         const std::vector<std::pair<std::string, int64_t>>& placed,
-                        const std::function<void(JobRecord&)>& prepare = {})
+                        const std::function<void(JobRecord&)>& prepare = {},
+                        Mechanisms mechanisms = {})
     {
         list(ids);
         JobRecord record(job, world.now());
@@ -163,6 +165,7 @@
                                  metrics,
                                  WorkerTimeouts() };
         parts.store_clock = &store_clock;
+        parts.mechanisms = mechanisms;
         scheduler = std::make_unique<Scheduler>(parts, claim, [] {});
         scheduler->begin();
     }
--- a/src/jobs.lib/scheduler.h
+++ b/src/jobs.lib/scheduler.h
@@ -193,6 +193,7 @@
     struct WorkerCandidate {
         Worker* worker = nullptr;
         int fit = 0; ///< Tasks of the step that fit in its free capacity.
+        bool has_room = false; ///< One fits there if claims of queries are disregarded.
         int potential_fit = 0; ///< The same if all lower-priority tasks there had ended.
         /// The same if those of them had ended that may be stopped.
         int stoppable_fit = 0;
@@ -463,6 +464,8 @@
     void advance_held_back(std::vector<PendingStep>& waiting);
     Resources capacity_to_ask_about(WorkerNumber worker, int rank,
                                     const Resources& free) const;
+    void choose_longest_waiting(const std::vector<PendingStep>& waiting);
+    bool asks_regardless(const Step& step) const;
     void note_advisor_answer(const std::string& queue, double cost_ms, bool answered,
                              Step* step);
     void note_advisor_use(const JobRecord& job, Step& step);
@@ -599,6 +602,11 @@
     /// By queue; a new leader learns them anew.
     std::map<std::string, shortage::StartMargin> m_start_margins;
     AdviceClaims m_claims; ///< In the current pass.
+    /// Steps that may ask regardless of claims and of the queries that wait, one of a
+    /// queue.
+    std::vector<const Step*> m_longest_waiting;
+    /// When such a step last asked, by queue.
+    std::map<std::string, Millis> m_longest_waiting_asked_at;
     AdviceAccount m_advisor_time;
     AdvisorTime m_advisor_time_logged; ///< Total when the load was last logged.
     QueueAdmission m_admission;
--- a/src/jobs.lib/scheduler_advice.cpp
+++ b/src/jobs.lib/scheduler_advice.cpp
@@ -130,6 +130,7 @@
     Permission without_advice;
     without_advice.allowed = true;
     const std::vector<WorkerNumber> second = second_choices(step);
+    const bool sees_claims = advised && !asks_regardless(step);
     WorkerCandidates found;
     auto known = step.advice.workers.begin();
     for (WorkerNumber number = 0; number < m_capacity_table.size(); ++number) {
@@ -145,9 +146,12 @@
             int most = std::min(needed, row.max_new_tasks);
             if (spec.max_per_worker > 0)
                 most = std::min(most, spec.max_per_worker - worker.load.count_of_step(key));
-            const Resources free
-                = advised ? capacity_to_ask_about(number, priority, row.free) : row.free;
+            const Resources free = sees_claims
+                ? capacity_to_ask_about(number, priority, row.free)
+                : row.free;
             candidate.fit = tasks_that_fit_into(spec, free, needed, most);
+            candidate.has_room
+                = candidate.fit > 0 || tasks_that_fit_into(spec, row.free, 1, most) > 0;
             const Resources after_ends = row.free + worker.load.used_below(priority);
             candidate.potential_fit = tasks_that_fit_into(spec, after_ends, needed, most);
             const Resources after_stops = row.free + worker.load.stoppable_below(priority);
@@ -243,7 +247,8 @@
     bool first_query = step.advice.workers.empty();
     // While other queries are about all free capacity, a step that can't be in time leaves
     // the advisor to those that can.
-    if (first_query && !m_claims.empty() && !any_fit(found.unasked) && is_late(job))
+    if (first_query && !m_claims.empty() && !any_fit(found.unasked) && is_late(job)
+        && !asks_regardless(step))
         first_query = false;
     if (found.preferred_fit < needed && (first_query || any_fit(found.unasked))) {
         ask_about(job, step, needed, found, found.unasked);
@@ -281,7 +286,8 @@
 // Returns whether the step may not ask now, since enough queries of its queue wait.
 bool Scheduler::hold_back_if_full(const JobRecord& job, Step& step) const
 {
-    step.advice.held_back = free_query_places(job.accepted().queue) == 0;
+    step.advice.held_back
+        = free_query_places(job.accepted().queue) == 0 && !asks_regardless(step);
     return step.advice.held_back;
 }
 
@@ -311,6 +317,8 @@
         return;
     if (!step.spec->gang && workers.size() > max_asked)
         workers.resize(max_asked);
+    if (asks_regardless(step))
+        m_longest_waiting_asked_at[job.accepted().queue.name] = now;
     const size_t parts = (workers.size() + max_asked - 1) / max_asked;
     step.advice.has_news = false;
     step.advice.named.clear();
--- a/src/jobs.lib/scheduler_claims.cpp
+++ b/src/jobs.lib/scheduler_claims.cpp
@@ -15,6 +15,8 @@
 namespace {
 
 constexpr double ms_per_s = 1000;
+/// One query in this time goes to the step of a queue that has waited longest.
+constexpr Millis longest_waiting_interval { 1000 };
 
 Resources scaled(const Resources& amount, double factor)
 {
@@ -94,6 +96,41 @@
     }
 }
 
+// Chooses for each queue the step that has waited longest, unless such a step has asked a
+// moment ago. Under lasting overload, the claims and queries of steps that can be in time
+// would otherwise keep late ones from asking for as long as it lasts.
+void Scheduler::choose_longest_waiting(const std::vector<PendingStep>& waiting)
+{
+    m_longest_waiting.clear();
+    if (!uses(Mechanism::advice_claims))
+        return;
+    std::map<std::string, Step*> longest;
+    for (const PendingStep& pending : waiting) {
+        Step& step = *pending.step;
+        const Queue& queue = pending.job->accepted().queue;
+        if (!queue.advice || step.spec->gang || step.idle_since == Millis(0)
+            || step.advice.asking() || m_pass_begun < step.advice.retry_at)
+            continue;
+        Step*& best = longest.try_emplace(queue.name, &step).first->second;
+        if (step.idle_since < best->idle_since)
+            best = &step;
+    }
+    for (const auto& [queue, step] : longest) {
+        const auto last = m_longest_waiting_asked_at.find(queue);
+        if (last != m_longest_waiting_asked_at.end()
+            && m_pass_begun - last->second < longest_waiting_interval)
+            continue;
+        step->next_placement_at = Millis(0);
+        m_longest_waiting.push_back(step);
+    }
+}
+
+bool Scheduler::asks_regardless(const Step& step) const
+{
+    return std::find(m_longest_waiting.begin(), m_longest_waiting.end(), &step)
+        != m_longest_waiting.end();
+}
+
 // `step` is null if the job has been closed meanwhile.
 void Scheduler::note_advisor_answer(const std::string& queue, double cost_ms, bool answered,
                                     Step* step)
--- a/src/jobs.lib/scheduler_gangs.cpp
+++ b/src/jobs.lib/scheduler_gangs.cpp
@@ -73,6 +73,7 @@
 GangWait Scheduler::prepare_gang(const JobRecord& job, Step& step, int needed)
 {
     const bool advised = job.accepted().queue.advice.has_value();
+    step.advice.held_back = false;
     if (step.advice.asking())
         return GangWait::answer;
     if (m_pass_begun < step.advice.retry_at)
--- a/src/jobs.lib/scheduler_pass.cpp
+++ b/src/jobs.lib/scheduler_pass.cpp
@@ -86,6 +86,7 @@
     renew_reservations(waiting);
     collect_claims(waiting);
     advance_held_back(waiting);
+    choose_longest_waiting(waiting);
     // Lower-priority steps tried a moment ago are left to a later pass.
     const auto due
         = std::stable_partition(waiting.begin(), waiting.end(), [begun](const auto& entry) {
--- a/src/jobs.lib/scheduler_preempt.cpp
+++ b/src/jobs.lib/scheduler_preempt.cpp
@@ -32,7 +32,8 @@
 bool Scheduler::ends_soon(const Task& task) const
 {
     const auto left
-        = shortage::remaining_run_time(task.percent_at - task.placed_at, task.percent);
+        = shortage::remaining_run_time(task.percent_at - task.first_percent_at,
+                                       task.percent - task.first_percent, task.percent);
     if (!left || task.phase != TaskPhase::running || task.adopted)
         return false;
     const Millis ends_in = task.percent_at + *left - m_context.loop.now();
@@ -111,13 +112,17 @@
 
 // For tasks that need not start together and have no capacity on any allowed worker:
 // preempts lower-priority tasks on as few workers as needed and reserves those until then.
-// Returns whether capacity will become free.
+// Returns whether capacity will become free. Free capacity that is claimed does not count
+// as lacking: reserving it would keep it from the step with the claim.
 bool Scheduler::preempt_for_independent(const JobRecord& job, Step& step,
                                         WorkerCandidates& found, int needed)
 {
     const bool by_cost = uses(Mechanism::cheapest_victims);
     const int obtainable = by_cost ? found.stoppable_fit : found.potential_fit;
-    if (found.fit > 0 || obtainable == 0 || !may_preempt(job))
+    const bool has_room
+        = std::any_of(found.allowed.begin(), found.allowed.end(),
+                      [](const WorkerCandidate& candidate) { return candidate.has_room; });
+    if (has_room || obtainable == 0 || !may_preempt(job))
         return false;
     const auto obtainable_on = [by_cost](const WorkerCandidate& candidate) {
         return by_cost ? candidate.stoppable_fit : candidate.potential_fit;
--- a/src/jobs.lib/scheduler_reports.cpp
+++ b/src/jobs.lib/scheduler_reports.cpp
@@ -182,6 +182,10 @@
         return;
     task.percent = running.percent;
     task.percent_at = now;
+    if (task.first_percent_at == Millis(0)) {
+        task.first_percent = task.percent;
+        task.first_percent_at = now;
+    }
 }
 
 // Releases tasks that were intended for the worker but are not there: the order did not
--- a/src/jobs.lib/scheduler_start.cpp
+++ b/src/jobs.lib/scheduler_start.cpp
@@ -52,6 +52,7 @@
 {
     step.idle_since = Millis(0);
     note_advisor_use(job, step);
+    step.advice.held_back = false;
     const bool refill = step.spec->gang && step.placed() > 0;
     step.advice.retry_at = Millis(0);
     step.advice.unhelpful_answers = 0;
@@ -282,6 +283,8 @@
         task->phase = TaskPhase::running;
         task->percent = 0;
         task->percent_at = m_context.loop.now();
+        task->first_percent = 0;
+        task->first_percent_at = Millis(0);
         task->listed_at = task->percent_at;
         if (task->confirmed_at == Millis(0))
             task->confirmed_at = task->percent_at;
--- a/src/shortage.lib/victim.cpp
+++ b/src/shortage.lib/victim.cpp
@@ -24,13 +24,13 @@
     return key(left) < key(right);
 }
 
-std::optional<Millis> remaining_run_time(Millis elapsed, int percent)
+std::optional<Millis> remaining_run_time(Millis elapsed, int gained, int percent)
 {
     constexpr int whole = 100;
-    if (percent <= 0 || elapsed < Millis(0))
+    if (gained <= 0 || elapsed < Millis(0))
         return std::nullopt;
     const int left = whole - std::min(percent, whole);
-    return Millis(elapsed.count() * left / percent);
+    return Millis(elapsed.count() * left / gained);
 }
 
 } // namespace pathport::shortage
--- a/src/shortage.lib/victim_test.cpp
+++ b/src/shortage.lib/victim_test.cpp
@@ -56,9 +56,16 @@
 
 BOOST_AUTO_TEST_CASE(remaining_time_follows_from_progress)
 {
-    BOOST_TEST(remaining_run_time(Millis(3000), 75)->count() == 1000);
-    BOOST_TEST(remaining_run_time(Millis(3000), 100)->count() == 0);
-    BOOST_TEST(remaining_run_time(Millis(3000), 130)->count() == 0);
-    BOOST_TEST(!remaining_run_time(Millis(3000), 0));
-    BOOST_TEST(!remaining_run_time(Millis(-1), 50));
+    BOOST_TEST(remaining_run_time(Millis(3000), 75, 75)->count() == 1000);
+    BOOST_TEST(remaining_run_time(Millis(3000), 100, 100)->count() == 0);
+    BOOST_TEST(remaining_run_time(Millis(3000), 130, 130)->count() == 0);
+    BOOST_TEST(!remaining_run_time(Millis(3000), 0, 0));
+    BOOST_TEST(!remaining_run_time(Millis(-1), 50, 50));
+}
+
+// The progress of earlier runs says nothing about the speed of this one.
+BOOST_AUTO_TEST_CASE(resumed_task_is_judged_by_what_this_run_has_done)
+{
+    BOOST_TEST(remaining_run_time(Millis(1000), 5, 90)->count() == 2000);
+    BOOST_TEST(!remaining_run_time(Millis(1000), 0, 90));
 }
