--- a/src/jobs.lib/shortage_test.cpp
+++ b/src/jobs.lib/shortage_test.cpp
@@ -191,7 +191,8 @@
 
 constexpr double slow_advice_ms = 300;
 constexpr int asking_jobs = 40;
-/// Each job needs a first query, so claims save only part of them: 77 were left of 99.
+/// Share of the queries that claims may leave. Each job needs a first query, so they can
+/// save only part of them.
 constexpr double saved_share = 0.8;
 
 /// A cell that is full except for a few workers, each with room for one task of a queue
