--- a/src/shortage.lib/start_margin_test.cpp
+++ b/src/shortage.lib/start_margin_test.cpp
@@ -28,7 +28,7 @@
 {
     StartMargin margin;
     for (int i = 1; i <= 40; ++i)
-        margin.note_completion(Millis(100 * i));
+        margin.note_completion(Millis(int64_t(100) * i));
     BOOST_TEST(margin.margin().count() >= 3000);
     BOOST_TEST(margin.margin().count() <= 3400);
 }
