Logs and metrics tell on what evidence a worker was judged to have ended

Cause of this change: three hypotheses (a refused connection, the list, an answer by somebody else) end an incarnation in the same way, and no line tells them apart: worker_life_over names no evidence, nothing tells that a worker left the list or whether it had announced its end. Change: worker_life_over has evidence, draining and lapses_in_ms, worker_lost has draining and left; worker_unlisted and worker_listed_again are new, and so is pathport_worker_incarnations_ended_total by evidence. No decision changes.

--- a/scripts/explain.py
+++ b/scripts/explain.py
@@ -16,7 +16,8 @@
     "takeover_begun", "takeover_loaded", "takeover_done", "leader_known", "leader_silent",
     "leadership_lost", "leadership_resigned", "leadership_resumed", "configuration_applied",
     "worker_lost", "worker_regained", "worker_lease_lapsed", "worker_life_over",
-    "worker_avoided", "worker_draining", "worker_tasks_released", "strays_kept",
+    "worker_avoided", "worker_draining", "worker_unlisted", "worker_listed_again",
+    "worker_tasks_released", "strays_kept",
     "doubts_inherited", "load", "job_history_lost",
 }
 BEFORE_MS = 1500
--- a/src/jobs.lib/scheduler.h
+++ b/src/jobs.lib/scheduler.h
@@ -121,7 +121,7 @@
     void worker_lost(WorkerSession& session) override;
     void report_received(WorkerSession& session, const PollReport& report,
                          ReportStage stage) override;
-    void incarnation_ended(WorkerSession& session) override;
+    void incarnation_ended(WorkerSession& session, EndEvidence evidence) override;
     void lease_expired(WorkerSession& session) override;
     void run_gone(WorkerSession& session, const TaskId& task, int64_t run) override;
     void fenced_off(WorkerSession& session) override;
--- a/src/jobs.lib/scheduler_worker_lifecycle.cpp
+++ b/src/jobs.lib/scheduler_worker_lifecycle.cpp
@@ -49,6 +49,9 @@
 void Scheduler::update_worker(const WorkerInfo& info)
 {
     Worker& worker = m_workers[info.id];
+    if (worker.session && !worker.listed)
+        log_event(LogLevel::info, "worker_listed_again",
+                  { { "worker", info.id }, { "draining", info.draining ? "yes" : "no" } });
     worker.listed = true;
     worker.rack = info.rack();
     if (worker.session) {
@@ -107,6 +110,13 @@
 void Scheduler::drop_unlisted(const std::string& id)
 {
     Worker& worker = m_workers[id];
+    if (worker.listed)
+        log_event(LogLevel::info, "worker_unlisted",
+                  { { "worker", id },
+                    { "draining", worker.session->info().draining ? "yes" : "no" },
+                    { "remaining_ms", worker.session->info().remaining_ms },
+                    { "silent", worker.session->silent() ? "yes" : "no" },
+                    { "placed", static_cast<int64_t>(worker.load.allocations().size()) } });
     worker.listed = false;
     refresh_row(worker);
     if (worker.session->info().draining)
@@ -164,8 +174,10 @@
     schedule_pass();
 }
 
-void Scheduler::incarnation_ended(WorkerSession& session)
+void Scheduler::incarnation_ended(WorkerSession& session, EndEvidence evidence)
 {
+    m_context.metrics.count("pathport_worker_incarnations_ended_total",
+                            { { "evidence", to_string(evidence) } });
     Worker* worker = find_worker(session.id());
     if (worker == nullptr)
         return;
--- a/src/jobs.lib/single_worker_fixture.h
+++ b/src/jobs.lib/single_worker_fixture.h
@@ -70,7 +70,7 @@
     void worker_lost(WorkerSession&) override { }
     int missing_answers = 0; ///< Calls without a reply.
     void report_received(WorkerSession&, const PollReport&, ReportStage) override { }
-    void incarnation_ended(WorkerSession&) override { ++incarnations_ended; }
+    void incarnation_ended(WorkerSession&, EndEvidence) override { ++incarnations_ended; }
     void lease_expired(WorkerSession&) override { ++leases_lapsed; }
     void run_gone(WorkerSession&, const TaskId&, int64_t) override { ++runs_gone; }
     void fenced_off(WorkerSession&) override { }
--- a/src/jobs.lib/worker_session.cpp
+++ b/src/jobs.lib/worker_session.cpp
@@ -229,11 +229,11 @@
     if (m_ended)
         return;
     if (status == OrderStatus::wrong_incarnation) {
-        end_incarnation();
+        end_incarnation(EndEvidence::other_worker_answered);
         return;
     }
     if (status == OrderStatus::replaced) {
-        end_replaced();
+        end_replaced(EndEvidence::successor_answered);
         return;
     }
     if (status == OrderStatus::stale_fence && fence == m_fence) {
@@ -282,6 +282,8 @@
                   { { "worker", id() },
                     { "outcome", to_string(status) },
                     { "waited_ms", (now - sent_at).count() },
+                    { "draining", m_info.draining ? "yes" : "no" },
+                    { "left", m_left ? "yes" : "no" },
                     { "lapses_in_ms", (m_lease_expires_at - now).count() } });
         m_listener.worker_lost(*this);
     }
@@ -294,7 +296,7 @@
     // A time-out proves nothing: the worker may be partitioned and run until its lease
     // ends.
     if (status == OrderStatus::refused && m_left) {
-        end_incarnation();
+        end_incarnation(EndEvidence::refused_after_leaving);
         return;
     }
     schedule_poll(m_failed_polls == 1 ? first_poll_retry_delay : poll_retry_delay);
@@ -434,10 +436,10 @@
         return;
     }
     case OrderStatus::wrong_incarnation:
-        end_incarnation();
+        end_incarnation(EndEvidence::other_worker_answered);
         return;
     case OrderStatus::replaced:
-        end_replaced();
+        end_replaced(EndEvidence::successor_answered);
         return;
     case OrderStatus::stale_fence:
         if (order.fence == m_fence) {
--- a/src/jobs.lib/worker_session.h
+++ b/src/jobs.lib/worker_session.h
@@ -69,6 +69,16 @@
     subsequent, ///< A complete report has arrived before.
 };
 
+/// What an incarnation of a worker was judged to have ended by.
+enum class EndEvidence {
+    other_worker_answered, ///< Another worker answered at its address.
+    successor_answered, ///< The next incarnation of its name answered.
+    successor_listed, ///< The list names the next incarnation.
+    refused_after_leaving, ///< It announced its end, left the list, and a poll was refused.
+};
+/// Returns the lower-case name of `evidence`.
+const char* to_string(EndEvidence evidence);
+
 /// Receives the events of sessions.
 class SessionListener {
 public:
@@ -90,7 +100,7 @@
         = 0;
     /// Called when the incarnation has ended: its runs are gone and its unlisted ends are
     /// lost.
-    virtual void incarnation_ended(WorkerSession& session) = 0;
+    virtual void incarnation_ended(WorkerSession& session, EndEvidence evidence) = 0;
     /// Called when the lease of everything that ran there has certainly expired.
     virtual void lease_expired(WorkerSession& session) = 0;
     /// Called when a run that was told to stop is gone and its end is not listed.
@@ -229,8 +239,8 @@
     void send_stop(const RunKey& key);
     void send_stops();
     void log_overdue_stop(StopRequest& request);
-    void end_incarnation();
-    void end_replaced();
+    void end_incarnation(EndEvidence evidence);
+    void end_replaced(EndEvidence evidence);
     int64_t ends_to_acknowledge() const;
     void update_forgotten(const PollReport& report, int64_t acked);
     void confirm_starts(const PollReport& report, Millis sent_at);
--- a/src/jobs.lib/worker_session_incarnation.cpp
+++ b/src/jobs.lib/worker_session_incarnation.cpp
@@ -49,18 +49,33 @@
     return starts;
 }
 
+const char* to_string(EndEvidence evidence)
+{
+    switch (evidence) {
+    case EndEvidence::other_worker_answered:
+        return "other_worker_answered";
+    case EndEvidence::successor_answered:
+        return "successor_answered";
+    case EndEvidence::successor_listed:
+        return "successor_listed";
+    case EndEvidence::refused_after_leaving:
+        break;
+    }
+    return "refused_after_leaving";
+}
+
 void WorkerSession::mark_replaced()
 {
-    end_replaced();
+    end_replaced(EndEvidence::successor_listed);
 }
 
-void WorkerSession::end_replaced()
+void WorkerSession::end_replaced(EndEvidence evidence)
 {
     m_replaced = true;
-    end_incarnation();
+    end_incarnation(evidence);
 }
 
-void WorkerSession::end_incarnation()
+void WorkerSession::end_incarnation(EndEvidence evidence)
 {
     if (m_ended)
         return;
@@ -70,9 +85,12 @@
     log_event(
         LogLevel::info, "worker_life_over",
         { { "worker", id() },
+          { "evidence", to_string(evidence) },
+          { "draining", m_info.draining ? "yes" : "no" },
+          { "lapses_in_ms", (m_lease_expires_at - m_loop.now()).count() },
           { "reborn", m_replaced ? "yes" : "no" },
           { "unconfirmed_starts", static_cast<int64_t>(m_unconfirmed_starts.size()) } });
-    m_listener.incarnation_ended(*this);
+    m_listener.incarnation_ended(*this, evidence);
 }
 
 } // namespace pathport::jobs
--- a/src/jobs.lib/worker_session_stops.cpp
+++ b/src/jobs.lib/worker_session_stops.cpp
@@ -122,9 +122,9 @@
             if (open != m_stops.end())
                 open->second.last_status = answer.status;
             if (answer.status == OrderStatus::wrong_incarnation)
-                end_incarnation();
+                end_incarnation(EndEvidence::other_worker_answered);
             else if (answer.status == OrderStatus::replaced)
-                end_replaced();
+                end_replaced(EndEvidence::successor_answered);
             else if (answer.status == OrderStatus::stale_fence && fence < m_fence)
                 send_stop(key);
         }));
