--- a/src/emulator.lib/cell.cpp
+++ b/src/emulator.lib/cell.cpp
@@ -77,9 +77,13 @@
 {
     const Millis now = m_cell.world.now();
     NodeProcess* target = m_cell.running(address);
-    const bool partitioned = now < m_cell.m_partitioned_until[m_node]
-        || now < m_cell.m_partitioned_until[address];
-    if (target == nullptr && !partitioned) {
+    const Partition* const own = m_cell.peer_partition(m_node);
+    const Partition* const partition
+        = own != nullptr ? own : m_cell.peer_partition(address);
+    const bool partitioned = partition != nullptr;
+    const bool refused
+        = partitioned ? partition->mode == PartitionMode::refuses : target == nullptr;
+    if (refused) {
         deliver(Millis(1), [done] { done(jobs::PeerEnd::refused, {}); });
         return;
     }
@@ -246,12 +250,20 @@
     note_contact_loss(node, span);
 }
 
-void Cell::partition_from_peers(const std::string& node, Millis span)
+void Cell::partition_from_peers(const std::string& node, Millis span, PartitionMode mode)
 {
-    m_partitioned_until[node] = world.now() + span;
+    m_peer_partitions[node] = { world.now() + span, mode };
     note_contact_loss(node, span);
 }
 
+const Partition* Cell::peer_partition(const std::string& node) const
+{
+    const auto found = m_peer_partitions.find(node);
+    const bool partitioned
+        = found != m_peer_partitions.end() && world.now() < found->second.until;
+    return partitioned ? &found->second : nullptr;
+}
+
 void Cell::blackhole_connections(int kept)
 {
     note_contact_loss(Millis(0));
--- a/src/emulator.lib/worker_liveness.cpp
+++ b/src/emulator.lib/worker_liveness.cpp
@@ -77,7 +77,7 @@
         const bool usable = incarnation.up && incarnation.listed
             && !incarnation.info.draining && incarnation.faults.empty()
             && m_drained_domains.count(incarnation.info.zone) == 0
-            && m_world.now() >= incarnation.partitioned_until;
+            && m_world.now() >= incarnation.partition.until;
         if (!usable || (model.advised && !is_allowed(name, id)))
             continue;
         const Resources free = capacity_of(incarnation) - used(incarnation);
--- a/src/emulator.lib/worker_port.cpp
+++ b/src/emulator.lib/worker_port.cpp
@@ -56,6 +56,27 @@
     return std::nullopt;
 }
 
+// Returns the status of a call over a partitioned link; nothing if it gets through.
+std::optional<OrderStatus>
+WorkerPort::partition_status(const Workers::Incarnation& incarnation)
+{
+    const Partition* const partition = m_workers.partition_of(incarnation, m_node);
+    if (partition == nullptr)
+        return std::nullopt;
+    switch (partition->mode) {
+    case PartitionMode::refuses:
+        return OrderStatus::refused;
+    case PartitionMode::refuses_new:
+        if (m_loop.world().chance(0.5))
+            return std::nullopt;
+        return OrderStatus::refused;
+    case PartitionMode::drops:
+        break;
+    }
+    // Whether a call into a partition was executed is unknown to the caller.
+    return OrderStatus::unknown;
+}
+
 bool WorkerPort::is_delayed()
 {
     const double share = m_workers.injected.delayed_share;
@@ -94,12 +115,13 @@
         deliver(timeout, [done] { done(OrderAnswer()); });
         return;
     }
-    if (incarnation == nullptr || !m_workers.reachable(*incarnation, m_node)) {
-        // Whether a call into a partition was executed is unknown to the caller.
+    if (incarnation == nullptr) {
         deliver(timeout, [done] { done(OrderAnswer()); });
         return;
     }
-    const auto immediate = immediate_status(*incarnation, is_start);
+    auto immediate = partition_status(*incarnation);
+    if (!immediate)
+        immediate = immediate_status(*incarnation, is_start);
     if (immediate) {
         deliver(*immediate == OrderStatus::unknown ? timeout : Millis(2),
                 [done, status = *immediate] {
@@ -175,11 +197,13 @@
         deliver(timeout, [done] { done(OrderStatus::unknown, std::nullopt); });
         return;
     }
-    if (incarnation == nullptr || !m_workers.reachable(*incarnation, m_node)) {
+    if (incarnation == nullptr) {
         deliver(timeout, [done] { done(OrderStatus::unknown, std::nullopt); });
         return;
     }
-    const auto immediate = immediate_status(*incarnation, false);
+    auto immediate = partition_status(*incarnation);
+    if (!immediate)
+        immediate = immediate_status(*incarnation, false);
     if (immediate) {
         deliver(*immediate == OrderStatus::unknown ? timeout : Millis(2),
                 [done, status = *immediate] { done(status, std::nullopt); });
@@ -250,8 +274,14 @@
                     [done] { done(OrderStatus::unknown, std::nullopt); });
             return;
         }
-        if (target == nullptr || !target->up || !m_workers.reachable(*target, m_node)) {
-            deliver(Millis(500), [done] { done(OrderStatus::unknown, std::nullopt); });
+        const Partition* const partition
+            = target == nullptr ? nullptr : m_workers.partition_of(*target, m_node);
+        const bool reset
+            = partition != nullptr && partition->mode == PartitionMode::refuses;
+        const bool held = partition != nullptr && partition->mode == PartitionMode::drops;
+        if (target == nullptr || !target->up || reset || held) {
+            deliver(reset ? Millis(1) : Millis(500),
+                    [done] { done(OrderStatus::unknown, std::nullopt); });
             return;
         }
         if (target->ended.empty() && now < pending.until) {
--- a/src/emulator.lib/worker_restarts.cpp
+++ b/src/emulator.lib/worker_restarts.cpp
@@ -38,7 +38,7 @@
     incarnation.previous_entry = previous.info;
     incarnation.previous_entry.id = incarnation_id(previous);
     // Partitions of the box outlast the restart.
-    incarnation.partitioned_until = previous.partitioned_until;
+    incarnation.partition = previous.partition;
     incarnation.node_partitions = previous.node_partitions;
     m_incarnations[id] = std::move(incarnation);
 }
--- a/src/emulator.lib/workers.cpp
+++ b/src/emulator.lib/workers.cpp
@@ -59,24 +59,46 @@
     });
 }
 
-void Workers::partition(const std::string& id, Millis span, const std::string& node)
+void Workers::partition(const std::string& id, Millis span, const std::string& node,
+                        PartitionMode mode)
 {
     Incarnation* incarnation = find(id);
     if (incarnation == nullptr)
         return;
+    const Partition partition { m_world.now() + span, mode };
     if (node.empty())
-        incarnation->partitioned_until = m_world.now() + span;
+        incarnation->partition = partition;
     else
-        incarnation->node_partitions[node] = m_world.now() + span;
+        incarnation->node_partitions[node] = partition;
 }
 
-void Workers::drain(const std::string& id, Millis span)
+void Workers::cut_off(const std::string& id, Millis span, PartitionMode mode)
+{
+    partition(id, span, "", mode);
+    // The last heartbeat may precede the partition.
+    const Millis lapses_after = list_retention
+        - Millis(static_cast<int64_t>(
+            m_world.random_below(static_cast<uint64_t>(heartbeat_interval.count()))));
+    if (span <= lapses_after)
+        return;
+    const Millis unlisted_for = span - lapses_after
+        + Millis(static_cast<int64_t>(
+            m_world.random_below(static_cast<uint64_t>(heartbeat_interval.count()))));
+    m_world.after(
+        lapses_after, [this, id, unlisted_for, started_at = find(id)->started_at] {
+            Incarnation& incarnation = *find(id);
+            if (incarnation.started_at == started_at)
+                incarnation.faults[WorkerFault::unlisted] = m_world.now() + unlisted_for;
+        });
+}
+
+void Workers::drain(const std::string& id, Millis span, std::optional<Millis> announced)
 {
     Incarnation* incarnation = find(id);
     if (incarnation == nullptr)
         return;
     incarnation->info.draining = true;
-    incarnation->info.remaining_ms = span.count();
+    incarnation->info.remaining_ms = announced.value_or(span).count();
     incarnation->draining_since = m_world.now();
     schedule_end(*incarnation, span);
 }
@@ -148,12 +170,16 @@
     return found == m_incarnations.end() ? nullptr : &found->second;
 }
 
-bool Workers::reachable(const Incarnation& incarnation, const std::string& node) const
+const Partition* Workers::partition_of(const Incarnation& incarnation,
+                                       const std::string& node) const
 {
-    const auto node_partition = incarnation.node_partitions.find(node);
-    return m_world.now() >= incarnation.partitioned_until
-        && (node_partition == incarnation.node_partitions.end()
-            || m_world.now() >= node_partition->second);
+    const Millis now = m_world.now();
+    if (now < incarnation.partition.until)
+        return &incarnation.partition;
+    const auto partition = incarnation.node_partitions.find(node);
+    const bool partitioned
+        = partition != incarnation.node_partitions.end() && now < partition->second.until;
+    return partitioned ? &partition->second : nullptr;
 }
 
 void Workers::note_violation(const std::string& text)
--- a/src/include/pathport/emulator/cell.h
+++ b/src/include/pathport/emulator/cell.h
@@ -92,7 +92,8 @@
     /// Sets the processor cost of work in all present and future node processes.
     void set_processor_cost(const ProcessorCost& cost);
     /// Partitions a node from its peers for `span`.
-    void partition_from_peers(const std::string& node, Millis span);
+    void partition_from_peers(const std::string& node, Millis span,
+                              PartitionMode mode = PartitionMode::drops);
     /// Black-holes the open connections of all nodes (to the store, the workers, the
     /// advisor and each other), each with `kept` idle ones in the pool. New connections
     /// work.
@@ -173,6 +174,8 @@
 
     void start(const std::string& node);
     NodeProcess* running(const std::string& node);
+    /// Returns the partition of the node from its peers that is in effect, or null.
+    const Partition* peer_partition(const std::string& node) const;
     NodeProcess* random_running_node();
     void add_job(const std::string& id, const jobs::JobSpec& spec,
                  const std::vector<StepModel>& step_models, const jobs::Queue& queue);
@@ -212,7 +215,7 @@
     std::map<std::string, std::unique_ptr<NodeProcess>> m_nodes;
     /// Kept, since pending events refer to them.
     std::vector<std::unique_ptr<NodeProcess>> m_dead_processes;
-    std::map<std::string, Millis> m_partitioned_until;
+    std::map<std::string, Partition> m_peer_partitions; ///< By node.
     std::map<std::string, ClientJob> m_jobs;
     Millis m_disturbance_end; ///< End of the last disturbance.
     Millis m_settled_at; ///< The same plus the time in which jobs may be stalled.
--- a/src/include/pathport/emulator/workers.h
+++ b/src/include/pathport/emulator/workers.h
@@ -73,6 +73,20 @@
 /// Interval at which a worker reports its capacity.
 constexpr Millis heartbeat_interval { 1500 };
 
+/// How a partitioned link treats calls.
+enum class PartitionMode {
+    drops, ///< They get no reply.
+    refuses, ///< Something on the path refuses new connections and resets open ones.
+    refuses_new, ///< As `refuses`, but half of the calls find an open connection that
+                 ///< works.
+};
+
+/// A partition of a link.
+struct Partition {
+    Millis until;
+    PartitionMode mode = PartitionMode::drops;
+};
+
 /// How a worker restarts under its name, without any of its previous state.
 struct RestartOptions {
     Millis downtime; ///< Time until the new incarnation starts.
@@ -119,11 +133,17 @@
     /// unless the downtime exceeds its retention.
     void restart(const std::string& id, const RestartOptions& options);
     /// Partitions a worker from all nodes, or only from `node`. Its tasks keep running.
-    void partition(const std::string& id, Millis span, const std::string& node = "");
+    void partition(const std::string& id, Millis span, const std::string& node = "",
+                   PartitionMode mode = PartitionMode::drops);
+    /// Partitions a worker from all nodes and from the store. The list drops it after its
+    /// retention time, and has it again one heartbeat after the partition at the latest.
+    void cut_off(const std::string& id, Millis span, PartitionMode mode);
     /// Partitions a worker permanently; the list drops it after its retention time.
     void partition_for_good(const std::string& id);
-    /// Announces the shutdown of a worker, which ends after `span`.
-    void drain(const std::string& id, Millis span);
+    /// Announces the shutdown of a worker, which ends after `span`. It announces that at
+    /// least `announced` is left; without it, all of `span`.
+    void drain(const std::string& id, Millis span,
+               std::optional<Millis> announced = std::nullopt);
     /// Injects a fault into a worker; `share` is the share of calls that it declines.
     void inject_fault(const std::string& id, WorkerFault fault, Millis span,
                       double share = 1);
@@ -205,8 +225,8 @@
         Millis listed_from; ///< Until then the list shows the previous incarnation.
         jobs::WorkerInfo previous_entry; ///< The previous incarnation's list entry.
         Millis draining_since; ///< When it announced its shutdown; zero if it did not.
-        Millis partitioned_until;
-        std::map<std::string, Millis> node_partitions;
+        Partition partition; ///< From all nodes.
+        std::map<std::string, Partition> node_partitions;
         int64_t fence = 0;
         int64_t lease_end = 0; ///< On its own clock.
         std::map<std::string, Run> running;
@@ -241,7 +261,9 @@
     static std::string incarnation_id(const Incarnation& incarnation);
     static bool matches_id(const std::string& id, const Incarnation& incarnation);
     jobs::OrderStatus status_when_down(const Incarnation& incarnation) const;
-    bool reachable(const Incarnation& incarnation, const std::string& node) const;
+    /// Returns the partition between the incarnation and the node, or null.
+    const Partition* partition_of(const Incarnation& incarnation,
+                                  const std::string& node) const;
     jobs::OrderAnswer start_now(const std::string& id, const jobs::StartOrder& order);
     jobs::OrderAnswer stop_now(const std::string& id, const jobs::RunOrder& order);
     jobs::OrderStatus poll_now(const std::string& id, const jobs::PollRequest& order,
@@ -348,6 +370,8 @@
 
     std::optional<jobs::OrderStatus>
     immediate_status(const Workers::Incarnation& incarnation, bool is_start);
+    std::optional<jobs::OrderStatus>
+    partition_status(const Workers::Incarnation& incarnation);
     bool is_delayed();
     void execute_delayed(const std::string& worker,
                          std::function<jobs::OrderAnswer()> work);
--- a/src/jobs.lib/random_schedule.cpp
+++ b/src/jobs.lib/random_schedule.cpp
@@ -82,6 +82,7 @@
     void access_foreign_job();
     void lift_bounds();
     void change_drain();
+    void refuse_connections();
     void withdraw_drains();
     void inject_node_fault(int64_t kind, Millis span);
     void inject_store_fault(int64_t kind, Millis span);
@@ -444,6 +445,46 @@
     m_cell.drain_domain(domain, !drained);
 }
 
+// Lets a worker leave, half of the time, and cuts links by refusals: of that worker from
+// all nodes and the store or from one node, or of a node from its peers. The list may lack
+// the worker earlier than its heartbeats are missing.
+void Schedule::refuse_connections()
+{
+    emulator::Workers& workers = m_cell.workers;
+    const std::string id = random_worker();
+    const Millis leaves_after(2000 + draw(10000));
+    const Millis cut_after(draw(4000));
+    const Millis span(500 + draw(8000));
+    const auto mode = chance(0.75) ? emulator::PartitionMode::refuses
+                                   : emulator::PartitionMode::refuses_new;
+    m_cell.note_disturbance(std::max(leaves_after, cut_after + span), m_style.settles_in);
+    if (chance(0.5)) {
+        const Millis announced = chance(0.5) ? Millis(2000) : leaves_after;
+        workers.drain(id, leaves_after, announced);
+        workers.add("pool", { 8000, 16000, 0 });
+    }
+    const bool unlisted = chance(0.5);
+    const std::string node = chance(0.3) ? random_node() : std::string();
+    const bool store_away = chance(0.2);
+    const bool peers_refuse = chance(0.2);
+    m_cell.world.after(cut_after, [=, &workers] {
+        if (node.empty())
+            workers.cut_off(id, span, mode);
+        else
+            workers.partition(id, span, node, mode);
+        if (unlisted)
+            workers.inject_fault(id, WorkerFault::unlisted, span);
+        if (peers_refuse)
+            m_cell.partition_from_peers(random_node(), span, mode);
+        if (!store_away)
+            return;
+        emulator::Store& store = m_cell.store;
+        m_cell.note_contact_loss(span);
+        store.injected.refuse_calls = true;
+        m_cell.world.after(span, [&store] { store.injected.refuse_calls = false; });
+    });
+}
+
 // Jobs that wait for the workers of a drained domain can finish then.
 void Schedule::withdraw_drains()
 {
@@ -485,6 +526,8 @@
             access_foreign_job();
         if (m_style.drain_chance > 0 && chance(m_style.drain_chance))
             change_drain();
+        if (m_style.refusal_chance > 0 && chance(m_style.refusal_chance))
+            refuse_connections();
         m_cell.world.run_for(Millis(100));
     }
     if (m_style.rekey_chance > 0)
--- a/src/jobs.lib/schedule_style.cpp
+++ b/src/jobs.lib/schedule_style.cpp
@@ -28,6 +28,12 @@
     return style;
 }
 
+Style with_refusals(Style style, double refusal_chance)
+{
+    style.refusal_chance = refusal_chance;
+    return style;
+}
+
 Style with_many_losses(Style style)
 {
     style.many_losses = true;
@@ -87,6 +93,11 @@
     case 20: // The same through relays, with more faults, black-holes and restarts.
         return with_drains({ 0.05, Millis(14000), 7, 14, 0.5, 0.1, 0.01, 0.02, 0.01, 1 },
                            0.05);
+    case 21: // Leaving workers behind links that refuse connections, with few other faults.
+        return with_refusals({ 0.012, Millis(10500), 7, 14, 0.5, 0.1 }, 0.04);
+    case 22: // The same through relays, with more faults, black-holes and restarts.
+        return with_refusals({ 0.05, Millis(14000), 7, 14, 0.5, 0.1, 0.01, 0.02, 0.01, 1 },
+                             0.05);
     default:
         return {};
     }
--- a/src/jobs.lib/schedule_style.h
+++ b/src/jobs.lib/schedule_style.h
@@ -34,6 +34,8 @@
     double rekey_chance = 0;
     /// Chance that a failure domain is drained or is no longer; never drained if 0.
     double drain_chance = 0;
+    /// Chance that a worker leaves, or a link refuses connections, or both.
+    double refusal_chance = 0;
 };
 
 /// Returns the style of this number; the default one for an unknown number.
