A refused connection ends no worker: only answers, the list and leases do

Cause: a session ended its incarnation, and its tasks were placed anew at once, when a worker had announced its end, was missing in the list and refused a connection. A cut link, a proxy or a port that is closed early refuses as well, and the entry of a worker that is cut off lapses while it runs on. The class: a conclusion about a process from the failure of one path, drawn by the caller that met it; had mended it for time-outs only. Change: call_evidence is the one place that says what a call's end proves. A failure never ends an incarnation; leases do. So that tasks of workers that are gone don't wait longer for that, leases of a draining worker reach 0.5 s beyond its announced end at most, renewed in such steps after it. Why it works: whatever refuses, a run is placed anew only after the worker itself must have killed it, or when another process answers in its place.

--- a/src/include/pathport/jobs/peers.h
+++ b/src/include/pathport/jobs/peers.h
@@ -147,7 +147,7 @@
 /// Outcome of a message to a peer.
 enum class PeerEnd {
     answered,
-    refused, ///< The connection was refused: no process listens there.
+    refused, ///< The connection was refused; nothing was sent. The process may run.
     silent, ///< No answer before the time-out.
 };
 
--- a/src/include/pathport/jobs/worker_client.h
+++ b/src/include/pathport/jobs/worker_client.h
@@ -30,7 +30,8 @@
     /// Another incarnation answered; the addressed one has ended. Nothing was done.
     wrong_incarnation,
     replaced, ///< Another incarnation answered and may have executed the order.
-    refused, ///< Nothing listens at the worker's address; nothing was sent.
+    /// The connection was refused; nothing was sent. The worker may still be running.
+    refused,
     /// No connection was established; nothing was sent. The worker may still be running.
     unreachable,
     /// No answer: the order may have been executed, or may still be, seconds later.
--- a/src/jobs.lib/job_node_clients.cpp
+++ b/src/jobs.lib/job_node_clients.cpp
@@ -4,6 +4,7 @@
 /// \file
 /// Handling of clients' submissions and cancellations.
 
+#include "call_evidence.h"
 #include "job_node_impl.h"
 #include "retry_delay.h"
 #include "store_keys.h"
@@ -332,7 +333,7 @@
                   m_lifetime.wrap([this, id = request.job, own_outcome,
                                    done](PeerEnd end, const PeerAnswer& answer) {
                       ClientStatus status = ClientStatus::in_doubt;
-                      if (end == PeerEnd::refused)
+                      if (effect_of(end) == CallEffect::none)
                           status = to_client(own_outcome);
                       if (end == PeerEnd::answered && answer.served)
                           status = static_cast<ClientStatus>(answer.status);
--- a/src/jobs.lib/relayed_workers.cpp
+++ b/src/jobs.lib/relayed_workers.cpp
@@ -3,6 +3,7 @@
 
 #include "relayed_workers.h"
 
+#include "call_evidence.h"
 #include "worker_relay.h"
 
 #include <pathport/log.h>
@@ -362,9 +363,10 @@
 {
     Relay& relay = m_relay_states[address];
     relay.open_messages.erase(message.number);
-    if (end == PeerEnd::refused || (end == PeerEnd::answered && !answer.served)) {
+    if (effect_of(end) == CallEffect::none
+        || (end == PeerEnd::answered && !answer.served)) {
         handle_lost_relay(address, message.calls,
-                          end == PeerEnd::refused ? "refused" : "declined");
+                          end == PeerEnd::answered ? "declined" : "refused");
         return;
     }
     if (end == PeerEnd::silent) {
--- a/src/jobs.lib/scheduler_worker_lifecycle.cpp
+++ b/src/jobs.lib/scheduler_worker_lifecycle.cpp
@@ -119,8 +119,6 @@
                     { "placed", static_cast<int64_t>(worker.load.allocations().size()) } });
     worker.listed = false;
     refresh_row(worker);
-    if (worker.session->info().draining)
-        worker.session->mark_left();
     if (worker.session->silent())
         attribute_lapsed_runs(id);
     if (worker.load.empty())
--- a/src/jobs.lib/worker_session.cpp
+++ b/src/jobs.lib/worker_session.cpp
@@ -22,6 +22,9 @@
 /// response times are known.
 constexpr Millis min_answer_timeout { 100 };
 constexpr Millis max_answer_timeout { 400 };
+/// Wait at a busy worker whose announced end is near, so that its short leases are renewed
+/// in time.
+constexpr Millis leaving_poll_wait { 200 };
 /// Pause after a poll without an answer; the first pause is shorter.
 constexpr Millis poll_retry_delay { 250 };
 constexpr Millis first_poll_retry_delay { 60 };
@@ -94,6 +97,7 @@
                       max_answer_timeout)
     , m_lease_expires_at(unknown_until)
 {
+    note_announced_end();
 }
 
 WorkerSession::~WorkerSession()
@@ -104,11 +108,10 @@
         m_loop.cancel(stop.timer);
 }
 
-// A worker that is listed again had not left: its list entry had expired.
 void WorkerSession::update(const WorkerInfo& info)
 {
     m_info = info;
-    m_left = false;
+    note_announced_end();
 }
 
 void WorkerSession::start_polling()
@@ -205,6 +208,8 @@
     if (!may_wait || !settled() || m_last_recorded_end != m_last_listed_end
         || m_failed_polls > 0)
         return Millis(0);
+    if (m_busy && m_announced_end && until_announced_end() < busy_poll_wait)
+        return leaving_poll_wait;
     if (m_busy && m_mechanisms.uses(Mechanism::short_looks)
         && m_listener.has_recent_timeouts())
         return lossy_poll_wait;
@@ -228,12 +233,8 @@
 {
     if (m_ended)
         return;
-    if (status == OrderStatus::wrong_incarnation) {
-        end_incarnation(EndEvidence::other_worker_answered);
-        return;
-    }
-    if (status == OrderStatus::replaced) {
-        end_replaced(EndEvidence::successor_answered);
+    if (const auto evidence = evidence_of_end(status)) {
+        end_incarnation(*evidence);
         return;
     }
     if (status == OrderStatus::stale_fence && fence == m_fence) {
@@ -283,7 +284,6 @@
                     { "outcome", to_string(status) },
                     { "waited_ms", (now - sent_at).count() },
                     { "draining", m_info.draining ? "yes" : "no" },
-                    { "left", m_left ? "yes" : "no" },
                     { "lapses_in_ms", (m_lease_expires_at - now).count() } });
         m_listener.worker_lost(*this);
     }
@@ -293,12 +293,6 @@
         return;
     if (m_open_polls > 0 && m_uncertain_starts.empty())
         return;
-    // A time-out proves nothing: the worker may be partitioned and run until its lease
-    // ends.
-    if (status == OrderStatus::refused && m_left) {
-        end_incarnation(EndEvidence::refused_after_leaving);
-        return;
-    }
     schedule_poll(m_failed_polls == 1 ? first_poll_retry_delay : poll_retry_delay);
 }
 
@@ -425,33 +419,28 @@
     if (m_ended)
         return;
     const RunKey key { order.task.to_string(), order.run };
-    switch (answer.status) {
-    case OrderStatus::accepted:
+    if (answer.status == OrderStatus::accepted) {
         m_unconfirmed_starts[key].accepted = m_loop.now();
         order.done(StartResult::running, answer.status);
         return;
-    case OrderStatus::unknown: {
-        m_uncertain_starts.push_back(std::move(order));
-        raise_fence();
+    }
+    if (const auto evidence = evidence_of_end(answer.status)) {
+        end_incarnation(*evidence);
         return;
     }
-    case OrderStatus::wrong_incarnation:
-        end_incarnation(EndEvidence::other_worker_answered);
+    if (answer.status == OrderStatus::stale_fence && order.fence == m_fence) {
+        m_listener.fenced_off(*this);
         return;
-    case OrderStatus::replaced:
-        end_replaced(EndEvidence::successor_answered);
+    }
+    switch (effect_of(answer.status)) {
+    case CallEffect::uncertain:
+        m_uncertain_starts.push_back(std::move(order));
+        raise_fence();
         return;
-    case OrderStatus::stale_fence:
-        if (order.fence == m_fence) {
-            m_listener.fenced_off(*this);
-            return;
-        }
-        break;
-    case OrderStatus::refused:
-    case OrderStatus::unreachable:
+    case CallEffect::none:
         schedule_poll(Millis(0));
         break;
-    default:
+    case CallEffect::answered:
         break;
     }
     m_unconfirmed_starts.erase(key);
--- a/src/jobs.lib/worker_session.h
+++ b/src/jobs.lib/worker_session.h
@@ -7,6 +7,7 @@
 
 #pragma once
 
+#include "call_evidence.h"
 #include "lifetime.h"
 #include "response_time.h"
 
@@ -69,16 +70,6 @@
     subsequent, ///< A complete report has arrived before.
 };
 
-/// What an incarnation of a worker was judged to have ended by.
-enum class EndEvidence {
-    other_worker_answered, ///< Another worker answered at its address.
-    successor_answered, ///< The next incarnation of its name answered.
-    successor_listed, ///< The list names the next incarnation.
-    refused_after_leaving, ///< It announced its end, left the list, and a poll was refused.
-};
-/// Returns the lower-case name of `evidence`.
-const char* to_string(EndEvidence evidence);
-
 /// Receives the events of sessions.
 class SessionListener {
 public:
@@ -127,10 +118,6 @@
     /// Updates the entry from the platform's current list.
     void update(const WorkerInfo& info);
 
-    /// Notes that the worker announced its end and has left the list: its incarnation has
-    /// ended once nothing listens at its address.
-    void mark_left() { m_left = true; }
-
     /// Notes that the list names another incarnation of the same name: this one has ended.
     void mark_replaced();
 
@@ -217,6 +204,8 @@
         return m_fully_reported && !m_silent && m_uncertain_starts.empty();
     }
     int64_t lease_until() const;
+    void note_announced_end();
+    Millis until_announced_end() const;
     void schedule_poll(Millis delay);
     void poll(bool may_wait);
     void schedule_watch();
@@ -240,7 +229,6 @@
     void send_stops();
     void log_overdue_stop(StopRequest& request);
     void end_incarnation(EndEvidence evidence);
-    void end_replaced(EndEvidence evidence);
     int64_t ends_to_acknowledge() const;
     void update_forgotten(const PollReport& report, int64_t acked);
     void confirm_starts(const PollReport& report, Millis sent_at);
@@ -260,7 +248,6 @@
     int m_open_stops = 0; ///< Stops in flight.
     bool m_ended = false;
     bool m_replaced = false;
-    bool m_left = false;
     bool m_expiry_notified = false;
     bool m_busy = false;
     Mechanisms m_mechanisms;
@@ -272,6 +259,8 @@
     Millis m_clock_read_at; ///< When the worker clock was received; zero when it never was.
     int64_t m_max_lease_until = 0; ///< The latest lease end sent, by the worker clock.
     Millis m_lease_expires_at; ///< After it nothing leased so far can be running.
+    /// When the worker ends at the earliest, by its announcement.
+    std::optional<Millis> m_announced_end;
     int64_t m_last_listed_end = 0; ///< The highest reported end.
     int64_t m_last_recorded_end = 0; ///< The highest recorded end.
     /// The highest end that the worker knows to be recorded.
--- a/src/jobs.lib/worker_session_incarnation.cpp
+++ b/src/jobs.lib/worker_session_incarnation.cpp
@@ -49,30 +49,9 @@
     return starts;
 }
 
-const char* to_string(EndEvidence evidence)
-{
-    switch (evidence) {
-    case EndEvidence::other_worker_answered:
-        return "other_worker_answered";
-    case EndEvidence::successor_answered:
-        return "successor_answered";
-    case EndEvidence::successor_listed:
-        return "successor_listed";
-    case EndEvidence::refused_after_leaving:
-        break;
-    }
-    return "refused_after_leaving";
-}
-
 void WorkerSession::mark_replaced()
 {
-    end_replaced(EndEvidence::successor_listed);
-}
-
-void WorkerSession::end_replaced(EndEvidence evidence)
-{
-    m_replaced = true;
-    end_incarnation(evidence);
+    end_incarnation(EndEvidence::successor_listed);
 }
 
 void WorkerSession::end_incarnation(EndEvidence evidence)
@@ -80,6 +59,7 @@
     if (m_ended)
         return;
     m_ended = true;
+    m_replaced = evidence != EndEvidence::other_worker_answered;
     m_loop.cancel(m_poll_timer);
     m_loop.cancel(m_watch_timer);
     log_event(
--- a/src/jobs.lib/worker_session_lease.cpp
+++ b/src/jobs.lib/worker_session_lease.cpp
@@ -18,6 +18,9 @@
 /// Subtracted from the longest lease, since our estimate of the worker's clock may run
 /// ahead.
 constexpr Millis lease_margin { 150 };
+/// How far leases reach beyond the announced end of a worker, and beyond the present once
+/// that is over. Polls of a busy worker renew them twice in this time.
+constexpr Millis leaving_lease { 500 };
 /// A worker's clock may run 2% slow.
 constexpr int64_t slow_clock_percent = 102;
 /// Time after the lease's end for the kill itself and for rounding.
@@ -42,7 +45,35 @@
     if (m_clock_read_at == Millis(0))
         return 0;
     const int64_t worker_now = m_worker_clock_ms + (m_loop.now() - m_clock_read_at).count();
-    return worker_now + (m_timeouts.max_lease - lease_margin).count();
+    Millis span = m_timeouts.max_lease - lease_margin;
+    // When the worker has left, only the end of its leases shows that its runs are gone.
+    if (m_announced_end)
+        span = std::min(span, until_announced_end() + leaving_lease);
+    return worker_now + span.count();
+}
+
+// An entry is read some time after it was written, so each one names the end too late; the
+// earliest is closest. One without a remaining time names none.
+void WorkerSession::note_announced_end()
+{
+    if (!m_info.draining) {
+        m_announced_end.reset();
+        return;
+    }
+    if (m_info.remaining_ms <= 0)
+        return;
+    const Millis now = m_loop.now();
+    // The worker's clock is ahead of the known one, so this is not too early either.
+    const bool dated = m_info.clock_ms > 0 && m_clock_read_at > Millis(0);
+    const Millis written
+        = dated ? m_clock_read_at + Millis(m_info.clock_ms - m_worker_clock_ms) : now;
+    const Millis end = std::min(now, written) + Millis(m_info.remaining_ms);
+    m_announced_end = m_announced_end ? std::min(*m_announced_end, end) : end;
+}
+
+Millis WorkerSession::until_announced_end() const
+{
+    return std::max(Millis(0), *m_announced_end - m_loop.now());
 }
 
 // An order that was sent may be executed without an answer.
--- a/src/jobs.lib/worker_session_stops.cpp
+++ b/src/jobs.lib/worker_session_stops.cpp
@@ -121,10 +121,8 @@
             const auto open = m_stops.find(key);
             if (open != m_stops.end())
                 open->second.last_status = answer.status;
-            if (answer.status == OrderStatus::wrong_incarnation)
-                end_incarnation(EndEvidence::other_worker_answered);
-            else if (answer.status == OrderStatus::replaced)
-                end_replaced(EndEvidence::successor_answered);
+            if (const auto evidence = evidence_of_end(answer.status))
+                end_incarnation(*evidence);
             else if (answer.status == OrderStatus::stale_fence && fence < m_fence)
                 send_stop(key);
         }));
