A follower that refuses connections keeps its promise required

Cause: a leader that the store does not serve goes on renewing leases while all followers promise not to claim. It dropped a follower that refused a probe, with its promise. One path's refusal doesn't show that the process has ended: the follower lived, was served and claimed, and waited for the leases that precede its claim while the old leader went on renewing one. Change: a follower is dropped when another process answers at its address, as a restarted one does, or after 30 s as before. Why it works: what may claim is asked for its promise until it is surely another process; a follower that is gone was probed in vain over silent links before, and costs now what it cost there. Price: a follower that is lost for good without a notice, within 30 s before an outage of the store, lets leases run out after about 8 s of that outage.

--- a/src/jobs.lib/job_node.cpp
+++ b/src/jobs.lib/job_node.cpp
@@ -307,7 +307,8 @@
     m_relayed.set_nodes(std::move(nodes));
 }
 
-// A follower whose process has exited needs no promise.
+// A process that has been replaced at its address needs no promise. That a follower refuses
+// connections does not show that its process has ended.
 void JobNode::Impl::probe_follower(const std::string& address)
 {
     if (!m_probed.insert(address).second)
@@ -315,9 +316,11 @@
     PeerRequest probe = own_heartbeat();
     probe.leads = true;
     m_gossip.send(address, probe, probe_timeout,
-                  m_lifetime.wrap([this, address](PeerEnd end, const PeerAnswer&) {
+                  m_lifetime.wrap([this, address](PeerEnd end, const PeerAnswer& answer) {
                       m_probed.erase(address);
-                      if (end == PeerEnd::refused)
+                      const Follower* const follower = m_followers.find(address);
+                      if (end == PeerEnd::answered && follower != nullptr
+                          && follower->incarnation != answer.incarnation)
                           m_followers.erase(address);
                   }));
 }
