A leader that refuses connections is replaced only if its head row stands still

Change: a leader that refuses is unresponsive like a silent one, and is replaced once its head row has stood still for 250 ms.

--- a/src/jobs.lib/leadership.cpp
+++ b/src/jobs.lib/leadership.cpp
@@ -25,17 +25,21 @@
 constexpr Millis heartbeat_timeout { 300 };
 /// Delay before the next heartbeat after a refused connection.
 constexpr Millis refused_retry_delay { 40 };
-/// Consecutive refused connections after which the leader is considered dead.
+/// Consecutive refused connections after which the leader counts as unresponsive.
 constexpr int max_refusals = 2;
 /// An unresponsive leader is considered gone when its head row has not changed for this
 /// long. A live leader writes the row several times in that period.
 constexpr Millis head_stall_timeout { 600 };
+/// The same for one that refuses connections, which a live leader rarely does. A live one
+/// writes the row once in that period at least.
+constexpr Millis refused_head_stall_timeout { 250 };
 /// Multiple of the store's last read time that is added to `head_stall_timeout` and to
 /// `weaker_node_delay`: a slow store delays both the leader's writes and other nodes'
 /// claims.
 constexpr int64_t slow_store_multiple = 3;
 /// Interval at which the rows are read while the leader does not answer.
 constexpr Millis unresponsive_read_interval { 120 };
+constexpr Millis refused_read_interval { 60 };
 /// A node that the rows name as leader may not yet know that its claim took effect.
 constexpr Millis claim_grace { 600 };
 constexpr Millis claim_recheck_delay { 50 };
@@ -269,11 +273,13 @@
         m_stalled_head_version = m_head_version;
         m_head_stalled_since = now;
     }
-    if (now - m_head_stalled_since >= head_stall_timeout + slow_store_allowance()) {
+    const bool refuses = m_refusals >= max_refusals;
+    const Millis timeout = refuses ? refused_head_stall_timeout : head_stall_timeout;
+    if (now - m_head_stalled_since >= timeout + slow_store_allowance()) {
         claim();
         return;
     }
-    schedule_follow(unresponsive_read_interval);
+    schedule_follow(refuses ? refused_read_interval : unresponsive_read_interval);
 }
 
 void Leadership::follow()
@@ -358,21 +364,27 @@
         schedule_follow(refused_retry_delay);
         return;
     }
-    m_claim_wanted = true;
+    note_unresponsive_leader();
     read_rows();
 }
 
+void Leadership::note_unresponsive_leader()
+{
+    if (m_leader_silent)
+        return;
+    m_leader_silent = true;
+    m_stalled_head_version = -1;
+    log_event(LogLevel::warn, "leader_silent",
+              { { "leader", m_leader.identity.node },
+                { "epoch", m_leader.epoch },
+                { "refusals", m_refusals },
+                { "answered_ms_ago", (m_loop.now() - m_leader_answered_at).count() } });
+}
+
 void Leadership::on_heartbeat_timeout()
 {
     const bool first_timeout = !m_leader_silent;
-    if (first_timeout) {
-        m_leader_silent = true;
-        m_stalled_head_version = -1;
-        log_event(LogLevel::warn, "leader_silent",
-                  { { "leader", m_leader.identity.node },
-                    { "epoch", m_leader.epoch },
-                    { "answered_ms_ago", (m_loop.now() - m_leader_answered_at).count() } });
-    }
+    note_unresponsive_leader();
     read_rows();
     // A heartbeat may be lost on a dead connection, and the read of the rows may take a
     // second on another one. A second heartbeat meanwhile makes a healthy leader count as
--- a/src/jobs.lib/leadership.h
+++ b/src/jobs.lib/leadership.h
@@ -105,6 +105,7 @@
     void heartbeat_answered(PeerEnd end, const PeerAnswer& answer, int64_t epoch);
     Millis next_heartbeat_delay() const;
     void on_heartbeat_refused();
+    void note_unresponsive_leader();
     void on_heartbeat_timeout();
     void claim();
     bool should_yield() const;
