Leases of a worker past its announced end bear a lost poll

Cause: its leases were 0.5 s long, less than a lost poll takes: 200 ms of waiting, 100 to 400 ms of time-out, 60 ms of pause and the poll after it. Change: 1.3 s once the announced end is over. Up to it leases reach 0.5 s beyond it as before, so a worker that leaves as announced holds up its tasks no longer. A link away for 1 s still ends that work.

--- a/src/emulator.lib/worker_liveness.cpp
+++ b/src/emulator.lib/worker_liveness.cpp
@@ -30,6 +30,13 @@
                        });
 }
 
+bool Workers::is_running_on(const std::string& worker, const jobs::TaskId& task) const
+{
+    const auto found = m_incarnations.find(worker);
+    return found != m_incarnations.end() && found->second.up
+        && found->second.running.count(task.to_string()) > 0;
+}
+
 bool Workers::has_running_task(const std::string& job) const
 {
     return std::any_of(
--- a/src/include/pathport/emulator/workers.h
+++ b/src/include/pathport/emulator/workers.h
@@ -176,6 +176,8 @@
     int64_t starts() const { return m_starts; }
     /// Returns whether the task is running on any worker.
     bool is_running(const jobs::TaskId& task) const;
+    /// Returns whether the task is running on this worker.
+    bool is_running_on(const std::string& worker, const jobs::TaskId& task) const;
     /// Returns whether the advisor allows the step on any worker that is up.
     bool has_allowed_worker(const std::string& job, int step) const;
     /// Returns whether any task of the job is running.
--- a/src/jobs.lib/worker_session_lease.cpp
+++ b/src/jobs.lib/worker_session_lease.cpp
@@ -18,9 +18,12 @@
 /// Subtracted from the longest lease, since our estimate of the worker's clock may run
 /// ahead.
 constexpr Millis lease_margin { 150 };
-/// How far leases reach beyond the announced end of a worker, and beyond the present once
-/// that is over. Polls of a busy worker renew them twice in this time.
+/// How far leases reach beyond the announced end of a worker. Polls of a busy worker renew
+/// them twice in this time.
 constexpr Millis leaving_lease { 500 };
+/// Length of the leases of a worker that runs on after its announced end. It covers a poll
+/// without an answer: its wait, its time-out, the pause and the poll after it.
+constexpr Millis overdue_lease { 1300 };
 /// A worker's clock may run 2% slow.
 constexpr int64_t slow_clock_percent = 102;
 /// Time after the lease's end for the kill itself and for rounding.
@@ -47,8 +50,10 @@
     const int64_t worker_now = m_worker_clock_ms + (m_loop.now() - m_clock_read_at).count();
     Millis span = m_timeouts.max_lease - lease_margin;
     // When the worker has left, only the end of its leases shows that its runs are gone.
-    if (m_announced_end)
-        span = std::min(span, until_announced_end() + leaving_lease);
+    if (m_announced_end) {
+        const Millis left = until_announced_end();
+        span = std::min(span, left > Millis(0) ? left + leaving_lease : overdue_lease);
+    }
     return worker_now + span.count();
 }
 
