A worker that refuses connections counts as silent, not as crashed

When a lease had run out while polls were refused, the loss counted as a crash, which the tasks there may have caused. Change: it counts as silence, as one without any answer. That another worker or another incarnation answers in its place is a crash as before. Why it is safe: a task that crashes its workers has used up its starts after the third worker whatever the losses are called.

--- a/src/jobs.lib/scheduler_worker_lifecycle.cpp
+++ b/src/jobs.lib/scheduler_worker_lifecycle.cpp
@@ -316,8 +316,7 @@
     note_unrecorded_loss(session.id());
     std::vector<LostRun> lost = attributable_runs(*worker);
     release_tasks(*worker, "lease_lapsed", false);
-    note_lapsed_runs(session.id(), std::move(lost), worker->listed,
-                     session.refuses_connections() ? Loss::crash : Loss::silence);
+    note_lapsed_runs(session.id(), std::move(lost), worker->listed, Loss::silence);
     resolve_unrecorded(session.id());
     if (!worker->listed)
         end_session(*worker);
--- a/src/jobs.lib/worker_losses.h
+++ b/src/jobs.lib/worker_losses.h
@@ -29,8 +29,8 @@
 };
 /// How a worker was lost.
 enum class Loss {
-    crash, ///< Replaced by another incarnation, or nothing listens at its address.
-    silence, ///< No answers; it may be partitioned.
+    crash, ///< Another incarnation or another worker has its place.
+    silence, ///< No answers, or refused connections; it may be partitioned.
 };
 /// The loss of a worker where no likely suspect ran.
 struct UnattributedLoss {
--- a/src/jobs.lib/worker_session.cpp
+++ b/src/jobs.lib/worker_session.cpp
@@ -249,7 +249,6 @@
     if (recovered)
         log_event(LogLevel::info, "worker_regained", { { "worker", id() } });
     m_silent = false;
-    m_refuses_connections = false;
     m_down_since.reset();
     m_failed_polls = 0;
     update_clock(report->clock_ms, until);
@@ -274,7 +273,6 @@
 {
     const Millis now = m_loop.now();
     ++m_failed_polls;
-    m_refuses_connections = status == OrderStatus::refused;
     if (!m_down_since)
         m_down_since = now;
     if (!m_silent && m_failed_polls >= 2) {
--- a/src/jobs.lib/worker_session.h
+++ b/src/jobs.lib/worker_session.h
@@ -142,8 +142,6 @@
     /// order is in doubt, and leases may be granted.
     bool usable() const { return settled() && m_listener.may_renew_lease(*this); }
     bool silent() const { return m_silent; }
-    /// Returns whether the last poll found nothing listening at the worker's address.
-    bool refuses_connections() const { return m_refuses_connections; }
     /// Returns when a poll first failed since the worker last answered; nothing if none
     /// did.
     std::optional<Millis> down_since() const { return m_down_since; }
@@ -243,7 +241,6 @@
     bool m_fenced = false;
     bool m_fully_reported = false; ///< A report that lists all ends has arrived.
     bool m_silent = false;
-    bool m_refuses_connections = false;
     std::optional<Millis> m_down_since;
     int m_open_stops = 0; ///< Stops in flight.
     bool m_ended = false;
