A list entry without a start time ends no incarnation

Cause: the id without a start time differs from the known one, which was taken for the next incarnation. Answers to polls were guarded against this, the list was not: each caller had its own rule. Change: shows_end() is the rule for list entries, beside that for answers. Such an entry opens no second session with a worker that is known either.

--- a/src/jobs.lib/call_evidence.cpp
+++ b/src/jobs.lib/call_evidence.cpp
@@ -56,4 +56,10 @@
     }
 }
 
+bool shows_end(const WorkerIncarnation& listed, const WorkerIncarnation& known)
+{
+    return listed.name == known.name && listed.started_ms != 0
+        && listed.started_ms != known.started_ms;
+}
+
 } // namespace pathport::jobs
--- a/src/jobs.lib/call_evidence.h
+++ b/src/jobs.lib/call_evidence.h
@@ -2,7 +2,7 @@
 // SPDX-License-Identifier: Apache-2.0
 
 /// \file
-/// What may be concluded from how a single call ended.
+/// What may be concluded from how a single call ended, and from a list entry.
 ///
 /// A failed call tells of its path only: a link, a proxy or a port that was closed early
 /// may refuse connections to a process that runs on. So no failure shows that a process has
@@ -40,4 +40,8 @@
 /// has ended; nothing if it does not.
 std::optional<EndEvidence> evidence_of_end(OrderStatus status);
 
+/// Returns whether a list entry of `listed` shows that `known` has ended: a worker has one
+/// incarnation at a time. An entry without a start time names none.
+bool shows_end(const WorkerIncarnation& listed, const WorkerIncarnation& known);
+
 } // namespace pathport::jobs
--- a/src/jobs.lib/incarnation_changes_test.cpp
+++ b/src/jobs.lib/incarnation_changes_test.cpp
@@ -316,3 +316,17 @@
     world.run_for(Millis(5));
     BOOST_TEST(worker.polls.back().first.acked_through == 0);
 }
+
+// An entry that lacks the start time, as one of another writer may, was taken for the next
+// incarnation's, and the tasks of the one that ran were started again.
+BOOST_AUTO_TEST_CASE(entry_without_start_time_ends_no_incarnation)
+{
+    MultiWorkerTakeOver take_over({ first_incarnation, "w2~a" }, job_of("job1"),
+                                  { { first_incarnation, 7 } });
+    take_over.answer_polls(Millis(1000));
+    BOOST_TEST(take_over.count_starts(take_over.task) == 0U);
+    take_over.list({ "w1", "w2~a" });
+    take_over.worker_states["w1"] = take_over.worker_states[first_incarnation];
+    take_over.answer_polls(Millis(3000));
+    BOOST_TEST(take_over.count_starts(take_over.task) == 0U);
+}
--- a/src/jobs.lib/scheduler.h
+++ b/src/jobs.lib/scheduler.h
@@ -280,6 +280,7 @@
     void update_workers(const std::vector<WorkerInfo>& listed);
     void update_worker(const WorkerInfo& info);
     void end_replaced(const std::vector<WorkerInfo>& listed);
+    bool lacks_start_time_of_known(const std::string& id) const;
     void drop_unlisted(const std::string& worker);
     void end_session(Worker& worker);
     void release_tasks(Worker& worker, const char* reason, bool keep_in_doubt);
--- a/src/jobs.lib/scheduler_worker_lifecycle.cpp
+++ b/src/jobs.lib/scheduler_worker_lifecycle.cpp
@@ -31,7 +31,8 @@
             continue;
         // An entry by another writer, for a service that is not in use, is not a worker: a
         // call to it would reach an unrelated process.
-        if (m_workers.count(info.id) == 0 && !is_used(info.service))
+        if (m_workers.count(info.id) == 0
+            && (!is_used(info.service) || lacks_start_time_of_known(info.id)))
             continue;
         present.insert(info.id);
         update_worker(info);
@@ -94,17 +95,36 @@
     }
     if (missing.empty())
         return;
-    std::set<std::string> names;
+    std::map<std::string, WorkerIncarnation> by_name;
     for (const std::string& id : ids) {
-        if (m_ended_incarnations.count(id) == 0)
-            names.insert(WorkerIncarnation::parse(id).name);
+        if (m_ended_incarnations.count(id) > 0)
+            continue;
+        const WorkerIncarnation incarnation = WorkerIncarnation::parse(id);
+        by_name[incarnation.name] = incarnation;
     }
     for (const std::string& id : missing) {
-        if (names.count(WorkerIncarnation::parse(id).name) > 0)
+        const WorkerIncarnation known = WorkerIncarnation::parse(id);
+        const auto listed_now = by_name.find(known.name);
+        if (listed_now != by_name.end() && shows_end(listed_now->second, known))
             m_workers[id].session->mark_replaced();
     }
 }
 
+// Returns whether the id names a worker without the start time that it is known with.
+bool Scheduler::lacks_start_time_of_known(const std::string& id) const
+{
+    const WorkerIncarnation incarnation = WorkerIncarnation::parse(id);
+    if (incarnation.started_ms != 0)
+        return false;
+    // Ids begin with the name.
+    for (auto known = m_workers.lower_bound(id);
+         known != m_workers.end() && known->first.compare(0, id.size(), id) == 0; ++known) {
+        if (WorkerIncarnation::parse(known->first).name == incarnation.name)
+            return true;
+    }
+    return false;
+}
+
 // A worker that is no longer listed may still run its tasks, so it is removed only when
 // nothing is placed there.
 void Scheduler::drop_unlisted(const std::string& id)
