Soak: hand-ins left in doubt are settled before its end is judged

Cause: a caller gives up after 14 tries. If one of them was answered 504 and none 2xx, the job may be there and run; the end of the soak neither waited for such a job nor cancelled it, yet demanded that nothing runs. Its hand-in was answered 503, 504 (node-4, in_doubt, 1.2 s) and 503; no 2xx, so the cancel planned 0.4 s after the acceptance was never sent: no cancel_recorded. The leader of epoch 8 shows it as its one open job (cpu_taken 1762) to the end. All worker_lost and worker_life_over lines name other workers than w2-9f93708da. A 504 promises nothing, and such a job runs like any other (promises.md). Change: callers ask for jobs in doubt in the calm time until they are known, or for 6 s. One that is known counts as accepted: it is cancelled if that was planned, must end, and is checked like all. No bound or check is relaxed; the end of a soak checks more jobs than before.

--- a/testsuite/soak/callers.py
+++ b/testsuite/soak/callers.py
@@ -333,6 +333,26 @@
                 self.check("accepted jobs end", view.final != "",
                            f"{self.path(view)} has not ended {bound_s:.0f} s after the faults")
 
+    def in_doubt(self):
+        """Jobs that may have been taken, though none of their hand-ins was acknowledged."""
+        return [view for view in self.views.values() if view.doubtful and not view.accepted_at]
+
+    async def settle_doubts(self, bound_s):
+        """Asks for the jobs in doubt until they are known or the bound is over. One that is known
+        counts as accepted from then on, and is cancelled if that was planned."""
+        end = time.monotonic() + bound_s
+        while (views := self.in_doubt()) and time.monotonic() < end:
+            await asyncio.gather(*[self.settle_doubt(view) for view in views])
+            await asyncio.sleep(0.5)
+
+    async def settle_doubt(self, view):
+        if not await self.ask(view):
+            return
+        view.accepted_at = time.monotonic()
+        await self.platform.call("accepted", job=view.planned.facts.id, node=0)
+        if (view.planned.soon_cancel or view.planned.cancel_after) and not view.final:
+            await self.cancel_in_calm(view)
+
     async def cancel_again(self):
         """Cancels the jobs whose cancels got no 2xx while there were faults."""
         for view in self.open_jobs():
--- a/testsuite/soak/soak.py
+++ b/testsuite/soak/soak.py
@@ -12,8 +12,8 @@
 
 from . import processes
 from .addresses import Plan
-from .callers import Callers
-from .calm import ELSEWHERE, Calm
+from .callers import VISIBLE_S, Callers
+from .calm import CONTACT_S, ELSEWHERE, Calm
 from .control import PlatformClient
 from .daemons import Daemon
 from .injector import Injector
@@ -26,6 +26,7 @@
 ROOT = os.path.dirname(TESTSUITE)
 BIN = os.environ.get("PATHPORT_BIN", os.path.join(ROOT, "build", "bin"))
 CALM_BOUND_S = 90.0
+DOUBT_S = CONTACT_S + VISIBLE_S  # A job that is still unknown then was not taken.
 STOPPED_BOUND_S = 15.0
 START_BOUND_S = 30.0
 WATCH_S = 0.25
@@ -174,6 +175,7 @@
 
     async def calm_end(self):
         await self.callers.cancel_again()
+        await self.callers.settle_doubts(DOUBT_S)
         await self.callers.await_ends(CALM_BOUND_S)
         end = time.monotonic() + STOPPED_BOUND_S
         while idle := await self.lasting_tasks_away():
