Soak: a breach at the end names the tasks that run on

Change: the stand-in is asked which runs there are, and the breach tells task, run and worker. What counts as a breach is the same. Test: run_soak_end_checks.py asks for the task in the text.

--- a/testsuite/run_soak_end_checks.py
+++ b/testsuite/run_soak_end_checks.py
@@ -19,6 +19,7 @@
 from soak.wire import Step
 
 JOB = "0123456789abcdef"
+TASK = JOB + ".0.0.0"
 ON = "nothing runs on after its job"
 SOON = SoonCancel("accepted", 0.1, [0])
 
@@ -43,7 +44,8 @@
         self.soak.callers.views[JOB] = self.view
         self.broken = set()
 
-    def breach(self, promise, _):
+    def breach(self, promise, text):
+        assert promise != ON or TASK in text, text
         self.broken.add(promise)
 
     async def answer(self, _, method, *__, **___):
@@ -60,7 +62,7 @@
         """What the stand-in says."""
         self.told.append(name)
         runs = self.taken and not (self.canceled and self.stops)
-        return {"status": {"running": int(runs)}, "idle_lasting": [], "longest_standstill": [0, ""],
+        return {"running": [TASK] if runs else [], "idle_lasting": [], "longest_standstill": [0, ""],
                 "verdicts": {JOB: {"done": False, "may_fail": False}}}.get(name)
 
     def play(self):
--- a/testsuite/soak/platform_main.py
+++ b/testsuite/soak/platform_main.py
@@ -244,8 +244,12 @@
         return {"breaches": breaches, "checked": self.ledger.checked,
                 "leader": self.workers.last_leader, "writer": self.service.last_writer,
                 "starts": self.ledger.starts, "store_calls": self.service.calls,
-                "store_refusals": self.service.refusals, "alone": self.workers.alone,
-                "running": sum(len(life.running) for life in self.workers.lives)}
+                "store_refusals": self.service.refusals, "alone": self.workers.alone}
+
+    def do_running(self):
+        """Returns what runs at workers."""
+        return [f"{run.task} run {run.number} at {life.id}"
+                for life in self.workers.lives for run in life.running.values()]
 
     def do_verdicts(self, jobs):
         return {job: self.ledger.verdict_on(job) for job in jobs}
--- a/testsuite/soak/soak.py
+++ b/testsuite/soak/soak.py
@@ -185,9 +185,10 @@
             await asyncio.sleep(0.5)
         await self.callers.cancel_lasting()
         end = time.monotonic() + STOPPED_BOUND_S
-        while (await self.platform.call("status"))["running"]:
+        while running := await self.platform.call("running"):
             if time.monotonic() > end:
-                self.breach("nothing runs on after its job", "tasks run after all jobs ended")
+                self.breach("nothing runs on after its job",
+                            f"after all jobs ended: {', '.join(running)}")
                 break
             await asyncio.sleep(0.2)
 
