Soak: a caller that is to cancel doesn't wait on for a job that is given up

Cause: a cancel after some seconds waits until the job is accepted or refused five times. If hand-ins end otherwise, e.g. after 14 tries at daemons that can't be reached, or four refusals and a 504, it waits for ever, and so does the soak. Change: it waits until the hand-ins are over. A job that was refused five times while in doubt and is accepted later is now cancelled as planned. Test: cancel_waits_no_longer_than_hand_ins_go_on, red before (it waits for over 3 s after the only hand-in).

--- a/testsuite/run_soak_end_checks.py
+++ b/testsuite/run_soak_end_checks.py
@@ -10,8 +10,8 @@
 from types import SimpleNamespace
 
 from run_soak import CI_SIZE
-from soak import soak as soak_module
-from soak.callers import JobView
+from soak import callers as callers_module, soak as soak_module
+from soak.callers import NOT_SENT, JobView
 from soak.model import JobFacts
 from soak.schedule import PlannedJob, SoonCancel
 from soak.self_checks import run_checks
@@ -28,8 +28,9 @@
     """The end of a soak with one job, whose task runs until the job is cancelled. Daemons answer at
     once, the first 'hidden' questions as if they didn't know the job."""
 
-    def __init__(self, taken, accepted=False, lasting=False, soon_cancel=SOON, stops=True, hidden=0):
-        self.taken, self.stops, self.hidden = taken, stops, hidden
+    def __init__(self, taken, accepted=False, lasting=False, soon_cancel=SOON, stops=True, hidden=0,
+                 away=False):
+        self.taken, self.stops, self.hidden, self.away = taken, stops, hidden, away
         self.told, self.canceled = [], False
         step = Step(count=1, cpu=1000, mem=100, run_ms=50000, lasting=lasting)
         facts = JobFacts(JOB, "plain", "p", [step], [0])
@@ -39,7 +40,7 @@
         self.soak.breach = self.soak.callers.breach = self.breach
         self.soak.platform = self.soak.callers.platform = SimpleNamespace(call=self.tell)
         self.soak.callers.lines = SimpleNamespace(call=self.answer)
-        self.view = JobView(PlannedJob(0, facts, soon_cancel=soon_cancel), doubtful=not accepted,
+        self.view = JobView(PlannedJob(0, facts, soon_cancel=soon_cancel), doubtful=not accepted and not away,
                             accepted_at=1 if accepted else 0)
         self.soak.callers.views[JOB] = self.view
         self.broken = set()
@@ -50,6 +51,8 @@
 
     async def answer(self, _, method, *__, **___):
         """What daemons say."""
+        if self.away:
+            return NOT_SENT, b""
         if not self.taken or self.hidden:
             self.hidden = max(0, self.hidden - 1)
             return 410, b""
@@ -104,7 +107,24 @@
     return {ON}, End(taken=True, stops=False).play()
 
 
-RUNS = [job_in_doubt_is_found_and_cancelled, job_in_doubt_is_found_late,
+def cancel_waits_no_longer_than_hand_ins_go_on():
+    """Daemons that can't be reached neither refuse a hand-in nor leave it in doubt."""
+    end = End(taken=False, soon_cancel=None, away=True)
+    end.view.planned.cancel_after = 0.1
+    tries, callers_module.MOST_TRIES = callers_module.MOST_TRIES, 1
+    over = asyncio.run(ends_within(end.soak.callers.live_through(end.view), 3))
+    callers_module.MOST_TRIES = tries
+    return {True}, {over}
+
+
+async def ends_within(work, bound_s):
+    task = asyncio.ensure_future(work)
+    await asyncio.wait([task], timeout=bound_s)
+    return task.done()
+
+
+RUNS = [cancel_waits_no_longer_than_hand_ins_go_on,
+        job_in_doubt_is_found_and_cancelled, job_in_doubt_is_found_late,
         lasting_job_in_doubt_is_cancelled, job_that_was_not_taken_stays_unknown,
         cancelled_job_that_runs_on, cancelled_job_in_doubt_that_runs_on]
 
--- a/testsuite/soak/callers.py
+++ b/testsuite/soak/callers.py
@@ -35,6 +35,7 @@
     accepted_at: float = 0
     doubtful: bool = False
     refusals: int = 0
+    given_up: bool = False  # No more hand-ins come.
     cancel_sent: bool = False
     canceled_at: float = 0
     final: str = ""
@@ -209,6 +210,7 @@
             self.check("queues are known", status not in (400, 404),
                        f"POST {self.path(view)} at node-{daemon.number}: {status}")
             await asyncio.sleep(RETRY_S * self.random.uniform(0.5, 2.5))
+        view.given_up = True
         if not view.doubtful:
             await self.platform.call("refused", job=view.planned.facts.id)
 
@@ -222,7 +224,7 @@
         await asyncio.sleep(delay)
         while not view.accepted_at:
             await asyncio.sleep(0.1)
-            if view.refusals >= MOST_REFUSALS:
+            if view.given_up:
                 return
         await self.cancel_now(view)
 
