Soak: links that refuse connections while workers run on behind them

Cause: the soak's links were cut, reset after they were accepted, or silent, and a closed listener stood for a worker that had gone. Change: LinkTrouble 'refuse' and 'refuse_new' close the proxy's listener, for all daemons or for single views, which then has it bound to the addresses of the others: callers get ECONNREFUSED. What is open aside from refusals is kept apart, so that crashes and refusals don't undo each other. Size.refusals_per_s (--refusals, 0 in kept seeds) draws workers that refuse for 0.5 to 7 s while their entries lapse, after three heartbeats or sooner, a fifth beside an outage of the store; half have announced their end and stay 2 to 10 s longer. A quarter are links to the store and among daemons. Long tasks come beside them. Three checks of the ledger and the list, one of the proxies with ways nested in each other, one of the schedule: 33 -> 38 checks.

--- a/testsuite/run_soak.py
+++ b/testsuite/run_soak.py
@@ -22,7 +22,7 @@
 CALLERS_SIZE = Size(load_s=20, jobs_per_s=5, faults_per_s=0.6, rekeys_per_s=0.8, drains_per_s=0.2)
 USUAL_NODES, USUAL_WORKERS = 4, 8
 JOBS_PER_WORKER, MOST_JOBS = 0.4, 20  # A second.
-MOST_CAUSES = 5  # So many seeds that failed once fit into CI's time.
+MOST_CAUSES = 6  # So many seeds that failed once fit into CI's time.
 
 
 def arguments():
@@ -51,6 +51,9 @@
                         help="changes of keys and bounds a second; 0: callers have no keys")
     parser.add_argument("--drains", type=float, default=0.1,
                         help="how often a second failure domains are drained for a while")
+    parser.add_argument("--refusals", type=float, default=0.15,
+                        help="how often a second links refuse connections, most of them to workers "
+                        "that run on")
     parser.add_argument("--link-mbps", type=float, default=Daemon.link_mbps,
                         help="what the daemons are told of their links; with 0.05 calls go through relays")
     parser.add_argument("--standstill", type=float, default=40,
@@ -67,7 +70,8 @@
     size = Size(wanted.nodes or USUAL_NODES, workers, wanted.seconds,
                 wanted.rate or min(MOST_JOBS, workers * JOBS_PER_WORKER), wanted.faults,
                 wanted.standstill, wanted.silences, wanted.cancels, wanted.routes,
-                wanted.restarts, wanted.crashers, wanted.resizes, wanted.rekeys, wanted.drains)
+                wanted.restarts, wanted.crashers, wanted.resizes, wanted.rekeys, wanted.drains,
+                wanted.refusals)
     return [(wanted.first + i, size) for i in range(wanted.seeds or 1)]
 
 
--- a/testsuite/run_soak_checks.py
+++ b/testsuite/run_soak_checks.py
@@ -7,6 +7,9 @@
 import sys
 import time
 import zlib
+from contextlib import redirect_stdout
+from dataclasses import replace
+from io import StringIO
 
 from run_soak import CI_SIZE
 from soak.addresses import Plan
@@ -15,13 +18,15 @@
 from soak.http1 import reset
 from soak.ledger import CANCEL_S, DOMAIN_DRAIN_S, KILL_GRACE_S, Ledger
 from soak.model import JobFacts
+from soak.platform_main import Platform
 from soak.proxy import LinkTrouble, Proxies
-from soak.schedule import Schedule
+from soak.schedule import HEARTBEATS_S, Schedule
 from soak.seeds import HARD_HUNT, HUNT, WIDE_HUNT
 from soak.self_checks import run_checks
 from soak.silences import WINDOW_S, Silences
 from soak.standstill import Standstill
 from soak.store import HistoryLost, Store, within_limits
+from soak.store_service import Rates
 from soak.wire import Order, Range, RowName, Step, Write
 from soak.workers import ROOM, Workers
 
@@ -86,6 +91,63 @@
     return {"no two runs at once"}, bench.broken()
 
 
+def second_run_beside_a_worker_that_lives_unlisted():
+    """Neither its announced end nor its lapsed entry ends a run; the end of its lease does."""
+    bench = Bench([step()])
+    life, now = bench.workers.slots[1], time.monotonic()
+    bench.start(1, index=0)
+    bench.start(1, index=1)
+    life.draining, life.leaves_at, life.lapses_at = True, now - 1, now - 1
+    bench.workers.tick()
+    bench.start(2, index=0, run=2)
+    assert len(bench.ledger.breaches) == 1, bench.ledger.breaches
+    life.hold_until = 0
+    bench.workers.tick()
+    bench.start(2, index=1, run=2)
+    assert len(bench.ledger.breaches) == 1, bench.ledger.breaches
+    return {"no two runs at once"}, bench.broken()
+
+
+def start_while_the_end_of_an_unlisted_worker_is_unheard():
+    """The run ended before the start, and its end is noted when the worker is heard again."""
+    bench = Bench([step()])
+    life = bench.workers.slots[1]
+    bench.start(1)
+    life.draining, life.lapses_at = True, time.monotonic() - 1
+    bench.finish(1)
+    bench.start(2, run=2)
+    assert not bench.broken()
+    life.lapses_at = 0
+    bench.see(1)
+    return {"no start after a noted done"}, bench.broken()
+
+
+def entries_lapse_while_workers_run_on():
+    """An entry lapses after its time, comes back, and the run at its worker lasts through it."""
+    platform = Platform(Plan(10000), 2, 1, Rates())
+    platform.ledger.jobs[JOB] = JobFacts(JOB, "plain", PAYLOAD, [step(run_ms=60000)], [0])
+    life, seen = platform.workers.slots[1], []
+
+    def look(when):
+        platform.workers.tick()
+        platform.list_workers()
+        rows, _ = platform.store.read(Range("servers", "", "", "", 500))
+        seen.append(f"{when}: {len(rows)} listed, {len(life.running)} running")
+
+    with redirect_stdout(StringIO()):
+        platform.workers.start(life, Order(f"{JOB}.0.0.0", 1, 1, PAYLOAD, life.clock_ms() + 5000))
+        platform.do_worker_drain(1, 0)
+        platform.do_worker_unheard(1, 60)
+        look("before")
+        platform.do_worker_unheard(1, 0)
+        look("lapsed")
+        look("lapsed still")
+        platform.do_worker_heard(1)
+        look("back")
+    return {"before: 2 listed, 1 running", "lapsed: 1 listed, 1 running",
+            "lapsed still: 1 listed, 1 running", "back: 2 listed, 1 running"}, set(seen)
+
+
 def start_after_noted_done():
     bench = Bench([step()])
     bench.start(1)
@@ -437,7 +499,7 @@
     store = EchoStore()
     hosts = [plan.service_ip(view) for view in (1, 2)]
     server = await asyncio.start_server(store.serve, hosts, plan.store)
-    proxies = Proxies(plan)
+    proxies = Proxies(plan, 2)
     await proxies.open("store")
     lines = []
     for view in (1, 1, 2):
@@ -448,7 +510,7 @@
     seen = {f"line {number} works" for number, line in enumerate(lines) if await talk(line)}
     reset(store.writers[0].transport)
     lines[1][1].write_eof()
-    proxies.add(LinkTrouble("reset", 1, "store"))
+    await proxies.add(LinkTrouble("reset", 1, "store"))
     for number, (reader, _) in enumerate(lines):
         reading = asyncio.ensure_future(reader.read(1))
         await asyncio.wait([reading], timeout=SILENT_S)
@@ -476,6 +538,94 @@
     return False
 
 
+async def connect(plan, view):
+    """Returns how the store's proxy takes a new connection of a daemon, and the connection."""
+    try:
+        line = await asyncio.open_connection(plan.service_ip(view), plan.proxied_store)
+    except ConnectionRefusedError:
+        return "refused", None
+    return ("works" if await talk(line) else "dead"), line
+
+
+async def play_refusals(plan):
+    """Refuses connections to the store in every way, one way within another."""
+    store = EchoStore()
+    hosts = [plan.service_ip(view) for view in (1, 2)]
+    server = await asyncio.start_server(store.serve, hosts, plan.store)
+    proxies = Proxies(plan, 2)
+    await proxies.open("store")
+    lines, seen = [], []
+
+    async def look(when):
+        taken = [await connect(plan, view) for view in (1, 2)]
+        lines.extend(line for _, line in taken if line)
+        seen.append(f"{when}: {taken[0][0]}, {taken[1][0]}")
+
+    await look("at first")
+    one, more, every = (LinkTrouble("refuse_new", 1, "store"), LinkTrouble("refuse", 1),
+                        LinkTrouble("refuse"))
+    await proxies.add(one)
+    await look("refuse_new to one")
+    seen.append(f"its open line: {await talk(lines[0])}")
+    await proxies.add(every)
+    await look("refuse to all")
+    seen.append(f"open lines: {await talk(lines[0])}, {await talk(lines[1])}")
+    proxies.close("store")
+    await proxies.open("store")
+    await look("opened within")
+    await proxies.add(more)
+    await proxies.remove(every)
+    await look("one left")
+    await proxies.remove(one)
+    await look("the other left")
+    proxies.close("store")
+    await proxies.remove(more)
+    await look("closed within")
+    await proxies.open("store")
+    await look("at last")
+    proxies.close_all()
+    server.close()
+    for writer in [*store.writers, *[writer for _, writer in lines]]:
+        writer.close()
+    return seen
+
+
+def connections_are_refused():
+    """As by a closed port, to one daemon or all; refusals and crashes keep each other's."""
+    plan = Plan.find()
+    seen = asyncio.run(play_refusals(plan))
+    plan.holder.close()
+    return {"at first: works, works", "refuse_new to one: refused, works", "its open line: True",
+            "refuse to all: refused, refused", "open lines: False, False",
+            "opened within: refused, refused", "one left: refused, works",
+            "the other left: refused, works", "closed within: refused, refused",
+            "at last: works, works"}, set(seen)
+
+
+def refusals_are_drawn_beside_the_rest():
+    """They change nothing of what the seed plays otherwise; half of the workers behind them have
+    announced their end, and stay longer than they said."""
+    size = replace(HUNT, load_s=400)
+    before, after = Schedule(1, size), Schedule(1, replace(size, refusals_per_s=1))
+    added = [fault for fault in after.faults if fault not in before.faults]
+    assert [fault for fault in after.faults if fault in before.faults] == before.faults
+    jobs = {job.facts.id for job in before.jobs}
+    assert [job.facts.id for job in after.jobs if job.facts.id in jobs] \
+        == [job.facts.id for job in before.jobs]
+    workers = [fault for fault in added if fault.kind == "worker_refuse"]
+    links = [fault for fault in added if fault.kind == "link"]
+    assert len(workers) + len(links) == 400 and 200 < len(workers) < 350
+    assert len(after.jobs) == len(before.jobs) + 2 * len(workers)
+    assert all(0.5 <= fault.span <= 7 for fault in added if fault.kind != "store_away")
+    draining = [fault for fault in workers if fault.arguments["announces"]]
+    assert len(workers) * 0.4 < len(draining) < len(workers) * 0.6
+    assert all(2 <= fault.arguments["stays"] <= 10 for fault in workers)
+    assert any(fault.arguments["lapses"] == HEARTBEATS_S for fault in draining)
+    kinds = {fault.arguments["service"] for fault in links}
+    assert {fault.kind for fault in added} == {"worker_refuse", "link", "store_away"}
+    return {"", "peer", "peer_side", "store"}, kinds
+
+
 def open_connections_go_silent():
     """Those of one daemon say nothing more and are not closed, new ones and others' work."""
     plan = Plan.find()
@@ -509,7 +659,9 @@
     return {"row", "entries", "key", "bytes"}, refused
 
 
-RUNS = [blameless_course, two_runs_at_once, start_after_noted_done, start_before_a_done_is_noted,
+RUNS = [blameless_course, two_runs_at_once, second_run_beside_a_worker_that_lives_unlisted,
+        start_while_the_end_of_an_unlisted_worker_is_unheard, entries_lapse_while_workers_run_on,
+        start_after_noted_done, start_before_a_done_is_noted,
         one_done_stands_for_a_gang, start_after_the_last_failure,
         start_before_the_last_failure_is_noted, over_the_room, over_a_room_that_has_shrunk,
         crashing_task_started_for_ever, out_of_order, other_payload,
@@ -519,7 +671,8 @@
         start_in_a_drained_domain,
         before_its_time, workers_keep_the_protocol, a_worker_starts_again_under_its_id, store_keeps_the_protocol, store_takes_no_more_than_its_limits,
         addresses_are_translated, resting_jobs_are_measured, silences_are_measured,
-        kept_seeds_play_what_they_played, open_connections_go_silent]
+        kept_seeds_play_what_they_played, open_connections_go_silent, connections_are_refused,
+        refusals_are_drawn_beside_the_rest]
 
 
 if __name__ == "__main__":
--- a/testsuite/soak/calm.py
+++ b/testsuite/soak/calm.py
@@ -10,7 +10,7 @@
             "domain_drain")
 # What troubles neither a daemon, nor its links to others, nor the store.
 ELSEWHERE = HARMLESS + ("node_hup", "worker_crash", "worker_decline", "worker_fail_all",
-                        "worker_hang", "worker_lost")
+                        "worker_hang", "worker_lost", "worker_refuse")
 
 
 class Calm:
--- a/testsuite/soak/injector.py
+++ b/testsuite/soak/injector.py
@@ -110,9 +110,12 @@
         if service == "peer_side":
             trouble = LinkTrouble(known["how"], delay_s=known.get("delay_s", 0),
                                   late=known["late"], peer_side=node)
-        self.proxies.add(trouble)
-        await asyncio.sleep(fault.span)
-        self.proxies.remove(trouble)
+        await self.with_link(trouble, fault.span)
+
+    async def with_link(self, trouble, span):
+        await self.proxies.add(trouble)
+        await asyncio.sleep(span)
+        await self.proxies.remove(trouble)
 
     async def silent_connections(self, fault, node):
         known = fault.arguments
@@ -230,10 +233,10 @@
         """The worker's machine is silent for good; another takes its address much later."""
         async def work(slot):
             trouble = LinkTrouble("silence", kind="worker", number=slot)
-            self.proxies.add(trouble)
+            await self.proxies.add(trouble)
             await self.platform.call("worker_down", slot=slot)
             await asyncio.sleep(LIST_PATIENCE_S + fault.span)
-            self.proxies.remove(trouble)
+            await self.proxies.remove(trouble)
             await self.platform.call("worker_up", slot=slot)
         await self.with_slot(fault, work)
 
@@ -242,11 +245,35 @@
             span = 2 + fault.span
             await self.platform.call("worker_drain", slot=slot, span_s=span)
             await asyncio.sleep(span)
-            self.proxies.close("worker", slot)
-            await self.platform.call("worker_down", slot=slot)
-            await asyncio.sleep(1)
-            await self.platform.call("worker_up", slot=slot)
-            await self.proxies.open("worker", slot)
+            await self.replace(slot)
+        await self.with_slot(fault, work)
+
+    async def replace(self, slot):
+        """The worker at a slot ends, and another one takes its place."""
+        self.proxies.close("worker", slot)
+        await self.platform.call("worker_down", slot=slot)
+        await asyncio.sleep(1)
+        await self.platform.call("worker_up", slot=slot)
+        await self.proxies.open("worker", slot)
+
+    async def worker_refuse(self, fault, node):
+        """Connections to a worker are refused while it runs on and its entry lapses. It may have
+        announced its end, and then ends later than it said."""
+        known = fault.arguments
+
+        async def refuse(slot):
+            await asyncio.sleep(known["refuses_after"])
+            await self.with_link(LinkTrouble(known["how"], node, "worker", slot), fault.span)
+            await asyncio.sleep(known["heard_after"])
+            await self.platform.call("worker_heard", slot=slot)
+
+        async def work(slot):
+            if known["announces"]:
+                await self.platform.call("worker_drain", slot=slot, span_s=known["announces"])
+            await self.platform.call("worker_unheard", slot=slot, lapses_s=known["lapses"])
+            await asyncio.gather(refuse(slot), asyncio.sleep(known["announces"] + known["stays"]))
+            if known["announces"]:
+                await self.replace(slot)
         await self.with_slot(fault, work)
 
     async def trouble_at_worker(self, fault, name):
--- a/testsuite/soak/platform_main.py
+++ b/testsuite/soak/platform_main.py
@@ -99,7 +99,7 @@
         self.service.apply(change)
 
     def list_workers(self):
-        """Renews the rows of workers; a worker that is gone stays listed for a while."""
+        """Renews the rows of workers; a worker that is gone or not heard stays listed for a while."""
         for life in self.workers.lives:
             present = self.workers.slots[life.slot]
             if not life.up and (life.id not in self.listed
@@ -108,8 +108,11 @@
             if not life.up:
                 since = self.dead_since.setdefault(life.id, time.monotonic())
                 if time.monotonic() - since > LIST_PATIENCE_S or life.draining:
-                    del self.listed[life.id]
-                    self.put(wire.SERVERS_TABLE, life.id, b"")
+                    self.drop_entry(life)
+                continue
+            if life.lapsed(time.monotonic()):
+                if life.id in self.listed:
+                    self.drop_entry(life)
                 continue
             address = (f"{self.plan.worker_ip(life.slot, 0)}:"
                        f"{self.plan.proxied_worker(life.slot)}")
@@ -118,6 +121,10 @@
                 self.listed[life.id] = state
                 self.put(wire.SERVERS_TABLE, life.id, self.workers.value(life, address))
 
+    def drop_entry(self, life):
+        del self.listed[life.id]
+        self.put(wire.SERVERS_TABLE, life.id, b"")
+
     async def keep_list(self):
         while True:
             if 0 not in self.service.trouble.refused:
@@ -235,6 +242,13 @@
         life = self.workers.slots[slot]
         life.draining, life.leaves_at = True, time.monotonic() + span_s
 
+    def do_worker_unheard(self, slot, lapses_s):
+        """The heartbeats of a worker reach nobody; its entry lapses after a while."""
+        self.workers.slots[slot].lapses_at = time.monotonic() + lapses_s
+
+    def do_worker_heard(self, slot):
+        self.workers.slots[slot].lapses_at = 0
+
     def do_worker_trouble(self, slot, **trouble):
         for name, value in trouble.items():
             setattr(self.workers.trouble[slot], name, value)
--- a/testsuite/soak/proxy.py
+++ b/testsuite/soak/proxy.py
@@ -5,7 +5,8 @@
 A link runs from a daemon (its view) to a service of one kind and number. A cut direction holds
 its bytes back until the cut ends; they are lost if an end closes meanwhile, unless the trouble
 delivers late. A connection that went silent holds back everything for good, in both directions:
-bytes, its end and a reset by either side."""
+bytes, its end and a reset by either side. A refused connection meets no listener, so its caller sees
+what it sees of a closed port."""
 
 import asyncio
 import re
@@ -18,13 +19,15 @@
 POLL_S = 0.01
 SPLIT_ADDRESS = re.compile(rb"127[.\d:]{0,20}$")
 SPLIT_WAIT_S = 0.005
+REFUSING = ("refuse", "refuse_new")
 
 
 @dataclass
 class LinkTrouble:
     """A trouble on all links that match; 0 and the empty text match all.
 
-    how: 'delay' (by delay_s), 'reset', 'cut_to' (towards the service), 'cut_from', 'silence'."""
+    how: 'delay' (by delay_s), 'reset', 'cut_to' (towards the service), 'cut_from', 'silence',
+    'refuse' (resets open connections too), 'refuse_new' (open ones go on)."""
     how: str
     view: int = 0
     kind: str = ""
@@ -148,11 +151,14 @@
 class Proxies:
     """All proxies of a soak, and the troubles on their links."""
 
-    def __init__(self, plan):
-        self.plan = plan
+    def __init__(self, plan, views):
+        self.plan, self.views = plan, views
         self.troubles = []
         self.connections = set()
+        self.wanted = set()  # (kind, number) that is open, refusals aside
         self.servers = {}  # (kind, number) -> the listener
+        self.hosts = {}  # (kind, number) -> the addresses that it is bound to
+        self.listening = asyncio.Lock()
         self.bytes = 0
         self.resets = 0
         self.silenced = 0
@@ -169,9 +175,44 @@
         return plan.proxied_worker(number), lambda view: (
             plan.worker_ip(number, view), plan.worker_port(number))
 
+    def host(self, kind, number, view):
+        """Where a view finds a service."""
+        if kind == "peer":
+            return self.plan.daemon_ip(number, view)
+        return self.plan.worker_ip(number, view) if kind == "worker" else self.plan.service_ip(view)
+
+    def wanted_hosts(self, kind, number):
+        """The addresses to listen at: none, all or those of the views that are not refused."""
+        if (kind, number) not in self.wanted:
+            return ()
+        refusals = [t for t in self.troubles if t.how in REFUSING]
+        taken = [view for view in range(1, self.views + 1)
+                 if not any(t.matches(Link(view, kind, number)) for t in refusals)]
+        if len(taken) == self.views:
+            return ("0.0.0.0",)
+        return tuple(self.host(kind, number, view) for view in taken)
+
     async def open(self, kind, number=0):
-        if (kind, number) in self.servers:
-            return
+        self.wanted.add((kind, number))
+        await self.listen(kind, number)
+
+    async def listen(self, kind, number):
+        """Lets the listener of a service follow what is wanted, which may change meanwhile."""
+        place = (kind, number)
+        async with self.listening:
+            while (hosts := self.wanted_hosts(*place)) != self.hosts.get(place, ()):
+                self.stop_listening(place)
+                if hosts:
+                    server = await self.listener(kind, number, hosts)
+                    self.servers[place], self.hosts[place] = server, hosts
+
+    def stop_listening(self, place):
+        self.hosts.pop(place, None)
+        server = self.servers.pop(place, None)
+        if server is not None:
+            server.close()
+
+    async def listener(self, kind, number, hosts):
         port, target = self.place(kind, number)
 
         async def accept(reader, writer):
@@ -181,7 +222,7 @@
             view = self.plan.view_of(writer.get_extra_info("sockname")[0])
             link = Link(view, kind, number)
             connection = Connection(link, reader, writer, self)
-            if any(t.how == "reset" for t in connection.troubles()):
+            if any(t.how == "reset" or t.how in REFUSING for t in connection.troubles()):
                 self.resets += 1
                 connection.reset()
                 return
@@ -193,25 +234,24 @@
             finally:
                 self.connections.discard(connection)
 
-        self.servers[kind, number] = await asyncio.start_server(
-            accept, "0.0.0.0", port, backlog=1024)
+        return await asyncio.start_server(accept, hosts, port, backlog=1024)
 
     def close(self, kind, number=0):
         """Refuses connections to this service from now on."""
-        server = self.servers.pop((kind, number), None)
-        if server is not None:
-            server.close()
+        self.wanted.discard((kind, number))
+        self.stop_listening((kind, number))
 
     def close_all(self):
         """Ends all listeners and connections, so that the next soak finds the ports free."""
-        for kind, number in list(self.servers):
+        for kind, number in list(self.wanted):
             self.close(kind, number)
         for connection in list(self.connections):
             connection.reset()
 
-    def add(self, trouble):
+    async def add(self, trouble):
         self.troubles.append(trouble)
-        if trouble.how == "reset":
+        await self.follow(trouble)
+        if trouble.how in ("reset", "refuse"):
             for connection in list(self.connections):
                 if trouble.matches(connection.link) and not connection.silent:
                     self.resets += 1
@@ -227,5 +267,12 @@
         self.silenced += len(struck)
         return len(struck)
 
-    def remove(self, trouble):
+    async def remove(self, trouble):
         self.troubles.remove(trouble)
+        await self.follow(trouble)
+
+    async def follow(self, trouble):
+        """Lets all listeners follow a refusal that begins or ends."""
+        if trouble.how in REFUSING:
+            for place in list(self.wanted):
+                await self.listen(*place)
--- a/testsuite/soak/schedule.py
+++ b/testsuite/soak/schedule.py
@@ -14,6 +14,8 @@
 MOST_STEPS = 3
 WORKSPACES = first_workspaces()
 LEADER, WRITER = "leader", "writer"
+HEARTBEATS_S = 4.5  # An entry lapses after so long without heartbeats.
+LASTS_MS = (3000, 12000)  # How long tasks run that are to be there when their worker refuses.
 RUNS_ON_MS = (8000, 60000)  # How long tasks run that are to be seen when they outlast their job.
 
 
@@ -67,6 +69,7 @@
     resizes_per_s: float = 0  # Workers, single or several, that have less room for a while.
     rekeys_per_s: float = 0  # Changes of keys and bounds; above 0 callers belong to workspaces.
     drains_per_s: float = 0  # Failure domains that the operators drain for a while.
+    refusals_per_s: float = 0  # Links that refuse connections, most of them to workers that run on.
 
 
 class Schedule:
@@ -77,10 +80,12 @@
         self.seed, self.size = seed, size
         self.random = random.Random(seed)
         silences = self.draw_silences()
+        refusals = self.draw_refusals()
         self.faults = self.by_time(self.draw_faults() + silences + self.draw_routes(silences)
                                    + self.draw_restarts() + self.draw_resizes()
-                                   + self.draw_rekeys() + self.draw_drains())
-        self.jobs = self.by_time(self.draw_jobs() + self.draw_cancels() + self.draw_crashers())
+                                   + self.draw_rekeys() + self.draw_drains() + refusals)
+        self.jobs = self.by_time(self.draw_jobs() + self.draw_cancels() + self.draw_crashers()
+                                 + self.draw_long_jobs(refusals))
         self.give_to_workspaces()
 
     @staticmethod
@@ -186,8 +191,52 @@
             jobs.append(planned)
         return jobs
 
+    def draw_long_jobs(self, refusals):
+        """Jobs whose first tasks run while connections to their workers are refused."""
+        draw = random.Random(f"long jobs {self.seed}")
+        jobs = []
+        for fault in refusals:
+            if fault.kind != "worker_refuse":
+                continue
+            for _ in range(2):
+                planned = self.draw_job(draw, max(0.5, fault.at - draw.uniform(0.2, 2)))
+                planned.cancel_after = planned.again_after = 0
+                facts = planned.facts
+                facts.repeats = facts.first_due_ms = facts.interval_ms = 0
+                facts.steps[0].run_ms = draw.randint(*LASTS_MS)
+                facts.fails[0] = 0
+                jobs.append(planned)
+        return jobs
+
     # Faults.
 
+    def draw_refusals(self):
+        """Links refuse connections: to workers that run on while their entries lapse, half of which
+        have announced their end; to the store, which may be away; among daemons."""
+        draw = random.Random(f"refusals {self.seed}")
+        faults = []
+        for _ in range(round(self.size.load_s * self.size.refusals_per_s)):
+            at, span = draw.uniform(FIRST_FAULT_S, self.size.load_s), draw.uniform(0.5, 7)
+            how = draw.choice(("refuse", "refuse", "refuse", "refuse_new"))
+            if draw.random() < 0.25:
+                service = draw.choice(("peer", "peer_side", "store", "store", ""))
+                faults.append(Fault(at, "link", min(span, 3) if service == "" else span,
+                                    {"how": how, "service": service,
+                                     "node": self.draw_node(draw), "late": False}))
+                continue
+            outage = draw.uniform(0.5, 3) if draw.random() < 0.2 else 0
+            lapses = draw.choice((HEARTBEATS_S, draw.uniform(0.2, 2)))
+            faults.append(Fault(at, "worker_refuse", span, {
+                "slot": draw.randint(1, self.size.workers), "how": how,
+                "node": LEADER if draw.random() < 0.25 else 0,
+                "announces": round(draw.uniform(0.5, 5), 2) if draw.random() < 0.5 else 0,
+                "stays": round(draw.uniform(2, 10), 2), "lapses": round(lapses, 2),
+                "refuses_after": round(max(0, lapses + draw.uniform(-1.5, 1)), 2),
+                "heard_after": round(draw.uniform(0, 1.5), 2)}))
+            if outage:
+                faults.append(Fault(at, "store_away", outage, {"how": "reset"}))
+        return faults
+
     def draw_resizes(self):
         """Workers, one or a third of them, have less room for a while."""
         draw = random.Random(f"resizes {self.seed}")
--- a/testsuite/soak/seeds.py
+++ b/testsuite/soak/seeds.py
@@ -46,6 +46,13 @@
                    "workers list counted against them")
 
 
+REFUSAL_HUNT = Size(daemons=4, workers=8, load_s=20, jobs_per_s=3.2, faults_per_s=0, silences_per_s=0,
+                    cancels_per_s=0, routes_per_s=0, refusals_per_s=0.6)
+
+REFUSED_IS_NOT_OVER = ("tasks were started again while they ran: a worker that had announced its end and "
+                       "whose entry had lapsed refused connections, which was taken for its end")
+
+
 @dataclass(frozen=True)
 class FailedSeed:
     """A seed that broke a promise once."""
@@ -66,6 +73,9 @@
     FailedSeed(7001, RESTART_HUNT, ONE_ID_TWO_LIVES),
     FailedSeed(7000, RESTART_HUNT, ONE_ID_TWO_LIVES),
     FailedSeed(8101, CRASH_HUNT, NO_END_NO_COUNT),
+    FailedSeed(9301, REFUSAL_HUNT, REFUSED_IS_NOT_OVER),
+    FailedSeed(9310, REFUSAL_HUNT, REFUSED_IS_NOT_OVER),
+    FailedSeed(9304, REFUSAL_HUNT, REFUSED_IS_NOT_OVER),
 )
 
 
--- a/testsuite/soak/soak.py
+++ b/testsuite/soak/soak.py
@@ -64,7 +64,7 @@
         self.plan = Plan.find()
         self.folder = tempfile.mkdtemp(prefix=f"pathport-soak-{seed}-")
         self.result.folder = self.folder
-        self.proxies = Proxies(self.plan)
+        self.proxies = Proxies(self.plan, size.daemons)
         self.daemons = [Daemon(i + 1, self.plan, self.folder,
                                os.path.join(BIN, "pathport_jobd"), self.proxies)
                         for i in range(size.daemons)]
--- a/testsuite/soak/workers.py
+++ b/testsuite/soak/workers.py
@@ -79,6 +79,7 @@
     up: bool = True
     draining: bool = False
     leaves_at: float = 0
+    lapses_at: float = 0  # When its entry lapses, as the platform hears nothing of it; 0: it does.
     waiting: list = field(default_factory=list)
     share: float = 1  # Of its kind's room that it has at present.
     rooms_before: list = field(default_factory=list)  # (counts until, cpu, mem) of larger ones
@@ -95,6 +96,10 @@
     def mem(self):
         return int(ROOM[self.kind][1] * self.share)
 
+    def lapsed(self, now):
+        """Whether its entry has lapsed; the worker itself may run on."""
+        return bool(self.lapses_at) and now >= self.lapses_at
+
     def resize(self, share):
         """The worker has only a share of its room from now on, or all of it again."""
         self.rooms_before.append((time.monotonic() + ROOM_HEARD_S, self.cpu, self.mem))
