Soak: a proxy closed while it opens stays closed, and a noted end bars later starts

Cause: two mutants of the pieces of passed all 38 checks: a listener that doesn't look again after it was bound, and a done of a draining worker that isn't kept. Change: connections_are_refused closes while it opens; the end of a worker that is heard again bars a third start.

--- a/testsuite/run_soak_checks.py
+++ b/testsuite/run_soak_checks.py
@@ -119,6 +119,10 @@
     assert not bench.broken()
     life.lapses_at = 0
     bench.see(1)
+    assert len(bench.ledger.breaches) == 1, bench.ledger.breaches
+    bench.finish(2, "stopped")
+    bench.start(2, run=3)
+    assert len(bench.ledger.breaches) == 2, bench.ledger.breaches
     return {"no start after a noted done"}, bench.broken()
 
 
@@ -581,6 +585,11 @@
     proxies.close("store")
     await proxies.remove(more)
     await look("closed within")
+    opening = asyncio.ensure_future(proxies.open("store"))
+    await asyncio.sleep(0)
+    proxies.close("store")
+    await opening
+    await look("closed while it opened")
     await proxies.open("store")
     await look("at last")
     proxies.close_all()
@@ -599,7 +608,7 @@
             "refuse to all: refused, refused", "open lines: False, False",
             "opened within: refused, refused", "one left: refused, works",
             "the other left: refused, works", "closed within: refused, refused",
-            "at last: works, works"}, set(seen)
+            "closed while it opened: refused, refused", "at last: works, works"}, set(seen)
 
 
 def refusals_are_drawn_beside_the_rest():
