A refusing leader is replaced after 0.2 s of a standing head row

Change: back to 400 ms; a leader that refuses connections is replaced once its row has stood still for 200 ms (250 before, 600 for a silent one). While jobs come or end it writes more often than that. An idle one that refuses a follower may be replaced needlessly, which costs a take-over while nothing waits.

--- a/src/jobs.lib/head_log.cpp
+++ b/src/jobs.lib/head_log.cpp
@@ -27,7 +27,7 @@
 constexpr int64_t link_divisor = 5;
 constexpr Millis batch_delay { 3 };
 /// Maximum time between writes, so that the lease is renewed.
-constexpr Millis renewal_interval { 150 };
+constexpr Millis renewal_interval { 400 };
 /// If the last write started longer ago, the store counts as unavailable; the second value
 /// holds while the store is known to be slow.
 constexpr Millis max_write_age { 900 };
--- a/src/jobs.lib/leadership.cpp
+++ b/src/jobs.lib/leadership.cpp
@@ -30,9 +30,10 @@
 /// An unresponsive leader is considered gone when its head row has not changed for this
 /// long. A live leader writes the row several times in that period.
 constexpr Millis head_stall_timeout { 600 };
-/// The same for one that refuses connections, which a live leader rarely does. A live one
-/// writes the row once in that period at least.
-constexpr Millis refused_head_stall_timeout { 250 };
+/// The same for one that refuses connections, as mostly a dead one does. A live leader
+/// writes the row in that period while jobs come or end; an idle one may be replaced
+/// needlessly, which holds up nothing.
+constexpr Millis refused_head_stall_timeout { 200 };
 /// Multiple of the store's last read time that is added to `head_stall_timeout` and to
 /// `weaker_node_delay`: a slow store delays both the leader's writes and other nodes'
 /// claims.
