--- a/testsuite/day_menu.py
+++ b/testsuite/day_menu.py
@@ -101,8 +101,8 @@
 # What the third menu adds.
 SRV_CUTS = ["", "fronts", "some", "one_way", "reborn"]
 NODE_CUTS = ["", "all", "turn"]
-CORE_CUTS = ["", "leader", "giver", "follower", "turn", "all", "near", "one_way", "both", "lure", "relieve", "split",
-             "behind", "oldest", "seeds"]
+CORE_CUTS = ["", "leader", "giver", "follower", "turn", "all", "near", "one_way", "both", "lure", "relieve",
+             "split", "behind", "oldest", "seeds"]
 REFUSED_WORKERS = [
     cut("srv_cut", "refuse", SRV_CUTS, share=(.1, .5), x=(.2, .8), for_s=(1, 7)),
     cut("node_cut", "refuse", ["servers", "servers reborn"], share=(.1, .5), for_s=(1, 7)),
@@ -117,10 +117,16 @@
     cut("srv_cut", "reset", SRV_CUTS, share=(.1, .5), x=(.2, .8), for_s=(1, 7)),
     cut("node_cut", "reset", ["servers", "servers reborn"], share=(.1, .5), for_s=(1, 7)),
 ]
-CUT_LEADERS = [cut("core_cut", manner, CORE_CUTS, count=1, for_s=(1, 7)) for manner in ("", "reset", "refuse")]
-CUT_NODES = [cut("node_cut", manner, NODE_CUTS, share=(.1, .4), for_s=(1, 7)) for manner in ("reset", "refuse")]
+CUT_LEADERS = [cut("core_cut", manner, CORE_CUTS, count=1, for_s=(1, 7))
+               for manner in ("", "reset", "refuse")]
+CUT_NODES = [cut("node_cut", manner, NODE_CUTS, share=(.1, .4), for_s=(1, 7))
+             for manner in ("reset", "refuse")]
 
-# Of the shape "leaving": while the store is away, entries in the list of workers lapse.
+# Of the shape "leaving": workers that have announced their end have some seconds left, ...
+DEPARTURES = [
+    dict(kind="scale_in", share=(.15, .5), how=["", "spot"], x=(2, 6)),
+]
+# ... and while the store is away, entries in the list of workers lapse.
 OUTAGES = [
     dict(kind="platform_down", for_s=(2, 6), how=["silent lapse", "busy lapse", "reset lapse"]),
     dict(kind="platform_down", for_s=(2, 6), how=["silent", "busy", "reset"]),
--- a/testsuite/random_days.py
+++ b/testsuite/random_days.py
@@ -19,9 +19,9 @@
 has ended; the last episode begins early enough for tasks to end after it.
 
 Each day is a function of (site, seed, index) and of --shape, --menu, --always and --length alone; `--menu 1`
-and `--menu 2` draw the days of before the later menus. Of a day that breaks a rule, or whose logs show an event named by
---sign, DIR keeps the TOML, the bench's output and the nodes' logs (--no-log: without these). Ends with a
-summary line. Exit code 1 if a rule was broken, 2 if a day didn't play.
+and `--menu 2` draw the days of before the later menus. Of a day that breaks a rule, or whose logs show an
+event named by --sign, DIR keeps the TOML, the bench's output and the nodes' logs (--no-log: without these).
+Ends with a summary line. Exit code 1 if a rule was broken, 2 if a day didn't play.
 """
 import argparse
 import collections
@@ -38,7 +38,7 @@
 import threading
 import tomllib
 
-from day_menu import (ABSENCES, BLINDERS, LEAVING_WORKERS, MENUS, ORDER_GIVERS, OUTAGES, REFUSED_LEADERS,
+from day_menu import (ABSENCES, BLINDERS, DEPARTURES, MENUS, ORDER_GIVERS, OUTAGES, REFUSED_LEADERS,
                       REFUSED_WORKERS)
 
 CLOSINGS = [
@@ -128,11 +128,14 @@
         begins = 2 + episode * EPISODE_S
         outage = draw(rng, rng.choice([OUTAGES[0], OUTAGES[0], OUTAGES[1]]), begins + rng.uniform(0, 2))
         back = outage["at"] + outage["for_s"]
-        leaving = draw(rng, rng.choice(LEAVING_WORKERS), back + rng.uniform(-1, 6))
-        troubles += [outage, leaving]
-        # A worker leaves some seconds after its notice: links refuse before it, at it or after it.
-        for _ in range(rng.choice([1, 1, 2])):
-            troubles.append(draw(rng, rng.choice(REFUSED_WORKERS), leaving["at"] + rng.uniform(-1.5, 3)))
+        # Entries that lapsed are missing when the store is back: workers leave just before that, or later.
+        notice = back + rng.choice([rng.uniform(-2.5, -.3), rng.uniform(0, 6)])
+        leaving = draw(rng, rng.choice(DEPARTURES), notice)
+        # Links refuse once the end is announced, and before the workers are gone ...
+        refusing = draw(rng, rng.choice(REFUSED_WORKERS), leaving["at"] + rng.uniform(.2, 1.8))
+        troubles += [outage, leaving, refusing]
+        if rng.random() < .35:  # ... or at any time around it
+            troubles.append(draw(rng, rng.choice(REFUSED_WORKERS), leaving["at"] + rng.uniform(-1.5, 6)))
         if rng.random() < .35:
             troubles.append(draw(rng, rng.choice(REFUSED_LEADERS), leaving["at"] + rng.uniform(-1, 3)))
         if rng.random() < .35:
--- a/testsuite/run_random_days.py
+++ b/testsuite/run_random_days.py
@@ -33,8 +33,8 @@
 CUTS = {
     "srv_cut": ["", "fronts", "some", "one_way", "reborn"],
     "node_cut": ["", "all", "servers", "servers reborn", "turn"],
-    "core_cut": ["", "all", "near", "one_way", "split", "both", "lure", "relieve", "behind", "oldest", "seeds",
-                 "leader", "giver", "follower", "turn"],
+    "core_cut": ["", "all", "near", "one_way", "split", "both", "lure", "relieve", "behind", "oldest",
+                 "seeds", "leader", "giver", "follower", "turn"],
 }
 MANNERS = ["", "reset", "refuse"]
 BENCH = """#!/usr/bin/env python3
@@ -151,9 +151,9 @@
 
     def episodes(day):
         """Counts the outages after which workers leave while links to workers refuse."""
-        return sum(any(near(day, leaving, -1.51, 3.01, refuses_workers) for leaving in day
+        return sum(any(near(day, leaving, .19, 1.81, refuses_workers) for leaving in day
                        if leaving["kind"] == "scale_in"
-                       and -1.01 <= leaving["at"] - outage["at"] - outage["for_s"] <= 6.01)
+                       and -2.51 <= leaving["at"] - outage["at"] - outage["for_s"] <= 6.01)
                    for outage in day if store_away(outage))
 
     trial.check("three episodes or more", days and all(episodes(day) >= 3 for day in days))
