--- a/testsuite/run_all.py
+++ b/testsuite/run_all.py
@@ -12,7 +12,7 @@
 
 HERE = os.path.dirname(os.path.abspath(__file__))
 ROOT = os.path.dirname(HERE)
-PROGRAM_SECONDS = 400
+PROGRAM_SECONDS = 600
 
 
 def known_red():
