--- a/testsuite/day_menu.py
+++ b/testsuite/day_menu.py
@@ -2,8 +2,9 @@
 # SPDX-License-Identifier: Apache-2.0
 """The troubles that random days are drawn from, by what they strike, with their variants.
 
-The first menu is the one whose days stand in older notes: it never changes, so that its days are drawn as
-they were. The second adds what `fleetbench kinds` names besides.
+The first menu is the one whose days stand in older notes, and the second adds what `fleetbench kinds` names
+besides: neither changes, so that their days are drawn as they were. The third adds cuts that reset or refuse
+connections in place of silence, and more workers that leave.
 """
 import dataclasses
 
@@ -91,6 +92,40 @@
     dict(kind="node_cut", share=(.1, .4), for_s=(2, 7), how=["all reset", "turn"]),
 ]
 
+
+def cut(kind, manner, hows, **others):
+    """Returns the entry of a cut whose variants `hows` all meet connections in one manner."""
+    return dict(kind=kind, how=[" ".join(filter(None, (how, manner))) for how in hows], **others)
+
+
+# What the third menu adds.
+SRV_CUTS = ["", "fronts", "some", "one_way", "reborn"]
+NODE_CUTS = ["", "all", "turn"]
+CORE_CUTS = ["", "leader", "giver", "follower", "turn", "all", "near", "one_way", "both", "lure", "relieve", "split",
+             "behind", "oldest", "seeds"]
+REFUSED_WORKERS = [
+    cut("srv_cut", "refuse", SRV_CUTS, share=(.1, .5), x=(.2, .8), for_s=(1, 7)),
+    cut("node_cut", "refuse", ["servers", "servers reborn"], share=(.1, .5), for_s=(1, 7)),
+]
+LEAVING_WORKERS = [
+    dict(kind="scale_in", share=(.15, .5), how=["", "spot"], x=(1.5, 3)),
+]
+REFUSED_LEADERS = [
+    cut("core_cut", "refuse", ["leader", "giver", "all"], count=[1, 2], for_s=(1, 7)),
+]
+RESET_WORKERS = [
+    cut("srv_cut", "reset", SRV_CUTS, share=(.1, .5), x=(.2, .8), for_s=(1, 7)),
+    cut("node_cut", "reset", ["servers", "servers reborn"], share=(.1, .5), for_s=(1, 7)),
+]
+CUT_LEADERS = [cut("core_cut", manner, CORE_CUTS, count=1, for_s=(1, 7)) for manner in ("", "reset", "refuse")]
+CUT_NODES = [cut("node_cut", manner, NODE_CUTS, share=(.1, .4), for_s=(1, 7)) for manner in ("reset", "refuse")]
+
+# Of the shape "leaving": while the store is away, entries in the list of workers lapse.
+OUTAGES = [
+    dict(kind="platform_down", for_s=(2, 6), how=["silent lapse", "busy lapse", "reset lapse"]),
+    dict(kind="platform_down", for_s=(2, 6), how=["silent", "busy", "reset"]),
+]
+
 # Pairs of the shape "prompt". The one strikes who gave the last order, ...
 ORDER_GIVERS = [
     dict(kind="roll_term", share=(.3, .8), x=[2.0, 3.0], gap_s=(.2, .5), how=["starter", "remove"]),
@@ -144,4 +179,7 @@
     1: Menu(LOAD, WORKERS, LEADERS, STORE, OTHER),
     2: Menu(LOAD + MORE_LOAD, WORKERS + MORE_WORKERS, LEADERS + MORE_LEADERS, STORE + MORE_STORE,
             OTHER + MORE_OTHER),
+    3: Menu(LOAD + MORE_LOAD, WORKERS + MORE_WORKERS + REFUSED_WORKERS + LEAVING_WORKERS + RESET_WORKERS,
+            LEADERS + MORE_LEADERS + REFUSED_LEADERS + CUT_LEADERS, STORE + MORE_STORE,
+            OTHER + MORE_OTHER + CUT_NODES),
 }
--- a/testsuite/random_days.py
+++ b/testsuite/random_days.py
@@ -4,7 +4,7 @@
 """Plays long days of a site, full of troubles of every kind that `fleetbench kinds` lists.
 
     testsuite/random_days.py SITE.toml --bench PATH --why TEXT [--days 20] [--seed 1] [--jobs 4]
-        [--shape crowded|prompt] [--menu 1|2] [--always KIND[:HOW]] [--small] [--sign EVENT]
+        [--shape crowded|prompt|leaving] [--menu 1|2|3] [--always KIND[:HOW]] [--small] [--sign EVENT]
         [--keep DIR] [--replay DIR]
 
 Run from the project's root. Unlike `fleetbench hunt`, the days are about as long as the users' own (the
@@ -13,10 +13,13 @@
 where what they leave behind must still be put right after it. That is the shape "crowded". On a day of
 the shape "prompt" half of the jobs are cancelled soon after their acknowledgement from beginning to end;
 one or two pairs of troubles strike who gave the last orders while leaders can't see what runs, at times
-with workers away as well, and the rest of the day is calm, so that a task left behind is seen.
+with workers away as well, and the rest of the day is calm, so that a task left behind is seen. A day of
+the shape "leaving" has a few episodes: the store is away and leases run out, soon after its return workers
+leave, and meanwhile links to workers refuse connections, so that a worker that runs on looks like one that
+has ended; the last episode begins early enough for tasks to end after it.
 
 Each day is a function of (site, seed, index) and of --shape, --menu, --always and --length alone; `--menu 1`
-draws the days of before the second menu. Of a day that breaks a rule, or whose logs show an event named by
+and `--menu 2` draw the days of before the later menus. Of a day that breaks a rule, or whose logs show an event named by
 --sign, DIR keeps the TOML, the bench's output and the nodes' logs (--no-log: without these). Ends with a
 summary line. Exit code 1 if a rule was broken, 2 if a day didn't play.
 """
@@ -35,7 +38,8 @@
 import threading
 import tomllib
 
-from day_menu import ABSENCES, BLINDERS, MENUS, ORDER_GIVERS
+from day_menu import (ABSENCES, BLINDERS, LEAVING_WORKERS, MENUS, ORDER_GIVERS, OUTAGES, REFUSED_LEADERS,
+                      REFUSED_WORKERS)
 
 CLOSINGS = [
     dict(kind="kill_all", down_s=(.3, 2)),
@@ -46,6 +50,7 @@
 LEASE_S = 3.0
 READ_BACK_S = 3.0  # so long after the traffic's end the configuration is read back
 CALM_S = 22.0  # a late order comes up to 12 s after a trouble of 6 s; then what it leaves is to be seen
+EPISODE_S = 20.0  # an outage of 6 s, workers that leave up to 6 s after it, and what the lapsed leases delay
 END_S = 15.0  # troubles of the end come at most so long before the end of traffic
 
 
@@ -115,6 +120,34 @@
     return troubles
 
 
+def draw_leaving(rng, length, args):
+    """Returns the troubles of a day of workers that leave behind links that refuse connections."""
+    menu = MENUS[args.menu]
+    troubles = []
+    for episode in range(max(1, int((length - 2) / EPISODE_S))):
+        begins = 2 + episode * EPISODE_S
+        outage = draw(rng, rng.choice([OUTAGES[0], OUTAGES[0], OUTAGES[1]]), begins + rng.uniform(0, 2))
+        back = outage["at"] + outage["for_s"]
+        leaving = draw(rng, rng.choice(LEAVING_WORKERS), back + rng.uniform(-1, 6))
+        troubles += [outage, leaving]
+        # A worker leaves some seconds after its notice: links refuse before it, at it or after it.
+        for _ in range(rng.choice([1, 1, 2])):
+            troubles.append(draw(rng, rng.choice(REFUSED_WORKERS), leaving["at"] + rng.uniform(-1.5, 3)))
+        if rng.random() < .35:
+            troubles.append(draw(rng, rng.choice(REFUSED_LEADERS), leaving["at"] + rng.uniform(-1, 3)))
+        if rng.random() < .35:
+            troubles.append(any_trouble(rng, leaving["at"] + rng.uniform(-2, 4), menu.crowds()))
+        # Others take the place of those that left, so that later episodes have workers to strike.
+        if "how" not in leaving:
+            troubles.append(dict(kind="scale_out", share=leaving["share"], gap_s=.3,
+                                 at=round(leaving["at"] + rng.uniform(3, 6), 2)))
+    for name in args.always:
+        troubles += [draw(rng, menu.named(name), rng.uniform(1, length - 2)) for _ in range(2)]
+    for trouble in troubles:
+        end_outage_in_time(trouble, length)
+    return troubles
+
+
 def end_outage_in_time(trouble, length):
     """The bench reads the configuration back from the store some 3 s after the traffic's end, and blames
     the nodes if the store is away then (days b-62 and z1-24: all nodes had applied it 5 s before)."""
@@ -136,6 +169,7 @@
 SHAPES = {
     "crowded": Shape(draw_crowded, CLOSINGS, 100.0),
     "prompt": Shape(draw_prompt, [None], 42.0),
+    "leaving": Shape(draw_leaving, [None], 64.0),
 }
 
 
@@ -193,13 +227,14 @@
     parser.add_argument("--seed", default="1")
     parser.add_argument("--jobs", type=int, default=4)
     parser.add_argument("--shape", choices=SHAPES, default="crowded")
-    parser.add_argument("--menu", type=int, choices=MENUS, default=2, help="1: the troubles of before")
+    parser.add_argument("--menu", type=int, choices=MENUS, default=max(MENUS),
+                        help="1 and 2: the troubles of before")
     parser.add_argument("--always", action="append", default=[], metavar="KIND[:HOW]",
                         help="two of these in each day besides; may be given again")
     parser.add_argument("--small", action="store_true", help="the site's small twin")
     parser.add_argument("--sign", action="append", default=[], metavar="EVENT",
                         help="days whose logs show this event are kept and counted; may be given again")
-    parser.add_argument("--length", type=float, help="seconds of traffic (100; prompt: 42)")
+    parser.add_argument("--length", type=float, help="seconds of traffic (100; prompt: 42; leaving: 64)")
     parser.add_argument("--density", type=float, default=.12, help="incidents a second, on average")
     parser.add_argument("--keep", default="random-days")
     parser.add_argument("--no-log", action="store_true")
--- a/testsuite/run_random_days.py
+++ b/testsuite/run_random_days.py
@@ -24,8 +24,19 @@
 traffic = [{ zone = "a", rate = 3.0 }]
 faults = [{ at = 3.0, kind = "hup" }]
 """
-# Of the 20 days of seed 7 as drawn before there was a second menu.
-DIGEST_OF_BEFORE = "35a8fac6c0bfc252a82cd6e4f5273e035e0a5afe9771a2844b5d22b6ec743189"
+# Of the 20 days of seed 7 as drawn by a menu when it was the newest.
+DIGESTS = {
+    1: "35a8fac6c0bfc252a82cd6e4f5273e035e0a5afe9771a2844b5d22b6ec743189",
+    2: "8e0ead8e8e6fc2f80e54f836a4c9a245be0452c18180ba13767c85acd5cbdc7d",
+}
+# The cuts that `fleetbench kinds` names; each may be silent, reset connections or refuse them.
+CUTS = {
+    "srv_cut": ["", "fronts", "some", "one_way", "reborn"],
+    "node_cut": ["", "all", "servers", "servers reborn", "turn"],
+    "core_cut": ["", "all", "near", "one_way", "split", "both", "lure", "relieve", "behind", "oldest", "seeds",
+                 "leader", "giver", "follower", "turn"],
+}
+MANNERS = ["", "reset", "refuse"]
 BENCH = """#!/usr/bin/env python3
 import pathlib, sys, tomllib
 name = tomllib.loads(pathlib.Path(sys.argv[3]).read_text())["day"][0]["name"]
@@ -78,10 +89,11 @@
 
 
 def check_menus(trial):
-    first = trial.drawn("first", "--menu", "1", "--seed", "7", "--days", "20")
-    digest = hashlib.sha256("".join(first).encode()).hexdigest()
-    trial.check("the first menu draws the days of before", digest == DIGEST_OF_BEFORE)
-    second = trial.drawn("second", "--seed", "7", "--days", "60")
+    for menu, known in DIGESTS.items():
+        days = trial.drawn(f"menu-{menu}", "--menu", menu, "--seed", "7", "--days", "20")
+        digest = hashlib.sha256("".join(days).encode()).hexdigest()
+        trial.check(f"menu {menu} draws the days of before", digest == known)
+    second = trial.drawn("second", "--menu", "2", "--seed", "7", "--days", "60")
     newer = [t for text in second for t in troubles(text)
              if (t["kind"], t.get("how")) in (("give_up", "prompt"), ("roll_term", "remove"))]
     trial.check("the second menu draws newer troubles", len(newer) > 10)
@@ -94,6 +106,19 @@
     trial.check("an unknown variant is refused", code == 2 and "srv_cut:unknown" in errors)
 
 
+def check_cuts(trial):
+    """Each variant of a cut is drawn by the newest menu in each manner in which it may meet connections."""
+    drawn = {(t["kind"], frozenset(t.get("how", "").split()))
+             for text in trial.drawn("cuts", "--seed", "7", "--days", "400", "--length", "100")
+             for t in troubles(text)}
+    for kind, variants in CUTS.items():
+        for manner in MANNERS:
+            missing = [how or "plain" for how in variants
+                       if (kind, frozenset(f"{how} {manner}".split())) not in drawn]
+            trial.check(f"{kind} that is {manner or 'silent'}: each variant is drawn"
+                        f"{', missing: ' * bool(missing)}{', '.join(missing)}", not missing)
+
+
 def check_prompt_days(trial):
     days = [tomllib.loads(text)["day"][0]
             for text in trial.drawn("prompt", "--shape", "prompt", "--length", "42", "--days", "40")]
@@ -111,6 +136,33 @@
     trial.check("nothing strikes at the end", all("closing" not in day for day in days))
 
 
+def check_leaving_days(trial):
+    days = [troubles(text) for text in trial.drawn("leaving", "--shape", "leaving", "--days", "40")]
+
+    def near(day, leaving, low, high, fits):
+        return any(low <= t["at"] - leaving["at"] <= high and fits(t) for t in day)
+
+    def refuses_workers(trouble):
+        how = trouble.get("how", "").split()
+        return "refuse" in how and (trouble["kind"] == "srv_cut" or "servers" in how)
+
+    def store_away(trouble):
+        return trouble["kind"] == "platform_down" and "nodes" not in trouble.get("how", "")
+
+    def episodes(day):
+        """Counts the outages after which workers leave while links to workers refuse."""
+        return sum(any(near(day, leaving, -1.51, 3.01, refuses_workers) for leaving in day
+                       if leaving["kind"] == "scale_in"
+                       and -1.01 <= leaving["at"] - outage["at"] - outage["for_s"] <= 6.01)
+                   for outage in day if store_away(outage))
+
+    trial.check("three episodes or more", days and all(episodes(day) >= 3 for day in days))
+    outages = [t for day in days for t in day if store_away(t)]
+    lapsing = [t for t in outages if "lapse" in t.get("how", "").split()]
+    trial.check("leases run out in most outages", outages and 2 * len(lapsing) > len(outages))
+    trial.check("nothing new in the last 3 s", days and max(t["at"] for day in days for t in day) <= 64 - 3)
+
+
 def check_plays(trial):
     code, output, _ = trial.run("plays", "--days", "5", "--jobs", "1", "--sign", "unwanted_run", "--sign",
                                 "task_stop_overdue")
@@ -128,7 +180,9 @@
     with tempfile.TemporaryDirectory() as folder:
         trial = Trial(pathlib.Path(folder))
         check_menus(trial)
+        check_cuts(trial)
         check_prompt_days(trial)
+        check_leaving_days(trial)
         check_plays(trial)
     print(f"{trial.checks} checks, {trial.failed} failed")
     sys.exit(1 if trial.failed else 0)
