--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -320,6 +320,7 @@
         work_s, saves = self.pool.ledger.started(self, task, number, order.get("task_spec", ""))
         run = Run(task, number, work_s, saves, order.get("checkpoint", ""))
         self.running[task] = run
+        self.pool.ledger.by_task.setdefault(task, []).append((self, run))
         left = max(0.0, run.work_s - run.before) + (run.begins - run.started)
         # A task that lasts has no end of its own: its work is without bound.
         left = min(left, 86400.0)
@@ -358,6 +359,7 @@
             self.extend(order["until_ms"])
         if order.get("last_seen", 0) > self.seen:
             self.seen = order["last_seen"]
+            self.pool.ledger.noted(self, [end for end in self.ended if end[0] <= self.seen])
             self.ended = [end for end in self.ended if end[0] > self.seen]
         if order.get("wait_ms") and not self.ended:
             waiter = asyncio.get_running_loop().create_future()
@@ -468,7 +470,17 @@
         self.jobs, self.runs, self.failed_ends = {}, {}, 0
         self.standstill_since, self.standstill = {}, {}
         self.disturbed_at = time.monotonic()
-        self.acked_ends = []
+        self.by_task, self.done_noted, self.breaches = {}, {}, []
+
+    def breach(self, rule, text):
+        self.breaches.append((rule, text))
+        self.record(f"{rule}: {text}")
+
+    def noted(self, life, ends):
+        """Ends of a life were taken note of: `last_seen` reached them."""
+        for _, task, _, how, _ in ends:
+            if how == "done":
+                self.done_noted[task] = True
 
     def describe(self, job, body, work_s):
         self.jobs[job] = {"body": body, "work_s": work_s, "done": set(), "accepted": 0.0,
@@ -479,6 +491,12 @@
         job, _, step, _ = task.split(".")
         facts = self.jobs[job]
         facts["starts"] += 1
+        for other, run in self.by_task.get(task, []):
+            if run.number != number and other.up and other.running.get(task) is run:
+                self.breach("TWICE", f"{task} run {number} starts at {life.id} while run {run.number} "
+                                     f"is at {other.id}")
+        if task in facts["done"] and self.done_noted.get(task):
+            self.breach("TWICE", f"{task} run {number} starts at {life.id} after a run ended `done`")
         self.runs[(task, number)] = [life.id, "running", time.monotonic()]
         return facts["work_s"], bool(facts["body"]["phases"][int(step)].get("saves_progress"))
 
@@ -663,6 +681,12 @@
                     node.down = True
             await asyncio.sleep(0.1)
 
+    def leader(self):
+        """Returns the node that the leader row names, or nothing."""
+        row = self.store.get("lead", "s", "leader")
+        name = json.loads(row)[1] if row else ""
+        return next((node for node in self.nodes if f"edge-{node.number}" == name), None)
+
     def disturb(self):
         self.ledger.disturbed_at = time.monotonic()
 
