--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -4,10 +4,12 @@
 import asyncio
 import base64
 import bisect
+import ctypes
 import json
 import os
 import random
 import re
+import shutil
 import signal
 import socket
 import subprocess
@@ -504,11 +506,15 @@
         if task in facts["done"] and self.done_noted.get(task):
             self.breach("TWICE", f"{task} run {number} starts at {life.id} after a run ended `done`")
         self.runs[(task, number)] = [life.id, "running", time.monotonic()]
+        if facts["total"] <= 10:  # Those of wide jobs are too many for the record.
+            self.record(f"worker {life.slot}: {life.id} starts {task} run {number}")
         return facts["work_s"], bool(facts["body"]["phases"][int(step)].get("saves_progress"))
 
     def ended(self, life, task, number, how, _n):
         facts = self.jobs[task.split(".")[0]]
         self.runs[(task, number)][1] = how
+        if facts["total"] <= 10:
+            self.record(f"worker {life.slot}: {task} run {number} ends {how}")
         if how == "done":
             facts["done"].add(task)
         if how == "failed":
@@ -551,6 +557,15 @@
             self.standstill[job] = max(self.standstill.get(job, 0), now - since)
 
 
+_LIBC = ctypes.CDLL(None)
+PR_SET_PDEATHSIG = 1
+
+
+def _end_with_parent():
+    """A node ends with the case, also when that is killed."""
+    _LIBC.prctl(PR_SET_PDEATHSIG, signal.SIGKILL)
+
+
 class Node:
     """One pathport_jobd, started with the command of the deploy file."""
 
@@ -596,7 +611,7 @@
         environment["PATHPORT_NODE_FILE"] = path
         log = open(os.path.join(self.folder, f"node-{self.number}.log"), "ab")
         self.process = subprocess.Popen(role["run"].split(), cwd=ROOT, env=environment, stdout=log,
-                                        stderr=log)
+                                        stderr=log, preexec_fn=_end_with_parent)
         log.close()
 
     def log_lines(self, event):
@@ -727,6 +742,7 @@
     def close(self):
         for node in self.nodes:
             node.end()
+        shutil.rmtree(self.folder, ignore_errors=True)
         self.file.close()
 
 
