--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -668,6 +668,8 @@
         self.turn = 0
 
     def record(self, text):
+        if self.file.closed:  # The case is over; what still runs is being ended.
+            return
         self.file.write(f"{time.monotonic() - self.begun:8.3f} s  {text}\n")
         self.file.flush()
 
