--- a/src/jobs.lib/crash_record.cpp
+++ b/src/jobs.lib/crash_record.cpp
@@ -20,6 +20,8 @@
 /// cleared, since it would take down one worker after another.
 constexpr size_t max_workers_lost = 3;
 constexpr int max_tries = 2;
+/// A task is given up only if this many workers are known to have been lost with it.
+constexpr size_t min_confirmed_losses = 2;
 /// Limit on the losses that are assumed without a record.
 constexpr int max_unrecorded_losses = 1;
 /// Maximum delay of the report about a run, added to the longest run time before a loss.
@@ -60,8 +62,10 @@
 
 bool CrashRecord::add(const CrashedRun& lost)
 {
-    if (refuting_runtime(lost) < m_survived || has_loss(lost.run, lost.worker))
+    if (refuting_runtime(lost) < m_survived)
         return false;
+    if (has_loss(lost.run, lost.worker))
+        return lost.is_confirmed && confirm(lost.run, lost.worker);
     m_runs.push_back(lost);
     return true;
 }
@@ -78,6 +82,30 @@
     return true;
 }
 
+bool CrashRecord::confirm(int64_t run, const std::string& worker)
+{
+    const CrashedRun sought { run, 0, false, worker };
+    const auto found = std::find_if(m_runs.begin(), m_runs.end(), [&](const auto& entry) {
+        return entry.is_same_loss(sought);
+    });
+    if (found == m_runs.end() || found->is_confirmed)
+        return false;
+    found->is_confirmed = true;
+    return true;
+}
+
+size_t CrashRecord::confirmed_losses() const
+{
+    return static_cast<size_t>(
+        std::count_if(m_runs.begin(), m_runs.end(),
+                      [](const CrashedRun& lost) { return lost.is_confirmed; }));
+}
+
+bool CrashRecord::may_give_up() const
+{
+    return confirmed_losses() >= min_confirmed_losses;
+}
+
 void CrashRecord::clear()
 {
     m_runs.clear();
@@ -153,14 +181,15 @@
 
 bool CrashRecord::tries_exhausted() const
 {
-    return has_lost_enough() && m_tries >= max_tries;
+    return has_lost_enough() && m_tries >= max_tries && may_give_up();
 }
 
 Suspicion CrashRecord::suspicion() const
 {
     int weight = 0;
     for (const CrashedRun& lost : m_runs) {
-        const bool likely_cause = Millis(lost.runtime_ms) < startup_window && !lost.is_weak;
+        const bool likely_cause = Millis(lost.runtime_ms) < startup_window && !lost.is_weak
+            && lost.is_confirmed;
         weight += likely_cause ? startup_weight : later_weight;
     }
     if (weight >= likely_from)
@@ -170,11 +199,13 @@
 
 bool CrashRecord::has_similar_runtimes() const
 {
-    const auto shorter = [](const CrashedRun& left, const CrashedRun& right) {
-        return left.runtime_ms < right.runtime_ms;
-    };
-    const auto [least, most] = std::minmax_element(m_runs.begin(), m_runs.end(), shorter);
-    return m_runs.empty() || most->runtime_ms - least->runtime_ms <= similar_within_ms;
+    std::vector<int64_t> runtimes_ms;
+    for (const CrashedRun& lost : m_runs) {
+        if (lost.is_confirmed)
+            runtimes_ms.push_back(lost.runtime_ms);
+    }
+    const auto [least, most] = std::minmax_element(runtimes_ms.begin(), runtimes_ms.end());
+    return runtimes_ms.empty() || *most - *least <= similar_within_ms;
 }
 
 Millis CrashRecord::longest_runtime() const
--- a/src/jobs.lib/crash_record.h
+++ b/src/jobs.lib/crash_record.h
@@ -17,7 +17,7 @@
 
 namespace pathport::jobs {
 
-/// A run of a task that was lost with its worker.
+/// A run of a task that was lost with its worker, or may have been.
 struct CrashedRun {
     int64_t run = 0;
     /// The run is known to have existed for this long; `unknown_runtime` if that is not
@@ -32,12 +32,15 @@
     /// The run existed for no longer than this: from its start order until the worker was
     /// found to be lost. 0 if that is not known.
     int64_t max_runtime_ms = 0;
+    /// The run existed and its worker was lost. Otherwise nothing tells whether its order
+    /// was carried out, or the worker may only have been partitioned.
+    bool is_confirmed = true;
 
     bool operator==(const CrashedRun& other) const
     {
         return run == other.run && runtime_ms == other.runtime_ms
             && is_weak == other.is_weak && worker == other.worker
-            && max_runtime_ms == other.max_runtime_ms;
+            && max_runtime_ms == other.max_runtime_ms && is_confirmed == other.is_confirmed;
     }
     /// Returns whether both are the same loss, whatever is known of it.
     bool is_same_loss(const CrashedRun& other) const
@@ -50,7 +53,8 @@
 /// A run lost sooner than this after its start may have crashed its worker by starting.
 /// Reports come twice a second, so run times are known to within half a second.
 constexpr Millis startup_window { 1500 };
-/// Assumed run time of a run started by an earlier leader.
+/// Assumed run time of a run of which only its order is known, or that an earlier leader
+/// started.
 constexpr Millis unknown_runtime = startup_window;
 
 /// How strong the evidence against a task is.
@@ -78,8 +82,8 @@
     size_t size() const { return m_runs.size(); }
     const std::vector<CrashedRun>& runs() const { return m_runs; }
 
-    /// Adds a run; returns false if its loss on that worker is already recorded, or refuted
-    /// by note_survival().
+    /// Adds a run, or confirms it if its loss on that worker is recorded already. Returns
+    /// false if that changes nothing, or if the loss is refuted by note_survival().
     bool add(const CrashedRun& lost);
     /// Returns how many more workers may have been lost with the task under leaders that
     /// were replaced before they recorded its start.
@@ -90,6 +94,14 @@
     /// Removes a run whose worker turned out not to be lost. Returns whether it was
     /// recorded.
     bool retract(int64_t run, const std::string& worker = {});
+    /// Records that a run existed whose loss on that worker is recorded. Returns whether
+    /// that was not known before.
+    bool confirm(int64_t run, const std::string& worker);
+    /// Returns how many of the runs are known to have been lost with their workers.
+    size_t confirmed_losses() const;
+    /// Returns whether the losses may fail the job. Orders that may never have reached
+    /// their workers don't suffice for that, however many they are.
+    bool may_give_up() const;
     void clear();
     /// Removes the losses that a run of this length refutes: a task that crashes its
     /// workers after some run time does not outlive it.
@@ -115,12 +127,13 @@
     /// Returns the number of starts that count.
     int tries() const { return m_tries; }
     /// Returns whether the task must not be started any more: enough workers were lost with
-    /// it, and it has used up the starts allowed since then without being cleared.
+    /// it, some of them for certain, and it has used up the starts allowed since then
+    /// without being cleared.
     bool tries_exhausted() const;
 
     Suspicion suspicion() const;
-    /// Returns whether all runs were lost about equally long after their starts, as is
-    /// typical of a task that crashes its workers.
+    /// Returns whether all confirmed runs were lost about equally long after their starts,
+    /// as is typical of a task that crashes its workers.
     bool has_similar_runtimes() const;
     /// Returns the run time after which a further run shows that the task does not crash
     /// its workers: longer than that of any lost run.
--- a/src/jobs.lib/crash_record_test.cpp
+++ b/src/jobs.lib/crash_record_test.cpp
@@ -26,6 +26,13 @@
     return record.suspicion();
 }
 
+CrashedRun unconfirmed_loss(int64_t run)
+{
+    CrashedRun lost { run, unknown_runtime.count(), false, "w" + std::to_string(run) };
+    lost.is_confirmed = false;
+    return lost;
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_CASE(start_followed_by_a_loss_makes_a_suspect)
@@ -54,6 +61,38 @@
     BOOST_TEST((record.suspicion() == Suspicion::suspected));
 }
 
+// Nothing shows that the run existed, so the loss tells nothing of the task.
+BOOST_AUTO_TEST_CASE(loss_of_an_unconfirmed_run_is_weaker_evidence)
+{
+    CrashRecord record;
+    record.add(unconfirmed_loss(1));
+    BOOST_TEST((record.suspicion() == Suspicion::none));
+    record.add({ 2, at_once });
+    record.add({ 3, at_once });
+    BOOST_TEST(record.has_similar_runtimes());
+}
+
+BOOST_AUTO_TEST_CASE(unconfirmed_losses_do_not_exhaust_the_starts)
+{
+    CrashRecord record;
+    constexpr int64_t losses = 9;
+    for (int64_t run = 1; run <= losses; ++run) {
+        record.note_start();
+        record.add(unconfirmed_loss(run));
+    }
+    BOOST_TEST(!record.may_give_up());
+    BOOST_TEST(!record.tries_exhausted());
+    BOOST_TEST(record.confirm(1, "w1"));
+    BOOST_TEST(!record.confirm(1, "w1"));
+    BOOST_TEST(!record.confirm(1, "w2"));
+    BOOST_TEST(!record.tries_exhausted());
+    // The next leader finds the same loss, and knows of the run.
+    BOOST_TEST(record.add({ 2, at_once, false, "w2" }));
+    BOOST_TEST(record.size() == size_t(losses));
+    BOOST_TEST(record.confirmed_losses() == 2U);
+    BOOST_TEST(record.tries_exhausted());
+}
+
 BOOST_AUTO_TEST_CASE(run_counts_once_and_can_be_retracted)
 {
     CrashRecord record;
--- a/src/jobs.lib/job_record.cpp
+++ b/src/jobs.lib/job_record.cpp
@@ -60,10 +60,20 @@
     }
 }
 
-/// Encodes, by task: the runs during which workers were lost, each as [run, run time, weak
-/// evidence, worker, upper limit of the run time]; how often the task was tried since; how
-/// many more losses may not be recorded; its longest run in milliseconds, 0 if that is not
-/// known.
+/// Reservations about a recorded loss, as bits. Earlier versions take any of them for weak
+/// evidence.
+constexpr int weak_evidence = 1;
+constexpr int unconfirmed_run = 2;
+
+int encode_reservations(const CrashedRun& lost)
+{
+    return (lost.is_weak ? weak_evidence : 0) | (lost.is_confirmed ? 0 : unconfirmed_run);
+}
+
+/// Encodes, by task: the runs during which workers were lost, each as [run, run time,
+/// reservations, worker, upper limit of the run time]; how often the task was tried since;
+/// how many more losses may not be recorded; its longest run in milliseconds, 0 if that is
+/// not known; whether the run that is placed is known to exist.
 Json encode_crashes(const Step& step)
 {
     Json crashes = Json::array();
@@ -73,11 +83,11 @@
             continue;
         Json runs = Json::array();
         for (const CrashedRun& lost : task.crashes.runs())
-            runs.push_back({ lost.run, lost.runtime_ms, lost.is_weak ? 1 : 0, lost.worker,
-                             lost.max_runtime_ms });
-        crashes.push_back({ i, std::move(runs), task.crashes.tries(),
-                            task.crashes.unrecorded_losses(),
-                            task.crashes.survived().count() });
+            runs.push_back({ lost.run, lost.runtime_ms, encode_reservations(lost),
+                             lost.worker, lost.max_runtime_ms });
+        crashes.push_back(
+            { i, std::move(runs), task.crashes.tries(), task.crashes.unrecorded_losses(),
+              task.crashes.survived().count(), task.evidence.is_confirmed() ? 1 : 0 });
     }
     return crashes;
 }
@@ -90,15 +100,23 @@
         constexpr size_t max_runtime_index = 4;
         constexpr size_t unrecorded_index = 3;
         constexpr size_t survived_index = 4;
-        for (const Json& run : entry.at(1))
+        constexpr size_t confirmed_index = 5;
+        for (const Json& run : entry.at(1)) {
+            const int reservations = run.at(2).get<int>();
             runs.push_back(
                 { run.at(0).get<int64_t>(), run.at(1).get<int64_t>(),
-                  run.at(2).get<int>() != 0,
+                  (reservations & weak_evidence) != 0,
                   run.size() > worker_index ? run.at(worker_index).get<std::string>()
                                             : std::string(),
                   run.size() > max_runtime_index ? run.at(max_runtime_index).get<int64_t>()
-                                                 : 0 });
-        step.tasks.at(entry.at(0).get<size_t>()).crashes = CrashRecord(
+                                                 : 0,
+                  (reservations & unconfirmed_run) == 0 });
+        }
+        Task& task = step.tasks.at(entry.at(0).get<size_t>());
+        if (task.phase == TaskPhase::in_doubt && entry.size() > confirmed_index)
+            task.evidence
+                = RunEvidence::unobserved(entry.at(confirmed_index).get<int>() != 0);
+        task.crashes = CrashRecord(
             std::move(runs), entry.at(2).get<int>(),
             entry.size() > unrecorded_index ? entry.at(unrecorded_index).get<int>() : 0,
             Millis(entry.size() > survived_index ? entry.at(survived_index).get<int64_t>()
@@ -164,6 +182,7 @@
                 task.phase = TaskPhase::in_doubt;
                 task.worker = worker;
                 task.run = std::stoll(run);
+                task.evidence = RunEvidence::unobserved(false);
             }
         }
     }
--- a/src/jobs.lib/job_record.h
+++ b/src/jobs.lib/job_record.h
@@ -10,6 +10,7 @@
 #include "capacity_table.h"
 #include "crash_record.h"
 #include "gang_wait.h"
+#include "run_evidence.h"
 
 #include <pathport/callers/usage_ledger.h>
 #include <pathport/jobs/job_model.h>
@@ -53,18 +54,13 @@
     /// It waits until this time for the decision to give up or try again.
     Millis verdict_at;
     Millis placed_at; ///< When its worker was chosen.
-    Millis ordered_at; ///< When its order was sent; its run is no older.
-    bool adopted = false; ///< An earlier leader started it, at an unknown time.
+    RunEvidence evidence; ///< What is known of the run that is placed.
     int percent = 0; ///< Progress as last reported.
     Millis percent_at; ///< When `percent` last changed.
     /// The first progress that this run reported, and when; a run that resumes from a
     /// checkpoint begins with that of earlier runs. Zero before.
     int first_percent = 0;
     Millis first_percent_at;
-    Millis listed_at; ///< When its worker last listed or accepted it.
-    /// When this leader first knew that it was running; zero before.
-    Millis confirmed_at;
-    Millis alive_at; ///< When the poll was sent that last listed it as running.
     int speed_percent = 100; ///< Percentage of full speed that it was last set to.
 
     /// Returns whether a worker may be running it or is about to.
--- a/src/jobs.lib/multi_worker_fixture.h
+++ b/src/jobs.lib/multi_worker_fixture.h
@@ -73,6 +73,7 @@
 struct ManualWorkerState {
     bool unresponsive = false;
     bool restarted = false; ///< Another incarnation replies under its name.
+    bool address_taken = false; ///< Another worker replies at its address.
     std::vector<RunningTask> running;
     std::vector<EndedTask> ended;
 };
@@ -214,6 +215,8 @@
             call.done(OrderStatus::unknown, std::nullopt);
         else if (worker_states[call.worker].restarted)
             call.done(OrderStatus::replaced, std::nullopt);
+        else if (worker_states[call.worker].address_taken)
+            call.done(OrderStatus::wrong_incarnation, std::nullopt);
         else
             call.done(OrderStatus::accepted, report_of(call));
     }
--- a/src/jobs.lib/progress_row_test.cpp
+++ b/src/jobs.lib/progress_row_test.cpp
@@ -68,14 +68,19 @@
         task.crashes.expect_unrecorded_losses(below(random, 2));
         task.crashes.note_survival(Millis(below(random, 2000)));
         task.crashes.add({ epoch_runs + 5, below(random, 9000) });
-        task.crashes.add(
-            { epoch_runs + 7, 0, below(random, 2) == 0, "w7", below(random, 9000) });
+        task.crashes.add({ epoch_runs + 7, 0, below(random, 2) == 0, "w7",
+                           below(random, 9000), below(random, 2) == 0 });
         step.has_crashes = true;
     }
     if (!task.placed())
         return;
     task.worker = "i-" + std::to_string(below(random, 5));
     task.run = epoch_runs + 20 + below(random, 100);
+    if (task.phase == TaskPhase::intended)
+        return;
+    task.evidence = RunEvidence::ordered(Millis(1000));
+    if (below(random, 2) == 0)
+        task.evidence = task.evidence.accepted(Millis(1010));
 }
 
 void change_step(Random& random, Step& step)
@@ -116,6 +121,9 @@
         BOOST_TEST((loaded.phase == TaskPhase::in_doubt));
         BOOST_TEST(loaded.worker == task.worker);
         BOOST_TEST(loaded.run == task.run);
+        // Only of a suspect it is recorded that its run exists.
+        const bool confirmed = task.evidence.is_confirmed() && !task.crashes.empty();
+        BOOST_TEST((loaded.evidence == RunEvidence::unobserved(confirmed)));
     } else {
         BOOST_TEST((loaded.phase == task.phase));
         BOOST_TEST(loaded.worker.empty());
--- a/src/jobs.lib/scheduler.cpp
+++ b/src/jobs.lib/scheduler.cpp
@@ -258,6 +258,7 @@
     task.phase = TaskPhase::waiting;
     task.requeued_at = m_context.loop.now();
     task.worker.clear();
+    task.evidence = RunEvidence();
     task.ticket.clear();
     task.speed_percent = 100;
 }
--- a/src/jobs.lib/scheduler.h
+++ b/src/jobs.lib/scheduler.h
@@ -293,14 +293,13 @@
     // Lost workers and the runs lost with them (scheduler_crashes.cpp).
     std::vector<LostRun> runs_on(const Worker& worker);
     std::vector<LostRun> attributable_runs(const Worker& worker);
-    static std::optional<Millis> known_runtime(const Task& task);
-    static Millis confirmed_runtime(const Task& task);
     void attribute_loss(const std::vector<LostRun>& lost, const std::string& worker,
                         const char* reason, Loss loss);
     bool attribute_loss(const LostRun& run, const std::string& worker, bool sole_suspect,
                         Suspicion worst);
     bool is_sole_suspect(const LostRun& run, const std::vector<LostRun>& lost);
-    static bool is_confirmed(const CrashRecord& before, const CrashRecord& after);
+    static bool is_proven_cause(const CrashRecord& before, const CrashRecord& after);
+    static CrashedRun recorded_loss(const LostRun& run, const std::string& worker);
     Suspicion worst_suspicion(const std::vector<LostRun>& lost);
     bool has_correlated_losses(Millis at) const;
     bool losses_are_rare_without(const Step& step) const;
@@ -357,7 +356,8 @@
     bool cancel_intent(const TaskId& id, Task& task);
     static bool is_late_success(const Step& step, const EndedTask& end);
     void note_progress(Worker& worker, const RunningTask& running);
-    void note_progress(Task& task, const RunningTask& running, Millis polled_at);
+    void note_progress(JobRecord& job, Task& task, const RunningTask& running,
+                       Millis polled_at);
     void release_missing(const Worker& worker);
     void release_in_doubt(const std::string& worker, const std::vector<TaskId>& tasks);
     void note_in_doubt(const JobRecord& job);
@@ -488,6 +488,8 @@
     bool cancellations_known() const;
     void start_task(JobRecord& job, Step& step, int index);
     void note_begun(JobRecord& job);
+    void note_start_confirmed(JobRecord& job, Task& task, const std::string& worker,
+                              int64_t run);
     void start_completed(const TaskId& id, const std::string& worker, int64_t run,
                          StartResult result, OrderStatus status);
 
--- a/src/jobs.lib/scheduler_crashes.cpp
+++ b/src/jobs.lib/scheduler_crashes.cpp
@@ -48,23 +48,16 @@
 /// A new leader knows too little of other losses to tell coincidence for this long.
 constexpr Millis min_observation { 10000 };
 
-} // namespace
-
-// Returns how long the run is known to have existed, or nothing if an earlier leader
-// started it.
-std::optional<Millis> Scheduler::known_runtime(const Task& task)
+// Returns whether this leader had ordered the run shortly before it was lost, so that it
+// may have crashed the worker by starting.
+bool may_have_just_started(const LostRun& run)
 {
-    if (task.adopted || task.phase == TaskPhase::in_doubt)
-        return std::nullopt;
-    return std::max(Millis(0), task.listed_at - task.ordered_at);
+    if (!run.evidence.is_confirmed())
+        return run.evidence.max_runtime(run.lost_by).has_value();
+    return run.evidence.known_runtime().value_or(unknown_runtime) < startup_window;
 }
 
-// Returns how long the run existed at least, as far as this leader knows from its worker:
-// from the first answer that told of it until the last poll that found it running.
-Millis Scheduler::confirmed_runtime(const Task& task)
-{
-    return std::max(Millis(0), task.alive_at - task.confirmed_at);
-}
+} // namespace
 
 // Returns the runs that may be on the worker, which is lost: all those whose start orders
 // may have arrived.
@@ -85,14 +78,10 @@
     for (const TaskId& name : tasks) {
         JobRecord* job = find_job(name.job);
         const Task* task = job == nullptr ? nullptr : job->task(name);
-        const bool there = task != nullptr && task->placed() && task->worker == id
-            && task->phase != TaskPhase::intended;
-        if (!there)
-            continue;
-        LostRun run { name, task->run, known_runtime(*task) };
-        if (run.known_runtime)
-            run.max_runtime = std::max(Millis(0), lost_by - task->ordered_at);
-        found.push_back(run);
+        const bool may_be_there = task != nullptr && task->placed() && task->worker == id
+            && task->evidence.may_exist();
+        if (may_be_there)
+            found.push_back({ name, task->run, task->evidence, lost_by });
     }
     return found;
 }
@@ -105,32 +94,51 @@
     std::vector<LostRun> runs = runs_on(worker);
     if (worker.session->info().draining) {
         const auto is_older = [](const LostRun& run) {
-            return run.known_runtime.value_or(Millis(0)) >= startup_window;
+            return run.evidence.known_runtime().value_or(Millis(0)) >= startup_window;
         };
         runs.erase(std::remove_if(runs.begin(), runs.end(), is_older), runs.end());
     }
     return runs;
 }
 
-// Returns whether no run of another job that was lost with it could be the cause as well.
+// Returns whether the run existed and no run of another job that may have been lost with it
+// could be the cause as well.
 bool Scheduler::is_sole_suspect(const LostRun& run, const std::vector<LostRun>& lost)
 {
+    if (!run.evidence.known_runtime())
+        return false;
     return std::none_of(lost.begin(), lost.end(), [&](const LostRun& other) {
         JobRecord* job
             = other.task.job == run.task.job ? nullptr : find_job(other.task.job);
         const Task* task = job == nullptr ? nullptr : job->task(other.task);
         return task != nullptr
-            && (other.known_runtime.value_or(unknown_runtime) < startup_window
+            && (may_have_just_started(other)
                 || task->crashes.suspicion() != Suspicion::none);
     });
 }
 
-// Returns whether the task is confirmed as the cause, given that nothing else could have
+// Returns whether the task is proven to be the cause, given that nothing else could have
 // caused the last loss: it was already a likely suspect, and enough workers were lost.
-bool Scheduler::is_confirmed(const CrashRecord& before, const CrashRecord& after)
+bool Scheduler::is_proven_cause(const CrashRecord& before, const CrashRecord& after)
+{
+    const bool are_similar
+        = after.confirmed_losses() >= min_similar_losses && after.has_similar_runtimes();
+    return before.suspicion() == Suspicion::likely && after.may_give_up()
+        && (are_similar || after.size() >= min_losses);
+}
+
+// Returns the loss as it is recorded against the task. A run of which only the order is
+// known tells nothing of how soon after a start the task might crash its worker.
+CrashedRun Scheduler::recorded_loss(const LostRun& run, const std::string& worker)
 {
-    const size_t required = after.has_similar_runtimes() ? min_similar_losses : min_losses;
-    return before.suspicion() == Suspicion::likely && after.size() >= required;
+    const Millis runtime = run.evidence.known_runtime().value_or(unknown_runtime);
+    const Millis max_runtime = run.evidence.max_runtime(run.lost_by).value_or(Millis(0));
+    return { run.run,
+             runtime.count(),
+             false,
+             WorkerIncarnation::parse(worker).name,
+             max_runtime.count(),
+             run.evidence.is_confirmed() };
 }
 
 // Returns the highest suspicion against any of the tasks.
@@ -227,21 +235,22 @@
         m_context.metrics.count("pathport_workers_lost_total", { { "reason", reason } });
     std::vector<bool> sole_suspect;
     for (const LostRun& run : lost)
-        sole_suspect.push_back(loss == Loss::crash && run.known_runtime
-                               && is_sole_suspect(run, lost));
+        sole_suspect.push_back(loss == Loss::crash && is_sole_suspect(run, lost));
     std::set<std::string> changed;
     for (size_t i = 0; i < lost.size(); ++i) {
         const LostRun& run = lost[i];
         if (i < max_logged)
-            log_event(LogLevel::info, "task_lost_with_worker",
-                      { { "job", run.task.job },
-                        { "task", run.task.to_string() },
-                        { "run", run.run },
-                        { "worker", worker },
-                        { "reason", reason },
-                        { "lived_ms", run.known_runtime ? run.known_runtime->count() : -1 },
-                        { "alone", sole_suspect[i] ? "yes" : "no" },
-                        { "suspect_there", to_string(worst) } });
+            log_event(
+                LogLevel::info, "task_lost_with_worker",
+                { { "job", run.task.job },
+                  { "task", run.task.to_string() },
+                  { "run", run.run },
+                  { "worker", worker },
+                  { "reason", reason },
+                  { "existence", to_string(run.evidence.existence()) },
+                  { "lived_ms", run.evidence.known_runtime().value_or(Millis(-1)).count() },
+                  { "alone", sole_suspect[i] ? "yes" : "no" },
+                  { "suspect_there", to_string(worst) } });
         if (attribute_loss(run, worker, sole_suspect[i], worst))
             changed.insert(run.task.job);
     }
@@ -265,16 +274,14 @@
     Step& step = *job->step(run.task.repeat, run.task.step);
     task->crashes.expect_unrecorded_losses(step.unrecorded_losses);
     const CrashRecord before = task->crashes;
-    const Millis runtime = run.known_runtime.value_or(unknown_runtime);
-    const bool is_weak = before.suspicion() == Suspicion::none && worst != Suspicion::none;
-    if (!task->crashes.add({ run.run, runtime.count(), is_weak,
-                             WorkerIncarnation::parse(worker).name,
-                             run.max_runtime.value_or(Millis(0)).count() }))
+    CrashedRun loss = recorded_loss(run, worker);
+    loss.is_weak = before.suspicion() == Suspicion::none && worst != Suspicion::none;
+    if (!task->crashes.add(loss))
         return false;
     step.has_crashes = true;
     if (task->crashes.size() >= min_similar_losses)
         note_explained_losses(task->crashes);
-    if (sole_suspect && is_confirmed(before, task->crashes))
+    if (sole_suspect && is_proven_cause(before, task->crashes))
         schedule_verdict(run.task, *task);
     const Suspicion suspicion = task->crashes.suspicion();
     if (suspicion == before.suspicion())
@@ -283,6 +290,7 @@
               { { "job", run.task.job },
                 { "task", run.task.to_string() },
                 { "workers_lost", static_cast<int64_t>(task->crashes.size()) },
+                { "confirmed", static_cast<int64_t>(task->crashes.confirmed_losses()) },
                 { "suspicion", to_string(suspicion) } });
     return true;
 }
@@ -296,6 +304,7 @@
                 { "task", id.to_string() },
                 { "reason", reason },
                 { "workers_lost", static_cast<int64_t>(crashes.size()) },
+                { "confirmed", static_cast<int64_t>(crashes.confirmed_losses()) },
                 { "tries", crashes.tries() } });
     m_context.metrics.count("pathport_tasks_given_up_total", { { "reason", reason } });
     job.retries_exhausted = true;
@@ -369,8 +378,8 @@
 }
 
 // Until it is known whether a listed worker was lost or partitioned, its runs are recorded
-// as weak evidence: this leader may be replaced before that, and the tasks are started
-// again.
+// as weak evidence, and not as confirmed losses: this leader may be replaced before that,
+// and the tasks are started again.
 void Scheduler::record_provisional_losses(const std::string& worker)
 {
     std::set<std::string> changed;
@@ -380,11 +389,11 @@
         if (task == nullptr || job->closed() || task->phase == TaskPhase::done)
             continue;
         Step& step = *job->step(run.task.repeat, run.task.step);
-        const Millis runtime = run.known_runtime.value_or(unknown_runtime);
+        CrashedRun loss = recorded_loss(run, worker);
+        loss.is_weak = true;
+        loss.is_confirmed = false;
         task->crashes.expect_unrecorded_losses(step.unrecorded_losses);
-        task->crashes.add({ run.run, runtime.count(), true,
-                            WorkerIncarnation::parse(worker).name,
-                            run.max_runtime.value_or(Millis(0)).count() });
+        task->crashes.add(loss);
         step.has_crashes = true;
         changed.insert(run.task.job);
     }
@@ -437,7 +446,7 @@
 // Called when the worker has just reported the task as running.
 void Scheduler::clear_if_survived(const TaskId& id, Task& task)
 {
-    const Millis runtime = m_context.loop.now() - task.ordered_at;
+    const Millis runtime = m_context.loop.now() - task.evidence.since();
     JobRecord& job = *find_job(id.job);
     Step& step = *job.step(id.repeat, id.step);
     step.has_survivor = step.has_survivor || runtime > startup_window;
@@ -467,7 +476,7 @@
 {
     if (task.crashes.empty())
         return;
-    Millis runtime = confirmed_runtime(task);
+    Millis runtime = task.evidence.observed_runtime();
     // It ended because it had waited that long for the other members.
     if (kind == EndKind::gang_not_formed)
         runtime = std::max(runtime, m_context.bounds.gang_timeout);
--- a/src/jobs.lib/scheduler_load.cpp
+++ b/src/jobs.lib/scheduler_load.cpp
@@ -298,7 +298,7 @@
             const Task* task = job == nullptr ? nullptr : job->task(id);
             if (task != nullptr && task->phase == TaskPhase::in_doubt
                 && task->worker == worker)
-                lost.push_back({ id, task->run, std::nullopt });
+                lost.push_back({ id, task->run, task->evidence, now });
         }
         release_in_doubt(worker, in_doubt_tasks->second);
         m_unconfirmed_until.erase(worker);
--- a/src/jobs.lib/scheduler_preempt.cpp
+++ b/src/jobs.lib/scheduler_preempt.cpp
@@ -34,7 +34,7 @@
     const auto left
         = shortage::remaining_run_time(task.percent_at - task.first_percent_at,
                                        task.percent - task.first_percent, task.percent);
-    if (!left || task.phase != TaskPhase::running || task.adopted)
+    if (!left || task.phase != TaskPhase::running || task.evidence.is_adopted())
         return false;
     const Millis ends_in = task.percent_at + *left - m_context.loop.now();
     const Millis stop_time = m_context.bounds.kill_grace;
--- a/src/jobs.lib/scheduler_reconcile.cpp
+++ b/src/jobs.lib/scheduler_reconcile.cpp
@@ -34,7 +34,7 @@
     const bool placed_here = task != nullptr && task->run == running.run
         && task->worker == worker.session->id();
     if (placed_here)
-        note_progress(*task, running, worker.session->last_full_report());
+        note_progress(*job, *task, running, worker.session->last_full_report());
     // A run that is charged here although its task is not placed here belongs to a gang
     // that is done, or has been told to stop: its end will be reported.
     else if (!open || !worker.load.holds(running.task, running.run))
@@ -60,6 +60,7 @@
             task->phase = TaskPhase::stopping;
             task->worker = worker.session->id();
             task->run = running.run;
+            task->evidence = RunEvidence::adopted(m_context.loop.now());
             // The next leader might not hear from this worker.
             record(*job);
         }
--- a/src/jobs.lib/scheduler_reports.cpp
+++ b/src/jobs.lib/scheduler_reports.cpp
@@ -132,23 +132,20 @@
         return;
     }
     const Millis now = m_context.loop.now();
-    const bool recorded
-        = expected && task->worker == worker.session->id() && task->run == running.run;
+    const bool known_to_exist = task->evidence.is_confirmed() || task->crashes.empty();
+    const bool recorded = expected && task->worker == worker.session->id()
+        && task->run == running.run && known_to_exist;
     task->phase = TaskPhase::running;
     task->worker = worker.session->id();
     task->run = running.run;
     task->placed_at = now;
-    task->ordered_at = now;
-    task->adopted = true;
+    task->evidence = RunEvidence::adopted(now);
     // A start thought lost with another incarnation has taken place.
     task->crashes.retract(running.run, WorkerIncarnation::parse(worker.session->id()).name);
     if (task->crashes.suspicion() != Suspicion::none)
         track_suspect(worker, running.task);
     task->percent = running.percent;
     task->percent_at = now;
-    task->listed_at = now;
-    task->confirmed_at = now;
-    task->alive_at = now;
     if (!running.checkpoint.empty())
         task->checkpoint = running.checkpoint;
     step->gang_run = running.run;
@@ -163,20 +160,19 @@
     JobRecord* job = find_job(running.task.job);
     Task* task = job == nullptr ? nullptr : job->task(running.task);
     if (task != nullptr && task->worker == worker.session->id() && task->run == running.run)
-        note_progress(*task, running, worker.session->last_full_report());
+        note_progress(*job, *task, running, worker.session->last_full_report());
 }
 
 // Updates a task that its worker has listed in its answer to a poll sent at `polled_at` or
 // later.
-void Scheduler::note_progress(Task& task, const RunningTask& running, Millis polled_at)
+void Scheduler::note_progress(JobRecord& job, Task& task, const RunningTask& running,
+                              Millis polled_at)
 {
     if (!running.checkpoint.empty())
         task.checkpoint = running.checkpoint;
     const Millis now = m_context.loop.now();
-    task.listed_at = now;
-    if (task.confirmed_at == Millis(0))
-        task.confirmed_at = now;
-    task.alive_at = polled_at;
+    note_start_confirmed(job, task, task.worker, task.run);
+    task.evidence = task.evidence.listed(now, polled_at);
     clear_if_survived(running.task, task);
     if (task.percent == running.percent)
         return;
@@ -281,7 +277,7 @@
     // Reports may come late, so only the time up to the last one that listed the run as
     // running counts. Nothing is known of a run that an earlier leader ordered.
     const bool ordered_here = end.run / runs_per_epoch == m_claim.head.epoch;
-    const auto runtime = placed_here ? known_runtime(*task) : std::nullopt;
+    const auto runtime = placed_here ? task->evidence.known_runtime() : std::nullopt;
     if (ordered_here && runtime && task->crashes.cleared_by_end_after(*runtime))
         task->crashes.clear();
     if (placed_here && end.kind != EndKind::done)
--- a/src/jobs.lib/scheduler_start.cpp
+++ b/src/jobs.lib/scheduler_start.cpp
@@ -77,7 +77,7 @@
         task.worker = assignment->worker;
         task.run = run;
         task.placed_at = m_pass_begun;
-        task.adopted = false;
+        task.evidence = RunEvidence();
         const auto permission = step.advice.workers.find(worker.number);
         if (permission != step.advice.workers.end())
             task.ticket = permission->second.ticket;
@@ -220,9 +220,7 @@
         worker->session->watch_until(
             now + std::min(task.crashes.clearing_runtime(), max_suspect_watch));
     task.phase = TaskPhase::starting;
-    task.ordered_at = now;
-    task.confirmed_at = Millis(0);
-    task.alive_at = Millis(0);
+    task.evidence = RunEvidence::ordered(now);
     worker->session->start(id, task.run, job.accepted().spec.payload, checkpoint,
                            task.ticket,
                            m_lifetime.wrap([this, id, name = task.worker, run = task.run](
@@ -244,6 +242,23 @@
         { { "priority", std::to_string(job.accepted().queue.priority) } });
 }
 
+// Called when a worker has accepted a start or lists its run. If other losses are recorded
+// against the task, the next leader has to know that this run existed. The answer may also
+// come after the worker was found to be lost.
+void Scheduler::note_start_confirmed(JobRecord& job, Task& task, const std::string& worker,
+                                     int64_t run)
+{
+    bool is_news = false;
+    if (task.placed() && task.worker == worker && task.run == run) {
+        is_news = !task.evidence.is_confirmed() && !task.crashes.empty();
+        task.evidence = task.evidence.accepted(m_context.loop.now());
+    } else {
+        is_news = task.crashes.confirm(run, WorkerIncarnation::parse(worker).name);
+    }
+    if (is_news && !job.closed())
+        record(job);
+}
+
 void Scheduler::start_completed(const TaskId& id, const std::string& name, int64_t run,
                                 StartResult result, OrderStatus status)
 {
@@ -279,15 +294,14 @@
     }
     if (job != nullptr)
         note_begun(*job);
+    if (task != nullptr)
+        note_start_confirmed(*job, *task, name, run);
     if (current) {
         task->phase = TaskPhase::running;
         task->percent = 0;
         task->percent_at = m_context.loop.now();
         task->first_percent = 0;
         task->first_percent_at = Millis(0);
-        task->listed_at = task->percent_at;
-        if (task->confirmed_at == Millis(0))
-            task->confirmed_at = task->percent_at;
         if (!job->closed())
             return;
         task->phase = TaskPhase::stopping;
--- a/src/jobs.lib/scheduler_suspects.cpp
+++ b/src/jobs.lib/scheduler_suspects.cpp
@@ -44,7 +44,8 @@
 {
     const bool ordered = task.phase != TaskPhase::intended;
     return task.placed() && Step::suspicion(task, step_suspect) != Suspicion::none
-        && (!ordered || m_context.loop.now() - task.ordered_at < max_suspect_activity);
+        && (!ordered
+            || m_context.loop.now() - task.evidence.since() < max_suspect_activity);
 }
 
 // Removes suspects that have ended or been cleared, so that they no longer block other
--- a/src/jobs.lib/worker_losses.h
+++ b/src/jobs.lib/worker_losses.h
@@ -6,26 +6,23 @@
 
 #pragma once
 
+#include "run_evidence.h"
+
 #include <pathport/clock.h>
 #include <pathport/jobs/job_model.h>
 
 #include <cstdint>
-#include <optional>
 #include <string>
 #include <vector>
 
 namespace pathport::jobs {
 
-/// A run that was on a worker when the worker was lost.
+/// A run that was on a worker when the worker was lost, or may have been.
 struct LostRun {
     TaskId task;
     int64_t run = 0;
-    /// The run is known to have existed for this long; empty if an earlier leader
-    /// started it.
-    std::optional<Millis> known_runtime;
-    /// Time from its order until its worker was found to be lost; empty if an earlier
-    /// leader started it.
-    std::optional<Millis> max_runtime {};
+    RunEvidence evidence; ///< What was known of it then.
+    Millis lost_by; ///< When its worker was found to be lost.
 };
 /// How a worker was lost.
 enum class Loss {
--- a/src/jobs.lib/worker_session.cpp
+++ b/src/jobs.lib/worker_session.cpp
@@ -401,12 +401,25 @@
     m_unconfirmed_starts[{ task.to_string(), run }] = { task, std::nullopt };
     UncertainStart open { task, run, m_fence, std::move(done) };
     const Millis sent_at = m_loop.now();
-    m_client.start(
-        m_info, order, m_response_time.timeout(),
-        m_lifetime.wrap([this, sent_at, open = std::move(open)](const OrderAnswer& answer) {
-            record_response(answer.status, sent_at);
-            start_answered(answer, open);
-        }));
+    m_client.start(m_info, order, m_response_time.timeout(),
+                   [this, alive = m_lifetime.observe(), sent_at,
+                    open = std::move(open)](const OrderAnswer& answer) {
+                       if (alive.expired()) {
+                           report_late_acceptance(answer, open);
+                           return;
+                       }
+                       record_response(answer.status, sent_at);
+                       start_answered(answer, open);
+                   });
+}
+
+// Nothing waits for the outcome of an order once its incarnation has ended, but an accepted
+// one shows that its run existed.
+void WorkerSession::report_late_acceptance(const OrderAnswer& answer,
+                                           const UncertainStart& order)
+{
+    if (answer.status == OrderStatus::accepted)
+        order.done(StartResult::running, answer.status);
 }
 
 void WorkerSession::start_answered(const OrderAnswer& answer, UncertainStart order)
@@ -414,8 +427,10 @@
     const auto unanswered = m_open_starts.find(order.task.to_string());
     if (unanswered != m_open_starts.end() && --unanswered->second == 0)
         m_open_starts.erase(unanswered);
-    if (m_ended)
+    if (m_ended) {
+        report_late_acceptance(answer, order);
         return;
+    }
     const RunKey key { order.task.to_string(), order.run };
     if (answer.status == OrderStatus::accepted) {
         m_unconfirmed_starts[key].accepted = m_loop.now();
--- a/src/jobs.lib/worker_session.h
+++ b/src/jobs.lib/worker_session.h
@@ -221,6 +221,8 @@
     void log_outdated_report(const PollReport& report);
     ReportStage advance_stage(bool complete);
     void resolve_uncertain_starts(const PollReport& report, int64_t fence);
+    static void report_late_acceptance(const OrderAnswer& answer,
+                                       const UncertainStart& order);
     void start_answered(const OrderAnswer& answer, UncertainStart order);
     void raise_fence();
     void send_stop(const RunKey& key);
