A run's length counts from when it is known to exist

What callers would see: a task that crashes its workers is cleared of its losses by a run that has existed for a moment only, and takes down more workers than it may.

Cause: the length of a run was counted from its order. An order may be carried out seconds after it was sent, and the first report that listed such a run showed a run of that many seconds: longer than all that were lost.

Change: RunEvidence::known_runtime() and age() count from the first answer or report that shows the run. The longest time for which it can have existed is still counted from its order.

Evidence: order_that_is_carried_out_late_does_not_clear_its_task fails on (no loss left where one is expected) and passes here.

--- a/src/jobs.lib/run_evidence.cpp
+++ b/src/jobs.lib/run_evidence.cpp
@@ -67,7 +67,12 @@
 {
     if (!is_confirmed() || !m_ordered_here)
         return std::nullopt;
-    return std::max(Millis(0), m_last_seen - m_since);
+    return m_last_seen - m_confirmed_at;
+}
+
+Millis RunEvidence::age(Millis now) const
+{
+    return m_confirmed_at == Millis(0) ? Millis(0) : now - m_confirmed_at;
 }
 
 Millis RunEvidence::observed_runtime() const
--- a/src/jobs.lib/run_evidence.h
+++ b/src/jobs.lib/run_evidence.h
@@ -54,9 +54,13 @@
     /// Returns when its worker last listed or accepted it.
     Millis last_seen() const { return m_last_seen; }
 
-    /// Returns how long the run is known to have existed; nothing if that is not known:
-    /// nothing confirms the run, or an earlier leader started it.
+    /// Returns how long the run is known to have existed until it was last seen; nothing if
+    /// that is not known: nothing confirms the run, or an earlier leader started it. An
+    /// order may be carried out seconds after it was sent, so the time before the run was
+    /// confirmed does not count.
     std::optional<Millis> known_runtime() const;
+    /// Returns how long the run has existed at least if it exists now.
+    Millis age(Millis now) const;
     /// Returns how long the run existed at least, as far as this leader knows from its
     /// worker: from the first answer that told of it until the last poll that found it
     /// running.
--- a/src/jobs.lib/run_evidence_test.cpp
+++ b/src/jobs.lib/run_evidence_test.cpp
@@ -36,10 +36,11 @@
 {
     const RunEvidence accepted = RunEvidence::ordered(Millis(1000)).accepted(Millis(1010));
     BOOST_TEST(accepted.is_confirmed());
-    BOOST_TEST((accepted.known_runtime() == Millis(10)));
+    BOOST_TEST((accepted.known_runtime() == Millis(0)));
     BOOST_TEST((accepted.observed_runtime() == Millis(0)));
     const RunEvidence listed = accepted.listed(Millis(1600), Millis(1500));
-    BOOST_TEST((listed.known_runtime() == Millis(600)));
+    BOOST_TEST((listed.known_runtime() == Millis(590)));
+    BOOST_TEST((listed.age(Millis(2000)) == Millis(990)));
     BOOST_TEST((listed.observed_runtime() == Millis(490)));
     BOOST_TEST((listed != accepted));
     const RunEvidence only_listed
@@ -48,6 +49,17 @@
     BOOST_TEST((only_listed.observed_runtime() == Millis(0)));
 }
 
+// The order was carried out seconds after it was sent, at an unknown time.
+BOOST_AUTO_TEST_CASE(time_before_a_run_is_confirmed_does_not_count)
+{
+    const RunEvidence ordered = RunEvidence::ordered(Millis(1000));
+    BOOST_TEST((ordered.age(Millis(4000)) == Millis(0)));
+    const RunEvidence listed = ordered.listed(Millis(4000), Millis(3990));
+    BOOST_TEST((listed.known_runtime() == Millis(0)));
+    BOOST_TEST((listed.age(Millis(4100)) == Millis(100)));
+    BOOST_TEST((listed.max_runtime(Millis(4100)) == Millis(3100)));
+}
+
 BOOST_AUTO_TEST_CASE(run_time_under_an_earlier_leader_is_unknown)
 {
     BOOST_TEST(!RunEvidence::unobserved(false).is_confirmed());
--- a/src/jobs.lib/scheduler_crashes.cpp
+++ b/src/jobs.lib/scheduler_crashes.cpp
@@ -446,7 +446,7 @@
 // Called when the worker has just reported the task as running.
 void Scheduler::clear_if_survived(const TaskId& id, Task& task)
 {
-    const Millis runtime = m_context.loop.now() - task.evidence.since();
+    const Millis runtime = task.evidence.age(m_context.loop.now());
     JobRecord& job = *find_job(id.job);
     Step& step = *job.step(id.repeat, id.step);
     step.has_survivor = step.has_survivor || runtime > startup_window;
--- a/src/jobs.lib/unconfirmed_losses_test.cpp
+++ b/src/jobs.lib/unconfirmed_losses_test.cpp
@@ -259,6 +259,20 @@
     BOOST_TEST(site.recorded_crashes().confirmed_losses() == 1U);
 }
 
+// The task is not cleared by a run that has existed for a moment only, whenever its order
+// was sent.
+BOOST_AUTO_TEST_CASE(order_that_is_carried_out_late_does_not_clear_its_task)
+{
+    LosingSite site(1, false, { confirmed_loss(1) });
+    BOOST_REQUIRE(site.await_start(1));
+    site.answer_polls(Millis(4000));
+    site.accept(1);
+    site.answer_polls(Millis(1000));
+    BOOST_TEST(site.recorded_crashes().size() == 1U);
+    site.answer_polls(Millis(2000));
+    BOOST_TEST(site.recorded_crashes().empty());
+}
+
 // The worker is still listed when its lease expires, so it may only be partitioned.
 BOOST_AUTO_TEST_CASE(loss_of_a_worker_that_may_be_partitioned_is_not_confirmed)
 {
