A run of a job that became known late counts as one that existed

What callers would see: a task that crashes its workers takes down one more than it may. A run that its worker has listed, of a job that this leader does not know yet, is stopped and attached to its task once the job is known. If the worker is lost before its next report, the loss was not recorded. Found by reading each place that sets the phase of a task; not seen in a schedule.

Cause: since only runs with evidence are attributed, and attach_stray_runs() set none.

Change: such a run is an adopted one: it exists, and its length is not known.

Evidence: loss_of_a_run_of_a_job_that_became_known_later_is_recorded fails without the change (no loss recorded) and passes with it.

--- a/src/jobs.lib/scheduler_unknown_jobs.cpp
+++ b/src/jobs.lib/scheduler_unknown_jobs.cpp
@@ -81,6 +81,7 @@
             task->phase = TaskPhase::stopping;
             task->worker = id;
             task->run = allocation.run;
+            task->evidence = RunEvidence::adopted(m_context.loop.now());
         }
     }
 }
--- a/src/jobs.lib/unconfirmed_losses_test.cpp
+++ b/src/jobs.lib/unconfirmed_losses_test.cpp
@@ -14,6 +14,8 @@
 
 #include <pathport/log.h>
 
+#include <limits>
+
 using namespace pathport;
 using namespace pathport::jobs;
 
@@ -286,3 +288,25 @@
     BOOST_TEST(crashes.size() == 1U);
     BOOST_TEST(crashes.confirmed_losses() == 0U);
 }
+
+// An earlier leader that was unaware of this one started a task of a job that this one
+// learned of later. The worker has listed the run, and is lost before its next report.
+BOOST_AUTO_TEST_CASE(loss_of_a_run_of_a_job_that_became_known_later_is_recorded)
+{
+    LosingSite site;
+    const TaskId stray { "job2", 0, 0, 0 };
+    constexpr int64_t run = 5;
+    site.worker_states["w2"].running = { running_task(stray, run) };
+    site.list({ "w1", "w2" });
+    site.answer_polls(Millis(2500));
+    BOOST_REQUIRE(!site.manual_workers.stops.empty());
+    site.scheduler->job_announced(job_of("job2"), std::numeric_limits<int64_t>::max());
+    site.worker_states["w2"].address_taken = true;
+    site.list({ "w1", "w3" });
+    site.answer_polls(Millis(2500));
+    JobRecord record(job_of("job2"), site.world.now());
+    BOOST_REQUIRE(record.apply_progress(site.store.value(progress_row("job2"))));
+    const CrashRecord& crashes = record.task(stray)->crashes;
+    BOOST_TEST(crashes.size() == 1U);
+    BOOST_TEST(crashes.confirmed_losses() == 1U);
+}
