A suspect whose order is in doubt keeps other suspects waiting

What callers would see: several workers are at risk at a time for a job whose tasks crash them. An order that was sent to a worker that has restarted may have reached its next incarnation. Until that one reports, other suspects of the job were started as if the first one were not active.

Cause: since the evidence of such a run was replaced by one that has no time of its order, and a suspect counts as active for 5 s after its order.

Change: RunEvidence::after_restart() keeps the time. It is still not a confirmed run, and tells no run time.

--- a/src/jobs.lib/incarnation_changes_test.cpp
+++ b/src/jobs.lib/incarnation_changes_test.cpp
@@ -150,6 +150,31 @@
     BOOST_TEST(take_over.manual_workers.starts.size() == 1U);
 }
 
+// A suspect may crash the next incarnation as well, so no other one of its job is started
+// meanwhile.
+BOOST_AUTO_TEST_CASE(suspect_that_may_have_reached_the_next_incarnation_delays_others)
+{
+    const auto record_losses = [](JobRecord& job) {
+        Step& step = *job.step(0, 0);
+        for (Task& task : step.tasks) {
+            task.crashes.add({ 1, 0, false, "lost1" });
+            task.crashes.add({ 2, 0, false, "lost2" });
+        }
+        step.has_crashes = true;
+    };
+    MultiWorkerTakeOver take_over({ first_incarnation }, job_of("job1", 2), {},
+                                  record_losses);
+    take_over.answer_polls(Millis(500));
+    BOOST_REQUIRE(take_over.manual_workers.starts.size() == 1U);
+    take_over.list({ first_incarnation, "w2" });
+    take_over.answer_polls(Millis(500));
+    take_over.worker_states[first_incarnation].restarted = true;
+    take_over.answer_polls(Millis(3000));
+    BOOST_TEST(take_over.manual_workers.starts.size() == 1U);
+    take_over.answer_polls(Millis(5000));
+    BOOST_TEST(take_over.manual_workers.starts.size() > 1U);
+}
+
 BOOST_AUTO_TEST_CASE(a_start_that_the_next_incarnation_does_not_report_is_ordered_again)
 {
     StartInFlight take_over;
--- a/src/jobs.lib/run_evidence.cpp
+++ b/src/jobs.lib/run_evidence.cpp
@@ -63,6 +63,13 @@
     return evidence;
 }
 
+RunEvidence RunEvidence::after_restart() const
+{
+    RunEvidence evidence = unobserved(false);
+    evidence.m_since = m_since;
+    return evidence;
+}
+
 std::optional<Millis> RunEvidence::known_runtime() const
 {
     if (!is_confirmed() || !m_ordered_here)
--- a/src/jobs.lib/run_evidence.h
+++ b/src/jobs.lib/run_evidence.h
@@ -30,8 +30,8 @@
     RunEvidence() = default;
     /// This leader sent the order at that time.
     static RunEvidence ordered(Millis at);
-    /// An earlier leader sent the order, or another incarnation of the worker may have
-    /// received it. `confirmed` tells whether the run is recorded as confirmed.
+    /// An earlier leader sent the order. `confirmed` tells whether the run is recorded as
+    /// confirmed.
     static RunEvidence unobserved(bool confirmed);
     /// A worker has listed a run at that time that this leader did not order there.
     static RunEvidence adopted(Millis at);
@@ -41,6 +41,9 @@
     /// Returns what is known once the worker has listed the run in its answer to a poll
     /// that was sent at `polled_at`.
     RunEvidence listed(Millis at, Millis polled_at) const;
+    /// Returns what is known once the worker has restarted: a run there was lost, but the
+    /// order may have reached the worker's next incarnation.
+    RunEvidence after_restart() const;
 
     RunExistence existence() const { return m_existence; }
     /// Returns whether the run may exist, so that its task must not be started elsewhere.
@@ -81,7 +84,7 @@
     RunExistence m_existence = RunExistence::none;
     bool m_ordered_here = false;
     Millis m_since;
-    Millis m_confirmed_at; ///< When this leader first knew that it existed.
+    Millis m_confirmed_at; ///< When this leader first knew that it existed; zero before.
     Millis m_last_seen;
     Millis m_alive_at; ///< When the poll was sent that last listed it as running.
 };
--- a/src/jobs.lib/run_evidence_test.cpp
+++ b/src/jobs.lib/run_evidence_test.cpp
@@ -60,6 +60,19 @@
     BOOST_TEST((listed.max_runtime(Millis(4100)) == Millis(3100)));
 }
 
+// The time of the order tells for how long the next incarnation is at risk.
+BOOST_AUTO_TEST_CASE(order_may_have_reached_the_next_incarnation)
+{
+    const RunEvidence lost
+        = RunEvidence::ordered(Millis(1000)).listed(Millis(1600), Millis(1500));
+    const RunEvidence evidence = lost.after_restart();
+    BOOST_TEST(evidence.may_exist());
+    BOOST_TEST(!evidence.is_confirmed());
+    BOOST_TEST(!evidence.known_runtime().has_value());
+    BOOST_TEST((evidence.since() == Millis(1000)));
+    BOOST_TEST((evidence.age(Millis(3000)) == Millis(0)));
+}
+
 BOOST_AUTO_TEST_CASE(run_time_under_an_earlier_leader_is_unknown)
 {
     BOOST_TEST(!RunEvidence::unobserved(false).is_confirmed());
--- a/src/jobs.lib/scheduler_worker_lifecycle.cpp
+++ b/src/jobs.lib/scheduler_worker_lifecycle.cpp
@@ -240,7 +240,7 @@
         if (!open)
             continue;
         task->phase = TaskPhase::in_doubt;
-        task->evidence = RunEvidence::unobserved(false);
+        task->evidence = task->evidence.after_restart();
         m_in_doubt[id].push_back(start.task);
         ++kept;
     }
@@ -314,7 +314,7 @@
         task->worker = id;
         m_in_doubt[id].push_back(name);
         lost.push_back({ name, task->run, task->evidence, m_context.loop.now() });
-        task->evidence = RunEvidence::unobserved(false);
+        task->evidence = task->evidence.after_restart();
     }
     // Runs missing from this incarnation were lost with the earlier one; for those it has,
     // the loss is retracted.
