A lost answer to a poll does not limit the length of a lost run

What callers saw: in a random schedule (style 11) a task that crashes its workers was started three times after it had crashed three of them.

Cause: a loss is kept with the longest time for which its run can have existed, and that counted up to the first failed poll of the worker. A poll fails as well if only its answer is lost. Here one was lost 84 ms after the order, the task crashed the worker 504 ms later, and a run of 94 ms that its gang cut short refuted the loss.

Change: if the worker fell silent and its lease expired, the time counts up to then.

--- a/src/jobs.lib/liveness_test.cpp
+++ b/src/jobs.lib/liveness_test.cpp
@@ -77,6 +77,9 @@
         // A worker that fails all its tasks ended one before the task could crash it, and
         // the task's crash record was dropped.
         { 950005, 15 },
+        // One lost answer to a poll counted as the end of a worker that a task crashed
+        // later, and a short run cleared the task of that loss.
+        { 8511040, 11 },
     };
     for (const auto& [seed, style] : kept) {
         const auto problems = run_random_schedule(seed, style);
--- a/src/jobs.lib/scheduler.h
+++ b/src/jobs.lib/scheduler.h
@@ -291,8 +291,8 @@
                           const std::vector<TaskId>& tasks);
 
     // Lost workers and the runs lost with them (scheduler_crashes.cpp).
-    std::vector<LostRun> runs_on(const Worker& worker);
-    std::vector<LostRun> attributable_runs(const Worker& worker);
+    std::vector<LostRun> runs_on(const Worker& worker, Millis lost_by);
+    std::vector<LostRun> attributable_runs(const Worker& worker, Millis lost_by);
     void attribute_loss(const std::vector<LostRun>& lost, const std::string& worker,
                         const char* reason, Loss loss);
     bool attribute_loss(const LostRun& run, const std::string& worker, bool sole_suspect,
--- a/src/jobs.lib/scheduler_crashes.cpp
+++ b/src/jobs.lib/scheduler_crashes.cpp
@@ -59,9 +59,9 @@
 
 } // namespace
 
-// Returns the runs that may be on the worker, which is lost: all those whose start orders
-// may have arrived.
-std::vector<LostRun> Scheduler::runs_on(const Worker& worker)
+// Returns the runs that may be on the worker, which was lost by `lost_by`: all those whose
+// start orders may have arrived.
+std::vector<LostRun> Scheduler::runs_on(const Worker& worker, Millis lost_by)
 {
     const std::string& id = worker.session->id();
     std::vector<TaskId> tasks;
@@ -73,7 +73,6 @@
     if (in_doubt_tasks != m_in_doubt.end())
         tasks.insert(tasks.end(), in_doubt_tasks->second.begin(),
                      in_doubt_tasks->second.end());
-    const Millis lost_by = worker.session->down_since().value_or(m_context.loop.now());
     std::vector<LostRun> found;
     for (const TaskId& name : tasks) {
         JobRecord* job = find_job(name.job);
@@ -89,9 +88,9 @@
 // Returns the runs on the worker that may have crashed it. A worker that had announced its
 // end left as announced, unless a run had just started: none is started there shortly
 // before an announced end.
-std::vector<LostRun> Scheduler::attributable_runs(const Worker& worker)
+std::vector<LostRun> Scheduler::attributable_runs(const Worker& worker, Millis lost_by)
 {
-    std::vector<LostRun> runs = runs_on(worker);
+    std::vector<LostRun> runs = runs_on(worker, lost_by);
     if (worker.session->info().draining) {
         const auto is_older = [](const LostRun& run) {
             return run.evidence.known_runtime().value_or(Millis(0)) >= startup_window;
--- a/src/jobs.lib/scheduler_worker_lifecycle.cpp
+++ b/src/jobs.lib/scheduler_worker_lifecycle.cpp
@@ -200,7 +200,8 @@
     if (worker == nullptr)
         return;
     note_unrecorded_loss(session.id());
-    const std::vector<LostRun> lost = attributable_runs(*worker);
+    const Millis lost_by = session.down_since().value_or(m_context.loop.now());
+    const std::vector<LostRun> lost = attributable_runs(*worker, lost_by);
     const char* const reason = session.replaced() ? "reborn" : "life_over";
     if (session.replaced()) {
         m_ended_incarnations.insert(session.id());
@@ -336,7 +337,8 @@
     if (worker == nullptr)
         return;
     note_unrecorded_loss(session.id());
-    std::vector<LostRun> lost = attributable_runs(*worker);
+    // It may have run on: polls also fail if only their answers are lost.
+    std::vector<LostRun> lost = attributable_runs(*worker, m_context.loop.now());
     release_tasks(*worker, "lease_lapsed", false);
     note_lapsed_runs(session.id(), std::move(lost), worker->listed, Loss::silence);
     resolve_unrecorded(session.id());
--- a/src/jobs.lib/unconfirmed_losses_test.cpp
+++ b/src/jobs.lib/unconfirmed_losses_test.cpp
@@ -29,6 +29,8 @@
 constexpr Millis max_start_wait { 6000 };
 /// A new leader gives no task up sooner, as it knows too little of other losses.
 constexpr Millis observation_time { 11000 };
+/// Longer than any lease.
+constexpr Millis lease_time { 9000 };
 /// Maximum number of starts after which a task that crashes its workers is given up.
 constexpr size_t max_crashes = 5;
 
@@ -310,3 +312,20 @@
     BOOST_TEST(crashes.size() == 1U);
     BOOST_TEST(crashes.confirmed_losses() == 1U);
 }
+
+// A poll without an answer does not show that the worker was down: its answer may be lost
+// on the way. The run may have lasted until the worker's lease expired.
+BOOST_AUTO_TEST_CASE(unanswered_poll_does_not_limit_the_length_of_a_lost_run)
+{
+    LosingSite site;
+    BOOST_REQUIRE(site.await_start(1));
+    site.accept(1);
+    site.worker_states["w1"].unresponsive = true;
+    site.answer_polls(Millis(1000));
+    site.list({ "w2" });
+    site.answer_polls(lease_time);
+    const CrashRecord crashes = site.recorded_crashes();
+    BOOST_REQUIRE(crashes.size() == 1U);
+    constexpr int64_t shortest_lease_ms = 3000;
+    BOOST_TEST(crashes.runs().front().max_runtime_ms > shortest_lease_ms);
+}
