A second restart of a worker does not shorten the wait for starts in doubt

Cause: an order goes to whichever incarnation of a worker has the name when it arrives, so its task waits for the next incarnation's report, or until no incarnation can hold a lease for it. When that incarnation ended before it had reported, keep_unconfirmed_starts() overwrote the end of the wait with that of earlier leaders' leases, which came 6 s sooner. Later in a leader's term nothing was overwritten, so the fault shows only within some seconds of a take-over.

Change: the wait never ends before the one that the incarnation has inherited.

--- a/src/jobs.lib/incarnation_changes_test.cpp
+++ b/src/jobs.lib/incarnation_changes_test.cpp
@@ -187,6 +187,28 @@
                > highest_fence(take_over, first_incarnation));
 }
 
+// The worker restarts once more before its next incarnation has reported, so the order may
+// have reached any of the three. Leases of the earlier leader, which end sooner, do not
+// shorten the wait.
+BOOST_AUTO_TEST_CASE(a_start_in_doubt_waits_as_long_after_a_second_restart)
+{
+    MultiWorkerTakeOver take_over({}, job_of("job1"), {});
+    take_over.answer_polls(Millis(5000));
+    take_over.list({ first_incarnation });
+    take_over.answer_polls(Millis(500));
+    BOOST_REQUIRE(take_over.manual_workers.starts.size() == 1U);
+    take_over.worker_states[first_incarnation].restarted = true;
+    take_over.worker_states[second_incarnation].restarted = true;
+    take_over.list({ second_incarnation, "w2" });
+    take_over.answer_polls(Millis(1000));
+    take_over.worker_states[third_incarnation].unresponsive = true;
+    take_over.list({ third_incarnation, "w2" });
+    take_over.answer_polls(Millis(3000));
+    BOOST_TEST(take_over.manual_workers.starts.size() == 1U);
+    take_over.answer_polls(lease_time);
+    BOOST_TEST(take_over.manual_workers.starts.size() == 2U);
+}
+
 BOOST_AUTO_TEST_CASE(a_start_is_ordered_again_once_no_incarnation_can_have_it)
 {
     StartInFlight take_over;
--- a/src/jobs.lib/liveness_test.cpp
+++ b/src/jobs.lib/liveness_test.cpp
@@ -80,6 +80,9 @@
         // One lost answer to a poll counted as the end of a worker that a task crashed
         // later, and a short run cleared the task of that loss.
         { 8511040, 11 },
+        // A second restart of a worker shortened the wait for starts that its incarnations
+        // may have received.
+        { 8508061, 8 },
     };
     for (const auto& [seed, style] : kept) {
         const auto problems = run_random_schedule(seed, style);
--- a/src/jobs.lib/scheduler_worker_lifecycle.cpp
+++ b/src/jobs.lib/scheduler_worker_lifecycle.cpp
@@ -249,6 +249,8 @@
         until = std::max(until,
                          now + max_local_duration(m_context.bounds.max_lease)
                              + max_order_transit);
+    // It may have inherited starts in doubt from the incarnation before it.
+    until = std::max(until, unconfirmed_until(id));
     // The rows may still name this incarnation, which the next leader cannot ask.
     if (store_clock_known())
         m_silent_workers.set(id, m_context.store_clock->latest_at(until));
