--- a/src/jobs.lib/unstarted_losses_test.cpp
+++ b/src/jobs.lib/unstarted_losses_test.cpp
@@ -22,6 +22,12 @@
     expect_no_violations(8, 8308166, 1);
 }
 
+// Nothing confirms the last of its starts, which uses up the tries.
+BOOST_AUTO_TEST_CASE(order_that_nothing_confirms_uses_up_no_try)
+{
+    expect_no_violations(8, 8508019, 1);
+}
+
 // The leader that saw the run has lost the store, and the next one sees only its end.
 BOOST_AUTO_TEST_CASE(task_cleared_under_a_replaced_leader_is_not_given_up)
 {
