--- a/src/jobs.lib/kept_schedules_test.cpp
+++ b/src/jobs.lib/kept_schedules_test.cpp
@@ -36,7 +36,8 @@
     expect_no_violations(9, 8309038, 1);
 }
 
-// A gang of three was started again after its last failure.
+// A member of a gang was lost and placed again under the gang's run. Its start came shortly
+// after another member had failed for the last time, which was not reported yet.
 BOOST_AUTO_TEST_CASE(gang_is_not_started_after_its_last_failure)
 {
     expect_no_violations(9, 8509064, 1);
