--- a/src/jobs.lib/unconfirmed_losses_test.cpp
+++ b/src/jobs.lib/unconfirmed_losses_test.cpp
@@ -5,7 +5,8 @@
 /// Guards against failing a job because of runs that nothing shows to have existed: workers
 /// lose power while a start order is on its way to them, one after the other, and each
 /// order that was sent counted as a run that had crashed its worker. A task that does crash
-/// its workers is still given up, also if some of its starts were not confirmed.
+/// its workers is still given up, also if some of its starts were not confirmed, if its job
+/// became known late, or if an answer of its worker was lost.
 
 #define BOOST_TEST_MODULE unconfirmed_losses
 #include <boost/test/unit_test.hpp>
@@ -285,7 +286,7 @@
     site.accept(1);
     site.answer_polls(Millis(200));
     site.worker_states["w1"].unresponsive = true;
-    site.answer_polls(Millis(9000));
+    site.answer_polls(lease_time);
     const CrashRecord crashes = site.recorded_crashes();
     BOOST_TEST(crashes.size() == 1U);
     BOOST_TEST(crashes.confirmed_losses() == 0U);
