RunEvidence::last_listed() in place of last_seen()

The users' protocol has a field of the name last_seen, for something else. The name only; the 17 tests of crashes, incarnations, rows, suspects and random schedules pass after it.

--- a/src/jobs.lib/run_evidence.cpp
+++ b/src/jobs.lib/run_evidence.cpp
@@ -41,7 +41,7 @@
     RunEvidence evidence = unobserved(true);
     evidence.m_since = at;
     evidence.m_confirmed_at = at;
-    evidence.m_last_seen = at;
+    evidence.m_last_listed = at;
     evidence.m_alive_at = at;
     return evidence;
 }
@@ -52,7 +52,7 @@
     if (m_confirmed_at == Millis(0))
         evidence.m_confirmed_at = at;
     evidence.m_existence = RunExistence::confirmed;
-    evidence.m_last_seen = at;
+    evidence.m_last_listed = at;
     return evidence;
 }
 
@@ -74,7 +74,7 @@
 {
     if (!is_confirmed() || !m_ordered_here)
         return std::nullopt;
-    return m_last_seen - m_confirmed_at;
+    return m_last_listed - m_confirmed_at;
 }
 
 Millis RunEvidence::age(Millis now) const
--- a/src/jobs.lib/run_evidence.h
+++ b/src/jobs.lib/run_evidence.h
@@ -55,10 +55,10 @@
     /// former run is no older.
     Millis since() const { return m_since; }
     /// Returns when its worker last listed or accepted it.
-    Millis last_seen() const { return m_last_seen; }
+    Millis last_listed() const { return m_last_listed; }
 
-    /// Returns how long the run is known to have existed until it was last seen; nothing if
-    /// that is not known: nothing confirms the run, or an earlier leader started it. An
+    /// Returns how long the run is known to have existed until it was last listed; nothing
+    /// if that is not known: nothing confirms the run, or an earlier leader started it. An
     /// order may be carried out seconds after it was sent, so the time before the run was
     /// confirmed does not count.
     std::optional<Millis> known_runtime() const;
@@ -76,7 +76,7 @@
     {
         return m_existence == other.m_existence && m_ordered_here == other.m_ordered_here
             && m_since == other.m_since && m_confirmed_at == other.m_confirmed_at
-            && m_last_seen == other.m_last_seen && m_alive_at == other.m_alive_at;
+            && m_last_listed == other.m_last_listed && m_alive_at == other.m_alive_at;
     }
     bool operator!=(const RunEvidence& other) const { return !(*this == other); }
 
@@ -85,7 +85,7 @@
     bool m_ordered_here = false;
     Millis m_since;
     Millis m_confirmed_at; ///< When this leader first knew that it existed; zero before.
-    Millis m_last_seen;
+    Millis m_last_listed;
     Millis m_alive_at; ///< When the poll was sent that last listed it as running.
 };
 
--- a/src/jobs.lib/scheduler_tick.cpp
+++ b/src/jobs.lib/scheduler_tick.cpp
@@ -178,7 +178,7 @@
         Task& task = step.tasks[i];
         Worker* worker = find_worker(task.worker);
         if (task.phase != TaskPhase::running || worker == nullptr
-            || worker->session->last_full_report() <= task.evidence.last_seen())
+            || worker->session->last_full_report() <= task.evidence.last_listed())
             continue;
         worker->session->stop({ job.id(), step.repeat, step.index, static_cast<int>(i) },
                               task.run, StopReason::stalled);
