Passes count the steps they try, the workers they examine and the queries sent

Cause: the load line told how many passes were cut, not why: whether few steps were tried because each is dear (the search for workers), because the steps themselves are, or because processor time goes elsewhere. Change: steps_tried, workers_examined and queries in the load line, two counters; EventLoop::note_work(), for which the emulator charges processor time (ProcessorCost::entries_per_ms), so that a pass costs what it examines there. No change of logic.

--- a/src/emulator.lib/cell.cpp
+++ b/src/emulator.lib/cell.cpp
@@ -223,6 +223,14 @@
     return found == m_nodes.end() ? 0 : found->second->node->reachable_workers();
 }
 
+double Cell::counter(const std::string& name) const
+{
+    double sum = 0;
+    for (const auto& [node, process] : m_nodes)
+        sum += process->metrics.counter_value(name);
+    return sum;
+}
+
 void Cell::kill(const std::string& node, Millis pause)
 {
     NodeProcess* process = running(node);
--- a/src/emulator.lib/virtual_loop.cpp
+++ b/src/emulator.lib/virtual_loop.cpp
@@ -51,6 +51,15 @@
     return m_world.now() + m_clock_cost;
 }
 
+void ProcessLoop::note_work(size_t entries)
+{
+    if (!m_running || m_cost.entries_per_ms == 0)
+        return;
+    m_entries += static_cast<int64_t>(entries);
+    m_clock_cost = m_clock_cost + Millis(m_entries / m_cost.entries_per_ms);
+    m_entries %= m_cost.entries_per_ms;
+}
+
 EventLoop::TimerId ProcessLoop::after(Millis delay, std::function<void()> work)
 {
     const TimerId id = ++m_last_timer;
--- a/src/include/pathport/emulator/cell.h
+++ b/src/include/pathport/emulator/cell.h
@@ -83,6 +83,8 @@
     /// Returns the number of workers that the leader considers reachable; 0 without a
     /// leader.
     size_t reachable_workers() const;
+    /// Returns the sum of a counter over the present processes of all nodes.
+    double counter(const std::string& name) const;
     /// Kills a node's process and starts a new one after `pause`.
     void kill(const std::string& node, Millis pause);
     /// Freezes a node's process for `span`.
--- a/src/include/pathport/emulator/virtual_loop.h
+++ b/src/include/pathport/emulator/virtual_loop.h
@@ -49,7 +49,14 @@
     /// For a reading of the clock. Long loops read it, so this models their cost.
     Millis clock_reading;
 
-    bool is_zero() const { return event == Millis(0) && clock_reading == Millis(0); }
+    /// Number of list entries that are processed in a millisecond; 0 if that takes no time.
+    /// See EventLoop::note_work().
+    int64_t entries_per_ms = 0;
+
+    bool is_zero() const
+    {
+        return event == Millis(0) && clock_reading == Millis(0) && entries_per_ms == 0;
+    }
 };
 
 /// The event loop of one emulated process, which can be killed, frozen and suspended.
@@ -61,6 +68,7 @@
     TimerId after(Millis delay, std::function<void()> work) override;
     void cancel(TimerId timer) override;
     uint64_t random() override { return m_world.random_below(UINT64_MAX); }
+    void note_work(size_t entries) override;
 
     /// Runs `work` in the process as soon as it is neither frozen nor busy; drops it once
     /// the process is dead.
@@ -93,7 +101,9 @@
     ProcessorCost m_cost;
     std::deque<std::function<void()>> m_ready; ///< Work queued for the processor.
     bool m_run_scheduled = false; ///< A call of run_ready() is scheduled.
-    mutable Millis m_clock_cost; ///< Spent on clock readings by the present work.
+    /// Spent on clock readings and list entries by the present work.
+    mutable Millis m_clock_cost;
+    int64_t m_entries = 0; ///< Processed but not charged yet, less than a millisecond's.
     bool m_running = false;
     /// Time that timers do not count, up to the end of the last suspension.
     Millis m_total_suspended;
--- a/src/include/pathport/event_loop.h
+++ b/src/include/pathport/event_loop.h
@@ -9,6 +9,7 @@
 
 #include <pathport/clock.h>
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 
@@ -29,6 +30,10 @@
 
     /// Returns a random number; seeded in tests.
     virtual uint64_t random() = 0;
+
+    /// Tells the loop that the present callback has processed this many entries of a long
+    /// list. Real loops ignore it; emulated ones may charge processor time for it.
+    virtual void note_work(size_t /*entries*/) {}
 };
 
 } // namespace pathport
--- a/src/jobs.lib/scheduler.h
+++ b/src/jobs.lib/scheduler.h
@@ -149,6 +149,10 @@
         /// Passes that stopped at their time limit before reaching every step.
         int64_t cut_passes = 0;
         int64_t steps_left = 0; ///< Steps that those passes did not reach, in total.
+        int64_t steps_tried = 0;
+        /// Workers whose capacity or verdicts were looked at, once for each step.
+        int64_t workers_examined = 0;
+        int64_t queries = 0; ///< Queries given to the advisor.
         int64_t answers_missing = 0; ///< Calls to workers that timed out.
     };
     /// Ended tasks reported by a worker for a job that is not known yet.
@@ -422,6 +426,7 @@
     WorkerCandidates worker_candidates(const JobRecord& job, const Step& step, int needed);
     static void sort_top(std::vector<WorkerCandidate>& candidates);
     int service_number(const std::string& service);
+    void note_examined(size_t workers);
     int new_task_limit(const Worker& worker) const;
     void refresh_row(const Worker& worker);
     void refresh_rows();
--- a/src/jobs.lib/scheduler_advice.cpp
+++ b/src/jobs.lib/scheduler_advice.cpp
@@ -133,6 +133,7 @@
     const bool sees_claims = advised && !asks_regardless(step);
     WorkerCandidates found;
     auto known = step.advice.workers.begin();
+    note_examined(m_capacity_table.size());
     for (WorkerNumber number = 0; number < m_capacity_table.size(); ++number) {
         const CapacityRow& row = m_capacity_table.row(number);
         if (!row.open || row.service != service)
@@ -352,6 +353,7 @@
                                 find_step(id, repeat, index));
             advice_received(id, repeat, index, asked, asked_at, reply);
         });
+    ++m_load_counts.queries;
     m_context.advice.ask(std::move(query), std::move(on_reply));
 }
 
--- a/src/jobs.lib/scheduler_pass.cpp
+++ b/src/jobs.lib/scheduler_pass.cpp
@@ -122,6 +122,7 @@
     while (next < waiting.size()) {
         waiting[next].step->placement_tried_at = m_pass_begun;
         place(waiting[next]);
+        ++m_load_counts.steps_tried;
         ++next;
         // Reading the clock takes longer than trying many of the steps.
         if ((next - first) % clock_reading_interval == 0 && m_context.loop.now() > end)
@@ -298,6 +299,12 @@
     return max_tasks_per_step;
 }
 
+void Scheduler::note_examined(size_t workers)
+{
+    m_load_counts.workers_examined += static_cast<int64_t>(workers);
+    m_context.loop.note_work(workers);
+}
+
 int Scheduler::service_number(const std::string& service)
 {
     const auto known = std::find(m_services.begin(), m_services.end(), service);
@@ -393,6 +400,7 @@
     std::vector<PlacementOption> options;
     std::vector<PlacementOption> second_options;
     const auto consider = [&](WorkerNumber number) {
+        note_examined(1);
         const CapacityRow& row = m_capacity_table.row(number);
         const bool no_capacity = !row.open || !row.available_to(step)
             || tasks_that_fit_into(*step.spec, row.free, 1, row.max_new_tasks) == 0;
--- a/src/jobs.lib/scheduler_tick.cpp
+++ b/src/jobs.lib/scheduler_tick.cpp
@@ -106,6 +106,9 @@
                 { "pass_ms", m_load_counts.pass_time.count() },
                 { "cut_passes", m_load_counts.cut_passes },
                 { "steps_left", m_load_counts.steps_left },
+                { "steps_tried", m_load_counts.steps_tried },
+                { "workers_examined", m_load_counts.workers_examined },
+                { "queries", m_load_counts.queries },
                 { "answers_missing", m_load_counts.answers_missing },
                 { "waiting_tasks", waiting },
                 { "waiting_gangs", all_waiting_gangs },
@@ -116,6 +119,10 @@
                 { "advisor_ms", static_cast<int64_t>(advisor.answered_ms) },
                 { "advisor_used_ms", static_cast<int64_t>(advisor.used_ms) },
                 { "log_backlog", static_cast<int64_t>(m_log.backlog()) } });
+    m_context.metrics.count("pathport_pass_steps_total", {},
+                            double(m_load_counts.steps_tried));
+    m_context.metrics.count("pathport_pass_workers_examined_total", {},
+                            double(m_load_counts.workers_examined));
     m_load_counts = LoadCounts();
 }
 
