--- a/src/pathportbench/bench.h
+++ b/src/pathportbench/bench.h
@@ -26,6 +26,10 @@
 /// Measures what a whole cell of the job path costs in the emulator, at two sizes.
 void run_cell();
 
+/// Measures what a scheduling pass costs for each waiting step, at several numbers of
+/// workers and steps.
+void run_passes();
+
 /// Returns the value below which `share` of the sorted values lie.
 double percentile(const std::vector<double>& sorted, double share);
 
--- a/src/pathportbench/main.cpp
+++ b/src/pathportbench/main.cpp
@@ -27,8 +27,8 @@
     try {
         TCLAP::CmdLine cmd("Benchmarks of pathport's decisions.", ' ', "0.1.0");
         TCLAP::UnlabeledMultiArg<std::string> names(
-            "name", "cell, placement, requests or sizes; all when none is given", false,
-            "name", cmd);
+            "name", "cell, passes, placement, requests or sizes; all when none is given",
+            false, "name", cmd);
         cmd.parse(argc, argv);
         const auto wanted = [&](const std::string& name) {
             const auto& list = names.getValue();
@@ -36,6 +36,8 @@
         };
         if (wanted("cell"))
             bench::run_cell();
+        if (wanted("passes"))
+            bench::run_passes();
         if (wanted("placement"))
             bench::run_placement();
         if (wanted("requests"))
