Workers are found by indexes of their capacity, not by a walk over the cell

Cause: each step that was to be placed or to ask examined all 1,100 workers, in each pass until its answer came; passes ended at their time limit after some 20 steps with 300 to 700 left, the advisor and most processors idle. Change: capacity_index.h keeps the workers of each service and label in levels of free, unclaimed, whole and reclaimable capacity; a search visits the best first and stops once those found suffice (query_plan.h, the rule by which queries were composed before). Gangs and preemption use the same search; steps without advice take the tightest fit. The same class elsewhere: workers are found by a hash of their ids; pending jobs are counted at most every 20 ms; explanations of waiting steps scan a bounded number of workers; rows that have not changed are not indexed anew. A step that only awaits the advisor is passed over at once, and after a pass that was cut the steps with valid tickets come first, since these expire meanwhile.

--- a/src/include/pathport/event_loop.h
+++ b/src/include/pathport/event_loop.h
@@ -33,7 +33,7 @@
 
     /// Tells the loop that the present callback has processed this many entries of a long
     /// list. Real loops ignore it; emulated ones may charge processor time for it.
-    virtual void note_work(size_t /*entries*/) {}
+    virtual void note_work(size_t /*entries*/) { }
 };
 
 } // namespace pathport
--- a/src/jobs.lib/capacity_table.cpp
+++ b/src/jobs.lib/capacity_table.cpp
@@ -28,10 +28,13 @@
     m_rows[number].max_new_tasks = 0;
 }
 
-void CapacityTable::set(WorkerNumber number, CapacityRow row)
+bool CapacityTable::set(WorkerNumber number, CapacityRow row)
 {
     row.reserved_for = m_rows[number].reserved_for;
+    if (m_rows[number] == row)
+        return false;
     m_rows[number] = row;
+    return true;
 }
 
 void CapacityTable::reserve_row(WorkerNumber number, const Step& step)
--- a/src/jobs.lib/capacity_table.h
+++ b/src/jobs.lib/capacity_table.h
@@ -2,12 +2,13 @@
 // SPDX-License-Identifier: Apache-2.0
 
 /// \file
-/// Free capacity of all workers in one array. Every search for capacity scans it, so it
-/// holds only plain values: no names, maps or indirections.
+/// Free capacity of all workers in one array of plain values: no names, maps or
+/// indirections.
 
 #pragma once
 
 #include "placement.h"
+#include "worker_number.h"
 
 #include <cstddef>
 #include <cstdint>
@@ -17,10 +18,6 @@
 
 struct Step;
 
-/// Identifies a worker within one leader's epoch. Numbers increase and are not reused, so a
-/// number kept longer than its worker refers to a closed row.
-using WorkerNumber = uint32_t;
-
 /// The data of one worker that a search for capacity needs.
 struct CapacityRow {
     Resources free;
@@ -49,8 +46,8 @@
     void close_row(WorkerNumber number);
     /// Returns a row for reading; the number must have come from add().
     const CapacityRow& row(WorkerNumber number) const { return m_rows[number]; }
-    /// Replaces a row except for its reservation.
-    void set(WorkerNumber number, CapacityRow row);
+    /// Replaces a row except for its reservation. Returns whether that changed anything.
+    bool set(WorkerNumber number, CapacityRow row);
     /// Reserves a worker for a step until release_reservations(); has no effect if it is
     /// already reserved.
     void reserve_row(WorkerNumber number, const Step& step);
--- a/src/jobs.lib/job_record.cpp
+++ b/src/jobs.lib/job_record.cpp
@@ -213,6 +213,12 @@
                       [phase](const Task& task) { return task.phase == phase; }));
 }
 
+bool Step::has(TaskPhase phase) const
+{
+    return std::any_of(tasks.begin(), tasks.end(),
+                       [phase](const Task& task) { return task.phase == phase; });
+}
+
 bool Step::is_suspect() const
 {
     if (!has_crashes || has_survivor || done > 0)
--- a/src/jobs.lib/job_record.h
+++ b/src/jobs.lib/job_record.h
@@ -135,6 +135,7 @@
     /// Returns the step's name: "<job>.<repeat>.<step>".
     std::string name(const std::string& job) const;
     int count(TaskPhase phase) const;
+    bool has(TaskPhase phase) const; ///< Returns whether a task is in this phase.
     /// Returns whether one of its tasks is suspected of crashing workers and none is known
     /// to have survived. As the tasks of a step behave alike, all are suspected in that
     /// case.
--- a/src/jobs.lib/scheduler.cpp
+++ b/src/jobs.lib/scheduler.cpp
@@ -12,6 +12,9 @@
 namespace {
 /// The store's clock is known only from answers, which a slow store may delay by this much.
 constexpr Millis store_clock_error { 2500 };
+/// Clients of all nodes ask how many jobs are pending; the jobs are counted at most once in
+/// this time.
+constexpr Millis pending_count_interval { 20 };
 } // namespace
 
 Scheduler::Scheduler(SchedulerContext parts, const Claim& claim,
@@ -178,14 +181,14 @@
 
 Scheduler::Worker* Scheduler::find_worker(const std::string& id)
 {
-    const auto found = m_workers.find(id);
-    return found == m_workers.end() ? nullptr : &found->second;
+    const auto found = m_workers_by_id.find(id);
+    return found == m_workers_by_id.end() ? nullptr : found->second;
 }
 
 const Scheduler::Worker* Scheduler::find_worker(const std::string& id) const
 {
-    const auto found = m_workers.find(id);
-    return found == m_workers.end() ? nullptr : &found->second;
+    const auto found = m_workers_by_id.find(id);
+    return found == m_workers_by_id.end() ? nullptr : found->second;
 }
 
 std::optional<JobState> Scheduler::state_of(const std::string& id) const
@@ -208,16 +211,21 @@
     return open == m_jobs.end() ? std::string() : open->second->accepted().workspace;
 }
 
-std::optional<int64_t> Scheduler::pending_in(const std::string& queue) const
+std::optional<int64_t> Scheduler::pending_in(const std::string& queue)
 {
     if (m_phase == Phase::loading || !orders_allowed())
         return std::nullopt;
-    int64_t count = 0;
-    for (const auto& [id, job] : m_jobs) {
-        if (job->accepted().queue.name == queue && job->state() == JobState::pending)
-            ++count;
+    const Millis now = m_context.loop.now();
+    if (now - m_pending_counted_at >= pending_count_interval) {
+        m_pending_counted_at = now;
+        m_pending.clear();
+        for (const auto& [id, job] : m_jobs) {
+            if (job->state() == JobState::pending)
+                ++m_pending[job->accepted().queue.name];
+        }
     }
-    return count;
+    const auto found = m_pending.find(queue);
+    return found == m_pending.end() ? 0 : found->second;
 }
 
 // `job` is the task's job, or null if it is not open.
@@ -235,6 +243,7 @@
     allocation.stoppable = job != nullptr && is_stoppable(spec);
     allocation.workspace = job == nullptr ? workspace_number_of(task) : job->workspace;
     allocation.charged = spec.need;
+    m_pools.add_priority(allocation.priority);
     worker.load.add(task, allocation);
     m_usage.charge(allocation.workspace, allocation.charged);
     worker.session->set_busy(true);
--- a/src/jobs.lib/scheduler.h
+++ b/src/jobs.lib/scheduler.h
@@ -10,11 +10,13 @@
 #include "advice_account.h"
 #include "advice_claims.h"
 #include "advice_pool.h"
+#include "capacity_index.h"
 #include "head_log.h"
 #include "job_feed.h"
 #include "job_record.h"
 #include "lifetime.h"
 #include "placement.h"
+#include "query_plan.h"
 #include "queue_admission.h"
 #include "scheduler_context.h"
 #include "silent_workers.h"
@@ -43,6 +45,7 @@
 #include <set>
 #include <string>
 #include <string_view>
+#include <unordered_map>
 #include <vector>
 
 namespace pathport::jobs {
@@ -90,9 +93,9 @@
     std::optional<JobState> state_of(const std::string& id) const;
     /// Returns the workspace of a known job, or "" if it has none.
     std::string workspace_of(const std::string& id) const;
-    /// Returns the number of jobs of a queue that have not begun, or nothing while jobs are
-    /// being loaded or once the lease has ended.
-    std::optional<int64_t> pending_in(const std::string& queue) const;
+    /// Returns the number of jobs of a queue that have not begun, as of some milliseconds
+    /// ago, or nothing while jobs are being loaded or once the lease has ended.
+    std::optional<int64_t> pending_in(const std::string& queue);
     /// Extends the time in which orders may be given, based on the other nodes' promises
     /// not to take over.
     void set_promised_until(Millis until) { m_promised_until = until; }
@@ -412,6 +415,9 @@
     bool is_late(const JobRecord& job) const;
     shortage::Deadline deadline_of(JobRecord& job, int64_t now_ms) const;
     void note_completion(JobRecord& job);
+    bool may_start(const PendingStep& pending) const;
+    bool only_awaits_advisor(const JobRecord& job, const Step& step) const;
+    void note_advisor_wait(const JobRecord& job, Step& step) const;
     void place(const PendingStep& pending);
     size_t place_until(const std::vector<PendingStep>& waiting, size_t first, Millis end);
     void schedule_recheck();
@@ -423,12 +429,25 @@
     PlacementOption option_on(const Worker& worker, const Step& step,
                               const std::string& step_name) const;
     bool is_eligible(const Worker& worker, const JobRecord& job, const Step& step) const;
+    // Search for workers (scheduler_candidates.cpp).
+    struct CandidateSearch;
     WorkerCandidates worker_candidates(const JobRecord& job, const Step& step, int needed);
+    void add_known(const CandidateSearch& search, WorkerCandidates& found);
+    void add_unasked(const CandidateSearch& search, WorkerCandidates& found);
+    void add_unadvised(const CandidateSearch& search, WorkerCandidates& found);
+    WorkerCandidate evaluate(const CandidateSearch& search, WorkerNumber number);
+    const WorkerPool& pool_for(const JobRecord& job, const Step& step);
+    bool has_label_for(const Step& step, WorkerNumber number) const;
+    bool visit_first(WorkerNumber number);
+    QueryPlan query_plan(const JobRecord& job, const Step& step, int needed,
+                         const WorkerCandidates& found);
     static void sort_top(std::vector<WorkerCandidate>& candidates);
     int service_number(const std::string& service);
     void note_examined(size_t workers);
     int new_task_limit(const Worker& worker) const;
+    CapacityRow row_of(const Worker& worker);
     void refresh_row(const Worker& worker);
+    void update_pools(const Worker& worker);
     void refresh_rows();
     static void classify(WorkerCandidates& found, WorkerCandidate candidate,
                          const Permission* known, Millis now);
@@ -582,6 +601,8 @@
     std::map<std::string, ClosedJob> m_closed; ///< Recorded final states.
     /// By job; the jobs are not known yet.
     std::map<std::string, std::vector<DeferredEnds>> m_deferred_ends;
+    std::map<std::string, int64_t> m_pending; ///< Pending jobs by queue.
+    Millis m_pending_counted_at; ///< When these were counted.
     /// Cancellations of jobs that are not known yet.
     std::set<std::string> m_early_cancels;
     /// Jobs that were unknown when runs of theirs were found.
@@ -591,7 +612,13 @@
     std::set<std::string> m_archived; ///< Jobs whose progress rows are not yet removed.
     Millis m_archive_tried;
     std::map<std::string, Worker> m_workers; ///< By incarnation id.
+    /// The same workers; each report, order and answer finds its workers here.
+    std::unordered_map<std::string_view, Worker*> m_workers_by_id;
     CapacityTable m_capacity_table; ///< Capacity of each of them.
+    WorkerPools m_pools; ///< The same, for searches.
+    /// By worker number: the last search that visited the worker.
+    std::vector<uint64_t> m_visited_in;
+    uint64_t m_search = 0; ///< Number of searches.
     /// By number; null for workers that are gone.
     std::vector<Worker*> m_workers_by_number;
     std::vector<std::string> m_services; ///< By service number as used in the table.
@@ -638,6 +665,7 @@
     bool m_recheck_due = false;
     LoadCounts m_load_counts; ///< Since the load was last logged.
     Millis m_last_pass_time; ///< Duration of the last pass.
+    bool m_cut_short = false; ///< It ended before it had tried each step.
     /// Start of the current or last pass; its decisions use this time.
     Millis m_pass_begun;
     size_t m_steps_waiting = 0; ///< In the last pass.
--- a/src/jobs.lib/scheduler_advice.cpp
+++ b/src/jobs.lib/scheduler_advice.cpp
@@ -49,136 +49,11 @@
 constexpr int min_asked = 10;
 constexpr int min_asked_for_gang = 30;
 constexpr double worker_share_of_decision = 0.5;
-constexpr size_t max_asked = 100;
-/// Factor on the capacity needed on average, since the advisor's choice varies.
-constexpr double capacity_factor = 1.5;
-constexpr double initial_allowed_share = 0.5;
 constexpr double share_learning_rate = 0.1;
 constexpr double cost_learning_rate = 0.1;
 
 } // namespace
 
-// Every worker with free capacity, whatever its drawbacks, comes before those without any.
-bool Scheduler::is_better_candidate(const WorkerCandidate& left,
-                                    const WorkerCandidate& right)
-{
-    const auto key = [](const WorkerCandidate& candidate) {
-        return std::make_tuple(candidate.fit == 0, candidate.second_choice, candidate.slow,
-                               -candidate.fit, -candidate.potential_fit,
-                               candidate.worker->number);
-    };
-    return key(left) < key(right);
-}
-
-std::vector<WorkerNumber>
-Scheduler::worker_numbers(const std::vector<WorkerCandidate>& candidates)
-{
-    std::vector<WorkerNumber> workers;
-    workers.reserve(candidates.size());
-    for (const WorkerCandidate& candidate : candidates)
-        workers.push_back(candidate.worker->number);
-    return workers;
-}
-
-// Sorts only the best workers, as many as one query may name: of a thousand workers a query
-// names at most a hundred, so the rest stay unsorted.
-void Scheduler::sort_top(std::vector<WorkerCandidate>& candidates)
-{
-    const auto best = static_cast<std::ptrdiff_t>(std::min(candidates.size(), max_asked));
-    std::partial_sort(candidates.begin(), candidates.begin() + best, candidates.end(),
-                      is_better_candidate);
-}
-
-bool Scheduler::any_fit(const std::vector<WorkerCandidate>& candidates)
-{
-    return std::any_of(candidates.begin(), candidates.end(),
-                       [](const WorkerCandidate& candidate) { return candidate.fit > 0; });
-}
-
-// Adds a worker to the list for its verdict; `known` is null if there is no verdict.
-void Scheduler::classify(WorkerCandidates& found, WorkerCandidate candidate,
-                         const Permission* known, Millis now)
-{
-    if (known == nullptr) {
-        found.unasked.push_back(candidate);
-    } else if (known->allowed) {
-        candidate.second_choice = candidate.second_choice || known->no_ticket;
-        found.preferred_fit += candidate.second_choice ? 0 : candidate.fit;
-        found.fit += candidate.fit;
-        found.potential_fit += candidate.potential_fit;
-        found.stoppable_fit += candidate.stoppable_fit;
-        found.allowed.push_back(candidate);
-    } else if (now >= known->ask_again_at) {
-        found.refused_fit += candidate.fit;
-        found.refused.push_back(candidate);
-    }
-}
-
-// Returns the workers that the step could use as far as is known, and how many of its tasks
-// each could hold.
-Scheduler::WorkerCandidates Scheduler::worker_candidates(const JobRecord& job,
-                                                         const Step& step, int needed)
-{
-    const std::string key = step.name(job.id());
-    const StepSpec& spec = *step.spec;
-    const int priority = job.rank();
-    const int service = service_number(job.accepted().queue.service);
-    const bool advised = job.accepted().queue.advice.has_value();
-    // A verdict remains valid when the free capacity changes, so steps that are not urgent
-    // ask about full workers as well.
-    const bool wants_verdicts = advised && (spec.gang || priority > 0);
-    Permission without_advice;
-    without_advice.allowed = true;
-    const std::vector<WorkerNumber> second = second_choices(step);
-    const bool sees_claims = advised && !asks_regardless(step);
-    WorkerCandidates found;
-    auto known = step.advice.workers.begin();
-    note_examined(m_capacity_table.size());
-    for (WorkerNumber number = 0; number < m_capacity_table.size(); ++number) {
-        const CapacityRow& row = m_capacity_table.row(number);
-        if (!row.open || row.service != service)
-            continue;
-        Worker& worker = *m_workers_by_number[number];
-        if (!spec.label.empty() && !worker.session->info().has_label(spec.label))
-            continue;
-        WorkerCandidate candidate;
-        candidate.worker = &worker;
-        if (row.available_to(step)) {
-            int most = std::min(needed, row.max_new_tasks);
-            if (spec.max_per_worker > 0)
-                most = std::min(most, spec.max_per_worker - worker.load.count_of_step(key));
-            const Resources free = sees_claims
-                ? capacity_to_ask_about(number, priority, row.free)
-                : row.free;
-            candidate.fit = tasks_that_fit_into(spec, free, needed, most);
-            candidate.has_room
-                = candidate.fit > 0 || tasks_that_fit_into(spec, row.free, 1, most) > 0;
-            const Resources after_ends = row.free + worker.load.used_below(priority);
-            candidate.potential_fit = tasks_that_fit_into(spec, after_ends, needed, most);
-            const Resources after_stops = row.free + worker.load.stoppable_below(priority);
-            candidate.stoppable_fit = tasks_that_fit_into(spec, after_stops, needed, most);
-        }
-        const Permission* permission = &without_advice;
-        if (advised) {
-            while (known != step.advice.workers.end() && known->first < number)
-                ++known;
-            const bool asked = known != step.advice.workers.end() && known->first == number;
-            permission = asked ? &known->second : nullptr;
-        }
-        const bool needs_verdict
-            = permission == nullptr && wants_verdicts && spec.need.fits_in(row.capacity);
-        if (candidate.potential_fit == 0 && !needs_verdict)
-            continue;
-        candidate.second_choice = std::binary_search(second.begin(), second.end(), number);
-        candidate.slow = row.slow && priority == 0;
-        classify(found, candidate, permission, m_pass_begun);
-    }
-    std::sort(found.allowed.begin(), found.allowed.end(), is_better_candidate);
-    sort_top(found.unasked);
-    sort_top(found.refused);
-    return found;
-}
-
 // Returns how long the advisor takes for a query about as many workers as one may name.
 Millis Scheduler::longest_answer_time(const JobRecord& job)
 {
@@ -200,9 +75,7 @@
 }
 
 // Asks about workers whose verdict is unknown or may have changed, so many that those
-// allowed should suffice. Capacity that becomes free when lower-priority tasks end counts
-// half. More than one query names are asked about only for a gang that the others would not
-// suffice for even then.
+// allowed should suffice.
 void Scheduler::ask_about(const JobRecord& job, Step& step, int needed,
                           const WorkerCandidates& found,
                           std::vector<WorkerCandidate> unknown)
@@ -211,22 +84,10 @@
         return;
     if (step.spec->gang)
         std::sort(unknown.begin(), unknown.end(), is_better_candidate);
-    const double share
-        = m_allowed_share.try_emplace(job.accepted().queue.name, initial_allowed_share)
-              .first->second;
-    double expected = 0.5 * (found.fit + found.potential_fit);
-    double expected_potential = found.potential_fit;
-    const auto least = static_cast<size_t>(min_workers_to_ask(job, step));
+    QueryPlan plan = query_plan(job, step, needed, found);
     size_t chosen = 0;
-    bool one_query_suffices = true;
-    for (const WorkerCandidate& candidate : unknown) {
-        const bool enough = expected >= capacity_factor * needed && chosen >= least;
-        if (chosen == max_asked)
-            one_query_suffices = !step.spec->gang || expected_potential >= needed;
-        if (enough || (chosen >= max_asked && one_query_suffices))
-            break;
-        expected += share * 0.5 * (candidate.fit + candidate.potential_fit);
-        expected_potential += share * candidate.potential_fit;
+    while (chosen < unknown.size() && !plan.complete()) {
+        plan.add(unknown[chosen].fit, unknown[chosen].potential_fit);
         ++chosen;
     }
     unknown.resize(chosen);
--- a/src/jobs.lib/scheduler_claims.cpp
+++ b/src/jobs.lib/scheduler_claims.cpp
@@ -33,6 +33,7 @@
 void Scheduler::collect_claims(const std::vector<PendingStep>& waiting)
 {
     m_claims.clear(m_capacity_table.size());
+    m_pools.release_claims();
     for (const PendingStep& pending : waiting)
         claim_for(*pending.job, *pending.step);
 }
@@ -63,7 +64,9 @@
         Resources need = step.spec->need;
         if (step.spec->best_effort_cpu)
             need.cpu_millis = 0;
-        m_claims.add(number, job.rank(), scaled(need, tasks));
+        const Resources claimed = scaled(need, tasks);
+        m_claims.add(number, job.rank(), claimed);
+        m_pools.claim(number, claimed);
         needed -= tasks;
     }
 }
--- a/src/jobs.lib/scheduler_pass.cpp
+++ b/src/jobs.lib/scheduler_pass.cpp
@@ -94,6 +94,11 @@
           });
     const bool deferred = due != waiting.end();
     waiting.erase(due, waiting.end());
+    // Tickets expire while a pass does not come to their steps, and then the step has to
+    // ask again.
+    if (m_cut_short)
+        std::stable_partition(waiting.begin(), waiting.end(),
+                              [this](const auto& entry) { return may_start(entry); });
     const size_t urgent = place_until(waiting, 0, begun + urgent_pass_time);
     std::stable_sort(waiting.begin() + static_cast<std::ptrdiff_t>(urgent), waiting.end(),
                      [](const PendingStep& left, const PendingStep& right) {
@@ -101,13 +106,13 @@
                              < right.step->placement_tried_at;
                      });
     const size_t seen = place_until(waiting, urgent, begun + max_pass_time);
-    const bool cut_short = seen < waiting.size();
+    m_cut_short = seen < waiting.size();
     m_last_pass_time = m_context.loop.now() - begun;
     ++m_load_counts.passes;
     m_load_counts.pass_time = m_load_counts.pass_time + m_last_pass_time;
-    m_load_counts.cut_passes += cut_short ? 1 : 0;
+    m_load_counts.cut_passes += m_cut_short ? 1 : 0;
     m_load_counts.steps_left += static_cast<int64_t>(waiting.size() - seen);
-    if (cut_short)
+    if (m_cut_short)
         schedule_pass();
     if (deferred)
         schedule_recheck();
@@ -151,7 +156,7 @@
             continue;
         for (auto& [number, repeat] : job->repeats()) {
             for (Step& step : repeat.steps) {
-                if (step.count(TaskPhase::waiting) > 0 && job->dependencies_met(step)
+                if (step.has(TaskPhase::waiting) && job->dependencies_met(step)
                     && (!step.spec->gang || gang_may_be_placed(step)))
                     found.emplace_back(job.get(), &step);
             }
@@ -314,7 +319,7 @@
     return number;
 }
 
-void Scheduler::refresh_row(const Worker& worker)
+CapacityRow Scheduler::row_of(const Worker& worker)
 {
     const WorkerInfo& info = worker.session->info();
     CapacityRow row;
@@ -324,7 +329,19 @@
     row.max_new_tasks = new_task_limit(worker);
     row.open = accepts_tasks(worker);
     row.slow = is_slow(worker);
-    m_capacity_table.set(worker.number, row);
+    return row;
+}
+
+void Scheduler::refresh_row(const Worker& worker)
+{
+    if (m_capacity_table.set(worker.number, row_of(worker)))
+        update_pools(worker);
+}
+
+void Scheduler::update_pools(const Worker& worker)
+{
+    m_pools.update(worker.number, m_capacity_table.row(worker.number), worker.load,
+                   worker.session->info().labels);
 }
 
 // Rows are updated at once on placement and on reports. Other changes, such as a worker
@@ -419,8 +436,17 @@
                 consider(number);
         }
     } else {
-        for (WorkerNumber number = 0; number < m_capacity_table.size(); ++number)
+        // A step that is particular about its workers chooses among all that have room.
+        const bool takes_any = !step.has_crashes && !step.spec->same_rack
+            && step.spec->preferred_rack.empty();
+        int fit = 0; // On workers without drawbacks.
+        pool_for(job, step).free.visit_tightest(*step.spec, [&](WorkerNumber number) {
+            const size_t known = options.size();
             consider(number);
+            if (options.size() > known && !options.back().slow)
+                fit += tasks_that_fit(*step.spec, options.back());
+            return !takes_any || fit < needed;
+        });
     }
     // Workers where a task was unsuccessful before are used only if there is no other
     // capacity.
@@ -432,12 +458,44 @@
     return options;
 }
 
+// Returns whether the step has valid tickets, or needs none.
+bool Scheduler::may_start(const PendingStep& pending) const
+{
+    return !pending.job->accepted().queue.advice
+        || m_pass_begun < pending.step->advice.tickets_until;
+}
+
+// Returns whether nothing of the step can be started and no query sent before the advisor
+// answers or a delay has passed. Steps of bounded workspaces are tried in any case, since
+// they set capacity aside.
+bool Scheduler::only_awaits_advisor(const JobRecord& job, const Step& step) const
+{
+    const StepAdvice& advice = step.advice;
+    return job.accepted().queue.advice && job.workspace == callers::UsageLedger::none
+        && !step.has_crashes && m_pass_begun >= advice.tickets_until
+        && (advice.asking() || m_pass_begun < advice.retry_at);
+}
+
+void Scheduler::note_advisor_wait(const JobRecord& job, Step& step) const
+{
+    step.at_bound = false;
+    step.advice.held_back = false;
+    if (job.rank() > 0)
+        step.next_placement_at = m_pass_begun + capacity_retry_interval;
+    if (step.spec->gang)
+        step.gang_wait = step.advice.asking() ? GangWait::answer : GangWait::retry_delay;
+}
+
 void Scheduler::place(const PendingStep& pending)
 {
     JobRecord& job = *pending.job;
     Step& step = *pending.step;
     if (job.closed() || (step.has_crashes && give_up_exhausted(job, step)))
         return;
+    if (only_awaits_advisor(job, step)) {
+        note_advisor_wait(job, step);
+        return;
+    }
     const bool separates_suspects = step.has_crashes && !step.spec->gang;
     std::vector<size_t> suspects
         = separates_suspects ? suspects_to_try(job, step) : std::vector<size_t>();
--- a/src/jobs.lib/scheduler_tick.cpp
+++ b/src/jobs.lib/scheduler_tick.cpp
@@ -30,7 +30,7 @@
     if (m_phase == Phase::scheduling && orders_allowed()) {
         release_expired_in_doubt();
         drop_deferred_ends();
-        m_explanations.begin_round(m_steps_waiting);
+        m_explanations.begin_round(m_steps_waiting, m_workers.size());
         // Read once: reading the clock for each step would take longer than most of the
         // checks.
         const Millis now = m_context.loop.now();
--- a/src/jobs.lib/scheduler_worker_lifecycle.cpp
+++ b/src/jobs.lib/scheduler_worker_lifecycle.cpp
@@ -49,7 +49,9 @@
 
 void Scheduler::update_worker(const WorkerInfo& info)
 {
-    Worker& worker = m_workers[info.id];
+    const auto entry = m_workers.try_emplace(info.id).first;
+    Worker& worker = entry->second;
+    m_workers_by_id[entry->first] = &worker;
     if (worker.session && !worker.listed)
         log_event(LogLevel::info, "worker_listed_again",
                   { { "worker", info.id }, { "draining", info.draining ? "yes" : "no" } });
@@ -61,6 +63,7 @@
                       { { "worker", info.id }, { "remaining_ms", info.remaining_ms } });
         worker.session->update(info);
         refresh_row(worker);
+        update_pools(worker); // Its labels may have changed.
         return;
     }
     if (m_phase != Phase::loading)
@@ -156,7 +159,9 @@
         note_session_end(*ended, ended->lease_expires_at());
     m_ended_fence = std::max(m_ended_fence, ended->fence() + 1);
     m_capacity_table.close_row(worker.number);
+    m_pools.remove(worker.number);
     m_workers_by_number[worker.number] = nullptr;
+    m_workers_by_id.erase(ended->id());
     m_workers.erase(ended->id());
     m_context.loop.after(Millis(0), [ended] {});
 }
--- a/src/jobs.lib/wait_log_limiter_test.cpp
+++ b/src/jobs.lib/wait_log_limiter_test.cpp
@@ -46,6 +46,22 @@
         BOOST_TEST(count >= 9);
 }
 
+BOOST_AUTO_TEST_CASE(workers_that_are_scanned_are_bounded_in_a_cell_of_any_size)
+{
+    constexpr size_t workers = 6000;
+    constexpr int rounds = 600;
+    WaitLogLimiter limiter;
+    size_t scanned = 0;
+    for (int round = 0; round < rounds; ++round) {
+        const Millis now { 1000000 + round * explanation_round_interval.count() };
+        limiter.begin_round(100, workers);
+        while (limiter.acquire(now, Millis(0)))
+            scanned += workers;
+    }
+    BOOST_TEST(scanned > 0U);
+    BOOST_TEST(scanned <= rounds * scans_per_round);
+}
+
 BOOST_AUTO_TEST_CASE(hundreds_of_steps_share_a_bounded_rate)
 {
     constexpr size_t steps = 400;
