--- a/src/callers.lib/workspace.cpp
+++ b/src/callers.lib/workspace.cpp
@@ -40,6 +40,8 @@
         return "repeated_name";
     case WorkspaceFault::bad_weight:
         return "bad_weight";
+    case WorkspaceFault::bad_priority:
+        return "bad_priority";
     case WorkspaceFault::bad_bound:
         return "bad_bound";
     case WorkspaceFault::bad_key:
--- a/src/jobs.lib/job_model.cpp
+++ b/src/jobs.lib/job_model.cpp
@@ -189,7 +189,11 @@
     const auto repeat = parse_integer(view.substr(first + 1, middle - first - 1));
     const auto step = parse_integer(view.substr(middle + 1, last - middle - 1));
     const auto index = parse_integer(view.substr(last + 1));
-    if (!repeat || !step || !index)
+    const auto in_range = [](const std::optional<int64_t>& number, int64_t limit) {
+        return number && 0 <= *number && *number < limit;
+    };
+    if (!in_range(repeat, max_repeats) || !in_range(step, max_steps)
+        || !in_range(index, max_tasks_per_step))
         return std::nullopt;
     return TaskId { text.substr(0, first), static_cast<int>(*repeat),
                     static_cast<int>(*step), static_cast<int>(*index) };
--- a/src/jobs.lib/jobs_test.cpp
+++ b/src/jobs.lib/jobs_test.cpp
@@ -146,7 +146,9 @@
     const auto parsed = TaskId::parse(id.to_string());
     BOOST_REQUIRE(parsed.has_value());
     BOOST_TEST((*parsed == id));
-    for (const char* text : { "", "a", "a.1.2", ".1.2.x", "a.b.c.d" })
+    // 4294967296 is 0 in 32 bits: such a name must not stand for another task.
+    for (const char* text : { "", "a", "a.1.2", ".1.2.x", "a.b.c.d", "a.0.0.4294967296",
+                              "a.4294967296.0.0", "a.0.-1.0", "a.0.0.-1" })
         BOOST_TEST(!TaskId::parse(text).has_value(), text);
 }
 
--- a/src/loop.lib/async_http_server.cpp
+++ b/src/loop.lib/async_http_server.cpp
@@ -26,11 +26,14 @@
 /// Delay before accepting again after an error, such as too many open descriptors.
 constexpr Millis accept_retry_delay { 100 };
 
+/// Upper bound on the time limit of a request.
+constexpr int64_t max_time_limit_ms = 24 * 60 * 60 * 1000;
+
 Millis time_limit_of(const http::request<http::string_body>& request)
 {
     const auto field = request["X-Deadline-Ms"];
     const auto value = parse_integer(std::string_view(field.data(), field.size()));
-    return Millis(value.value_or(0));
+    return Millis(std::clamp<int64_t>(value.value_or(0), 0, max_time_limit_ms));
 }
 
 } // namespace
