--- a/src/jobs.lib/pass_cost_test.cpp
+++ b/src/jobs.lib/pass_cost_test.cpp
@@ -146,7 +146,7 @@
 // In the time that a pass may take, the leader examines 240 workers.
 BOOST_AUTO_TEST_CASE(a_weak_leader_starts_what_waits_in_a_cell_of_any_size)
 {
-    constexpr size_t tasks = 8 * 200;
+    constexpr size_t tasks = 1600;
     for (const Kind kind : { Kind::plain, Kind::gang }) {
         for (const int workers : cell_sizes) {
             IdleCell cell(workers);
--- a/src/loop.lib/async_http_server.cpp
+++ b/src/loop.lib/async_http_server.cpp
@@ -26,8 +26,8 @@
 /// Delay before accepting again after an error, such as too many open descriptors.
 constexpr Millis accept_retry_delay { 100 };
 
-/// Upper bound on the time limit of a request.
-constexpr int64_t max_time_limit_ms = 24 * 60 * 60 * 1000;
+/// Upper bound on the time limit of a request: a day.
+constexpr int64_t max_time_limit_ms = 86400000;
 
 Millis time_limit_of(const http::request<http::string_body>& request)
 {
--- a/src/pathportbench/passes.cpp
+++ b/src/pathportbench/passes.cpp
@@ -65,7 +65,7 @@
 {
     constexpr int seconds = 4;
     const auto begun = std::chrono::steady_clock::now();
-    cell.world.run_for(Millis(1000 * seconds));
+    cell.world.run_for(Millis(int64_t(1000) * seconds));
     const std::chrono::duration<double, std::milli> took
         = std::chrono::steady_clock::now() - begun;
     return took.count() / seconds;
