A queue with a faulty number is kept, with the nearest valid one

Change: numbers of queues are clamped or take their defaults, and the reason is reported; jobs and workers' entries stay refused.

--- a/src/include/pathport/callers/workspace.h
+++ b/src/include/pathport/callers/workspace.h
@@ -43,7 +43,7 @@
     no_name, ///< Left out, with its keys.
     repeated_name, ///< Left out, with its keys; the first one of that name stays.
     bad_weight, ///< The weight is taken as 1.
-    bad_priority, ///< The priority is taken as 0.
+    bad_priority, ///< The nearest valid priority is taken, or 0 for no number.
     bad_bound, ///< That resource is not limited.
     bad_key, ///< The key is not a string, empty or too long; ignored.
     shared_key, ///< The key stays with the first workspace that has it.
