Log the age of the last report of a stalled task's worker

A task that made no progress and one of which nothing was heard gave the same line. 'reported_ms_ago' is the time since the poll was sent whose answer last listed the worker's running tasks.

--- a/src/jobs.lib/scheduler_tick.cpp
+++ b/src/jobs.lib/scheduler_tick.cpp
@@ -162,12 +162,14 @@
         if (worker == nullptr || !worker->session->usable())
             continue;
         const TaskId id { job.id(), step.repeat, step.index, static_cast<int>(i) };
-        log_event(LogLevel::warn, "task_stands_still",
-                  { { "job", job.id() },
-                    { "task", id.to_string() },
-                    { "worker", task.worker },
-                    { "percent", task.percent },
-                    { "for_ms", (now - task.percent_at).count() } });
+        log_event(
+            LogLevel::warn, "task_stands_still",
+            { { "job", job.id() },
+              { "task", id.to_string() },
+              { "worker", task.worker },
+              { "percent", task.percent },
+              { "for_ms", (now - task.percent_at).count() },
+              { "reported_ms_ago", (now - worker->session->last_full_report()).count() } });
         note_fault(*worker, job.id());
         step.deprioritize(task.worker, now);
         worker->session->stop(id, task.run, StopReason::stalled);
