Test: attempts that examine full workers again and again

Steps that wait in a busy cell keep the verdicts of every query they have sent. Each attempt examines all of these workers once more, and in addition those whose free capacity falls in the same level of the index as the need, whether or not it suffices. The existing cases have idle workers and steps without verdicts.

--- a/src/jobs.lib/multi_worker_fixture.h
+++ b/src/jobs.lib/multi_worker_fixture.h
@@ -69,6 +69,18 @@
     emulator::World& m_world;
 };
 
+/// Peers that pass requests to the test; they never reply unless it does.
+class ManualPeers : public PeerClient {
+public:
+    std::function<void(const PeerRequest&, PeerReply)> on_request;
+    void send(const std::string&, const PeerRequest& request, Millis,
+              PeerReply done) override
+    {
+        if (on_request)
+            on_request(request, std::move(done));
+    }
+};
+
 /// The state that a worker reports.
 struct ManualWorkerState {
     bool unresponsive = false;
@@ -121,7 +133,7 @@
     emulator::StorePort port { store, loop, "a" };
     emulator::Workers advisors { world };
     emulator::WorkerPort advisor { advisors, loop, "a" };
-    NoPeers peers;
+    ManualPeers peers;
     AdvicePool advice { loop, advisor, peers };
     Metrics metrics;
     StoreClock store_clock;
