Scheduler: search known verdicts by room, not one by one

In a busy cell accepted work of the less urgent queues was served late or not at all on the large site, with passes cut short while a sixth of the processors was free. Each attempt to place or to ask for a step walked all verdicts of the step, which are kept for as long as it waits: 100 more after each query, most of them on workers without room. A pass reached fewer steps the longer they had waited.

A step now keeps its allowed workers apart from the refused ones, and no refused one is looked at before the first of them may be asked about again. Allowed workers with room are found from the shorter of the two lists, the workers with room by the index and the allowed ones. Workers where less urgent tasks would have to end are searched only if room does not suffice, until what can be freed does. Which workers are chosen when there is room does not change. Among full workers, those whose tasks are stopped may differ, since the search ends early. Non-gang steps that have asked look for further workers only where there is room, as they asked about no others.

--- a/src/jobs.lib/capacity_index.cpp
+++ b/src/jobs.lib/capacity_index.cpp
@@ -29,16 +29,20 @@
     m_by_accelerators.erase(worker);
 }
 
+size_t CapacityIndex::count(const StepSpec& step) const
+{
+    return most_selective(step).count;
+}
+
 CapacityIndex::Lookup CapacityIndex::most_selective(const StepSpec& step) const
 {
-    Lookup best { &m_by_memory, step.need.memory_mb };
-    size_t fewest = m_by_memory.count_from(step.need.memory_mb);
+    Lookup best { &m_by_memory, step.need.memory_mb,
+                  m_by_memory.count_from(step.need.memory_mb) };
     const auto consider = [&](const LevelIndex& index, int64_t amount) {
         const size_t count = index.count_from(amount);
-        if (amount <= 0 || count > fewest)
+        if (amount <= 0 || count > best.count)
             return;
-        best = { &index, amount };
-        fewest = count;
+        best = { &index, amount, count };
     };
     consider(m_by_accelerators, step.need.accelerators);
     if (!step.best_effort_cpu)
--- a/src/jobs.lib/capacity_index.h
+++ b/src/jobs.lib/capacity_index.h
@@ -27,6 +27,8 @@
     /// Removes a worker; does nothing if it is not there.
     void erase(WorkerNumber worker);
 
+    /// Returns an upper bound on the number of workers that have room for a task of `step`.
+    size_t count(const StepSpec& step) const;
     /// Calls `visit` for the workers that may have room for a task of `step` until it
     /// returns false; those with the most of the resource that decides come first. Returns
     /// whether all were visited. `visit` must not change the index.
@@ -48,6 +50,7 @@
     struct Lookup {
         const LevelIndex* index = nullptr;
         int64_t amount = 0; ///< That a task needs.
+        size_t count = 0; ///< Of the workers that may have it.
     };
 
     Lookup most_selective(const StepSpec& step) const;
--- a/src/jobs.lib/job_record.cpp
+++ b/src/jobs.lib/job_record.cpp
@@ -9,6 +9,7 @@
 
 #include <algorithm>
 #include <iterator>
+#include <limits>
 
 namespace pathport::jobs {
 
@@ -206,6 +207,24 @@
     return job + "." + std::to_string(repeat) + "." + std::to_string(index);
 }
 
+void StepAdvice::verdicts_changed()
+{
+    allowed.clear();
+    refused_until = Millis(std::numeric_limits<int64_t>::max());
+    for (const auto& [worker, permission] : workers) {
+        if (permission.allowed)
+            allowed.push_back(worker);
+        else
+            refused_until = std::min(refused_until, permission.ask_again_at);
+    }
+}
+
+void StepAdvice::forget(WorkerNumber worker)
+{
+    workers.erase(worker);
+    verdicts_changed();
+}
+
 int Step::count(TaskPhase phase) const
 {
     return static_cast<int>(
--- a/src/jobs.lib/job_record.h
+++ b/src/jobs.lib/job_record.h
@@ -81,9 +81,11 @@
 
 /// The advice received for a step.
 struct StepAdvice {
-    /// Workers that are missing have not been queried. Each scheduling pass reads the
-    /// entries of all waiting steps, so they are stored contiguously.
+    /// Workers that are missing have not been queried.
     boost::container::flat_map<WorkerNumber, Permission> workers;
+    std::vector<WorkerNumber> allowed; ///< Those of them that are allowed, in order.
+    /// No refused worker may be asked about again before this time.
+    Millis refused_until;
     int queries_in_progress = 0; ///< Sent at once, each about a part of the workers.
     bool has_news = false; ///< One of them has returned a new verdict.
     Millis verdicts_at; ///< When the last new verdicts were received.
@@ -97,6 +99,10 @@
     double unused_ms = 0; ///< Advisor time of the answers since the last placement.
 
     bool asking() const { return queries_in_progress > 0; }
+    /// Updates `allowed` and `refused_until` after a change of verdicts.
+    void verdicts_changed();
+    /// Drops the verdict on a worker.
+    void forget(WorkerNumber worker);
 };
 
 /// One step of one repeat of a job.
--- a/src/jobs.lib/scheduler.h
+++ b/src/jobs.lib/scheduler.h
@@ -432,6 +432,13 @@
     // Search for workers (scheduler_candidates.cpp).
     struct CandidateSearch;
     WorkerCandidates worker_candidates(const JobRecord& job, const Step& step, int needed);
+    std::vector<WorkerNumber> allowed_with_room(const Step& step,
+                                                const CapacityIndex& index);
+    std::vector<WorkerNumber> refused_with_room(const Step& step,
+                                                const CapacityIndex& index);
+    std::vector<WorkerNumber>
+    known_in(const Step& step, const CapacityIndex& index,
+             const std::function<bool(const Permission&)>& matches);
     void add_known(const CandidateSearch& search, WorkerCandidates& found);
     void add_unasked(const CandidateSearch& search, WorkerCandidates& found);
     void add_unadvised(const CandidateSearch& search, WorkerCandidates& found);
--- a/src/jobs.lib/scheduler_advice.cpp
+++ b/src/jobs.lib/scheduler_advice.cpp
@@ -245,6 +245,7 @@
         permission.ticket = ticket.ticket;
         permission.expires = expires;
     }
+    advice.verdicts_changed();
     if (!tickets.empty())
         advice.tickets_until = expires;
     if (has_news)
--- a/src/jobs.lib/scheduler_candidates.cpp
+++ b/src/jobs.lib/scheduler_candidates.cpp
@@ -198,18 +198,89 @@
     return found;
 }
 
-// Adds the workers with a verdict.
+// Returns the allowed workers of a step that may have room by the index, and possibly
+// others of them. The index is searched if it has fewer workers.
+std::vector<WorkerNumber> Scheduler::allowed_with_room(const Step& step,
+                                                       const CapacityIndex& index)
+{
+    const StepAdvice& advice = step.advice;
+    if (advice.allowed.size() <= index.count(*step.spec))
+        return advice.allowed;
+    return known_in(step, index, [](const Permission& known) { return known.allowed; });
+}
+
+// The same for the workers that were refused long enough ago to ask about them again.
+std::vector<WorkerNumber> Scheduler::refused_with_room(const Step& step,
+                                                       const CapacityIndex& index)
+{
+    const StepAdvice& advice = step.advice;
+    if (m_pass_begun < advice.refused_until)
+        return {};
+    const auto may_ask_again = [this](const Permission& known) {
+        return !known.allowed && m_pass_begun >= known.ask_again_at;
+    };
+    if (index.count(*step.spec) < advice.workers.size())
+        return known_in(step, index, may_ask_again);
+    std::vector<WorkerNumber> found;
+    for (const auto& [number, permission] : advice.workers) {
+        if (may_ask_again(permission))
+            found.push_back(number);
+        else
+            note_examined(1);
+    }
+    return found;
+}
+
+// Returns the workers that may have room by the index and whose verdict meets a condition.
+std::vector<WorkerNumber>
+Scheduler::known_in(const Step& step, const CapacityIndex& index,
+                    const std::function<bool(const Permission&)>& matches)
+{
+    const auto& verdicts = step.advice.workers;
+    std::vector<WorkerNumber> found;
+    index.visit_largest(*step.spec, [&](WorkerNumber number) {
+        const auto known = verdicts.find(number);
+        if (known != verdicts.end() && matches(known->second))
+            found.push_back(number);
+        else
+            note_examined(1);
+        return true;
+    });
+    return found;
+}
+
+// Adds workers with a verdict: those reserved for the step, those with free capacity, and
+// if these do not suffice those where less urgent tasks run.
 void Scheduler::add_known(const CandidateSearch& search, WorkerCandidates& found)
 {
+    const Step& step = search.step;
+    const auto& verdicts = step.advice.workers;
+    const WorkerPool& pool = pool_for(search.job, step);
     const int service = service_number(search.job.accepted().queue.service);
-    for (const auto& [number, permission] : search.step.advice.workers) {
-        visit_first(number);
+    const auto consider = [&](WorkerNumber number) {
+        const auto known = verdicts.find(number);
+        if (known == verdicts.end() || !visit_first(number))
+            return;
         const CapacityRow& row = m_capacity_table.row(number);
-        if (!row.open || row.service != service || !has_label_for(search.step, number))
-            continue;
+        if (!row.open || row.service != service || !has_label_for(step, number))
+            return;
         const WorkerCandidate candidate = evaluate(search, number);
         if (candidate.potential_fit > 0)
-            classify(found, candidate, &permission, m_pass_begun);
+            classify(found, candidate, &known->second, m_pass_begun);
+    };
+    for (const WorkerNumber number : step.reserved_workers)
+        consider(number);
+    for (const WorkerNumber number : allowed_with_room(step, pool.free))
+        consider(number);
+    for (const WorkerNumber number : refused_with_room(step, pool.free))
+        consider(number);
+    const CapacityIndex& reclaimable = pool.reclaimable_for(search.rank);
+    if (found.fit >= search.needed || &reclaimable == &pool.free)
+        return;
+    for (const WorkerNumber number : allowed_with_room(step, reclaimable)) {
+        if (found.potential_fit >= search.needed && found.stoppable_fit >= search.needed)
+            break;
+        consider(number);
     }
 }
 
@@ -236,8 +307,12 @@
         return std::all_of(candidates.begin(), candidates.end(), take);
     };
     const auto& free = search.sees_claims ? pool.unclaimed : pool.free;
-    const auto with_room = [&](WorkerNumber number) {
-        if (!visit_first(number))
+    const auto& known = search.step.advice.workers;
+    const auto is_new = [&](WorkerNumber number) {
+        return visit_first(number) && known.count(number) == 0;
+    };
+    const auto with_capacity = [&](WorkerNumber number) {
+        if (!is_new(number))
             return true;
         const WorkerCandidate candidate = evaluate(search, number);
         if (candidate.fit == 0) {
@@ -259,10 +334,14 @@
         return !is_worth_a_verdict(candidate) || take(candidate);
     };
     const auto without_room = [&](WorkerNumber number) {
-        return !visit_first(number) || take_if_useful(evaluate(search, number));
+        return !is_new(number) || take_if_useful(evaluate(search, number));
     };
-    if (free.visit_largest(search.spec, with_room) && take_all(with_drawbacks)
-        && std::all_of(full.begin(), full.end(), take_if_useful)
+    if (!free.visit_largest(search.spec, with_capacity) || !take_all(with_drawbacks))
+        return;
+    // Tasks that start one by one wait for tasks to end on the workers already asked about.
+    if (!search.spec.gang && !known.empty() && !any_fit(found.unasked))
+        return;
+    if (std::all_of(full.begin(), full.end(), take_if_useful)
         && pool.reclaimable_for(search.rank).visit_largest(search.spec, without_room)
         && search.wants_verdicts)
         pool.total.visit_largest(search.spec, without_room);
--- a/src/jobs.lib/scheduler_pass.cpp
+++ b/src/jobs.lib/scheduler_pass.cpp
@@ -431,8 +431,11 @@
         (option.second_choice ? second_options : options).push_back(option);
     };
     if (advised) {
-        for (const auto& [number, permission] : step.advice.workers) {
-            if (permission.holds(now))
+        std::vector<WorkerNumber> allowed
+            = allowed_with_room(step, pool_for(job, step).free);
+        std::sort(allowed.begin(), allowed.end());
+        for (const WorkerNumber number : allowed) {
+            if (step.advice.workers.at(number).holds(now))
                 consider(number);
         }
     } else {
--- a/src/jobs.lib/scheduler_start.cpp
+++ b/src/jobs.lib/scheduler_start.cpp
@@ -282,7 +282,7 @@
             return;
         Step& step = *job->step(id.repeat, id.step);
         if (status == OrderStatus::bad_ticket && worker != nullptr)
-            step.advice.workers.erase(worker->number);
+            step.advice.forget(worker->number);
         if (is_worker_fault(status))
             step.deprioritize(name, m_context.loop.now());
         if (is_refusal(status) && worker != nullptr)
