LevelIndex: leave out workers that lack little

A level of the index spans a quarter of a power of two. A search visited all workers of the level of the needed amount, including those with less. Levels now hold the amounts as well, and only workers with enough are visited and counted. The amounts of that one level are still compared one by one, in one array.

--- a/src/jobs.lib/capacity_index.h
+++ b/src/jobs.lib/capacity_index.h
@@ -27,7 +27,8 @@
     /// Removes a worker; does nothing if it is not there.
     void erase(WorkerNumber worker);
 
-    /// Returns an upper bound on the number of workers that have room for a task of `step`.
+    /// Returns the number of workers with enough of the resource that the fewest have
+    /// enough of for a task of `step`.
     size_t count(const StepSpec& step) const;
     /// Calls `visit` for the workers that may have room for a task of `step` until it
     /// returns false; those with the most of the resource that decides come first. Returns
--- a/src/jobs.lib/level_index.cpp
+++ b/src/jobs.lib/level_index.cpp
@@ -3,6 +3,7 @@
 
 #include "level_index.h"
 
+#include <algorithm>
 #include <boost/integer/integer_log2.hpp>
 
 namespace pathport::jobs {
@@ -26,17 +27,22 @@
 
 void LevelIndex::set(WorkerNumber worker, int64_t amount)
 {
-    const size_t level = level_of(amount);
+    amount = std::max<int64_t>(0, amount);
+    const size_t number = level_of(amount);
     if (worker >= m_places.size())
         m_places.resize(size_t(worker) + 1);
-    if (m_places[worker].level == level)
+    Place& place = m_places[worker];
+    if (place.level == number) {
+        m_levels[number].amounts[place.position] = amount;
         return;
+    }
     erase(worker);
-    if (level >= m_levels.size())
-        m_levels.resize(level + 1);
-    m_places[worker]
-        = { static_cast<uint32_t>(level), static_cast<uint32_t>(m_levels[level].size()) };
-    m_levels[level].push_back(worker);
+    if (number >= m_levels.size())
+        m_levels.resize(number + 1);
+    Level& level = m_levels[number];
+    place = { static_cast<uint32_t>(number), static_cast<uint32_t>(level.workers.size()) };
+    level.workers.push_back(worker);
+    level.amounts.push_back(amount);
 }
 
 void LevelIndex::erase(WorkerNumber worker)
@@ -44,19 +50,27 @@
     if (worker >= m_places.size() || m_places[worker].level == absent)
         return;
     const Place place = m_places[worker];
-    std::vector<WorkerNumber>& level = m_levels[place.level];
-    const WorkerNumber last = level.back();
-    level[place.position] = last;
+    Level& level = m_levels[place.level];
+    const WorkerNumber last = level.workers.back();
+    level.workers[place.position] = last;
+    level.amounts[place.position] = level.amounts.back();
     m_places[last].position = place.position;
-    level.pop_back();
+    level.workers.pop_back();
+    level.amounts.pop_back();
     m_places[worker] = Place();
 }
 
 size_t LevelIndex::count_from(int64_t amount) const
 {
-    size_t count = 0;
-    for (size_t level = level_of(amount); level < m_levels.size(); ++level)
-        count += m_levels[level].size();
+    const size_t lowest = level_of(amount);
+    if (lowest >= m_levels.size())
+        return 0;
+    const std::vector<int64_t>& amounts = m_levels[lowest].amounts;
+    auto count = static_cast<size_t>(
+        std::count_if(amounts.begin(), amounts.end(),
+                      [amount](int64_t present) { return present >= amount; }));
+    for (size_t level = lowest + 1; level < m_levels.size(); ++level)
+        count += m_levels[level].workers.size();
     return count;
 }
 
--- a/src/jobs.lib/level_index.h
+++ b/src/jobs.lib/level_index.h
@@ -24,19 +24,18 @@
     void set(WorkerNumber worker, int64_t amount);
     /// Removes a worker; does nothing if it is not there.
     void erase(WorkerNumber worker);
-    /// Returns an upper bound on the number of workers with at least this amount: it counts
-    /// all that are in the amount's level or above.
+    /// Returns the number of workers with at least this amount.
     size_t count_from(int64_t amount) const;
 
-    /// Calls `visit` for the workers with at least this amount, and possibly for some with
-    /// a little less, until it returns false. The workers with the largest amounts come
-    /// first. Returns whether all were visited. `visit` must not change the index.
+    /// Calls `visit` for the workers with at least this amount until it returns false.
+    /// Those in the levels of the largest amounts come first. Returns whether all were
+    /// visited. `visit` must not change the index.
     template <typename Visit>
     bool visit_down(int64_t amount, Visit visit) const
     {
         const size_t lowest = level_of(amount);
         for (size_t level = m_levels.size(); level > lowest; --level) {
-            if (!visit_level(level - 1, visit))
+            if (!visit_level(level - 1, amount, visit))
                 return false;
         }
         return true;
@@ -46,7 +45,7 @@
     bool visit_up(int64_t amount, Visit visit) const
     {
         for (size_t level = level_of(amount); level < m_levels.size(); ++level) {
-            if (!visit_level(level, visit))
+            if (!visit_level(level, amount, visit))
                 return false;
         }
         return true;
@@ -59,21 +58,28 @@
         uint32_t position = 0;
     };
 
+    /// The workers of one level and their amounts, in the same order.
+    struct Level {
+        std::vector<WorkerNumber> workers;
+        std::vector<int64_t> amounts;
+    };
+
     static constexpr uint32_t absent = UINT32_MAX;
 
     static size_t level_of(int64_t amount);
 
     template <typename Visit>
-    bool visit_level(size_t level, Visit& visit) const
+    bool visit_level(size_t number, int64_t amount, Visit& visit) const
     {
-        for (const WorkerNumber worker : m_levels[level]) {
-            if (!visit(worker))
+        const Level& level = m_levels[number];
+        for (size_t i = 0; i < level.workers.size(); ++i) {
+            if (level.amounts[i] >= amount && !visit(level.workers[i]))
                 return false;
         }
         return true;
     }
 
-    std::vector<std::vector<WorkerNumber>> m_levels;
+    std::vector<Level> m_levels;
     std::vector<Place> m_places; ///< By worker.
 };
 
