HTTP: a message that has arrived is read in few turns of the loop

Cause: without room in its buffer a connection reads 512 bytes, and each read waits for its turn behind all other work; the later the leader is, the larger the next message of a relay and the more turns it takes.

--- a/src/loop.lib/async_http_client.cpp
+++ b/src/loop.lib/async_http_client.cpp
@@ -379,6 +379,11 @@
     // cut off while bytes still arrive, the next response would be even larger.
     void continue_reading(const ExchangePtr& exchange)
     {
+        // Each read waits for its turn in the loop, and without room takes 512 bytes.
+        const auto left_bytes = exchange->parser->content_length_remaining();
+        if (left_bytes)
+            exchange->connection->buffer.reserve(
+                std::min<size_t>(read_size, static_cast<size_t>(*left_bytes)));
         if (exchange->call.extends_while_receiving) {
             exchange->last_received = m_loop.now();
             const Millis left = extended_time(*exchange);
--- a/src/loop.lib/async_http_server.cpp
+++ b/src/loop.lib/async_http_server.cpp
@@ -23,6 +23,9 @@
 constexpr int listen_backlog = 1024;
 /// Limit on the time for writing a response to a slow client.
 constexpr std::chrono::seconds write_timeout { 30 };
+/// Room for reading at the start, in bytes: without room a read takes 512, and each read
+/// waits for its turn in the loop.
+constexpr size_t read_size = 4096;
 /// Delay before accepting again after an error, such as too many open descriptors.
 constexpr Millis accept_retry_delay { 100 };
 
@@ -76,6 +79,7 @@
         , m_stream(std::move(socket))
     {
         m_server->sessions.insert(this);
+        m_buffer.reserve(read_size);
         boost::system::error_code ignored;
         m_stream.socket().set_option(tcp::no_delay(true), ignored);
     }
