Tasks count as stalled by reports, not by their absence

Cause: the time without progress was counted on the leader's clock from the last report, so time without any report counted as standing still; a call may wait 5 s since late answers are waited for.

A task counts as stalled if it was found running, by a poll sent so long after its last progress. silent_progress_test: two of its four cases failed before; that a member which really stands still is stopped is the fourth.

--- a/src/jobs.lib/scheduler_tick.cpp
+++ b/src/jobs.lib/scheduler_tick.cpp
@@ -155,7 +155,8 @@
         // A member that has finished its work waits for the others.
         const bool working
             = task.phase == TaskPhase::running && task.percent < all_done_percent;
-        if (!working || now - task.percent_at < stall_time
+        // Only a report tells that there was no progress; this leader may be late to read it.
+        if (!working || task.evidence.last_alive() - task.percent_at < stall_time
             || now - task.placed_at < stall_time)
             continue;
         Worker* worker = find_worker(task.worker);
