--- a/src/jobs.lib/table_reader.cpp
+++ b/src/jobs.lib/table_reader.cpp
@@ -27,6 +27,8 @@
 /// and maximum number of open reads per page.
 constexpr Millis reread_interval { 300 };
 constexpr int max_open_reads = 6;
+/// Timers of a process with enough processor time are less late.
+constexpr Millis max_normal_lateness { 50 };
 /// Sorts before every character that occurs in keys.
 const char* const next_key_suffix = "!";
 
@@ -82,7 +84,7 @@
 {
     if (page->answered)
         return;
-    m_loop.after(reread_interval, m_lifetime.wrap([this, page] { send_read(page); }));
+    schedule_reread(page);
     if (page->reads_open >= max_open_reads)
         return;
     ++page->reads_open;
@@ -97,6 +99,21 @@
     }));
 }
 
+// If the timer runs late, the answer may have arrived and lie unread for as long. Reading
+// again at once would make this process later still.
+void TableReader::schedule_reread(const PagePtr& page)
+{
+    const Millis due = m_loop.now() + reread_interval;
+    m_loop.after(reread_interval, m_lifetime.wrap([this, page, due] {
+        const Millis late = m_loop.now() - due;
+        if (late < max_normal_lateness || page->answered) {
+            send_read(page);
+            return;
+        }
+        m_loop.after(std::min(late, read_timeout), m_lifetime.wrap([this, page] { send_read(page); }));
+    }));
+}
+
 void TableReader::answered(const PagePtr& page, StoreResult result)
 {
     if (page->answered || result.status != StoreStatus::ok)
--- a/src/jobs.lib/table_reader.h
+++ b/src/jobs.lib/table_reader.h
@@ -54,6 +54,7 @@
     void next_partition();
     void read_page(const std::string& partition, const std::string& from);
     void send_read(const PagePtr& page);
+    void schedule_reread(const PagePtr& page);
     void answered(const PagePtr& page, StoreResult result);
 
     EventLoop& m_loop;
