Silent workers are kept as a set, not looked for at each write

Sessions tell when they fall silent and when they answer, so the set is kept. What the row holds does not change.

--- a/src/jobs.lib/scheduler.h
+++ b/src/jobs.lib/scheduler.h
@@ -586,6 +586,7 @@
     /// ended, as known from earlier leaders or from those sessions.
     SilentWorkers m_silent_workers;
     /// Workers that answer but wait for a head row that no longer lists them as silent.
+    std::set<std::string> m_silent_sessions; ///< Workers whose sessions are silent.
     std::set<std::string> m_awaiting_lease;
     /// Tasks that earlier leaders recorded on a worker, kept until the worker reports or
     /// none of them can be running there any more.
--- a/src/jobs.lib/scheduler_silent.cpp
+++ b/src/jobs.lib/scheduler_silent.cpp
@@ -41,8 +41,9 @@
     return m_log.may_lease(session.id());
 }
 
-void Scheduler::worker_lost(WorkerSession&)
+void Scheduler::worker_lost(WorkerSession& session)
 {
+    m_silent_sessions.insert(session.id());
     m_log.write_soon();
 }
 
@@ -51,6 +52,7 @@
 void Scheduler::note_answered(const WorkerSession& session)
 {
     m_silent_workers.erase(session.id());
+    m_silent_sessions.erase(session.id());
     retract_lapsed_loss(session.id());
     if (m_log.may_lease(session.id()))
         return;
@@ -97,9 +99,10 @@
     if (now >= m_earlier_leases_until)
         m_silent_workers.erase_before(clock.latest_at(now) - retention_ms);
     SilentWorkers silent = m_silent_workers;
-    for (const auto& [id, worker] : m_workers) {
-        if (worker.session->silent() && !silent.contains(id))
-            silent.set(id, clock.latest_at(worker.session->lease_expires_at()));
+    for (const std::string& id : m_silent_sessions) {
+        const Worker* worker = find_worker(id);
+        if (worker != nullptr && worker->session->silent() && !silent.contains(id))
+            silent.set(id, clock.latest_at(worker->session->lease_expires_at()));
     }
     return silent;
 }
--- a/src/jobs.lib/scheduler_worker_lifecycle.cpp
+++ b/src/jobs.lib/scheduler_worker_lifecycle.cpp
@@ -162,6 +162,7 @@
     m_pools.remove(worker.number);
     m_workers_by_number[worker.number] = nullptr;
     m_workers_by_id.erase(ended->id());
+    m_silent_sessions.erase(ended->id());
     m_workers.erase(ended->id());
     m_context.loop.after(Millis(0), [ended] {});
 }
