Overdue relayed calls are judged with the lateness of the leader itself

Cause: how late answers are is learned from those that were read, so when the lateness begins the answers that lie unread are lost, and each start is in doubt and its worker polled again under a higher fence.

--- a/src/jobs.lib/relayed_workers.cpp
+++ b/src/jobs.lib/relayed_workers.cpp
@@ -108,6 +108,7 @@
 {
     if (nodes == m_nodes)
         return;
+    m_sweep_due = Millis(0);
     m_nodes = std::move(nodes);
     update_relays();
 }
@@ -351,7 +352,9 @@
     message.number = ++m_last_message;
     message.sent = m_loop.now();
     relay.open_messages.insert(message.number);
-    m_peers.send(address, request, relay_poll_wait + relay_timeout,
+    // The answer may lie unread as long as others did.
+    const Millis lateness = m_lag.margin() - relay_margin;
+    m_peers.send(address, request, relay_poll_wait + relay_timeout + lateness,
                  m_epoch_lifetime.wrap(
                      [this, address, message](PeerEnd end, const PeerAnswer& answer) {
                          batch_answered(address, message, end, answer);
@@ -521,6 +524,10 @@
     std::vector<std::string> silent;
     for (const auto& [number, pending] : m_pending) {
         if (now < pending.deadline + margin)
+    // Answers that have arrived lie unread as long as this timer did.
+    if (m_sweep_due > Millis(0) && now - m_sweep_due >= sweep_interval)
+        m_lag.add_sample(now - m_sweep_due, now);
+    m_sweep_due = now + sweep_interval;
             continue;
         overdue.push_back(number);
         const bool unheard = m_relay_states[pending.relay].last_heard < pending.submitted_at
--- a/src/jobs.lib/relayed_workers.h
+++ b/src/jobs.lib/relayed_workers.h
@@ -142,6 +142,7 @@
     CallLoad m_recent_load; ///< Calls since the last update of `m_load`.
     Millis m_load_updated_at;
     AnswerLag m_lag;
+    Millis m_sweep_due; ///< When overdue calls should be looked for next.
     /// Deadlines of calls that have expired and may still be answered, by number.
     std::map<int64_t, Millis> m_expired;
     AnswerCounts m_answer_counts; ///< Since the last log line.
