Polls while ends are being recorded follow the time that this takes

A leader that is late records late, and polled a worker every 120 ms meanwhile; such a poll returns at once with the ends it has told already.

The pause is twice the time that records take at present, 1 s at most; 120 ms as before while the store itself is slow, which leaves time for polls, and at workers about to end, whose short leases need renewals.

--- a/src/jobs.lib/head_log.cpp
+++ b/src/jobs.lib/head_log.cpp
@@ -138,6 +138,7 @@
     const auto [entry, added] = m_waiting.try_emplace(job);
     if (added) {
         entry->second.job = job;
+        entry->second.requested_at = m_loop.now();
         m_queue.push_back(job);
     }
     if (done)
@@ -182,6 +183,19 @@
     done();
 }
 
+Millis HeadLog::age_of_records() const
+{
+    return m_in_flight.empty() ? Millis(0) : m_loop.now() - m_in_flight.front().requested_at;
+}
+
+// A slow store leaves processor time for polls, and what ends meanwhile should be known.
+Millis HeadLog::record_time() const
+{
+    if (m_writer.slow())
+        return Millis(0);
+    return std::max(m_record_time, age_of_records());
+}
+
 bool HeadLog::served() const
 {
     const Millis last_write = m_lease_until - leader_lease;
@@ -424,6 +438,8 @@
     m_lease_until = sent_at + leader_lease;
     m_pending_write = false;
     m_committed = m_prepared;
+    if (!m_in_flight.empty())
+        m_record_time = Millis((m_record_time + age_of_records()).count() / 2);
     std::vector<Entry> written;
     written.swap(m_in_flight);
     const bool handed_over = m_successor && m_successor->written;
--- a/src/jobs.lib/head_log.h
+++ b/src/jobs.lib/head_log.h
@@ -141,6 +141,9 @@
     bool may_lease(const std::string& worker) const;
     /// Schedules a write of the head row as soon as the spacing of writes allows.
     void write_soon();
+    /// Returns how long it takes at present until a row is stored, from record() on; 0 while
+    /// the store is slow.
+    Millis record_time() const;
     /// Returns whether all rows are stored.
     bool idle() const { return m_queue.empty() && m_in_flight.empty(); }
     /// Returns the number of jobs whose rows the store has rejected for good.
@@ -151,6 +154,7 @@
 private:
     struct Entry {
         std::string job;
+        Millis requested_at;
         std::vector<std::function<void()>> done;
     };
 
@@ -167,6 +171,7 @@
     void committed(int64_t version, Millis sent_at);
     const StoredRow* own_head(const StoreResult& result) const;
     void handle_fenced();
+    Millis age_of_records() const;
 
     EventLoop& m_loop;
     HeadLogOwner& m_owner;
@@ -198,6 +203,7 @@
     std::deque<std::string> m_queue; ///< Jobs to write, without duplicates.
     std::map<std::string, Entry> m_waiting; ///< Entries of the jobs in m_queue.
     std::vector<Entry> m_in_flight; ///< Entries of the transaction that is being written.
+    Millis m_record_time; ///< Smoothed.
     /// The successor to which the last write hands over.
     struct Successor {
         std::string leader_row;
--- a/src/jobs.lib/overloaded_leader_test.cpp
+++ b/src/jobs.lib/overloaded_leader_test.cpp
@@ -192,6 +192,7 @@
         const int64_t last = report.ended.back().number;
         m_world.after(m_delay, [&session, last] { session.ends_recorded(last); });
     }
+    Millis record_time() const override { return m_delay; }
 
 private:
     emulator::World& m_world;
--- a/src/jobs.lib/scheduler.h
+++ b/src/jobs.lib/scheduler.h
@@ -120,6 +120,7 @@
     bool orders_allowed() const override;
     void call_timed_out() override;
     bool has_recent_timeouts() const override;
+    Millis record_time() const override { return m_log.record_time(); }
     bool may_renew_lease(const WorkerSession& session) const override;
     void worker_lost(WorkerSession& session) override;
     void report_received(WorkerSession& session, const PollReport& report,
@@ -585,8 +586,8 @@
     /// Lease ends of workers that have not answered this leader, or not since their session
     /// ended, as known from earlier leaders or from those sessions.
     SilentWorkers m_silent_workers;
-    /// Workers that answer but wait for a head row that no longer lists them as silent.
     std::set<std::string> m_silent_sessions; ///< Workers whose sessions are silent.
+    /// Workers that answer but wait for a head row that no longer lists them as silent.
     std::set<std::string> m_awaiting_lease;
     /// Tasks that earlier leaders recorded on a worker, kept until the worker reports or
     /// none of them can be running there any more.
--- a/src/jobs.lib/worker_session.cpp
+++ b/src/jobs.lib/worker_session.cpp
@@ -31,6 +31,8 @@
 /// Pause between polls while ends wait to be recorded, since such polls return at once:
 /// about the time within which an end should be known.
 constexpr Millis unrecorded_poll_interval { 120 };
+/// Upper bound of that pause, if records take long.
+constexpr Millis max_unrecorded_poll_interval { 1000 };
 /// Interval of the polls of a watched worker.
 constexpr Millis watch_interval { 100 };
 /// Maximum age difference of answers that overtake each other on different connections.
@@ -265,10 +267,21 @@
     // New ends are recorded soon, and ends_recorded() then polls again. There is no hurry
     // either when the worker still lists recorded ends: acknowledging them needs an
     // established connection.
-    schedule_poll(m_last_forgotten_end < m_last_listed_end ? unrecorded_poll_interval
+    schedule_poll(m_last_forgotten_end < m_last_listed_end ? unrecorded_poll_delay()
                                                            : Millis(0));
 }
 
+// Polls that come before the record return the same ends. The short leases of a worker that
+// is about to end have to be renewed in time.
+Millis WorkerSession::unrecorded_poll_delay() const
+{
+    if (m_announced_end)
+        return unrecorded_poll_interval;
+    const Millis record_time = m_listener.record_time();
+    return std::clamp(record_time + record_time, unrecorded_poll_interval,
+                      max_unrecorded_poll_interval);
+}
+
 void WorkerSession::poll_failed(OrderStatus status, Millis sent_at)
 {
     const Millis now = m_loop.now();
--- a/src/jobs.lib/worker_session.h
+++ b/src/jobs.lib/worker_session.h
@@ -81,6 +81,8 @@
     virtual void call_timed_out() = 0;
     /// Returns whether workers have left calls unanswered lately.
     virtual bool has_recent_timeouts() const = 0;
+    /// Returns how long it takes at present until an end is recorded.
+    virtual Millis record_time() const { return Millis(0); }
     /// Returns whether the worker's lease may be renewed now.
     virtual bool may_renew_lease(const WorkerSession& session) const = 0;
     /// Called when the worker stopped answering.
@@ -185,9 +187,9 @@
         int64_t run = 0;
         StopReason reason = StopReason::unknown_run;
         Millis requested_at;
+        Millis sent_at; ///< When the order was last sent; zero when it never was.
         Millis overdue_logged_at; ///< When the log last reported the delay.
         int attempts = 0;
-        Millis sent_at; ///< When the order was last sent; zero when it never was.
         OrderStatus last_status = OrderStatus::unknown; ///< Answer to the last order.
         EventLoop::TimerId timer = 0;
     };
@@ -209,6 +211,8 @@
     void poll(bool may_wait);
     void schedule_watch();
     Millis poll_wait(bool may_wait) const;
+    Millis poll_hold(Millis wait) const;
+    Millis unrecorded_poll_delay() const;
     void record_response(OrderStatus status, Millis sent_at);
     void poll_answered(OrderStatus status, const std::optional<PollReport>& report,
                        int64_t fence, int64_t until, Millis sent_at);
@@ -226,12 +230,12 @@
                                        const UncertainStart& order);
     void start_answered(const OrderAnswer& answer, UncertainStart order);
     void raise_fence();
+    bool may_stop_while_silent(const StopRequest& request) const;
+    void send_next_stop();
     void send_stop(const RunKey& key);
     void send_stops();
     void log_overdue_stop(StopRequest& request);
     void end_incarnation(EndEvidence evidence);
-    bool may_stop_while_silent(const StopRequest& request) const;
-    void send_next_stop();
     int64_t ends_to_acknowledge() const;
     void update_forgotten(const PollReport& report, int64_t acked);
     void confirm_starts(const PollReport& report, Millis sent_at);
