Relays hold polls that bring no news

What the leader does for a poll that tells nothing is the largest part that can be left out without moving a decision.

A poll names a time for which its relay may keep back reports in which nothing has ended; the relay polls again itself, with the fence, acknowledged ends and lease of the leader's call, and answers as soon as a task has ended, a call has failed or the time (1.3 s, a quarter of the lease at most) is over. A report tells how long after the leader's poll it was asked for. If the worker refuses the fence, the leader has raised it, and the relay answers with the last report. Polls of workers about to end, and of those that are not settled, pass through as before.

--- a/src/include/pathport/jobs/worker_client.h
+++ b/src/include/pathport/jobs/worker_client.h
@@ -67,6 +67,9 @@
     int64_t lease_until = 0; ///< Worker clock in ms; 0 renews no lease.
     /// How long the worker holds its answer until a task ends; at most `max_poll_wait`.
     Millis wait;
+    /// How long a relay may keep reports back in which no task has ended, and poll again
+    /// instead; not used if it is shorter than `wait`.
+    Millis hold;
 };
 
 constexpr Millis max_poll_wait { 2000 };
@@ -98,6 +101,9 @@
     std::vector<RunningTask> running;
     std::vector<EndedTask> ended; ///< Those after `acked_through`.
     bool running_omitted = false; ///< `running` was reported recently and is omitted here.
+    /// Time between the caller's poll and the one that this report answers, which a relay
+    /// may have repeated.
+    Millis polled_after;
 
     /// Returns whether there are no ends beyond those listed. If the list is full, a run
     /// that the report lacks may be among the next ends.
--- a/src/jobs.lib/relayed_calls_codec.cpp
+++ b/src/jobs.lib/relayed_calls_codec.cpp
@@ -18,6 +18,9 @@
 constexpr int last_kind = static_cast<int>(RelayedKind::poll);
 constexpr int last_status = static_cast<int>(OrderStatus::unknown);
 constexpr int last_end = static_cast<int>(EndKind::gang_not_formed);
+/// Indices of fields that earlier versions lack, in the arrays of a poll and a report.
+constexpr size_t poll_hold_index = 9;
+constexpr size_t polled_after_index = 4;
 
 std::string dump(const Json& json)
 {
@@ -62,7 +65,7 @@
     case RelayedKind::poll:
         json.insert(json.end(),
                     { call.poll.fence, call.poll.acked_through, call.poll.lease_until,
-                      call.poll.wait.count() });
+                      call.poll.wait.count(), call.poll.hold.count() });
         break;
     }
     return json;
@@ -100,6 +103,9 @@
         call.poll.acked_through = json.at(6).get<int64_t>();
         call.poll.lease_until = json.at(7).get<int64_t>();
         call.poll.wait = Millis(json.at(8).get<int64_t>());
+        // Earlier versions send no time for which reports may be kept back.
+        if (json.size() > poll_hold_index)
+            call.poll.hold = Millis(json.at(poll_hold_index).get<int64_t>());
         break;
     }
     return call;
@@ -115,8 +121,8 @@
     for (const EndedTask& end : report.ended)
         ended.push_back({ end.number, end.task.to_string(), end.run,
                           static_cast<int>(end.kind), end.checkpoint });
-    return Json::array(
-        { report.clock_ms, std::move(running), std::move(ended), report.running_omitted });
+    return Json::array({ report.clock_ms, std::move(running), std::move(ended),
+                         report.running_omitted, report.polled_after.count() });
 }
 
 PollReport decode_report(const Json& json)
@@ -142,6 +148,8 @@
         report.ended.push_back(std::move(end));
     }
     report.running_omitted = json.at(3).get<bool>();
+    if (json.size() > polled_after_index)
+        report.polled_after = Millis(json.at(polled_after_index).get<int64_t>());
     return report;
 }
 
--- a/src/jobs.lib/relayed_workers.cpp
+++ b/src/jobs.lib/relayed_workers.cpp
@@ -48,6 +48,14 @@
 /// largest site. Orders of a forgotten job carry its payload.
 constexpr size_t max_acceptors = 5000;
 
+// Returns how much longer than a single poll a relay may keep its answer back.
+Millis hold_beyond_wait(const RelayedCall& call)
+{
+    if (call.kind != RelayedKind::poll)
+        return Millis(0);
+    return std::max(Millis(0), call.poll.hold - call.poll.wait);
+}
+
 // Adapts `done` to the answer to a relayed order.
 std::function<void(RelayedAnswer)> order_done(std::function<void(OrderAnswer)> done)
 {
@@ -100,6 +108,7 @@
     m_pending.clear();
     m_expired.clear();
     m_lag = AnswerLag(relay_margin, max_margin);
+    m_sweep_due = Millis(0);
     m_load = CallLoad();
     m_recent_load = CallLoad();
 }
@@ -108,7 +117,6 @@
 {
     if (nodes == m_nodes)
         return;
-    m_sweep_due = Millis(0);
     m_nodes = std::move(nodes);
     update_relays();
 }
@@ -183,7 +191,7 @@
     }
     call.number = ++m_last_number;
     const Millis now = m_loop.now();
-    const Millis own_end = now + call.timeout;
+    const Millis own_end = now + call.timeout + hold_beyond_wait(call);
     omit_payload(call);
     enqueue(relay->address,
             { std::move(call), std::move(done), relay->address, now, own_end });
@@ -515,8 +523,12 @@
 {
     if (!m_leads)
         return;
-    m_loop.after(sweep_interval, m_epoch_lifetime.wrap([this] { sweep(); }));
     const Millis now = m_loop.now();
+    // Answers that have arrived lie unread as long as this timer did.
+    if (m_sweep_due > Millis(0) && now - m_sweep_due >= sweep_interval)
+        m_lag.add_sample(now - m_sweep_due, now);
+    m_sweep_due = now + sweep_interval;
+    m_loop.after(sweep_interval, m_epoch_lifetime.wrap([this] { sweep(); }));
     if (now - m_load_updated_at >= load_interval)
         update_relays();
     const Millis margin = m_lag.margin();
@@ -524,10 +536,6 @@
     std::vector<std::string> silent;
     for (const auto& [number, pending] : m_pending) {
         if (now < pending.deadline + margin)
-    // Answers that have arrived lie unread as long as this timer did.
-    if (m_sweep_due > Millis(0) && now - m_sweep_due >= sweep_interval)
-        m_lag.add_sample(now - m_sweep_due, now);
-    m_sweep_due = now + sweep_interval;
             continue;
         overdue.push_back(number);
         const bool unheard = m_relay_states[pending.relay].last_heard < pending.submitted_at
--- a/src/jobs.lib/relayed_workers_test.cpp
+++ b/src/jobs.lib/relayed_workers_test.cpp
@@ -2,8 +2,8 @@
 // SPDX-License-Identifier: Apache-2.0
 
 /// \file
-/// Calls to workers through relays: contents of messages, and how a leader handles relays
-/// that refuse, stop answering, restart or lack a payload.
+/// Calls to workers through relays: contents of messages, how a leader handles relays that
+/// refuse, stop answering, restart or lack a payload, and polls that a relay repeats.
 
 #define BOOST_TEST_MODULE relayed_workers
 #include <boost/test/unit_test.hpp>
@@ -204,6 +204,113 @@
     BOOST_TEST((received->ended.front().kind == EndKind::failed));
 }
 
+namespace {
+
+/// A poll that a relay may hold, with the answer that the leader gets.
+struct HeldPollFixture : RelayFixture {
+    explicit HeldPollFixture(int64_t fence = 7)
+    {
+        PollRequest request;
+        request.fence = fence;
+        request.wait = Millis(500);
+        request.hold = Millis(1300);
+        WorkerInfo worker;
+        worker.id = "w1";
+        workers.poll(worker, request, Millis(700),
+                     [this](OrderStatus answered, const std::optional<PollReport>& found) {
+                         ++answers;
+                         status = answered;
+                         report = found;
+                     });
+        world.run_for(Millis(100)); // Until the relay has it.
+    }
+    /// The worker answers its last poll after it has waited for `waited`.
+    void answer(OrderStatus with, Millis waited, const PollReport& found = {})
+    {
+        world.run_for(waited);
+        relay_client.polls.back()(with, found);
+    }
+
+    int answers = 0;
+    OrderStatus status = OrderStatus::unknown;
+    std::optional<PollReport> report;
+};
+
+} // namespace
+
+// Most polls tell that nothing has ended. Each of them crossed the leader, twice a second
+// for each busy worker.
+BOOST_AUTO_TEST_CASE(a_held_poll_without_news_is_repeated_by_the_relay)
+{
+    HeldPollFixture fixture;
+    PollReport report;
+    report.clock_ms = 10;
+    fixture.answer(OrderStatus::accepted, Millis(480), report);
+    fixture.answer(OrderStatus::accepted, Millis(480), report);
+    BOOST_TEST(fixture.relay_client.polls.size() == 3U);
+    BOOST_TEST(fixture.answers == 0);
+    report.ended.push_back({ 12, { "job", 0, 0, 2 }, 3, EndKind::done, "" });
+    fixture.answer(OrderStatus::accepted, Millis(100), report);
+    fixture.world.run_for(Millis(60));
+    BOOST_TEST(fixture.answers == 1);
+    BOOST_REQUIRE(fixture.report.has_value());
+    BOOST_TEST(fixture.report->ended.size() == 1U);
+    // The report is no evidence of the time before the last poll was sent.
+    BOOST_TEST(fixture.report->polled_after >= Millis(900));
+    BOOST_TEST(fixture.report->polled_after < Millis(1100));
+}
+
+BOOST_AUTO_TEST_CASE(a_held_poll_is_answered_when_its_time_is_over)
+{
+    HeldPollFixture fixture;
+    fixture.answer(OrderStatus::accepted, Millis(480));
+    fixture.answer(OrderStatus::accepted, Millis(500));
+    fixture.answer(OrderStatus::accepted, Millis(300));
+    fixture.world.run_for(Millis(120));
+    BOOST_TEST(fixture.answers == 1);
+    BOOST_TEST((fixture.status == OrderStatus::accepted));
+    BOOST_TEST(fixture.relay_client.polls.size() == 3U);
+}
+
+// A worker that is lost or has restarted must be noticed as soon as without relays.
+BOOST_AUTO_TEST_CASE(a_failure_of_a_repeated_poll_is_told_at_once)
+{
+    for (const OrderStatus failure :
+         { OrderStatus::unknown, OrderStatus::refused, OrderStatus::wrong_incarnation }) {
+        HeldPollFixture fixture;
+        fixture.answer(OrderStatus::accepted, Millis(480));
+        fixture.answer(failure, Millis(100));
+        fixture.world.run_for(Millis(60));
+        BOOST_TEST(fixture.answers == 1);
+        BOOST_TEST((fixture.status == failure));
+    }
+}
+
+// The leader has raised the fence while its poll was held. That is no later leader's fence.
+BOOST_AUTO_TEST_CASE(a_held_poll_with_an_outdated_fence_ends_with_the_last_report)
+{
+    HeldPollFixture fixture;
+    PollReport report;
+    report.clock_ms = 10;
+    fixture.answer(OrderStatus::accepted, Millis(480), report);
+    fixture.answer(OrderStatus::stale_fence, Millis(100));
+    fixture.world.run_for(Millis(120));
+    BOOST_TEST(fixture.answers == 1);
+    BOOST_TEST((fixture.status == OrderStatus::accepted));
+    BOOST_REQUIRE(fixture.report.has_value());
+    BOOST_TEST(fixture.report->clock_ms == 10);
+}
+
+// A worker that answers without waiting would be polled without pause.
+BOOST_AUTO_TEST_CASE(a_poll_that_did_not_wait_is_not_repeated)
+{
+    HeldPollFixture fixture;
+    fixture.answer(OrderStatus::accepted, Millis(0));
+    fixture.world.run_for(Millis(120));
+    BOOST_TEST(fixture.answers == 1);
+    BOOST_TEST(fixture.relay_client.polls.size() == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(nothing_of_an_ended_epoch_comes_back)
 {
     RelayFixture fixture;
--- a/src/jobs.lib/worker_relay.cpp
+++ b/src/jobs.lib/worker_relay.cpp
@@ -18,6 +18,8 @@
 /// does not wait, since such polls resolve starts in doubt. They are most of a report, and
 /// only checkpoints and whether a task has stalled (for seconds) follow from them.
 constexpr Millis running_interval { 1000 };
+/// A poll is repeated only after a wait that took this long, and for one that may.
+constexpr Millis min_repeated_wait { 100 };
 /// Time-out for a payload: the messages to its node and back, and the delay of a busy node.
 constexpr Millis payload_timeout { 300 };
 /// A leader that has sent nothing for this time has ended, or uses other relays.
@@ -127,16 +129,61 @@
         m_workers.set_speed(worker, call.run, call.timeout, done);
         break;
     case RelayedKind::poll:
-        m_workers.poll(
-            worker, call.poll, call.timeout,
-            m_lifetime.wrap(
-                [this, leader, call](OrderStatus status, std::optional<PollReport> report) {
-                    poll_answered(leader, call, status, std::move(report));
-                }));
+        send_poll(leader, { call, m_loop.now(), m_loop.now(), std::nullopt });
         break;
     }
 }
 
+void WorkerRelay::send_poll(const std::string& leader, HeldPoll poll)
+{
+    poll.sent_at = m_loop.now();
+    const WorkerInfo worker = worker_of(poll.call);
+    PollRequest order = poll.call.poll;
+    const Millis left = poll.received_at + std::max(order.hold, order.wait) - poll.sent_at;
+    const Millis unused = std::max(Millis(0), order.wait - left);
+    order.wait = order.wait - unused;
+    const Millis timeout = poll.call.timeout - unused;
+    m_workers.poll(worker, order, timeout,
+                   m_lifetime.wrap([this, leader, poll = std::move(poll)](
+                                       OrderStatus status,
+                                       std::optional<PollReport> report) {
+                       poll_answered(leader, poll, status, std::move(report));
+                   }));
+}
+
+// A repeated poll has the fence and the lease of its leader's call, so it grants nothing
+// that the leader does not know of.
+bool WorkerRelay::may_repeat(const std::string& name, const HeldPoll& poll,
+                             const PollReport& report) const
+{
+    const auto leader = m_leaders.find(name);
+    const Millis left = poll.received_at + poll.call.poll.hold - m_loop.now();
+    // A worker that does not wait would be polled without pause.
+    const bool waited = m_loop.now() - poll.sent_at >= min_repeated_wait;
+    return report.ended.empty() && waited && left >= min_repeated_wait
+        && leader != m_leaders.end() && leader->second.epoch == m_epoch;
+}
+
+void WorkerRelay::poll_answered(const std::string& leader, HeldPoll poll,
+                                OrderStatus status, std::optional<PollReport> report)
+{
+    // The leader has raised the fence since, and learns of the worker by a later poll.
+    const bool outdated = status == OrderStatus::stale_fence && poll.last_report;
+    if (outdated) {
+        answer_poll(leader, poll.call, OrderStatus::accepted, std::move(poll.last_report));
+        return;
+    }
+    if (status == OrderStatus::accepted && report) {
+        report->polled_after = poll.sent_at - poll.received_at;
+        if (may_repeat(leader, poll, *report)) {
+            poll.last_report = std::move(report);
+            send_poll(leader, std::move(poll));
+            return;
+        }
+    }
+    answer_poll(leader, poll.call, status, std::move(report));
+}
+
 void WorkerRelay::start(const std::string& leader, RelayedCall call)
 {
     const std::string& job = call.start.task.job;
@@ -168,8 +215,8 @@
     queue_answer(leader, std::move(relayed), confirms ? confirmation_delay : urgent_delay);
 }
 
-void WorkerRelay::poll_answered(const std::string& name, const RelayedCall& call,
-                                OrderStatus status, std::optional<PollReport> report)
+void WorkerRelay::answer_poll(const std::string& name, const RelayedCall& call,
+                              OrderStatus status, std::optional<PollReport> report)
 {
     const auto leader = m_leaders.find(name);
     if (leader == m_leaders.end())
--- a/src/jobs.lib/worker_relay.h
+++ b/src/jobs.lib/worker_relay.h
@@ -60,8 +60,21 @@
     void start(const std::string& leader, RelayedCall call);
     void fetch_payload(const std::string& leader, const RelayedCall& call);
     void payload_received(const std::string& job, PeerEnd end, const PeerAnswer& answer);
-    void poll_answered(const std::string& leader, const RelayedCall& call,
-                       OrderStatus status, std::optional<PollReport> report);
+    /// A poll of a leader, which is repeated while reports of it have no news.
+    struct HeldPoll {
+        RelayedCall call;
+        Millis received_at;
+        Millis sent_at; ///< When it was last sent to the worker.
+        std::optional<PollReport> last_report;
+    };
+
+    void send_poll(const std::string& leader, HeldPoll poll);
+    bool may_repeat(const std::string& leader, const HeldPoll& poll,
+                    const PollReport& report) const;
+    void poll_answered(const std::string& leader, HeldPoll poll, OrderStatus status,
+                       std::optional<PollReport> report);
+    void answer_poll(const std::string& leader, const RelayedCall& call, OrderStatus status,
+                     std::optional<PollReport> report);
     void order_answered(const std::string& leader, int64_t number,
                         const OrderAnswer& answer);
     void queue_answer(const std::string& leader, RelayedAnswer answer, Millis delay);
--- a/src/jobs.lib/worker_session.cpp
+++ b/src/jobs.lib/worker_session.cpp
@@ -17,6 +17,12 @@
 constexpr Millis idle_poll_wait { 1800 };
 constexpr Millis busy_poll_wait { 500 };
 constexpr Millis lossy_poll_wait { 250 };
+/// How long a relay may keep back reports of a busy worker in which no task has ended, and
+/// poll again itself. Progress is reported so often, twice within the time after which a
+/// task counts as stalled.
+constexpr Millis busy_poll_hold { 1300 };
+/// Polls in the time of the longest lease, so that some may be lost.
+constexpr int64_t min_polls_per_lease = 4;
 /// Bounds of the answer time-out. The lower one covers some passes of the scheduler (12 ms
 /// each), which delay both the call and the answer; the upper one also applies until
 /// response times are known.
@@ -182,6 +188,7 @@
     const bool renews = m_failed_polls == 0 && m_listener.may_renew_lease(*this);
     order.lease_until = renews ? lease_until() : 0;
     order.wait = poll_wait(may_wait);
+    order.hold = poll_hold(order.wait);
     extend_lease_expiry(order.lease_until);
     ++m_open_polls;
     const Millis sent_at = m_loop.now();
@@ -219,6 +226,15 @@
                                                                : idle_poll_wait;
 }
 
+// The short leases of a worker that is about to end have to be renewed in time.
+Millis WorkerSession::poll_hold(Millis wait) const
+{
+    if (wait == Millis(0) || m_announced_end)
+        return wait;
+    const Millis longest(m_timeouts.max_lease.count() / min_polls_per_lease);
+    return std::max(wait, std::min(busy_poll_hold, longest));
+}
+
 void WorkerSession::record_response(OrderStatus status, Millis sent_at)
 {
     if (status == OrderStatus::unknown || status == OrderStatus::unreachable) {
@@ -255,7 +271,7 @@
     m_failed_polls = 0;
     update_clock(report->clock_ms, until);
     const auto alive = m_lifetime.observe();
-    handle_report(*report, fence, sent_at);
+    handle_report(*report, fence, sent_at + report->polled_after);
     if (alive.expired() || m_ended)
         return;
     if (recovered)
