A late leader says so in its row, and is waited for

Cause: a follower takes the head row's standing still for 0.6 s for the leader's end, and a leader whose timers and answers are late writes it less often than that.

The log tells in the head row how late its timer runs (in steps of 0.1 s, 1 s at most), a claim carries that over, and followers wait three times as long in addition. A leader that is in time writes no such field, so what it takes to notice its end is unchanged.

The emulator's processors have a speed now.

--- a/src/emulator.lib/virtual_loop.cpp
+++ b/src/emulator.lib/virtual_loop.cpp
@@ -148,7 +148,7 @@
     run(work);
     if (!*alive)
         return;
-    const Millis duration = m_cost.event + m_clock_cost;
+    const Millis duration = at_speed(m_cost.event + m_clock_cost);
     m_clock_cost = Millis(0);
     m_world.after(duration, [this, alive] {
         if (!*alive)
@@ -158,6 +158,16 @@
     });
 }
 
+// Returns how long work takes at the processor's speed. Fractions of a millisecond are
+// carried over to the next piece of work.
+Millis ProcessLoop::at_speed(Millis work)
+{
+    constexpr int64_t full_speed = 100;
+    const int64_t scaled = work.count() * full_speed + m_unscaled;
+    m_unscaled = scaled % m_cost.speed_percent;
+    return Millis(scaled / m_cost.speed_percent);
+}
+
 void ProcessLoop::run(const std::function<void()>& work)
 {
     m_running = true;
--- a/src/include/pathport/emulator/virtual_loop.h
+++ b/src/include/pathport/emulator/virtual_loop.h
@@ -52,6 +52,7 @@
     /// Number of list entries that are processed in a millisecond; 0 if that takes no time.
     /// See EventLoop::note_work().
     int64_t entries_per_ms = 0;
+    int speed_percent = 100; ///< Speed of the processor; all work takes longer below 100.
 
     bool is_zero() const
     {
@@ -96,6 +97,7 @@
     Millis suspended_time() const;
     void run_ready();
     void run(const std::function<void()>& work);
+    Millis at_speed(Millis work);
 
     World& m_world;
     ProcessorCost m_cost;
@@ -104,6 +106,7 @@
     /// Spent on clock readings and list entries by the present work.
     mutable Millis m_clock_cost;
     int64_t m_entries = 0; ///< Processed but not charged yet, less than a millisecond's.
+    int64_t m_unscaled = 0; ///< Remainder of a division by the speed.
     bool m_running = false;
     /// Time that timers do not count, up to the end of the last suspension.
     Millis m_total_suspended;
--- a/src/jobs.lib/head_log.cpp
+++ b/src/jobs.lib/head_log.cpp
@@ -46,6 +46,12 @@
 constexpr size_t min_list_bytes = 1000;
 /// Index of the silent workers in the row's JSON array.
 constexpr size_t silent_index = 4;
+/// Index of the lateness, which is there if it is not 0.
+constexpr size_t lateness_index = 5;
+/// Lateness is told in steps of this size, and up to a limit: a successor waits longer for a
+/// leader that is late.
+constexpr Millis lateness_step { 100 };
+constexpr Millis max_lateness { 1000 };
 /// Maximum number of rows in one transaction besides the head row, its check and the leader
 /// row.
 constexpr size_t max_rows = max_transaction_entries - 3;
@@ -67,9 +73,12 @@
 
 std::string encode(const HeadValue& head)
 {
-    return nlohmann::json::array({ head.epoch, head.number, head.incarnation,
-                                   head.unrecorded_task_workers, head.silent.grouped() })
-        .dump();
+    auto json
+        = nlohmann::json::array({ head.epoch, head.number, head.incarnation,
+                                  head.unrecorded_task_workers, head.silent.grouped() });
+    if (head.lateness > Millis(0))
+        json.push_back(head.lateness.count());
+    return json.dump();
 }
 
 HeadValue unreadable_head()
@@ -97,6 +106,9 @@
         if (json.size() > silent_index)
             head.silent = SilentWorkers::from_groups(
                 json.at(silent_index).get<std::vector<SilentWorkers::Group>>());
+        if (json.size() > lateness_index)
+            head.lateness = std::clamp(Millis(json.at(lateness_index).get<int64_t>()),
+                                       Millis(0), max_lateness);
         return head;
     } catch (const nlohmann::json::exception&) {
         return std::nullopt;
@@ -226,10 +238,17 @@
     m_timer_at = at;
     m_timer = m_loop.after(delay, m_lifetime.wrap([this] {
         m_timer = 0;
+        note_lateness(m_loop.now() - m_timer_at);
         flush();
     }));
 }
 
+// A single pause is soon forgotten.
+void HeadLog::note_lateness(Millis late)
+{
+    m_lateness = std::max(late, Millis(m_lateness.count() / 2));
+}
+
 void HeadLog::flush()
 {
     if (m_closed || m_sending)
@@ -311,6 +330,9 @@
     m_head.unrecorded_task_workers = m_owner.unrecorded_workers(
         m_prepared.early_orders_allowed,
         m_max_list_bytes - std::min(m_max_list_bytes, silent_bytes));
+    m_head.lateness
+        = Millis(std::min(m_lateness, max_lateness).count() / lateness_step.count()
+                 * lateness_step.count());
     m_prepared.head = m_head;
     m_write.puts.front().value = encode(m_head);
 }
--- a/src/jobs.lib/head_log.h
+++ b/src/jobs.lib/head_log.h
@@ -41,13 +41,15 @@
     std::vector<std::string> unrecorded_task_workers;
     /// Workers whose lease the leader does not renew.
     SilentWorkers silent {};
+    /// How late the leader's timers ran lately; it writes the row that much less often.
+    Millis lateness {};
 
     bool operator==(const HeadValue& other) const
     {
         return epoch == other.epoch && number == other.number
             && incarnation == other.incarnation
             && unrecorded_task_workers == other.unrecorded_task_workers
-            && silent == other.silent;
+            && silent == other.silent && lateness == other.lateness;
     }
     /// Returns whether the previous leader wrote it on behalf of its successor.
     bool handed_over() const { return number < 0; }
@@ -159,6 +161,7 @@
     };
 
     void schedule(Millis delay);
+    void note_lateness(Millis late);
     void flush();
     void prepare_write();
     void prepare_head();
@@ -204,6 +207,7 @@
     std::map<std::string, Entry> m_waiting; ///< Entries of the jobs in m_queue.
     std::vector<Entry> m_in_flight; ///< Entries of the transaction that is being written.
     Millis m_record_time; ///< Smoothed.
+    Millis m_lateness; ///< Of the timer; the last values count most.
     /// The successor to which the last write hands over.
     struct Successor {
         std::string leader_row;
--- a/src/jobs.lib/leadership.cpp
+++ b/src/jobs.lib/leadership.cpp
@@ -38,6 +38,9 @@
 /// `weaker_node_delay`: a slow store delays both the leader's writes and other nodes'
 /// claims.
 constexpr int64_t slow_store_multiple = 3;
+/// Multiple of the leader's lateness that is added to `head_stall_timeout`: the timer of its
+/// next write and the answer to the last one are late, and a pass may come between.
+constexpr int64_t late_leader_multiple = 3;
 /// Interval at which the rows are read while the leader does not answer.
 constexpr Millis unresponsive_read_interval { 120 };
 constexpr Millis refused_read_interval { 60 };
@@ -276,7 +279,8 @@
     }
     const bool refuses = m_refusals >= max_refusals;
     const Millis timeout = refuses ? refused_head_stall_timeout : head_stall_timeout;
-    if (now - m_head_stalled_since >= timeout + slow_store_allowance()) {
+    if (now - m_head_stalled_since
+        >= timeout + slow_store_allowance() + late_leader_allowance()) {
         claim();
         return;
     }
@@ -426,6 +430,12 @@
     return Millis(slow_store_multiple * m_read_time.count());
 }
 
+// A leader that is short of processor time writes the row less often.
+Millis Leadership::late_leader_allowance() const
+{
+    return Millis(late_leader_multiple * m_head.lateness.count());
+}
+
 // Waits, then reads the rows again; this node claims if they still name the same leader.
 void Leadership::defer_claim()
 {
@@ -448,7 +458,8 @@
     LeaderValue leader { m_leader.epoch + 1, m_identity };
     // The previous leaders' entries are carried over until this leader has resolved them.
     m_claimed_head = HeadValue { leader.epoch, 0, m_identity.incarnation,
-                                 m_head.unrecorded_task_workers, m_head.silent };
+                                 m_head.unrecorded_task_workers, m_head.silent,
+                                 m_head.lateness };
     m_claim_started = m_loop.now();
     m_predecessor = m_leader.identity.address;
     StoreWrite write;
--- a/src/jobs.lib/leadership.h
+++ b/src/jobs.lib/leadership.h
@@ -110,6 +110,7 @@
     void claim();
     bool should_yield() const;
     Millis slow_store_allowance() const;
+    Millis late_leader_allowance() const;
     void defer_claim();
     void send_claim();
     void claim_answered(const StoreResult& result, Millis sent_at);
