--- a/src/jobs.lib/head_log.cpp
+++ b/src/jobs.lib/head_log.cpp
@@ -48,8 +48,8 @@
 constexpr size_t silent_index = 4;
 /// Index of the lateness, which is there if it is not 0.
 constexpr size_t lateness_index = 5;
-/// Lateness is told in steps of this size, and up to a limit: a successor waits longer for a
-/// leader that is late.
+/// Lateness is told in steps of this size, and up to a limit: a successor waits longer for
+/// a leader that is late.
 constexpr Millis lateness_step { 100 };
 constexpr Millis max_lateness { 1000 };
 /// Maximum number of rows in one transaction besides the head row, its check and the leader
@@ -197,7 +197,8 @@
 
 Millis HeadLog::age_of_records() const
 {
-    return m_in_flight.empty() ? Millis(0) : m_loop.now() - m_in_flight.front().requested_at;
+    return m_in_flight.empty() ? Millis(0)
+                               : m_loop.now() - m_in_flight.front().requested_at;
 }
 
 // A slow store leaves processor time for polls, and what ends meanwhile should be known.
@@ -330,9 +331,8 @@
     m_head.unrecorded_task_workers = m_owner.unrecorded_workers(
         m_prepared.early_orders_allowed,
         m_max_list_bytes - std::min(m_max_list_bytes, silent_bytes));
-    m_head.lateness
-        = Millis(std::min(m_lateness, max_lateness).count() / lateness_step.count()
-                 * lateness_step.count());
+    m_head.lateness = Millis(std::min(m_lateness, max_lateness).count()
+                             / lateness_step.count() * lateness_step.count());
     m_prepared.head = m_head;
     m_write.puts.front().value = encode(m_head);
 }
--- a/src/jobs.lib/head_log.h
+++ b/src/jobs.lib/head_log.h
@@ -143,8 +143,8 @@
     bool may_lease(const std::string& worker) const;
     /// Schedules a write of the head row as soon as the spacing of writes allows.
     void write_soon();
-    /// Returns how long it takes at present until a row is stored, from record() on; 0 while
-    /// the store is slow.
+    /// Returns how long it takes at present until a row is stored, from record() on; 0
+    /// while the store is slow.
     Millis record_time() const;
     /// Returns whether all rows are stored.
     bool idle() const { return m_queue.empty() && m_in_flight.empty(); }
--- a/src/jobs.lib/leadership.cpp
+++ b/src/jobs.lib/leadership.cpp
@@ -38,8 +38,8 @@
 /// `weaker_node_delay`: a slow store delays both the leader's writes and other nodes'
 /// claims.
 constexpr int64_t slow_store_multiple = 3;
-/// Multiple of the leader's lateness that is added to `head_stall_timeout`: the timer of its
-/// next write and the answer to the last one are late, and a pass may come between.
+/// Multiple of the leader's lateness that is added to `head_stall_timeout`: the timer of
+/// its next write and the answer to the last one are late, and a pass may come between.
 constexpr int64_t late_leader_multiple = 3;
 /// Interval at which the rows are read while the leader does not answer.
 constexpr Millis unresponsive_read_interval { 120 };
@@ -457,9 +457,9 @@
         return;
     LeaderValue leader { m_leader.epoch + 1, m_identity };
     // The previous leaders' entries are carried over until this leader has resolved them.
-    m_claimed_head = HeadValue { leader.epoch, 0, m_identity.incarnation,
-                                 m_head.unrecorded_task_workers, m_head.silent,
-                                 m_head.lateness };
+    m_claimed_head = HeadValue { leader.epoch,           0,
+                                 m_identity.incarnation, m_head.unrecorded_task_workers,
+                                 m_head.silent,          m_head.lateness };
     m_claim_started = m_loop.now();
     m_predecessor = m_leader.identity.address;
     StoreWrite write;
--- a/src/jobs.lib/overloaded_leader_test.cpp
+++ b/src/jobs.lib/overloaded_leader_test.cpp
@@ -243,7 +243,8 @@
 }
 
 // The same from the moment when the leader falls behind, before it has read a late answer.
-BOOST_AUTO_TEST_CASE(answers_that_lie_unread_when_the_lateness_begins_are_not_taken_for_lost)
+BOOST_AUTO_TEST_CASE(
+    answers_that_lie_unread_when_the_lateness_begins_are_not_taken_for_lost)
 {
     RelayFixture fixture;
     start_tasks(fixture, Millis(4000));
--- a/src/jobs.lib/scheduler_tick.cpp
+++ b/src/jobs.lib/scheduler_tick.cpp
@@ -155,7 +155,7 @@
         // A member that has finished its work waits for the others.
         const bool working
             = task.phase == TaskPhase::running && task.percent < all_done_percent;
-        // Only a report tells that there was no progress; this leader may be late to read it.
+        // Only a report tells of no progress, and this leader may read it late.
         if (!working || task.evidence.last_alive() - task.percent_at < stall_time
             || now - task.placed_at < stall_time)
             continue;
--- a/src/jobs.lib/table_reader.cpp
+++ b/src/jobs.lib/table_reader.cpp
@@ -110,7 +110,8 @@
             send_read(page);
             return;
         }
-        m_loop.after(std::min(late, read_timeout), m_lifetime.wrap([this, page] { send_read(page); }));
+        m_loop.after(std::min(late, read_timeout),
+                     m_lifetime.wrap([this, page] { send_read(page); }));
     }));
 }
 
--- a/src/jobs.lib/worker_relay.cpp
+++ b/src/jobs.lib/worker_relay.cpp
@@ -143,12 +143,12 @@
     const Millis unused = std::max(Millis(0), order.wait - left);
     order.wait = order.wait - unused;
     const Millis timeout = poll.call.timeout - unused;
-    m_workers.poll(worker, order, timeout,
-                   m_lifetime.wrap([this, leader, poll = std::move(poll)](
-                                       OrderStatus status,
-                                       std::optional<PollReport> report) {
-                       poll_answered(leader, poll, status, std::move(report));
-                   }));
+    m_workers.poll(
+        worker, order, timeout,
+        m_lifetime.wrap([this, leader, poll = std::move(poll)](
+                            OrderStatus status, std::optional<PollReport> report) {
+            poll_answered(leader, poll, status, std::move(report));
+        }));
 }
 
 // A repeated poll has the fence and the lease of its leader's call, so it grants nothing
