--- a/src/jobs.lib/run_evidence.h
+++ b/src/jobs.lib/run_evidence.h
@@ -56,8 +56,6 @@
     Millis since() const { return m_since; }
     /// Returns when its worker last listed or accepted it.
     Millis last_listed() const { return m_last_listed; }
-    /// Returns when the last poll was sent that found it running.
-    Millis last_alive() const { return m_alive_at; }
 
     /// Returns how long the run is known to have existed until it was last listed; nothing
     /// if that is not known: nothing confirms the run, or an earlier leader started it. An
--- a/src/jobs.lib/scheduler_tick.cpp
+++ b/src/jobs.lib/scheduler_tick.cpp
@@ -155,13 +155,15 @@
         // A member that has finished its work waits for the others.
         const bool working
             = task.phase == TaskPhase::running && task.percent < all_done_percent;
-        // Only a report tells of no progress, and this leader may read it late.
-        if (!working || task.evidence.last_alive() - task.percent_at < stall_time
-            || now - task.placed_at < stall_time)
+        if (!working || now - task.placed_at < stall_time)
             continue;
         Worker* worker = find_worker(task.worker);
         if (worker == nullptr || !worker->session->usable())
             continue;
+        // Only a full report tells that there was no progress or no such task, and this
+        // leader may read it late.
+        if (worker->session->last_full_report() - task.percent_at < stall_time)
+            continue;
         const TaskId id { job.id(), step.repeat, step.index, static_cast<int>(i) };
         log_event(
             LogLevel::warn, "task_stands_still",
