Log why a node claims, why a leader stays, and how it comes back

The lines could not tell a claim for a resignation from one for a head row that stands, nor how old the observation was; no line said why a hand-over is not due; nothing showed how long a leader takes from the end of an outage to its first row.

claim and claim_deferred now carry their reason and inputs, hand_over_obstacle is told when it changes, log_write_resumed once an outage. No decision changes.

--- a/src/jobs.lib/head_log.cpp
+++ b/src/jobs.lib/head_log.cpp
@@ -376,7 +376,7 @@
         return;
     case StoreStatus::refused:
     case StoreStatus::history_lost:
-        m_served = false;
+        note_unserved();
         schedule(refused_retry_delay);
         return;
     case StoreStatus::unknown:
@@ -386,12 +386,35 @@
         }
         // The same write is sent again; its check ensures that it takes effect at most
         // once.
-        m_served = false;
+        note_unserved();
         schedule(Millis(1));
         return;
     }
 }
 
+void HeadLog::note_unserved()
+{
+    if (m_served)
+        m_unserved_since = m_loop.now();
+    m_served = false;
+}
+
+// Logs the end of an outage of the store for this log.
+void HeadLog::note_served(Millis sent_at)
+{
+    if (!m_served)
+        log_event(LogLevel::info, "log_write_resumed",
+                  { { "epoch", m_head.epoch },
+                    { "unserved_ms", (m_loop.now() - m_unserved_since).count() },
+                    { "written_ms_ago",
+                      (m_loop.now() - (m_lease_until - leader_lease)).count() },
+                    { "after_ms", (m_loop.now() - sent_at).count() },
+                    { "lateness_ms", m_lateness.count() },
+                    { "rows", static_cast<int64_t>(m_in_flight.size()) },
+                    { "waiting", static_cast<int64_t>(m_queue.size()) } });
+    m_served = true;
+}
+
 // The store will never take this write, and sending it again would hold back all others.
 // Its rows are divided until the faulty one is alone, and that one is set aside.
 void HeadLog::rejected()
@@ -455,7 +478,7 @@
 {
     if (m_mechanisms.uses(Mechanism::write_batching))
         m_row_limit = std::min(m_row_limit * 2, max_rows);
-    m_served = true;
+    note_served(sent_at);
     m_version = version;
     m_lease_until = sent_at + leader_lease;
     m_pending_write = false;
--- a/src/jobs.lib/head_log.h
+++ b/src/jobs.lib/head_log.h
@@ -126,6 +126,10 @@
                    std::function<void()> done);
     /// Returns whether the store is much slower than normal.
     bool slow() const { return m_writer.slow(); }
+    /// Returns how late this log's timer ran lately.
+    Millis lateness() const { return m_lateness; }
+    /// Returns the smoothed time from a write to the reading of its reply.
+    Millis write_latency() const { return m_writer.latency(); }
 
     /// Returns until when the leader may send orders because of its last write.
     Millis lease_until() const { return m_lease_until; }
@@ -172,6 +176,8 @@
     void requeue_in_flight();
     bool is_rejected(const std::string& job, const std::optional<std::string>& value) const;
     void committed(int64_t version, Millis sent_at);
+    void note_unserved();
+    void note_served(Millis sent_at);
     const StoredRow* own_head(const StoreResult& result) const;
     void handle_fenced();
     Millis age_of_records() const;
@@ -199,6 +205,7 @@
     HeadState m_committed; ///< Of the last write that took effect.
     HeadState m_prepared; ///< Of the last write that was prepared.
     bool m_served = true;
+    Millis m_unserved_since; ///< When a write first failed, if none was stored since.
     bool m_closed = false;
     bool m_sending = false;
     EventLoop::TimerId m_timer = 0;
--- a/src/jobs.lib/job_node.cpp
+++ b/src/jobs.lib/job_node.cpp
@@ -87,6 +87,7 @@
     m_unheard_peers = { m_peers.addresses().begin(), m_peers.addresses().end() };
     m_unheard_peers.erase(m_setup.peer_address);
     m_handing_over = false;
+    m_logged_obstacle = HandOverObstacle::none;
     m_last_lead_tick = m_context.loop.now();
     m_elected_at = m_last_lead_tick;
     SchedulerContext context { m_context.loop,
@@ -260,6 +261,7 @@
     refresh_relays();
     update_peer_list();
     update_promises();
+    log_hand_over_obstacle();
     consider_resigning();
     m_context.loop.after(lead_tick_interval, m_lifetime.wrap([this] { lead_tick(); }));
 }
--- a/src/jobs.lib/job_node_impl.h
+++ b/src/jobs.lib/job_node_impl.h
@@ -45,6 +45,19 @@
 /// Time-out for a message without content.
 constexpr Millis probe_timeout { 300 };
 
+/// Why a leader does not hand over.
+enum class HandOverObstacle {
+    none, ///< It should hand over now.
+    in_progress, ///< The log is about to make another node the leader.
+    loading, ///< It does not schedule yet.
+    strongest, ///< No live follower that the store serves is more powerful.
+    store_slow, ///< The next leader would read all open jobs from a slow store.
+    disabled, ///< The mechanism is off.
+};
+
+/// Returns the lower-case name of `obstacle`.
+const char* to_string(HandOverObstacle obstacle);
+
 /// Implementation of JobNode.
 class JobNode::Impl : public LeadershipListener {
 public:
@@ -117,7 +130,8 @@
     void refresh_relays();
     // Succession (job_node_succession.cpp).
     void consider_resigning();
-    bool hand_over_due() const;
+    HandOverObstacle hand_over_obstacle() const;
+    void log_hand_over_obstacle();
     void hand_over_to(const std::string& address, const char* reason);
     bool other_node_served() const;
     std::string successor() const;
@@ -203,6 +217,8 @@
     bool m_shutting_down = false;
     Millis m_shutdown_started; ///< When the orderly shutdown began.
     std::optional<LeaderValue> m_successor; ///< Named by this leader's last write.
+    /// As of the last log line on it.
+    HandOverObstacle m_logged_obstacle = HandOverObstacle::none;
     bool m_handing_over = false; ///< The log is about to make another node the leader.
     /// Whether the store served the leader, as of its last answer.
     bool m_leader_served = false;
--- a/src/jobs.lib/job_node_succession.cpp
+++ b/src/jobs.lib/job_node_succession.cpp
@@ -21,6 +21,25 @@
 
 } // namespace
 
+const char* to_string(HandOverObstacle obstacle)
+{
+    switch (obstacle) {
+    case HandOverObstacle::none:
+        return "none";
+    case HandOverObstacle::in_progress:
+        return "in_progress";
+    case HandOverObstacle::loading:
+        return "loading";
+    case HandOverObstacle::strongest:
+        return "strongest";
+    case HandOverObstacle::store_slow:
+        return "store_slow";
+    case HandOverObstacle::disabled:
+        break;
+    }
+    return "disabled";
+}
+
 // The leader must no longer make this node its successor.
 void JobNode::Impl::notify_leader_of_shutdown()
 {
@@ -40,7 +59,8 @@
     const bool unserved = !m_scheduler->log().served() && m_store.failing()
         && now - last_write > max_unserved_time;
     // This runs at each heartbeat, so the followers are searched only when it matters.
-    const std::string next = hand_over_due() ? successor() : std::string();
+    const bool hand_over_due = hand_over_obstacle() == HandOverObstacle::none;
+    const std::string next = hand_over_due ? successor() : std::string();
     const Follower* const candidate = m_followers.find(next);
     // The one that was more powerful may have fallen silent since the last refresh.
     if (candidate != nullptr
@@ -71,18 +91,44 @@
     return served;
 }
 
-// Returns whether another node should become the leader now. A new leader reads all open
-// jobs, so while the store is slow this node stays leader for as long as its shutdown time
+// Returns why no other node should become the leader now. A new leader reads all open jobs,
+// so while the store is slow this node stays leader for as long as its shutdown time
 // allows.
-bool JobNode::Impl::hand_over_due() const
+HandOverObstacle JobNode::Impl::hand_over_obstacle() const
 {
-    if (m_handing_over || !m_scheduler->scheduling()
-        || !m_setup.mechanisms.uses(Mechanism::hand_over))
-        return false;
+    if (!m_setup.mechanisms.uses(Mechanism::hand_over))
+        return HandOverObstacle::disabled;
+    if (m_handing_over)
+        return HandOverObstacle::in_progress;
+    if (!m_scheduler->scheduling())
+        return HandOverObstacle::loading;
     const bool stronger = m_followers.max_millicores() > m_setup.cpu_millicores;
+    if (!m_shutting_down && !stronger)
+        return HandOverObstacle::strongest;
     const bool overdue = m_shutting_down
         && m_context.loop.now() - m_shutdown_started >= m_setup.max_hand_over_delay;
-    return (m_shutting_down || stronger) && (!m_scheduler->log().slow() || overdue);
+    if (m_scheduler->log().slow() && !overdue)
+        return HandOverObstacle::store_slow;
+    return HandOverObstacle::none;
+}
+
+// A leader that stays although others are more powerful says why, once for each change.
+void JobNode::Impl::log_hand_over_obstacle()
+{
+    const HandOverObstacle obstacle = hand_over_obstacle();
+    if (obstacle == m_logged_obstacle)
+        return;
+    m_logged_obstacle = obstacle;
+    const HeadLog& log = m_scheduler->log();
+    log_event(LogLevel::info, "hand_over_obstacle",
+              { { "epoch", m_leadership.epoch() },
+                { "obstacle", to_string(obstacle) },
+                { "cpu_millicores", m_setup.cpu_millicores },
+                { "strongest_follower", m_followers.max_millicores() },
+                { "followers", static_cast<int64_t>(m_followers.size()) },
+                { "write_ms", log.write_latency().count() },
+                { "lateness_ms", log.lateness().count() },
+                { "log_backlog", static_cast<int64_t>(log.backlog()) } });
 }
 
 // Returns the address of the most powerful live follower whose store access isn't failing,
--- a/src/jobs.lib/leadership.cpp
+++ b/src/jobs.lib/leadership.cpp
@@ -59,6 +59,19 @@
 
 } // namespace
 
+const char* to_string(ClaimReason reason)
+{
+    switch (reason) {
+    case ClaimReason::vacant:
+        return "vacant";
+    case ClaimReason::not_leading:
+        return "not_leading";
+    case ClaimReason::head_stalled:
+        break;
+    }
+    return "head_stalled";
+}
+
 std::string encode(const LeaderValue& leader)
 {
     return nlohmann::json::array({ leader.epoch, leader.identity.node,
@@ -151,10 +164,16 @@
 {
     if (m_leading || epoch != m_leader.epoch)
         return;
-    m_claim_wanted = true;
+    want_claim();
     read_rows();
 }
 
+void Leadership::want_claim()
+{
+    m_claim_wanted = true;
+    m_claim_wanted_at = m_loop.now();
+}
+
 void Leadership::leader_announced(const LeaderValue& leader)
 {
     if (m_leading)
@@ -265,7 +284,7 @@
     const bool no_leader
         = m_leader.epoch == 0 || own_row || m_leader.identity.address == m_identity.address;
     if (no_leader || m_claim_wanted) {
-        claim();
+        claim(no_leader ? ClaimReason::vacant : ClaimReason::not_leading);
         return;
     }
     if (!m_leader_silent) {
@@ -281,7 +300,7 @@
     const Millis timeout = refuses ? refused_head_stall_timeout : head_stall_timeout;
     if (now - m_head_stalled_since
         >= timeout + slow_store_allowance() + late_leader_allowance()) {
-        claim();
+        claim(ClaimReason::head_stalled);
         return;
     }
     schedule_follow(refuses ? refused_read_interval : unresponsive_read_interval);
@@ -352,7 +371,7 @@
         return;
     }
     // It resigned, was deposed or is another process; the rows tell which.
-    m_claim_wanted = true;
+    want_claim();
     read_rows();
 }
 
@@ -398,7 +417,7 @@
         ask_leader();
 }
 
-void Leadership::claim()
+void Leadership::claim(ClaimReason reason)
 {
     if (m_claiming || m_deferring || m_leading || m_retired)
         return;
@@ -413,6 +432,7 @@
     }
     m_claiming = true;
     m_claim_wanted = false;
+    m_claim_reason = reason;
     const Millis spread(static_cast<int64_t>(m_loop.random() % claim_spread_ms));
     m_loop.after(spread, m_lifetime.wrap([this] { send_claim(); }));
 }
@@ -436,16 +456,35 @@
     return Millis(late_leader_multiple * m_head.lateness.count());
 }
 
+// Returns what this node knew when it decided on a claim, for the log.
+std::vector<LogField> Leadership::claim_inputs() const
+{
+    const Millis now = m_loop.now();
+    const bool stands = m_leader_silent && m_stalled_head_version == m_head_version;
+    return { { "answered_ms_ago", (now - m_leader_answered_at).count() },
+             { "head_stood_ms", stands ? (now - m_head_stalled_since).count() : 0 },
+             { "head_lateness_ms", m_head.lateness.count() },
+             { "wanted_ms_ago",
+               m_claim_wanted_at == Millis() ? -1 : (now - m_claim_wanted_at).count() },
+             { "read_ms", m_read_time.count() },
+             { "cpu_millicores", m_identity.cpu_millicores },
+             { "strongest_peer", m_max_peer_millicores },
+             { "deferred", m_deferred ? "yes" : "no" } };
+}
+
 // Waits, then reads the rows again; this node claims if they still name the same leader.
 void Leadership::defer_claim()
 {
     m_deferring = true;
+    std::vector<LogField> fields = claim_inputs();
+    fields.push_back({ "epoch", m_leader.epoch });
+    log_event(LogLevel::info, "claim_deferred", fields);
     const auto recheck = [this, epoch = m_leader.epoch] {
         m_deferring = false;
         if (m_leading || m_retired || m_leader.epoch != epoch)
             return;
         m_deferred = true;
-        m_claim_wanted = true;
+        want_claim();
         read_rows();
     };
     m_loop.after(weaker_node_delay + slow_store_allowance(), m_lifetime.wrap(recheck));
@@ -475,12 +514,14 @@
 
 void Leadership::claim_answered(const StoreResult& result, Millis sent_at)
 {
-    log_event(LogLevel::info, "claim",
-              { { "epoch", m_claimed_head.epoch },
-                { "instead_of", m_leader.identity.node },
-                { "won", claim_version(result) ? "yes" : "no" },
-                { "status", static_cast<int>(result.status) },
-                { "after_ms", (m_loop.now() - sent_at).count() } });
+    std::vector<LogField> fields = claim_inputs();
+    fields.push_back({ "epoch", m_claimed_head.epoch });
+    fields.push_back({ "instead_of", m_leader.identity.node });
+    fields.push_back({ "reason", to_string(m_claim_reason) });
+    fields.push_back({ "won", claim_version(result) ? "yes" : "no" });
+    fields.push_back({ "status", static_cast<int>(result.status) });
+    fields.push_back({ "after_ms", (m_loop.now() - sent_at).count() });
+    log_event(LogLevel::info, "claim", fields);
     if (m_retired)
         return;
     const std::optional<int64_t> claimed_version = claim_version(result);
--- a/src/jobs.lib/leadership.h
+++ b/src/jobs.lib/leadership.h
@@ -14,10 +14,12 @@
 #include <pathport/event_loop.h>
 #include <pathport/jobs/job_store.h>
 #include <pathport/jobs/peers.h>
+#include <pathport/log.h>
 
 #include <functional>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace pathport::jobs {
 
@@ -54,6 +56,16 @@
     virtual void leader_unknown() = 0;
 };
 
+/// Why a node claims leadership.
+enum class ClaimReason {
+    vacant, ///< The rows name no leader, or this node's own earlier process.
+    not_leading, ///< The known leader has answered that it doesn't lead, or has resigned.
+    head_stalled, ///< It does not answer, and its head row has not changed for long.
+};
+
+/// Returns the lower-case name of `reason`.
+const char* to_string(ClaimReason reason);
+
 /// One node's participation in the election.
 class Leadership {
 public:
@@ -95,6 +107,7 @@
     }
 
 private:
+    void want_claim();
     void read_rows();
     void rows_read(const StoreResult& result);
     void act_on_rows();
@@ -107,8 +120,9 @@
     void on_heartbeat_refused();
     void note_unresponsive_leader();
     void on_heartbeat_timeout();
-    void claim();
+    void claim(ClaimReason reason);
     bool should_yield() const;
+    std::vector<LogField> claim_inputs() const;
     Millis slow_store_allowance() const;
     Millis late_leader_allowance() const;
     void defer_claim();
@@ -128,6 +142,8 @@
     bool m_reading = false;
     bool m_rows_known = false;
     bool m_claim_wanted = false; ///< Claim leadership once the rows have been read.
+    Millis m_claim_wanted_at; ///< When that was last found necessary.
+    ClaimReason m_claim_reason = ClaimReason::vacant; ///< Of the last claim.
     bool m_deferring = false; ///< Waiting for more powerful nodes to claim first.
     bool m_deferred = false; ///< That wait is over for the present leader.
     size_t m_group_size = 1; ///< Nodes that send heartbeats to the leader.
--- a/src/jobs.lib/store_writer.h
+++ b/src/jobs.lib/store_writer.h
@@ -38,6 +38,8 @@
 
     /// Returns whether the store is much slower than normal.
     bool slow() const { return m_latency_ms > slow_latency_ms; }
+    /// Returns the smoothed time from a call to the reading of its reply.
+    Millis latency() const { return Millis(m_latency_ms); }
 
 private:
     struct Call {
