Tests, failing: a weak node claims and keeps the leadership beside strong ones

Three cases, red on the code as it stands:

- leadership_test, resumed_leader_is_not_replaced_for_its_resignation: a resignation noted in an outage makes a follower claim at its next read.
- leadership_test, outage_of_the_store_is_no_stall_of_the_head_row: the time for which the store refused everybody counts as the leader's.
- weak_successor_test: cells of 3 strong and 21 weak nodes whose processors are as fast as they are strong.

The emulator gets a processor speed for each node.

--- a/src/emulator.lib/cell.cpp
+++ b/src/emulator.lib/cell.cpp
@@ -172,14 +172,31 @@
     slot = std::make_unique<NodeProcess>(*this, node,
                                          std::to_string(world.random_below(1000000000)),
                                          cpu_millicores, m_link_bytes_per_s);
-    slot->loop.set_processor_cost(m_processor_cost);
+    slot->loop.set_processor_cost(processor_cost_of(node));
 }
 
 void Cell::set_processor_cost(const ProcessorCost& cost)
 {
     m_processor_cost = cost;
     for (const auto& [name, process] : m_nodes)
-        process->loop.set_processor_cost(cost);
+        process->loop.set_processor_cost(processor_cost_of(name));
+}
+
+void Cell::set_processor_speed(const std::string& node, int percent)
+{
+    m_processor_speed[node] = percent;
+    if (NodeProcess* const process = running(node))
+        process->loop.set_processor_cost(processor_cost_of(node));
+}
+
+ProcessorCost Cell::processor_cost_of(const std::string& node) const
+{
+    constexpr int full_speed = 100;
+    ProcessorCost cost = m_processor_cost;
+    const auto speed = m_processor_speed.find(node);
+    if (speed != m_processor_speed.end())
+        cost.speed_percent = cost.speed_percent * speed->second / full_speed;
+    return cost;
 }
 
 NodeProcess* Cell::running(const std::string& node)
--- a/src/include/pathport/emulator/cell.h
+++ b/src/include/pathport/emulator/cell.h
@@ -93,6 +93,8 @@
     void suspend(const std::string& node, Millis span);
     /// Sets the processor cost of work in all present and future node processes.
     void set_processor_cost(const ProcessorCost& cost);
+    /// Sets the speed of a node's processor, in percent of that in the processor cost.
+    void set_processor_speed(const std::string& node, int percent);
     /// Partitions a node from its peers for `span`.
     void partition_from_peers(const std::string& node, Millis span,
                               PartitionMode mode = PartitionMode::drops);
@@ -175,6 +177,7 @@
     friend class PeerPort;
 
     void start(const std::string& node);
+    ProcessorCost processor_cost_of(const std::string& node) const;
     NodeProcess* running(const std::string& node);
     /// Returns the partition of the node from its peers that is in effect, or null.
     const Partition* peer_partition(const std::string& node) const;
@@ -214,6 +217,7 @@
     Millis m_domain_drain_time;
     jobs::Mechanisms m_mechanisms;
     ProcessorCost m_processor_cost;
+    std::map<std::string, int> m_processor_speed; ///< In percent, by node; others have 100.
     std::map<std::string, std::unique_ptr<NodeProcess>> m_nodes;
     /// Kept, since pending events refer to them.
     std::vector<std::unique_ptr<NodeProcess>> m_dead_processes;
--- a/src/jobs.lib/head_log.cpp
+++ b/src/jobs.lib/head_log.cpp
@@ -403,15 +403,15 @@
 void HeadLog::note_served(Millis sent_at)
 {
     if (!m_served)
-        log_event(LogLevel::info, "log_write_resumed",
-                  { { "epoch", m_head.epoch },
-                    { "unserved_ms", (m_loop.now() - m_unserved_since).count() },
-                    { "written_ms_ago",
-                      (m_loop.now() - (m_lease_until - leader_lease)).count() },
-                    { "after_ms", (m_loop.now() - sent_at).count() },
-                    { "lateness_ms", m_lateness.count() },
-                    { "rows", static_cast<int64_t>(m_in_flight.size()) },
-                    { "waiting", static_cast<int64_t>(m_queue.size()) } });
+        log_event(
+            LogLevel::info, "log_write_resumed",
+            { { "epoch", m_head.epoch },
+              { "unserved_ms", (m_loop.now() - m_unserved_since).count() },
+              { "written_ms_ago", (m_loop.now() - (m_lease_until - leader_lease)).count() },
+              { "after_ms", (m_loop.now() - sent_at).count() },
+              { "lateness_ms", m_lateness.count() },
+              { "rows", static_cast<int64_t>(m_in_flight.size()) },
+              { "waiting", static_cast<int64_t>(m_queue.size()) } });
     m_served = true;
 }
 
--- a/src/jobs.lib/leadership_test.cpp
+++ b/src/jobs.lib/leadership_test.cpp
@@ -15,6 +15,8 @@
 #include <pathport/emulator/store.h>
 #include <pathport/log.h>
 
+#include <utility>
+
 using namespace pathport;
 using namespace pathport::jobs;
 
@@ -164,6 +166,94 @@
     BOOST_TEST(peers.open.size() > 3U);
 }
 
+// Guards against a claim for a reason that has passed: a leader resigns in an outage of the
+// store and resumes; seconds later one of its answers is late, and a follower that
+// remembers the resignation takes its place although it writes its row all the time.
+BOOST_AUTO_TEST_CASE(resumed_leader_is_not_replaced_for_its_resignation)
+{
+    emulator::World world { 5 };
+    emulator::Store store { world };
+    emulator::ProcessLoop loop { world };
+    emulator::StorePort port { store, loop, "b" };
+    HeldPeers peers;
+    Elections elections;
+    const auto write_head = [&store](int64_t number) {
+        StoreWrite write;
+        write.puts.push_back(
+            { lead_row(head_key), encode(HeadValue { 1, number, "x", {} }) });
+        store.write_now(write);
+    };
+    StoreWrite rows;
+    rows.puts.push_back(
+        { lead_row(leader_key), encode(LeaderValue { 1, { "a", "a", "x", 1000 } }) });
+    store.write_now(rows);
+    write_head(5);
+    Leadership leadership(loop, port, peers, { "b", "b", "y", 1000 }, elections);
+    leadership.begin();
+    world.run_for(Millis(40));
+    BOOST_REQUIRE(peers.open.size() == 1U);
+    PeerAnswer answer;
+    answer.incarnation = "x";
+    answer.leads = true;
+    answer.epoch = 1;
+    PeerAnswer resignation = answer;
+    resignation.resigned = true;
+    store.injected.refuse_calls = true;
+    peers.open[0](PeerEnd::answered, resignation);
+    world.run_for(Millis(400));
+    BOOST_REQUIRE(peers.open.size() == 2U);
+    peers.open[1](PeerEnd::answered, answer);
+    world.run_for(Millis(400));
+    BOOST_REQUIRE(peers.open.size() == 3U);
+    store.injected.refuse_calls = false;
+    peers.open[2](PeerEnd::silent, {});
+    for (int64_t number = 6; number < 16; ++number) {
+        world.run_for(Millis(200));
+        write_head(number);
+    }
+    BOOST_TEST(elections.count == 0);
+}
+
+// Guards against counting an outage of the store as the leader's silence: while the store
+// refuses all nodes, the leader can't write its row either.
+BOOST_AUTO_TEST_CASE(outage_of_the_store_is_no_stall_of_the_head_row)
+{
+    emulator::World world { 6 };
+    emulator::Store store { world };
+    emulator::ProcessLoop loop { world };
+    emulator::StorePort port { store, loop, "b" };
+    HeldPeers peers;
+    Elections elections;
+    StoreWrite rows;
+    rows.puts.push_back(
+        { lead_row(leader_key), encode(LeaderValue { 1, { "a", "a", "x", 1000 } }) });
+    rows.puts.push_back({ lead_row(head_key), encode(HeadValue { 1, 5, "x", {} }) });
+    store.write_now(rows);
+    Leadership leadership(loop, port, peers, { "b", "b", "y", 1000 }, elections);
+    leadership.begin();
+    world.run_for(Millis(40));
+    BOOST_REQUIRE(peers.open.size() == 1U);
+    // Silence that begins just before the outage and lasts until just after it.
+    const auto stay_silent = [&](Millis span) {
+        const Millis until = world.now() + span;
+        while (world.now() < until) {
+            const std::vector<PeerReply> open = std::exchange(peers.open, {});
+            for (const PeerReply& reply : open)
+                reply(PeerEnd::silent, {});
+            world.run_for(Millis(20));
+        }
+    };
+    stay_silent(Millis(200));
+    store.injected.refuse_calls = true;
+    stay_silent(Millis(4000));
+    store.injected.refuse_calls = false;
+    stay_silent(Millis(300));
+    BOOST_TEST(elections.count == 0);
+    // A leader that is gone is still replaced.
+    stay_silent(Millis(2000));
+    BOOST_TEST(elections.count == 1);
+}
+
 // Guards against a consequence of electing a node twice for one claim: the second log's
 // first write would have the same head as the first log's first write, and would be taken
 // for committed although its rows were never written.
--- /dev/null
+++ b/src/jobs.lib/weak_successor_test.cpp
@@ -0,0 +1,172 @@
+// Copyright the pathport authors.
+// SPDX-License-Identifier: Apache-2.0
+
+/// \file
+/// Cells of a few strong nodes and many weak ones.
+///
+/// Guards against a weak leader: after an outage of the store, while the leader that lived
+/// through it reads what has come in meanwhile, one of the many weak nodes claims its
+/// place, and keeps it although strong nodes follow it. Its processor does not suffice for
+/// the cell, so all accepted work stands.
+
+#define BOOST_TEST_MODULE weak_successor
+#include <boost/test/unit_test.hpp>
+
+#include "cell_fixture.h"
+#include "leadership.h"
+
+#include <map>
+
+using namespace pathport;
+using namespace pathport::cell_tests;
+using emulator::ProcessorCost;
+
+namespace {
+
+constexpr int strong_nodes = 3;
+constexpr int weak_nodes = 21;
+constexpr int strong_millicores = 500;
+constexpr int weak_millicores = 120;
+constexpr int workers = 100;
+constexpr int tasks_per_job = 10;
+constexpr Millis event_time { 2 }; ///< At a strong node.
+constexpr Millis job_interval { 40 };
+constexpr Millis outage { 4000 };
+/// The users' limit on how long work with free capacity may stand.
+constexpr Millis max_standstill { 3000 };
+
+bool is_strong(const std::string& node)
+{
+    return node.size() == 2 && node[1] - '0' <= strong_nodes;
+}
+
+std::map<std::string, int> node_strengths()
+{
+    std::map<std::string, int> strengths;
+    for (int i = 1; i <= strong_nodes + weak_nodes; ++i) {
+        const std::string node = "n" + std::to_string(i);
+        strengths[node] = is_strong(node) ? strong_millicores : weak_millicores;
+    }
+    return strengths;
+}
+
+/// Returns the node that the store's rows name as leader, which may be frozen.
+std::string named_leader(const Cell& cell)
+{
+    const auto leader
+        = jobs::decode_leader(cell.store.value(jobs::lead_row(jobs::leader_key)));
+    return leader ? leader->identity.node : std::string();
+}
+
+/// A cell whose nodes are as fast as they are strong, with a steady load.
+class UnequalCell {
+public:
+    explicit UnequalCell(uint64_t seed)
+        : cell(seed, strong_nodes + weak_nodes, 1, node_strengths())
+    {
+        add_queues(cell);
+        for (int i = 1; i < workers; ++i)
+            cell.workers.add("pool", { 16000, 64000, 0 });
+        cell.world.run_for(Millis(4000));
+        for (const auto& [node, millicores] : node_strengths())
+            cell.set_processor_speed(node, 100 * millicores / strong_millicores);
+        ProcessorCost cost;
+        cost.event = event_time;
+        cell.set_processor_cost(cost);
+        m_step = one_core_step(tasks_per_job, 1000);
+        m_step.need = { 450, 528, 0 };
+    }
+
+    /// Submits jobs for `span` and notes who leads.
+    void run(Millis span)
+    {
+        for (Millis at; at < span; at = at + job_interval) {
+            submit(cell, "q2", "job" + std::to_string(m_jobs++), { m_step });
+            cell.world.run_for(job_interval);
+            const std::string leader = named_leader(cell);
+            if (leader.empty() || is_strong(leader))
+                m_weak_since = cell.world.now();
+            m_longest_weak = std::max(m_longest_weak, cell.world.now() - m_weak_since);
+        }
+    }
+
+    /// Returns the longest time for which a weak node led without a break.
+    Millis longest_weak_leadership() const { return m_longest_weak; }
+    void forget_weak_leadership()
+    {
+        m_longest_weak = Millis(0);
+        m_weak_since = cell.world.now();
+    }
+
+    /// Returns the number of accepted jobs that are not done.
+    int unfinished() const
+    {
+        int count = 0;
+        for (const auto& [id, job] : cell.jobs())
+            count += job.accepted && !cell.workers.all_done(id, 0, tasks_per_job, false)
+                ? 1
+                : 0;
+        return count;
+    }
+
+    Cell cell;
+
+private:
+    StepModel m_step;
+    int m_jobs = 0;
+    Millis m_weak_since;
+    Millis m_longest_weak;
+};
+
+} // namespace
+
+BOOST_TEST_GLOBAL_FIXTURE(LogFixture);
+
+// The strong nodes and the leader live through the outage, so no weak node may lead.
+BOOST_AUTO_TEST_CASE(weak_node_does_not_lead_after_an_outage_beside_strong_ones)
+{
+    for (uint64_t seed = 1; seed <= 5; ++seed) {
+        UnequalCell played(seed);
+        Cell& cell = played.cell;
+        played.run(Millis(5000));
+        BOOST_REQUIRE_MESSAGE(is_strong(named_leader(cell)), "seed " << seed);
+        played.forget_weak_leadership();
+        cell.store.injected.refuse_calls = true;
+        played.run(outage);
+        cell.store.injected.refuse_calls = false;
+        played.run(Millis(10000));
+        BOOST_TEST((played.longest_weak_leadership() == Millis(0)),
+                   "seed " << seed << ": a weak node led for "
+                           << played.longest_weak_leadership().count() << " ms");
+        cell.world.run_for(Millis(20000));
+        BOOST_TEST(played.unfinished() == 0, "seed " << seed);
+        const auto violations = cell.workers.violations();
+        BOOST_TEST(violations.empty(), "seed " << seed << join_lines(violations));
+    }
+}
+
+// A weak node has to lead while no strong one can, and has to give the leadership up when
+// they are back, however late its own processor is.
+BOOST_AUTO_TEST_CASE(weak_leader_gives_way_to_strong_nodes_that_return)
+{
+    for (uint64_t seed = 1; seed <= 5; ++seed) {
+        UnequalCell played(seed);
+        Cell& cell = played.cell;
+        played.run(Millis(4000));
+        for (int i = 1; i <= strong_nodes; ++i)
+            cell.freeze("n" + std::to_string(i), Millis(6000));
+        played.run(Millis(6000));
+        BOOST_REQUIRE_MESSAGE(!is_strong(named_leader(cell)),
+                              "seed " << seed << ": " << named_leader(cell) << " leads");
+        played.forget_weak_leadership();
+        played.run(Millis(12000));
+        BOOST_TEST((played.longest_weak_leadership() <= max_standstill),
+                   "seed " << seed << ": a weak node led for "
+                           << played.longest_weak_leadership().count() << " ms");
+        BOOST_TEST(is_strong(named_leader(cell)), "seed " << seed);
+        cell.world.run_for(Millis(20000));
+        BOOST_TEST(played.unfinished() == 0, "seed " << seed);
+        const auto violations = cell.workers.violations();
+        BOOST_TEST(violations.empty(), "seed " << seed << join_lines(violations));
+    }
+}
