An outage of the store does not count as the leader's silence

Cause: a head row counts as standing from the first read that showed its version, whatever happened since. A follower whose silence began just before an outage finds the same version after it and claims at its first read, while the leader has had no chance to write.

Time in which this node could not read the row no longer counts; after a refused read it begins anew, since the store refused the leader too.

--- a/src/jobs.lib/leadership.cpp
+++ b/src/jobs.lib/leadership.cpp
@@ -222,10 +222,23 @@
         m_reading = false;
         if (result.status == StoreStatus::ok)
             m_read_time = m_loop.now() - m_read_started;
+        else
+            discount_unobserved_time(result.status);
         rows_read(result);
     }));
 }
 
+// The time for which this node could not read the head row does not count as time for which
+// the row stood. While the store refuses calls, the leader can't write it either, so when
+// the store is back that time begins anew.
+void Leadership::discount_unobserved_time(StoreStatus status)
+{
+    if (status == StoreStatus::refused)
+        m_stalled_head_version = no_version;
+    else
+        m_head_stalled_since = m_head_stalled_since + (m_loop.now() - m_read_started);
+}
+
 // Ignored while a claim is in flight, since the claim's own result decides.
 void Leadership::rows_read(const StoreResult& result)
 {
@@ -399,7 +412,7 @@
     if (m_leader_silent)
         return;
     m_leader_silent = true;
-    m_stalled_head_version = -1;
+    m_stalled_head_version = no_version;
     log_event(LogLevel::warn, "leader_silent",
               { { "leader", m_leader.identity.node },
                 { "epoch", m_leader.epoch },
--- a/src/jobs.lib/leadership.h
+++ b/src/jobs.lib/leadership.h
@@ -109,6 +109,7 @@
 private:
     void want_claim();
     void read_rows();
+    void discount_unobserved_time(StoreStatus status);
     void rows_read(const StoreResult& result);
     void act_on_rows();
     void follow_new_leader(const LeaderValue& leader);
@@ -166,8 +167,9 @@
     static constexpr int64_t no_epoch = -1;
     /// Epoch of the leader whose heartbeat is unanswered.
     int64_t m_open_heartbeat_epoch = no_epoch;
+    static constexpr int64_t no_version = -1;
     /// Version of the head row while the leader does not answer.
-    int64_t m_stalled_head_version = 0;
+    int64_t m_stalled_head_version = no_version;
     Millis m_head_stalled_since;
     bool m_leader_silent = false;
     Millis m_no_claim_until;
