A node that lets stronger ones go first looks at the leader again

Cause: a weak node that wants to claim waits 400 ms and more for stronger ones, and then claims whatever has happened.

After the wait the node reads the rows and judges the leader as if it had just begun: a leader that has answered is followed, one that resigned is asked again, one whose row moves is left alone.

--- a/src/jobs.lib/leadership.cpp
+++ b/src/jobs.lib/leadership.cpp
@@ -487,19 +487,19 @@
              { "deferred", m_deferred ? "yes" : "no" } };
 }
 
-// Waits, then reads the rows again; this node claims if they still name the same leader.
+// Waits, then looks at the leader again: it may have answered or written its row meanwhile.
 void Leadership::defer_claim()
 {
     m_deferring = true;
+    m_claim_wanted = false;
     std::vector<LogField> fields = claim_inputs();
     fields.push_back({ "epoch", m_leader.epoch });
     log_event(LogLevel::info, "claim_deferred", fields);
-    const auto recheck = [this, epoch = m_leader.epoch] {
+    const auto recheck = [this, epoch = m_leader.epoch, deferred_at = m_loop.now()] {
         m_deferring = false;
         if (m_leading || m_retired || m_leader.epoch != epoch)
             return;
-        m_deferred = true;
-        want_claim();
+        m_deferred = m_leader_answered_at < deferred_at;
         read_rows();
     };
     m_loop.after(weaker_node_delay + slow_store_allowance(), m_lifetime.wrap(recheck));
