A late leader does not take its own lateness for a slow store

Cause: a leader does not hand over while the store is slow, since its successor would read all open jobs. It measured the store by its own clock, from the call to the reading of the reply. In weak_successor_test a weak leader read its writes after 540 to 861 ms at a lateness of 542 to 1,322 ms, while the store answered in 4 to 8 ms, and so it kept the leadership because it was weak (obstacle store_slow).

Followers now tell with their heartbeats how long their own calls to the store take, and the leader takes the word of the one that would lead next.

--- a/src/include/pathport/jobs/peers.h
+++ b/src/include/pathport/jobs/peers.h
@@ -93,6 +93,8 @@
     int64_t peers_hash = 0; ///< Hash of the sender's list of nodes.
     bool store_served = false; ///< Whether the store served the sender recently.
     bool store_fails = false; ///< Whether the store is unavailable to the sender.
+    /// Smoothed time of the sender's recent calls to the store; 0 if not known.
+    int64_t store_call_ms = 0;
     bool promises = false; ///< The sender won't claim leadership for `promise_time`.
     /// The leader's time in its last answer; promises are valid from then.
     int64_t echo_ms = 0;
--- a/src/jobs.lib/followers.h
+++ b/src/jobs.lib/followers.h
@@ -25,6 +25,7 @@
     Millis promised_until;
     bool store_served = false;
     bool store_fails = false;
+    Millis store_call_time; ///< As the follower reads it; zero if not known.
     std::string node;
     std::string incarnation;
     int cpu_millicores = 0;
--- a/src/jobs.lib/job_node.cpp
+++ b/src/jobs.lib/job_node.cpp
@@ -213,6 +213,7 @@
     request.link_bytes_per_s = m_setup.link_bytes_per_s;
     request.store_served = m_store.served();
     request.store_fails = m_store.failing();
+    request.store_call_ms = m_store.call_time().count();
     request.peers_hash = m_peers.hash();
     // The node promises not to claim only while the store is unavailable to it.
     if (!m_store.failing() || m_leader_sent_ms == 0)
--- a/src/jobs.lib/job_node_impl.h
+++ b/src/jobs.lib/job_node_impl.h
@@ -134,6 +134,7 @@
     void log_hand_over_obstacle();
     void hand_over_to(const std::string& address, const char* reason);
     bool other_node_served() const;
+    bool slow_for_successor() const;
     std::string successor() const;
     void notify_leader_of_shutdown();
 
--- a/src/jobs.lib/job_node_peers.cpp
+++ b/src/jobs.lib/job_node_peers.cpp
@@ -142,6 +142,7 @@
     follower.incarnation = request.incarnation;
     follower.store_served = request.store_served;
     follower.store_fails = request.store_fails;
+    follower.store_call_time = Millis(request.store_call_ms);
     follower.cpu_millicores = request.cpu_millicores;
     follower.link_bytes_per_s = request.link_bytes_per_s;
     follower.promised_until
--- a/src/jobs.lib/job_node_succession.cpp
+++ b/src/jobs.lib/job_node_succession.cpp
@@ -107,11 +107,21 @@
         return HandOverObstacle::strongest;
     const bool overdue = m_shutting_down
         && m_context.loop.now() - m_shutdown_started >= m_setup.max_hand_over_delay;
-    if (m_scheduler->log().slow() && !overdue)
+    if (m_scheduler->log().slow() && !overdue && slow_for_successor())
         return HandOverObstacle::store_slow;
     return HandOverObstacle::none;
 }
 
+// Returns whether the store is slow for the node that would lead next, or may be. A leader
+// that is short of processor time reads the store's replies late, so its own measurement
+// doesn't tell.
+bool JobNode::Impl::slow_for_successor() const
+{
+    const Follower* const next = m_followers.find(successor());
+    return next == nullptr || next->store_call_time == Millis(0)
+        || next->store_call_time > slow_store_latency;
+}
+
 // A leader that stays although others are more powerful says why, once for each change.
 void JobNode::Impl::log_hand_over_obstacle()
 {
--- a/src/jobs.lib/store_health.cpp
+++ b/src/jobs.lib/store_health.cpp
@@ -7,6 +7,8 @@
 
 #include <pathport/log.h>
 
+#include <algorithm>
+
 namespace pathport::jobs {
 
 namespace {
@@ -19,6 +21,8 @@
 /// Interval of probes while the store is failing.
 constexpr Millis probe_interval { 200 };
 constexpr Millis probe_timeout { 800 };
+/// A call that is served takes some time, so that zero can mean that none was.
+constexpr Millis min_call_time { 1 };
 } // namespace
 
 const char* to_string(StoreStatus status)
@@ -81,8 +85,11 @@
                       { { "served_ms_ago", (m_loop.now() - m_served_at).count() } });
         m_known = true;
         m_last_served = served;
-        if (served)
+        if (served) {
             m_served_at = m_loop.now();
+            if (!is_watch)
+                note_call_time(m_loop.now() - Millis(started_at));
+        }
         if (result.clock_ms > 0) {
             m_clock_ms = result.clock_ms;
             m_clock_at = m_loop.now();
@@ -98,6 +105,18 @@
     return failing() ? m_loop.now() - m_served_at : Millis(0);
 }
 
+void StoreHealth::note_call_time(Millis elapsed)
+{
+    const Millis time = std::max(elapsed, min_call_time);
+    m_call_time
+        = m_call_time == Millis(0) ? time : Millis((m_call_time + time).count() / 2);
+}
+
+Millis StoreHealth::call_time() const
+{
+    return served() ? m_call_time : Millis(0);
+}
+
 bool StoreHealth::failing() const
 {
     if (m_known && !m_last_served)
--- a/src/jobs.lib/store_health.h
+++ b/src/jobs.lib/store_health.h
@@ -36,6 +36,10 @@
     bool failing() const;
     /// Returns the time since it last served this node; zero while it is not failing.
     Millis outage() const;
+    /// Returns the smoothed time of the calls that were served, from the call to the reading
+    /// of its reply; zero before the first, and while the store has not served this node
+    /// recently.
+    Millis call_time() const;
     /// Probes the store, so that served() and failing() become current; `on_served` is
     /// called if it replies.
     void check(std::function<void()> on_served = {});
@@ -46,6 +50,7 @@
 
 private:
     StoreReply instrument(StoreReply done, const char* call, bool is_watch);
+    void note_call_time(Millis elapsed);
     void schedule_probe();
 
     EventLoop& m_loop;
@@ -54,6 +59,7 @@
     bool m_known = false;
     bool m_last_served = false;
     Millis m_served_at;
+    Millis m_call_time; ///< Smoothed; watches, which wait for changes, don't count.
     std::multiset<int64_t> m_open; ///< Start times of the open calls.
     bool m_probing = false;
     int64_t m_clock_ms = 0;
--- a/src/jobs.lib/store_writer.h
+++ b/src/jobs.lib/store_writer.h
@@ -16,6 +16,9 @@
 
 namespace pathport::jobs {
 
+/// A store with a higher smoothed latency counts as slow.
+constexpr Millis slow_store_latency { 60 };
+
 /// Sends one transaction at a time. If no reply arrives within several times the usual
 /// latency, it reads the first row that the transaction puts. If that row is there, the
 /// result is returned to the caller; if it is missing and the read was fast, the reply is
@@ -37,7 +40,7 @@
     void send(const StoreWrite& write, StoreReply done);
 
     /// Returns whether the store is much slower than normal.
-    bool slow() const { return m_latency_ms > slow_latency_ms; }
+    bool slow() const { return latency() > slow_store_latency; }
     /// Returns the smoothed time from a call to the reading of its reply.
     Millis latency() const { return Millis(m_latency_ms); }
 
@@ -51,9 +54,6 @@
     };
     using CallPtr = std::shared_ptr<Call>;
 
-    /// A store with a higher smoothed latency counts as slow.
-    static constexpr int64_t slow_latency_ms = 60;
-
     void probe(const CallPtr& call);
     void probe_later(const CallPtr& call, Millis delay);
     void probed(const CallPtr& call, const StoreResult& result, Millis sent_at);
