A hand-over does not wait for a log that falls behind

Cause: the successor is named in a write that contains all pending rows. At a leader that gets rows faster than it writes them there is never such a write, so the overloaded leader, which should give up most of all, can't.

When a write leaves out no fewer rows than the one before, the successor is named all the same. It then learns what the rows say from the workers, as after a crash, and the head lists the workers whose orders may have preceded their record.

head_log_test, successor_is_named_although_rows_come_faster_than_they_are_written: never named in 1 s before (three checks red), now named, with the list.

--- a/src/jobs.lib/head_log.cpp
+++ b/src/jobs.lib/head_log.cpp
@@ -302,10 +302,19 @@
     adapt_spacing(m_loop.now() - started_at, bytes);
 }
 
+// Returns whether more rows wait than at the last write although a successor waits. The
+// successor learns what they say from the workers, as after a crash.
+bool HeadLog::falls_behind()
+{
+    const size_t waiting_before = m_successor->rows_waiting;
+    m_successor->rows_waiting = m_queue.size();
+    return m_queue.size() >= waiting_before;
+}
+
 void HeadLog::prepare_head()
 {
     m_head_before = m_head;
-    const bool names_successor = m_successor && m_queue.empty();
+    const bool names_successor = m_successor && (m_queue.empty() || falls_behind());
     // When the store is fast again and this write contains all pending rows, later orders
     // are sent only after they are recorded.
     m_prepared.early_orders_allowed = !names_successor
@@ -328,9 +337,11 @@
                                 m_max_list_bytes - std::min(m_max_list_bytes, inherited)));
     m_head.silent = silent.rounded();
     const size_t silent_bytes = list_bytes(m_head.silent);
+    // Rows that are left out may belong to orders that preceded their record.
+    const bool lists_early_orders
+        = m_prepared.early_orders_allowed || (names_successor && !m_queue.empty());
     m_head.unrecorded_task_workers = m_owner.unrecorded_workers(
-        m_prepared.early_orders_allowed,
-        m_max_list_bytes - std::min(m_max_list_bytes, silent_bytes));
+        lists_early_orders, m_max_list_bytes - std::min(m_max_list_bytes, silent_bytes));
     m_head.lateness = Millis(std::min(m_lateness, max_lateness).count()
                              / lateness_step.count() * lateness_step.count());
     m_prepared.head = m_head;
--- a/src/jobs.lib/head_log.h
+++ b/src/jobs.lib/head_log.h
@@ -18,6 +18,7 @@
 
 #include <deque>
 #include <functional>
+#include <limits>
 #include <map>
 #include <optional>
 #include <string>
@@ -119,9 +120,10 @@
     /// Sets the bandwidth of the node's link in bytes per second; 0 for unlimited.
     void set_link_rate(int64_t bytes) { m_link_bytes_per_s = bytes; }
 
-    /// Makes another node the leader with the next write that contains all pending rows: it
-    /// also writes `leader_row` and a head of the next epoch for `incarnation`. Nothing can
-    /// be written after it. `done` is called when it has taken effect.
+    /// Makes another node the leader with the next write that contains all pending rows, or
+    /// that finds more of them than the one before: it also writes `leader_row` and a head
+    /// of the next epoch for `incarnation`. Nothing can be written after it. `done` is
+    /// called when it has taken effect.
     void hand_over(std::string leader_row, std::string incarnation,
                    std::function<void()> done);
     /// Returns whether the store is much slower than normal.
@@ -169,6 +171,7 @@
     void flush();
     void prepare_write();
     void prepare_head();
+    bool falls_behind();
     void adapt_spacing(Millis preparation, size_t bytes);
     void send();
     void answered(const StoreResult& result, Millis sent_at);
@@ -221,6 +224,8 @@
         std::string incarnation;
         std::function<void()> done;
         bool written = false; ///< The present transaction contains it.
+        /// Number of rows that the last write left out.
+        size_t rows_waiting = std::numeric_limits<size_t>::max();
     };
     std::optional<Successor> m_successor;
     StoreWrite m_write; ///< The transaction that is being written.
--- a/src/jobs.lib/head_log_test.cpp
+++ b/src/jobs.lib/head_log_test.cpp
@@ -8,6 +8,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include "head_log.h"
+#include "leadership.h"
 #include "store_keys.h"
 
 #include <pathport/emulator/store.h>
@@ -110,6 +111,36 @@
     }
 }
 
+// Guards against an overloaded leader that wants to hand over and never does: it waited for
+// a write that contains all pending rows, and more of them came than it could write.
+BOOST_AUTO_TEST_CASE(successor_is_named_although_rows_come_faster_than_they_are_written)
+{
+    LoggedStore logged(8);
+    emulator::World& world = logged.world;
+    HeadLog& log = logged.log;
+    int jobs = 0;
+    const auto add_rows = [&](Millis span) {
+        constexpr int rows_per_ms = 15;
+        for (Millis at; at < span; at = at + Millis(1)) {
+            for (int i = 0; i < rows_per_ms; ++i)
+                log.record("job" + std::to_string(jobs++));
+            world.run_for(Millis(1));
+        }
+    };
+    add_rows(Millis(200));
+    bool handed_over = false;
+    const LeaderValue next { 2, { "n2", "n2", "second", 1000 } };
+    log.hand_over(encode(next), next.identity.incarnation, [&] { handed_over = true; });
+    add_rows(Millis(1000));
+    BOOST_TEST(handed_over);
+    const auto head = decode_head(logged.store.value(lead_row(head_key)));
+    BOOST_REQUIRE(head.has_value());
+    BOOST_TEST(head->handed_over());
+    BOOST_TEST(head->incarnation == "second");
+    // Rows that were left out may belong to orders that preceded them.
+    BOOST_TEST(head->may_run_unrecorded("w1"));
+}
+
 BOOST_AUTO_TEST_CASE(lease_ends_while_the_store_is_away)
 {
     LoggedStore logged(7);
