A stronger node does not wait for a late weak leader

Cause: a leader tells in its head row how late its timers run, and others wait three times that longer before they replace it.

A node with more processor time than the leader does not add that time.

--- a/src/jobs.lib/leadership.cpp
+++ b/src/jobs.lib/leadership.cpp
@@ -465,9 +465,12 @@
     return Millis(slow_store_multiple * m_read_time.count());
 }
 
-// A leader that is short of processor time writes the row less often.
+// A leader that is short of processor time writes the row less often. A more powerful node
+// does not wait for that, since it would do better.
 Millis Leadership::late_leader_allowance() const
 {
+    if (m_identity.cpu_millicores > m_leader.identity.cpu_millicores)
+        return Millis(0);
     return Millis(late_leader_multiple * m_head.lateness.count());
 }
 
