A weak node asks the strong ones before it claims

Cause: a weak node waits a fixed time for stronger ones to claim, while in large cells their heartbeats are up to 500 ms apart, so the weak one may be over its wait before the strong one notices. And who is stronger was what the present leader had last heard of live followers that the store served: a new weak leader, or one in an outage, told of nobody.

A leader now names its three most powerful followers in its answers, a new one those of its predecessor. A node that would claim asks the more powerful of them whether they can (topic candidacy: not stopping, no promise in force, the store not failing). While one can, the claim is left to it, for at most max_deferral since the leader last answered; without such an answer the node claims after its wait, as before.

Also: a deferral that ends under another leader reads the rows; it left the node without a timer if it had wanted to claim from that one meanwhile.

--- a/src/include/pathport/jobs/peers.h
+++ b/src/include/pathport/jobs/peers.h
@@ -60,11 +60,23 @@
     worker_calls, ///< Relays calls to workers; the answer returns finished calls.
     job_payload, ///< Requests the payload of a job that the receiver accepted.
     worker_list, ///< Reads the list of workers and returns the changes since `version`.
+    candidacy, ///< Asks whether the receiver can claim the leadership if it is vacant.
 };
 
 /// Returns the lower-case name of `topic`.
 const char* to_string(PeerTopic topic);
 
+/// A node that can become the leader.
+struct Candidate {
+    std::string address;
+    int cpu_millicores = 0; ///< As in NodeSetup.
+
+    bool operator==(const Candidate& other) const
+    {
+        return address == other.address && cpu_millicores == other.cpu_millicores;
+    }
+};
+
 /// A message to a peer. Each topic uses a subset of the fields.
 struct PeerRequest {
     PeerTopic topic = PeerTopic::heartbeat;
@@ -133,6 +145,7 @@
     DrainedDomains drains; ///< With a configuration.
     /// Highest `cpu_millicores` of a leader's live followers.
     int max_follower_millicores = 0;
+    std::vector<Candidate> candidates; ///< A leader's most powerful followers.
     int64_t call_rate = 0; ///< A leader's recent calls to workers, per second.
     int64_t call_bytes_per_s = 0; ///< Network traffic of those calls.
     PeerListUpdate peers; ///< Makes the sender's list of nodes the leader's.
--- a/src/jobs.lib/followers.cpp
+++ b/src/jobs.lib/followers.cpp
@@ -4,6 +4,7 @@
 #include "followers.h"
 
 #include <algorithm>
+#include <tuple>
 
 namespace pathport::jobs {
 
@@ -55,6 +56,27 @@
     return *m_promises.begin();
 }
 
+std::vector<Candidate> Followers::strongest(size_t count) const
+{
+    m_entries_walked += static_cast<int64_t>(m_entries.size());
+    std::vector<Entries::const_iterator> order;
+    for (auto entry = m_entries.begin(); entry != m_entries.end(); ++entry)
+        order.push_back(entry);
+    const auto key = [](const Follower& follower) {
+        return std::make_tuple(follower.cpu_millicores, follower.store_served,
+                               follower.last_heard);
+    };
+    const size_t kept = std::min(count, order.size());
+    std::partial_sort(order.begin(), order.begin() + static_cast<std::ptrdiff_t>(kept),
+                      order.end(), [&](const auto& left, const auto& right) {
+                          return key(left->second) > key(right->second);
+                      });
+    std::vector<Candidate> candidates;
+    for (size_t i = 0; i < kept; ++i)
+        candidates.push_back({ order[i]->first, order[i]->second.cpu_millicores });
+    return candidates;
+}
+
 void Followers::refresh(Millis drop_before, Millis live_since)
 {
     m_entries_walked += static_cast<int64_t>(m_entries.size());
--- a/src/jobs.lib/followers.h
+++ b/src/jobs.lib/followers.h
@@ -8,6 +8,7 @@
 #pragma once
 
 #include <pathport/clock.h>
+#include <pathport/jobs/peers.h>
 
 #include <cstdint>
 #include <functional>
@@ -15,6 +16,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <vector>
 
 namespace pathport::jobs {
 
@@ -54,6 +56,10 @@
     /// those that refresh() found to be live, and those heard since.
     int max_millicores() const { return m_max_millicores; }
 
+    /// Returns the most powerful followers, at most `count`, and among equals those that the
+    /// store serves.
+    std::vector<Candidate> strongest(size_t count) const;
+
     /// Drops the followers last heard before `drop_before`; those last heard before
     /// `live_since` no longer count for max_millicores().
     void refresh(Millis drop_before, Millis live_since);
--- a/src/jobs.lib/job_node.cpp
+++ b/src/jobs.lib/job_node.cpp
@@ -28,6 +28,8 @@
 constexpr size_t max_labelled_workspaces = 100;
 /// A new leader keeps nodes that have not sent a heartbeat in its list for this long.
 constexpr Millis unheard_peer_time { 5000 };
+/// Number of candidates that followers know, so that two may be lost with the leader.
+constexpr size_t max_candidates = 3;
 /// A silent follower's promise is required for this long; then the follower is dropped.
 constexpr Millis follower_drop_time { 30000 };
 
@@ -260,6 +262,7 @@
         probe_follower(address);
     m_advice.set_peers(active);
     refresh_relays();
+    refresh_candidates();
     update_peer_list();
     update_promises();
     log_hand_over_obstacle();
@@ -310,6 +313,16 @@
     m_relayed.set_nodes(std::move(nodes));
 }
 
+// A new leader goes by what its predecessor told until all live followers have sent a
+// heartbeat.
+void JobNode::Impl::refresh_candidates()
+{
+    if (m_context.loop.now() - m_elected_at < unheard_peer_time)
+        m_candidates = m_leadership.candidates();
+    else
+        m_candidates = m_followers.strongest(max_candidates);
+}
+
 // A process that has been replaced at its address needs no promise. That a follower refuses
 // connections does not show that its process has ended.
 void JobNode::Impl::probe_follower(const std::string& address)
--- a/src/jobs.lib/job_node_impl.h
+++ b/src/jobs.lib/job_node_impl.h
@@ -128,6 +128,7 @@
     void update_promises();
     void update_peer_list();
     void refresh_relays();
+    void refresh_candidates();
     // Succession (job_node_succession.cpp).
     void consider_resigning();
     HandOverObstacle hand_over_obstacle() const;
@@ -189,6 +190,7 @@
     void note_follower(const PeerRequest& request);
     void handle_state(const PeerRequest& request, PeerAnswer answer, PeerResponder done);
     void handle_accept(const PeerRequest& request, PeerResponder done);
+    void handle_candidacy(PeerAnswer& answer) const;
     void handle_advice(const PeerRequest& request, PeerResponder done);
     void handle_job_accepted(const PeerRequest& request, PeerAnswer& answer);
     void handle_job_payload(const PeerRequest& request, PeerAnswer& answer) const;
@@ -209,6 +211,7 @@
     Leadership m_leadership;
     std::unique_ptr<Scheduler> m_scheduler; ///< Set while this node leads.
     Followers m_followers;
+    std::vector<Candidate> m_candidates; ///< For this leader's answers.
     std::set<std::string> m_probed; ///< Followers with an open probe.
     PeerList m_peers; ///< All nodes known to the leader.
     /// Nodes known to the previous leader that have sent no heartbeat to this one yet.
--- a/src/jobs.lib/job_node_peers.cpp
+++ b/src/jobs.lib/job_node_peers.cpp
@@ -73,6 +73,9 @@
     case PeerTopic::job_payload:
         handle_job_payload(request, answer);
         break;
+    case PeerTopic::candidacy:
+        handle_candidacy(answer);
+        break;
     case PeerTopic::worker_list:
         m_list_reader.handle(request, std::move(answer), std::move(done));
         return;
@@ -126,6 +129,7 @@
         note_follower(request);
     }
     answer.max_follower_millicores = m_followers.max_millicores();
+    answer.candidates = m_candidates;
     answer.call_rate = static_cast<int64_t>(m_relayed.load().calls);
     answer.call_bytes_per_s = static_cast<int64_t>(m_relayed.load().bytes);
     answer.resigned = m_scheduler->resigned();
@@ -134,6 +138,14 @@
     answer.peers = m_peers.update_for(request.peers_hash);
 }
 
+void JobNode::Impl::handle_candidacy(PeerAnswer& answer) const
+{
+    answer.incarnation = m_setup.incarnation;
+    answer.leader = m_leadership.leader().identity.address;
+    answer.leader_incarnation = m_leadership.leader().identity.incarnation;
+    answer.served = m_leadership.may_claim() && !m_store.failing();
+}
+
 void JobNode::Impl::note_follower(const PeerRequest& request)
 {
     Follower follower;
--- a/src/jobs.lib/leadership.cpp
+++ b/src/jobs.lib/leadership.cpp
@@ -51,8 +51,12 @@
 /// Claims are delayed at random by up to this, so that several nodes don't claim at once.
 constexpr uint64_t claim_spread_ms = 40;
 /// A node waits this long for more powerful nodes to claim first: a heartbeat interval,
-/// within which they detect the same, plus the time of a claim.
+/// within which they detect the same, plus the time of a claim. Meanwhile they tell whether
+/// they can.
 constexpr Millis weaker_node_delay { 400 };
+/// A node claims after this time although more powerful ones tell that they can, in case
+/// they never do.
+constexpr Millis max_deferral { 5000 };
 constexpr Millis read_timeout { 1000 };
 /// A leader counts as responsive for this long after an answer.
 constexpr Millis responsive_time { 900 };
@@ -194,6 +198,7 @@
     m_leader = leader;
     m_leader_known_since = m_loop.now();
     m_deferred = false;
+    m_deferring_since.reset();
     m_leader_silent = false;
     m_refusals = 0;
     log_event(LogLevel::info, "leader_known",
@@ -368,7 +373,9 @@
         m_leader_answered_at = m_loop.now();
         m_claim_wanted = false;
         m_deferred = false;
-        m_max_peer_millicores = answer.max_follower_millicores;
+        m_deferring_since.reset();
+        if (!answer.candidates.empty())
+            m_candidates = answer.candidates;
         m_listener.leader_answered(answer);
         schedule_follow(next_heartbeat_delay());
         return;
@@ -452,12 +459,22 @@
     m_loop.after(spread, m_lifetime.wrap([this] { send_claim(); }));
 }
 
-// Returns whether a more powerful node is known that should lead instead. A node that has
-// just started knows only of the previous leader.
+// Returns whether a more powerful node is known that should lead instead.
 bool Leadership::should_yield() const
 {
-    return m_identity.cpu_millicores
-        < std::max(m_max_peer_millicores, m_leader.identity.cpu_millicores);
+    return m_identity.cpu_millicores < strongest_rival();
+}
+
+// Returns the processor time of the most powerful node that may claim. A node that has just
+// started knows only of the previous leader.
+int Leadership::strongest_rival() const
+{
+    if (m_candidates.empty())
+        return m_leader.identity.cpu_millicores;
+    int strongest = 0;
+    for (const Candidate& candidate : m_candidates)
+        strongest = std::max(strongest, candidate.cpu_millicores);
+    return strongest;
 }
 
 Millis Leadership::slow_store_allowance() const
@@ -486,26 +503,70 @@
                m_claim_wanted_at == Millis() ? -1 : (now - m_claim_wanted_at).count() },
              { "read_ms", m_read_time.count() },
              { "cpu_millicores", m_identity.cpu_millicores },
-             { "strongest_peer", m_max_peer_millicores },
+             { "strongest_rival", strongest_rival() },
              { "deferred", m_deferred ? "yes" : "no" } };
 }
 
-// Waits, then looks at the leader again: it may have answered or written its row meanwhile.
+// Asks the more powerful nodes whether they can claim, waits, then looks at the leader
+// again: it may have answered or written its row meanwhile.
 void Leadership::defer_claim()
 {
     m_deferring = true;
     m_claim_wanted = false;
+    m_candidate_ready = false;
+    if (!m_deferring_since)
+        m_deferring_since = m_loop.now();
     std::vector<LogField> fields = claim_inputs();
     fields.push_back({ "epoch", m_leader.epoch });
     log_event(LogLevel::info, "claim_deferred", fields);
-    const auto recheck = [this, epoch = m_leader.epoch, deferred_at = m_loop.now()] {
-        m_deferring = false;
-        if (m_leading || m_retired || m_leader.epoch != epoch)
-            return;
-        m_deferred = m_leader_answered_at < deferred_at;
-        read_rows();
-    };
-    m_loop.after(weaker_node_delay + slow_store_allowance(), m_lifetime.wrap(recheck));
+    for (const Candidate& candidate : m_candidates) {
+        if (candidate.cpu_millicores > m_identity.cpu_millicores)
+            ask_candidate(candidate);
+    }
+    m_loop.after(weaker_node_delay + slow_store_allowance(),
+                 m_lifetime.wrap([this, epoch = m_leader.epoch, begun = m_loop.now()] {
+                     end_deferral(epoch, begun);
+                 }));
+}
+
+void Leadership::ask_candidate(const Candidate& candidate)
+{
+    PeerRequest request;
+    request.topic = PeerTopic::candidacy;
+    request.node = m_identity.node;
+    request.address = m_identity.address;
+    request.incarnation = m_identity.incarnation;
+    request.epoch = m_leader.epoch;
+    m_peers.send(
+        candidate.address, request, heartbeat_timeout,
+        m_lifetime.wrap([this, candidate](PeerEnd end, const PeerAnswer& answer) {
+            if (end != PeerEnd::answered)
+                return;
+            m_candidate_ready = m_candidate_ready || answer.served;
+            if (answer.leads)
+                leader_announced({ answer.epoch,
+                                   { answer.node, candidate.address, answer.incarnation,
+                                     candidate.cpu_millicores } });
+            else
+                leader_announced(
+                    { answer.epoch,
+                      { answer.leader, answer.leader, answer.leader_incarnation } });
+        }));
+}
+
+// While a more powerful node can claim, the leadership is left to it: it judges the leader
+// for itself.
+void Leadership::end_deferral(int64_t epoch, Millis begun)
+{
+    m_deferring = false;
+    if (m_leading || m_retired)
+        return;
+    const Millis now = m_loop.now();
+    const bool same_leader = m_leader.epoch == epoch && m_leader_answered_at < begun;
+    const bool yields
+        = m_candidate_ready && now - m_deferring_since.value_or(now) < max_deferral;
+    m_deferred = same_leader && !yields;
+    read_rows();
 }
 
 void Leadership::send_claim()
--- a/src/jobs.lib/leadership.h
+++ b/src/jobs.lib/leadership.h
@@ -100,6 +100,10 @@
     void leader_announced(const LeaderValue& leader);
     /// Returns the last known leader.
     const LeaderValue& leader() const { return m_leader; }
+    /// Returns whether this node would claim leadership if it found the leader gone.
+    bool may_claim() const { return !m_retired && m_loop.now() >= m_no_claim_until; }
+    /// Returns the most powerful followers of the leader, as it last told.
+    const std::vector<Candidate>& candidates() const { return m_candidates; }
     /// Promises not to claim leadership before `until`.
     void promise_no_claim_until(Millis until)
     {
@@ -127,6 +131,9 @@
     Millis slow_store_allowance() const;
     Millis late_leader_allowance() const;
     void defer_claim();
+    void ask_candidate(const Candidate& candidate);
+    void end_deferral(int64_t epoch, Millis begun);
+    int strongest_rival() const;
     void send_claim();
     void claim_answered(const StoreResult& result, Millis sent_at);
     std::optional<int64_t> claim_version(const StoreResult& result) const;
@@ -148,8 +155,10 @@
     bool m_deferring = false; ///< Waiting for more powerful nodes to claim first.
     bool m_deferred = false; ///< That wait is over for the present leader.
     size_t m_group_size = 1; ///< Nodes that send heartbeats to the leader.
-    /// Of the other followers, as last reported by the leader.
-    int m_max_peer_millicores = 0;
+    std::vector<Candidate> m_candidates; ///< As last reported by a leader.
+    /// A more powerful node has answered this deferral that it can claim.
+    bool m_candidate_ready = false;
+    std::optional<Millis> m_deferring_since; ///< Since a leader answered last.
     Millis m_read_time; ///< Duration of the last read of the rows.
     Millis m_read_started; ///< Start of the last read of the rows.
     LeaderValue m_leader; ///< As of the last read; epoch 0 if there is none.
--- a/src/jobs.lib/peer_codec.cpp
+++ b/src/jobs.lib/peer_codec.cpp
@@ -14,7 +14,7 @@
 
 using Json = nlohmann::json;
 
-constexpr int last_topic = static_cast<int>(PeerTopic::worker_list);
+constexpr int last_topic = static_cast<int>(PeerTopic::candidacy);
 constexpr int last_state = static_cast<int>(JobState::canceled);
 
 template <typename Value>
@@ -70,9 +70,11 @@
     case PeerTopic::job_payload:
         return "job_payload";
     case PeerTopic::worker_list:
+        return "worker_list";
+    case PeerTopic::candidacy:
         break;
     }
-    return "worker_list";
+    return "candidacy";
 }
 
 std::string encode(const PeerRequest& request)
@@ -163,6 +165,8 @@
         json["drains"] = { answer.drains.domains(), answer.drains.version(),
                            answer.drains.changed_at() };
     put(json, "strongest", answer.max_follower_millicores);
+    for (const Candidate& candidate : answer.candidates)
+        json["candidates"].push_back({ candidate.address, candidate.cpu_millicores });
     put(json, "call_rate", answer.call_rate);
     put(json, "call_bytes", answer.call_bytes_per_s);
     put(json, "peers_hash", answer.peers.hash);
@@ -205,6 +209,11 @@
                               drains.at(1).get<int64_t>(), drains.at(2).get<int64_t>() };
         }
         answer.max_follower_millicores = json.value("strongest", 0);
+        if (json.contains("candidates")) {
+            for (const Json& candidate : json.at("candidates"))
+                answer.candidates.push_back(
+                    { candidate.at(0).get<std::string>(), candidate.at(1).get<int>() });
+        }
         answer.call_rate = json.value("call_rate", int64_t(0));
         answer.call_bytes_per_s = json.value("call_bytes", int64_t(0));
         answer.peers.hash = json.value("peers_hash", int64_t(0));
--- a/src/jobs.lib/weak_successor_test.cpp
+++ b/src/jobs.lib/weak_successor_test.cpp
@@ -170,3 +170,37 @@
         BOOST_TEST(violations.empty(), "seed " << seed << join_lines(violations));
     }
 }
+
+// Large cells send heartbeats rarely, so a weak node may notice that a leader has fallen
+// silent long before the only other strong node does. A fixed wait does not cover that.
+BOOST_AUTO_TEST_CASE(weak_nodes_leave_a_silent_leader_to_the_only_strong_one)
+{
+    constexpr int nodes = 130;
+    constexpr int seeds = 20;
+    const std::map<std::string, int> strengths = [] {
+        std::map<std::string, int> result;
+        for (int i = 1; i <= nodes; ++i)
+            result["n" + std::to_string(i)] = i <= 2 ? strong_millicores : weak_millicores;
+        return result;
+    }();
+    for (uint64_t seed = 1; seed <= seeds; ++seed) {
+        Cell cell(seed, nodes, 4, strengths);
+        cell.world.run_for(Millis(3000));
+        // Nodes that start at once would send their heartbeats at the same moments.
+        constexpr uint64_t spread_ms = 2000;
+        for (const auto& [node, millicores] : strengths)
+            cell.world.after(
+                Millis(static_cast<int64_t>(cell.world.random_below(spread_ms))),
+                [&cell, node = node] { cell.kill(node, Millis(1)); });
+        cell.world.run_for(Millis(12000));
+        const std::string leader = named_leader(cell);
+        BOOST_REQUIRE_MESSAGE(strengths.at(leader) == strong_millicores, "seed " << seed);
+        const int64_t epoch = epoch_of(cell);
+        cell.freeze(leader, Millis(60000));
+        cell.world.run_for(Millis(5000));
+        const std::string next = named_leader(cell);
+        BOOST_TEST(strengths.at(next) == strong_millicores,
+                   "seed " << seed << ": " << next << " leads");
+        BOOST_TEST(epoch_of(cell) == epoch + 1, "seed " << seed);
+    }
+}
