A leader resigns for a follower that was served while it was refused

Cause: a leader that the store fails for 0.7 s resigns if a follower says that the store serves it.

Followers tell when the store served them. Only what lies between the first and the last of the leader's own failed calls counts, less the leader's lateness in reading the heartbeat.

--- a/src/include/pathport/jobs/peers.h
+++ b/src/include/pathport/jobs/peers.h
@@ -104,6 +104,7 @@
     std::string calls; ///< Calls to workers, encoded.
     int64_t peers_hash = 0; ///< Hash of the sender's list of nodes.
     bool store_served = false; ///< Whether the store served the sender recently.
+    int64_t store_served_ago_ms = 0; ///< How long ago, if it did.
     bool store_fails = false; ///< Whether the store is unavailable to the sender.
     /// Smoothed time of the sender's recent calls to the store; 0 if not known.
     int64_t store_call_ms = 0;
--- a/src/jobs.lib/followers.h
+++ b/src/jobs.lib/followers.h
@@ -26,6 +26,7 @@
     /// It won't claim leadership before this time, on the leader's clock.
     Millis promised_until;
     bool store_served = false;
+    Millis store_served_at; ///< On the leader's clock, if the store served it.
     bool store_fails = false;
     Millis store_call_time; ///< As the follower reads it; zero if not known.
     std::string node;
--- a/src/jobs.lib/job_node.cpp
+++ b/src/jobs.lib/job_node.cpp
@@ -214,6 +214,7 @@
 {
     request.link_bytes_per_s = m_setup.link_bytes_per_s;
     request.store_served = m_store.served();
+    request.store_served_ago_ms = m_store.served_ago().count();
     request.store_fails = m_store.failing();
     request.store_call_ms = m_store.call_time().count();
     request.peers_hash = m_peers.hash();
--- a/src/jobs.lib/job_node_peers.cpp
+++ b/src/jobs.lib/job_node_peers.cpp
@@ -153,6 +153,9 @@
     follower.node = request.node;
     follower.incarnation = request.incarnation;
     follower.store_served = request.store_served;
+    // The heartbeat may have lain unread for as long as this leader is late.
+    follower.store_served_at = follower.last_heard - Millis(request.store_served_ago_ms)
+        - m_scheduler->log().lateness();
     follower.store_fails = request.store_fails;
     follower.store_call_time = Millis(request.store_call_ms);
     follower.cpu_millicores = request.cpu_millicores;
--- a/src/jobs.lib/job_node_succession.cpp
+++ b/src/jobs.lib/job_node_succession.cpp
@@ -78,15 +78,21 @@
                 { "unserved_ms", (now - last_write).count() } });
 }
 
-// Returns whether the store serves a live follower.
+// Returns whether the store has served a live follower amid this node's failed calls. A
+// follower that was served before them or after them tells of the time before or after an
+// outage that is the same for all.
 bool JobNode::Impl::other_node_served() const
 {
+    const auto failed = m_store.failed_calls();
+    if (!failed)
+        return false;
     const Millis now = m_context.loop.now();
     bool served = false;
     m_followers.for_each([&](const std::string&, const Follower& follower) {
         served = served
-            || (follower.store_served
-                && now - follower.last_heard < follower_silence_limit);
+            || (follower.store_served && now - follower.last_heard < follower_silence_limit
+                && follower.store_served_at > failed->first
+                && follower.store_served_at < failed->last);
     });
     return served;
 }
--- a/src/jobs.lib/peer_codec.cpp
+++ b/src/jobs.lib/peer_codec.cpp
@@ -98,6 +98,7 @@
     put(json, "resigned", request.resigned);
     put(json, "store_fails", request.store_fails);
     put(json, "served", request.store_served);
+    put(json, "served_ago", request.store_served_ago_ms);
     put(json, "store_ms", request.store_call_ms);
     put(json, "promises", request.promises);
     put(json, "echo", request.echo_ms);
@@ -134,6 +135,7 @@
         request.resigned = json.value("resigned", false);
         request.store_fails = json.value("store_fails", false);
         request.store_served = json.value("served", false);
+        request.store_served_ago_ms = json.value("served_ago", int64_t(0));
         request.store_call_ms = json.value("store_ms", int64_t(0));
         request.promises = json.value("promises", false);
         request.echo_ms = json.value("echo", int64_t(0));
--- a/src/jobs.lib/store_health.cpp
+++ b/src/jobs.lib/store_health.cpp
@@ -8,6 +8,7 @@
 #include <pathport/log.h>
 
 #include <algorithm>
+#include <iterator>
 
 namespace pathport::jobs {
 
@@ -21,6 +22,8 @@
 /// Interval of probes while the store is failing.
 constexpr Millis probe_interval { 200 };
 constexpr Millis probe_timeout { 800 };
+/// An open call without a reply for this long counts as failed.
+constexpr Millis overdue_time { 350 };
 /// A call that is served takes some time, so that zero can mean that none was.
 constexpr Millis min_call_time { 1 };
 } // namespace
@@ -85,8 +88,11 @@
                       { { "served_ms_ago", (m_loop.now() - m_served_at).count() } });
         m_known = true;
         m_last_served = served;
+        if (!served)
+            note_failed_call(Millis(started_at));
         if (served) {
             m_served_at = m_loop.now();
+            m_failed_calls.reset();
             if (!is_watch)
                 note_call_time(m_loop.now() - Millis(started_at));
         }
@@ -112,6 +118,33 @@
         = m_call_time == Millis(0) ? time : Millis((m_call_time + time).count() / 2);
 }
 
+void StoreHealth::note_failed_call(Millis sent)
+{
+    if (!m_failed_calls)
+        m_failed_calls = FailedCalls { sent, sent };
+    m_failed_calls->first = std::min(m_failed_calls->first, sent);
+    m_failed_calls->last = std::max(m_failed_calls->last, sent);
+}
+
+std::optional<StoreHealth::FailedCalls> StoreHealth::failed_calls() const
+{
+    std::optional<FailedCalls> failed = m_failed_calls;
+    const int64_t overdue = (m_loop.now() - overdue_time).count();
+    const auto first_timely = m_open.upper_bound(overdue);
+    if (first_timely == m_open.begin())
+        return failed;
+    const Millis first(*m_open.begin());
+    const Millis last(*std::prev(first_timely));
+    if (!failed)
+        return FailedCalls { first, last };
+    return FailedCalls { std::min(failed->first, first), std::max(failed->last, last) };
+}
+
+Millis StoreHealth::served_ago() const
+{
+    return served() ? m_loop.now() - m_served_at : Millis(0);
+}
+
 Millis StoreHealth::call_time() const
 {
     return served() ? m_call_time : Millis(0);
--- a/src/jobs.lib/store_health.h
+++ b/src/jobs.lib/store_health.h
@@ -14,6 +14,7 @@
 #include <pathport/metrics.h>
 
 #include <functional>
+#include <optional>
 #include <set>
 
 namespace pathport::jobs {
@@ -36,6 +37,16 @@
     bool failing() const;
     /// Returns the time since it last served this node; zero while it is not failing.
     Millis outage() const;
+    /// Returns the time since the store last served this node; zero if served() is false.
+    Millis served_ago() const;
+    /// When calls were sent that failed since the store last served this node: the first
+    /// and the last of them.
+    struct FailedCalls {
+        Millis first;
+        Millis last;
+    };
+    /// Returns them, also counting open calls without a reply for long; nothing if none.
+    std::optional<FailedCalls> failed_calls() const;
     /// Returns the smoothed time of the calls that were served, from the call to the reading
     /// of its reply; zero before the first, and while the store has not served this node
     /// recently.
@@ -51,6 +62,7 @@
 private:
     StoreReply instrument(StoreReply done, const char* call, bool is_watch);
     void note_call_time(Millis elapsed);
+    void note_failed_call(Millis sent);
     void schedule_probe();
 
     EventLoop& m_loop;
@@ -59,6 +71,7 @@
     bool m_known = false;
     bool m_last_served = false;
     Millis m_served_at;
+    std::optional<FailedCalls> m_failed_calls; ///< That have ended.
     Millis m_call_time; ///< Smoothed; watches, which wait for changes, don't count.
     std::multiset<int64_t> m_open; ///< Start times of the open calls.
     bool m_probing = false;
