A late answer still shows that the leader lives

Cause: a follower gives a heartbeat 300 ms and drops what comes later. A leader that reads for half a second what came in during an outage answers each heartbeat, and counts as silent; its row, which waits in the same loop, stands for 0.7 s, and a follower claims.

The loss is still noticed after 300 ms and the row is read, but the heartbeat stays open for as long as a claim takes, and an answer that comes late ends the suspicion.

--- a/src/jobs.lib/leadership.cpp
+++ b/src/jobs.lib/leadership.cpp
@@ -23,6 +23,9 @@
 constexpr Millis max_heartbeat_interval { 500 };
 constexpr int64_t heartbeat_interval_per_node_ms = 4;
 constexpr Millis heartbeat_timeout { 300 };
+/// An answer that comes within this time still shows that the leader lives. Without one, a
+/// claim takes about as long.
+constexpr Millis late_heartbeat_timeout { 1200 };
 /// Delay before the next heartbeat after a refused connection.
 constexpr Millis refused_retry_delay { 40 };
 /// Consecutive refused connections after which the leader counts as unresponsive.
@@ -332,12 +335,17 @@
     ask_leader();
 }
 
-// At most one heartbeat to a leader is open; its completion schedules the next step.
+// At most one heartbeat to a leader is open and not overdue; its completion schedules the
+// next step.
 void Leadership::ask_leader()
 {
-    if (m_open_heartbeat_epoch == m_leader.epoch)
+    const bool open = m_open_heartbeat && !m_open_heartbeat->ended
+        && !m_open_heartbeat->overdue && m_open_heartbeat->epoch == m_leader.epoch;
+    if (open)
         return;
-    m_open_heartbeat_epoch = m_leader.epoch;
+    const auto heartbeat = std::make_shared<Heartbeat>();
+    heartbeat->epoch = m_leader.epoch;
+    m_open_heartbeat = heartbeat;
     PeerRequest request;
     request.topic = PeerTopic::heartbeat;
     request.node = m_identity.node;
@@ -346,17 +354,37 @@
     request.epoch = m_leader.epoch;
     request.cpu_millicores = m_identity.cpu_millicores;
     m_listener.fill_heartbeat(request);
-    m_peers.send(m_leader.identity.address, request, heartbeat_timeout,
-                 m_lifetime.wrap(
-                     [this, epoch = m_leader.epoch](PeerEnd end, const PeerAnswer& answer) {
-                         heartbeat_answered(end, answer, epoch);
-                     }));
+    m_peers.send(m_leader.identity.address, request, late_heartbeat_timeout,
+                 m_lifetime.wrap([this, heartbeat](PeerEnd end, const PeerAnswer& answer) {
+                     heartbeat_answered(end, answer, heartbeat);
+                 }));
+    m_loop.after(heartbeat_timeout, m_lifetime.wrap([this, heartbeat] {
+        if (!heartbeat->ended)
+            heartbeat_overdue(heartbeat);
+    }));
+}
+
+void Leadership::heartbeat_overdue(const HeartbeatPtr& heartbeat)
+{
+    if (heartbeat->overdue)
+        return;
+    heartbeat->overdue = true;
+    if (m_leading || m_retired || heartbeat->epoch != m_leader.epoch)
+        return;
+    m_refusals = 0;
+    on_heartbeat_timeout();
 }
 
-void Leadership::heartbeat_answered(PeerEnd end, const PeerAnswer& answer, int64_t epoch)
+// An overdue heartbeat may still be answered: a leader that is late is not gone.
+void Leadership::heartbeat_answered(PeerEnd end, const PeerAnswer& answer,
+                                    const HeartbeatPtr& heartbeat)
 {
-    if (m_open_heartbeat_epoch == epoch)
-        m_open_heartbeat_epoch = no_epoch;
+    if (end == PeerEnd::silent) {
+        heartbeat_overdue(heartbeat);
+        return;
+    }
+    heartbeat->ended = true;
+    const int64_t epoch = heartbeat->epoch;
     if (m_leading || m_retired || epoch != m_leader.epoch)
         return;
     if (end == PeerEnd::refused) {
@@ -364,10 +392,6 @@
         return;
     }
     m_refusals = 0;
-    if (end == PeerEnd::silent) {
-        on_heartbeat_timeout();
-        return;
-    }
     m_leader_silent = false;
     if (answer.leads && answer.epoch >= epoch && !answer.resigned) {
         m_leader_answered_at = m_loop.now();
--- a/src/jobs.lib/leadership.h
+++ b/src/jobs.lib/leadership.h
@@ -17,6 +17,7 @@
 #include <pathport/log.h>
 
 #include <functional>
+#include <memory>
 #include <optional>
 #include <string>
 #include <vector>
@@ -120,7 +121,16 @@
     void schedule_follow(Millis delay);
     void follow();
     void ask_leader();
-    void heartbeat_answered(PeerEnd end, const PeerAnswer& answer, int64_t epoch);
+    /// A heartbeat that has been sent.
+    struct Heartbeat {
+        int64_t epoch = 0; ///< Of the leader that it was sent to.
+        bool ended = false; ///< It was answered or refused.
+        bool overdue = false; ///< Others may be sent to the same leader.
+    };
+    using HeartbeatPtr = std::shared_ptr<Heartbeat>;
+    void heartbeat_answered(PeerEnd end, const PeerAnswer& answer,
+                            const HeartbeatPtr& heartbeat);
+    void heartbeat_overdue(const HeartbeatPtr& heartbeat);
     Millis next_heartbeat_delay() const;
     void on_heartbeat_refused();
     void note_unresponsive_leader();
@@ -173,9 +183,7 @@
     Millis m_leader_known_since; ///< When this node learned of the present leader.
     Millis m_leader_answered_at; ///< When the leader last confirmed that it leads.
     int m_refusals = 0; ///< Consecutive refused connections to the leader.
-    static constexpr int64_t no_epoch = -1;
-    /// Epoch of the leader whose heartbeat is unanswered.
-    int64_t m_open_heartbeat_epoch = no_epoch;
+    HeartbeatPtr m_open_heartbeat; ///< The last one.
     static constexpr int64_t no_version = -1;
     /// Version of the head row while the leader does not answer.
     int64_t m_stalled_head_version = no_version;
--- a/src/jobs.lib/weak_successor_test.cpp
+++ b/src/jobs.lib/weak_successor_test.cpp
@@ -204,3 +204,21 @@
         BOOST_TEST(epoch_of(cell) == epoch + 1, "seed " << seed);
     }
 }
+
+// Guards against a leader that resigns because of what a follower saw before the outage, or
+// saw just before the leader could: followers claim, and all open jobs are read once more.
+BOOST_AUTO_TEST_CASE(leader_stays_through_an_outage_for_all_nodes)
+{
+    for (uint64_t seed = 1; seed <= 20; ++seed) {
+        UnequalCell played(seed);
+        Cell& cell = played.cell;
+        played.run(Millis(5000));
+        const int64_t epoch = epoch_of(cell);
+        cell.store.injected.refuse_calls = true;
+        played.run(outage);
+        cell.store.injected.refuse_calls = false;
+        played.run(Millis(5000));
+        BOOST_TEST(epoch_of(cell) == epoch,
+                   "seed " << seed << ": epoch " << epoch_of(cell) << " after " << epoch);
+    }
+}
