A leader that the store fails alone gives way again

Cause: a follower's word on the store is replaced with each heartbeat by a fresh one, which is always later than calls that count as failed only after 350 ms. The leader now keeps the first time at which a follower was served since its own calls fail; its later failed calls are held against that.

--- a/src/jobs.lib/job_node.cpp
+++ b/src/jobs.lib/job_node.cpp
@@ -89,6 +89,7 @@
     m_unheard_peers = { m_peers.addresses().begin(), m_peers.addresses().end() };
     m_unheard_peers.erase(m_setup.peer_address);
     m_handing_over = false;
+    m_follower_served_at.reset();
     m_logged_obstacle = HandOverObstacle::none;
     m_last_lead_tick = m_context.loop.now();
     m_elected_at = m_last_lead_tick;
--- a/src/jobs.lib/job_node_impl.h
+++ b/src/jobs.lib/job_node_impl.h
@@ -134,6 +134,7 @@
     HandOverObstacle hand_over_obstacle() const;
     void log_hand_over_obstacle();
     void hand_over_to(const std::string& address, const char* reason);
+    void note_follower_served(const Follower& follower);
     bool other_node_served() const;
     bool slow_for_successor() const;
     std::string successor() const;
@@ -223,6 +224,8 @@
     std::optional<LeaderValue> m_successor; ///< Named by this leader's last write.
     /// As of the last log line on it.
     HandOverObstacle m_logged_obstacle = HandOverObstacle::none;
+    /// When the store first served a follower since it fails this leader.
+    std::optional<Millis> m_follower_served_at;
     bool m_handing_over = false; ///< The log is about to make another node the leader.
     /// Whether the store served the leader, as of its last answer.
     bool m_leader_served = false;
--- a/src/jobs.lib/job_node_peers.cpp
+++ b/src/jobs.lib/job_node_peers.cpp
@@ -163,6 +163,7 @@
     follower.promised_until
         = request.promises ? Millis(request.echo_ms) + promise_time : Millis(0);
     m_followers.note(request.address, follower);
+    note_follower_served(follower);
     update_promises();
     consider_resigning();
 }
--- a/src/jobs.lib/job_node_succession.cpp
+++ b/src/jobs.lib/job_node_succession.cpp
@@ -78,21 +78,34 @@
                 { "unserved_ms", (now - last_write).count() } });
 }
 
-// Returns whether the store has served a live follower amid this node's failed calls. A
-// follower that was served before them or after them tells of the time before or after an
+// Notes when the store first served a follower since it fails this node. Later times
+// replace each other with every heartbeat, so they are no evidence against calls that this
+// node has sent since.
+void JobNode::Impl::note_follower_served(const Follower& follower)
+{
+    const auto failed = m_store.failed_calls();
+    if (!failed || !follower.store_served || follower.store_served_at <= failed->first)
+        return;
+    if (!m_follower_served_at || *m_follower_served_at <= failed->first)
+        m_follower_served_at = follower.store_served_at;
+}
+
+// Returns whether the store serves a live follower and has served one amid this node's
+// failed calls. What lies before them or after them tells of the time before or after an
 // outage that is the same for all.
 bool JobNode::Impl::other_node_served() const
 {
     const auto failed = m_store.failed_calls();
-    if (!failed)
+    const bool amid_failures = failed && m_follower_served_at
+        && *m_follower_served_at > failed->first && *m_follower_served_at < failed->last;
+    if (!amid_failures)
         return false;
     const Millis now = m_context.loop.now();
     bool served = false;
     m_followers.for_each([&](const std::string&, const Follower& follower) {
         served = served
-            || (follower.store_served && now - follower.last_heard < follower_silence_limit
-                && follower.store_served_at > failed->first
-                && follower.store_served_at < failed->last);
+            || (follower.store_served
+                && now - follower.last_heard < follower_silence_limit);
     });
     return served;
 }
--- a/src/jobs.lib/weak_successor_test.cpp
+++ b/src/jobs.lib/weak_successor_test.cpp
@@ -222,3 +222,29 @@
                    "seed " << seed << ": epoch " << epoch_of(cell) << " after " << epoch);
     }
 }
+
+// Guards against a leader that stays although the store fails only it: the followers, which
+// the store serves, hear its answers and don't claim.
+BOOST_AUTO_TEST_CASE(leader_that_the_store_fails_alone_gives_way)
+{
+    for (const int nodes : { 2, 3, 5, 24 }) {
+        for (const bool refused : { false, true }) {
+            for (uint64_t seed = 1; seed <= 5; ++seed) {
+                Cell cell(seed, nodes, 8);
+                cell.world.run_for(Millis(3000));
+                const std::string leader = cell.leader();
+                auto& failing = refused ? cell.store.injected.refused_nodes
+                                        : cell.store.injected.partitioned_nodes;
+                failing.insert(leader);
+                for (Millis at; at < max_standstill; at = at + job_interval) {
+                    submit_plain(cell, "job" + std::to_string(at.count()),
+                                 small_step(1, 200));
+                    cell.world.run_for(job_interval);
+                }
+                BOOST_TEST(named_leader(cell) != leader,
+                           nodes << " nodes, " << (refused ? "refused" : "unanswered")
+                                 << ", seed " << seed);
+            }
+        }
+    }
+}
