Followers check the store for an unserved leader at intervals

A leader without a recent write answers that the store does not serve it; each of 146 followers then read the store and sent a heartbeat at once, whose answer made it do so again: a verdict that makes work, in the loop of a leader that is late, and reads against the store's limit right after an outage.

A follower now checks once in 250 ms.

--- a/src/jobs.lib/job_node.cpp
+++ b/src/jobs.lib/job_node.cpp
@@ -15,6 +15,8 @@
 namespace {
 
 constexpr Millis lead_tick_interval { 250 };
+/// Minimum time between checks of the store on behalf of a leader that it does not serve.
+constexpr Millis store_check_interval { 250 };
 /// A follower that has been silent for this long gets no advice queries and relays no calls
 /// to workers.
 constexpr Millis follower_active_time { 1000 };
@@ -242,9 +244,12 @@
         m_leadership.set_group_size(m_peers.addresses().size());
     }
     // If the store is unavailable to the leader, check whether it is available to this
-    // node.
-    if (!answer.served)
-        m_store.check(m_lifetime.wrap([this] { m_leadership.heartbeat_now(); }));
+    // node. All followers do so, and each check costs the leader a heartbeat.
+    const Millis now = m_context.loop.now();
+    if (answer.served || now - m_store_checked < store_check_interval)
+        return;
+    m_store_checked = now;
+    m_store.check(m_lifetime.wrap([this] { m_leadership.heartbeat_now(); }));
 }
 
 void JobNode::Impl::lead_tick()
--- a/src/jobs.lib/job_node_impl.h
+++ b/src/jobs.lib/job_node_impl.h
@@ -217,6 +217,7 @@
     PeerList m_peers; ///< All nodes known to the leader.
     /// Nodes known to the previous leader that have sent no heartbeat to this one yet.
     std::set<std::string> m_unheard_peers;
+    Millis m_store_checked; ///< On behalf of a leader that the store does not serve.
     Millis m_last_lead_tick; ///< When lead_tick() last ran.
     Millis m_elected_at; ///< When this node became the leader.
     bool m_shutting_down = false;
