Judge a late or unread leader by what was observed last

- A single refused read, as a rate limit gives, began the time for which a row stood anew, so a dead leader might not be replaced while the store refuses some calls.
Now only time without a successful read is left out, and it begins anew after as long as a claim takes.
- A wait for stronger nodes that began before an outage still counted after it.
A failed read ends it.
- With several heartbeats open, the answer to an earlier one could be taken for the later word.
Answers are taken in the order of sending.
- A late answer ended each suspicion, so a leader that answers late and writes nothing was kept for good.

--- a/src/jobs.lib/leadership.cpp
+++ b/src/jobs.lib/leadership.cpp
@@ -203,6 +203,7 @@
     m_deferred = false;
     m_deferring_since.reset();
     m_leader_silent = false;
+    m_answers_late = false;
     m_refusals = 0;
     log_event(LogLevel::info, "leader_known",
               { { "leader", m_leader.identity.node }, { "epoch", m_leader.epoch } });
@@ -228,23 +229,28 @@
     m_read_started = m_loop.now();
     m_store.read(range, read_timeout, m_lifetime.wrap([this](const StoreResult& result) {
         m_reading = false;
-        if (result.status == StoreStatus::ok)
+        if (result.status == StoreStatus::ok) {
             m_read_time = m_loop.now() - m_read_started;
-        else
-            discount_unobserved_time(result.status);
+            discount_unobserved_time();
+        }
+        m_row_unobserved = result.status != StoreStatus::ok;
         rows_read(result);
     }));
 }
 
 // The time for which this node could not read the head row does not count as time for which
-// the row stood. While the store refuses calls, the leader can't write it either, so when
-// the store is back that time begins anew.
-void Leadership::discount_unobserved_time(StoreStatus status)
+// the row stood. After an outage that time begins anew, since the leader could not write
+// the row either.
+void Leadership::discount_unobserved_time()
 {
-    if (status == StoreStatus::refused)
+    const Millis now = m_loop.now();
+    const Millis unobserved = now - m_row_observed_at;
+    m_row_observed_at = now;
+    if (!m_row_unobserved)
+        return;
+    m_head_stalled_since = m_head_stalled_since + unobserved;
+    if (unobserved >= head_stall_timeout)
         m_stalled_head_version = no_version;
-    else
-        m_head_stalled_since = m_head_stalled_since + (m_loop.now() - m_read_started);
 }
 
 // Ignored while a claim is in flight, since the claim's own result decides.
@@ -256,6 +262,8 @@
         // Without the store this node can't claim; it asks the previous leader and other
         // nodes. What it knew of the leader may have changed when the store is back.
         m_claim_wanted = false;
+        m_deferred = false;
+        m_deferring_since.reset();
         m_listener.leader_unknown();
         if (m_rows_known)
             schedule_follow(store_retry_delay);
@@ -319,7 +327,10 @@
         m_head_stalled_since = now;
     }
     const bool refuses = m_refusals >= max_refusals;
-    const Millis timeout = refuses ? refused_head_stall_timeout : head_stall_timeout;
+    Millis timeout = refuses ? refused_head_stall_timeout : head_stall_timeout;
+    // One that still answers, late, can do nothing for the cell once its lease has ended.
+    if (m_answers_late && !refuses)
+        timeout = leader_lease;
     if (now - m_head_stalled_since
         >= timeout + slow_store_allowance() + late_leader_allowance()) {
         claim(ClaimReason::head_stalled);
@@ -345,6 +356,7 @@
         return;
     const auto heartbeat = std::make_shared<Heartbeat>();
     heartbeat->epoch = m_leader.epoch;
+    heartbeat->number = ++m_last_heartbeat;
     m_open_heartbeat = heartbeat;
     PeerRequest request;
     request.topic = PeerTopic::heartbeat;
@@ -385,14 +397,21 @@
     }
     heartbeat->ended = true;
     const int64_t epoch = heartbeat->epoch;
-    if (m_leading || m_retired || epoch != m_leader.epoch)
+    if (m_leading || m_retired || epoch != m_leader.epoch
+        || heartbeat->number < m_answered_heartbeat)
         return;
+    m_answered_heartbeat = heartbeat->number;
     if (end == PeerEnd::refused) {
         on_heartbeat_refused();
         return;
     }
     m_refusals = 0;
+    // A more powerful node would do better than a leader that is late.
+    if (heartbeat->overdue && m_identity.cpu_millicores > m_leader.identity.cpu_millicores
+        && answer.leads && !answer.resigned)
+        return;
     m_leader_silent = false;
+    m_answers_late = heartbeat->overdue;
     if (answer.leads && answer.epoch >= epoch && !answer.resigned) {
         m_leader_answered_at = m_loop.now();
         m_claim_wanted = false;
@@ -443,7 +462,8 @@
     if (m_leader_silent)
         return;
     m_leader_silent = true;
-    m_stalled_head_version = no_version;
+    if (!m_answers_late)
+        m_stalled_head_version = no_version;
     log_event(LogLevel::warn, "leader_silent",
               { { "leader", m_leader.identity.node },
                 { "epoch", m_leader.epoch },
--- a/src/jobs.lib/leadership.h
+++ b/src/jobs.lib/leadership.h
@@ -114,7 +114,7 @@
 private:
     void want_claim();
     void read_rows();
-    void discount_unobserved_time(StoreStatus status);
+    void discount_unobserved_time();
     void rows_read(const StoreResult& result);
     void act_on_rows();
     void follow_new_leader(const LeaderValue& leader);
@@ -124,6 +124,7 @@
     /// A heartbeat that has been sent.
     struct Heartbeat {
         int64_t epoch = 0; ///< Of the leader that it was sent to.
+        int64_t number = 0; ///< In the order of sending.
         bool ended = false; ///< It was answered or refused.
         bool overdue = false; ///< Others may be sent to the same leader.
     };
@@ -184,10 +185,15 @@
     Millis m_leader_answered_at; ///< When the leader last confirmed that it leads.
     int m_refusals = 0; ///< Consecutive refused connections to the leader.
     HeartbeatPtr m_open_heartbeat; ///< The last one.
+    int64_t m_last_heartbeat = 0; ///< Number of the last one sent.
+    int64_t m_answered_heartbeat = 0; ///< Highest number that was answered or refused.
+    bool m_answers_late = false; ///< The last answer came for an overdue heartbeat.
     static constexpr int64_t no_version = -1;
     /// Version of the head row while the leader does not answer.
     int64_t m_stalled_head_version = no_version;
     Millis m_head_stalled_since;
+    Millis m_row_observed_at; ///< When the rows were last read.
+    bool m_row_unobserved = false; ///< The last read failed.
     bool m_leader_silent = false;
     Millis m_no_claim_until;
     StoreWriter m_writer;
