A strong follower measures the store for a weaker leader

Cause: the leader judges by what its followers tell of the store. A follower that makes no calls counts as not served after 1.5 s, so a weak leader takes itself for the strongest (strongest_follower=0 beside two strong ones). A watch that is answered makes it count as served again, but with the call time of its last read, which may date from a slow store.

The call time is now valid for 1.5 s, and starts anew after that. A node that is stronger than its leader checks the store when it has none.

--- a/src/jobs.lib/hand_over_test.cpp
+++ b/src/jobs.lib/hand_over_test.cpp
@@ -203,3 +203,26 @@
     BOOST_TEST_MESSAGE("hand-overs with rows left out: " << rows_left_out);
     BOOST_TEST(rows_left_out >= seeds / 2);
 }
+
+// Guards against a weak leader that stays because its strong followers, which have no
+// reason to call the store, still tell how slow it was long ago.
+BOOST_AUTO_TEST_CASE(weak_leader_gives_way_to_followers_that_make_no_calls)
+{
+    for (uint64_t seed = 1; seed <= 5; ++seed) {
+        Cell cell(seed, 3, 8, { { "n1", 120 }, { "n2", 500 }, { "n3", 500 } });
+        cell.freeze("n2", Millis(4000));
+        cell.freeze("n3", Millis(4000));
+        cell.world.run_for(Millis(3500));
+        BOOST_REQUIRE_MESSAGE(cell.leader() == "n1",
+                              "seed " << seed << ": " << cell.leader() << " leads");
+        cell.store.injected.latency_factor = 60;
+        cell.world.run_for(Millis(3000));
+        emulator::ProcessorCost cost;
+        cost.event = Millis(2);
+        cell.set_processor_cost(cost);
+        cell.set_processor_speed("n1", 10);
+        cell.store.injected.latency_factor = 1;
+        cell.world.run_for(Millis(10000));
+        BOOST_TEST(cell.leader() != "n1", "seed " << seed);
+    }
+}
--- a/src/jobs.lib/job_node.cpp
+++ b/src/jobs.lib/job_node.cpp
@@ -218,6 +218,12 @@
     request.store_fails = m_store.failing();
     request.store_call_ms = m_store.call_time().count();
     request.peers_hash = m_peers.hash();
+    // A weaker leader needs to know whether the store is fast for this node, which may have
+    // no other reason to call it.
+    const bool may_succeed
+        = m_setup.cpu_millicores > m_leadership.leader().identity.cpu_millicores;
+    if (may_succeed && m_store.call_time() == Millis(0) && !m_store.failing())
+        m_store.check();
     // The node promises not to claim only while the store is unavailable to it.
     if (!m_store.failing() || m_leader_sent_ms == 0)
         return;
--- a/src/jobs.lib/store_health.cpp
+++ b/src/jobs.lib/store_health.cpp
@@ -115,7 +115,8 @@
 {
     const Millis time = std::max(elapsed, min_call_time);
     m_call_time
-        = m_call_time == Millis(0) ? time : Millis((m_call_time + time).count() / 2);
+        = call_time() == Millis(0) ? time : Millis((m_call_time + time).count() / 2);
+    m_call_timed_at = m_loop.now();
 }
 
 void StoreHealth::note_failed_call(Millis sent)
@@ -147,7 +148,8 @@
 
 Millis StoreHealth::call_time() const
 {
-    return served() ? m_call_time : Millis(0);
+    const bool recent = m_loop.now() - m_call_timed_at < served_validity;
+    return served() && recent ? m_call_time : Millis(0);
 }
 
 bool StoreHealth::failing() const
--- a/src/jobs.lib/store_health.h
+++ b/src/jobs.lib/store_health.h
@@ -48,8 +48,7 @@
     /// Returns them, also counting open calls without a reply for long; nothing if none.
     std::optional<FailedCalls> failed_calls() const;
     /// Returns the smoothed time of the calls that were served, from the call to the reading
-    /// of its reply; zero before the first, and while the store has not served this node
-    /// recently.
+    /// of its reply; zero before the first, and while the store has not served one recently.
     Millis call_time() const;
     /// Probes the store, so that served() and failing() become current; `on_served` is
     /// called if it replies.
@@ -73,6 +72,7 @@
     Millis m_served_at;
     std::optional<FailedCalls> m_failed_calls; ///< That have ended.
     Millis m_call_time; ///< Smoothed; watches, which wait for changes, don't count.
+    Millis m_call_timed_at; ///< When a call last changed it.
     std::multiset<int64_t> m_open; ///< Start times of the open calls.
     bool m_probing = false;
     int64_t m_clock_ms = 0;
