--- a/src/jobs.lib/hand_over_test.cpp
+++ b/src/jobs.lib/hand_over_test.cpp
@@ -172,8 +172,8 @@
                                 spec_of({ first, second }), { first, second }, false);
                 }
                 cell.world.run_for(Millis(1));
-                const auto head = jobs::decode_head(
-                    cell.store.value(jobs::lead_row(jobs::head_key)));
+                const auto head
+                    = jobs::decode_head(cell.store.value(jobs::lead_row(jobs::head_key)));
                 if (!head || head->epoch == epoch)
                     continue;
                 epoch = head->epoch;
--- a/src/jobs.lib/store_health.h
+++ b/src/jobs.lib/store_health.h
@@ -47,8 +47,9 @@
     };
     /// Returns them, also counting open calls without a reply for long; nothing if none.
     std::optional<FailedCalls> failed_calls() const;
-    /// Returns the smoothed time of the calls that were served, from the call to the reading
-    /// of its reply; zero before the first, and while the store has not served one recently.
+    /// Returns the smoothed time of the calls that were served, from the call to the
+    /// reading of its reply; zero before the first, and while the store has not served one
+    /// recently.
     Millis call_time() const;
     /// Probes the store, so that served() and failing() become current; `on_served` is
     /// called if it replies.
