A weak node's wait ends with the standstill that it was for

Cause: that a node has waited for stronger ones (m_deferred), and since when, was forgotten only at an answer of the leader or under a new one. A node that hears nothing from a leader that lives and writes its row waited once; when the leader later fell silent for all, or after an outage of the store, it claimed as soon as the row had stood for 0.6 s and asked nobody.

The wait is forgotten when the head row has changed, and when the store refuses a read, as the standstill of the row is.

leadership_test, weak_node_asks_again_after_the_leader_has_written_its_row: without the change the node asks once and is elected beside a stronger one that can claim; with it, it asks again, leaves the claim to it, and claims within 8 s if that one never does. The part for an outage has no test.

--- a/src/jobs.lib/leadership.cpp
+++ b/src/jobs.lib/leadership.cpp
@@ -200,8 +200,7 @@
 {
     m_leader = leader;
     m_leader_known_since = m_loop.now();
-    m_deferred = false;
-    m_deferring_since.reset();
+    forget_deferral();
     m_leader_silent = false;
     m_refusals = 0;
     log_event(LogLevel::info, "leader_known",
@@ -241,10 +240,12 @@
 // the store is back that time begins anew.
 void Leadership::discount_unobserved_time(StoreStatus status)
 {
-    if (status == StoreStatus::refused)
+    if (status == StoreStatus::refused) {
         m_stalled_head_version = no_version;
-    else
+        forget_deferral();
+    } else {
         m_head_stalled_since = m_head_stalled_since + (m_loop.now() - m_read_started);
+    }
 }
 
 // Ignored while a claim is in flight, since the claim's own result decides.
@@ -265,6 +266,7 @@
     }
     const int64_t epoch = m_leader.epoch;
     const std::string previous_address = m_leader.identity.address;
+    const int64_t previous_head_version = m_head_version;
     m_rows_known = true;
     m_leader_version = 0;
     m_head_version = 0;
@@ -285,6 +287,8 @@
         follow_new_leader(m_leader);
         m_claim_wanted = false;
     }
+    if (m_head_version != previous_head_version)
+        forget_deferral();
     act_on_rows();
 }
 
@@ -396,8 +400,7 @@
     if (answer.leads && answer.epoch >= epoch && !answer.resigned) {
         m_leader_answered_at = m_loop.now();
         m_claim_wanted = false;
-        m_deferred = false;
-        m_deferring_since.reset();
+        forget_deferral();
         if (!answer.candidates.empty())
             m_candidates = answer.candidates;
         m_listener.leader_answered(answer);
@@ -593,6 +596,14 @@
     read_rows();
 }
 
+// Called when the leader was not gone while this node waited, or may not have been: a later
+// claim has other reasons, and more powerful nodes are asked again.
+void Leadership::forget_deferral()
+{
+    m_deferred = false;
+    m_deferring_since.reset();
+}
+
 void Leadership::send_claim()
 {
     if (m_retired)
--- a/src/jobs.lib/leadership.h
+++ b/src/jobs.lib/leadership.h
@@ -143,6 +143,7 @@
     void defer_claim();
     void ask_candidate(const Candidate& candidate);
     void end_deferral(int64_t epoch, Millis begun);
+    void forget_deferral();
     int strongest_rival() const;
     void send_claim();
     void claim_answered(const StoreResult& result, Millis sent_at);
--- a/src/jobs.lib/leadership_test.cpp
+++ b/src/jobs.lib/leadership_test.cpp
@@ -15,6 +15,7 @@
 #include <pathport/emulator/store.h>
 #include <pathport/log.h>
 
+#include <optional>
 #include <utility>
 
 using namespace pathport;
@@ -59,8 +60,18 @@
 class HeldPeers : public PeerClient {
 public:
     std::vector<PeerReply> open;
-    void send(const std::string&, const PeerRequest&, Millis, PeerReply done) override
+    /// If set, the answer to each question whether a node can claim.
+    std::optional<PeerAnswer> candidacy;
+    int candidacy_asked = 0;
+    void send(const std::string&, const PeerRequest& request, Millis,
+              PeerReply done) override
     {
+        if (request.topic == PeerTopic::candidacy) {
+            ++candidacy_asked;
+            if (candidacy)
+                done(PeerEnd::answered, *candidacy);
+            return;
+        }
         open.push_back(std::move(done));
     }
 };
@@ -254,6 +265,65 @@
     BOOST_TEST(elections.count == 1);
 }
 
+// Guards against a weak node that waited once for stronger ones and then, when the leader
+// falls silent for good, claims without asking them: its wait was for an earlier standstill
+// of a leader that wrote its row again, but never answered this node.
+BOOST_AUTO_TEST_CASE(weak_node_asks_again_after_the_leader_has_written_its_row)
+{
+    emulator::World world { 7 };
+    emulator::Store store { world };
+    emulator::ProcessLoop loop { world };
+    emulator::StorePort port { store, loop, "b" };
+    HeldPeers peers;
+    Elections elections;
+    int64_t number = 0;
+    const auto write_head = [&store, &number] {
+        StoreWrite write;
+        write.puts.push_back(
+            { lead_row(head_key), encode(HeadValue { 1, ++number, "x", {} }) });
+        store.write_now(write);
+    };
+    StoreWrite rows;
+    rows.puts.push_back(
+        { lead_row(leader_key), encode(LeaderValue { 1, { "a", "a", "x", 500 } }) });
+    store.write_now(rows);
+    write_head();
+    Leadership leadership(loop, port, peers, { "b", "b", "y", 120 }, elections);
+    leadership.begin();
+    world.run_for(Millis(40));
+    BOOST_REQUIRE(peers.open.size() == 1U);
+    PeerAnswer answer;
+    answer.incarnation = "x";
+    answer.leads = true;
+    answer.epoch = 1;
+    answer.candidates.push_back({ "c", 500 });
+    std::exchange(peers.open, {})[0](PeerEnd::answered, answer);
+    const auto stay_silent = [&](Millis span) {
+        const Millis until = world.now() + span;
+        while (world.now() < until) {
+            for (const PeerReply& reply : std::exchange(peers.open, {}))
+                reply(PeerEnd::silent, {});
+            world.run_for(Millis(20));
+        }
+    };
+    for (int i = 0; i < 200 && peers.candidacy_asked == 0; ++i)
+        stay_silent(Millis(20));
+    BOOST_REQUIRE(peers.candidacy_asked == 1);
+    for (int i = 0; i < 20; ++i) {
+        write_head();
+        stay_silent(Millis(200));
+    }
+    BOOST_REQUIRE(elections.count == 0);
+    peers.candidacy = PeerAnswer();
+    peers.candidacy->served = true;
+    stay_silent(Millis(2000));
+    BOOST_TEST(peers.candidacy_asked > 1);
+    BOOST_TEST(elections.count == 0);
+    // Stronger nodes that never claim are not waited for without end.
+    stay_silent(Millis(6000));
+    BOOST_TEST(elections.count == 1);
+}
+
 // Guards against a consequence of electing a node twice for one claim: the second log's
 // first write would have the same head as the first log's first write, and would be taken
 // for committed although its rows were never written.
