Live followers come first among equally powerful candidates

Cause: a leader names its three most powerful followers, and among equals those whose last heartbeat said that the store served them. A node that died before an outage of the store said so and stays in the list for 30 s, while live nodes say in the outage that it doesn't. So three dead nodes could be all that the followers were told of, and if the leader went too, a weak node that asked them got no answer and claimed.

Among equals, those heard within the last second come first. The order by processor time is as before, so dead nodes that are more powerful than all live ones are still named first, until they are dropped.

weak_successor_test, candidates_are_live_rather_than_served_once: red without the change, passes with it.

--- a/src/jobs.lib/followers.cpp
+++ b/src/jobs.lib/followers.cpp
@@ -56,15 +56,15 @@
     return *m_promises.begin();
 }
 
-std::vector<Candidate> Followers::strongest(size_t count) const
+std::vector<Candidate> Followers::strongest(size_t count, Millis live_since) const
 {
     m_entries_walked += static_cast<int64_t>(m_entries.size());
     std::vector<Entries::const_iterator> order;
     for (auto entry = m_entries.begin(); entry != m_entries.end(); ++entry)
         order.push_back(entry);
-    const auto key = [](const Follower& follower) {
-        return std::make_tuple(follower.cpu_millicores, follower.store_served,
-                               follower.last_heard);
+    const auto key = [live_since](const Follower& follower) {
+        return std::make_tuple(follower.cpu_millicores, follower.last_heard > live_since,
+                               follower.store_served, follower.last_heard);
     };
     const size_t kept = std::min(count, order.size());
     std::partial_sort(order.begin(), order.begin() + static_cast<std::ptrdiff_t>(kept),
--- a/src/jobs.lib/followers.h
+++ b/src/jobs.lib/followers.h
@@ -57,9 +57,9 @@
     /// those that refresh() found to be live, and those heard since.
     int max_millicores() const { return m_max_millicores; }
 
-    /// Returns the most powerful followers, at most `count`, and among equals those that the
-    /// store serves.
-    std::vector<Candidate> strongest(size_t count) const;
+    /// Returns the most powerful followers, at most `count`; among equals those heard after
+    /// `live_since`, and among these the ones that the store serves.
+    std::vector<Candidate> strongest(size_t count, Millis live_since) const;
 
     /// Drops the followers last heard before `drop_before`; those last heard before
     /// `live_since` no longer count for max_millicores().
--- a/src/jobs.lib/job_node.cpp
+++ b/src/jobs.lib/job_node.cpp
@@ -318,10 +318,11 @@
 // heartbeat.
 void JobNode::Impl::refresh_candidates()
 {
-    if (m_context.loop.now() - m_elected_at < unheard_peer_time)
+    const Millis now = m_context.loop.now();
+    if (now - m_elected_at < unheard_peer_time)
         m_candidates = m_leadership.candidates();
     else
-        m_candidates = m_followers.strongest(max_candidates);
+        m_candidates = m_followers.strongest(max_candidates, now - follower_active_time);
 }
 
 // A process that has been replaced at its address needs no promise. That a follower refuses
--- a/src/jobs.lib/weak_successor_test.cpp
+++ b/src/jobs.lib/weak_successor_test.cpp
@@ -13,6 +13,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include "cell_fixture.h"
+#include "followers.h"
 #include "leadership.h"
 
 #include <map>
@@ -205,6 +206,30 @@
     }
 }
 
+// Guards against a leader that names only dead nodes as candidates: those that died before
+// an outage of the store had been served last, and ranked above live ones that it refuses.
+// When that leader is gone too, a weak node finds no candidate and claims.
+BOOST_AUTO_TEST_CASE(candidates_are_live_rather_than_served_once)
+{
+    const auto follower = [](int64_t heard_ms, int millicores, bool served) {
+        jobs::Follower result;
+        result.last_heard = Millis(heard_ms);
+        result.cpu_millicores = millicores;
+        result.store_served = served;
+        return result;
+    };
+    jobs::Followers followers;
+    for (const char* const dead : { "a", "b", "c" })
+        followers.note(dead, follower(1000, strong_millicores, true));
+    followers.note("d", follower(9000, strong_millicores, false));
+    followers.note("e", follower(9000, weak_millicores, true));
+    followers.refresh(Millis(0), Millis(8400));
+    const auto candidates = followers.strongest(3, Millis(8400));
+    BOOST_REQUIRE(candidates.size() == 3U);
+    const jobs::Candidate live { "d", strong_millicores };
+    BOOST_TEST((candidates[0] == live));
+}
+
 // Guards against a leader that resigns because of what a follower saw before the outage, or
 // saw just before the leader could: followers claim, and all open jobs are read once more.
 BOOST_AUTO_TEST_CASE(leader_stays_through_an_outage_for_all_nodes)
