--- a/src/jobs.lib/leadership.cpp
+++ b/src/jobs.lib/leadership.cpp
@@ -200,8 +200,7 @@
 {
     m_leader = leader;
     m_leader_known_since = m_loop.now();
-    m_deferred = false;
-    m_deferring_since.reset();
+    forget_deferral();
     m_leader_silent = false;
     m_answers_late = false;
     m_refusals = 0;
@@ -262,8 +261,7 @@
         // Without the store this node can't claim; it asks the previous leader and other
         // nodes. What it knew of the leader may have changed when the store is back.
         m_claim_wanted = false;
-        m_deferred = false;
-        m_deferring_since.reset();
+        forget_deferral();
         m_listener.leader_unknown();
         if (m_rows_known)
             schedule_follow(store_retry_delay);
@@ -273,6 +271,7 @@
     }
     const int64_t epoch = m_leader.epoch;
     const std::string previous_address = m_leader.identity.address;
+    const int64_t previous_head_version = m_head_version;
     m_rows_known = true;
     m_leader_version = 0;
     m_head_version = 0;
@@ -293,6 +292,8 @@
         follow_new_leader(m_leader);
         m_claim_wanted = false;
     }
+    if (m_head_version != previous_head_version)
+        forget_deferral();
     act_on_rows();
 }
 
@@ -415,8 +416,7 @@
     if (answer.leads && answer.epoch >= epoch && !answer.resigned) {
         m_leader_answered_at = m_loop.now();
         m_claim_wanted = false;
-        m_deferred = false;
-        m_deferring_since.reset();
+        forget_deferral();
         if (!answer.candidates.empty())
             m_candidates = answer.candidates;
         m_listener.leader_answered(answer);
@@ -613,6 +613,14 @@
     read_rows();
 }
 
+// Called when the leader was not gone while this node waited, or may not have been: a later
+// claim has other reasons, and more powerful nodes are asked again.
+void Leadership::forget_deferral()
+{
+    m_deferred = false;
+    m_deferring_since.reset();
+}
+
 void Leadership::send_claim()
 {
     if (m_retired)
