HTTP server: bound what one connection and all together hold

Cause: what had to be parsed as a whole was collected in a buffer without a largest size, to which the limit on headers did not apply; the limits were per request, and nothing counted what all connections held; a read went on for as long as a body came in small chunks, out of sight of any count; and when all places were taken, the newest connection was turned away, which is the ordinary caller's.

The buffer has a largest size (431 beyond it). Each connection is charged for the memory of its request and response, and at the limit on all those are closed that have waited longest for their clients, not the one that has just come; so is one at the limit on connections. A request that finds no room all the same gets 503 and has not run. A request has 60 s from its first byte, instead of from the end of the one before. Readiness and metrics have small limits of their own. The server reads by itself, one read a turn.

--- a/src/include/pathport/async_http.h
+++ b/src/include/pathport/async_http.h
@@ -65,12 +65,16 @@
 using ServerHandler = std::function<void(ServerRequest, ServerReply)>;
 
 /// Limits of a server. Requests over a limit get status 413 or 431, or their connection is
-/// closed.
+/// closed. At the limits on all connections together, those are closed that have waited
+/// longest for their clients, and a request that finds no room all the same gets 503.
 struct ServerLimits {
     size_t max_header_bytes = 16384;
     size_t max_body_bytes = 1048576;
     Millis idle_timeout { 60000 };
     size_t max_connections = 2000;
+    /// Memory for the requests and responses of all connections, in bytes. A single request
+    /// within the other limits is served even if this is less than it takes.
+    size_t max_held_bytes = size_t(24) * 1024 * 1024;
 };
 
 /// An HTTP server listening on one address.
@@ -95,6 +99,8 @@
     size_t requests_in_progress() const;
     /// Sets the limits for later requests.
     void set_limits(const ServerLimits& limits);
+    /// Returns the number of connections closed so far to make room for others.
+    int64_t evictions() const;
     /// Returns the traffic of all requests so far.
     const HttpTraffic& traffic() const;
 
@@ -155,6 +161,9 @@
     /// Time limit, from the time at which a response was due, for calls with
     /// `extends_while_receiving`. The largest accepted response takes 7 s at 10 Mbit/s.
     Millis max_response_time { 10000 };
+    /// Memory for the responses that are being received, in bytes. A call whose response
+    /// finds no room ends as `unknown`.
+    size_t max_held_bytes = size_t(32) * 1024 * 1024;
 };
 
 /// An HTTP client with a connection pool per server. When a call on a reused connection
--- a/src/loop.lib/async_http_server.cpp
+++ b/src/loop.lib/async_http_server.cpp
@@ -10,6 +10,8 @@
 #include <boost/beast/http.hpp>
 
 #include <algorithm>
+#include <limits>
+#include <map>
 #include <unordered_set>
 
 namespace pathport {
@@ -26,9 +28,18 @@
 /// Room for reading at the start, in bytes: without room a read takes 512, and each read
 /// waits for its turn in the loop.
 constexpr size_t read_size = 4096;
+/// Size of further reads of a request, so that a large body takes few turns of the loop.
+constexpr size_t body_read_size = 16384;
+/// Bytes that a header field is assumed to take besides its text.
+constexpr size_t field_overhead = 96;
+/// Time after which a client should retry that was refused for lack of memory, in seconds.
+constexpr const char* retry_after_s = "1";
 /// Delay before accepting again after an error, such as too many open descriptors.
 constexpr Millis accept_retry_delay { 100 };
 
+/// A body that grows takes up to twice its size, and as much again while it is moved.
+constexpr size_t growth_factor = 4;
+
 /// Upper bound on the time limit of a request: a day.
 constexpr int64_t max_time_limit_ms = 86400000;
 
@@ -53,10 +64,15 @@
     }
 
     class Session;
+    /// Sessions in the order in which they began to wait for their clients.
+    using WaitingSessions = std::map<uint64_t, Session*>;
 
     bool start();
     void accept();
     void drain();
+    bool make_room_for_connection();
+    bool make_room_for_bytes();
+    size_t max_held_bytes() const;
 
     IoLoop& loop;
     Address address;
@@ -65,8 +81,13 @@
     std::vector<std::string> captured_headers;
     tcp::acceptor acceptor;
     std::unordered_set<Session*> sessions;
+    WaitingSessions idle; ///< No byte of their next request has come.
+    WaitingSessions holding; ///< A request or response is on its way and takes memory.
+    uint64_t last_wait = 0;
+    size_t held_bytes = 0; ///< By all sessions.
     bool draining = false;
     size_t in_progress = 0;
+    int64_t evictions = 0; ///< Connections closed to make room for others.
     HttpTraffic traffic;
 };
 
@@ -84,21 +105,41 @@
         m_stream.socket().set_option(tcp::no_delay(true), ignored);
     }
 
-    ~Session() { m_server->sessions.erase(this); }
+    ~Session()
+    {
+        end_wait();
+        hold(0);
+        m_server->sessions.erase(this);
+    }
 
     void read()
     {
         m_parser = std::make_unique<http::request_parser<http::string_body>>();
         m_parser->header_limit(static_cast<uint32_t>(m_server->limits.max_header_bytes));
         m_parser->body_limit(m_server->limits.max_body_bytes);
+        m_parser->eager(true); // Parse the body as it is received.
+        m_field_bytes = 0;
+        // Trailers and the extensions of a chunk are parsed as a whole.
+        m_buffer.max_size(m_server->limits.max_header_bytes + body_read_size);
+        m_buffer.shrink_to_fit();
+        m_buffer.reserve(read_size);
         m_stream.expires_after(
             std::chrono::milliseconds(m_server->limits.idle_timeout.count()));
-        http::async_read(
-            m_stream, m_buffer, *m_parser,
-            [self = shared_from_this()](boost::system::error_code error, size_t bytes) {
-                self->m_server->traffic.received += static_cast<int64_t>(bytes);
-                self->on_read(error);
-            });
+        begin_wait(m_server->idle);
+        if (m_buffer.size() > 0)
+            on_read_some(parse()); // The client did not wait for the response.
+        else
+            read_some();
+    }
+
+    /// Closes the connection, whatever it carries.
+    void evict()
+    {
+        end_wait();
+        hold(0);
+        m_evicted = true;
+        boost::system::error_code ignored;
+        m_stream.socket().close(ignored);
     }
 
     /// Closes the connection if it waits for a request and has received no byte of it.
@@ -109,10 +150,117 @@
     }
 
 private:
+    using Waiting = Impl::WaitingSessions;
+
+    void begin_wait(Waiting& among)
+    {
+        end_wait();
+        m_waits_among = &among;
+        m_wait = ++m_server->last_wait;
+        among.emplace(m_wait, this);
+    }
+
+    void end_wait()
+    {
+        if (m_waits_among != nullptr)
+            m_waits_among->erase(m_wait);
+        m_waits_among = nullptr;
+    }
+
+    // Charges the session for the memory that it holds.
+    void hold(size_t bytes)
+    {
+        m_server->held_bytes += bytes - m_held;
+        m_held = bytes;
+    }
+
+    // Beast's own read operation would go on for as long as a body comes in small chunks.
+    void read_some()
+    {
+        const size_t room = m_buffer.max_size() - m_buffer.size();
+        if (room == 0) {
+            on_read_some(http::error::buffer_overflow);
+            return;
+        }
+        const bool is_idle = m_waits_among == &m_server->idle;
+        m_stream.async_read_some(
+            m_buffer.prepare(std::min(room, is_idle ? read_size : body_read_size)),
+            [self = shared_from_this()](boost::system::error_code error, size_t bytes) {
+                self->m_server->traffic.received += static_cast<int64_t>(bytes);
+                self->m_buffer.commit(bytes);
+                self->on_read_some(error ? self->end_of_input(error) : self->parse());
+            });
+    }
+
+    boost::system::error_code parse()
+    {
+        boost::system::error_code error;
+        while (m_buffer.size() > 0 && !m_parser->is_done()) {
+            m_buffer.consume(m_parser->put(m_buffer.data(), error));
+            if (error == http::error::need_more)
+                return {};
+            if (error)
+                return error;
+        }
+        return {};
+    }
+
+    boost::system::error_code end_of_input(boost::system::error_code error)
+    {
+        if (error != boost::asio::error::eof)
+            return error;
+        if (!m_parser->got_some())
+            return http::error::end_of_stream;
+        boost::system::error_code at_end;
+        m_parser->put_eof(at_end);
+        return at_end;
+    }
+
+    void on_read_some(boost::system::error_code error)
+    {
+        if (m_evicted)
+            return;
+        if (!error)
+            note_received();
+        const bool has_room = error || m_server->make_room_for_bytes();
+        if (m_evicted)
+            return;
+        if (!has_room) {
+            refuse(503);
+            return;
+        }
+        if (!error && !m_parser->is_done()) {
+            read_some();
+            return;
+        }
+        end_wait();
+        on_read(error);
+    }
+
+    void note_received()
+    {
+        // An idle connection is a request from its first byte on.
+        if (m_waits_among == &m_server->idle) {
+            begin_wait(m_server->holding);
+            m_stream.expires_after(
+                std::chrono::milliseconds(m_server->limits.idle_timeout.count()));
+        }
+        if (m_field_bytes == 0 && m_parser->is_header_done()) {
+            for (const auto& field : m_parser->get())
+                m_field_bytes
+                    += field.name_string().size() + field.value().size() + field_overhead;
+        }
+        hold(m_buffer.capacity() + m_parser->get().body().capacity() + m_field_bytes);
+    }
+
     void on_read(boost::system::error_code error)
     {
-        if (error == http::error::body_limit || error == http::error::header_limit) {
-            refuse(error == http::error::body_limit ? 413 : 431);
+        if (error == http::error::body_limit) {
+            refuse(413);
+            return;
+        }
+        if (error == http::error::header_limit || error == http::error::buffer_overflow) {
+            refuse(431);
             return;
         }
         if (error && error != http::error::end_of_stream
@@ -167,6 +315,10 @@
         ServerResponse answer;
         answer.status = status;
         answer.body = R"({"error":"bad_request"})";
+        if (status == 503) {
+            answer.body = R"({"error":"overloaded"})";
+            answer.headers.emplace_back("Retry-After", retry_after_s);
+        }
         write(std::move(answer));
     }
 
@@ -183,7 +335,12 @@
         m_response.keep_alive(m_keep_alive);
         m_response.body() = std::move(answer.body);
         m_response.prepare_payload();
+        if (m_evicted)
+            return;
         m_stream.expires_after(write_timeout);
+        begin_wait(m_server->holding);
+        hold(m_buffer.capacity() + m_response.body().capacity());
+        m_server->make_room_for_bytes();
         http::async_write(
             m_stream, m_response,
             [self = shared_from_this()](boost::system::error_code error, size_t bytes) {
@@ -196,6 +353,11 @@
     {
         m_busy = false;
         --m_server->in_progress;
+        end_wait();
+        m_response = {};
+        hold(m_buffer.capacity());
+        if (m_evicted)
+            return;
         if (error || !m_keep_alive) {
             close();
             return;
@@ -217,8 +379,50 @@
     http::response<http::string_body> m_response;
     bool m_keep_alive = true;
     bool m_busy = false;
+    bool m_evicted = false; ///< Closed to make room for others.
+    Waiting* m_waits_among = nullptr; ///< While it waits for its client.
+    uint64_t m_wait = 0; ///< Number of that wait.
+    size_t m_held = 0; ///< Bytes of memory that it is charged for.
+    size_t m_field_bytes = 0; ///< Of the request's header fields.
 };
 
+// Returns whether there is room for another connection, and closes the one that has waited
+// longest for its client if that is needed: a client that sends nothing must not keep
+// others out.
+bool AsyncHttpServer::Impl::make_room_for_connection()
+{
+    if (sessions.size() < limits.max_connections)
+        return true;
+    const auto waits_since = [](const WaitingSessions& waiting) {
+        return waiting.empty() ? std::numeric_limits<uint64_t>::max()
+                               : waiting.begin()->first;
+    };
+    WaitingSessions& oldest = waits_since(idle) < waits_since(holding) ? idle : holding;
+    if (oldest.empty())
+        return false;
+    ++evictions;
+    oldest.begin()->second->evict();
+    return true;
+}
+
+// Returns whether the memory held by all connections is within its limit, and closes those
+// that have waited longest for their clients if that is needed.
+bool AsyncHttpServer::Impl::make_room_for_bytes()
+{
+    while (held_bytes > max_held_bytes() && !holding.empty()) {
+        ++evictions;
+        holding.begin()->second->evict();
+    }
+    return held_bytes <= max_held_bytes();
+}
+
+// A single request within the limits is served whatever the limit on memory.
+size_t AsyncHttpServer::Impl::max_held_bytes() const
+{
+    return std::max(limits.max_held_bytes,
+                    growth_factor * (limits.max_body_bytes + limits.max_header_bytes));
+}
+
 bool AsyncHttpServer::Impl::start()
 {
     boost::system::error_code error;
@@ -249,7 +453,7 @@
                 self->loop.after(accept_retry_delay, [self] { self->accept(); });
                 return;
             }
-            if (self->sessions.size() < self->limits.max_connections)
+            if (self->make_room_for_connection())
                 std::make_shared<Session>(self, std::move(socket))->read();
             self->accept();
         });
@@ -298,6 +502,11 @@
     return m_impl->in_progress;
 }
 
+int64_t AsyncHttpServer::evictions() const
+{
+    return m_impl->evictions;
+}
+
 const HttpTraffic& AsyncHttpServer::traffic() const
 {
     return m_impl->traffic;
--- a/src/pathport_jobd/main.cpp
+++ b/src/pathport_jobd/main.cpp
@@ -47,6 +47,17 @@
 {
     ClientLimits limits;
     limits.max_connections = worker_connections;
+    limits.max_held_bytes = size_t(16) * 1024 * 1024;
+    return limits;
+}
+
+/// Limits of the addresses that serve only the platform and the operators.
+ServerLimits internal_limits()
+{
+    ServerLimits limits;
+    limits.max_body_bytes = 0;
+    limits.max_connections = 64;
+    limits.max_held_bytes = size_t(4) * 1024 * 1024;
     return limits;
 }
 
@@ -70,23 +81,25 @@
                         m_request_handler.handle(request, std::move(reply));
                     },
                     {})
-        , m_readiness(m_loop, settings.readiness,
-                      [this](const ServerRequest& request, const ServerReply& reply) {
-                          m_request_handler.handle_readiness(request, reply);
-                      },
-                      {})
+        , m_readiness(
+              m_loop, settings.readiness,
+              [this](const ServerRequest& request, const ServerReply& reply) {
+                  m_request_handler.handle_readiness(request, reply);
+              },
+              internal_limits())
         , m_peer_server(
               m_loop, settings.peers,
               [this](const ServerRequest& request, const ServerReply& reply) {
                   handle_peer_request(m_node, request, reply);
               },
               peer_limits())
-        , m_metrics_server(m_loop, settings.metrics,
-                           [this](const ServerRequest& request, const ServerReply& reply) {
-                               reply(request.target == "/workspaces" ? workspaces_answer()
-                                                                     : metrics_answer());
-                           },
-                           {})
+        , m_metrics_server(
+              m_loop, settings.metrics,
+              [this](const ServerRequest& request, const ServerReply& reply) {
+                  reply(request.target == "/workspaces" ? workspaces_answer()
+                                                        : metrics_answer());
+              },
+              internal_limits())
     {
     }
 
@@ -153,6 +166,9 @@
         const ProcessUsage usage = process_usage();
         m_metrics.set("pathport_process_cpu_seconds", double(usage.cpu.count()) / 1000);
         m_metrics.set("pathport_process_resident_bytes", double(usage.resident_kb) * 1024);
+        const int64_t evictions = m_clients.evictions() + m_readiness.evictions()
+            + m_peer_server.evictions() + m_metrics_server.evictions();
+        m_metrics.set("pathport_connections_evicted", double(evictions));
         m_node.update_gauges();
         ServerResponse answer;
         answer.content_type = "text/plain; version=0.0.4";
