HTTP client: bound what responses hold

Cause: as in the server, the buffer for what is parsed as a whole had no largest size, and nothing counted what all responses together hold.

The buffer is at most 64 KiB; responses being received hold 32 MiB together, and a call that finds no room ends as unknown.

Open: a response in very small chunks is counted only when the parser pauses, so up to 8 MiB a response may not be counted.

--- a/src/loop.lib/async_http_client.cpp
+++ b/src/loop.lib/async_http_client.cpp
@@ -32,6 +32,8 @@
 /// Read size for responses that may be long, so that the largest one takes hundreds of
 /// reads instead of thousands.
 constexpr size_t read_size = 16384;
+/// What is parsed as a whole (the header, trailers, the extensions of a chunk) has to fit.
+constexpr size_t max_buffer_bytes = 4 * read_size;
 /// A response counts as being received for this time after its last bytes. It equals the
 /// interval between polls of the job table.
 constexpr Millis receiving_window { 500 };
@@ -46,7 +48,7 @@
     {
     }
     beast::tcp_stream stream;
-    beast::flat_buffer buffer;
+    beast::flat_buffer buffer { max_buffer_bytes };
     int64_t sequence = 0; ///< In the sequence of calls sent and connections opened.
     Millis idle_since; ///< When the last response was received.
     bool reused = false; ///< It has carried an earlier call.
@@ -75,6 +77,7 @@
         Millis queue_deadline; ///< Of a call queued for a connection.
         Millis sent; ///< When writing the request was started.
         int64_t sequence = 0; ///< See CallOutcome.
+        size_t held = 0; ///< Bytes of memory that its response takes.
         Millis last_received; ///< When bytes of the response last came; 0: none.
         http::request<http::string_body> request;
         std::unique_ptr<http::response_parser<http::string_body>> parser;
@@ -172,9 +175,16 @@
         complete(exchange, std::move(outcome));
     }
 
+    void hold(const ExchangePtr& exchange, size_t bytes)
+    {
+        m_held += bytes - exchange->held;
+        exchange->held = bytes;
+    }
+
     // Frees the connection slot of an ended call, and starts the next queued one.
     void release(const ExchangePtr& exchange)
     {
+        hold(exchange, 0);
         Server& server = m_servers[pool_key(exchange->call.server)];
         --server.busy;
         auto& reused = server.calls_on_reused;
@@ -365,6 +375,11 @@
 
     void on_read_some(const ExchangePtr& exchange, boost::system::error_code error)
     {
+        hold(exchange, exchange->parser->get().body().capacity());
+        if (!error && m_held > m_limits.max_held_bytes) {
+            finish(exchange, CallEnd::unknown);
+            return;
+        }
         if (!error && !exchange->parser->is_done()) {
             continue_reading(exchange);
             return;
@@ -499,6 +514,7 @@
     std::map<std::string, Server> m_servers; ///< By address.
     HttpTrafficByPath m_traffic;
     std::vector<ExchangePtr> m_extending; ///< Open calls with extends_while_receiving.
+    size_t m_held = 0; ///< By all responses that are being received.
     bool m_sweep_scheduled = false; ///< A run of close_expired() is scheduled.
     int64_t m_last_sequence = 0;
 };
