HTTP server and client: count what takes memory, spare who asks

- A connection that is idle after a request stayed charged for the buffer of that request and could not be closed for memory.
- The connection that asks for room was itself the first to be closed when nothing else could be, so the promised 503 was never sent, and a response that was ready could be dropped.
Room is now made by others only, and only if that suffices.
- A refused request kept its body until the refusal was read.
- The client dropped a complete response when others held the memory, and counted what a response announced instead of what had come.
- A planned stop took an upload whose bytes were all parsed for idle.

--- a/src/loop.lib/async_http_client.cpp
+++ b/src/loop.lib/async_http_client.cpp
@@ -375,12 +375,12 @@
 
     void on_read_some(const ExchangePtr& exchange, boost::system::error_code error)
     {
-        hold(exchange, exchange->parser->get().body().capacity());
-        if (!error && m_held > m_limits.max_held_bytes) {
-            finish(exchange, CallEnd::unknown);
-            return;
-        }
         if (!error && !exchange->parser->is_done()) {
+            hold(exchange, exchange->parser->get().body().size());
+            if (m_held > m_limits.max_held_bytes) {
+                finish(exchange, CallEnd::unknown);
+                return;
+            }
             continue_reading(exchange);
             return;
         }
--- a/src/loop.lib/async_http_server.cpp
+++ b/src/loop.lib/async_http_server.cpp
@@ -32,12 +32,16 @@
 constexpr size_t body_read_size = 16384;
 /// Bytes that a header field is assumed to take besides its text.
 constexpr size_t field_overhead = 96;
+/// Memory that a byte of a header takes at most before its fields are counted: the shortest
+/// field has four bytes.
+constexpr size_t max_field_growth = field_overhead / 4;
 /// Time after which a client should retry that was refused for lack of memory, in seconds.
 constexpr const char* retry_after_s = "1";
 /// Delay before accepting again after an error, such as too many open descriptors.
 constexpr Millis accept_retry_delay { 100 };
 
-/// A body that grows takes up to twice its size, and as much again while it is moved.
+/// Memory that a request may take, as a multiple of its size: a body that grows is moved to
+/// twice its size, beside the old one.
 constexpr size_t growth_factor = 4;
 
 /// Upper bound on the time limit of a request: a day.
@@ -64,14 +68,15 @@
     }
 
     class Session;
-    /// Sessions in the order in which they began to wait for their clients.
+    /// Sessions in the order in which they began to wait for their clients. One whose
+    /// request is being handled is in none.
     using WaitingSessions = std::map<uint64_t, Session*>;
 
     bool start();
     void accept();
     void drain();
     bool make_room_for_connection();
-    bool make_room_for_bytes();
+    bool make_room_for_bytes(const Session& requester);
     size_t max_held_bytes() const;
 
     IoLoop& loop;
@@ -118,11 +123,14 @@
         m_parser->header_limit(static_cast<uint32_t>(m_server->limits.max_header_bytes));
         m_parser->body_limit(m_server->limits.max_body_bytes);
         m_parser->eager(true); // Parse the body as it is received.
+        m_header_bytes = 0;
         m_field_bytes = 0;
+        m_fields_counted = false;
         // Trailers and the extensions of a chunk are parsed as a whole.
         m_buffer.max_size(m_server->limits.max_header_bytes + body_read_size);
         m_buffer.shrink_to_fit();
         m_buffer.reserve(read_size);
+        hold(0); // A small buffer for each connection is not counted.
         m_stream.expires_after(
             std::chrono::milliseconds(m_server->limits.idle_timeout.count()));
         begin_wait(m_server->idle);
@@ -132,6 +140,8 @@
             read_some();
     }
 
+    /// Returns the bytes of memory that the session is charged for.
+    size_t held() const { return m_held; }
     /// Closes the connection, whatever it carries.
     void evict()
     {
@@ -145,7 +155,7 @@
     /// Closes the connection if it waits for a request and has received no byte of it.
     void close_if_idle()
     {
-        if (!m_busy && m_buffer.size() == 0)
+        if (m_waits_among == &m_server->idle)
             close();
     }
 
@@ -188,6 +198,8 @@
             [self = shared_from_this()](boost::system::error_code error, size_t bytes) {
                 self->m_server->traffic.received += static_cast<int64_t>(bytes);
                 self->m_buffer.commit(bytes);
+                if (!self->m_parser->is_header_done())
+                    self->m_header_bytes += bytes;
                 self->on_read_some(error ? self->end_of_input(error) : self->parse());
             });
     }
@@ -222,10 +234,8 @@
             return;
         if (!error)
             note_received();
-        const bool has_room = error || m_server->make_room_for_bytes();
-        if (m_evicted)
-            return;
-        if (!has_room) {
+        if (!error && !m_server->make_room_for_bytes(*this)) {
+            end_wait();
             refuse(503);
             return;
         }
@@ -239,20 +249,27 @@
 
     void note_received()
     {
-        // An idle connection is a request from its first byte on.
         if (m_waits_among == &m_server->idle) {
             begin_wait(m_server->holding);
             m_stream.expires_after(
                 std::chrono::milliseconds(m_server->limits.idle_timeout.count()));
         }
-        if (m_field_bytes == 0 && m_parser->is_header_done()) {
-            for (const auto& field : m_parser->get())
-                m_field_bytes
-                    += field.name_string().size() + field.value().size() + field_overhead;
-        }
+        if (!m_parser->is_header_done())
+            m_field_bytes = m_header_bytes * max_field_growth;
+        else if (!m_fields_counted)
+            count_fields();
         hold(m_buffer.capacity() + m_parser->get().body().capacity() + m_field_bytes);
     }
 
+    void count_fields()
+    {
+        m_fields_counted = true;
+        m_field_bytes = 0;
+        for (const auto& field : m_parser->get())
+            m_field_bytes
+                += field.name_string().size() + field.value().size() + field_overhead;
+    }
+
     void on_read(boost::system::error_code error)
     {
         if (error == http::error::body_limit) {
@@ -273,7 +290,6 @@
             close();
             return;
         }
-        m_busy = true;
         ++m_server->in_progress;
         auto message = m_parser->release();
         m_keep_alive = message.keep_alive();
@@ -309,8 +325,8 @@
 
     void refuse(int status)
     {
+        m_parser.reset();
         m_keep_alive = false;
-        m_busy = true;
         ++m_server->in_progress;
         ServerResponse answer;
         answer.status = status;
@@ -335,12 +351,10 @@
         m_response.keep_alive(m_keep_alive);
         m_response.body() = std::move(answer.body);
         m_response.prepare_payload();
-        if (m_evicted)
-            return;
         m_stream.expires_after(write_timeout);
         begin_wait(m_server->holding);
         hold(m_buffer.capacity() + m_response.body().capacity());
-        m_server->make_room_for_bytes();
+        m_server->make_room_for_bytes(*this);
         http::async_write(
             m_stream, m_response,
             [self = shared_from_this()](boost::system::error_code error, size_t bytes) {
@@ -351,11 +365,9 @@
 
     void on_written(boost::system::error_code error)
     {
-        m_busy = false;
         --m_server->in_progress;
         end_wait();
         m_response = {};
-        hold(m_buffer.capacity());
         if (m_evicted)
             return;
         if (error || !m_keep_alive) {
@@ -378,12 +390,13 @@
     std::unique_ptr<http::request_parser<http::string_body>> m_parser;
     http::response<http::string_body> m_response;
     bool m_keep_alive = true;
-    bool m_busy = false;
     bool m_evicted = false; ///< Closed to make room for others.
     Waiting* m_waits_among = nullptr; ///< While it waits for its client.
     uint64_t m_wait = 0; ///< Number of that wait.
     size_t m_held = 0; ///< Bytes of memory that it is charged for.
-    size_t m_field_bytes = 0; ///< Of the request's header fields.
+    size_t m_header_bytes = 0; ///< Received until the header was complete.
+    size_t m_field_bytes = 0; ///< Memory of the header fields, at most so until counted.
+    bool m_fields_counted = false;
 };
 
 // Returns whether there is room for another connection, and closes the one that has waited
@@ -406,17 +419,30 @@
 }
 
 // Returns whether the memory held by all connections is within its limit, and closes those
-// that have waited longest for their clients if that is needed.
-bool AsyncHttpServer::Impl::make_room_for_bytes()
+// that have waited longest for their clients if that is needed and suffices. A connection
+// whose request is being handled is not closed.
+bool AsyncHttpServer::Impl::make_room_for_bytes(const Session& requester)
 {
-    while (held_bytes > max_held_bytes() && !holding.empty()) {
+    const size_t limit = max_held_bytes();
+    if (held_bytes <= limit)
+        return true;
+    size_t evictable = 0;
+    for (const auto& [wait, session] : holding)
+        evictable += session == &requester ? 0 : session->held();
+    if (held_bytes - evictable > limit)
+        return false;
+    for (auto entry = holding.begin(); held_bytes > limit && entry != holding.end();) {
+        Session* const session = entry->second;
+        ++entry;
+        if (session == &requester)
+            continue;
         ++evictions;
-        holding.begin()->second->evict();
+        session->evict();
     }
-    return held_bytes <= max_held_bytes();
+    return true;
 }
 
-// A single request within the limits is served whatever the limit on memory.
+// A single request within the limits is served in calm, whatever the limit on memory.
 size_t AsyncHttpServer::Impl::max_held_bytes() const
 {
     return std::max(limits.max_held_bytes,
--- a/testsuite/run_hostile_clients.py
+++ b/testsuite/run_hostile_clients.py
@@ -36,6 +36,10 @@
 LARGE_CHUNK_CLIENTS = 300
 SMALL_CHUNK_CLIENTS = 100
 SILENT_CLIENTS = 2100
+SHORT_FIELDS = 3900
+SHORT_FIELD_CLIENTS = 1000
+IDLE_BODY = 6000
+IDLE_CLIENTS = 1900
 ENDLESS_HEADS = 10
 SLOW_READERS = 50
 SLOW_READER_BYTES = 4 * MB
@@ -329,6 +333,24 @@
         Sender(port, request) for _ in range(SMALL_CHUNK_CLIENTS)])
 
 
+def many_short_fields():
+    """Guards against unfinished heads of very short fields, each of which takes much more memory
+    than it has bytes."""
+    request = b"GET /jobs/0123456789abcdef HTTP/1.1\r\n" + b"a:\r\n" * SHORT_FIELDS
+    return on_node("many_short_fields", "clients", lambda port: [
+        Sender(port, request) for _ in range(SHORT_FIELD_CLIENTS)])
+
+
+def idle_after_requests():
+    """Guards against connections that are idle after a request and count as if it were still
+    there, so that no memory is left for others."""
+    body = b"a" * IDLE_BODY
+    request = (b"POST /jobs/0123456789abcdef HTTP/1.1\r\nHost: queue.example\r\n"
+               b"Content-Length: %d\r\n\r\n" % len(body)) + body
+    return on_node("idle_after_requests", "clients", lambda port: [
+        Sender(port, request) for _ in range(IDLE_CLIENTS)])
+
+
 def silent_connections():
     """Guards against connections that send no request taking all places from ordinary callers."""
     begun = b"GET /jobs/0123456789abcdef HTTP/1.1\r\nHost: queue"
@@ -473,7 +495,8 @@
 
 
 RUNS = (trailers_without_end_clients, trailers_without_end_readiness, trailers_without_end_peers,
-        trailers_without_end_metrics, many_large_chunks, many_small_chunks, silent_connections,
+        trailers_without_end_metrics, many_large_chunks, many_small_chunks, many_short_fields,
+        idle_after_requests, silent_connections,
         endless_head, slow_reader, callers_trailers_without_end, callers_endless_head,
         answers_without_end_trailers, answers_without_end_body, within_limits)
 
