--- a/src/loop.lib/async_http_client.cpp
+++ b/src/loop.lib/async_http_client.cpp
@@ -39,8 +39,9 @@
 constexpr Millis receiving_window { 500 };
 
 /// A response not begun so long after it was due is late: about thirty times the usual
-/// response time of the store, and equal to the time-out of a heartbeat.
-constexpr Millis late_after { 300 };
+/// response time of the store, and less than the time after which a heartbeat is repeated
+/// while the first one is open.
+constexpr Millis late_after { 250 };
 
 struct Connection {
     explicit Connection(boost::asio::io_context& context)
--- a/src/loop.lib/silent_connections_test.cpp
+++ b/src/loop.lib/silent_connections_test.cpp
@@ -306,6 +306,24 @@
     BOOST_TEST(fixture.client.open_connections() == 2U); // One still carries the late call.
 }
 
+// A heartbeat that is repeated while the first one is open must not take another of the
+// connections that have gone silent.
+BOOST_AUTO_TEST_CASE(repeated_heartbeat_gets_a_new_connection)
+{
+    constexpr Millis repeated_after { 300 };
+    Fixture fixture;
+    fixture.server.silence_open_connections();
+    bool repeated = false;
+    fixture.loop.after(repeated_after, [&] {
+        repeated = true;
+        fixture.loop.stop();
+    });
+    fixture.client.send(call_to("/", Millis(1200)), [](const CallOutcome&) {});
+    fixture.loop.run();
+    BOOST_REQUIRE(repeated);
+    BOOST_TEST(fixture.answers_at_once());
+}
+
 BOOST_AUTO_TEST_CASE(long_poll_is_not_late)
 {
     Fixture fixture;
