--- a/src/jobs.lib/leadership.cpp
+++ b/src/jobs.lib/leadership.cpp
@@ -23,8 +23,8 @@
 constexpr Millis max_heartbeat_interval { 500 };
 constexpr int64_t heartbeat_interval_per_node_ms = 4;
 constexpr Millis heartbeat_timeout { 300 };
-/// An answer that comes within this time still shows that the leader lives. Without one, a
-/// claim takes about as long.
+/// An answer that comes within this time still shows that the leader lives, so it must be
+/// longer than a claim takes after the loss of one.
 constexpr Millis late_heartbeat_timeout { 1200 };
 /// Delay before the next heartbeat after a refused connection.
 constexpr Millis refused_retry_delay { 40 };
@@ -330,7 +330,9 @@
     const bool refuses = m_refusals >= max_refusals;
     Millis timeout = refuses ? refused_head_stall_timeout : head_stall_timeout;
     // One that still answers, late, can do nothing for the cell once its lease has ended.
-    if (m_answers_late && !refuses)
+    const bool answers_late
+        = m_answers_late && now - m_leader_answered_at < late_heartbeat_timeout;
+    if (answers_late && !refuses)
         timeout = leader_lease;
     if (now - m_head_stalled_since
         >= timeout + slow_store_allowance() + late_leader_allowance()) {
