--- a/review/lib-2/cell.py
+++ b/review/lib-2/cell.py
@@ -20,7 +20,7 @@
 ROOT = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
 sys.path.insert(0, os.path.join(ROOT, "testsuite"))
 
-from soak import wire  # noqa: E402
+from soak import processes, wire  # noqa: E402
 from soak.http1 import Client, ConnectionLost, NoAnswer, ResetConnection, ServerConnection, reset  # noqa: E402
 from soak.store import Store  # noqa: E402
 from soak.store_service import Rates, StoreService  # noqa: E402
@@ -245,8 +245,10 @@
         self.write_settings(role["template"])
         kept = {name: os.environ[name] for name in ("PATH", "HOME", "LANG") if name in os.environ}
         with open(self.log, "ab") as log:
-            self.process = subprocess.Popen(role["run"].split(), cwd=ROOT, stdout=log, stderr=log,
-                                            env={**kept, "PATHPORT_NODE_FILE": self.settings})
+            self.process = subprocess.Popen(
+                role["run"].split(), cwd=ROOT, stdout=log, stderr=log,
+                env={**kept, "PATHPORT_NODE_FILE": self.settings},
+                preexec_fn=processes._end_with_parent)  # Also when this script is killed.
         self.starts += 1
         self.wanted = True
 
