--- a/review/6/case.py
+++ b/review/6/case.py
@@ -11,7 +11,7 @@
 
 import cell as cells  # noqa: E402
 
-JOB = "5c0e7a21d94b36f8"
+JOB = "5c0e7a21d94b36fe"
 DAY, WIDTH, LATE = 86400, 10, 75000  # Once a second for a day, ten tasks each; seconds too late.
 BEFORE, AFTER = 10, 20
 MEMORY_MB = 260  # Of the site's machines: "A process over `memory_mb` is killed" (DEPLOY.md).
@@ -53,7 +53,7 @@
 
     async def hand_in(count):
         for _ in range(count):
-            job = f"{len(small) + 1:016x}"
+            job = f"{len(small) + 1:015x}f"
             if await cell.submit(job, SMALL, tries=8):
                 small.append(job)
             await asyncio.sleep(0.3)
