Deadlines of a schedule go by its due times

Cause: a schedule counted as in time until its allowed time had passed since it was accepted, however late its times were, and after that as late for ever, also with times that have just fallen due.

Change: a schedule's slack counts from the due time of its first repeat in progress, as the users judge it.

Test: large_jobs_test with 40 such schedules, small0 and small1 late without the change, none with it.

--- a/src/jobs.lib/large_jobs_test.cpp
+++ b/src/jobs.lib/large_jobs_test.cpp
@@ -74,6 +74,7 @@
     const char* name;
     std::vector<StepModel> steps;
     int repeats = 0;
+    int copies = 1; ///< Submitted at once.
 };
 
 StepModel tiny_step(int count, std::vector<int> after = {})
@@ -188,6 +189,7 @@
           0 },
         { "overdue repeats", { tiny_step(10) }, 75000 },
         { "overdue repeats of a wide step", { tiny_step(10000) }, 300 },
+        { "many overdue schedules", { tiny_step(1000) }, 200, 40 },
     };
 }
 
@@ -235,7 +237,8 @@
         BOOST_TEST_CONTEXT(job.name)
         {
             LargeJobsCell large(1);
-            large.submit_large("wide", job);
+            for (int copy = 0; copy < job.copies; ++copy)
+                large.submit_large("wide" + std::to_string(copy), job);
             const auto late = large.late_small_jobs(8);
             BOOST_TEST(late.empty(), join_lines(late));
             large.cell.kill(large.cell.leader(), Millis(500));
@@ -333,6 +336,23 @@
     BOOST_TEST(done == repeats);
 }
 
+// An earlier leader has begun repeats, and started tasks of the last one, without a record.
+// The successor must neither stop that run nor start the task again.
+BOOST_AUTO_TEST_CASE(run_of_an_unrecorded_repeat_is_adopted)
+{
+    AcceptedJob job = jobs::job_of("job1");
+    job.spec.repeats = 100;
+    const jobs::TaskId running { "job1", 60, 0, 0 };
+    constexpr int64_t run = 1;
+    jobs::MultiWorkerTakeOver take_over({ "w1" }, job, {});
+    take_over.worker_states["w1"].running.push_back(jobs::running_task(running, run));
+    take_over.answer_polls(Millis(2000));
+    BOOST_TEST(take_over.manual_workers.stops.empty());
+    BOOST_TEST(!take_over.manual_workers.starts.empty());
+    for (const auto& start : take_over.manual_workers.starts)
+        BOOST_TEST(start.order.task.to_string() != running.to_string());
+}
+
 // The wall-clock cost of a leader's ticks and passes must not follow the number of waiting
 // tasks. The factor allows for other processes on the machine.
 BOOST_AUTO_TEST_CASE(waiting_tasks_do_not_slow_the_leader)
--- a/src/jobs.lib/scheduler.h
+++ b/src/jobs.lib/scheduler.h
@@ -445,7 +445,8 @@
     void schedule_pass();
     void pass();
     std::vector<PendingStep> pending_steps();
-    static int64_t slack_ms(JobRecord& job, int64_t now_ms);
+    int64_t slack_ms(JobRecord& job, int64_t now_ms) const;
+    int64_t waited_ms(const JobRecord& job, int64_t now_ms) const;
     static int64_t allowed_ms(JobRecord& job);
     Resources capacity_of(const std::string& service) const;
     bool is_late(const JobRecord& job) const;
--- a/src/jobs.lib/scheduler_pass.cpp
+++ b/src/jobs.lib/scheduler_pass.cpp
@@ -229,10 +229,19 @@
 
 // Returns how long the job can still wait and meet its deadline, by the submitter's
 // estimate of its work; negative if it will be late in any case.
-int64_t Scheduler::slack_ms(JobRecord& job, int64_t now_ms)
+int64_t Scheduler::slack_ms(JobRecord& job, int64_t now_ms) const
 {
-    const int64_t due = job.accepted().accepted_ms + allowed_ms(job);
-    return due - now_ms - job.remaining_chain_ms();
+    return allowed_ms(job) - waited_ms(job, now_ms) - job.remaining_chain_ms();
+}
+
+// Returns for how long the job may have run: since it was accepted or, of a schedule, since
+// the first of the repeats in progress was due.
+int64_t Scheduler::waited_ms(const JobRecord& job, int64_t now_ms) const
+{
+    const JobSpec& spec = job.accepted().spec;
+    if (!spec.has_schedule() || job.repeats().empty())
+        return now_ms - job.accepted().accepted_ms;
+    return m_context.wall_ms() - spec.due_ms(job.repeats().begin()->first);
 }
 
 shortage::Deadline Scheduler::deadline_of(JobRecord& job, int64_t now_ms) const
@@ -240,7 +249,7 @@
     shortage::Deadline deadline;
     deadline.allowed_ms = allowed_ms(job);
     // A job that is too wide for the cell to be in time must not delay others that can be.
-    deadline.slack_ms = job.accepted().accepted_ms + deadline.allowed_ms - now_ms
+    deadline.slack_ms = deadline.allowed_ms - waited_ms(job, now_ms)
         - job.remaining_ms(capacity_of(job.accepted().queue.service));
     deadline.accepted_ms = job.accepted().accepted_ms;
     const auto learned = m_start_margins.find(job.accepted().queue.name);
--- a/src/jobs.lib/scheduler_preempt.cpp
+++ b/src/jobs.lib/scheduler_preempt.cpp
@@ -104,8 +104,7 @@
     const int64_t now_ms = m_context.store_clock_ms();
     JobRecord& record = *m_jobs.at(job.id());
     const int64_t allowed = allowed_ms(record);
-    const bool past_value
-        = now_ms - job.accepted().accepted_ms > shortage::late_multiple * allowed;
+    const bool past_value = waited_ms(job, now_ms) > shortage::late_multiple * allowed;
     return uses(Mechanism::preemption) && !past_value
         && slack_ms(record, now_ms) <= max_preempting_slack_ms;
 }
