--- a/src/jobs.lib/scheduler_repeats.cpp
+++ b/src/jobs.lib/scheduler_repeats.cpp
@@ -19,17 +19,18 @@
 
 /// Limit on what the repeats in progress may take of the job's progress row, in bytes. The
 /// rest is left for what the losses of workers add to the row.
-constexpr size_t max_repeat_bytes = max_row_bytes / 2;
-/// More tasks than that many bytes of the row can name.
-constexpr int64_t max_repeat_tasks = 4096;
-/// A run of a repeat that is due this soon may have been started by an earlier leader whose
-/// clock is ahead.
+constexpr size_t repeat_row_budget = max_row_bytes / 2;
+/// A placed task takes at least this much of the row, in bytes.
+constexpr size_t min_task_bytes = 6;
+/// The search for room ends at this number of tasks, which the row cannot exceed.
+constexpr int64_t max_tasks_in_row = repeat_row_budget / min_task_bytes;
+/// An earlier leader's clock may have been ahead by this much when it found a repeat due.
 constexpr Millis max_clock_skew { 5000 };
 
 } // namespace
 
-// Returns whether repeats were begun and more are due, which may start once these are
-// placed.
+// Returns whether another pass should follow soon: repeats were begun, and more of them may
+// start once these are placed.
 bool Scheduler::begin_due_repeats()
 {
     int begun = 0;
@@ -68,9 +69,9 @@
     if (job.repeats().empty())
         job.begin_repeat();
     // Checked before the search for room, which takes longer.
-    if (job.max_progress_bytes(0) + job.max_repeat_bytes(0) <= max_repeat_bytes) {
+    if (job.max_progress_bytes(0) + job.max_repeat_bytes(0) <= repeat_row_budget) {
         RepeatRoom room = room_for_repeats(job);
-        while (has_due_repeat(job) && room.bytes + room.repeat_bytes <= max_repeat_bytes
+        while (has_due_repeat(job) && room.bytes + room.repeat_bytes <= repeat_row_budget
                && room.has_start()) {
             job.begin_repeat();
             room.take_repeat();
@@ -123,7 +124,7 @@
         step.count = sample.spec->count;
         for (const auto& [number, repeat] : job.repeats())
             step.waiting += repeat.steps[size_t(sample.index)].count(TaskPhase::waiting);
-        const Fit found = fit_up_to(job, sample, step.waiting + max_repeat_tasks);
+        const Fit found = fit_up_to(job, sample, step.waiting + max_tasks_in_row);
         step.fit = found.tasks;
         spread = std::max(
             spread, found.tasks == 0 ? 1 : double(found.workers) / double(found.tasks));
