--- a/src/jobs.lib/kept_schedules_test.cpp
+++ b/src/jobs.lib/kept_schedules_test.cpp
@@ -42,3 +42,10 @@
 {
     expect_no_violations(9, 8509064, 1);
 }
+
+// A task that crashes its workers was started three more times after it had crashed three
+// of them.
+BOOST_AUTO_TEST_CASE(crashing_task_is_not_started_again_and_again)
+{
+    expect_no_violations(11, 9111003, 1);
+}
