Only jobs of no value even alone go behind for their width

Change: it is taken only from a job that would be of no value even with the whole cell to itself, three times its allowed time. A million tasks of 0.1 s are, jobs of some waves are not.

--- a/src/jobs.lib/scheduler_pass.cpp
+++ b/src/jobs.lib/scheduler_pass.cpp
@@ -248,9 +248,12 @@
 {
     shortage::Deadline deadline;
     deadline.allowed_ms = allowed_ms(job);
-    // A job that is too wide for the cell to be in time must not delay others that can be.
-    deadline.slack_ms = deadline.allowed_ms - waited_ms(job, now_ms)
-        - job.remaining_ms(capacity_of(job.accepted().queue.service));
+    deadline.slack_ms = slack_ms(job, now_ms);
+    // A job that would have no value even with the whole cell to itself must not delay
+    // others that can be in time.
+    const int64_t alone_ms = job.remaining_ms(capacity_of(job.accepted().queue.service));
+    if (alone_ms > shortage::late_multiple * deadline.allowed_ms)
+        deadline.slack_ms = deadline.allowed_ms - waited_ms(job, now_ms) - alone_ms;
     deadline.accepted_ms = job.accepted().accepted_ms;
     const auto learned = m_start_margins.find(job.accepted().queue.name);
     if (!job.begun && learned != m_start_margins.end())
