--- a/review/lib-3/cell.py
+++ b/review/lib-3/cell.py
@@ -429,7 +429,7 @@
         self.folder = tempfile.mkdtemp(prefix="review-3-")
         self.store = Store(free_ports(1)[0])
         self.host = "queue.example"
-        self.prefix = "/work/"
+        self.prefix = "/queue/"
         self.service = service
         self.new_ids = new_ids  # Whether a worker has a new id after a crash.
         self.workers = [Worker(self, "w%02d-%04x" % (i, random.randrange(1 << 16)), service,
@@ -540,7 +540,8 @@
 
 
 def job_id():
-    return "%016x" % random.getrandbits(64)
+    """16 hex digits that end in a letter: names of tasks (ID.K.STEP.INDEX) then read like no address."""
+    return "%015x" % random.getrandbits(60) + random.choice("abcdef")
 
 
 def main(folder, course):
