--- a/review/lib-4/standins.py
+++ b/review/lib-4/standins.py
@@ -248,7 +248,11 @@
         self.up = True
         await self.server.open()
         self.publish()
-        self.cell.record("worker", self.id, "starts at", self.ip)
+        self.cell.record("worker", self.label(), "starts at", self.ip, "as", self.id)
+
+    def label(self):
+        """Its number and life, for the record."""
+        return f"w{self.number}.{self.lives}"
 
     def publish(self):
         entry = {"backend": self.cell.service, "address": f"{self.ip}:{self.cell.worker_port}",
@@ -262,7 +266,7 @@
 
     def crash(self):
         """The worker ends at once, with all that runs there; its entry goes three beats later."""
-        self.cell.record("worker", self.id, "crashes, with", len(self.running), "tasks")
+        self.cell.record("worker", self.label(), "crashes, with", len(self.running), "tasks")
         self.up = False
         for task, run in list(self.running.items()):
             self.cell.ended(self, task, run, "lost")
@@ -467,12 +471,12 @@
         entry = {"task": task, "run": number, "worker": worker.id, "from": now(), "to": None, "how": ""}
         self.history.append(entry)
         self.present[(worker.id, task)] = entry
-        self.record("start", task, "run", number, "on", worker.id, "fence", call.get("fencing_token"))
+        self.record("start", task, "run", number, "on", worker.label(), "fence", call.get("fencing_token"))
 
     def ended(self, worker, task, run, how):
         entry = self.present.pop((worker.id, task))
         entry["to"], entry["how"] = now(), how
-        self.record("end", task, "run", run["run"], "on", worker.id, how)
+        self.record("end", task, "run", run["run"], "on", worker.label(), how)
 
     def add_queue(self, name, priority, **more):
         """Adds a queue under /NAME/."""
