--- a/review/lib-4/standins.py
+++ b/review/lib-4/standins.py
@@ -5,6 +5,7 @@
 import base64
 import json
 import os
+import random
 import shutil
 import signal
 import socket
@@ -444,14 +445,24 @@
 
     @staticmethod
     def free_ports():
-        held = []
-        for _ in range(6):
-            holder = socket.socket()
-            holder.bind(("127.0.0.1", 0))
-            held.append(holder)
-        ports = [holder.getsockname()[1] for holder in held]
-        for holder in held:
-            holder.close()
+        """Ports below those of outgoing connections that are free at all addresses of a run."""
+        addresses = ["127.30.0.1"] + [f"127.{net}.0.{i}" for net in (10, 20) for i in range(1, 9)]
+        ports = []
+        while len(ports) < 6:
+            port = random.randrange(11000, 32000)
+            held = []
+            try:
+                for address in addresses:
+                    holder = socket.socket()
+                    held.append(holder)
+                    holder.bind((address, port))
+            except OSError:
+                continue
+            finally:
+                for holder in held:
+                    holder.close()
+            if port not in ports:
+                ports.append(port)
         return ports
 
     def later(self, delay, call):
