--- a/review/lib-4/standins.py
+++ b/review/lib-4/standins.py
@@ -427,7 +427,7 @@
 class Cell:
     """A small deployment."""
 
-    service, host, prefix, zone = "pool1", "kiosk.example", "/work/", "z1"
+    service, host, prefix, zone = "pool1", "kiosk.example", "/tasks/", "z1"
 
     def __init__(self, folder, bounds, nodes=4, workers=12, queue=None):
         self.record = Record(folder)
