Red: a more powerful follower waits for a hand-over without a bound

Users saw 400 accepted jobs stand on the large site: a weak node led for 31.5 s beside 18 strong ones and answered every heartbeat. Whatever keeps a leader from handing over, its followers wait as long as it answers, or as long as it writes its row. leadership_test shows both with a leader of 120 millicores and a follower of 500: not elected within 10 s, 4 checks red. It also shows a follower that keeps an earlier epoch of its leader, as one did for 32 s in the users' record.

Logged first, since the record's lines can't tell the reasons apart: claim and claim_deferred tell how long a promise still binds the node, since when it could lead and how strong the leader is; orders_withheld tells each second what a leader without orders waits for (phase, tables, workers, lease, log); job_feed_stale is the second gate of a pass. The leader's answers tell its processor time.

--- a/src/include/pathport/jobs/peers.h
+++ b/src/include/pathport/jobs/peers.h
@@ -144,6 +144,7 @@
     int64_t config_version = 0;
     int64_t drains_changed_at = 0; ///< As in the request.
     DrainedDomains drains; ///< With a configuration.
+    int cpu_millicores = 0; ///< A leader's, as in NodeSetup; 0 if not told.
     /// Highest `cpu_millicores` of a leader's live followers.
     int max_follower_millicores = 0;
     std::vector<Candidate> candidates; ///< A leader's most powerful followers.
--- a/src/jobs.lib/job_node_impl.h
+++ b/src/jobs.lib/job_node_impl.h
@@ -115,6 +115,7 @@
     void fill_heartbeat(PeerRequest& request) override;
     void leader_answered(const PeerAnswer& answer) override;
     void leader_unknown() override;
+    bool could_lead() const override;
 
 private:
     void deposed();
--- a/src/jobs.lib/job_node_peers.cpp
+++ b/src/jobs.lib/job_node_peers.cpp
@@ -128,6 +128,7 @@
     } else if (!request.leads) {
         note_follower(request);
     }
+    answer.cpu_millicores = m_setup.cpu_millicores;
     answer.max_follower_millicores = m_followers.max_millicores();
     answer.candidates = m_candidates;
     answer.call_rate = static_cast<int64_t>(m_relayed.load().calls);
--- a/src/jobs.lib/job_node_succession.cpp
+++ b/src/jobs.lib/job_node_succession.cpp
@@ -141,6 +141,14 @@
         || next->store_call_time > slow_store_latency;
 }
 
+// A new leader reads all open jobs, so while the store is slow for this node it leaves a
+// weaker leader alone. fill_heartbeat() sees to it that the time of a call is known.
+bool JobNode::Impl::could_lead() const
+{
+    return m_setup.mechanisms.uses(Mechanism::hand_over) && !m_shutting_down
+        && !m_store.failing() && m_store.call_time() <= slow_store_latency;
+}
+
 // A leader that stays although others are more powerful says why, once for each change.
 void JobNode::Impl::log_hand_over_obstacle()
 {
--- a/src/jobs.lib/leadership.cpp
+++ b/src/jobs.lib/leadership.cpp
@@ -74,9 +74,11 @@
     case ClaimReason::not_leading:
         return "not_leading";
     case ClaimReason::head_stalled:
+        return "head_stalled";
+    case ClaimReason::not_handed_over:
         break;
     }
-    return "head_stalled";
+    return "not_handed_over";
 }
 
 std::string encode(const LeaderValue& leader)
@@ -201,6 +203,7 @@
     m_leader = leader;
     m_leader_known_since = m_loop.now();
     forget_deferral();
+    m_could_lead_since.reset();
     m_leader_silent = false;
     m_answers_late = false;
     m_refusals = 0;
@@ -548,7 +551,11 @@
              { "wanted_ms_ago",
                m_claim_wanted_at == Millis() ? -1 : (now - m_claim_wanted_at).count() },
              { "read_ms", m_read_time.count() },
+             { "promised_ms", std::max(Millis(0), m_no_claim_until - now).count() },
+             { "could_lead_ms",
+               m_could_lead_since ? (now - *m_could_lead_since).count() : -1 },
              { "cpu_millicores", m_identity.cpu_millicores },
+             { "leader_millicores", m_leader.identity.cpu_millicores },
              { "strongest_rival", strongest_rival() },
              { "deferred", m_deferred ? "yes" : "no" } };
 }
--- a/src/jobs.lib/leadership.h
+++ b/src/jobs.lib/leadership.h
@@ -55,6 +55,9 @@
     virtual void leader_answered(const PeerAnswer& answer) = 0;
     /// Called when the known leader is gone and its successor can't be read from the store.
     virtual void leader_unknown() = 0;
+    /// Returns whether this node could take over now: the store serves it, and is fast
+    /// enough for a new leader.
+    virtual bool could_lead() const = 0;
 };
 
 /// Why a node claims leadership.
@@ -62,6 +65,7 @@
     vacant, ///< The rows name no leader, or this node's own earlier process.
     not_leading, ///< The known leader has answered that it doesn't lead, or has resigned.
     head_stalled, ///< It does not answer, and its head row has not changed for long.
+    not_handed_over, ///< It is less powerful and has not handed over in time.
 };
 
 /// Returns the lower-case name of `reason`.
@@ -184,6 +188,8 @@
     LeaderValue m_announced; ///< Last leader announced by another node while this one led.
     Millis m_leader_known_since; ///< When this node learned of the present leader.
     Millis m_leader_answered_at; ///< When the leader last confirmed that it leads.
+    /// Since when this node could lead instead of the present, less powerful leader.
+    std::optional<Millis> m_could_lead_since;
     int m_refusals = 0; ///< Consecutive refused connections to the leader.
     HeartbeatPtr m_open_heartbeat; ///< The last one.
     int64_t m_last_heartbeat = 0; ///< Number of the last one sent.
--- a/src/jobs.lib/leadership_test.cpp
+++ b/src/jobs.lib/leadership_test.cpp
@@ -79,10 +79,78 @@
 class Elections : public LeadershipListener {
 public:
     int count = 0;
+    bool store_fast = true;
     void elected(const Claim&, const std::string&) override { ++count; }
     void fill_heartbeat(PeerRequest&) override { }
     void leader_answered(const PeerAnswer&) override { }
     void leader_unknown() override { }
+    bool could_lead() const override { return store_fast; }
+};
+
+/// A node of 500 millicores that follows a leader which writes its row all the time and
+/// answers each heartbeat after `answer_delay`.
+class AnsweredFollower {
+public:
+    explicit AnsweredFollower(int leader_millicores)
+        : m_leader_millicores(leader_millicores)
+        , m_leadership(m_loop, m_port, m_peers, { "b", "b", "y", 500 }, elections)
+    {
+        StoreWrite rows;
+        rows.puts.push_back(
+            { lead_row(leader_key),
+              encode(LeaderValue { 1, { "a", "a", "x", leader_millicores } }) });
+        m_store.write_now(rows);
+        write_head();
+        m_leadership.begin();
+    }
+
+    /// Returns the time until the follower is elected; `limit` if it is not.
+    Millis time_until_elected(Millis limit)
+    {
+        const Millis begun = m_world.now();
+        while (elections.count == 0 && m_world.now() - begun < limit) {
+            for (const PeerReply& reply : std::exchange(m_peers.open, {}))
+                m_world.after(answer_delay, [this, reply] {
+                    PeerAnswer answer;
+                    answer.node = "a";
+                    answer.incarnation = "x";
+                    answer.leads = true;
+                    answer.epoch = answer_epoch;
+                    answer.cpu_millicores = m_leader_millicores;
+                    reply(PeerEnd::answered, answer);
+                });
+            m_world.run_for(Millis(10));
+            if (m_world.now() - m_head_written >= Millis(200))
+                write_head();
+        }
+        return m_world.now() - begun;
+    }
+
+    const Leadership& leadership() const { return m_leadership; }
+
+    Millis answer_delay { 2 };
+    int64_t answer_epoch = 1;
+    Elections elections;
+
+private:
+    void write_head()
+    {
+        m_head_written = m_world.now();
+        StoreWrite write;
+        write.puts.push_back(
+            { lead_row(head_key), encode(HeadValue { 1, ++m_number, "x", {} }) });
+        m_store.write_now(write);
+    }
+
+    emulator::World m_world { 11 };
+    emulator::Store m_store { m_world };
+    emulator::ProcessLoop m_loop { m_world };
+    emulator::StorePort m_port { m_store, m_loop, "b" };
+    HeldPeers m_peers;
+    int m_leader_millicores;
+    int64_t m_number = 0;
+    Millis m_head_written;
+    Leadership m_leadership;
 };
 
 class PlainOwner : public HeadLogOwner {
@@ -324,6 +392,48 @@
     BOOST_TEST(elections.count == 1);
 }
 
+// Guards against a weak node that leads for as long as it answers, for whatever reason it
+// does not hand over: a more powerful follower that the store serves waited for it without
+// a bound, while accepted jobs stood.
+BOOST_AUTO_TEST_CASE(more_powerful_follower_does_not_wait_for_a_hand_over_without_end)
+{
+    constexpr Millis limit { 10000 };
+    constexpr Millis standstill { 3000 }; // The users' limit for jobs with free capacity.
+    AnsweredFollower prompt(120);
+    BOOST_TEST((prompt.time_until_elected(limit) < standstill));
+    // Late answers don't count for a more powerful node, but the row is written.
+    AnsweredFollower late(120);
+    late.answer_delay = Millis(500);
+    BOOST_TEST((late.time_until_elected(limit) < standstill));
+}
+
+// A leader of equal or unknown processor time stays, and so does a weaker one while the
+// store is too slow for a new leader, which would read all open jobs.
+BOOST_AUTO_TEST_CASE(leader_is_not_overtaken_without_need)
+{
+    constexpr Millis limit { 10000 };
+    AnsweredFollower equal(500);
+    BOOST_TEST((equal.time_until_elected(limit) == limit));
+    AnsweredFollower unknown(0);
+    BOOST_TEST((unknown.time_until_elected(limit) == limit));
+    AnsweredFollower slow_store(120);
+    slow_store.elections.store_fast = false;
+    BOOST_TEST((slow_store.time_until_elected(limit) == limit));
+    slow_store.elections.store_fast = true;
+    BOOST_TEST((slow_store.time_until_elected(limit) < Millis(3000)));
+}
+
+// Guards against a follower that keeps an earlier epoch of its leader, which claimed twice:
+// it ignored the hand-over of the later epoch, and told others the earlier one.
+BOOST_AUTO_TEST_CASE(follower_learns_a_later_epoch_from_the_leaders_answers)
+{
+    AnsweredFollower follower(500);
+    follower.answer_epoch = 2;
+    follower.time_until_elected(Millis(1500));
+    BOOST_TEST(follower.leadership().epoch() == 2);
+    BOOST_TEST(follower.elections.count == 0);
+}
+
 // Guards against a consequence of electing a node twice for one claim: the second log's
 // first write would have the same head as the first log's first write, and would be taken
 // for committed although its rows were never written.
--- a/src/jobs.lib/peer_codec.cpp
+++ b/src/jobs.lib/peer_codec.cpp
@@ -166,6 +166,7 @@
     if (answer.drains.version() > 0)
         json["drains"] = { answer.drains.domains(), answer.drains.version(),
                            answer.drains.changed_at() };
+    put(json, "strength", answer.cpu_millicores);
     put(json, "strongest", answer.max_follower_millicores);
     for (const Candidate& candidate : answer.candidates)
         json["candidates"].push_back({ candidate.address, candidate.cpu_millicores });
@@ -210,6 +211,7 @@
             answer.drains = { drains.at(0).get<std::set<std::string>>(),
                               drains.at(1).get<int64_t>(), drains.at(2).get<int64_t>() };
         }
+        answer.cpu_millicores = json.value("strength", 0);
         answer.max_follower_millicores = json.value("strongest", 0);
         if (json.contains("candidates")) {
             for (const Json& candidate : json.at("candidates"))
--- a/src/jobs.lib/scheduler.h
+++ b/src/jobs.lib/scheduler.h
@@ -283,6 +283,7 @@
     using WorkerList = DirectoryAnswer<std::vector<WorkerInfo>>;
     void workers_read(const WorkerList& answer, Millis begun);
     void table_loaded();
+    void report_withheld_orders();
     void build_records();
     bool is_used(const std::string& service) const;
     // Admission of jobs to queues (scheduler_admission.cpp).
@@ -606,9 +607,12 @@
     std::vector<StoredRow> m_loaded_jobs;
     std::vector<StoredRow> m_loaded_progress;
     Millis m_load_begun;
+    Millis m_orders_allowed_at; ///< As of the last tick; at first, when loading began.
+    Millis m_withheld_reported; ///< When orders that are not sent were logged last.
     JobFeed m_feed; ///< Accepted and cancelled jobs since the load.
     bool m_workers_known = false;
     Millis m_workers_as_of; ///< The current list of workers is at least this recent.
+    bool m_stale_feed_logged = false; ///< The present gap in the feed has been logged.
     bool m_stale_list_logged = false;
     bool m_reading_workers = false;
     Millis m_activate_by;
--- a/src/jobs.lib/scheduler_load.cpp
+++ b/src/jobs.lib/scheduler_load.cpp
@@ -21,6 +21,8 @@
 /// How long a new leader waits for the workers' first reports before it starts scheduling
 /// without the silent ones.
 constexpr Millis first_report_wait { 250 };
+/// Interval of log lines while no orders are sent, and time after which they begin.
+constexpr Millis withheld_report_interval { 1000 };
 constexpr Millis workers_interval { 700 };
 constexpr Millis workers_retry { 150 };
 /// Number of list reads within the time left to observe an announced end, so that two reads
@@ -49,6 +51,7 @@
               { { "epoch", m_claim.head.epoch }, { "head_version", m_claim.version } });
     m_loading = 2;
     m_load_begun = m_context.loop.now();
+    m_orders_allowed_at = m_load_begun;
     m_progress_reader.read(
         progress_table, { scheduler_partition },
         [this](std::vector<StoredRow> rows) { append(m_loaded_progress, std::move(rows)); },
@@ -71,6 +74,38 @@
                                       double(span.count()) / 1000, { { "phase", phase } });
 }
 
+// A leader that sends no orders for long says what it waits for.
+void Scheduler::report_withheld_orders()
+{
+    const Millis now = m_context.loop.now();
+    if (now - m_orders_allowed_at < withheld_report_interval
+        || now - m_withheld_reported < withheld_report_interval)
+        return;
+    m_withheld_reported = now;
+    size_t fenced = 0;
+    for (const auto& [id, worker] : m_workers)
+        fenced += worker.session->fenced() ? 1 : 0;
+    const char* phase = "scheduling";
+    if (m_phase == Phase::loading)
+        phase = "loading";
+    if (m_phase == Phase::awaiting_reports)
+        phase = "awaiting_reports";
+    log_event(LogLevel::warn, "orders_withheld",
+              { { "epoch", m_claim.head.epoch },
+                { "phase", phase },
+                { "tables_left", m_loading },
+                { "progress_rows", static_cast<int64_t>(m_loaded_progress.size()) },
+                { "job_rows", static_cast<int64_t>(m_loaded_jobs.size()) },
+                { "workers_known", m_workers_known ? "yes" : "no" },
+                { "workers", static_cast<int64_t>(m_workers.size()) },
+                { "fenced", static_cast<int64_t>(fenced) },
+                { "lease_left_ms", (m_log.lease_until() - now).count() },
+                { "store_serves_log", m_log.served() ? "yes" : "no" },
+                { "log_backlog", static_cast<int64_t>(m_log.backlog()) },
+                { "lateness_ms", m_log.lateness().count() },
+                { "withheld_ms", (now - m_orders_allowed_at).count() } });
+}
+
 void Scheduler::table_loaded()
 {
     if (--m_loading > 0 || m_phase != Phase::loading)
--- a/src/jobs.lib/scheduler_pass.cpp
+++ b/src/jobs.lib/scheduler_pass.cpp
@@ -66,10 +66,15 @@
     if (m_phase != Phase::scheduling || !orders_allowed())
         return;
     // After a pause of this process, cancellations are read before anything is started.
-    if (m_context.loop.now() - m_feed.known_at() > max_feed_age) {
+    const Millis feed_age = m_context.loop.now() - m_feed.known_at();
+    if (feed_age > max_feed_age) {
+        if (!m_stale_feed_logged)
+            log_event(LogLevel::warn, "job_feed_stale", { { "age_ms", feed_age.count() } });
+        m_stale_feed_logged = true;
         m_feed.poll_now();
         return;
     }
+    m_stale_feed_logged = false;
     if (!list_is_fresh()) {
         if (!m_stale_list_logged)
             log_event(LogLevel::warn, "worker_list_stale",
--- a/src/jobs.lib/scheduler_tick.cpp
+++ b/src/jobs.lib/scheduler_tick.cpp
@@ -28,6 +28,7 @@
     if (m_phase == Phase::terminated)
         return;
     if (m_phase == Phase::scheduling && orders_allowed()) {
+        m_orders_allowed_at = m_context.loop.now();
         release_expired_in_doubt();
         drop_deferred_ends();
         m_explanations.begin_round(m_steps_waiting, m_workers.size());
@@ -54,6 +55,7 @@
         schedule_pass();
     } else {
         discard_room_forecast();
+        report_withheld_orders();
     }
     m_context.loop.after(tick_interval, m_lifetime.wrap([this] { tick(); }));
 }
