A more powerful follower claims when a weaker leader has not handed over in time

Class: absence of an event is waited for without a bound. A leader has many ways not to hand over (it loads, takes its own lateness for a slow store or for silent followers, waits for a write); each was mended alone so far, and the followers saw none of it. Now the bound lies with the node that is waited for: one that could lead (store served and fast) and has followed a weaker leader for a heartbeat, its answer and the time in which a live leader writes its row claims. A claim is safe at any time: the old leader's writes are fenced by the head row, its orders at the workers. That time does not depend on the number of nodes. Equal, unknown and stronger leaders stay.

A follower also takes the epoch, process and processor time of its leader from each answer.

--- a/src/jobs.lib/leadership.cpp
+++ b/src/jobs.lib/leadership.cpp
@@ -37,9 +37,13 @@
 /// writes the row in that period while jobs come or end; an idle one may be replaced
 /// needlessly, which holds up nothing.
 constexpr Millis refused_head_stall_timeout { 200 };
-/// Multiple of the store's last read time that is added to `head_stall_timeout` and to
-/// `weaker_node_delay`: a slow store delays both the leader's writes and other nodes'
-/// claims.
+/// A less powerful leader has this long to hand over to a node that could lead: it hears of
+/// the node by its next heartbeat and hands over by its next write.
+constexpr Millis max_hand_over_time
+    = max_heartbeat_interval + heartbeat_timeout + head_stall_timeout;
+/// Multiple of the store's last read time that is added to `head_stall_timeout`,
+/// `max_hand_over_time` and `weaker_node_delay`: a slow store delays both the leader's
+/// writes and other nodes' claims.
 constexpr int64_t slow_store_multiple = 3;
 /// Multiple of the leader's lateness that is added to `head_stall_timeout`: the timer of
 /// its next write and the answer to the last one are late, and a pass may come between.
@@ -211,6 +215,38 @@
               { { "leader", m_leader.identity.node }, { "epoch", m_leader.epoch } });
 }
 
+// The leader may have claimed again since this node learned of it, and one that another
+// node named is known by its address alone.
+void Leadership::update_leader(const PeerAnswer& answer)
+{
+    if (answer.epoch > m_leader.epoch) {
+        follow_new_leader({ answer.epoch,
+                            { answer.node, m_leader.identity.address, answer.incarnation,
+                              answer.cpu_millicores } });
+        m_leader_version = 0; // The rows are read again before a claim.
+    } else if (answer.cpu_millicores > 0) {
+        m_leader.identity.cpu_millicores = answer.cpu_millicores;
+    }
+}
+
+// Returns whether the leader is less powerful and has had the time to hand over to this
+// node. It may have any reason not to, or none; what it orders until it learns of the claim
+// is fenced at the workers, as with any claim.
+bool Leadership::hand_over_overdue()
+{
+    const int leader_millicores = m_leader.identity.cpu_millicores;
+    const bool less_powerful
+        = leader_millicores > 0 && leader_millicores < m_identity.cpu_millicores;
+    if (!less_powerful || !m_listener.could_lead()) {
+        m_could_lead_since.reset();
+        return false;
+    }
+    const Millis now = m_loop.now();
+    if (!m_could_lead_since)
+        m_could_lead_since = now;
+    return now - *m_could_lead_since >= max_hand_over_time + slow_store_allowance();
+}
+
 void Leadership::schedule_follow(Millis delay)
 {
     m_loop.cancel(m_timer);
@@ -321,6 +357,10 @@
         claim(no_leader ? ClaimReason::vacant : ClaimReason::not_leading);
         return;
     }
+    if (hand_over_overdue()) {
+        claim(ClaimReason::not_handed_over);
+        return;
+    }
     if (!m_leader_silent) {
         schedule_follow(Millis(0));
         return;
@@ -422,10 +462,14 @@
         m_leader_answered_at = m_loop.now();
         m_claim_wanted = false;
         forget_deferral();
+        update_leader(answer);
         if (!answer.candidates.empty())
             m_candidates = answer.candidates;
         m_listener.leader_answered(answer);
-        schedule_follow(next_heartbeat_delay());
+        if (hand_over_overdue())
+            read_rows();
+        else
+            schedule_follow(next_heartbeat_delay());
         return;
     }
     if (answer.epoch > epoch && !answer.leader.empty()) {
--- a/src/jobs.lib/leadership.h
+++ b/src/jobs.lib/leadership.h
@@ -122,6 +122,8 @@
     void rows_read(const StoreResult& result);
     void act_on_rows();
     void follow_new_leader(const LeaderValue& leader);
+    void update_leader(const PeerAnswer& answer);
+    bool hand_over_overdue();
     void schedule_follow(Millis delay);
     void follow();
     void ask_leader();
