A restarted node knows the candidates from its own leader row

Callers saw accepted work stand while one weak node led for half a minute beside strong ones; its epochs 3 and 4 were 50 ms apart.

One way to two such epochs: a weak node claims and its process ends right after. The next process finds its own address in the leader row, takes the row for vacant, knows no candidates, and compares itself with its predecessor's processor share, which is its own. So it claims at once, however many stronger nodes live, and as often as it is restarted.

The leader row now keeps the most powerful other nodes that the writing node knows, by a claim and by a hand-over. A node that has heard from no leader yet goes by them, so a restarted weak node asks them and waits as any other does. A process that the workers' fences have deposed while the rows still name it does the same. Older nodes read the first five elements of the row and ignore the rest; rows without candidates are written as before.

That the users' process restarted between its two epochs is not shown by their record.

--- a/src/jobs.lib/job_node_succession.cpp
+++ b/src/jobs.lib/job_node_succession.cpp
@@ -190,7 +190,8 @@
     const Follower follower = *m_followers.find(address);
     const LeaderValue next { m_leadership.epoch() + 1,
                              { follower.node, address, follower.incarnation,
-                               follower.cpu_millicores } };
+                               follower.cpu_millicores },
+                             without(m_candidates, address) };
     log_event(LogLevel::info, "leadership_handed_over",
               { { "epoch", m_leadership.epoch() },
                 { "to", next.identity.node },
--- a/src/jobs.lib/leadership.cpp
+++ b/src/jobs.lib/leadership.cpp
@@ -63,6 +63,8 @@
 constexpr Millis read_timeout { 1000 };
 /// A leader counts as responsive for this long after an answer.
 constexpr Millis responsive_time { 900 };
+/// Index of the candidates in the leader row's JSON array, which are there if any is known.
+constexpr size_t candidates_index = 5;
 
 } // namespace
 
@@ -81,10 +83,15 @@
 
 std::string encode(const LeaderValue& leader)
 {
-    return nlohmann::json::array({ leader.epoch, leader.identity.node,
-                                   leader.identity.address, leader.identity.incarnation,
-                                   leader.identity.cpu_millicores })
-        .dump();
+    auto json = nlohmann::json::array(
+        { leader.epoch, leader.identity.node, leader.identity.address,
+          leader.identity.incarnation, leader.identity.cpu_millicores });
+    auto candidates = nlohmann::json::array();
+    for (const Candidate& candidate : leader.candidates)
+        candidates.push_back({ candidate.address, candidate.cpu_millicores });
+    if (!candidates.empty())
+        json.push_back(std::move(candidates));
+    return json.dump();
 }
 
 std::optional<LeaderValue> decode_leader(const std::string& text)
@@ -97,12 +104,29 @@
         leader.identity.address = json.at(2).get<std::string>();
         leader.identity.incarnation = json.at(3).get<std::string>();
         leader.identity.cpu_millicores = json.at(4).get<int>();
+        // Earlier versions stored no candidates.
+        if (json.size() > candidates_index) {
+            for (const auto& candidate : json.at(candidates_index))
+                leader.candidates.push_back(
+                    { candidate.at(0).get<std::string>(), candidate.at(1).get<int>() });
+        }
         return leader;
     } catch (const nlohmann::json::exception&) {
         return std::nullopt;
     }
 }
 
+std::vector<Candidate> without(std::vector<Candidate> candidates,
+                               const std::string& address)
+{
+    candidates.erase(std::remove_if(candidates.begin(), candidates.end(),
+                                    [&](const Candidate& candidate) {
+                                        return candidate.address == address;
+                                    }),
+                     candidates.end());
+    return candidates;
+}
+
 Leadership::Leadership(EventLoop& loop, JobStore& store, PeerClient& peers,
                        NodeIdentity identity, LeadershipListener& listener)
     : m_loop(loop)
@@ -287,6 +311,8 @@
             m_head_version = row.version;
         }
     }
+    if (m_candidates.empty())
+        m_candidates = m_leader.candidates;
     if (m_leader.epoch != epoch) {
         m_predecessor = previous_address;
         follow_new_leader(m_leader);
@@ -627,9 +653,11 @@
 {
     if (m_retired)
         return;
-    LeaderValue leader { m_leader.epoch + 1, m_identity };
+    // The next process at this address yields to stronger nodes only if it knows them.
+    m_claimed_leader = LeaderValue { m_leader.epoch + 1, m_identity,
+                                     without(m_candidates, m_identity.address) };
     // The previous leaders' entries are carried over until this leader has resolved them.
-    m_claimed_head = HeadValue { leader.epoch,           0,
+    m_claimed_head = HeadValue { m_claimed_leader.epoch, 0,
                                  m_identity.incarnation, m_head.unrecorded_task_workers,
                                  m_head.silent,          m_head.lateness };
     m_claim_started = m_loop.now();
@@ -637,7 +665,7 @@
     StoreWrite write;
     write.checks.push_back({ lead_row(leader_key), m_leader_version });
     write.checks.push_back({ lead_row(head_key), m_head_version });
-    write.puts.push_back({ lead_row(leader_key), encode(leader) });
+    write.puts.push_back({ lead_row(leader_key), encode(m_claimed_leader) });
     write.puts.push_back({ lead_row(head_key), encode(m_claimed_head) });
     m_writer.send(write, [this, sent_at = m_claim_started](const StoreResult& result) {
         m_claiming = false;
@@ -659,7 +687,7 @@
         return;
     const std::optional<int64_t> claimed_version = claim_version(result);
     if (claimed_version) {
-        m_leader = LeaderValue { m_claimed_head.epoch, m_identity };
+        m_leader = m_claimed_leader;
         become_leader(*claimed_version, sent_at);
         return;
     }
@@ -677,7 +705,7 @@
         return result.version;
     if (result.status != StoreStatus::unknown)
         return std::nullopt;
-    const std::string claimed = encode(LeaderValue { m_claimed_head.epoch, m_identity });
+    const std::string claimed = encode(m_claimed_leader);
     for (const StoredRow& row : result.rows) {
         if (row.id == lead_row(leader_key) && row.value == claimed)
             return row.version;
--- a/src/jobs.lib/leadership.h
+++ b/src/jobs.lib/leadership.h
@@ -36,11 +36,17 @@
 struct LeaderValue {
     int64_t epoch = 0;
     NodeIdentity identity;
+    /// The most powerful other nodes known to the node that wrote the row.
+    std::vector<Candidate> candidates {};
 };
 
 std::string encode(const LeaderValue& leader);
 std::optional<LeaderValue> decode_leader(const std::string& text);
 
+/// Returns `candidates` without the node at `address`.
+std::vector<Candidate> without(std::vector<Candidate> candidates,
+                               const std::string& address);
+
 /// Receives the events of the election.
 class LeadershipListener {
 public:
@@ -103,7 +109,8 @@
     const LeaderValue& leader() const { return m_leader; }
     /// Returns whether this node would claim leadership if it found the leader gone.
     bool may_claim() const { return !m_retired && m_loop.now() >= m_no_claim_until; }
-    /// Returns the most powerful followers of the leader, as it last told.
+    /// Returns the most powerful followers of the leader, as it last told, or as its row
+    /// names them.
     const std::vector<Candidate>& candidates() const { return m_candidates; }
     /// Promises not to claim leadership before `until`.
     void promise_no_claim_until(Millis until)
@@ -167,7 +174,8 @@
     bool m_deferring = false; ///< Waiting for more powerful nodes to claim first.
     bool m_deferred = false; ///< That wait is over for the present leader.
     size_t m_group_size = 1; ///< Nodes that send heartbeats to the leader.
-    std::vector<Candidate> m_candidates; ///< As last reported by a leader.
+    /// As last reported by a leader, or as read from its row before the first report.
+    std::vector<Candidate> m_candidates;
     /// A more powerful node has answered this deferral that it can claim.
     bool m_candidate_ready = false;
     std::optional<Millis> m_deferring_since; ///< Since a leader answered last.
@@ -177,7 +185,8 @@
     int64_t m_leader_version = 0;
     HeadValue m_head;
     int64_t m_head_version = 0;
-    /// Head written by the last claim, whether or not it took effect.
+    /// Rows written by the last claim, whether or not it took effect.
+    LeaderValue m_claimed_leader;
     HeadValue m_claimed_head;
     Millis m_claim_started;
     std::string m_predecessor; ///< Address of the leader that this node followed before.
--- a/src/jobs.lib/leadership_test.cpp
+++ b/src/jobs.lib/leadership_test.cpp
@@ -15,6 +15,8 @@
 #include <pathport/emulator/store.h>
 #include <pathport/log.h>
 
+#include <nlohmann/json.hpp>
+
 #include <optional>
 #include <utility>
 
@@ -324,6 +326,120 @@
     BOOST_TEST(elections.count == 1);
 }
 
+// Guards against a weak node that claims again and again beside strong ones: its process
+// ends after a claim, and the next one finds its own address in the leader row, which it
+// takes for vacant, while it knows of no candidates.
+BOOST_AUTO_TEST_CASE(restarted_weak_node_asks_the_candidates_of_its_own_leader_row)
+{
+    emulator::World world { 11 };
+    emulator::Store store { world };
+    emulator::ProcessLoop loop { world };
+    emulator::StorePort port { store, loop, "b" };
+    HeldPeers peers;
+    peers.candidacy = PeerAnswer();
+    peers.candidacy->served = true;
+    Elections elections;
+    StoreWrite rows;
+    rows.puts.push_back({ lead_row(leader_key), R"([3,"b","b","x",120,[["c",500]]])" });
+    rows.puts.push_back({ lead_row(head_key), encode(HeadValue { 3, 0, "x", {} }) });
+    store.write_now(rows);
+    Leadership leadership(loop, port, peers, { "b", "b", "y", 120 }, elections);
+    leadership.begin();
+    world.run_for(Millis(2000));
+    BOOST_TEST(peers.candidacy_asked > 0);
+    BOOST_TEST(elections.count == 0);
+    // Stronger nodes that never claim are not waited for without end.
+    world.run_for(Millis(6000));
+    BOOST_TEST(elections.count == 1);
+}
+
+// Guards against the same after the next claim: a process that ends right after its claim
+// has to leave the candidates that it knew in the row, also those that it read there.
+BOOST_AUTO_TEST_CASE(claim_keeps_the_candidates_in_the_leader_row)
+{
+    for (const bool reply_lost : { false, true }) {
+        emulator::World world { 12 };
+        emulator::Store store { world };
+        emulator::ProcessLoop loop { world };
+        emulator::StorePort answering { store, loop, "b" };
+        UnresponsiveStore unanswering { store, loop };
+        HeldPeers peers;
+        Elections elections;
+        StoreWrite rows;
+        rows.puts.push_back(
+            { lead_row(leader_key), R"([3,"b","b","x",120,[["c",500],["b",120]]])" });
+        rows.puts.push_back({ lead_row(head_key), encode(HeadValue { 3, 0, "x", {} }) });
+        store.write_now(rows);
+        JobStore& port = reply_lost ? static_cast<JobStore&>(unanswering) : answering;
+        Leadership leadership(loop, port, peers, { "b", "b", "y", 120 }, elections);
+        leadership.begin();
+        world.run_for(Millis(2000));
+        BOOST_TEST(elections.count == 1);
+        const auto row = nlohmann::json::parse(store.value(lead_row(leader_key)));
+        BOOST_TEST(row.at(0).get<int>() == 4);
+        BOOST_REQUIRE(row.size() == 6U);
+        BOOST_TEST(row.at(5).dump() == R"([["c",500]])");
+    }
+}
+
+// A node that has heard from a leader goes by its answer: the row may be hours old.
+BOOST_AUTO_TEST_CASE(answer_of_the_leader_replaces_the_candidates_of_its_row)
+{
+    emulator::World world { 13 };
+    emulator::Store store { world };
+    emulator::ProcessLoop loop { world };
+    emulator::StorePort port { store, loop, "b" };
+    HeldPeers peers;
+    Elections elections;
+    StoreWrite rows;
+    rows.puts.push_back({ lead_row(leader_key), R"([3,"a","a","x",500,[["c",500]]])" });
+    rows.puts.push_back({ lead_row(head_key), encode(HeadValue { 3, 0, "x", {} }) });
+    store.write_now(rows);
+    Leadership leadership(loop, port, peers, { "b", "b", "y", 120 }, elections);
+    leadership.begin();
+    world.run_for(Millis(40));
+    BOOST_REQUIRE(peers.open.size() == 1U);
+    BOOST_REQUIRE(leadership.candidates().size() == 1U);
+    PeerAnswer answer;
+    answer.incarnation = "x";
+    answer.leads = true;
+    answer.epoch = 3;
+    answer.candidates = { { "d", 500 }, { "e", 120 } };
+    std::exchange(peers.open, {})[0](PeerEnd::answered, answer);
+    world.run_for(Millis(400));
+    BOOST_TEST((leadership.candidates() == answer.candidates));
+}
+
+// Guards against a second claim at once by a process that a worker's fence has deposed: the
+// rows still name it, and stronger nodes can claim.
+BOOST_AUTO_TEST_CASE(deposed_weak_node_that_the_rows_still_name_asks_stronger_ones)
+{
+    emulator::World world { 14 };
+    emulator::Store store { world };
+    emulator::ProcessLoop loop { world };
+    emulator::StorePort port { store, loop, "b" };
+    HeldPeers peers;
+    Elections elections;
+    StoreWrite rows;
+    rows.puts.push_back({ lead_row(leader_key), R"([3,"b","b","x",120,[["c",500]]])" });
+    rows.puts.push_back({ lead_row(head_key), encode(HeadValue { 3, 0, "x", {} }) });
+    store.write_now(rows);
+    Leadership leadership(loop, port, peers, { "b", "b", "y", 120 }, elections);
+    leadership.begin();
+    world.run_for(Millis(2000));
+    BOOST_REQUIRE(elections.count == 1);
+    const int asked = peers.candidacy_asked;
+    peers.candidacy = PeerAnswer();
+    peers.candidacy->served = true;
+    StoreWrite logged; // The log's first write.
+    logged.puts.push_back({ lead_row(head_key), encode(HeadValue { 4, 7, "y", {} }) });
+    store.write_now(logged);
+    leadership.deposed();
+    world.run_for(Millis(2000));
+    BOOST_TEST(peers.candidacy_asked > asked);
+    BOOST_TEST(elections.count == 1);
+}
+
 // Guards against a consequence of electing a node twice for one claim: the second log's
 // first write would have the same head as the first log's first write, and would be taken
 // for committed although its rows were never written.
@@ -358,3 +474,12 @@
     BOOST_TEST(decode_head("[7,44,\"x\",true]").has_value());
     BOOST_TEST(decode_head("[7,44,\"x\",false]").has_value());
 }
+
+// Rows of earlier versions name no candidates, and earlier versions read the first five
+// elements of a row.
+BOOST_AUTO_TEST_CASE(leader_row_without_candidates_is_as_before)
+{
+    const LeaderValue plain { 3, { "b", "b", "x", 120 } };
+    BOOST_TEST(encode(plain) == R"([3,"b","b","x",120])");
+    BOOST_TEST(decode_leader(encode(plain)).has_value());
+}
--- a/src/jobs.lib/weak_successor_test.cpp
+++ b/src/jobs.lib/weak_successor_test.cpp
@@ -206,6 +206,58 @@
     }
 }
 
+// Guards against a weak node that claims epoch after epoch beside strong ones: its process
+// ends right after its claim, and the next one takes its own leader row for vacant and
+// claims again before a strong node has noticed.
+BOOST_AUTO_TEST_CASE(weak_node_restarted_after_its_claim_leaves_the_next_to_strong_ones)
+{
+    constexpr int seeds = 20;
+    const Millis step(10);
+    for (uint64_t seed = 1; seed <= seeds; ++seed) {
+        Cell cell(seed, strong_nodes + weak_nodes, 4, node_strengths());
+        cell.world.run_for(Millis(12000));
+        BOOST_REQUIRE_MESSAGE(is_strong(named_leader(cell)), "seed " << seed);
+        // The strong nodes stand until a weak one claims, and go on within this time.
+        const Millis frozen(120);
+        const Millis end = cell.world.now() + Millis(10000);
+        while (is_strong(named_leader(cell)) && cell.world.now() < end) {
+            for (int i = 1; i <= strong_nodes; ++i)
+                cell.freeze("n" + std::to_string(i), frozen);
+            cell.world.run_for(step);
+        }
+        const std::string weak = named_leader(cell);
+        const int64_t epoch = epoch_of(cell);
+        BOOST_REQUIRE_MESSAGE(!is_strong(weak), "seed " << seed << ": no weak node claims");
+        cell.kill(weak, frozen);
+        for (Millis at; at < max_standstill && epoch_of(cell) == epoch; at = at + step)
+            cell.world.run_for(step);
+        BOOST_TEST(epoch_of(cell) == epoch + 1, "seed " << seed);
+        BOOST_TEST(is_strong(named_leader(cell)),
+                   "seed " << seed << ": " << named_leader(cell) << " follows " << weak);
+    }
+}
+
+// A planned stop must leave the row no worse than a claim does: the successor's process may
+// end before anyone has heard from it.
+BOOST_AUTO_TEST_CASE(hand_over_keeps_the_candidates_in_the_leader_row)
+{
+    Cell cell(1, strong_nodes + weak_nodes, 4, node_strengths());
+    cell.world.run_for(Millis(12000));
+    const std::string leader = named_leader(cell);
+    BOOST_REQUIRE(is_strong(leader));
+    cell.stop(leader, Millis(60000));
+    cell.world.run_for(Millis(1000));
+    const auto row
+        = jobs::decode_leader(cell.store.value(jobs::lead_row(jobs::leader_key)));
+    BOOST_REQUIRE(row.has_value());
+    BOOST_REQUIRE(is_strong(row->identity.node));
+    BOOST_REQUIRE(row->identity.node != leader);
+    BOOST_REQUIRE(!row->candidates.empty());
+    BOOST_TEST(row->candidates[0].cpu_millicores == strong_millicores);
+    for (const jobs::Candidate& candidate : row->candidates)
+        BOOST_TEST(candidate.address != row->identity.address);
+}
+
 // Guards against a leader that names only dead nodes as candidates: those that died before
 // an outage of the store had been served last, and ranked above live ones that it refuses.
 // When that leader is gone too, a weak node finds no candidate and claims.
