HTTP client reads in one turn what has arrived of a response

Callers saw jobs stand for seconds at a leader that answered all its followers in time. Each read of 16 kB was a completion of its own and waited for a turn of the loop behind all else that was ready, so the time to read the worker list or the job tables grew with their size times the length of a turn, while a heartbeat takes two turns at any size.

A read now goes on with what has arrived, up to 256 kB a turn. Nothing is copied or held that was not before: the bounds on a response and on all responses are looked at after each read.

--- a/src/loop.lib/async_http_client.cpp
+++ b/src/loop.lib/async_http_client.cpp
@@ -34,6 +34,8 @@
 constexpr size_t read_size = 16384;
 /// What is parsed as a whole (the header, trailers, the extensions of a chunk) has to fit.
 constexpr size_t max_buffer_bytes = 4 * read_size;
+/// Maximum size of the part of a response that is read in one turn of the loop.
+constexpr size_t max_turn_bytes = size_t(256) * 1024;
 /// A response counts as being received for this time after its last bytes. It equals the
 /// interval between polls of the job table.
 constexpr Millis receiving_window { 500 };
@@ -376,6 +378,8 @@
 
     void on_read_some(const ExchangePtr& exchange, boost::system::error_code error)
     {
+        if (!error)
+            error = read_arrived(exchange);
         if (!error && !exchange->parser->is_done()) {
             hold(exchange, exchange->parser->get().body().size());
             if (m_held > m_limits.max_held_bytes) {
@@ -390,16 +394,46 @@
         on_response(exchange, error);
     }
 
+    // Reads what has arrived of a response that has begun. Each read that the loop
+    // completes waits for its turn, and a page of five hundred rows takes more than ten of
+    // them.
+    boost::system::error_code read_arrived(const ExchangePtr& exchange)
+    {
+        Connection& connection = *exchange->connection;
+        auto& socket = connection.stream.socket();
+        boost::system::error_code error;
+        if (!exchange->parser->is_done())
+            socket.non_blocking(true, error);
+        size_t taken = 0;
+        while (!error && !exchange->parser->is_done() && taken < max_turn_bytes) {
+            reserve_for_rest(*exchange);
+            const size_t bytes
+                = http::read_some(socket, connection.buffer, *exchange->parser, error);
+            traffic_of(exchange->call).received += static_cast<int64_t>(bytes);
+            taken += bytes;
+            hold(exchange, exchange->parser->get().body().size());
+            if (m_held > m_limits.max_held_bytes)
+                break;
+        }
+        return error == boost::asio::error::would_block ? boost::system::error_code()
+                                                        : error;
+    }
+
+    // Without room a read takes 512 bytes.
+    static void reserve_for_rest(Exchange& exchange)
+    {
+        const auto left_bytes = exchange.parser->content_length_remaining();
+        if (left_bytes)
+            exchange.connection->buffer.reserve(
+                std::min<size_t>(read_size, static_cast<size_t>(*left_bytes)));
+    }
+
     // Extends the time-out of a long response. A feed's response grows with the changes
     // that were missed, and may take longer than the time-out on a slow link. If it were
     // cut off while bytes still arrive, the next response would be even larger.
     void continue_reading(const ExchangePtr& exchange)
     {
-        // Each read waits for its turn in the loop, and without room takes 512 bytes.
-        const auto left_bytes = exchange->parser->content_length_remaining();
-        if (left_bytes)
-            exchange->connection->buffer.reserve(
-                std::min<size_t>(read_size, static_cast<size_t>(*left_bytes)));
+        reserve_for_rest(*exchange);
         if (exchange->call.extends_while_receiving) {
             exchange->last_received = m_loop.now();
             const Millis left = extended_time(*exchange);
