--- a/src/jobs.lib/leadership_test.cpp
+++ b/src/jobs.lib/leadership_test.cpp
@@ -434,6 +434,7 @@
     follower.time_until_elected(Millis(1500));
     BOOST_TEST(follower.leadership().epoch() == 2);
     BOOST_TEST(follower.elections.count == 0);
+}
 
 // Guards against a weak node that claims again and again beside strong ones: its process
 // ends after a claim, and the next one finds its own address in the leader row, which it
