Claims over a weaker leader: only one that is heard, with heartbeats between tries

A review by one that had not seen the work found courses by reading that the first form would have made worse: a strong node that is cut off from its peers but reads the store would take the cell and keep it; a node whose claims meet conflicts would send its leader no heartbeats; a middle node beside dead stronger candidates would defer for ever; time in an outage counted; one slow read of the rows lengthened the bound beyond the users' 3 s. Now the leader must have answered lately, in time or late; a conflict is followed by a heartbeat; such a claim does not wait for others, a node that knows more powerful ones has a longer bound instead; failed reads and pauses of this node begin anew; weaker leaders that follow each other share one bound.

--- a/src/jobs.lib/job_node_impl.h
+++ b/src/jobs.lib/job_node_impl.h
@@ -32,6 +32,9 @@
 /// of one. After an outage, a leader that has lost power is not replaced earlier, so this
 /// is no longer than necessary.
 constexpr Millis promise_time { 1000 };
+// A node whose claim took effect without its knowledge may promise once more; its
+// scheduler allows for orders of earlier leaders during one lease.
+static_assert(promise_time < leader_lease, "promises outlast what a new leader allows for");
 
 /// Time limit of a client's call; a write that is not stored by then is abandoned.
 constexpr Millis max_request_time { 1200 };
--- a/src/jobs.lib/leadership.cpp
+++ b/src/jobs.lib/leadership.cpp
@@ -231,7 +231,8 @@
     m_leader = leader;
     m_leader_known_since = m_loop.now();
     forget_deferral();
-    m_could_lead_since.reset();
+    if (!less_powerful_leader())
+        m_could_lead_since.reset();
     m_leader_silent = false;
     m_answers_late = false;
     m_refusals = 0;
@@ -253,22 +254,33 @@
     }
 }
 
+bool Leadership::less_powerful_leader() const
+{
+    const int leader_millicores = m_leader.identity.cpu_millicores;
+    return leader_millicores > 0 && leader_millicores < m_identity.cpu_millicores;
+}
+
 // Returns whether the leader is less powerful and has had the time to hand over to this
 // node. It may have any reason not to, or none; what it orders until it learns of the claim
-// is fenced at the workers, as with any claim.
+// is fenced at the workers, as with any claim. A node that does not hear the leader at all
+// may itself be the one that is cut off, and judges the leader by its row instead.
 bool Leadership::hand_over_overdue()
 {
-    const int leader_millicores = m_leader.identity.cpu_millicores;
-    const bool less_powerful
-        = leader_millicores > 0 && leader_millicores < m_identity.cpu_millicores;
-    if (!less_powerful || !m_listener.could_lead()) {
+    const Millis now = m_loop.now();
+    const bool looked_lately = now - m_hand_over_looked_at < late_heartbeat_timeout;
+    const bool hears_leader = now - m_leader_heard_at < late_heartbeat_timeout;
+    m_hand_over_looked_at = now;
+    if (!less_powerful_leader() || !hears_leader || !looked_lately
+        || !m_listener.could_lead()) {
         m_could_lead_since.reset();
         return false;
     }
-    const Millis now = m_loop.now();
     if (!m_could_lead_since)
         m_could_lead_since = now;
-    return now - *m_could_lead_since >= max_hand_over_time + slow_store_allowance();
+    // The most powerful nodes go first.
+    const Millis limit
+        = should_yield() ? max_hand_over_time + max_deferral : max_hand_over_time;
+    return now - *m_could_lead_since >= limit;
 }
 
 void Leadership::schedule_follow(Millis delay)
@@ -325,6 +337,7 @@
         // nodes. What it knew of the leader may have changed when the store is back.
         m_claim_wanted = false;
         forget_deferral();
+        m_could_lead_since.reset();
         m_listener.leader_unknown();
         if (m_rows_known)
             schedule_follow(store_retry_delay);
@@ -478,6 +491,8 @@
         return;
     }
     m_refusals = 0;
+    if (answer.leads)
+        m_leader_heard_at = m_loop.now();
     // A more powerful node would do better than a leader that is late.
     if (heartbeat->overdue && m_identity.cpu_millicores > m_leader.identity.cpu_millicores
         && answer.leads && !answer.resigned)
@@ -567,14 +582,18 @@
         schedule_follow(m_no_claim_until - now);
         return;
     }
-    if (should_yield() && !m_deferred) {
+    // hand_over_overdue() has waited for more powerful nodes, and for each node from
+    // another moment on.
+    const bool waited = reason == ClaimReason::not_handed_over;
+    if (!waited && should_yield() && !m_deferred) {
         defer_claim();
         return;
     }
     m_claiming = true;
     m_claim_wanted = false;
     m_claim_reason = reason;
-    const Millis spread(static_cast<int64_t>(m_loop.random() % claim_spread_ms));
+    const Millis spread(waited ? 0
+                               : static_cast<int64_t>(m_loop.random() % claim_spread_ms));
     m_loop.after(spread, m_lifetime.wrap([this] { send_claim(); }));
 }
 
@@ -742,6 +761,12 @@
         become_leader(*claimed_version, sent_at);
         return;
     }
+    // The leader lives and has written its row meanwhile. It must go on hearing this node.
+    if (result.status == StoreStatus::conflict
+        && m_claim_reason == ClaimReason::not_handed_over) {
+        schedule_follow(heartbeat_interval);
+        return;
+    }
     // The rows tell whether another node was first or this claim took effect.
     m_loop.after(result.status == StoreStatus::conflict ? Millis(0) : store_retry_delay,
                  m_lifetime.wrap([this] { read_rows(); }));
--- a/src/jobs.lib/leadership.h
+++ b/src/jobs.lib/leadership.h
@@ -61,8 +61,8 @@
     virtual void leader_answered(const PeerAnswer& answer) = 0;
     /// Called when the known leader is gone and its successor can't be read from the store.
     virtual void leader_unknown() = 0;
-    /// Returns whether this node could take over now: the store serves it, and is fast
-    /// enough for a new leader.
+    /// Returns whether this node could take over now: the store does not fail it and is
+    /// not known to be too slow for a new leader.
     virtual bool could_lead() const = 0;
 };
 
@@ -130,6 +130,7 @@
     void act_on_rows();
     void follow_new_leader(const LeaderValue& leader);
     void update_leader(const PeerAnswer& answer);
+    bool less_powerful_leader() const;
     bool hand_over_overdue();
     void schedule_follow(Millis delay);
     void follow();
@@ -199,8 +200,10 @@
     LeaderValue m_announced; ///< Last leader announced by another node while this one led.
     Millis m_leader_known_since; ///< When this node learned of the present leader.
     Millis m_leader_answered_at; ///< When the leader last confirmed that it leads.
-    /// Since when this node could lead instead of the present, less powerful leader.
+    Millis m_leader_heard_at; ///< When it last answered that it leads, in time or late.
+    /// Since when this node could lead instead of less powerful leaders.
     std::optional<Millis> m_could_lead_since;
+    Millis m_hand_over_looked_at; ///< When that was last checked.
     int m_refusals = 0; ///< Consecutive refused connections to the leader.
     HeartbeatPtr m_open_heartbeat; ///< The last one.
     int64_t m_last_heartbeat = 0; ///< Number of the last one sent.
--- a/src/jobs.lib/leadership_test.cpp
+++ b/src/jobs.lib/leadership_test.cpp
@@ -111,7 +111,12 @@
     {
         const Millis begun = m_world.now();
         while (elections.count == 0 && m_world.now() - begun < limit) {
-            for (const PeerReply& reply : std::exchange(m_peers.open, {}))
+            for (const PeerReply& reply : std::exchange(m_peers.open, {})) {
+                ++heartbeats;
+                if (!answers) {
+                    m_world.after(Millis(1200), [reply] { reply(PeerEnd::silent, {}); });
+                    continue;
+                }
                 m_world.after(answer_delay, [this, reply] {
                     PeerAnswer answer;
                     answer.node = "a";
@@ -121,8 +126,9 @@
                     answer.cpu_millicores = m_leader_millicores;
                     reply(PeerEnd::answered, answer);
                 });
-            m_world.run_for(Millis(10));
-            if (m_world.now() - m_head_written >= Millis(200))
+            }
+            m_world.run_for(Millis(1));
+            if (m_world.now() - m_head_written >= write_interval)
                 write_head();
         }
         return m_world.now() - begun;
@@ -131,7 +137,10 @@
     const Leadership& leadership() const { return m_leadership; }
 
     Millis answer_delay { 2 };
+    Millis write_interval { 200 };
+    bool answers = true;
     int64_t answer_epoch = 1;
+    int heartbeats = 0; ///< Number that the follower has sent.
     Elections elections;
 
 private:
@@ -401,12 +410,20 @@
 {
     constexpr Millis limit { 10000 };
     constexpr Millis standstill { 3000 }; // The users' limit for jobs with free capacity.
+    constexpr Millis heartbeat_time { 500 }; // In large cells.
     AnsweredFollower prompt(120);
-    BOOST_TEST((prompt.time_until_elected(limit) < standstill));
+    const Millis waited = prompt.time_until_elected(limit);
+    BOOST_TEST((waited < standstill), waited.count() << " ms");
+    // The leader has heard of it by then.
+    BOOST_TEST((waited > heartbeat_time), waited.count() << " ms");
     // Late answers don't count for a more powerful node, but the row is written.
     AnsweredFollower late(120);
     late.answer_delay = Millis(500);
     BOOST_TEST((late.time_until_elected(limit) < standstill));
+    // A leader under load writes its row back to back.
+    AnsweredFollower busy(120);
+    busy.write_interval = Millis(16);
+    BOOST_TEST((busy.time_until_elected(limit) < standstill));
 }
 
 // A leader of equal or unknown processor time stays, and so does a weaker one while the
@@ -422,7 +439,24 @@
     slow_store.elections.store_fast = false;
     BOOST_TEST((slow_store.time_until_elected(limit) == limit));
     slow_store.elections.store_fast = true;
-    BOOST_TEST((slow_store.time_until_elected(limit) < Millis(3000)));
+    const Millis waited = slow_store.time_until_elected(limit);
+    BOOST_TEST((waited < Millis(3000) && waited > Millis(500)), waited.count() << " ms");
+}
+
+// Guards against a node that is cut off from its peers and takes the leadership from a
+// weaker leader that the others follow: nobody would hear its answers, and as it writes its
+// row nobody would replace it.
+BOOST_AUTO_TEST_CASE(node_that_does_not_hear_the_leader_leaves_it_alone)
+{
+    constexpr Millis limit { 10000 };
+    AnsweredFollower cut_off(120);
+    cut_off.answers = false;
+    BOOST_TEST((cut_off.time_until_elected(limit) == limit));
+    AnsweredFollower heard_before(120);
+    heard_before.time_until_elected(Millis(700));
+    heard_before.answers = false;
+    BOOST_TEST((heard_before.time_until_elected(limit) == limit));
+    BOOST_TEST(heard_before.heartbeats > 10);
 }
 
 // Guards against a follower that keeps an earlier epoch of its leader, which claimed twice:
