A node that is asked for its candidacy checks its leader at once

Callers saw a weak node lead beside strong ones after an outage of the store.

A weak node that finds the leader gone asks the stronger ones whether they can claim, and claims after 0.4 s if none says so. A strong node that was bound by its promise of the outage said no, although the promise ends within a second; it did nothing to find out whether its leader was gone, which in large cells it notices half a second later; and after an outage it said no until its own next look at the store, up to 0.2 s later.

A node now answers that it can claim unless it retires or the store fails it, checks the leader at once, and, if the store failed it last, looks at the store first, since a heartbeat would renew the promise. Of many nodes that ask, one in 100 ms causes such a check.

--- a/src/jobs.lib/client_answers_test.cpp
+++ b/src/jobs.lib/client_answers_test.cpp
@@ -392,3 +392,80 @@
     follower.world.run_for(Millis(2000));
     BOOST_TEST((submit("busy", "job5", 1000) == ClientStatus::ok));
 }
+
+// A weaker node asks when it finds the leader gone, which a stronger one may notice half a
+// second later. Guards against a weak node that has claimed by then; and against a second
+// heartbeat for each of many nodes that ask.
+BOOST_AUTO_TEST_CASE(asked_candidate_checks_its_leader_at_once)
+{
+    Follower follower;
+    int heartbeats = 0;
+    follower.peers.on_send = [&](const PeerRequest& request, const PeerReply& done) {
+        if (request.topic != PeerTopic::heartbeat)
+            return;
+        ++heartbeats;
+        PeerAnswer answer;
+        answer.leads = true;
+        answer.served = true;
+        answer.epoch = 1;
+        answer.incarnation = "x";
+        follower.world.after(Millis(2),
+                             [done, answer] { done(PeerEnd::answered, answer); });
+    };
+    follower.begin(follower.directory, {});
+    const int first = heartbeats;
+    for (int i = 0; i < 1000 && heartbeats == first; ++i)
+        follower.world.run_for(Millis(1));
+    BOOST_REQUIRE(heartbeats == first + 1);
+    follower.world.run_for(Millis(110));
+    BOOST_REQUIRE(heartbeats == first + 1);
+    PeerRequest question;
+    question.topic = PeerTopic::candidacy;
+    int served = 0;
+    for (int i = 0; i < 10; ++i) {
+        follower.node->handle_peer(
+            question, [&](const PeerAnswer& answer) { served += answer.served ? 1 : 0; });
+        follower.world.run_for(Millis(5));
+    }
+    BOOST_TEST(served == 10);
+    BOOST_TEST(heartbeats == first + 2);
+}
+
+// Guards against strong nodes that rule themselves out when an outage of the store is over:
+// they are bound by a promise for a second at most, and learn late that the store is back.
+BOOST_AUTO_TEST_CASE(candidate_is_ready_once_the_store_serves_it_again)
+{
+    Follower follower;
+    follower.peers.on_send = [&](const PeerRequest& request, const PeerReply& done) {
+        if (request.topic != PeerTopic::heartbeat)
+            return;
+        PeerAnswer answer;
+        answer.leads = true;
+        answer.served = !follower.store.injected.refuse_calls;
+        answer.epoch = 1;
+        answer.incarnation = "x";
+        answer.sent_ms = follower.world.now().count();
+        follower.world.after(Millis(2),
+                             [done, answer] { done(PeerEnd::answered, answer); });
+    };
+    follower.begin(follower.directory, {});
+    PeerRequest question;
+    question.topic = PeerTopic::candidacy;
+    const auto is_ready = [&] {
+        bool served = false;
+        follower.node->handle_peer(
+            question, [&](const PeerAnswer& answer) { served = answer.served; });
+        return served;
+    };
+    BOOST_TEST(is_ready());
+    follower.store.injected.refuse_calls = true;
+    follower.world.run_for(Millis(3000));
+    BOOST_TEST(!is_ready());
+    follower.world.run_for(Millis(300));
+    follower.store.injected.refuse_calls = false;
+    BOOST_TEST(!is_ready());
+    follower.world.run_for(Millis(20));
+    BOOST_TEST(is_ready());
+    follower.node->begin_shutdown();
+    BOOST_TEST(!is_ready());
+}
--- a/src/jobs.lib/job_node_impl.h
+++ b/src/jobs.lib/job_node_impl.h
@@ -191,7 +191,7 @@
     void note_follower(const PeerRequest& request);
     void handle_state(const PeerRequest& request, PeerAnswer answer, PeerResponder done);
     void handle_accept(const PeerRequest& request, PeerResponder done);
-    void handle_candidacy(PeerAnswer& answer) const;
+    void handle_candidacy(PeerAnswer& answer);
     void handle_advice(const PeerRequest& request, PeerResponder done);
     void handle_job_accepted(const PeerRequest& request, PeerAnswer& answer);
     void handle_job_payload(const PeerRequest& request, PeerAnswer& answer) const;
@@ -218,6 +218,7 @@
     /// Nodes known to the previous leader that have sent no heartbeat to this one yet.
     std::set<std::string> m_unheard_peers;
     Millis m_store_checked; ///< On behalf of a leader that the store does not serve.
+    Millis m_leader_checked; ///< On behalf of a node that asked for this one's candidacy.
     Millis m_last_lead_tick; ///< When lead_tick() last ran.
     Millis m_elected_at; ///< When this node became the leader.
     bool m_shutting_down = false;
--- a/src/jobs.lib/job_node_peers.cpp
+++ b/src/jobs.lib/job_node_peers.cpp
@@ -17,6 +17,9 @@
 constexpr Millis advice_timeout { 5000 };
 /// Time limit for a state query on behalf of a peer.
 constexpr Millis state_query_time { 500 };
+/// Minimum time between checks of the leader on behalf of nodes that ask whether this one
+/// can claim: a hundred may ask at once.
+constexpr Millis candidacy_check_interval { 100 };
 
 } // namespace
 
@@ -138,12 +141,23 @@
     answer.peers = m_peers.update_for(request.peers_hash);
 }
 
-void JobNode::Impl::handle_candidacy(PeerAnswer& answer) const
+// The asking node has found the leader gone, which this one may notice much later by
+// itself.
+void JobNode::Impl::handle_candidacy(PeerAnswer& answer)
 {
     answer.incarnation = m_setup.incarnation;
     answer.leader = m_leadership.leader().identity.address;
     answer.leader_incarnation = m_leadership.leader().identity.incarnation;
     answer.served = m_leadership.may_claim() && !m_store.failing();
+    const Millis now = m_context.loop.now();
+    if (m_scheduler || now - m_leader_checked < candidacy_check_interval)
+        return;
+    m_leader_checked = now;
+    // While the store counts as failing, a heartbeat would renew the promise not to claim.
+    if (m_store.failing())
+        m_store.check(m_lifetime.wrap([this] { m_leadership.heartbeat_now(); }));
+    else
+        m_leadership.heartbeat_now();
 }
 
 void JobNode::Impl::note_follower(const PeerRequest& request)
--- a/src/jobs.lib/leadership.h
+++ b/src/jobs.lib/leadership.h
@@ -107,8 +107,9 @@
     void leader_announced(const LeaderValue& leader);
     /// Returns the last known leader.
     const LeaderValue& leader() const { return m_leader; }
-    /// Returns whether this node would claim leadership if it found the leader gone.
-    bool may_claim() const { return !m_retired && m_loop.now() >= m_no_claim_until; }
+    /// Returns whether this node would claim leadership if it found the leader gone, at the
+    /// latest when its promise has ended.
+    bool may_claim() const { return !m_retired; }
     /// Returns the most powerful followers of the leader, as it last told, or as its row
     /// names them.
     const std::vector<Candidate>& candidates() const { return m_candidates; }
--- a/src/jobs.lib/leadership_test.cpp
+++ b/src/jobs.lib/leadership_test.cpp
@@ -440,6 +440,23 @@
     BOOST_TEST(elections.count == 1);
 }
 
+// A node whose promise ends soon is worth waiting for, so a weaker one that asks is told
+// that it can claim.
+BOOST_AUTO_TEST_CASE(promise_that_ends_soon_does_not_rule_out_a_claim)
+{
+    emulator::World world { 15 };
+    emulator::Store store { world };
+    emulator::ProcessLoop loop { world };
+    emulator::StorePort port { store, loop, "b" };
+    HeldPeers peers;
+    Elections elections;
+    Leadership leadership(loop, port, peers, { "b", "b", "y", 500 }, elections);
+    leadership.promise_no_claim_until(world.now() + Millis(1000));
+    BOOST_TEST(leadership.may_claim());
+    leadership.retire();
+    BOOST_TEST(!leadership.may_claim());
+}
+
 // Guards against a consequence of electing a node twice for one claim: the second log's
 // first write would have the same head as the first log's first write, and would be taken
 // for committed although its rows were never written.
