A leader hands over before it schedules, and a hand-over is bounded

Callers saw that nothing starts for seconds while a weak node leads beside strong ones.

Cause: - A leader that did not schedule yet was never to hand over ("loading"): it read all open jobs and waited for reports, and its successor did so again. - A hand-over that had begun waited for timers, each as late as the leader, and for a log whose backlog shrank with each write, however slowly. - The successor was fixed when the hand-over began. A write that hung, as long as it may, ended in one that named a node that had died meanwhile.

Change: a more powerful live follower is named as soon as it is heard, also while loading; a leader that stops names no weaker one before it schedules, as until now. The write that names the successor is sent at once, or with the reply to the one in flight, and contains the rows unless more than half of those that waited at the last write still wait. A successor that stops or falls silent is withdrawn until that write is sent; "silent" allows for the leader's own lateness. The line leadership_handed_over tells how long the node led and whether it scheduled.

Safety: a leader that does not schedule has sent no orders, and the naming write takes its lists from the same functions as each renewal of the lease while loading, with early orders off.

--- a/src/jobs.lib/hand_over_test.cpp
+++ b/src/jobs.lib/hand_over_test.cpp
@@ -9,6 +9,9 @@
 #include <boost/test/unit_test.hpp>
 
 #include "cell_fixture.h"
+#include "leadership.h"
+
+#include <algorithm>
 
 using namespace pathport;
 using namespace pathport::cell_tests;
@@ -226,3 +229,109 @@
         BOOST_TEST(cell.leader() != "n1", "seed " << seed);
     }
 }
+
+// Guards against tasks that run twice when leadership passes through a weak node that never
+// schedules: what its claim inherited, orders without a record and silent workers, has to
+// reach the strong node that it names.
+BOOST_AUTO_TEST_CASE(weak_leader_that_never_scheduled_hands_on_what_it_inherited)
+{
+    constexpr int seeds = 20;
+    // A leader with a silent worker waits for its first report this long.
+    constexpr Millis earliest_schedule { 250 };
+    int with_unrecorded = 0;
+    int with_silent = 0;
+    int unchanged = 0;
+    for (uint64_t seed = 1; seed <= seeds; ++seed) {
+        Cell cell(seed, 4, 6,
+                  { { "n1", 500 }, { "n2", 500 }, { "n3", 120 }, { "n4", 120 } });
+        add_queues(cell);
+        cell.world.run_for(Millis(2000));
+        cell.store.injected.latency_factor = 80;
+        cell.world.run_for(Millis(2000));
+        for (int i = 0; i < 10; ++i) {
+            submit(cell, "q0", "job" + std::to_string(i), { one_core_step(2, 5000) });
+            cell.world.run_for(Millis(100));
+        }
+        cell.workers.partition("w1", Millis(4000 + 500 * static_cast<int64_t>(seed % 5)));
+        cell.world.run_for(Millis(1500));
+        for (int i = 0; i < 6; ++i) {
+            submit(cell, "q1", "late" + std::to_string(i), { one_core_step(2, 4000) });
+            cell.world.run_for(Millis(60));
+        }
+        const int64_t epoch = epoch_of(cell);
+        const std::string strong = cell.leader();
+        cell.store.injected.refused_nodes = { "n1", "n2" };
+        cell.kill(strong, Millis(300));
+        cell.store.injected.latency_factor = 1;
+        cell.note_disturbance(Millis(5000), Millis(15000));
+        const auto head_row = [&cell] {
+            return jobs::decode_head(cell.store.value(jobs::lead_row(jobs::head_key)));
+        };
+        for (int i = 0; i < 8000 && epoch_of(cell) == epoch; ++i)
+            cell.world.run_for(Millis(1));
+        const auto claimed = head_row();
+        BOOST_REQUIRE_MESSAGE(claimed && claimed->epoch == epoch + 1, "seed " << seed);
+        cell.store.injected.refused_nodes.clear();
+        const Millis elected = cell.world.now();
+        for (int i = 0; i < 3000 && epoch_of(cell) == epoch + 1; ++i)
+            cell.world.run_for(Millis(1));
+        const auto handed_over = head_row();
+        const Millis led = cell.world.now() - elected;
+        BOOST_REQUIRE(handed_over.has_value());
+        BOOST_TEST(handed_over->epoch == epoch + 2, "seed " << seed);
+        BOOST_TEST(handed_over->handed_over(), "seed " << seed);
+        BOOST_TEST((led < earliest_schedule),
+                   "seed " << seed << ": led for " << led.count() << " ms");
+        // A worker that has reported to the weak leader has no tasks without a record.
+        const auto& left = handed_over->unrecorded_task_workers;
+        const auto& inherited = claimed->unrecorded_task_workers;
+        BOOST_TEST(
+            std::includes(inherited.begin(), inherited.end(), left.begin(), left.end()),
+            "seed " << seed);
+        unchanged += left == inherited ? 1 : 0;
+        BOOST_TEST((handed_over->silent == claimed->silent), "seed " << seed);
+        with_unrecorded += claimed->unrecorded_task_workers.empty() ? 0 : 1;
+        with_silent += claimed->silent == jobs::SilentWorkers() ? 0 : 1;
+        cell.world.run_for(Millis(40000));
+        const auto violations = cell.workers.violations();
+        BOOST_TEST(violations.empty(), "seed " << seed << join_lines(violations));
+        const auto problems = cell.final_violations();
+        BOOST_TEST(problems.empty(), "seed " << seed << join_lines(problems));
+    }
+    BOOST_TEST(with_unrecorded >= seeds / 2);
+    BOOST_TEST(with_silent >= seeds / 2);
+    BOOST_TEST(unchanged >= seeds / 2);
+}
+
+// Guards against a leader that names a node as its successor which has died since: a write
+// that hangs holds up the one that names it, and the cell waits for the dead node's turn.
+BOOST_AUTO_TEST_CASE(leader_that_stops_does_not_name_a_successor_that_died)
+{
+    for (uint64_t seed = 1; seed <= 10; ++seed) {
+        Cell cell(seed, 3, 8, { { "n1", 500 }, { "n2", 400 }, { "n3", 300 } });
+        cell.world.run_for(Millis(4000));
+        BOOST_REQUIRE_MESSAGE(cell.leader() == "n1", "seed " << seed);
+        const int64_t epoch = epoch_of(cell);
+        const auto head
+            = [&cell] { return cell.store.value(jobs::lead_row(jobs::head_key)); };
+        for (const std::string before = head(); head() == before;)
+            cell.world.run_for(Millis(1));
+        // Only the leader's calls hang: that which renews its lease and what follows.
+        cell.store.injected.partitioned_nodes = { "n1" };
+        cell.world.run_for(Millis(430));
+        cell.stop("n1", Millis(500));
+        cell.world.run_for(Millis(1));
+        cell.kill("n2", Millis(60000));
+        cell.world.run_for(Millis(700));
+        cell.store.injected.partitioned_nodes.clear();
+        for (int i = 0; i < 4000 && epoch_of(cell) == epoch; ++i)
+            cell.world.run_for(Millis(1));
+        const auto next
+            = jobs::decode_leader(cell.store.value(jobs::lead_row(jobs::leader_key)));
+        BOOST_REQUIRE(next.has_value());
+        BOOST_TEST(next->identity.node == "n3", "seed " << seed);
+        cell.world.run_for(Millis(20000));
+        const auto problems = cell.final_violations();
+        BOOST_TEST(problems.empty(), "seed " << seed << join_lines(problems));
+    }
+}
--- a/src/jobs.lib/head_log.cpp
+++ b/src/jobs.lib/head_log.cpp
@@ -175,8 +175,17 @@
         return;
     m_successor = Successor { std::move(leader_row), std::move(incarnation),
                               std::move(done), false };
-    if (!m_sending && !m_pending_write)
-        schedule(Millis(1));
+    // A timer would run late on a node that is short of processor time.
+    if (!m_pending_write)
+        flush();
+}
+
+bool HeadLog::withdraw_successor()
+{
+    if (m_successor && m_successor->written)
+        return false;
+    m_successor.reset();
+    return true;
 }
 
 void HeadLog::when_recorded(const std::string& job, std::function<void()> done)
@@ -302,13 +311,14 @@
     adapt_spacing(m_loop.now() - started_at, bytes);
 }
 
-// Returns whether more rows wait than at the last write although a successor waits. The
-// successor learns what they say from the workers, as after a crash.
+// Returns whether more than half of the rows that waited at the last write still wait
+// although a successor waits. The successor learns what they say from the workers, as after
+// a crash.
 bool HeadLog::falls_behind()
 {
     const size_t waiting_before = m_successor->rows_waiting;
     m_successor->rows_waiting = m_queue.size();
-    return m_queue.size() >= waiting_before;
+    return m_queue.size() > waiting_before / 2;
 }
 
 void HeadLog::prepare_head()
@@ -503,8 +513,8 @@
     if (handed_over)
         m_closed = true;
     else
-        schedule(m_queue.empty() && !m_successor ? renewal_interval
-                                                 : std::max(Millis(1), m_spacing - since));
+        schedule(m_queue.empty() ? renewal_interval
+                                 : std::max(Millis(1), m_spacing - since));
     // A callback may end this leadership and destroy the log.
     const auto alive = m_lifetime.observe();
     for (const Entry& entry : written) {
@@ -521,6 +531,8 @@
     m_owner.head_written();
     if (m_committed.early_orders_allowed)
         m_owner.early_orders_enabled();
+    if (m_successor)
+        flush();
 }
 
 // Returns the head row of a result if the present write wrote it. Each write has a unique
--- a/src/jobs.lib/head_log.h
+++ b/src/jobs.lib/head_log.h
@@ -121,11 +121,14 @@
     void set_link_rate(int64_t bytes) { m_link_bytes_per_s = bytes; }
 
     /// Makes another node the leader with the next write that contains all pending rows, or
-    /// that finds more of them than the one before: it also writes `leader_row` and a head
-    /// of the next epoch for `incarnation`. Nothing can be written after it. `done` is
-    /// called when it has taken effect.
+    /// that leaves out more than half as many as the one before: it also writes
+    /// `leader_row` and a head of the next epoch for `incarnation`. Nothing can be written
+    /// after it. `done` is called when it has taken effect.
     void hand_over(std::string leader_row, std::string incarnation,
                    std::function<void()> done);
+    /// Withdraws hand_over(), whose `done` is not called then. Returns false if a write
+    /// that names the successor has been sent.
+    bool withdraw_successor();
     /// Returns whether the store is much slower than normal.
     bool slow() const { return m_writer.slow(); }
     /// Returns how late this log's timer ran lately.
--- a/src/jobs.lib/head_log_test.cpp
+++ b/src/jobs.lib/head_log_test.cpp
@@ -141,6 +141,65 @@
     BOOST_TEST(head->may_run_unrecorded("w1"));
 }
 
+// Guards against a hand-over that takes seconds: each write leaves out a few rows less than
+// the one before, so no more of them come than are written, but hardly any fewer.
+BOOST_AUTO_TEST_CASE(successor_is_named_while_the_backlog_shrinks_slowly)
+{
+    LoggedStore logged(8);
+    emulator::World& world = logged.world;
+    HeadLog& log = logged.log;
+    constexpr int backlog = 6000;
+    for (int i = 0; i < backlog; ++i)
+        log.record("job" + std::to_string(i));
+    bool handed_over = false;
+    const LeaderValue next { 2, { "n2", "n2", "second", 1000 } };
+    log.hand_over(encode(next), next.identity.incarnation, [&] { handed_over = true; });
+    world.run_for(Millis(400));
+    BOOST_TEST(handed_over);
+    const auto head = decode_head(logged.store.value(lead_row(head_key)));
+    BOOST_REQUIRE(head.has_value());
+    BOOST_TEST(head->handed_over());
+    // Rows that were left out may belong to orders that preceded them.
+    BOOST_TEST(head->may_run_unrecorded("w1"));
+}
+
+// Guards against a hand-over that waits for timers of a leader that is short of processor
+// time: each of them runs as late as the leader is.
+BOOST_AUTO_TEST_CASE(late_leader_names_its_successor_without_waiting_for_a_timer)
+{
+    constexpr Millis event_time { 20 };
+    LoggedStore logged(9);
+    emulator::World& world = logged.world;
+    HeadLog& log = logged.log;
+    log.record("job");
+    world.run_for(Millis(50));
+    emulator::ProcessorCost cost;
+    cost.event = event_time;
+    logged.loop.set_processor_cost(cost);
+    // The work that keeps the processor busy.
+    for (int i = 0; i < 300; ++i)
+        logged.loop.after(Millis(i * 15), [] {});
+    world.run_for(Millis(2000));
+    bool handed_over = false;
+    const LeaderValue next { 2, { "n2", "n2", "second", 1000 } };
+    log.record("last");
+    log.hand_over(encode(next), next.identity.incarnation, [&] { handed_over = true; });
+    // The reply to a write in flight is read before this.
+    constexpr Millis reply_time { 50 };
+    bool reply_read = false;
+    logged.loop.after(reply_time, [&] { reply_read = true; });
+    const Millis begun = world.now();
+    while (!reply_read)
+        world.run_for(Millis(1));
+    BOOST_TEST((world.now() - begun > Millis(200)), "the leader is not late");
+    world.run_for(reply_time);
+    const auto head = decode_head(logged.store.value(lead_row(head_key)));
+    BOOST_REQUIRE(head.has_value());
+    BOOST_TEST(head->handed_over());
+    world.run_for(Millis(3000));
+    BOOST_TEST(handed_over);
+}
+
 BOOST_AUTO_TEST_CASE(lease_ends_while_the_store_is_away)
 {
     LoggedStore logged(7);
--- a/src/jobs.lib/job_node_impl.h
+++ b/src/jobs.lib/job_node_impl.h
@@ -49,7 +49,7 @@
 enum class HandOverObstacle {
     none, ///< It should hand over now.
     in_progress, ///< The log is about to make another node the leader.
-    loading, ///< It does not schedule yet.
+    loading, ///< It does not schedule yet, and no live follower is more powerful.
     strongest, ///< No live follower that the store serves is more powerful.
     store_slow, ///< The next leader would read all open jobs from a slow store.
     disabled, ///< The mechanism is off.
@@ -134,6 +134,8 @@
     HandOverObstacle hand_over_obstacle() const;
     void log_hand_over_obstacle();
     void hand_over_to(const std::string& address, const char* reason);
+    void withdraw_lost_successor();
+    bool is_eligible(const Follower& follower) const;
     void note_follower_served(const Follower& follower);
     bool other_node_served() const;
     bool slow_for_successor() const;
@@ -228,6 +230,7 @@
     /// When the store first served a follower since it fails this leader.
     std::optional<Millis> m_follower_served_at;
     bool m_handing_over = false; ///< The log is about to make another node the leader.
+    std::string m_next_leader; ///< Address of that node.
     /// Whether the store served the leader, as of its last answer.
     bool m_leader_served = false;
     CallLoad m_leader_call_load; ///< Load of its calls to workers, as of its last answer.
--- a/src/jobs.lib/job_node_succession.cpp
+++ b/src/jobs.lib/job_node_succession.cpp
@@ -58,13 +58,15 @@
     // A slow store is slow for all nodes, so another leader would not do better.
     const bool unserved = !m_scheduler->log().served() && m_store.failing()
         && now - last_write > max_unserved_time;
+    withdraw_lost_successor();
     // This runs at each heartbeat, so the followers are searched only when it matters.
     const bool hand_over_due = hand_over_obstacle() == HandOverObstacle::none;
     const std::string next = hand_over_due ? successor() : std::string();
     const Follower* const candidate = m_followers.find(next);
     // The one that was more powerful may have fallen silent since the last refresh.
+    const bool stops = m_shutting_down && m_scheduler->scheduling();
     if (candidate != nullptr
-        && (m_shutting_down || candidate->cpu_millicores > m_setup.cpu_millicores)) {
+        && (stops || candidate->cpu_millicores > m_setup.cpu_millicores)) {
         hand_over_to(next, m_shutting_down ? "planned_stop" : "stronger_node");
         return;
     }
@@ -112,16 +114,17 @@
 
 // Returns why no other node should become the leader now. A new leader reads all open jobs,
 // so while the store is slow this node stays leader for as long as its shutdown time
-// allows.
+// allows. One that does not schedule yet has ordered nothing, and a more powerful node
+// reads the same rows sooner; it has not heard all followers, so it names no weaker one.
 HandOverObstacle JobNode::Impl::hand_over_obstacle() const
 {
     if (!m_setup.mechanisms.uses(Mechanism::hand_over))
         return HandOverObstacle::disabled;
     if (m_handing_over)
         return HandOverObstacle::in_progress;
-    if (!m_scheduler->scheduling())
-        return HandOverObstacle::loading;
     const bool stronger = m_followers.max_millicores() > m_setup.cpu_millicores;
+    if (!m_scheduler->scheduling() && !stronger)
+        return HandOverObstacle::loading;
     if (!m_shutting_down && !stronger)
         return HandOverObstacle::strongest;
     const bool overdue = m_shutting_down
@@ -160,14 +163,19 @@
                 { "log_backlog", static_cast<int64_t>(log.backlog()) } });
 }
 
+// Returns whether the follower is live and its store access isn't failing. A leader that is
+// short of processor time reads heartbeats late.
+bool JobNode::Impl::is_eligible(const Follower& follower) const
+{
+    const Millis silent = m_context.loop.now() - follower.last_heard;
+    return silent < follower_silence_limit + m_scheduler->log().lateness()
+        && !follower.store_fails;
+}
+
 // Returns the address of the most powerful live follower whose store access isn't failing,
 // or "". Among equals, one with confirmed store access is preferred.
 std::string JobNode::Impl::successor() const
 {
-    const Millis now = m_context.loop.now();
-    const auto is_eligible = [&](const Follower& follower) {
-        return now - follower.last_heard < follower_silence_limit && !follower.store_fails;
-    };
     const auto key = [](const Follower& follower) {
         return std::make_tuple(follower.cpu_millicores, follower.store_served,
                                follower.last_heard);
@@ -184,9 +192,24 @@
     return best;
 }
 
+// The write that names the successor may be long in coming, and the successor may stop or
+// fall silent meanwhile.
+void JobNode::Impl::withdraw_lost_successor()
+{
+    if (!m_handing_over)
+        return;
+    const Follower* const next = m_followers.find(m_next_leader);
+    if ((next != nullptr && is_eligible(*next)) || !m_scheduler->withdraw_successor())
+        return;
+    m_handing_over = false;
+    log_event(LogLevel::info, "hand_over_withdrawn",
+              { { "epoch", m_leadership.epoch() }, { "address", m_next_leader } });
+}
+
 void JobNode::Impl::hand_over_to(const std::string& address, const char* reason)
 {
     m_handing_over = true;
+    m_next_leader = address;
     const Follower follower = *m_followers.find(address);
     const LeaderValue next { m_leadership.epoch() + 1,
                              { follower.node, address, follower.incarnation,
@@ -194,6 +217,8 @@
     log_event(LogLevel::info, "leadership_handed_over",
               { { "epoch", m_leadership.epoch() },
                 { "to", next.identity.node },
+                { "led_ms", (m_context.loop.now() - m_elected_at).count() },
+                { "scheduled", m_scheduler->scheduling() ? "yes" : "no" },
                 { "reason", reason } });
     PeerRequest notice = own_heartbeat();
     notice.resigned = true;
--- a/src/jobs.lib/scheduler.h
+++ b/src/jobs.lib/scheduler.h
@@ -80,6 +80,8 @@
     /// scheduler once that write has taken effect. Orders continue until the write is sent.
     void hand_over(std::string leader_row, std::string incarnation,
                    std::function<void()> done);
+    /// Withdraws hand_over(). Returns false if its write has been sent.
+    bool withdraw_successor() { return m_log.withdraw_successor(); }
 
     /// Adds a job that a node reports as accepted. `version` is the store version at which
     /// its row was written. Open jobs from before this epoch were loaded from the store, so
