--- a/src/emulator.lib/store.cpp
+++ b/src/emulator.lib/store.cpp
@@ -18,6 +18,10 @@
 /// Extra time that the platform's store client waits for the reply to a watch.
 constexpr Millis watch_margin { 1500 };
 constexpr Millis watch_poll { 20 };
+/// Time to the answer to a write that the store does not take.
+constexpr Millis failure_time { 5 };
+/// The partition of the leader's log and of claims.
+const char* const log_partition = "s";
 /// Page size of the worker list.
 constexpr size_t page_rows = 500;
 
@@ -201,6 +205,19 @@
     return Reach::served;
 }
 
+std::optional<StoreStatus> StorePort::log_failure(const jobs::StoreWrite& write) const
+{
+    const bool to_log
+        = !write.puts.empty() && write.puts.front().id.partition == log_partition;
+    if (!to_log || reach() != Reach::served)
+        return std::nullopt;
+    if (m_store.injected.refused_log_nodes.count(m_node) > 0)
+        return StoreStatus::refused;
+    if (m_store.injected.rejected_log_nodes.count(m_node) > 0)
+        return StoreStatus::rejected;
+    return std::nullopt;
+}
+
 void StorePort::answer(Millis delay, StoreResult result, const jobs::StoreReply& done)
 {
     m_loop.world().after(
@@ -270,6 +287,10 @@
     Store& store = m_store;
     if (lose_call(timeout, done))
         return;
+    if (const auto failure = log_failure(write)) {
+        answer(failure_time, with_status(*failure), done);
+        return;
+    }
     if (reach() == Reach::served && world.chance(store.injected.lost_write_replies)) {
         const Millis when = store.injected.delay_lost_writes
             ? Millis(1000 + int64_t(world.random_below(5000)))
--- a/src/include/pathport/emulator/store.h
+++ b/src/include/pathport/emulator/store.h
@@ -13,6 +13,7 @@
 
 #include <functional>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <tuple>
@@ -29,6 +30,10 @@
     bool delay_lost_writes = false; ///< Writes without a reply are executed 1 to 6 s later.
     std::set<std::string> refused_nodes; ///< Nodes whose calls are refused.
     std::set<std::string> partitioned_nodes; ///< Nodes whose calls are not answered.
+    /// Nodes whose writes to the scheduler's partition are refused; all else is served.
+    std::set<std::string> refused_log_nodes;
+    /// Nodes whose writes to the scheduler's partition are rejected; all else is served.
+    std::set<std::string> rejected_log_nodes;
 };
 
 /// The store's rows and configuration, shared by all nodes.
@@ -127,6 +132,8 @@
     };
 
     Reach reach() const;
+    /// Returns how a write to the scheduler's partition fails; nothing if it does not.
+    std::optional<jobs::StoreStatus> log_failure(const jobs::StoreWrite& write) const;
     /// Takes a connection; if it is black-holed, ends the call as `unknown` after `timeout`
     /// and returns true.
     bool lose_call(Millis timeout, const jobs::StoreReply& done);
