Postmortem of the weak leader that stays; a loop without a widening multiplication

The linter named one line of head_log_test, whose schedule is the same as before (300 events, 15 ms apart).

--- a/src/jobs.lib/head_log_test.cpp
+++ b/src/jobs.lib/head_log_test.cpp
@@ -180,8 +180,8 @@
     cost.event = event_time;
     logged.loop.set_processor_cost(cost);
     // The work that keeps the processor busy.
-    for (int i = 0; i < 300; ++i)
-        logged.loop.after(Millis(i * 15), [] {});
+    for (int64_t at = 0; at < 4500; at += 15)
+        logged.loop.after(Millis(at), [] {});
     world.run_for(Millis(2000));
     bool handed_over = false;
     const LeaderValue next { 2, { "n2", "n2", "second", 1000 } };
