Red: work stands for 3 s after strong nodes come back beside a new weak leader

The weak leader reads heartbeats 0.8 s late and waits for a write in flight; the next leader reads all open jobs, and its own first writes take 0.5 to 1.3 s. A comment of a multiple says again what it is added to.

--- a/src/jobs.lib/leadership.cpp
+++ b/src/jobs.lib/leadership.cpp
@@ -41,9 +41,9 @@
 /// the node by its next heartbeat and hands over by its next write.
 constexpr Millis max_hand_over_time
     = max_heartbeat_interval + heartbeat_timeout + head_stall_timeout;
-/// Multiple of the store's last read time that is added to `head_stall_timeout`,
-/// `max_hand_over_time` and `weaker_node_delay`: a slow store delays both the leader's
-/// writes and other nodes' claims.
+/// Multiple of the store's last read time that is added to `head_stall_timeout` and to
+/// `weaker_node_delay`: a slow store delays both the leader's writes and other nodes'
+/// claims.
 constexpr int64_t slow_store_multiple = 3;
 /// Multiple of the leader's lateness that is added to `head_stall_timeout`: the timer of
 /// its next write and the answer to the last one are late, and a pass may come between.
